--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SANITIZE ?= none
 CC = gcc
 PACKAGES = glib-2.0 jansson libcurl libprotobuf-c liburcu-mb yaml-0.1 argtable2 \
-           libxxhash
+           libxxhash libuv
 
 ifeq ($(SANITIZE),address)
   BUILD = build/address
@@ -30,11 +30,12 @@
            -Wmissing-prototypes -Wpointer-arith -Wvla
 CPPFLAGS = -D_GNU_SOURCE -DRCU_MB -Isrc -Iproto -I. $(shell pkg-config --cflags $(PACKAGES))
 CFLAGS = -std=gnu17 -g $(SANITIZE_FLAGS) $(WARNINGS) -MMD -MP -pthread
-LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lcivetweb -lcmocka -lm -pthread
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lcivetweb -lhttp_parser -lcmocka -lm -pthread
 
 PROTO_SOURCES = $(wildcard proto/*.pb-c.c)
 CORE_SOURCES = $(wildcard src/core/*.c) src/base/error.c
-SHELL_SOURCES = $(filter-out src/core/% src/base/error.c src/cli/main.c,$(wildcard src/*/*.c))
+SHELL_SOURCES = $(filter-out src/core/% src/base/error.c src/cli/main.c,$(wildcard src/*/*.c)) \
+                $(wildcard platform/*.c)
 STANDIN_SOURCES = $(wildcard standin/*.c)
 STANDIN_MAINS = $(filter %_main.c,$(STANDIN_SOURCES))
 STANDIN_LIBRARY = $(filter-out %_main.c,$(STANDIN_SOURCES))
@@ -107,7 +108,7 @@
 proto:
 	cd proto && protoc-c --c_out=. *.proto
 
-FORMATTED = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*/*.[ch] standin/*.[ch] test/*.[ch] test/fuzz/*.[ch] bench/*.[ch] examples/*.[ch]))
+FORMATTED = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] test/*.[ch] test/fuzz/*.[ch] bench/*.[ch] examples/*.[ch]))
 LINTED = $(filter %.c,$(FORMATTED))
 
 format:
--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -3,13 +3,28 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+/* Upper bounds of a histogram's buckets; one more bucket has no bound. */
+static const int64_t bucket_bounds_us[] = {
+  1000,   2000,   5000,    10000,   20000,   50000,    100000,
+  200000, 500000, 1000000, 2000000, 5000000, 10000000, 20000000,
+};
+
+#define BUCKETS (G_N_ELEMENTS (bucket_bounds_us) + 1)
+
 struct cnt_series
 {
   enum cnt_type type;
   char *name;
   char *labels;
   const char *help;
-  _Atomic int64_t value;
+  _Atomic int64_t value;    /* of a histogram: sum, in microseconds */
+  _Atomic int64_t *buckets; /* of a histogram: BUCKETS counts; else NULL */
+};
+
+static const char *const type_names[] = {
+  [CNT_COUNTER] = "counter",
+  [CNT_GAUGE] = "gauge",
+  [CNT_HISTOGRAM] = "histogram",
 };
 
 struct cnt_set
@@ -24,6 +39,7 @@
   struct cnt_series *series = data;
   g_free (series->name);
   g_free (series->labels);
+  g_free (series->buckets);
   g_free (series);
 }
 
@@ -81,6 +97,38 @@
   return found;
 }
 
+/* Returns the histogram of durations of SET with NAME, which ends in
+   `_seconds', and LABELS, created at need.  Thread-safe.  */
+struct cnt_series *
+cnt_histogram (struct cnt_set *set, const char *name, const char *labels,
+               const char *help)
+{
+  struct cnt_series *series
+      = cnt_series (set, CNT_HISTOGRAM, name, labels, help);
+  pthread_mutex_lock (&set->lock);
+  if (series->buckets == NULL)
+    {
+      series->buckets = g_malloc0 (BUCKETS * sizeof *series->buckets);
+    }
+  pthread_mutex_unlock (&set->lock);
+  return series;
+}
+
+/* Counts DURATION_US in HISTOGRAM.  Thread-safe, without a lock.  */
+void
+cnt_observe_us (struct cnt_series *histogram, int64_t duration_us)
+{
+  size_t bucket = 0;
+  while (bucket < G_N_ELEMENTS (bucket_bounds_us)
+         && duration_us > bucket_bounds_us[bucket])
+    {
+      bucket++;
+    }
+  atomic_fetch_add_explicit (&histogram->buckets[bucket], 1,
+                             memory_order_relaxed);
+  cnt_add (histogram, duration_us);
+}
+
 /* Adds AMOUNT to SERIES.  Thread-safe, without a lock.  */
 void
 cnt_add (struct cnt_series *series, int64_t amount)
@@ -118,6 +166,35 @@
   return FALSE;
 }
 
+/* Appends the buckets, sum and count of SERIES, a histogram.  */
+static void
+render_histogram (const struct cnt_series *series, GString *out)
+{
+  int64_t count = 0;
+  const char *comma = series->labels[0] == '\0' ? "" : ",";
+  for (size_t i = 0; i < BUCKETS; i++)
+    {
+      count
+          += atomic_load_explicit (&series->buckets[i], memory_order_relaxed);
+      char bound[32] = "+Inf";
+      if (i < G_N_ELEMENTS (bucket_bounds_us))
+        {
+          g_snprintf (bound, sizeof bound, "%g",
+                      (double)bucket_bounds_us[i] / G_USEC_PER_SEC);
+        }
+      g_string_append_printf (
+          out, "%s_bucket{%s%sle=\"%s\"} %" G_GINT64_FORMAT "\n", series->name,
+          series->labels, comma, bound, count);
+    }
+  const char *open = comma[0] == '\0' ? "" : "{";
+  const char *close = comma[0] == '\0' ? "" : "}";
+  g_string_append_printf (out, "%s_sum%s%s%s %g\n", series->name, open,
+                          series->labels, close,
+                          (double)cnt_get (series) / G_USEC_PER_SEC);
+  g_string_append_printf (out, "%s_count%s%s%s %" G_GINT64_FORMAT "\n",
+                          series->name, open, series->labels, close, count);
+}
+
 /* Appends every series named NAME to OUT.  */
 static void
 render_family (const struct cnt_set *set, const char *name, GString *out)
@@ -129,6 +206,11 @@
         {
           continue;
         }
+      if (series->type == CNT_HISTOGRAM)
+        {
+          render_histogram (series, out);
+          continue;
+        }
       g_string_append (out, name);
       if (series->labels[0] != '\0')
         {
@@ -154,7 +236,7 @@
         }
       g_string_append_printf (out, "# HELP %s %s\n# TYPE %s %s\n",
                               series->name, series->help, series->name,
-                              series->type == CNT_GAUGE ? "gauge" : "counter");
+                              type_names[series->type]);
       render_family (set, series->name, out);
     }
   pthread_mutex_unlock (&set->lock);
--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -11,7 +11,8 @@
 enum cnt_type
 {
   CNT_COUNTER,
-  CNT_GAUGE
+  CNT_GAUGE,
+  CNT_HISTOGRAM
 };
 
 struct cnt_set *cnt_set_create (void);
@@ -19,6 +20,9 @@
 struct cnt_series *cnt_series (struct cnt_set *set, enum cnt_type type,
                                const char *name, const char *labels,
                                const char *help);
+struct cnt_series *cnt_histogram (struct cnt_set *set, const char *name,
+                                  const char *labels, const char *help);
+void cnt_observe_us (struct cnt_series *histogram, int64_t duration_us);
 void cnt_add (struct cnt_series *series, int64_t amount);
 void cnt_put (struct cnt_series *series, int64_t value);
 int64_t cnt_get (const struct cnt_series *series);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -8,6 +8,9 @@
 
 static const struct cli_command commands[] = {
   { .name = "serve", .summary = "run the daemon", .run = cli_serve_run },
+  { .name = "entry",
+    .summary = "run an entry daemon on the users' platform",
+    .run = cli_entry_run },
   { .name = "config",
     .summary = "publish or show the fleet's configuration",
     .run = cli_config_run },
--- /dev/null
+++ b/src/config/entry_settings.c
@@ -0,0 +1,152 @@
+#include "config/entry_settings.h"
+
+#include "base/error.h"
+#include "config/file.h"
+#include "config/schema.h"
+
+#include <syslog.h>
+
+#define SETTINGS_BYTES_MAX ((size_t)64 * 1024)
+#define DEPTH_MAX 2
+#define NODES_MAX 200
+#define DURATION_MS_MAX 3600000
+#define MS_US 1000
+#define S_US 1000000
+
+static const char *const log_levels[]
+    = { "emerg",  "alert", "crit",  "err", "warning",
+        "notice", "info",  "debug", NULL };
+
+static const struct ens_settings defaults = { .log_level = LOG_INFO };
+
+#define ADDRESS(member)                                                       \
+  {                                                                           \
+    .key = #member, .type = SCH_STRING, SCH_AT (struct ens_settings, member), \
+    .required = true, .check = sch_check_listen_address                       \
+  }
+
+#define DURATION(name, member, unit_us)                                       \
+  {                                                                           \
+    .key = name, .type = SCH_UNSIGNED, SCH_AT (struct ens_settings, member),  \
+    .required = true, .min = 1, .max = DURATION_MS_MAX, .scale = unit_us      \
+  }
+
+static const struct sch_field fields[] = {
+  { .key = "name",
+    .type = SCH_STRING,
+    SCH_AT (struct ens_settings, name),
+    .required = true,
+    .check = sch_check_name },
+  { .key = "data_centre",
+    .type = SCH_STRING,
+    SCH_AT (struct ens_settings, data_centre),
+    .required = true,
+    .check = sch_check_name },
+  ADDRESS (caller_address),
+  ADDRESS (ready_address),
+  ADDRESS (metrics_address),
+  ADDRESS (store_address),
+  { .key = "store_partitions",
+    .type = SCH_UNSIGNED,
+    SCH_AT (struct ens_settings, store_partitions),
+    .required = true,
+    .min = 1,
+    .max = UINT32_MAX },
+  { .key = "memory_mb",
+    .type = SCH_UNSIGNED,
+    SCH_AT (struct ens_settings, memory_mb),
+    .required = true,
+    .min = 32,
+    .max = UINT32_MAX },
+  { .key = "descriptors",
+    .type = SCH_UNSIGNED,
+    SCH_AT (struct ens_settings, descriptors),
+    .required = true,
+    .min = 512,
+    .max = UINT32_MAX },
+  DURATION ("heartbeat_ms", heartbeat_us, MS_US),
+  DURATION ("drain_ms", drain_us, MS_US),
+  DURATION ("config_ms", config_us, MS_US),
+  DURATION ("revoke_ms", revoke_us, MS_US),
+  DURATION ("stop_s", stop_us, S_US),
+  DURATION ("stall_ms", stall_us, MS_US),
+  DURATION ("retry_window_s", retry_window_us, S_US),
+  { .key = "retry_ratio",
+    .type = SCH_FRACTION,
+    SCH_AT (struct ens_settings, retry_ratio),
+    .required = true,
+    .min_fraction = 0,
+    .max_fraction = 1 },
+  { .key = "retry_slack",
+    .type = SCH_UNSIGNED,
+    SCH_AT (struct ens_settings, retry_slack),
+    .required = true,
+    .max = UINT32_MAX },
+  { .key = "log_level",
+    .type = SCH_CHOICE,
+    SCH_AT (struct ens_settings, log_level),
+    .choices = log_levels },
+};
+
+static const struct sch_schema schema = {
+  .bytes = sizeof (struct ens_settings),
+  .defaults = &defaults,
+  .fields = fields,
+  .field_count = G_N_ELEMENTS (fields),
+};
+
+static const struct yt_limits limits = {
+  .text_bytes = SETTINGS_BYTES_MAX,
+  .depth = DEPTH_MAX,
+  .nodes = NODES_MAX,
+};
+
+/* Reads the settings of an entry daemon from the YAML file PATH.  Returns NULL
+   with ERR_SETTINGS when anything is wrong; COMPLAINTS then has one line for
+   each error.  The caller frees the result with ens_destroy.  */
+struct ens_settings *
+ens_load (const char *path, GString *complaints, GError **error)
+{
+  struct cmp_list list = { .file_name = path, .text = complaints };
+  char *text = NULL;
+  size_t bytes = 0;
+  GError *unread = NULL;
+  if (!cfg_read_file (path, SETTINGS_BYTES_MAX, &text, &bytes, &unread))
+    {
+      g_string_append_printf (complaints, "%s\n", unread->message);
+      g_propagate_error (error, unread);
+      return NULL;
+    }
+  struct ens_settings *settings = g_new0 (struct ens_settings, 1);
+  struct yt_node *root = yt_parse (text, bytes, &limits, &list);
+  if (root != NULL)
+    {
+      sch_read (&schema, root, settings, &list);
+    }
+  yt_destroy (root);
+  g_free (text);
+  cmp_finish (&list, ERR_SETTINGS, error);
+  if (list.count > 0)
+    {
+      ens_destroy (settings);
+      return NULL;
+    }
+  return settings;
+}
+
+/* Frees SETTINGS; NULL is allowed.  */
+void
+ens_destroy (struct ens_settings *settings)
+{
+  if (settings == NULL)
+    {
+      return;
+    }
+  g_free (settings->name);
+  g_free (settings->data_centre);
+  g_free (settings->caller_address);
+  g_free (settings->ready_address);
+  g_free (settings->metrics_address);
+  g_free (settings->store_address);
+  g_free (settings);
+}
--- /dev/null
+++ b/src/core/fleet.c
@@ -0,0 +1,196 @@
+#include "core/fleet.h"
+
+#include <string.h>
+
+/* Creates a configuration with room for the given numbers of items, which the
+   caller fills; strings are owned by the configuration.  */
+struct flt_config *
+flt_create (uint32_t routes, uint32_t services, uint32_t accounts)
+{
+  struct flt_config *config = g_new0 (struct flt_config, 1);
+  config->references = 1;
+  config->routes = g_new0 (struct flt_route, routes);
+  config->route_count = routes;
+  config->services = g_new0 (struct flt_service, services);
+  config->service_count = services;
+  config->accounts = g_new0 (struct flt_account, accounts);
+  config->account_count = accounts;
+  config->account_by_key
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return config;
+}
+
+/* Returns CONFIG with one more reference.  Thread-safe.  */
+struct flt_config *
+flt_reference (struct flt_config *config)
+{
+  g_atomic_int_inc (&config->references);
+  return config;
+}
+
+static void
+clear_service (struct flt_service *service)
+{
+  g_free (service->name);
+  g_free (service->health_path);
+  for (uint32_t i = 0; i < service->engine.kind_count; i++)
+    {
+      g_free (service->engine.kinds[i].name);
+    }
+}
+
+static void
+destroy (struct flt_config *config)
+{
+  for (uint32_t i = 0; i < config->route_count; i++)
+    {
+      g_free (config->routes[i].name);
+      g_free (config->routes[i].host);
+      g_free (config->routes[i].path_prefix);
+    }
+  for (uint32_t i = 0; i < config->service_count; i++)
+    {
+      clear_service (&config->services[i]);
+    }
+  for (uint32_t i = 0; i < config->account_count; i++)
+    {
+      g_free (config->accounts[i].name);
+    }
+  g_free (config->routes);
+  g_free (config->services);
+  g_free (config->accounts);
+  g_hash_table_destroy (config->account_by_key);
+  if (config->routes_by_host != NULL)
+    {
+      g_hash_table_destroy (config->routes_by_host);
+    }
+  g_free (config);
+}
+
+/* Gives one reference to CONFIG back; the last one frees it.  Thread-safe.  */
+void
+flt_release (struct flt_config *config)
+{
+  if (config != NULL && g_atomic_int_dec_and_test (&config->references))
+    {
+      destroy (config);
+    }
+}
+
+/* Lets KEY stand for the account of index ACCOUNT.  */
+void
+flt_add_key (struct flt_config *config, const char *key, uint32_t account)
+{
+  g_hash_table_insert (config->account_by_key, g_strdup (key),
+                       GUINT_TO_POINTER (account + 1));
+}
+
+static void
+destroy_index_list (gpointer data)
+{
+  g_array_free (data, TRUE);
+}
+
+/* Builds the look-up of routes by host; called once all routes are filled.  */
+void
+flt_index (struct flt_config *config)
+{
+  config->routes_by_host = g_hash_table_new_full (g_str_hash, g_str_equal,
+                                                  NULL, destroy_index_list);
+  for (uint32_t i = 0; i < config->route_count; i++)
+    {
+      char *host = config->routes[i].host;
+      GArray *list = g_hash_table_lookup (config->routes_by_host, host);
+      if (list == NULL)
+        {
+          list = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+          g_hash_table_insert (config->routes_by_host, host, list);
+        }
+      g_array_append_val (list, i);
+    }
+}
+
+/* Returns the route of HOST whose prefix is the longest that begins PATH, or
+   NULL when there is none.  */
+const struct flt_route *
+flt_find_route (const struct flt_config *config, const char *host,
+                const char *path)
+{
+  const GArray *list = g_hash_table_lookup (config->routes_by_host, host);
+  const struct flt_route *best = NULL;
+  size_t best_bytes = 0;
+  for (guint i = 0; list != NULL && i < list->len; i++)
+    {
+      const struct flt_route *route
+          = &config->routes[g_array_index (list, uint32_t, i)];
+      size_t bytes = strlen (route->path_prefix);
+      if ((best == NULL || bytes > best_bytes)
+          && strncmp (path, route->path_prefix, bytes) == 0)
+        {
+          best = route;
+          best_bytes = bytes;
+        }
+    }
+  return best;
+}
+
+/* Returns the account that holds KEY, or NULL.  */
+const struct flt_account *
+flt_find_account (const struct flt_config *config, const char *key)
+{
+  guint stored
+      = GPOINTER_TO_UINT (g_hash_table_lookup (config->account_by_key, key));
+  return stored == 0 ? NULL : &config->accounts[stored - 1];
+}
+
+/* Returns the index of the service called NAME, or FLT_NO_INDEX.  */
+uint32_t
+flt_find_service (const struct flt_config *config, const char *name)
+{
+  for (uint32_t i = 0; i < config->service_count; i++)
+    {
+      if (strcmp (config->services[i].name, name) == 0)
+        {
+          return i;
+        }
+    }
+  return FLT_NO_INDEX;
+}
+
+/* Returns the kind of accelerator called NAME, or NULL.  */
+const struct flt_kind *
+flt_find_kind (const struct flt_engine *engine, const char *name)
+{
+  for (uint32_t i = 0; name != NULL && i < engine->kind_count; i++)
+    {
+      if (strcmp (engine->kinds[i].name, name) == 0)
+        {
+          return &engine->kinds[i];
+        }
+    }
+  return NULL;
+}
+
+/* Returns the service of ROUTE that DRAW, any number, falls to by weight, or
+   FLT_NO_INDEX when no service has a weight.  */
+uint32_t
+flt_choose_service (const struct flt_route *route, uint32_t draw)
+{
+  uint32_t total = 0;
+  for (uint32_t i = 0; i < route->split_count; i++)
+    {
+      total += route->split[i].weight;
+    }
+  if (total == 0)
+    {
+      return FLT_NO_INDEX;
+    }
+  draw %= total;
+  uint32_t i = 0;
+  while (draw >= route->split[i].weight)
+    {
+      draw -= route->split[i].weight;
+      i++;
+    }
+  return route->split[i].service;
+}
--- /dev/null
+++ b/src/core/retry_budget.c
@@ -0,0 +1,69 @@
+#include "core/retry_budget.h"
+
+#include <string.h>
+
+/* Prepares BUDGET, with a small share of the slack until the number of daemons
+   is known.  */
+void
+rbg_start (struct rbg_budget *budget, const struct rbg_params *params)
+{
+  memset (budget, 0, sizeof *budget);
+  budget->params = *params;
+}
+
+/* Sets the share of the slack that this daemon may use; the shares of all
+   daemons add up to 1 at most.  */
+void
+rbg_set_share (struct rbg_budget *budget, double share)
+{
+  budget->slack_share = share;
+}
+
+/* Empties the slots that have passed since the last call.  */
+static void
+advance (struct rbg_budget *budget, int64_t now_us)
+{
+  int64_t slot = now_us / (budget->params.window_us / RBG_SLOTS);
+  if (slot - budget->slot >= RBG_SLOTS)
+    {
+      memset (budget->requests, 0, sizeof budget->requests);
+      memset (budget->repeats, 0, sizeof budget->repeats);
+      budget->slot = slot;
+    }
+  while (budget->slot < slot)
+    {
+      budget->slot++;
+      budget->requests[budget->slot % RBG_SLOTS] = 0;
+      budget->repeats[budget->slot % RBG_SLOTS] = 0;
+    }
+}
+
+/* Counts a request of a caller.  */
+void
+rbg_request (struct rbg_budget *budget, int64_t now_us)
+{
+  advance (budget, now_us);
+  budget->requests[budget->slot % RBG_SLOTS]++;
+}
+
+/* Takes one repeat out of BUDGET.  Returns false when it is spent.  */
+bool
+rbg_take (struct rbg_budget *budget, int64_t now_us)
+{
+  advance (budget, now_us);
+  uint32_t requests = 0;
+  uint32_t repeats = 0;
+  for (uint32_t i = 0; i < RBG_SLOTS; i++)
+    {
+      requests += budget->requests[i];
+      repeats += budget->repeats[i];
+    }
+  double allowed = budget->params.ratio * requests
+                   + budget->params.slack * budget->slack_share;
+  if (repeats + 1 > allowed)
+    {
+      return false;
+    }
+  budget->repeats[budget->slot % RBG_SLOTS]++;
+  return true;
+}
--- /dev/null
+++ b/src/core/stage_plan.c
@@ -0,0 +1,361 @@
+#include "core/stage_plan.h"
+
+#include <math.h>
+#include <string.h>
+
+#define MB_BYTES 1e6
+
+/* Least memory of requests of an engine, in requests of usual size: below it
+   an engine limits every path through it. */
+#define LEAST_REQUESTS 12
+
+/* The wish for memory of requests is lowered in this many steps until the
+   engines of a group hold the model. */
+#define MEMORY_STEPS 16
+
+/* One group of data centres that holds the model by itself. */
+struct group
+{
+  const struct flt_engine *engine;
+  const struct stp_card *cards;
+  struct rst_layers *wanted;
+  uint32_t *members; /* indexes of cards */
+  uint32_t member_count;
+  uint32_t *holders;   /* by layer, within the group */
+  double cache_tokens; /* wished for on each engine */
+  uint32_t origin;     /* layer from which repeats begin */
+};
+
+/* Returns the megabytes that one token needs on an engine for each layer that
+   it holds.  */
+static double
+token_layer_mb (const struct flt_engine *engine)
+{
+  return engine->cache_token_bytes / engine->layers / MB_BYTES;
+}
+
+/* Returns the memory of requests, in tokens, of an engine with MEMORY_MB that
+   holds LAYERS.  */
+double
+stp_cache_tokens (const struct flt_engine *engine, double memory_mb,
+                  uint32_t layers)
+{
+  if (layers == 0)
+    {
+      return 0;
+    }
+  double left_mb = memory_mb - layers * engine->layer_mb;
+  return MAX (left_mb, 0) / (layers * token_layer_mb (engine));
+}
+
+/* Returns the number of layers that MEMORY_MB holds beside the memory of
+   CACHE_TOKENS.  */
+uint32_t
+stp_layers_max (const struct flt_engine *engine, double memory_mb,
+                double cache_tokens)
+{
+  double layer_mb = engine->layer_mb + cache_tokens * token_layer_mb (engine);
+  uint32_t layers = (uint32_t)floor (memory_mb / layer_mb);
+  return MIN (layers, engine->layers);
+}
+
+static double
+least_cache_tokens (const struct flt_engine *engine)
+{
+  return LEAST_REQUESTS
+         * (engine->usual_prompt_tokens + engine->usual_answer_tokens);
+}
+
+static uint32_t
+card_layers_max (const struct group *group, uint32_t card)
+{
+  return stp_layers_max (group->engine, group->cards[card].memory_mb,
+                         group->cache_tokens);
+}
+
+/* Returns the number of layers that the group's engines can hold with the
+   memory of requests that it wishes for.  */
+static uint32_t
+group_layers_max (const struct group *group)
+{
+  uint32_t total = 0;
+  for (uint32_t i = 0; i < group->member_count; i++)
+    {
+      total += card_layers_max (group, group->members[i]);
+    }
+  return total;
+}
+
+/* Sets the largest memory of requests with which GROUP holds the model.
+   Returns false when it can't hold it.  */
+static bool
+choose_cache (struct group *group)
+{
+  double most = group->engine->cache_tokens_max;
+  double least = least_cache_tokens (group->engine);
+  for (uint32_t step = 0; step <= MEMORY_STEPS; step++)
+    {
+      group->cache_tokens = most - (most - least) * step / MEMORY_STEPS;
+      if (group_layers_max (group) >= group->engine->layers)
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
+static void
+count_holders (struct group *group)
+{
+  memset (group->holders, 0, group->engine->layers * sizeof *group->holders);
+  for (uint32_t i = 0; i < group->member_count; i++)
+    {
+      const struct rst_layers *range = &group->wanted[group->members[i]];
+      for (uint32_t layer = range->first;
+           layer < range->end && layer < group->engine->layers; layer++)
+        {
+          group->holders[layer]++;
+        }
+    }
+}
+
+/* Finds the first run of layers that nobody holds.  */
+static bool
+find_gap (const struct group *group, struct rst_layers *gap)
+{
+  uint32_t layers = group->engine->layers;
+  uint32_t first = 0;
+  while (first < layers && group->holders[first] > 0)
+    {
+      first++;
+    }
+  uint32_t end = first;
+  while (end < layers && group->holders[end] == 0)
+    {
+      end++;
+    }
+  *gap = (struct rst_layers){ first, end };
+  return first < layers;
+}
+
+/* True when every layer of RANGE has another holder in GROUP.  */
+static bool
+is_repeated (const struct group *group, const struct rst_layers *range)
+{
+  for (uint32_t layer = range->first; layer < range->end; layer++)
+    {
+      if (group->holders[layer] < 2)
+        {
+          return false;
+        }
+    }
+  return true;
+}
+
+/* Returns the engine that fills a gap best: one without layers before one
+   whose layers others hold too, the faster and the larger first; or
+   FLT_NO_INDEX.  */
+static uint32_t
+choose_filler (const struct group *group)
+{
+  uint32_t best = FLT_NO_INDEX;
+  double best_score = 0;
+  for (uint32_t i = 0; i < group->member_count; i++)
+    {
+      uint32_t card = group->members[i];
+      const struct rst_layers *range = &group->wanted[card];
+      bool empty = range->first == range->end;
+      uint32_t most = card_layers_max (group, card);
+      if (!group->cards[card].movable || most == 0
+          || (!empty && !is_repeated (group, range)))
+        {
+          continue;
+        }
+      double score
+          = (empty ? 1e6 : 0) + most + 100 / group->cards[card].step_factor;
+      if (best == FLT_NO_INDEX || score > best_score)
+        {
+          best = card;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+static void
+assign (struct group *group, uint32_t card, uint32_t first, uint32_t end)
+{
+  group->wanted[card] = (struct rst_layers){ first, end };
+  count_holders (group);
+}
+
+/* Lets a neighbour of GAP take of it what its memory allows.  Returns false
+   when none can.  */
+static bool
+extend_neighbour (struct group *group, const struct rst_layers *gap)
+{
+  double wished = group->cache_tokens;
+  group->cache_tokens = least_cache_tokens (group->engine);
+  bool extended = false;
+  for (uint32_t i = 0; i < group->member_count && !extended; i++)
+    {
+      uint32_t card = group->members[i];
+      struct rst_layers range = group->wanted[card];
+      uint32_t most = card_layers_max (group, card);
+      uint32_t held = range.end - range.first;
+      if (!group->cards[card].movable || held == 0 || most <= held)
+        {
+          continue;
+        }
+      uint32_t more = MIN (most - held, gap->end - gap->first);
+      if (range.end == gap->first)
+        {
+          assign (group, card, range.first, range.end + more);
+          extended = true;
+        }
+      else if (range.first == gap->end)
+        {
+          assign (group, card, range.first - more, range.end);
+          extended = true;
+        }
+    }
+  group->cache_tokens = wished;
+  return extended;
+}
+
+/* Gives every layer of GROUP a holder, as far as that can be.  */
+static void
+fill_gaps (struct group *group)
+{
+  struct rst_layers gap;
+  /* Every turn shrinks the gaps. */
+  while (find_gap (group, &gap))
+    {
+      uint32_t card = choose_filler (group);
+      if (card != FLT_NO_INDEX)
+        {
+          uint32_t most = card_layers_max (group, card);
+          assign (group, card, gap.first, MIN (gap.end, gap.first + most));
+        }
+      else if (!extend_neighbour (group, &gap))
+        {
+          return;
+        }
+    }
+}
+
+/* Returns the first of COUNT layers that have the fewest holders together,
+   looking from the group's origin on.  */
+static uint32_t
+thinnest_window (const struct group *group, uint32_t count)
+{
+  uint32_t layers = group->engine->layers;
+  uint32_t positions = layers - count + 1;
+  uint32_t best = 0;
+  uint32_t best_holders = UINT32_MAX;
+  for (uint32_t i = 0; i < positions; i++)
+    {
+      uint32_t first = (group->origin + i) % positions;
+      uint32_t holders = 0;
+      for (uint32_t layer = first; layer < first + count; layer++)
+        {
+          holders += group->holders[layer];
+        }
+      if (holders < best_holders)
+        {
+          best = first;
+          best_holders = holders;
+        }
+    }
+  return best;
+}
+
+/* Lets engines that hold nothing repeat layers that others hold.  */
+static void
+place_repeats (struct group *group)
+{
+  for (uint32_t i = 0; i < group->member_count; i++)
+    {
+      uint32_t card = group->members[i];
+      const struct rst_layers *range = &group->wanted[card];
+      uint32_t most = card_layers_max (group, card);
+      if (range->first == range->end && group->cards[card].movable && most > 0)
+        {
+          uint32_t first = thinnest_window (group, most);
+          assign (group, card, first, first + most);
+        }
+    }
+}
+
+/* Collects the engines of the data centres for which IN_GROUP is true.  */
+static void
+collect_members (struct group *group, uint32_t card_count,
+                 const bool *in_group)
+{
+  group->member_count = 0;
+  for (uint32_t i = 0; i < card_count; i++)
+    {
+      if (in_group[group->cards[i].zone])
+        {
+          group->members[group->member_count++] = i;
+        }
+    }
+}
+
+static void
+plan_group (struct group *group)
+{
+  count_holders (group);
+  fill_gaps (group);
+  place_repeats (group);
+}
+
+/* Plans, for the CARD_COUNT engines CARDS in ZONE_COUNT data centres, which
+   layers each is to hold.  Each data centre with the memory for it holds the
+   whole model; the others do so together.  WANTED, one for each engine, is the
+   result; it equals what is held where nothing has to change.  */
+void
+stp_plan (const struct flt_engine *engine, uint32_t zone_count,
+          const struct stp_card *cards, uint32_t card_count,
+          struct rst_layers *wanted)
+{
+  struct group group = {
+    .engine = engine,
+    .cards = cards,
+    .wanted = wanted,
+    .members = g_new (uint32_t, card_count + 1),
+    .holders = g_new0 (uint32_t, engine->layers),
+  };
+  bool *alone = g_new0 (bool, zone_count);
+  bool *rest = g_new0 (bool, zone_count);
+  for (uint32_t i = 0; i < card_count; i++)
+    {
+      wanted[i] = cards[i].held;
+    }
+  for (uint32_t zone = 0; zone < zone_count; zone++)
+    {
+      alone[zone] = true;
+      collect_members (&group, card_count, alone);
+      alone[zone] = false;
+      group.origin = engine->layers * zone / zone_count;
+      if (choose_cache (&group))
+        {
+          plan_group (&group);
+        }
+      else
+        {
+          rest[zone] = true;
+        }
+    }
+  collect_members (&group, card_count, rest);
+  group.origin = 0;
+  if (group.member_count > 0)
+    {
+      choose_cache (&group);
+      plan_group (&group);
+    }
+  g_free (group.members);
+  g_free (group.holders);
+  g_free (alone);
+  g_free (rest);
+}
--- /dev/null
+++ b/src/entry/entry.c
@@ -0,0 +1,144 @@
+#include "entry/entry.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "entry/fleet_control.h"
+#include "entry/traffic.h"
+
+#include <signal.h>
+
+/* Between two looks at whether the last request has ended. */
+#define STOP_CHECK_MS 100
+
+/* The balancer sends new callers until it has seen two refusals, one a second;
+   requests are served for this time in any case. */
+#define STOP_LEAST_US (3500 * CLK_MS_US)
+
+/* The process ends so long before it would be killed. */
+#define STOP_MARGIN_US (200 * CLK_MS_US)
+
+struct entry
+{
+  const char *settings_path;
+  struct ens_settings *settings;
+  uv_loop_t *loop;
+  struct fvw_store *views;
+  struct trf_traffic *traffic;
+  struct fct_control *control;
+  uv_signal_t terminate;
+  uv_signal_t interrupt;
+  uv_signal_t reload;
+  uv_timer_t stop_check;
+  int64_t stopping_us;
+};
+
+static void
+on_stop_check (uv_timer_t *timer)
+{
+  struct entry *entry = timer->data;
+  int64_t age_us = clk_monotonic_us () - entry->stopping_us;
+  bool over = age_us >= entry->settings->stop_us - STOP_MARGIN_US;
+  if (over || (age_us >= STOP_LEAST_US && trf_is_idle (entry->traffic)))
+    {
+      trf_log_busy (entry->traffic);
+      uv_stop (entry->loop);
+    }
+}
+
+static void
+on_terminate (uv_signal_t *handle, int number)
+{
+  struct entry *entry = handle->data;
+  if (entry->stopping_us != 0)
+    {
+      return;
+    }
+  entry->stopping_us = clk_monotonic_us ();
+  lg_line (LOG_NOTICE, "stop_requested", "signal=%d", number);
+  trf_log_busy (entry->traffic);
+  trf_stop (entry->traffic);
+  uv_timer_start (&entry->stop_check, on_stop_check, STOP_CHECK_MS,
+                  STOP_CHECK_MS);
+}
+
+/* Reads the settings again, for the level of the log; everything else takes a
+   start.  */
+static void
+on_reload (uv_signal_t *handle, int number)
+{
+  (void)number;
+  struct entry *entry = handle->data;
+  GString *complaints = g_string_new (NULL);
+  struct ens_settings *fresh
+      = ens_load (entry->settings_path, complaints, NULL);
+  if (fresh == NULL)
+    {
+      lg_line (LOG_ERR, "reload_refused", "why=\"%s\"",
+               g_strdelimit (complaints->str, "\"\n", ' '));
+    }
+  else
+    {
+      lg_set_level (fresh->log_level);
+      lg_line (LOG_NOTICE, "reloaded", "log_level=%d", fresh->log_level);
+      ens_destroy (fresh);
+    }
+  g_string_free (complaints, TRUE);
+}
+
+static void
+watch_signals (struct entry *entry)
+{
+  uv_signal_init (entry->loop, &entry->terminate);
+  uv_signal_init (entry->loop, &entry->interrupt);
+  uv_signal_init (entry->loop, &entry->reload);
+  uv_timer_init (entry->loop, &entry->stop_check);
+  entry->terminate.data = entry;
+  entry->interrupt.data = entry;
+  entry->reload.data = entry;
+  entry->stop_check.data = entry;
+  uv_signal_start (&entry->terminate, on_terminate, SIGTERM);
+  uv_signal_start (&entry->interrupt, on_terminate, SIGINT);
+  uv_signal_start (&entry->reload, on_reload, SIGHUP);
+}
+
+/* Runs the daemon until SIGTERM or SIGINT and the end of its last request.
+   SETTINGS, read from SETTINGS_PATH, are valid all the while.  Returns false
+   with ERR_SETTINGS or ERR_INTERNAL when it can't start.  */
+bool
+ent_run (const char *settings_path, struct ens_settings *settings,
+         GError **error)
+{
+  struct entry entry = {
+    .settings_path = settings_path,
+    .settings = settings,
+    .loop = uv_default_loop (),
+  };
+  signal (SIGPIPE, SIG_IGN);
+  lg_set_level (settings->log_level);
+  lg_set_buffered (true);
+  rcu_register_thread ();
+  watch_signals (&entry);
+  entry.views = fvw_store_create ();
+  entry.traffic = trf_create (entry.loop, settings, entry.views, error);
+  if (entry.traffic == NULL)
+    {
+      return false;
+    }
+  entry.control
+      = fct_create (settings, entry.views, trf_notify, entry.traffic, error);
+  if (entry.control == NULL)
+    {
+      return false;
+    }
+  lg_line (LOG_NOTICE, "started", "name=%s data_centre=%s callers=%s store=%s",
+           settings->name, settings->data_centre, settings->caller_address,
+           settings->store_address);
+  lg_flush ();
+  uv_run (entry.loop, UV_RUN_DEFAULT);
+  fct_destroy (entry.control);
+  trf_destroy (entry.traffic);
+  lg_line (LOG_NOTICE, "stopped", "name=%s", settings->name);
+  lg_flush ();
+  rcu_unregister_thread ();
+  return true;
+}
--- /dev/null
+++ b/src/entry/entry_metrics.c
@@ -0,0 +1,91 @@
+#include "entry/entry_metrics.h"
+
+#include <stddef.h>
+
+static const struct
+{
+  size_t offset; /* in struct emt_metrics */
+  enum cnt_type type;
+  const char *name;
+  const char *labels;
+  const char *help;
+} definitions[] = {
+  { offsetof (struct emt_metrics, requests), CNT_COUNTER,
+    "kumquatthread_requests_total", "", "Requests read from callers" },
+  { offsetof (struct emt_metrics, answers_2xx), CNT_COUNTER,
+    "kumquatthread_answers_total", "class=\"2xx\"", "Answers delivered" },
+  { offsetof (struct emt_metrics, answers_4xx), CNT_COUNTER,
+    "kumquatthread_answers_total", "class=\"4xx\"", "Answers delivered" },
+  { offsetof (struct emt_metrics, answers_5xx), CNT_COUNTER,
+    "kumquatthread_answers_total", "class=\"5xx\"", "Answers delivered" },
+  { offsetof (struct emt_metrics, refused), CNT_COUNTER,
+    "kumquatthread_refused_total", "",
+    "Requests that were refused without having run" },
+  { offsetof (struct emt_metrics, unknown), CNT_COUNTER,
+    "kumquatthread_outcome_unknown_total", "",
+    "Requests that ended without an answer though they may have run" },
+  { offsetof (struct emt_metrics, broken_off), CNT_COUNTER,
+    "kumquatthread_broken_off_total", "",
+    "Answers that were begun and not finished" },
+  { offsetof (struct emt_metrics, callers_gone), CNT_COUNTER,
+    "kumquatthread_callers_gone_total", "",
+    "Requests whose callers left before the answer" },
+  { offsetof (struct emt_metrics, attempts), CNT_COUNTER,
+    "kumquatthread_attempts_total", "", "Requests sent to endpoints" },
+  { offsetof (struct emt_metrics, repeats), CNT_COUNTER,
+    "kumquatthread_repeats_total", "",
+    "Requests sent to another endpoint again" },
+  { offsetof (struct emt_metrics, resumed), CNT_COUNTER,
+    "kumquatthread_resumed_total", "",
+    "Streams that another endpoint went on with" },
+  { offsetof (struct emt_metrics, budget_spent), CNT_COUNTER,
+    "kumquatthread_repeats_denied_total", "",
+    "Repeats that the budget did not allow" },
+  { offsetof (struct emt_metrics, events), CNT_COUNTER,
+    "kumquatthread_events_total", "", "Stream events delivered" },
+  { offsetof (struct emt_metrics, under_way), CNT_GAUGE,
+    "kumquatthread_requests_under_way", "", "Requests not answered yet" },
+  { offsetof (struct emt_metrics, config_version), CNT_GAUGE,
+    "kumquatthread_config_version", "",
+    "Version of the configuration in force" },
+  { offsetof (struct emt_metrics, endpoints), CNT_GAUGE,
+    "kumquatthread_endpoints", "", "Endpoints in the list" },
+  { offsetof (struct emt_metrics, connections_opened), CNT_GAUGE,
+    "kumquatthread_endpoint_connections_opened", "",
+    "Connections opened to endpoints since the start" },
+  { offsetof (struct emt_metrics, log_dropped), CNT_GAUGE,
+    "kumquatthread_log_lines_dropped", "",
+    "Log lines over the budget since the start" },
+  { offsetof (struct emt_metrics, proof_age_ms), CNT_GAUGE,
+    "kumquatthread_config_proof_age_milliseconds", "",
+    "Time since the configuration was known to be the newest" },
+};
+
+/* Creates every series in SET, which outlives the result.  */
+struct emt_metrics *
+emt_create (struct cnt_set *set)
+{
+  struct emt_metrics *metrics = g_new0 (struct emt_metrics, 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (definitions); i++)
+    {
+      struct cnt_series **slot
+          = (struct cnt_series **)(void *)((char *)metrics
+                                           + definitions[i].offset);
+      *slot = cnt_series (set, definitions[i].type, definitions[i].name,
+                          definitions[i].labels, definitions[i].help);
+    }
+  metrics->first_byte
+      = cnt_histogram (set, "kumquatthread_first_byte_seconds", "",
+                       "From the whole request to the first byte or event");
+  metrics->whole
+      = cnt_histogram (set, "kumquatthread_answer_seconds", "",
+                       "From the whole request to the whole answer");
+  return metrics;
+}
+
+/* Frees METRICS; the series stay with their set.  */
+void
+emt_destroy (struct emt_metrics *metrics)
+{
+  g_free (metrics);
+}
--- /dev/null
+++ b/src/entry/exchange.h
@@ -0,0 +1,12 @@
+/* One request of a caller, from its arrival to its answer. */
+#ifndef ENTRY_EXCHANGE_H
+#define ENTRY_EXCHANGE_H
+
+#include "entry/traffic.h"
+
+void exg_start (struct trf_traffic *traffic, struct nsv_connection *caller,
+                const struct msg_message *request, const char *method);
+void exg_caller_gone (void *exchange);
+void exg_caller_drained (void *exchange);
+
+#endif
--- /dev/null
+++ b/src/entry/fleet_control.c
@@ -0,0 +1,357 @@
+#include "entry/fleet_control.h"
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/log.h"
+#include "core/roster.h"
+#include "entry/group.h"
+#include "entry/placing.h"
+#include "entry/topic.h"
+#include "platform/configuration.h"
+#include "platform/runner.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#define TICK_MS 250
+
+/* A call for the configuration waits so long for a change.  Its answer proves
+   that the configuration is the newest, so this bounds the age of the proof.
+ */
+#define CONFIG_WAIT_MS 1500
+
+/* Between two readings of the list of endpoints: well within the time in which
+   a leaving endpoint may still get work. */
+#define LIST_PACE_MS 800
+
+/* Connections to the platform and to endpoints, for orders. */
+#define CONNECT_TIMEOUT_US (800 * CLK_MS_US)
+#define IDLE_MAX_US (8 * CLK_S_US)
+#define IDLE_MARGIN_US (1 * CLK_S_US)
+#define SILENCE_MS 1500
+#define IDLE_CONNECTIONS_MAX 2
+
+struct fct_control
+{
+  pthread_t thread;
+  uv_loop_t loop;
+  uv_async_t stop;
+  uv_timer_t tick;
+  const struct ens_settings *settings;
+  struct fvw_store *views;
+  fct_notify notify;
+  void *context;
+  struct ncl_client *client;
+  struct tpc_topic *operator_topic;
+  struct tpc_topic *endpoint_topic;
+  struct grp_group *group;
+  struct plc_placing *placing;
+  struct flt_config *config;
+  uint64_t config_offset;
+  struct rst *roster;
+  struct fvw_view *view; /* the last one published */
+  bool changed;          /* since then */
+};
+
+/* Publishes a view when anything has changed.  */
+static void
+publish (struct fct_control *control)
+{
+  double share = grp_share (control->group);
+  if (!control->changed && share == control->view->share)
+    {
+      return;
+    }
+  control->changed = false;
+  fvw_release (control->view);
+  control->view
+      = fvw_view_create (control->config, rst_list (control->roster), share);
+  fvw_publish (control->views, fvw_reference (control->view));
+  control->notify (control->context);
+}
+
+/* Takes the configuration that RECORD holds, if it is a newer one.  */
+static void
+take_configuration (struct fct_control *control,
+                    const struct pfs_record *record)
+{
+  g_autoptr (GError) error = NULL;
+  struct flt_config *config
+      = pfc_decode (record->value, record->value_bytes, &error);
+  if (config == NULL)
+    {
+      lg_line (LOG_ERR, "configuration_refused", "offset=%lu why=\"%s\"",
+               (unsigned long)record->offset, error->message);
+      return;
+    }
+  if (control->config != NULL && config->version <= control->config->version)
+    {
+      flt_release (config);
+      return;
+    }
+  lg_line (LOG_NOTICE, "configuration_in_force",
+           "version=%lu before=%lu routes=%u services=%u accounts=%u",
+           (unsigned long)config->version,
+           (unsigned long)(control->config ? control->config->version : 0),
+           config->route_count, config->service_count, config->account_count);
+  flt_release (control->config);
+  control->config = config;
+  control->changed = true;
+}
+
+static void
+on_operator_record (void *context, const struct pfs_record *record)
+{
+  if (strcmp (record->key, PFS_CONFIGURATION_KEY) == 0
+      && record->value != NULL)
+    {
+      take_configuration (context, record);
+    }
+}
+
+static void
+on_operator_current (void *context, int64_t proved_us)
+{
+  struct fct_control *control = context;
+  publish (control);
+  if (control->config != NULL)
+    {
+      fvw_set_proved (control->views, proved_us);
+    }
+}
+
+static void
+ignore (void *context)
+{
+  (void)context;
+}
+
+static void
+ignore_end (void *context, uint64_t end)
+{
+  (void)context;
+  (void)end;
+}
+
+static void
+ignore_outage (void *context, const char *why)
+{
+  (void)context;
+  (void)why;
+}
+
+static const struct tpc_events operator_events = {
+  .begin_full = ignore,
+  .end_full = ignore_end,
+  .record = on_operator_record,
+  .current = on_operator_current,
+  .outage = ignore_outage,
+};
+
+static void
+on_endpoint_record (void *context, const struct pfs_record *record)
+{
+  struct fct_control *control = context;
+  g_autoptr (GError) error = NULL;
+  struct rst_endpoint *endpoint = NULL;
+  if (record->value != NULL)
+    {
+      endpoint = pfr_decode_entry (record->key, record->value,
+                                   record->value_bytes, &error);
+    }
+  if (error != NULL)
+    {
+      lg_line (LOG_WARNING, "endpoint_entry_refused", "offset=%lu why=\"%s\"",
+               (unsigned long)record->offset, error->message);
+    }
+  bool changed = endpoint != NULL
+                     ? rst_take (control->roster, endpoint, record->offset)
+                     : rst_remove (control->roster, record->key,
+                                   record->offset, clk_monotonic_us ());
+  if (changed)
+    {
+      lg_line (LOG_INFO, "endpoint_changed",
+               "endpoint=%s offset=%lu listed=%d leaving=%d layers=%u-%u",
+               record->key, (unsigned long)record->offset, endpoint != NULL,
+               endpoint != NULL && endpoint->leaving,
+               endpoint != NULL ? endpoint->layers.first : 0,
+               endpoint != NULL ? endpoint->layers.end : 0);
+      control->changed = true;
+    }
+}
+
+static void
+on_endpoint_begin (void *context)
+{
+  struct fct_control *control = context;
+  rst_contact (control->roster, clk_monotonic_us ());
+  rst_begin_full (control->roster);
+}
+
+static void
+on_endpoint_end (void *context, uint64_t end)
+{
+  struct fct_control *control = context;
+  control->changed |= rst_end_full (control->roster, end, clk_monotonic_us ());
+  publish (control);
+}
+
+static void
+on_endpoint_current (void *context, int64_t proved_us)
+{
+  (void)proved_us;
+  struct fct_control *control = context;
+  rst_contact (control->roster, clk_monotonic_us ());
+  publish (control);
+}
+
+static void
+on_endpoint_outage (void *context, const char *why)
+{
+  (void)why;
+  struct fct_control *control = context;
+  rst_outage (control->roster, clk_monotonic_us ());
+}
+
+static const struct tpc_events endpoint_events = {
+  .begin_full = on_endpoint_begin,
+  .end_full = on_endpoint_end,
+  .record = on_endpoint_record,
+  .current = on_endpoint_current,
+  .outage = on_endpoint_outage,
+};
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct fct_control *control = timer->data;
+  int64_t now_us = clk_monotonic_us ();
+  ncl_expire (control->client, now_us);
+  control->changed |= rst_tick (control->roster, now_us);
+  publish (control);
+  plc_step (control->placing, control->view->config, control->view->endpoints,
+            now_us);
+}
+
+static void
+on_stop (uv_async_t *stop)
+{
+  struct fct_control *control = stop->data;
+  tpc_destroy (control->operator_topic);
+  tpc_destroy (control->endpoint_topic);
+  plc_destroy (control->placing);
+  grp_destroy (control->group);
+  ncl_destroy (control->client);
+  uv_close ((uv_handle_t *)&control->tick, NULL);
+  uv_close ((uv_handle_t *)&control->stop, NULL);
+}
+
+/* Begins to follow the topics of the store.  */
+static void
+follow_topics (struct fct_control *control)
+{
+  struct tpc_params params = {
+    .client = control->client,
+    .loop = &control->loop,
+    .address = control->settings->store_address,
+    .topic = PFS_OPERATOR_TOPIC,
+    .wait_ms = CONFIG_WAIT_MS,
+    .events = &operator_events,
+    .context = control,
+  };
+  control->operator_topic = tpc_create (&params);
+  params.topic = PFS_ENDPOINT_TOPIC;
+  params.wait_ms = 0;
+  params.pace_ms = LIST_PACE_MS;
+  params.events = &endpoint_events;
+  control->endpoint_topic = tpc_create (&params);
+}
+
+/* Joins the group, under a name that no earlier start of this daemon had.  */
+static void
+join_group (struct fct_control *control)
+{
+  char *member
+      = g_strdup_printf ("%s-%08x", control->settings->name, g_random_int ());
+  const struct grp_params params = {
+    .client = control->client,
+    .loop = &control->loop,
+    .address = control->settings->store_address,
+    .member = member,
+    .partitions = control->settings->store_partitions,
+  };
+  control->group = grp_create (&params);
+  g_free (member);
+}
+
+static void *
+run (void *argument)
+{
+  struct fct_control *control = argument;
+  rcu_register_thread ();
+  uv_run (&control->loop, UV_RUN_DEFAULT);
+  rcu_unregister_thread ();
+  return NULL;
+}
+
+/* Starts the control thread, which publishes into VIEWS and tells NOTIFY with
+   CONTEXT of each view.  SETTINGS must outlive it.  */
+struct fct_control *
+fct_create (const struct ens_settings *settings, struct fvw_store *views,
+            fct_notify notify, void *context, GError **error)
+{
+  struct fct_control *control = g_new0 (struct fct_control, 1);
+  const struct ncl_params client_params = {
+    .idle_max_us = IDLE_MAX_US,
+    .idle_margin_us = IDLE_MARGIN_US,
+    .connect_timeout_us = CONNECT_TIMEOUT_US,
+    .silence_ms = SILENCE_MS,
+    .idle_connections_max = IDLE_CONNECTIONS_MAX,
+  };
+  control->settings = settings;
+  control->views = views;
+  control->notify = notify;
+  control->context = context;
+  control->roster = rst_create ();
+  control->view = fvw_view_create (NULL, rst_list (control->roster), 0);
+  uv_loop_init (&control->loop);
+  control->client = ncl_create (&control->loop, &client_params);
+  uv_async_init (&control->loop, &control->stop, on_stop);
+  control->stop.data = control;
+  uv_timer_init (&control->loop, &control->tick);
+  control->tick.data = control;
+  uv_timer_start (&control->tick, on_tick, TICK_MS, TICK_MS);
+  join_group (control);
+  const struct plc_params placing_params = {
+    .client = control->client,
+    .loop = &control->loop,
+    .group = control->group,
+  };
+  control->placing = plc_create (&placing_params);
+  follow_topics (control);
+  int status = pthread_create (&control->thread, NULL, run, control);
+  if (status != 0)
+    {
+      g_set_error (error, ERR_DOMAIN, ERR_INTERNAL,
+                   "can't start the control thread: %s", g_strerror (status));
+      return NULL;
+    }
+  return control;
+}
+
+/* Ends the control thread.  */
+void
+fct_destroy (struct fct_control *control)
+{
+  if (control == NULL)
+    {
+      return;
+    }
+  uv_async_send (&control->stop);
+  pthread_join (control->thread, NULL);
+  uv_loop_close (&control->loop);
+  fvw_release (control->view);
+  flt_release (control->config);
+  rst_destroy (control->roster);
+  g_free (control);
+}
--- /dev/null
+++ b/src/entry/fleet_control.h
@@ -0,0 +1,20 @@
+/* The control thread of an entry daemon: follows the configuration and the
+   list of endpoints, keeps the daemon in its group, places layers while it
+   leads, and publishes what it knows. */
+#ifndef ENTRY_FLEET_CONTROL_H
+#define ENTRY_FLEET_CONTROL_H
+
+#include "config/entry_settings.h"
+#include "entry/fleet_view.h"
+
+struct fct_control;
+
+/* Tells another thread that a view was published.  */
+typedef void (*fct_notify) (void *context);
+
+struct fct_control *fct_create (const struct ens_settings *settings,
+                                struct fvw_store *views, fct_notify notify,
+                                void *context, GError **error);
+void fct_destroy (struct fct_control *control);
+
+#endif
--- /dev/null
+++ b/src/entry/fleet_state.c
@@ -0,0 +1,603 @@
+#include "entry/fleet_state.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "core/stage_plan.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Costs of a path beside its engines' steps: the way between two engines of a
+   data centre and the wait for the next pass, the same between data centres
+   with the share of the link that a prompt takes, and the factor on layers
+   away from the data centre that the path prefers. */
+#define HOP_MS 0.3
+#define ZONE_HOP_MS 2.0
+#define AWAY_FACTOR 1.5
+
+/* An engine that failed lately costs so much more, until it has proved
+   itself. */
+#define DOUBT_FACTOR 3.0
+
+/* Paths are sought again after this time even if nothing changed, since
+   endpoints end their rest. */
+#define PATHS_VALID_US (200 * CLK_MS_US)
+
+/* Requests in another data centre cost callers this much more. */
+#define AWAY_REQUEST_MS 1.0
+
+/* From this share of an endpoint's room on, another one is sought first. */
+#define FULL_SHARE 0.9
+
+/* Share of the fleet's requests that is assumed to be this daemon's until the
+   group tells. */
+#define LEAST_SHARE 0.02
+
+struct service_state
+{
+  struct rbg_budget budget;
+  GPtrArray *paths; /* struct fst_path; NULL: not sought */
+  int64_t paths_until_us;
+};
+
+struct fst_fleet
+{
+  char *data_centre;
+  struct rbg_params budget_params;
+  struct fvw_view *view;
+  GHashTable *endpoints; /* id to struct fst_endpoint */
+  GPtrArray *order;      /* the same, in the order of the view */
+  GPtrArray *zones;      /* names, allocated */
+  GHashTable *services;  /* name to struct service_state */
+};
+
+static void
+destroy_service (gpointer data)
+{
+  struct service_state *service = data;
+  if (service->paths != NULL)
+    {
+      g_ptr_array_free (service->paths, TRUE);
+    }
+  g_free (service);
+}
+
+/* Creates the state of a daemon in DATA_CENTRE that knows of no endpoint.  */
+struct fst_fleet *
+fst_create (const char *data_centre, const struct rbg_params *budget)
+{
+  struct fst_fleet *fleet = g_new0 (struct fst_fleet, 1);
+  fleet->data_centre = g_strdup (data_centre);
+  fleet->budget_params = *budget;
+  fleet->endpoints = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                            (GDestroyNotify)fst_release);
+  fleet->order = g_ptr_array_new ();
+  fleet->zones = g_ptr_array_new_with_free_func (g_free);
+  fleet->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                           destroy_service);
+  return fleet;
+}
+
+/* Frees FLEET; endpoints that requests use stay until these end.  */
+void
+fst_destroy (struct fst_fleet *fleet)
+{
+  fvw_release (fleet->view);
+  g_hash_table_destroy (fleet->services);
+  g_hash_table_destroy (fleet->endpoints);
+  g_ptr_array_free (fleet->order, TRUE);
+  g_ptr_array_free (fleet->zones, TRUE);
+  g_free (fleet->data_centre);
+  g_free (fleet);
+}
+
+/* Returns ENDPOINT with one more reference.  */
+struct fst_endpoint *
+fst_reference (struct fst_endpoint *endpoint)
+{
+  endpoint->references++;
+  return endpoint;
+}
+
+/* Gives a reference to ENDPOINT back; the last one frees it.  */
+void
+fst_release (struct fst_endpoint *endpoint)
+{
+  if (--endpoint->references == 0)
+    {
+      g_free (endpoint->id);
+      g_free (endpoint->address);
+      g_free (endpoint);
+    }
+}
+
+/* Returns PATH with one more reference.  */
+struct fst_path *
+fst_reference_path (struct fst_path *path)
+{
+  path->references++;
+  return path;
+}
+
+/* Gives a reference to PATH back; the last one frees it.  */
+void
+fst_release_path (struct fst_path *path)
+{
+  if (--path->references > 0)
+    {
+      return;
+    }
+  for (uint32_t i = 0; i < path->count; i++)
+    {
+      fst_release (path->parts[i]);
+    }
+  g_free (path->parts);
+  g_free (path->layers);
+  g_free (path->text);
+  g_free (path);
+}
+
+/* Counts a request of TOKENS on every part of PATH.  */
+void
+fst_begin_path (struct fst_path *path, double tokens)
+{
+  for (uint32_t i = 0; i < path->count; i++)
+    {
+      path->parts[i]->used_tokens += tokens;
+      evd_begin (&path->parts[i]->evidence);
+    }
+}
+
+/* Ends what fst_begin_path began.  */
+void
+fst_end_path (struct fst_path *path, double tokens)
+{
+  for (uint32_t i = 0; i < path->count; i++)
+    {
+      path->parts[i]->used_tokens -= tokens;
+      evd_end (&path->parts[i]->evidence);
+    }
+}
+
+/* Returns the index of the data centre NAME, added at need.  */
+static uint32_t
+zone_index (struct fst_fleet *fleet, const char *name)
+{
+  for (guint i = 0; i < fleet->zones->len; i++)
+    {
+      if (strcmp (g_ptr_array_index (fleet->zones, i), name) == 0)
+        {
+          return i;
+        }
+    }
+  g_ptr_array_add (fleet->zones, g_strdup (name));
+  return fleet->zones->len - 1;
+}
+
+/* Fills what SEEN and its kind of accelerator say of ENDPOINT.  */
+static void
+describe (struct fst_fleet *fleet, const struct rst_endpoint *seen,
+          struct fst_endpoint *endpoint)
+{
+  const struct flt_config *config = fleet->view->config;
+  endpoint->service = config == NULL
+                          ? FLT_NO_INDEX
+                          : flt_find_service (config, seen->service);
+  endpoint->zone = zone_index (fleet, seen->data_centre);
+  endpoint->slots = seen->slots;
+  endpoint->layers = seen->layers;
+  endpoint->step_factor = 1;
+  if (endpoint->service == FLT_NO_INDEX
+      || !config->services[endpoint->service].has_engine)
+    {
+      return;
+    }
+  const struct flt_engine *engine
+      = &config->services[endpoint->service].engine;
+  const struct flt_kind *kind = flt_find_kind (engine, seen->kind);
+  if (kind != NULL && engine->layers > 0)
+    {
+      endpoint->step_factor = kind->step_factor;
+      endpoint->cache_tokens = stp_cache_tokens (
+          engine, kind->memory_mb, seen->layers.end - seen->layers.first);
+    }
+}
+
+/* Takes one endpoint of the view.  A new incarnation starts without a
+   history.  */
+static void
+take_endpoint (struct fst_fleet *fleet, const struct rst_endpoint *seen)
+{
+  struct fst_endpoint *endpoint
+      = g_hash_table_lookup (fleet->endpoints, seen->id);
+  if (endpoint != NULL
+      && (endpoint->born_ms != seen->born_ms
+          || strcmp (endpoint->address, seen->address) != 0))
+    {
+      endpoint->listed = false;
+      g_hash_table_remove (fleet->endpoints, seen->id);
+      endpoint = NULL;
+    }
+  if (endpoint == NULL)
+    {
+      endpoint = g_new0 (struct fst_endpoint, 1);
+      endpoint->references = 1;
+      endpoint->id = g_strdup (seen->id);
+      endpoint->address = g_strdup (seen->address);
+      endpoint->born_ms = seen->born_ms;
+      g_hash_table_insert (fleet->endpoints, endpoint->id, endpoint);
+    }
+  describe (fleet, seen, endpoint);
+  endpoint->listed = !seen->leaving;
+  endpoint->seen = true;
+  g_ptr_array_add (fleet->order, endpoint);
+}
+
+/* Forgets the endpoints that the view doesn't name.  */
+static void
+forget_unseen (struct fst_fleet *fleet)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct fst_endpoint *endpoint = value;
+      if (!endpoint->seen)
+        {
+          endpoint->listed = false;
+          g_hash_table_iter_remove (&iter);
+        }
+    }
+}
+
+/* Returns the state of the service INDEX.  */
+static struct service_state *
+service_state (struct fst_fleet *fleet, uint32_t index)
+{
+  const char *name = fleet->view->config->services[index].name;
+  struct service_state *service = g_hash_table_lookup (fleet->services, name);
+  if (service == NULL)
+    {
+      service = g_new0 (struct service_state, 1);
+      rbg_start (&service->budget, &fleet->budget_params);
+      g_hash_table_insert (fleet->services, g_strdup (name), service);
+    }
+  rbg_set_share (&service->budget, fleet->view->share);
+  return service;
+}
+
+/* Lets the paths of SERVICE be sought anew.  */
+static void
+drop_paths (struct service_state *service)
+{
+  if (service->paths != NULL)
+    {
+      g_ptr_array_free (service->paths, TRUE);
+      service->paths = NULL;
+    }
+}
+
+/* Takes VIEW, owned from now on, in place of the one in force.  */
+void
+fst_take (struct fst_fleet *fleet, struct fvw_view *view, int64_t now_us)
+{
+  (void)now_us;
+  fvw_release (fleet->view);
+  fleet->view = view;
+  for (guint i = 0; i < fleet->order->len; i++)
+    {
+      struct fst_endpoint *endpoint = g_ptr_array_index (fleet->order, i);
+      endpoint->seen = false;
+    }
+  g_ptr_array_set_size (fleet->order, 0);
+  for (guint i = 0; i < view->endpoints->len; i++)
+    {
+      take_endpoint (fleet, g_ptr_array_index (view->endpoints, i));
+    }
+  forget_unseen (fleet);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, fleet->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      drop_paths (value);
+    }
+}
+
+/* Returns the configuration in force, or NULL.  It is valid until the next
+   fst_take.  */
+const struct flt_config *
+fst_config (const struct fst_fleet *fleet)
+{
+  return fleet->view == NULL ? NULL : fleet->view->config;
+}
+
+/* Returns the budget of repeats toward SERVICE.  */
+struct rbg_budget *
+fst_budget (struct fst_fleet *fleet, uint32_t service)
+{
+  return &service_state (fleet, service)->budget;
+}
+
+static bool
+is_tried (const GPtrArray *tried, const struct fst_endpoint *endpoint)
+{
+  for (guint i = 0; tried != NULL && i < tried->len; i++)
+    {
+      if (g_ptr_array_index (tried, i) == endpoint)
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
+/* Returns what a request costs at ENDPOINT, a plain service: its share of
+   failures, the work before it, and the way.  */
+static double
+endpoint_cost (const struct fst_fleet *fleet, uint32_t home,
+               const struct fst_endpoint *endpoint)
+{
+  double share = MAX (fleet->view->share, LEAST_SHARE);
+  double slots = MAX (endpoint->slots, 1) * share;
+  double load = (endpoint->evidence.in_flight + 1) / MAX (slots, 1);
+  double away = endpoint->zone == home ? 0 : 0.15;
+  return (load + away) * (1 + 8 * endpoint->evidence.failure_rate)
+         * (1 + endpoint->evidence.latency_us / CLK_S_US);
+}
+
+/* Chooses an endpoint of SERVICE, a plain one, that isn't among TRIED.
+   Returns a reference, or NULL when there is none.  */
+struct fst_endpoint *
+fst_choose_endpoint (struct fst_fleet *fleet, uint32_t service,
+                     const GPtrArray *tried, int64_t now_us)
+{
+  uint32_t home = zone_index (fleet, fleet->data_centre);
+  struct fst_endpoint *best = NULL;
+  double best_cost = INFINITY;
+  for (guint i = 0; i < fleet->order->len; i++)
+    {
+      struct fst_endpoint *endpoint = g_ptr_array_index (fleet->order, i);
+      if (endpoint->service != service || !endpoint->listed
+          || is_tried (tried, endpoint)
+          || !evd_usable (&endpoint->evidence, now_us))
+        {
+          continue;
+        }
+      double cost = endpoint_cost (fleet, home, endpoint)
+                    * g_random_double_range (0.95, 1.05);
+      if (cost < best_cost)
+        {
+          best = endpoint;
+          best_cost = cost;
+        }
+    }
+  return best == NULL ? NULL : fst_reference (best);
+}
+
+/* Makes a path of what was FOUND over ENGINES.  */
+static struct fst_path *
+make_path (const struct pth_path *found, const GPtrArray *engines,
+           uint32_t home_zone)
+{
+  struct fst_path *path = g_new0 (struct fst_path, 1);
+  GString *text = g_string_new (NULL);
+  path->references = 1;
+  path->count = found->count;
+  path->parts = g_new (struct fst_endpoint *, found->count);
+  path->layers = g_new (struct rst_layers, found->count);
+  path->token_ms = found->token_ms;
+  path->home_zone = home_zone;
+  for (uint32_t i = 0; i < found->count; i++)
+    {
+      struct fst_endpoint *engine
+          = g_ptr_array_index (engines, found->parts[i].card);
+      path->parts[i] = fst_reference (engine);
+      path->layers[i] = found->parts[i].layers;
+      g_string_append_printf (text, "%s%s=%u-%u", i == 0 ? "" : ",",
+                              engine->address, path->layers[i].first,
+                              path->layers[i].end);
+    }
+  path->text = g_string_free (text, FALSE);
+  return path;
+}
+
+static bool
+knows_path (const GPtrArray *paths, const char *text)
+{
+  for (guint i = 0; i < paths->len; i++)
+    {
+      const struct fst_path *path = g_ptr_array_index (paths, i);
+      if (strcmp (path->text, text) == 0)
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
+/* Adds the best path that prefers ZONE to PATHS, and makes the engines on it
+   dearer for the next search.  */
+static void
+add_path (GPtrArray *paths, const struct flt_engine *engine, uint32_t zone,
+          const GPtrArray *engines, struct pth_card *cards)
+{
+  const struct pth_costs costs = {
+    .layers = engine->layers,
+    .home_zone = zone,
+    .hop_ms = HOP_MS,
+    .zone_hop_ms = ZONE_HOP_MS,
+    .away_factor = AWAY_FACTOR,
+  };
+  struct pth_path found;
+  if (!pth_find (&costs, cards, engines->len, &found))
+    {
+      return;
+    }
+  struct fst_path *path = make_path (&found, engines, zone);
+  if (knows_path (paths, path->text))
+    {
+      fst_release_path (path);
+      return;
+    }
+  g_ptr_array_add (paths, path);
+  for (uint32_t i = 0; i < found.count; i++)
+    {
+      cards[found.parts[i].card].layer_ms *= AWAY_FACTOR;
+    }
+}
+
+/* Seeks the paths of SERVICE, one for each data centre and another one beside
+   it where its engines allow that.  */
+static void
+seek_paths (struct fst_fleet *fleet, uint32_t index,
+            struct service_state *service, int64_t now_us)
+{
+  const struct flt_engine *engine
+      = &fleet->view->config->services[index].engine;
+  GPtrArray *engines = g_ptr_array_new ();
+  GArray *cards = g_array_new (FALSE, FALSE, sizeof (struct pth_card));
+  for (guint i = 0; i < fleet->order->len; i++)
+    {
+      struct fst_endpoint *endpoint = g_ptr_array_index (fleet->order, i);
+      if (endpoint->service != index || !endpoint->listed)
+        {
+          continue;
+        }
+      bool doubtful = endpoint->evidence.strikes > 0;
+      struct pth_card card = {
+        .held = endpoint->layers,
+        .zone = endpoint->zone,
+        .usable = evd_usable (&endpoint->evidence, now_us)
+                  || endpoint->evidence.state == EVD_PROVING,
+        .layer_ms = engine->step_ms * endpoint->step_factor / engine->layers
+                    * (doubtful ? DOUBT_FACTOR : 1),
+      };
+      g_array_append_val (cards, card);
+      g_ptr_array_add (engines, endpoint);
+    }
+  drop_paths (service);
+  service->paths
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)fst_release_path);
+  service->paths_until_us = now_us + PATHS_VALID_US;
+  for (uint32_t turn = 0; turn < 2; turn++)
+    {
+      for (uint32_t zone = 0; zone < fleet->zones->len; zone++)
+        {
+          add_path (service->paths, engine, zone, engines,
+                    (struct pth_card *)cards->data);
+        }
+    }
+  g_ptr_array_free (engines, TRUE);
+  g_array_free (cards, TRUE);
+}
+
+/* Returns the share of the memory of requests of PATH's fullest part that is
+   used once TOKENS more pass through it, as this daemon's own requests let it
+   expect.  */
+static double
+path_fill (const struct fst_fleet *fleet, const struct fst_path *path,
+           double tokens)
+{
+  double share = MAX (fleet->view->share, LEAST_SHARE);
+  double fill = 0;
+  for (uint32_t i = 0; i < path->count; i++)
+    {
+      const struct fst_endpoint *part = path->parts[i];
+      double room = MAX (part->cache_tokens * share, 1);
+      fill = MAX (fill, (part->used_tokens + tokens) / room);
+    }
+  return fill;
+}
+
+/* Chooses a path of SERVICE for a request that needs memory for TOKENS.
+   Returns a reference, or NULL when there is none.  */
+struct fst_path *
+fst_choose_path (struct fst_fleet *fleet, uint32_t service, double tokens,
+                 int64_t now_us)
+{
+  struct service_state *state = service_state (fleet, service);
+  if (state->paths == NULL || now_us >= state->paths_until_us)
+    {
+      seek_paths (fleet, service, state, now_us);
+    }
+  uint32_t home = zone_index (fleet, fleet->data_centre);
+  struct fst_path *best = NULL;
+  double best_cost = INFINITY;
+  for (guint i = 0; i < state->paths->len; i++)
+    {
+      struct fst_path *path = g_ptr_array_index (state->paths, i);
+      double fill = path_fill (fleet, path, tokens);
+      double cost
+          = (path->token_ms + (path->home_zone == home ? 0 : AWAY_REQUEST_MS))
+            * (1 + fill * fill + (fill > FULL_SHARE ? 10 * fill : 0))
+            * g_random_double_range (0.95, 1.05);
+      if (cost < best_cost)
+        {
+          best = path;
+          best_cost = cost;
+        }
+    }
+  return best == NULL ? NULL : fst_reference_path (best);
+}
+
+/* Returns the listed endpoint of SERVICE at ADDRESS, or NULL.  */
+struct fst_endpoint *
+fst_find_address (struct fst_fleet *fleet, uint32_t service,
+                  const char *address)
+{
+  for (guint i = 0; i < fleet->order->len; i++)
+    {
+      struct fst_endpoint *endpoint = g_ptr_array_index (fleet->order, i);
+      if (endpoint->service == service
+          && strcmp (endpoint->address, address) == 0)
+        {
+          return endpoint;
+        }
+    }
+  return NULL;
+}
+
+/* Takes a failure of ENDPOINT; REASON goes into the log.  */
+void
+fst_blame (struct fst_fleet *fleet, struct fst_endpoint *endpoint,
+           bool certain, const char *reason, int64_t now_us)
+{
+  if (!evd_failure (&endpoint->evidence, certain, now_us))
+    {
+      return;
+    }
+  lg_line (LOG_NOTICE, "endpoint_rests",
+           "endpoint=%s address=%s reason=\"%s\" strikes=%u rest_ms=%ld",
+           endpoint->id, endpoint->address, reason, endpoint->evidence.strikes,
+           (long)((endpoint->evidence.rest_until_us - now_us) / CLK_MS_US));
+  if (fst_config (fleet) != NULL && endpoint->service != FLT_NO_INDEX
+      && endpoint->service < fst_config (fleet)->service_count)
+    {
+      drop_paths (service_state (fleet, endpoint->service));
+    }
+}
+
+/* True when the configuration is known and an endpoint is listed, so that
+   requests have a chance.  */
+bool
+fst_can_serve (struct fst_fleet *fleet, int64_t now_us)
+{
+  (void)now_us;
+  const struct flt_config *config = fst_config (fleet);
+  if (config == NULL)
+    {
+      return false;
+    }
+  for (guint i = 0; i < fleet->order->len; i++)
+    {
+      const struct fst_endpoint *endpoint
+          = g_ptr_array_index (fleet->order, i);
+      if (endpoint->listed && endpoint->service != FLT_NO_INDEX)
+        {
+          return true;
+        }
+    }
+  return false;
+}
--- /dev/null
+++ b/src/entry/fleet_view.c
@@ -0,0 +1,106 @@
+#include "entry/fleet_view.h"
+
+#include <stdatomic.h>
+
+struct fvw_store
+{
+  struct fvw_view *current;  /* by rcu_dereference; NULL before the first */
+  _Atomic int64_t proved_us; /* the configuration was the newest then */
+};
+
+/* Creates a store without a view.  */
+struct fvw_store *
+fvw_store_create (void)
+{
+  return g_new0 (struct fvw_store, 1);
+}
+
+/* Creates a view of CONFIG, of which it takes a reference, and ENDPOINTS,
+   which it owns from now on.  */
+struct fvw_view *
+fvw_view_create (struct flt_config *config, GPtrArray *endpoints, double share)
+{
+  struct fvw_view *view = g_new0 (struct fvw_view, 1);
+  view->references = 1;
+  view->config = config == NULL ? NULL : flt_reference (config);
+  view->endpoints = endpoints;
+  view->share = share;
+  return view;
+}
+
+/* Returns VIEW with one more reference.  Thread-safe.  */
+struct fvw_view *
+fvw_reference (struct fvw_view *view)
+{
+  g_atomic_int_inc (&view->references);
+  return view;
+}
+
+/* Gives a reference to VIEW back; the last one frees it.  */
+void
+fvw_release (struct fvw_view *view)
+{
+  if (view != NULL && g_atomic_int_dec_and_test (&view->references))
+    {
+      flt_release (view->config);
+      g_ptr_array_free (view->endpoints, TRUE);
+      g_free (view);
+    }
+}
+
+static void
+release_after_grace_period (struct rcu_head *head)
+{
+  fvw_release (caa_container_of (head, struct fvw_view, head));
+}
+
+/* Frees STORE and its reference to the view; no thread may read it any
+   more.  */
+void
+fvw_store_destroy (struct fvw_store *store)
+{
+  rcu_barrier ();
+  fvw_release (store->current);
+  g_free (store);
+}
+
+/* Puts VIEW in place of the one in force.  Called by the control thread
+   only.  */
+void
+fvw_publish (struct fvw_store *store, struct fvw_view *view)
+{
+  struct fvw_view *old = rcu_xchg_pointer (&store->current, view);
+  if (old != NULL)
+    {
+      call_rcu (&old->head, release_after_grace_period);
+    }
+}
+
+/* Returns a reference to the view in force, or NULL before the first.  The
+   calling thread must be registered with liburcu.  */
+struct fvw_view *
+fvw_acquire (struct fvw_store *store)
+{
+  rcu_read_lock ();
+  struct fvw_view *view = rcu_dereference (store->current);
+  if (view != NULL)
+    {
+      fvw_reference (view);
+    }
+  rcu_read_unlock ();
+  return view;
+}
+
+/* Notes that the configuration in force was the newest at PROVED_US.  */
+void
+fvw_set_proved (struct fvw_store *store, int64_t proved_us)
+{
+  atomic_store (&store->proved_us, proved_us);
+}
+
+/* Returns the moment of fvw_set_proved, or 0.  */
+int64_t
+fvw_proved_us (struct fvw_store *store)
+{
+  return atomic_load (&store->proved_us);
+}
--- /dev/null
+++ b/src/entry/topic.c
@@ -0,0 +1,260 @@
+#include "entry/topic.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "net/call.h"
+
+#include <string.h>
+
+/* How long an answer may take beyond the wait that was asked for. */
+#define ANSWER_MS 900
+
+/* Pauses after failed calls: the first, and the longest. */
+#define RETRY_FIRST_MS 150
+#define RETRY_LONGEST_MS 1000
+
+/* A topic that can't be read so long is out. */
+#define OUTAGE_US (1500 * CLK_MS_US)
+
+#define STATUS_OK 200
+#define STATUS_GONE 410
+
+struct tpc_topic
+{
+  struct tpc_params params;
+  char *address;
+  uv_timer_t timer;
+  struct cal_call *call;
+  bool listing;      /* reading all keys */
+  char *after;       /* last key of the page before; NULL at the first */
+  uint64_t list_end; /* of the topic when the listing began */
+  uint64_t next;     /* offset to read from */
+  int64_t sent_us;
+  int64_t last_good_us;
+  uint32_t retry_ms;
+  bool out;
+};
+
+static void step (struct tpc_topic *topic);
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  step (timer->data);
+}
+
+static void
+step_after (struct tpc_topic *topic, uint64_t delay_ms)
+{
+  uv_timer_start (&topic->timer, on_timer, delay_ms, 0);
+}
+
+/* Begins a reading of all keys.  */
+static void
+begin_listing (struct tpc_topic *topic)
+{
+  topic->listing = true;
+  g_clear_pointer (&topic->after, g_free);
+}
+
+/* Takes a failed call: tries again after a pause.  */
+static void
+take_failure (struct tpc_topic *topic, uint32_t status, const char *why)
+{
+  char reason[64];
+  g_snprintf (reason, sizeof reason, "%s",
+              status == 0 ? why : msg_reason (status));
+  int64_t now_us = clk_monotonic_us ();
+  if (!topic->out && now_us - topic->last_good_us >= OUTAGE_US)
+    {
+      topic->out = true;
+      lg_line (LOG_WARNING, "store_lost",
+               "topic=%s status=%u why=\"%s\" good_ms_ago=%ld",
+               topic->params.topic, status, reason,
+               (long)((now_us - topic->last_good_us) / CLK_MS_US));
+      topic->params.events->outage (topic->params.context, reason);
+    }
+  uint32_t jitter_ms = g_random_int_range (0, RETRY_FIRST_MS);
+  step_after (topic, topic->retry_ms + jitter_ms);
+  topic->retry_ms = MIN (topic->retry_ms * 2, RETRY_LONGEST_MS);
+}
+
+/* Takes a good answer of a call sent at PROVED_US.  */
+static void
+take_success (struct tpc_topic *topic)
+{
+  topic->retry_ms = RETRY_FIRST_MS;
+  topic->last_good_us = clk_monotonic_us ();
+  if (topic->out)
+    {
+      topic->out = false;
+      lg_line (LOG_NOTICE, "store_regained", "topic=%s", topic->params.topic);
+    }
+}
+
+static void
+tell_records (struct tpc_topic *topic, const struct pfs_page *page)
+{
+  for (guint i = 0; i < page->records->len; i++)
+    {
+      topic->params.events->record (topic->params.context,
+                                    g_ptr_array_index (page->records, i));
+    }
+}
+
+/* Takes one page of all keys.  */
+static bool
+take_listing (struct tpc_topic *topic, const uint8_t *body, size_t body_bytes,
+              GError **error)
+{
+  struct pfs_page page;
+  bool valid = pfs_decode_newest (body, body_bytes, &page, error);
+  if (valid)
+    {
+      take_success (topic);
+      if (topic->after == NULL)
+        {
+          topic->list_end = page.end;
+          topic->params.events->begin_full (topic->params.context);
+        }
+      tell_records (topic, &page);
+      g_clear_pointer (&topic->after, g_free);
+      if (page.more && page.records->len > 0)
+        {
+          const struct pfs_record *last
+              = g_ptr_array_index (page.records, page.records->len - 1);
+          topic->after = g_strdup (last->key);
+        }
+      else
+        {
+          topic->listing = false;
+          topic->next = topic->list_end;
+          topic->params.events->end_full (topic->params.context,
+                                          topic->list_end);
+        }
+    }
+  pfs_clear_page (&page);
+  return valid;
+}
+
+/* Takes what was appended.  */
+static bool
+take_read (struct tpc_topic *topic, const uint8_t *body, size_t body_bytes,
+           GError **error)
+{
+  struct pfs_page page;
+  bool valid = pfs_decode_read (body, body_bytes, topic->next, &page, error);
+  if (valid)
+    {
+      take_success (topic);
+      tell_records (topic, &page);
+      if (page.end < topic->next)
+        {
+          begin_listing (topic); /* the topic was made anew */
+        }
+      else if (!page.more)
+        {
+          topic->next = page.end;
+          topic->params.events->current (topic->params.context,
+                                         topic->sent_us);
+        }
+      else if (page.records->len > 0)
+        {
+          const struct pfs_record *last
+              = g_ptr_array_index (page.records, page.records->len - 1);
+          topic->next = last->offset + 1;
+        }
+    }
+  pfs_clear_page (&page);
+  return valid;
+}
+
+static void
+on_answer (void *context, uint32_t status, const uint8_t *body,
+           size_t body_bytes, const char *why)
+{
+  struct tpc_topic *topic = context;
+  topic->call = NULL;
+  if (status == STATUS_GONE && !topic->listing)
+    {
+      lg_line (LOG_NOTICE, "history_lost", "topic=%s offset=%lu",
+               topic->params.topic, (unsigned long)topic->next);
+      begin_listing (topic);
+      step (topic);
+      return;
+    }
+  if (status != STATUS_OK)
+    {
+      take_failure (topic, status, why);
+      return;
+    }
+  g_autoptr (GError) error = NULL;
+  bool listed = topic->listing;
+  bool valid = listed ? take_listing (topic, body, body_bytes, &error)
+                      : take_read (topic, body, body_bytes, &error);
+  if (!valid)
+    {
+      take_failure (topic, 0, error->message);
+      return;
+    }
+  step_after (topic, listed || topic->listing ? 0 : topic->params.pace_ms);
+}
+
+/* Makes the next call.  */
+static void
+step (struct tpc_topic *topic)
+{
+  uint32_t wait_ms = topic->listing ? 0 : topic->params.wait_ms;
+  char *path = topic->listing
+                   ? pfs_newest_path (topic->params.topic, topic->after)
+                   : pfs_read_path (topic->params.topic, topic->next, wait_ms);
+  const struct cal_params params = {
+    .client = topic->params.client,
+    .loop = topic->params.loop,
+    .address = topic->address,
+    .method = "GET",
+    .path = path,
+    .timeout_ms = wait_ms + ANSWER_MS,
+    .done = on_answer,
+    .context = topic,
+  };
+  topic->sent_us = clk_monotonic_us ();
+  topic->call = cal_send (&params);
+  g_free (path);
+}
+
+/* Begins to follow the topic of PARAMS.  */
+struct tpc_topic *
+tpc_create (const struct tpc_params *params)
+{
+  struct tpc_topic *topic = g_new0 (struct tpc_topic, 1);
+  topic->params = *params;
+  topic->address = g_strdup (params->address);
+  topic->retry_ms = RETRY_FIRST_MS;
+  topic->last_good_us = clk_monotonic_us ();
+  uv_timer_init (params->loop, &topic->timer);
+  topic->timer.data = topic;
+  begin_listing (topic);
+  step (topic);
+  return topic;
+}
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  struct tpc_topic *topic = handle->data;
+  g_free (topic->after);
+  g_free (topic->address);
+  g_free (topic);
+}
+
+/* Ends what tpc_create began.  */
+void
+tpc_destroy (struct tpc_topic *topic)
+{
+  if (topic->call != NULL)
+    {
+      cal_cancel (topic->call);
+    }
+  uv_close ((uv_handle_t *)&topic->timer, on_timer_closed);
+}
--- /dev/null
+++ b/src/entry/topic.h
@@ -0,0 +1,39 @@
+/* Follows a keyed topic of the platform's store: reads the newest record of
+   each key once, then what is appended. */
+#ifndef ENTRY_TOPIC_H
+#define ENTRY_TOPIC_H
+
+#include "net/client.h"
+#include "platform/store.h"
+
+struct tpc_events
+{
+  /* A reading of all keys begins and ends; at the end the topic's END tells up
+     to where it holds. */
+  void (*begin_full) (void *context);
+  void (*end_full) (void *context, uint64_t end);
+  void (*record) (void *context, const struct pfs_record *record);
+  /* All records that were there at PROVED_US have been told. */
+  void (*current) (void *context, int64_t proved_us);
+  /* The topic can't be read; `current' ends this. */
+  void (*outage) (void *context, const char *why);
+};
+
+struct tpc_params
+{
+  struct ncl_client *client;
+  uv_loop_t *loop;
+  const char *address; /* of the store */
+  const char *topic;
+  uint32_t wait_ms; /* an answer waits so long for a record */
+  uint32_t pace_ms; /* between an answer and the next call */
+  const struct tpc_events *events;
+  void *context;
+};
+
+struct tpc_topic;
+
+struct tpc_topic *tpc_create (const struct tpc_params *params);
+void tpc_destroy (struct tpc_topic *topic);
+
+#endif
--- /dev/null
+++ b/src/entry/traffic.c
@@ -0,0 +1,308 @@
+#include "entry/traffic.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "entry/exchange.h"
+
+#include <string.h>
+
+#define SWEEP_MS 200
+
+/* A sweep that comes later than this after the one before follows a pause of
+   the process; time-outs then wait one more sweep for what has arrived. */
+#define PAUSED_US (1 * CLK_S_US)
+
+/* Connections to endpoints. */
+#define CONNECT_TIMEOUT_US (400 * CLK_MS_US)
+#define IDLE_MAX_US (10 * CLK_S_US)
+#define IDLE_MARGIN_US (1 * CLK_S_US)
+#define SILENCE_MS 1500
+#define IDLE_CONNECTIONS_MAX 96
+
+/* Callers, until the configuration tells. */
+#define HEADER_BYTES_MAX 16384
+#define BODY_BYTES_MAX 4194304
+#define HEADER_TIMEOUT_US (3 * CLK_S_US)
+#define IDLE_TIMEOUT_US (15 * CLK_S_US)
+#define UNSENT_BYTES_MAX 131072
+#define CALLER_SILENCE_MS 5000
+
+/* Descriptors that aren't for callers: files, and connections to
+   endpoints. */
+#define DESCRIPTORS_SHARE 2
+
+/* After a stop began, callers that are idle are let go after this time; the
+   balancer has then seen two refusals. */
+#define IDLE_AFTER_STOP_US (2500 * CLK_MS_US)
+
+/* A configuration's idle time-out is kept to with this much to spare. */
+#define IDLE_SPARE_US (500 * CLK_MS_US)
+
+static bool
+is_ready (struct trf_traffic *traffic)
+{
+  return traffic->stopping_us == 0
+         && fst_can_serve (traffic->fleet, clk_monotonic_us ());
+}
+
+static void
+on_caller_request (void *context, struct nsv_connection *connection,
+                   const struct msg_message *request, const char *method)
+{
+  exg_start (context, connection, request, method);
+}
+
+static const struct nsv_events caller_events = {
+  .request = on_caller_request,
+  .gone = exg_caller_gone,
+  .drained = exg_caller_drained,
+};
+
+static void
+on_probe_request (void *context, struct nsv_connection *connection,
+                  const struct msg_message *request, const char *method)
+{
+  (void)request;
+  (void)method;
+  nsv_answer (connection,
+              is_ready (context) ? HTTP_STATUS_OK
+                                 : HTTP_STATUS_SERVICE_UNAVAILABLE,
+              "", "", 0);
+}
+
+static void
+ignore_gone (void *context)
+{
+  (void)context;
+}
+
+static const struct nsv_events probe_events = {
+  .request = on_probe_request,
+  .gone = ignore_gone,
+  .drained = ignore_gone,
+};
+
+/* Sets the gauges that are read only when somebody looks.  */
+static void
+update_gauges (struct trf_traffic *traffic)
+{
+  const struct flt_config *config = fst_config (traffic->fleet);
+  struct emt_metrics *metrics = traffic->metrics;
+  cnt_put (metrics->config_version,
+           config == NULL ? 0 : (int64_t)config->version);
+  cnt_put (metrics->connections_opened,
+           (int64_t)ncl_counts (traffic->client)->connections);
+  cnt_put (metrics->log_dropped, (int64_t)lg_dropped ());
+  cnt_put (metrics->proof_age_ms,
+           (clk_monotonic_us () - fvw_proved_us (traffic->views)) / CLK_MS_US);
+}
+
+static void
+on_observer_request (void *context, struct nsv_connection *connection,
+                     const struct msg_message *request, const char *method)
+{
+  (void)request;
+  (void)method;
+  struct trf_traffic *traffic = context;
+  update_gauges (traffic);
+  GString *text = g_string_new (NULL);
+  cnt_render (traffic->counters, text);
+  nsv_answer (connection, HTTP_STATUS_OK,
+              "Content-Type: text/plain; version=0.0.4\r\n", text->str,
+              text->len);
+  g_string_free (text, TRUE);
+}
+
+static const struct nsv_events observer_events = {
+  .request = on_observer_request,
+  .gone = ignore_gone,
+  .drained = ignore_gone,
+};
+
+/* Returns the limits on callers that CONFIG, or NULL, sets.  */
+static struct nsv_limits
+caller_limits (const struct trf_traffic *traffic,
+               const struct flt_config *config)
+{
+  struct nsv_limits limits = {
+    .header_bytes_max = HEADER_BYTES_MAX,
+    .body_bytes_max = BODY_BYTES_MAX,
+    .header_timeout_us = HEADER_TIMEOUT_US,
+    .idle_timeout_us = IDLE_TIMEOUT_US,
+    .unsent_bytes_max = UNSENT_BYTES_MAX,
+    .silence_ms = CALLER_SILENCE_MS,
+    .connections_max = traffic->settings->descriptors / DESCRIPTORS_SHARE,
+  };
+  if (config != NULL)
+    {
+      limits.header_bytes_max = config->limits.header_bytes_max;
+      limits.body_bytes_max = config->limits.body_bytes_max;
+      limits.header_timeout_us = config->limits.header_timeout_us;
+      limits.idle_timeout_us = config->limits.idle_timeout_us + IDLE_SPARE_US;
+    }
+  return limits;
+}
+
+/* Takes the view that the control thread published last.  */
+static void
+on_view (uv_async_t *async)
+{
+  struct trf_traffic *traffic = async->data;
+  struct fvw_view *view = fvw_acquire (traffic->views);
+  if (view == NULL)
+    {
+      return;
+    }
+  fst_take (traffic->fleet, view, clk_monotonic_us ());
+  struct nsv_limits limits = caller_limits (traffic, view->config);
+  nsv_set_limits (traffic->callers, &limits);
+  cnt_put (traffic->metrics->endpoints, view->endpoints->len);
+}
+
+/* Logs when this daemon becomes ready or stops being so.  */
+static void
+log_readiness (struct trf_traffic *traffic)
+{
+  bool ready = is_ready (traffic);
+  if (ready != traffic->was_ready)
+    {
+      traffic->was_ready = ready;
+      lg_line (LOG_NOTICE, ready ? "ready" : "not_ready", "stopping=%d",
+               traffic->stopping_us != 0);
+    }
+}
+
+static void
+on_sweep (uv_timer_t *timer)
+{
+  struct trf_traffic *traffic = timer->data;
+  int64_t now_us = clk_monotonic_us ();
+  bool paused = now_us - traffic->swept_us > PAUSED_US;
+  traffic->swept_us = now_us;
+  if (paused)
+    {
+      return;
+    }
+  ncl_expire (traffic->client, now_us);
+  nsv_expire (traffic->callers, now_us);
+  nsv_expire (traffic->probes, now_us);
+  nsv_expire (traffic->observers, now_us);
+  log_readiness (traffic);
+  lg_flush ();
+}
+
+/* Opens the three servers.  */
+static bool
+open_servers (struct trf_traffic *traffic, GError **error)
+{
+  const struct ens_settings *settings = traffic->settings;
+  struct nsv_limits limits = caller_limits (traffic, NULL);
+  traffic->probes = nsv_create (traffic->loop, settings->ready_address,
+                                &limits, &probe_events, traffic, error);
+  if (traffic->probes == NULL)
+    {
+      return false;
+    }
+  traffic->observers = nsv_create (traffic->loop, settings->metrics_address,
+                                   &limits, &observer_events, traffic, error);
+  if (traffic->observers == NULL)
+    {
+      return false;
+    }
+  traffic->callers = nsv_create (traffic->loop, settings->caller_address,
+                                 &limits, &caller_events, traffic, error);
+  return traffic->callers != NULL;
+}
+
+/* Opens the servers of a daemon on LOOP, which the calling thread then runs.
+   SETTINGS and VIEWS must outlive the result.  Returns NULL with ERR_SETTINGS
+   when an address can't be used.  */
+struct trf_traffic *
+trf_create (uv_loop_t *loop, const struct ens_settings *settings,
+            struct fvw_store *views, GError **error)
+{
+  struct trf_traffic *traffic = g_new0 (struct trf_traffic, 1);
+  const struct ncl_params client_params = {
+    .idle_max_us = IDLE_MAX_US,
+    .idle_margin_us = IDLE_MARGIN_US,
+    .connect_timeout_us = CONNECT_TIMEOUT_US,
+    .silence_ms = SILENCE_MS,
+    .idle_connections_max = IDLE_CONNECTIONS_MAX,
+  };
+  const struct rbg_params budget = {
+    .ratio = settings->retry_ratio,
+    .slack = settings->retry_slack,
+    .window_us = settings->retry_window_us,
+  };
+  traffic->loop = loop;
+  traffic->settings = settings;
+  traffic->views = views;
+  traffic->freshness = (struct frs_params){
+    .revoke_us = settings->revoke_us,
+    .change_us = settings->config_us,
+  };
+  traffic->counters = cnt_set_create ();
+  traffic->metrics = emt_create (traffic->counters);
+  traffic->fleet = fst_create (settings->data_centre, &budget);
+  traffic->client = ncl_create (loop, &client_params);
+  if (!open_servers (traffic, error))
+    {
+      return NULL; /* the process ends */
+    }
+  uv_async_init (loop, &traffic->view_published, on_view);
+  traffic->view_published.data = traffic;
+  uv_timer_init (loop, &traffic->sweep);
+  traffic->sweep.data = traffic;
+  traffic->swept_us = clk_monotonic_us ();
+  uv_timer_start (&traffic->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+  return traffic;
+}
+
+/* Tells TRAFFIC, a struct trf_traffic, from any thread that a view was
+   published.  */
+void
+trf_notify (void *context)
+{
+  struct trf_traffic *traffic = context;
+  uv_async_send (&traffic->view_published);
+}
+
+/* Begins the stop: unready at once, callers are let go one after the other. */
+void
+trf_stop (struct trf_traffic *traffic)
+{
+  traffic->stopping_us = clk_monotonic_us ();
+  nsv_stop_keeping (traffic->callers,
+                    traffic->stopping_us + IDLE_AFTER_STOP_US);
+  log_readiness (traffic);
+}
+
+/* True when no request is under way.  */
+bool
+trf_is_idle (const struct trf_traffic *traffic)
+{
+  return nsv_busy (traffic->callers) == 0;
+}
+
+/* Logs what is still under way.  */
+void
+trf_log_busy (const struct trf_traffic *traffic)
+{
+  lg_line (LOG_NOTICE, "stopping", "under_way=%u connections=%u",
+           nsv_busy (traffic->callers), nsv_open (traffic->callers));
+}
+
+/* Closes everything; the loop must run once more.  */
+void
+trf_destroy (struct trf_traffic *traffic)
+{
+  nsv_destroy (traffic->callers);
+  nsv_destroy (traffic->probes);
+  nsv_destroy (traffic->observers);
+  ncl_destroy (traffic->client);
+  uv_close ((uv_handle_t *)&traffic->view_published, NULL);
+  uv_close ((uv_handle_t *)&traffic->sweep, NULL);
+  fst_destroy (traffic->fleet);
+  emt_destroy (traffic->metrics);
+  cnt_set_destroy (traffic->counters);
+}
--- /dev/null
+++ b/src/net/call.c
@@ -0,0 +1,156 @@
+#include "net/call.h"
+
+#include <string.h>
+
+/* Bound on an answer's body. */
+#define BODY_BYTES_MAX ((size_t)8 * 1024 * 1024)
+
+struct cal_call
+{
+  uv_timer_t timer;
+  struct ncl_exchange *exchange;
+  uint32_t status;
+  GByteArray *body;
+  cal_done done;
+  void *context;
+  bool over;
+};
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  struct cal_call *call = handle->data;
+  g_byte_array_free (call->body, TRUE);
+  g_free (call);
+}
+
+/* Ends CALL with STATUS, or 0 and WHY.  */
+static void
+finish (struct cal_call *call, uint32_t status, const char *why)
+{
+  if (call->over)
+    {
+      return;
+    }
+  call->over = true;
+  call->exchange = NULL;
+  call->done (call->context, status, call->body->data, call->body->len, why);
+  uv_close ((uv_handle_t *)&call->timer, on_timer_closed);
+}
+
+static bool
+on_headers (void *context, uint32_t status, const struct msg_message *answer)
+{
+  (void)answer;
+  struct cal_call *call = context;
+  call->status = status;
+  return true;
+}
+
+static void
+on_body (void *context, const char *bytes, size_t count)
+{
+  struct cal_call *call = context;
+  if (call->body->len + count > BODY_BYTES_MAX)
+    {
+      ncl_cancel (call->exchange);
+      finish (call, 0, "the answer is too long");
+      return;
+    }
+  g_byte_array_append (call->body, (const guint8 *)bytes, (guint)count);
+}
+
+static void
+on_complete (void *context)
+{
+  struct cal_call *call = context;
+  finish (call, call->status, "");
+}
+
+static void
+on_failed (void *context, enum ncl_failure failure)
+{
+  static const char *const reasons[] = {
+    [NCL_NOT_CONNECTED] = "no connection",
+    [NCL_CUT_OFF] = "the connection was cut off",
+    [NCL_MALFORMED] = "the answer is malformed",
+    [NCL_FOREIGN] = "the answer is foreign",
+  };
+  finish (context, 0, reasons[failure]);
+}
+
+static const struct ncl_events exchange_events = {
+  .headers = on_headers,
+  .body = on_body,
+  .complete = on_complete,
+  .failed = on_failed,
+};
+
+static void
+on_timeout (uv_timer_t *timer)
+{
+  struct cal_call *call = timer->data;
+  if (call->exchange != NULL)
+    {
+      ncl_cancel (call->exchange);
+    }
+  finish (call, 0, "timeout");
+}
+
+static void
+on_unsendable (uv_timer_t *timer)
+{
+  finish (timer->data, 0, "the address can't be used");
+}
+
+/* Makes the call that PARAMS describe; `done' gets its result, and never
+   before this returns.  The call is over then.  */
+struct cal_call *
+cal_send (const struct cal_params *params)
+{
+  struct cal_call *call = g_new0 (struct cal_call, 1);
+  call->body = g_byte_array_new ();
+  call->done = params->done;
+  call->context = params->context;
+  uv_timer_init (params->loop, &call->timer);
+  call->timer.data = call;
+  GString *request = g_string_sized_new (256);
+  g_string_append_printf (request, "%s %s HTTP/1.1\r\nHost: %s\r\n",
+                          params->method, params->path, params->address);
+  size_t body_bytes = params->body == NULL ? 0 : strlen (params->body);
+  if (params->body != NULL)
+    {
+      g_string_append_printf (request,
+                              "Content-Type: application/json\r\n"
+                              "Content-Length: %zu\r\n",
+                              body_bytes);
+    }
+  g_string_append (request, "\r\n");
+  if (params->body != NULL)
+    {
+      g_string_append (request, params->body);
+    }
+  call->exchange = ncl_send (params->client, params->address, request->str,
+                             request->len, false, &exchange_events, call);
+  g_string_free (request, TRUE);
+  uv_timer_start (&call->timer,
+                  call->exchange == NULL ? on_unsendable : on_timeout,
+                  call->exchange == NULL ? 0 : params->timeout_ms, 0);
+  return call;
+}
+
+/* Ends CALL without telling `done'.  */
+void
+cal_cancel (struct cal_call *call)
+{
+  if (call->over)
+    {
+      return;
+    }
+  call->over = true;
+  if (call->exchange != NULL)
+    {
+      ncl_cancel (call->exchange);
+    }
+  uv_close ((uv_handle_t *)&call->timer, on_timer_closed);
+}
--- /dev/null
+++ b/src/net/client.c
@@ -0,0 +1,590 @@
+#include "net/client.h"
+
+#include "base/clock.h"
+
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define READ_BYTES 65536
+
+/* One connection; carries at most one exchange at a time, which is then this
+   struct seen through the other name. */
+struct ncl_exchange
+{
+  uv_tcp_t tcp;
+  uv_connect_t connect;
+  struct ncl_client *client;
+  char *address;
+  http_parser parser;
+  struct msg_message answer;
+  GByteArray *unsent; /* the request while connecting */
+  bool connected;
+  bool in_use; /* carries an exchange */
+  bool sent;   /* bytes of the exchange may have left */
+  bool headers_seen;
+  bool finished; /* the answer's end was seen in this read */
+  bool foreign;  /* the answer belongs to another request */
+  bool closing;
+  bool paused;
+  bool used_before; /* carried an exchange before this one */
+  int64_t idle_since_us;
+  int64_t keep_us; /* how long it may stay idle */
+  int64_t connect_by_us;
+  const struct ncl_events *events;
+  void *context;
+};
+
+struct ncl_client
+{
+  uv_loop_t *loop;
+  struct ncl_params params;
+  GHashTable *idle; /* address to GPtrArray of connections, newest last */
+  GPtrArray *all;
+  char *read_buffer; /* READ_BYTES, shared: reads are handled at once */
+  struct ncl_counts counts;
+};
+
+static int on_headers_complete (http_parser *parser);
+static int on_header_field (http_parser *parser, const char *at, size_t count);
+static int on_header_value (http_parser *parser, const char *at, size_t count);
+static int on_body (http_parser *parser, const char *at, size_t count);
+static int on_message_complete (http_parser *parser);
+
+static const http_parser_settings parser_settings = {
+  .on_header_field = on_header_field,
+  .on_header_value = on_header_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_message_complete,
+};
+
+/* Reads IP:PORT from TEXT.  Returns false when it is none.  */
+bool
+ncl_parse_address (const char *text, struct sockaddr_in *address)
+{
+  char host[INET_ADDRSTRLEN] = "";
+  const char *colon = strchr (text, ':');
+  if (colon == NULL || colon - text >= (ptrdiff_t)sizeof host)
+    {
+      return false;
+    }
+  memcpy (host, text, (size_t)(colon - text));
+  return uv_ip4_addr (host, atoi (colon + 1), address) == 0;
+}
+
+static void
+destroy_list (gpointer list)
+{
+  g_ptr_array_free (list, TRUE);
+}
+
+/* Creates a client on LOOP, which must run in the calling thread.  */
+struct ncl_client *
+ncl_create (uv_loop_t *loop, const struct ncl_params *params)
+{
+  struct ncl_client *client = g_new0 (struct ncl_client, 1);
+  client->loop = loop;
+  client->params = *params;
+  client->idle
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, destroy_list);
+  client->all = g_ptr_array_new ();
+  client->read_buffer = g_malloc (READ_BYTES);
+  return client;
+}
+
+static void
+on_closed (uv_handle_t *handle)
+{
+  struct ncl_exchange *connection = handle->data;
+  msg_clear (&connection->answer);
+  if (connection->unsent != NULL)
+    {
+      g_byte_array_free (connection->unsent, TRUE);
+    }
+  g_free (connection->address);
+  g_free (connection);
+}
+
+/* Takes CONNECTION out of the idle ones.  */
+static void
+leave_idle (struct ncl_exchange *connection)
+{
+  GPtrArray *list
+      = g_hash_table_lookup (connection->client->idle, connection->address);
+  if (list != NULL)
+    {
+      g_ptr_array_remove (list, connection);
+    }
+}
+
+static void
+close_connection (struct ncl_exchange *connection)
+{
+  if (connection->closing)
+    {
+      return;
+    }
+  connection->closing = true;
+  leave_idle (connection);
+  g_ptr_array_remove_fast (connection->client->all, connection);
+  connection->client->counts.open--;
+  uv_close ((uv_handle_t *)&connection->tcp, on_closed);
+}
+
+/* Ends the exchange on CONNECTION as failed, and the connection with it.  */
+static void
+fail (struct ncl_exchange *connection, enum ncl_failure failure)
+{
+  bool in_use = connection->in_use;
+  connection->in_use = false;
+  close_connection (connection);
+  if (in_use)
+    {
+      connection->events->failed (connection->context, failure);
+    }
+}
+
+static int
+on_header_field (http_parser *parser, const char *at, size_t count)
+{
+  struct ncl_exchange *connection = parser->data;
+  msg_add_name (&connection->answer, at, count);
+  return 0;
+}
+
+static int
+on_header_value (http_parser *parser, const char *at, size_t count)
+{
+  struct ncl_exchange *connection = parser->data;
+  msg_add_value (&connection->answer, at, count);
+  return 0;
+}
+
+/* Sets how long CONNECTION may stay idle after this answer.  */
+static void
+read_keep_alive (struct ncl_exchange *connection)
+{
+  const struct ncl_params *params = &connection->client->params;
+  const char *keep_alive = msg_find (&connection->answer, "Keep-Alive");
+  const char *timeout
+      = keep_alive == NULL ? NULL : strstr (keep_alive, "timeout=");
+  connection->keep_us = params->idle_max_us;
+  if (timeout != NULL)
+    {
+      int64_t stated_us
+          = g_ascii_strtoll (timeout + strlen ("timeout="), NULL, 10)
+            * CLK_S_US;
+      connection->keep_us
+          = MIN (params->idle_max_us, stated_us - params->idle_margin_us);
+    }
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  struct ncl_exchange *connection = parser->data;
+  msg_end_headers (&connection->answer);
+  if (parser->status_code < 200)
+    {
+      msg_reset (&connection->answer);
+      return 0;
+    }
+  connection->headers_seen = true;
+  read_keep_alive (connection);
+  if (!connection->events->headers (connection->context, parser->status_code,
+                                    &connection->answer))
+    {
+      connection->foreign = true;
+      return -1;
+    }
+  return connection->in_use ? 0 : -1;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t count)
+{
+  struct ncl_exchange *connection = parser->data;
+  connection->events->body (connection->context, at, count);
+  return connection->in_use ? 0 : -1;
+}
+
+static int
+on_message_complete (http_parser *parser)
+{
+  struct ncl_exchange *connection = parser->data;
+  if (parser->status_code < 200)
+    {
+      return 0;
+    }
+  connection->finished = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+/* Ends the exchange on CONNECTION well.  The connection is kept when REUSABLE.
+   Its place among the idle ones is taken before the owner is told, so that the
+   owner's next request finds it.  */
+static void
+finish (struct ncl_exchange *connection, bool reusable)
+{
+  connection->in_use = false;
+  const struct ncl_events *events = connection->events;
+  void *context = connection->context;
+  if (reusable && connection->keep_us > 0)
+    {
+      struct ncl_client *client = connection->client;
+      GPtrArray *list
+          = g_hash_table_lookup (client->idle, connection->address);
+      if (list == NULL)
+        {
+          list = g_ptr_array_new ();
+          g_hash_table_insert (client->idle, g_strdup (connection->address),
+                               list);
+        }
+      connection->used_before = true;
+      connection->idle_since_us = clk_monotonic_us ();
+      g_ptr_array_add (list, connection);
+      if (list->len > client->params.idle_connections_max)
+        {
+          close_connection (g_ptr_array_index (list, 0));
+        }
+    }
+  else
+    {
+      close_connection (connection);
+    }
+  events->complete (context);
+}
+
+/* Handles COUNT bytes of an answer.  */
+static void
+take_bytes (struct ncl_exchange *connection, const char *bytes, size_t count)
+{
+  if (!connection->in_use)
+    {
+      close_connection (connection); /* bytes that belong to no request */
+      return;
+    }
+  size_t parsed = http_parser_execute (&connection->parser, &parser_settings,
+                                       bytes, count);
+  if (connection->foreign)
+    {
+      fail (connection, NCL_FOREIGN);
+    }
+  else if (!connection->in_use)
+    {
+      close_connection (connection); /* cancelled in a callback */
+    }
+  else if (connection->finished)
+    {
+      http_parser_pause (&connection->parser, 0);
+      finish (connection,
+              parsed >= count && http_should_keep_alive (&connection->parser));
+    }
+  else if (HTTP_PARSER_ERRNO (&connection->parser) != HPE_OK)
+    {
+      fail (connection, NCL_MALFORMED);
+    }
+}
+
+/* Handles the end of the other side's bytes.  An answer without a length ends
+   with its connection.  */
+static void
+take_end (struct ncl_exchange *connection, bool reset)
+{
+  if (!connection->in_use)
+    {
+      close_connection (connection);
+      return;
+    }
+  if (!reset && connection->headers_seen)
+    {
+      http_parser_execute (&connection->parser, &parser_settings, NULL, 0);
+      if (connection->in_use && connection->finished)
+        {
+          finish (connection, false);
+          return;
+        }
+    }
+  fail (connection, NCL_CUT_OFF);
+}
+
+static void
+on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  (void)suggested;
+  struct ncl_exchange *connection = handle->data;
+  *buffer = uv_buf_init (connection->client->read_buffer, READ_BYTES);
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
+{
+  struct ncl_exchange *connection = stream->data;
+  if (connection->closing || count == 0)
+    {
+      return;
+    }
+  if (count < 0)
+    {
+      take_end (connection, count != UV_EOF);
+      return;
+    }
+  take_bytes (connection, buffer->base, (size_t)count);
+}
+
+static void
+on_written (uv_write_t *request, int status)
+{
+  struct ncl_exchange *connection = request->handle->data;
+  g_free (request->data);
+  g_free (request);
+  if (status < 0 && status != UV_ECANCELED && !connection->closing)
+    {
+      fail (connection, NCL_CUT_OFF);
+    }
+}
+
+/* Sends COUNT bytes on CONNECTION.  */
+static void
+write_bytes (struct ncl_exchange *connection, const uint8_t *bytes,
+             size_t count)
+{
+  uv_stream_t *stream = (uv_stream_t *)&connection->tcp;
+  connection->sent = true;
+  uv_buf_t whole = uv_buf_init ((char *)bytes, (unsigned)count);
+  int written = uv_try_write (stream, &whole, 1);
+  size_t done = written > 0 ? (size_t)written : 0;
+  if (done == count)
+    {
+      return;
+    }
+  uv_write_t *request = g_new0 (uv_write_t, 1);
+  request->data = g_memdup2 (bytes + done, count - done);
+  uv_buf_t rest = uv_buf_init (request->data, (unsigned)(count - done));
+  uv_write (request, stream, &rest, 1, on_written);
+}
+
+static void
+on_connected (uv_connect_t *request, int status)
+{
+  struct ncl_exchange *connection = request->data;
+  if (connection->closing)
+    {
+      return;
+    }
+  if (status < 0)
+    {
+      fail (connection, NCL_NOT_CONNECTED);
+      return;
+    }
+  connection->connected = true;
+  uv_tcp_nodelay (&connection->tcp, 1);
+  uv_read_start ((uv_stream_t *)&connection->tcp, on_alloc, on_read);
+  GByteArray *unsent = connection->unsent;
+  connection->unsent = NULL;
+  write_bytes (connection, unsent->data, unsent->len);
+  g_byte_array_free (unsent, TRUE);
+}
+
+/* Ends a connection whose bytes the other side leaves unacknowledged.  */
+static void
+set_silence_timeout (struct ncl_exchange *connection)
+{
+  uv_os_fd_t descriptor;
+  if (uv_fileno ((uv_handle_t *)&connection->tcp, &descriptor) == 0)
+    {
+      unsigned timeout_ms = connection->client->params.silence_ms;
+      setsockopt (descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+                  sizeof timeout_ms);
+    }
+}
+
+/* Returns a new connection to ADDRESS that is being established, or NULL when
+   the address is none.  */
+static struct ncl_exchange *
+open_connection (struct ncl_client *client, const char *address)
+{
+  struct sockaddr_in parsed;
+  if (!ncl_parse_address (address, &parsed))
+    {
+      return NULL;
+    }
+  struct ncl_exchange *connection = g_new0 (struct ncl_exchange, 1);
+  connection->client = client;
+  connection->address = g_strdup (address);
+  msg_init (&connection->answer);
+  uv_tcp_init_ex (client->loop, &connection->tcp, AF_INET);
+  connection->tcp.data = connection;
+  connection->connect.data = connection;
+  connection->connect_by_us
+      = clk_monotonic_us () + client->params.connect_timeout_us;
+  set_silence_timeout (connection);
+  g_ptr_array_add (client->all, connection);
+  client->counts.connections++;
+  client->counts.open++;
+  int status = uv_tcp_connect (&connection->connect, &connection->tcp,
+                               (const struct sockaddr *)&parsed, on_connected);
+  if (status != 0)
+    {
+      close_connection (connection);
+      return NULL;
+    }
+  return connection;
+}
+
+/* Returns the connection to ADDRESS that was used last, or NULL.  */
+static struct ncl_exchange *
+take_idle (struct ncl_client *client, const char *address)
+{
+  GPtrArray *list = g_hash_table_lookup (client->idle, address);
+  int64_t now_us = clk_monotonic_us ();
+  while (list != NULL && list->len > 0)
+    {
+      struct ncl_exchange *connection
+          = g_ptr_array_steal_index (list, list->len - 1);
+      if (now_us - connection->idle_since_us < connection->keep_us)
+        {
+          return connection;
+        }
+      close_connection (connection);
+    }
+  return NULL;
+}
+
+/* Sends the request of COUNT BYTES to ADDRESS, on a kept connection unless
+   FRESH, and tells EVENTS with CONTEXT what becomes of it; none is told before
+   this returns.  Returns NULL when the address can't be used.  */
+struct ncl_exchange *
+ncl_send (struct ncl_client *client, const char *address, const char *bytes,
+          size_t count, bool fresh, const struct ncl_events *events,
+          void *context)
+{
+  struct ncl_exchange *connection = fresh ? NULL : take_idle (client, address);
+  if (connection == NULL)
+    {
+      connection = open_connection (client, address);
+    }
+  if (connection == NULL)
+    {
+      return NULL;
+    }
+  client->counts.exchanges++;
+  connection->events = events;
+  connection->context = context;
+  connection->in_use = true;
+  connection->sent = false;
+  connection->headers_seen = false;
+  connection->finished = false;
+  connection->foreign = false;
+  msg_reset (&connection->answer);
+  http_parser_init (&connection->parser, HTTP_RESPONSE);
+  connection->parser.data = connection;
+  if (connection->connected)
+    {
+      write_bytes (connection, (const uint8_t *)bytes, count);
+      return connection;
+    }
+  connection->unsent = g_byte_array_sized_new ((guint)count);
+  g_byte_array_append (connection->unsent, (const guint8 *)bytes,
+                       (guint)count);
+  return connection;
+}
+
+/* Ends EXCHANGE without an event and closes its connection, which tells the
+   other side to stop.  */
+void
+ncl_cancel (struct ncl_exchange *exchange)
+{
+  exchange->in_use = false;
+  close_connection (exchange);
+}
+
+/* Reads no further, so that the sender has to wait.  */
+void
+ncl_pause (struct ncl_exchange *exchange)
+{
+  if (!exchange->paused)
+    {
+      exchange->paused = true;
+      uv_read_stop ((uv_stream_t *)&exchange->tcp);
+    }
+}
+
+/* Ends what ncl_pause began.  */
+void
+ncl_resume (struct ncl_exchange *exchange)
+{
+  if (exchange->paused && !exchange->closing)
+    {
+      exchange->paused = false;
+      uv_read_start ((uv_stream_t *)&exchange->tcp, on_alloc, on_read);
+    }
+}
+
+/* True when the answer of EXCHANGE has no length, so that only the end of the
+   connection ends it.  Valid from its headers on.  */
+bool
+ncl_ends_with_connection (const struct ncl_exchange *exchange)
+{
+  return (exchange->parser.flags & F_CHUNKED) == 0
+         && (exchange->parser.flags & F_CONTENTLENGTH) == 0;
+}
+
+/* Returns the counts of CLIENT.  */
+const struct ncl_counts *
+ncl_counts (const struct ncl_client *client)
+{
+  return &client->counts;
+}
+
+/* Closes connections that were idle too long, and fails those that weren't
+   established in time.  Called some times a second.  */
+void
+ncl_expire (struct ncl_client *client, int64_t now_us)
+{
+  for (guint i = client->all->len; i-- > 0;)
+    {
+      if (i >= client->all->len)
+        {
+          continue;
+        }
+      struct ncl_exchange *connection = g_ptr_array_index (client->all, i);
+      if (!connection->connected && now_us >= connection->connect_by_us)
+        {
+          fail (connection, NCL_NOT_CONNECTED);
+        }
+      else if (connection->connected && !connection->in_use
+               && now_us - connection->idle_since_us >= connection->keep_us)
+        {
+          close_connection (connection);
+        }
+    }
+}
+
+/* Closes the idle connections to ADDRESS, whose server is gone.  */
+void
+ncl_forget (struct ncl_client *client, const char *address)
+{
+  GPtrArray *list = g_hash_table_lookup (client->idle, address);
+  while (list != NULL && list->len > 0)
+    {
+      close_connection (g_ptr_array_index (list, list->len - 1));
+    }
+}
+
+/* Frees CLIENT, all of whose exchanges have ended; the loop must run once more
+   to close the connections.  */
+void
+ncl_destroy (struct ncl_client *client)
+{
+  while (client->all->len > 0)
+    {
+      close_connection (g_ptr_array_index (client->all, 0));
+    }
+  g_ptr_array_free (client->all, TRUE);
+  g_hash_table_destroy (client->idle);
+  g_free (client->read_buffer);
+  g_free (client);
+}
--- /dev/null
+++ b/src/net/event_scan.c
@@ -0,0 +1,112 @@
+#include "net/event_scan.h"
+
+#include <string.h>
+
+/* Prepares SCANNER for a stream from its start.  */
+void
+evs_init (struct evs_scanner *scanner)
+{
+  *scanner = (struct evs_scanner){
+    .pending = g_byte_array_new (),
+    .last_id = -1,
+  };
+}
+
+/* Frees what SCANNER holds.  */
+void
+evs_clear (struct evs_scanner *scanner)
+{
+  g_clear_pointer (&scanner->pending, g_byte_array_unref);
+}
+
+/* Drops the unfinished event, for a sender that goes on after the last whole
+   one.  */
+void
+evs_restart (struct evs_scanner *scanner)
+{
+  g_byte_array_set_size (scanner->pending, 0);
+}
+
+/* Returns the number of bytes of the first whole event in BYTES, with the
+   empty line that ends it, or 0 when there is none.  */
+static size_t
+whole_event (const uint8_t *bytes, size_t count)
+{
+  size_t line = 0;
+  while (line < count)
+    {
+      const uint8_t *end = memchr (bytes + line, '\n', count - line);
+      if (end == NULL)
+        {
+          return 0;
+        }
+      size_t next = (size_t)(end - bytes) + 1;
+      size_t length = next - line - 1;
+      if (length == 0 || (length == 1 && bytes[line] == '\r'))
+        {
+          return next;
+        }
+      line = next;
+    }
+  return 0;
+}
+
+/* Returns the id in the event BYTES, or -1 when it has none that is a
+   number.  */
+static int64_t
+event_id (const uint8_t *bytes, size_t count)
+{
+  size_t line = 0;
+  while (line + 3 < count)
+    {
+      if (memcmp (bytes + line, "id:", 3) == 0)
+        {
+          return g_ascii_strtoll ((const char *)bytes + line + 3, NULL, 10);
+        }
+      const uint8_t *end = memchr (bytes + line, '\n', count - line);
+      if (end == NULL)
+        {
+          return -1;
+        }
+      line = (size_t)(end - bytes) + 1;
+    }
+  return -1;
+}
+
+/* Takes COUNT more bytes and appends the whole events that they finish to
+   WHOLE.  Events whose ids came before are dropped; one whose id doesn't
+   follow the last sets `out_of_order' and ends the scan.  Returns the number
+   of events appended.  */
+uint32_t
+evs_feed (struct evs_scanner *scanner, const void *bytes, size_t count,
+          GByteArray *whole)
+{
+  g_byte_array_append (scanner->pending, bytes, (guint)count);
+  size_t at = 0;
+  uint32_t events = 0;
+  while (!scanner->out_of_order)
+    {
+      const uint8_t *start = scanner->pending->data + at;
+      size_t length = whole_event (start, scanner->pending->len - at);
+      if (length == 0)
+        {
+          break;
+        }
+      int64_t id = event_id (start, length);
+      bool repeated = id >= 0 && id <= scanner->last_id;
+      scanner->out_of_order = id >= 0 && !repeated && scanner->last_id >= 0
+                              && id != scanner->last_id + 1;
+      if (!repeated && !scanner->out_of_order)
+        {
+          g_byte_array_append (whole, start, (guint)length);
+          scanner->last_id = id >= 0 ? id : scanner->last_id;
+          events++;
+        }
+      at += length;
+    }
+  if (at > 0)
+    {
+      g_byte_array_remove_range (scanner->pending, 0, (guint)at);
+    }
+  return events;
+}
--- /dev/null
+++ b/src/net/message.c
@@ -0,0 +1,173 @@
+#include "net/message.h"
+
+#include <string.h>
+#include <strings.h>
+
+/* Headers that concern one connection only (RFC 9110, section 7.6.1), and
+   those that the sender of a message sets for itself.  */
+static const char *const hop_by_hop[] = {
+  "Connection",        "Keep-Alive", "Proxy-Connection", "TE",     "Trailer",
+  "Transfer-Encoding", "Upgrade",    "Content-Length",   "Expect",
+};
+
+/* Prepares MESSAGE for the first use.  */
+void
+msg_init (struct msg_message *message)
+{
+  message->url = g_string_new (NULL);
+  message->text = g_string_new (NULL);
+  message->headers = g_array_new (FALSE, FALSE, sizeof (struct msg_header));
+  message->body = g_byte_array_new ();
+  message->value_open = false;
+}
+
+/* Frees what MESSAGE holds.  */
+void
+msg_clear (struct msg_message *message)
+{
+  g_string_free (message->url, TRUE);
+  g_string_free (message->text, TRUE);
+  g_array_free (message->headers, TRUE);
+  g_byte_array_free (message->body, TRUE);
+}
+
+/* Empties MESSAGE for the next message of its connection.  */
+void
+msg_reset (struct msg_message *message)
+{
+  g_string_truncate (message->url, 0);
+  g_string_truncate (message->text, 0);
+  g_array_set_size (message->headers, 0);
+  g_byte_array_set_size (message->body, 0);
+  message->value_open = false;
+}
+
+/* Ends the value that is open.  */
+static void
+close_value (struct msg_message *message)
+{
+  if (message->value_open)
+    {
+      g_string_append_c (message->text, '\0');
+      message->value_open = false;
+    }
+}
+
+/* Takes COUNT bytes of a header's name; names and values come in pieces.  */
+void
+msg_add_name (struct msg_message *message, const char *bytes, size_t count)
+{
+  bool in_name = message->headers->len > 0 && !message->value_open
+                 && g_array_index (message->headers, struct msg_header,
+                                   message->headers->len - 1)
+                            .value
+                        == 0;
+  if (!in_name)
+    {
+      close_value (message);
+      struct msg_header header = { .name = (uint32_t)message->text->len };
+      g_array_append_val (message->headers, header);
+    }
+  g_string_append_len (message->text, bytes, (gssize)count);
+}
+
+/* Takes COUNT bytes of a header's value.  */
+void
+msg_add_value (struct msg_message *message, const char *bytes, size_t count)
+{
+  if (!message->value_open)
+    {
+      struct msg_header *header = &g_array_index (
+          message->headers, struct msg_header, message->headers->len - 1);
+      g_string_append_c (message->text, '\0');
+      header->value = (uint32_t)message->text->len;
+      message->value_open = true;
+    }
+  g_string_append_len (message->text, bytes, (gssize)count);
+}
+
+/* Takes the end of the headers.  */
+void
+msg_end_headers (struct msg_message *message)
+{
+  close_value (message);
+}
+
+/* Returns the name of header INDEX.  */
+const char *
+msg_name (const struct msg_message *message, uint32_t index)
+{
+  return message->text->str
+         + g_array_index (message->headers, struct msg_header, index).name;
+}
+
+/* Returns the value of header INDEX.  */
+const char *
+msg_value (const struct msg_message *message, uint32_t index)
+{
+  return message->text->str
+         + g_array_index (message->headers, struct msg_header, index).value;
+}
+
+/* Returns the value of the first header called NAME, or NULL.  */
+const char *
+msg_find (const struct msg_message *message, const char *name)
+{
+  for (uint32_t i = 0; i < message->headers->len; i++)
+    {
+      if (strcasecmp (msg_name (message, i), name) == 0)
+        {
+          return msg_value (message, i);
+        }
+    }
+  return NULL;
+}
+
+/* True when the comma-separated LIST has the word NAME.  */
+static bool
+lists_word (const char *list, const char *name)
+{
+  size_t bytes = strlen (name);
+  while (list != NULL && *list != '\0')
+    {
+      list += strspn (list, ", \t");
+      size_t word_bytes = strcspn (list, ", \t");
+      if (word_bytes == bytes && strncasecmp (list, name, bytes) == 0)
+        {
+          return true;
+        }
+      list += word_bytes;
+    }
+  return false;
+}
+
+/* True when the header NAME of MESSAGE ends at this connection and isn't
+   passed on.  */
+bool
+msg_is_hop_by_hop (const struct msg_message *message, const char *name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (hop_by_hop); i++)
+    {
+      if (strcasecmp (hop_by_hop[i], name) == 0)
+        {
+          return true;
+        }
+    }
+  return lists_word (msg_find (message, "Connection"), name);
+}
+
+/* Returns the reason phrase of STATUS.  */
+const char *
+msg_reason (uint32_t status)
+{
+  switch (status)
+    {
+#define REASON(number, name, string)                                          \
+  case number:                                                                \
+    return #string;
+      HTTP_STATUS_MAP (REASON)
+#undef REASON
+    default:
+      return "Unknown";
+    }
+}
--- /dev/null
+++ b/src/net/server.c
@@ -0,0 +1,678 @@
+#include "net/server.h"
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "net/client.h"
+
+#include <netinet/tcp.h>
+#include <string.h>
+
+#define READ_BYTES 65536
+#define BACKLOG 512
+
+/* Bytes of requests that come before the answer to the one under way. */
+#define EARLY_BYTES_MAX 65536
+
+/* How long a caller may take to close after the last answer. */
+#define LINGER_US (1 * CLK_S_US)
+
+enum phase
+{
+  PHASE_IDLE,      /* between requests */
+  PHASE_RECEIVING, /* a request has begun */
+  PHASE_ANSWERING, /* the owner has the request */
+  PHASE_LINGERING  /* the last answer is sent */
+};
+
+struct nsv_connection
+{
+  uv_tcp_t tcp;
+  struct nsv_server *server;
+  http_parser parser;
+  struct msg_message request;
+  GByteArray *early; /* bytes after the request under way */
+  enum phase phase;
+  int64_t since_us; /* start of the phase */
+  uint64_t header_bytes;
+  uint32_t refusal; /* status that the request gets once it is read; 0: none */
+  void *request_context;
+  bool keep;    /* the caller may send more after this answer */
+  bool chunked; /* the answer under way */
+  bool whole;   /* the request under way has been read */
+  bool in_body; /* the headers of the request under way are read */
+  bool closing;
+  bool slow; /* too many bytes wait for the caller */
+  bool parsing;
+  uv_shutdown_t shutdown;
+};
+
+struct nsv_server
+{
+  uv_tcp_t listener;
+  uv_loop_t *loop;
+  struct nsv_limits limits;
+  const struct nsv_events *events;
+  void *context;
+  GPtrArray *connections;
+  uint32_t busy; /* requests that the owner has */
+  char *read_buffer;
+  bool last_answers;     /* no connection is kept after its answer */
+  int64_t idle_until_us; /* idle connections are closed from then on */
+};
+
+static int on_message_begin (http_parser *parser);
+static int on_url (http_parser *parser, const char *at, size_t count);
+static int on_header_field (http_parser *parser, const char *at, size_t count);
+static int on_header_value (http_parser *parser, const char *at, size_t count);
+static int on_headers_complete (http_parser *parser);
+static int on_body (http_parser *parser, const char *at, size_t count);
+static int on_message_complete (http_parser *parser);
+static void parse (struct nsv_connection *connection, const char *bytes,
+                   size_t count);
+
+static const http_parser_settings parser_settings = {
+  .on_message_begin = on_message_begin,
+  .on_url = on_url,
+  .on_header_field = on_header_field,
+  .on_header_value = on_header_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_message_complete,
+};
+
+static void
+on_closed (uv_handle_t *handle)
+{
+  struct nsv_connection *connection = handle->data;
+  msg_clear (&connection->request);
+  g_byte_array_free (connection->early, TRUE);
+  g_free (connection);
+}
+
+/* Closes CONNECTION; the owner of a request under way is told when TELL.  */
+static void
+close_connection (struct nsv_connection *connection, bool reset, bool tell)
+{
+  if (connection->closing)
+    {
+      return;
+    }
+  connection->closing = true;
+  g_ptr_array_remove_fast (connection->server->connections, connection);
+  if (connection->phase == PHASE_ANSWERING)
+    {
+      connection->server->busy--;
+    }
+  void *request_context = connection->request_context;
+  connection->request_context = NULL;
+  if (!reset || uv_tcp_close_reset (&connection->tcp, on_closed) != 0)
+    {
+      if (!uv_is_closing ((uv_handle_t *)&connection->tcp))
+        {
+          uv_close ((uv_handle_t *)&connection->tcp, on_closed);
+        }
+    }
+  if (tell && request_context != NULL)
+    {
+      connection->server->events->gone (request_context);
+    }
+}
+
+static void
+enter_phase (struct nsv_connection *connection, enum phase phase)
+{
+  connection->phase = phase;
+  connection->since_us = clk_monotonic_us ();
+}
+
+static int
+on_message_begin (http_parser *parser)
+{
+  struct nsv_connection *connection = parser->data;
+  msg_reset (&connection->request);
+  connection->header_bytes = 0;
+  connection->refusal = 0;
+  connection->whole = false;
+  connection->in_body = false;
+  enter_phase (connection, PHASE_RECEIVING);
+  return 0;
+}
+
+/* Counts COUNT bytes of headers against the limit.  */
+static int
+count_header_bytes (struct nsv_connection *connection, size_t count)
+{
+  connection->header_bytes += count;
+  if (connection->header_bytes > connection->server->limits.header_bytes_max)
+    {
+      connection->refusal = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
+      return -1;
+    }
+  return 0;
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t count)
+{
+  struct nsv_connection *connection = parser->data;
+  g_string_append_len (connection->request.url, at, (gssize)count);
+  return count_header_bytes (connection, count);
+}
+
+static int
+on_header_field (http_parser *parser, const char *at, size_t count)
+{
+  struct nsv_connection *connection = parser->data;
+  msg_add_name (&connection->request, at, count);
+  return count_header_bytes (connection, count);
+}
+
+static int
+on_header_value (http_parser *parser, const char *at, size_t count)
+{
+  struct nsv_connection *connection = parser->data;
+  msg_add_value (&connection->request, at, count);
+  return count_header_bytes (connection, count);
+}
+
+static void write_bytes (struct nsv_connection *connection,
+                         const uv_buf_t *buffers, unsigned count);
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  struct nsv_connection *connection = parser->data;
+  msg_end_headers (&connection->request);
+  connection->in_body = true;
+  enter_phase (connection, PHASE_RECEIVING);
+  if (parser->content_length != ULLONG_MAX
+      && parser->content_length > connection->server->limits.body_bytes_max)
+    {
+      connection->refusal = HTTP_STATUS_PAYLOAD_TOO_LARGE;
+      return -1;
+    }
+  const char *expect = msg_find (&connection->request, "Expect");
+  if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0)
+    {
+      static char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+      uv_buf_t buffer = uv_buf_init (go_on, sizeof go_on - 1);
+      write_bytes (connection, &buffer, 1);
+    }
+  return 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t count)
+{
+  struct nsv_connection *connection = parser->data;
+  GByteArray *body = connection->request.body;
+  if (body->len + count > connection->server->limits.body_bytes_max)
+    {
+      connection->refusal = HTTP_STATUS_PAYLOAD_TOO_LARGE;
+      return -1;
+    }
+  g_byte_array_append (body, (const guint8 *)at, (guint)count);
+  return 0;
+}
+
+static int
+on_message_complete (http_parser *parser)
+{
+  struct nsv_connection *connection = parser->data;
+  connection->whole = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static void
+on_written (uv_write_t *request, int status)
+{
+  struct nsv_connection *connection = request->handle->data;
+  g_free (request->data);
+  g_free (request);
+  if (connection->closing)
+    {
+      return;
+    }
+  if (status < 0)
+    {
+      close_connection (connection, true, true);
+      return;
+    }
+  if (connection->slow
+      && uv_stream_get_write_queue_size ((uv_stream_t *)&connection->tcp) == 0)
+    {
+      connection->slow = false;
+      if (connection->request_context != NULL)
+        {
+          connection->server->events->drained (connection->request_context);
+        }
+    }
+}
+
+/* Sends what COUNT BUFFERS hold, at once as far as the socket takes it.  */
+static void
+write_bytes (struct nsv_connection *connection, const uv_buf_t *buffers,
+             unsigned count)
+{
+  uv_stream_t *stream = (uv_stream_t *)&connection->tcp;
+  size_t total = 0;
+  for (unsigned i = 0; i < count; i++)
+    {
+      total += buffers[i].len;
+    }
+  int written = 0;
+  if (uv_stream_get_write_queue_size (stream) == 0)
+    {
+      written = uv_try_write (stream, buffers, count);
+    }
+  size_t done = written > 0 ? (size_t)written : 0;
+  if (done == total)
+    {
+      return;
+    }
+  uv_write_t *request = g_new0 (uv_write_t, 1);
+  char *rest = g_malloc (total - done);
+  size_t used = 0;
+  for (unsigned i = 0; i < count; i++)
+    {
+      size_t skip = MIN (done, buffers[i].len);
+      memcpy (rest + used, buffers[i].base + skip, buffers[i].len - skip);
+      used += buffers[i].len - skip;
+      done -= skip;
+    }
+  request->data = rest;
+  uv_buf_t buffer = uv_buf_init (rest, (unsigned)used);
+  uv_write (request, stream, &buffer, 1, on_written);
+  connection->slow = uv_stream_get_write_queue_size (stream)
+                     > connection->server->limits.unsent_bytes_max;
+}
+
+/* Lets CONNECTION's answer leave, then closes it once the caller has.  */
+static void
+linger (struct nsv_connection *connection)
+{
+  enter_phase (connection, PHASE_LINGERING);
+  uv_shutdown (&connection->shutdown, (uv_stream_t *)&connection->tcp, NULL);
+}
+
+/* Goes on after an answer: with the next request, or towards the end.  */
+static void
+finish_answer (struct nsv_connection *connection)
+{
+  connection->server->busy--;
+  connection->request_context = NULL;
+  if (!connection->keep)
+    {
+      linger (connection);
+      return;
+    }
+  enter_phase (connection, PHASE_IDLE);
+  msg_reset (&connection->request);
+  if (connection->early->len > 0 && !connection->parsing)
+    {
+      GByteArray *early = connection->early;
+      connection->early = g_byte_array_new ();
+      parse (connection, (const char *)early->data, early->len);
+      g_byte_array_free (early, TRUE);
+    }
+}
+
+/* Answers a request that can't be read, and ends its connection.  */
+static void
+refuse_unread (struct nsv_connection *connection, uint32_t status)
+{
+  connection->server->busy++;
+  enter_phase (connection, PHASE_ANSWERING);
+  connection->keep = false;
+  nsv_answer (connection, status, "", "", 0);
+}
+
+/* Gives the whole request of CONNECTION to the owner.  */
+static void
+hand_over (struct nsv_connection *connection)
+{
+  struct nsv_server *server = connection->server;
+  connection->keep
+      = !server->last_answers && http_should_keep_alive (&connection->parser);
+  enter_phase (connection, PHASE_ANSWERING);
+  server->busy++;
+  server->events->request (server->context, connection, &connection->request,
+                           http_method_str (connection->parser.method));
+}
+
+/* Parses COUNT bytes of requests.  What comes after a whole one waits.  */
+static void
+parse (struct nsv_connection *connection, const char *bytes, size_t count)
+{
+  connection->parsing = true;
+  while (count > 0 && !connection->closing)
+    {
+      if (connection->phase == PHASE_ANSWERING)
+        {
+          g_byte_array_append (connection->early, (const guint8 *)bytes,
+                               (guint)count);
+          if (connection->early->len > EARLY_BYTES_MAX)
+            {
+              close_connection (connection, true, true);
+            }
+          break;
+        }
+      if (connection->phase == PHASE_LINGERING)
+        {
+          break;
+        }
+      size_t parsed = http_parser_execute (&connection->parser,
+                                           &parser_settings, bytes, count);
+      bytes += parsed;
+      count -= MIN (parsed, count);
+      if (connection->whole)
+        {
+          connection->whole = false;
+          http_parser_pause (&connection->parser, 0);
+          hand_over (connection);
+        }
+      else if (HTTP_PARSER_ERRNO (&connection->parser) != HPE_OK)
+        {
+          refuse_unread (connection, connection->refusal != 0
+                                         ? connection->refusal
+                                         : HTTP_STATUS_BAD_REQUEST);
+          break;
+        }
+    }
+  connection->parsing = false;
+}
+
+static void
+on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  (void)suggested;
+  struct nsv_connection *connection = handle->data;
+  *buffer = uv_buf_init (connection->server->read_buffer, READ_BYTES);
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
+{
+  struct nsv_connection *connection = stream->data;
+  if (connection->closing || count == 0)
+    {
+      return;
+    }
+  if (count < 0)
+    {
+      close_connection (connection, false, true);
+      return;
+    }
+  parse (connection, buffer->base, (size_t)count);
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  struct nsv_server *server = listener->data;
+  if (status < 0)
+    {
+      return;
+    }
+  struct nsv_connection *connection = g_new0 (struct nsv_connection, 1);
+  connection->server = server;
+  connection->tcp.data = connection;
+  connection->early = g_byte_array_new ();
+  msg_init (&connection->request);
+  http_parser_init (&connection->parser, HTTP_REQUEST);
+  connection->parser.data = connection;
+  uv_tcp_init (server->loop, &connection->tcp);
+  g_ptr_array_add (server->connections, connection);
+  enter_phase (connection, PHASE_IDLE);
+  if (uv_accept (listener, (uv_stream_t *)&connection->tcp) != 0
+      || server->connections->len > server->limits.connections_max)
+    {
+      close_connection (connection, true, false);
+      return;
+    }
+  uv_tcp_nodelay (&connection->tcp, 1);
+  uv_os_fd_t descriptor;
+  if (uv_fileno ((uv_handle_t *)&connection->tcp, &descriptor) == 0)
+    {
+      unsigned timeout_ms = server->limits.silence_ms;
+      setsockopt (descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+                  sizeof timeout_ms);
+    }
+  uv_read_start ((uv_stream_t *)&connection->tcp, on_alloc, on_read);
+}
+
+/* Creates a server that listens on ADDRESS, IP:PORT.  Returns NULL with
+   ERR_SETTINGS when it can't.  LOOP must run in the calling thread.  */
+struct nsv_server *
+nsv_create (uv_loop_t *loop, const char *address,
+            const struct nsv_limits *limits, const struct nsv_events *events,
+            void *context, GError **error)
+{
+  struct nsv_server *server = g_new0 (struct nsv_server, 1);
+  server->loop = loop;
+  server->limits = *limits;
+  server->events = events;
+  server->context = context;
+  server->connections = g_ptr_array_new ();
+  server->read_buffer = g_malloc (READ_BYTES);
+  struct sockaddr_in parsed;
+  uv_tcp_init (loop, &server->listener);
+  server->listener.data = server;
+  int status = ncl_parse_address (address, &parsed) ? 0 : UV_EINVAL;
+  if (status == 0)
+    {
+      status = uv_tcp_bind (&server->listener,
+                            (const struct sockaddr *)&parsed, 0);
+    }
+  if (status == 0)
+    {
+      status = uv_listen ((uv_stream_t *)&server->listener, BACKLOG,
+                          on_connection);
+    }
+  if (status != 0)
+    {
+      g_set_error (error, ERR_DOMAIN, ERR_SETTINGS, "can't listen on %s: %s",
+                   address, uv_strerror (status));
+      nsv_destroy (server);
+      return NULL;
+    }
+  return server;
+}
+
+static void
+on_listener_closed (uv_handle_t *handle)
+{
+  struct nsv_server *server = handle->data;
+  g_ptr_array_free (server->connections, TRUE);
+  g_free (server->read_buffer);
+  g_free (server);
+}
+
+/* Closes SERVER and its connections; the loop must run once more.  */
+void
+nsv_destroy (struct nsv_server *server)
+{
+  if (server == NULL)
+    {
+      return;
+    }
+  while (server->connections->len > 0)
+    {
+      close_connection (g_ptr_array_index (server->connections, 0), false,
+                        true);
+    }
+  uv_close ((uv_handle_t *)&server->listener, on_listener_closed);
+}
+
+/* Sets LIMITS for the requests to come.  */
+void
+nsv_set_limits (struct nsv_server *server, const struct nsv_limits *limits)
+{
+  server->limits = *limits;
+}
+
+/* Keeps no connection after its answer from now on, and closes those that are
+   idle from IDLE_UNTIL_US on.  */
+void
+nsv_stop_keeping (struct nsv_server *server, int64_t idle_until_us)
+{
+  server->last_answers = true;
+  server->idle_until_us = idle_until_us;
+  for (guint i = 0; i < server->connections->len; i++)
+    {
+      struct nsv_connection *connection
+          = g_ptr_array_index (server->connections, i);
+      connection->keep = false;
+    }
+}
+
+/* Closes connections whose time is over.  Called some times a second.  */
+void
+nsv_expire (struct nsv_server *server, int64_t now_us)
+{
+  for (guint i = server->connections->len; i-- > 0;)
+    {
+      struct nsv_connection *connection
+          = g_ptr_array_index (server->connections, i);
+      int64_t age_us = now_us - connection->since_us;
+      bool last = server->last_answers && now_us >= server->idle_until_us;
+      switch (connection->phase)
+        {
+        case PHASE_IDLE:
+          if (last || age_us >= server->limits.idle_timeout_us)
+            {
+              linger (connection);
+            }
+          break;
+        case PHASE_RECEIVING:
+          if (age_us >= (connection->in_body
+                             ? server->limits.idle_timeout_us
+                             : server->limits.header_timeout_us))
+            {
+              refuse_unread (connection, HTTP_STATUS_REQUEST_TIMEOUT);
+            }
+          break;
+        case PHASE_LINGERING:
+          if (age_us >= LINGER_US)
+            {
+              close_connection (connection, false, false);
+            }
+          break;
+        case PHASE_ANSWERING:
+          break;
+        }
+    }
+}
+
+/* Returns the number of open connections.  */
+uint32_t
+nsv_open (const struct nsv_server *server)
+{
+  return server->connections->len;
+}
+
+/* Returns the number of requests that the owner hasn't answered.  */
+uint32_t
+nsv_busy (const struct nsv_server *server)
+{
+  return server->busy;
+}
+
+/* Sets what `gone' and `drained' get for the request under way.  */
+void
+nsv_bind (struct nsv_connection *connection, void *request_context)
+{
+  connection->request_context = request_context;
+}
+
+/* Writes the start line and HEADERS, each of which ends with CRLF.  */
+static void
+append_head (struct nsv_connection *connection, GString *head, uint32_t status,
+             const char *headers)
+{
+  g_string_append_printf (head, "HTTP/1.1 %u %s\r\n%s", status,
+                          msg_reason (status), headers);
+  if (!connection->keep)
+    {
+      g_string_append (head, "Connection: close\r\n");
+    }
+}
+
+/* Answers the request under way with STATUS, HEADERS, each of which ends with
+   CRLF, and the whole body.  */
+void
+nsv_answer (struct nsv_connection *connection, uint32_t status,
+            const char *headers, const void *body, size_t body_bytes)
+{
+  GString *head = g_string_sized_new (512);
+  append_head (connection, head, status, headers);
+  if (status != HTTP_STATUS_NO_CONTENT && status != HTTP_STATUS_NOT_MODIFIED)
+    {
+      g_string_append_printf (head, "Content-Length: %zu\r\n", body_bytes);
+    }
+  g_string_append (head, "\r\n");
+  const uv_buf_t buffers[] = {
+    uv_buf_init (head->str, (unsigned)head->len),
+    uv_buf_init ((char *)body, (unsigned)body_bytes),
+  };
+  write_bytes (connection, buffers, body_bytes > 0 ? 2 : 1);
+  g_string_free (head, TRUE);
+  finish_answer (connection);
+}
+
+/* Begins an answer that comes in chunks.  */
+void
+nsv_begin (struct nsv_connection *connection, uint32_t status,
+           const char *headers)
+{
+  GString *head = g_string_sized_new (512);
+  append_head (connection, head, status, headers);
+  g_string_append (head, "Transfer-Encoding: chunked\r\n\r\n");
+  uv_buf_t buffer = uv_buf_init (head->str, (unsigned)head->len);
+  write_bytes (connection, &buffer, 1);
+  g_string_free (head, TRUE);
+  connection->chunked = true;
+}
+
+/* Sends COUNT bytes, at least one, of the answer that was begun.  */
+void
+nsv_chunk (struct nsv_connection *connection, const void *bytes, size_t count)
+{
+  char size[24];
+  int size_bytes = g_snprintf (size, sizeof size, "%zx\r\n", count);
+  static char end[] = "\r\n";
+  const uv_buf_t buffers[] = {
+    uv_buf_init (size, (unsigned)size_bytes),
+    uv_buf_init ((char *)bytes, (unsigned)count),
+    uv_buf_init (end, 2),
+  };
+  write_bytes (connection, buffers, 3);
+}
+
+/* Ends the answer that was begun as complete.  */
+void
+nsv_end (struct nsv_connection *connection)
+{
+  static char last[] = "0\r\n\r\n";
+  uv_buf_t buffer = uv_buf_init (last, sizeof last - 1);
+  write_bytes (connection, &buffer, 1);
+  connection->chunked = false;
+  finish_answer (connection);
+}
+
+/* Ends the connection so that an answer that was begun is seen to be torn.  */
+void
+nsv_abort (struct nsv_connection *connection)
+{
+  connection->request_context = NULL;
+  close_connection (connection, true, false);
+}
+
+/* True while more bytes wait for the caller than the limit allows.  `drained'
+   tells the end.  */
+bool
+nsv_is_slow (const struct nsv_connection *connection)
+{
+  return connection->slow;
+}
