Keep to what a stop can finish, and don't vouch for answers without a length

Ruled out: closing the listener at the stop: when all daemons of a data centre stop, the balancer uses them all. Change: core/stopping tells what can still be finished; an answer that only the end of its connection ends is passed on in the same way.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "core/attempt.h"
+#include "core/stopping.h"
 #include "net/event_scan.h"
 #include "platform/headers.h"
 
@@ -28,6 +29,12 @@
 
 #define REQUEST_ID_BYTES 64
 
+/* Weight of the newest request in the moving averages of durations. */
+#define NEWEST_WEIGHT 0.1
+
+/* What is expected of streams until the first one has ended. */
+#define FIRST_TOKEN_US 25000.0
+
 struct exchange
 {
   struct trf_traffic *traffic;
@@ -40,7 +47,8 @@
   GString *head;    /* the request's start line and headers that stay */
   GByteArray *body; /* of the request */
   bool has_body;
-  double tokens; /* memory that it needs in an engine */
+  double tokens;        /* memory that it needs in an engine */
+  double output_tokens; /* that it may write at most; 0: no stream */
   int64_t arrived_us;
   int64_t deadline_us;
   uv_timer_t timer;
@@ -54,16 +62,19 @@
   int64_t heard_us;  /* last bytes of the answer */
   bool not_executed; /* the endpoint says so */
   bool is_stream;
-  char *at_fault; /* address of the engine that failed */
+  bool ends_with_connection; /* nothing tells a whole answer from a torn one */
+  char *at_fault;            /* address of the engine that failed */
   GString *answer_head;
   GByteArray *answer;
 
   /* All attempts. */
   GPtrArray *tried; /* struct fst_endpoint, references */
-  uint32_t sent;
-  uint32_t may_have_run;
+  uint32_t attempts;
+  uint32_t sent;         /* ended ones that arrived or may have */
+  uint32_t may_have_run; /* ended ones */
   struct evs_scanner scanner;
   bool answer_begun;
+  bool answer_chunked; /* its end says that it is whole */
   int64_t first_event_us;
 };
 
@@ -121,12 +132,12 @@
   int64_t now_us = clk_monotonic_us ();
   struct emt_metrics *metrics = exchange->traffic->metrics;
   lg_line (LOG_INFO, "request_done",
-           "request=%s route=%s account=%s outcome=%s status=%u sent=%u "
-           "may_have_run=%u first_ms=%ld total_ms=%ld left_ms=%ld "
+           "request=%s route=%s account=%s outcome=%s status=%u attempts=%u "
+           "first_ms=%ld total_ms=%ld left_ms=%ld "
            "config=%lu endpoint=%s path=%s",
            exchange->id, exchange->route->name,
            exchange->account == NULL ? "-" : exchange->account->name, outcome,
-           status, exchange->sent, exchange->may_have_run,
+           status, exchange->attempts,
            (long)(exchange->first_event_us == 0
                       ? -1
                       : (exchange->first_event_us - exchange->arrived_us)
@@ -185,7 +196,8 @@
   finish (exchange, status, why);
 }
 
-/* Delivers the endpoint's answer that was kept whole.  */
+/* Delivers the endpoint's answer that was kept, with a length only if it had
+   one: an end of the connection doesn't tell that it is whole.  */
 static void
 deliver_kept (struct exchange *exchange)
 {
@@ -194,8 +206,23 @@
            : exchange->status < 500 ? metrics->answers_4xx
                                     : metrics->answers_5xx,
            1);
-  nsv_answer (exchange->caller, exchange->status, exchange->answer_head->str,
-              exchange->answer->data, exchange->answer->len);
+  if (!exchange->ends_with_connection)
+    {
+      nsv_answer (exchange->caller, exchange->status,
+                  exchange->answer_head->str, exchange->answer->data,
+                  exchange->answer->len);
+    }
+  else
+    {
+      nsv_begin (exchange->caller, exchange->status,
+                 exchange->answer_head->str, false);
+      if (exchange->answer->len > 0)
+        {
+          nsv_piece (exchange->caller, exchange->answer->data,
+                     exchange->answer->len);
+        }
+      nsv_end (exchange->caller);
+    }
   exchange->caller = NULL;
   finish (exchange, exchange->status, "delivered");
 }
@@ -338,11 +365,29 @@
     }
 }
 
+/* Moves MEAN, which is 0 at first, towards VALUE.  */
+static void
+average (double *mean, double value)
+{
+  *mean = *mean == 0 ? value
+                     : *mean * (1 - NEWEST_WEIGHT) + value * NEWEST_WEIGHT;
+}
+
 /* Takes the success of an attempt; every engine on its path proved itself.  */
 static void
 take_success (struct exchange *exchange)
 {
   int64_t latency_us = clk_monotonic_us () - exchange->sent_us;
+  struct trf_traffic *traffic = exchange->traffic;
+  if (exchange->output_tokens > 0)
+    {
+      average (&traffic->token_us,
+               (double)latency_us / exchange->output_tokens);
+    }
+  else
+    {
+      average (&traffic->call_us, (double)latency_us);
+    }
   if (exchange->path == NULL)
     {
       evd_success (&exchange->endpoint->evidence, latency_us);
@@ -379,6 +424,8 @@
   bool success = status >= 200 && status < 300;
   exchange->status = status;
   exchange->heard_us = clk_monotonic_us ();
+  exchange->ends_with_connection
+      = ncl_ends_with_connection (exchange->attempt);
   exchange->not_executed = msg_find (answer, PFH_NOT_EXECUTED) != NULL
                            || status == HTTP_STATUS_MISDIRECTED_REQUEST;
   g_free (exchange->at_fault);
@@ -419,11 +466,12 @@
       exchange->first_event_us = clk_monotonic_us ();
       cnt_observe_us (metrics->first_byte,
                       exchange->first_event_us - exchange->arrived_us);
+      exchange->answer_chunked = !exchange->ends_with_connection;
       nsv_begin (exchange->caller, exchange->status,
-                 exchange->answer_head->str);
+                 exchange->answer_head->str, exchange->answer_chunked);
     }
   cnt_add (metrics->events, events);
-  nsv_chunk (exchange->caller, exchange->answer->data, exchange->answer->len);
+  nsv_piece (exchange->caller, exchange->answer->data, exchange->answer->len);
   if (nsv_is_slow (exchange->caller))
     {
       ncl_pause (exchange->attempt);
@@ -462,7 +510,8 @@
 {
   struct emt_metrics *metrics = exchange->traffic->metrics;
   if (exchange->scanner.pending->len > 0 || exchange->scanner.out_of_order
-      || !exchange->answer_begun)
+      || !exchange->answer_begun
+      || (exchange->ends_with_connection && exchange->answer_chunked))
     {
       blame (exchange, false, "the stream ended within an event");
       end_attempt (exchange, ATT_SPOILED);
@@ -644,6 +693,7 @@
                   request->len, false, &attempt_events, exchange);
   g_string_free (request, TRUE);
   cnt_add (traffic->metrics->attempts, 1);
+  exchange->attempts++;
   if (exchange->attempt == NULL)
     {
       end_attempt (exchange, ATT_NOT_SENT);
@@ -775,18 +825,19 @@
 }
 
 /* Returns the memory in tokens that a request of TEXT, "prompt,output", needs
-   at most.  */
+   at most.  OUTPUT is what it may write.  */
 static double
-parse_tokens (const char *text)
+parse_tokens (const char *text, double *output)
 {
+  *output = 0;
   if (text == NULL)
     {
       return DEFAULT_TOKENS;
     }
   char *end = NULL;
   double prompt = g_ascii_strtod (text, &end);
-  double output = *end == ',' ? g_ascii_strtod (end + 1, NULL) : 0;
-  return MAX (prompt + output, 1);
+  *output = *end == ',' ? g_ascii_strtod (end + 1, NULL) : 0;
+  return MAX (prompt + *output, 1);
 }
 
 /* Why a request isn't taken. */
@@ -838,6 +889,29 @@
   return (struct refusal){ 0, "" };
 }
 
+/* Returns how long REQUEST is expected to run.  */
+static int64_t
+expected_us (const struct trf_traffic *traffic,
+             const struct msg_message *request)
+{
+  double output = 0;
+  parse_tokens (msg_find (request, PFH_TOKENS), &output);
+  double token_us
+      = traffic->token_us == 0 ? FIRST_TOKEN_US : traffic->token_us;
+  return (int64_t)(output > 0 ? output * token_us : traffic->call_us);
+}
+
+/* True while REQUEST can be finished although the daemon may be stopping.  */
+static bool
+takes_requests (const struct trf_traffic *traffic,
+                const struct msg_message *request)
+{
+  return traffic->stopping_us == 0
+         || spn_takes (clk_monotonic_us () - traffic->stopping_us,
+                       traffic->settings->stop_us,
+                       expected_us (traffic, request));
+}
+
 /* Returns the time that the request on ROUTE has, from now on.  */
 static int64_t
 time_left_us (const struct flt_route *route, const struct msg_message *request)
@@ -876,7 +950,8 @@
   exchange->has_body = request->body->len > 0
                        || msg_find (request, "Content-Length") != NULL
                        || msg_find (request, "Transfer-Encoding") != NULL;
-  exchange->tokens = parse_tokens (msg_find (request, PFH_TOKENS));
+  exchange->tokens = parse_tokens (msg_find (request, PFH_TOKENS),
+                                   &exchange->output_tokens);
   exchange->arrived_us = clk_monotonic_us ();
   exchange->deadline_us = exchange->arrived_us + time_left_us (route, request);
   exchange->answer_head = g_string_new (NULL);
@@ -907,6 +982,11 @@
   cnt_add (traffic->metrics->requests, 1);
   struct refusal refusal
       = check_request (traffic, config, request, &route, &account);
+  if (refusal.status == 0 && !takes_requests (traffic, request))
+    {
+      refusal
+          = (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE, "stopping" };
+    }
   if (refusal.status == 0 && (id == NULL || strlen (id) >= REQUEST_ID_BYTES))
     {
       refusal = (struct refusal){ HTTP_STATUS_BAD_REQUEST, "no request id" };
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -28,6 +28,9 @@
   int64_t swept_us;
   int64_t stopping_us; /* since then; 0: not stopping */
   bool was_ready;
+  double token_us; /* moving average over streams, for each token they may
+                      write at most; 0: none yet */
+  double call_us;  /* moving average over calls of plain services */
 };
 
 struct trf_traffic *trf_create (uv_loop_t *loop,
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -528,7 +528,10 @@
 bool
 ncl_ends_with_connection (const struct ncl_exchange *exchange)
 {
-  return (exchange->parser.flags & F_CHUNKED) == 0
+  uint32_t status = exchange->parser.status_code;
+  bool has_body
+      = status != HTTP_STATUS_NO_CONTENT && status != HTTP_STATUS_NOT_MODIFIED;
+  return has_body && (exchange->parser.flags & F_CHUNKED) == 0
          && (exchange->parser.flags & F_CONTENTLENGTH) == 0;
 }
 
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -621,23 +621,26 @@
   finish_answer (connection);
 }
 
-/* Begins an answer that comes in chunks.  */
+/* Begins an answer that comes in pieces: CHUNKED, or else ended only by the
+   end of the connection, which doesn't vouch for its completeness.  */
 void
 nsv_begin (struct nsv_connection *connection, uint32_t status,
-           const char *headers)
+           const char *headers, bool chunked)
 {
   GString *head = g_string_sized_new (512);
+  connection->chunked = chunked;
+  connection->keep &= chunked;
   append_head (connection, head, status, headers);
-  g_string_append (head, "Transfer-Encoding: chunked\r\n\r\n");
+  g_string_append (head,
+                   chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
   uv_buf_t buffer = uv_buf_init (head->str, (unsigned)head->len);
   write_bytes (connection, &buffer, 1);
   g_string_free (head, TRUE);
-  connection->chunked = true;
 }
 
 /* Sends COUNT bytes, at least one, of the answer that was begun.  */
 void
-nsv_chunk (struct nsv_connection *connection, const void *bytes, size_t count)
+nsv_piece (struct nsv_connection *connection, const void *bytes, size_t count)
 {
   char size[24];
   int size_bytes = g_snprintf (size, sizeof size, "%zx\r\n", count);
@@ -647,7 +650,14 @@
     uv_buf_init ((char *)bytes, (unsigned)count),
     uv_buf_init (end, 2),
   };
-  write_bytes (connection, buffers, 3);
+  if (connection->chunked)
+    {
+      write_bytes (connection, buffers, 3);
+    }
+  else
+    {
+      write_bytes (connection, &buffers[1], 1);
+    }
 }
 
 /* Ends the answer that was begun as complete.  */
@@ -656,8 +666,10 @@
 {
   static char last[] = "0\r\n\r\n";
   uv_buf_t buffer = uv_buf_init (last, sizeof last - 1);
-  write_bytes (connection, &buffer, 1);
-  connection->chunked = false;
+  if (connection->chunked)
+    {
+      write_bytes (connection, &buffer, 1);
+    }
   finish_answer (connection);
 }
 
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -49,8 +49,8 @@
 void nsv_answer (struct nsv_connection *connection, uint32_t status,
                  const char *headers, const void *body, size_t body_bytes);
 void nsv_begin (struct nsv_connection *connection, uint32_t status,
-                const char *headers);
-void nsv_chunk (struct nsv_connection *connection, const void *bytes,
+                const char *headers, bool chunked);
+void nsv_piece (struct nsv_connection *connection, const void *bytes,
                 size_t count);
 void nsv_end (struct nsv_connection *connection);
 void nsv_abort (struct nsv_connection *connection);
