Spread streams over several paths of a data centre, and pace calls by the bounds

Cause: on the grown site all streams of a data centre went through one path (one engine 46 times as busy as the mean), and 67 daemons made 2.7 calls a second each. Ruled out: the engines' sum (3.5 copies of each layer in each data centre). Change: up to five paths a data centre over engines that differ, chosen by fewest own requests for their speed; a silence ends an attempt only if another may follow; calls wait and pause by the drain and revoke bounds.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -63,6 +63,19 @@
   verdict->needs_budget = request->sent > 0;
 }
 
+/* True when the attempt under way of REQUEST may be given up for another one,
+   because its endpoint is silent: silence alone never ends a request.  */
+bool
+att_may_abandon (const struct att_request *request)
+{
+  struct att_request after = *request;
+  struct att_verdict verdict;
+  after.may_have_run++;
+  after.sent++;
+  att_decide (&after, ATT_SILENT, &verdict);
+  return verdict.next == ATT_RETRY || verdict.next == ATT_RESUME;
+}
+
 /* Decides what becomes of REQUEST when it isn't sent again, because the budget
    of repeats is spent or no endpoint is left.  */
 void
--- a/src/core/attempt.h
+++ b/src/core/attempt.h
@@ -55,6 +55,7 @@
 
 void att_decide (const struct att_request *request, enum att_end end,
                  struct att_verdict *verdict);
+bool att_may_abandon (const struct att_request *request);
 void att_decide_unpaid (const struct att_request *request, enum att_end end,
                         struct att_verdict *verdict);
 
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -46,9 +46,9 @@
   budget->requests[budget->slot % RBG_SLOTS]++;
 }
 
-/* Takes one repeat out of BUDGET.  Returns false when it is spent.  */
+/* Returns true when BUDGET has room for one more repeat.  */
 bool
-rbg_take (struct rbg_budget *budget, int64_t now_us)
+rbg_allows (struct rbg_budget *budget, int64_t now_us)
 {
   advance (budget, now_us);
   uint32_t requests = 0;
@@ -60,7 +60,14 @@
     }
   double allowed = budget->params.ratio * requests
                    + budget->params.slack * budget->slack_share;
-  if (repeats + 1 > allowed)
+  return repeats + 1 <= allowed;
+}
+
+/* Takes one repeat out of BUDGET.  Returns false when it is spent.  */
+bool
+rbg_take (struct rbg_budget *budget, int64_t now_us)
+{
+  if (!rbg_allows (budget, now_us))
     {
       return false;
     }
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -731,12 +731,28 @@
   int64_t bound_us = silence_bound_us (exchange);
   if (bound_us > 0)
     {
-      due_us = MIN (due_us, exchange->heard_us + bound_us);
+      int64_t silent_us = exchange->heard_us + bound_us;
+      /* A silence that couldn't be ended is looked at again later. */
+      due_us
+          = MIN (due_us, silent_us > now_us ? silent_us : now_us + bound_us);
     }
   uint64_t delay_ms = (uint64_t)MAX ((due_us - now_us) / CLK_MS_US, 0) + 1;
   uv_timer_start (&exchange->timer, on_timer, delay_ms, 0);
 }
 
+/* True when the attempt under way may be given up for another one: the request
+   allows it, another path is there, and so is the budget.  */
+static bool
+may_abandon (struct exchange *exchange)
+{
+  struct att_request request;
+  uint32_t service = service_index (exchange);
+  describe_attempts (exchange, &request);
+  return service != FLT_NO_INDEX && att_may_abandon (&request)
+         && rbg_allows (fst_budget (exchange->traffic->fleet, service),
+                        clk_monotonic_us ());
+}
+
 static void
 on_timer (uv_timer_t *timer)
 {
@@ -752,7 +768,8 @@
       end_attempt (exchange, ATT_TIMED_OUT);
       return;
     }
-  if (bound_us > 0 && now_us - exchange->heard_us >= bound_us)
+  if (bound_us > 0 && now_us - exchange->heard_us >= bound_us
+      && may_abandon (exchange))
     {
       ncl_cancel (exchange->attempt);
       g_clear_pointer (&exchange->at_fault, g_free);
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -15,14 +15,15 @@
 
 #define TICK_MS 250
 
-/* A call for the configuration waits so long for a change.  Its answer proves
-   that the configuration is the newest, so this bounds the age of the proof.
- */
-#define CONFIG_WAIT_MS 1500
+/* Share of the time in which keys may be served after their removal that a
+   call for the configuration waits for a change.  Its answer proves that the
+   configuration was the newest when it was sent, so a proof gets up to twice
+   as old. */
+#define CONFIG_WAIT_SHARE 0.36
 
-/* Between two readings of the list of endpoints: well within the time in which
-   a leaving endpoint may still get work. */
-#define LIST_PACE_MS 800
+/* Share of the time in which a leaving endpoint may still get work that passes
+   between two readings of the list; the rest is for the store's answer. */
+#define LIST_PACE_SHARE 0.5
 
 /* Connections to the platform and to endpoints, for orders. */
 #define CONNECT_TIMEOUT_US (800 * CLK_MS_US)
@@ -255,14 +256,16 @@
     .loop = &control->loop,
     .address = control->settings->store_address,
     .topic = PFS_OPERATOR_TOPIC,
-    .wait_ms = CONFIG_WAIT_MS,
+    .wait_ms = (uint32_t)((double)control->settings->revoke_us
+                          * CONFIG_WAIT_SHARE / CLK_MS_US),
     .events = &operator_events,
     .context = control,
   };
   control->operator_topic = tpc_create (&params);
   params.topic = PFS_ENDPOINT_TOPIC;
   params.wait_ms = 0;
-  params.pace_ms = LIST_PACE_MS;
+  params.pace_ms = (uint32_t)((double)control->settings->drain_us
+                              * LIST_PACE_SHARE / CLK_MS_US);
   params.events = &endpoint_events;
   control->endpoint_topic = tpc_create (&params);
 }
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -23,11 +23,18 @@
    endpoints end their rest. */
 #define PATHS_VALID_US (200 * CLK_MS_US)
 
-/* Requests in another data centre cost callers this much more. */
-#define AWAY_REQUEST_MS 1.0
+/* Paths that are sought for each data centre, and how much dearer engines get
+   for the next search once a path uses them. */
+#define PATHS_PER_ZONE 5
+#define USED_FACTOR 3.0
 
-/* From this share of an endpoint's room on, another one is sought first. */
+/* Preference for paths of the daemon's own data centre. */
+#define HOME_WEIGHT 1.15
+
+/* From this share of an endpoint's room on, another one is sought first; what
+   is beyond it weighs so much more. */
 #define FULL_SHARE 0.9
+#define OVERFULL_FACTOR 10.0
 
 /* Share of the fleet's requests that is assumed to be this daemon's until the
    group tells. */
@@ -376,10 +383,31 @@
   return best == NULL ? NULL : fst_reference (best);
 }
 
+/* Returns the cost of one token on PATH with its engines' own figures.  */
+static double
+token_cost (const struct flt_engine *engine, const struct fst_path *path)
+{
+  double cost_ms = 0;
+  for (uint32_t i = 0; i < path->count; i++)
+    {
+      const struct fst_endpoint *part = path->parts[i];
+      bool doubtful = part->evidence.strikes > 0;
+      double layers = path->layers[i].end - path->layers[i].first;
+      cost_ms += engine->step_ms * part->step_factor * layers / engine->layers
+                 * (doubtful ? DOUBT_FACTOR : 1);
+      if (i > 0)
+        {
+          bool crosses = part->zone != path->parts[i - 1]->zone;
+          cost_ms += crosses ? ZONE_HOP_MS : HOP_MS;
+        }
+    }
+  return cost_ms;
+}
+
 /* Makes a path of what was FOUND over ENGINES.  */
 static struct fst_path *
-make_path (const struct pth_path *found, const GPtrArray *engines,
-           uint32_t home_zone)
+make_path (const struct flt_engine *engine, const struct pth_path *found,
+           const GPtrArray *engines, uint32_t home_zone)
 {
   struct fst_path *path = g_new0 (struct fst_path, 1);
   GString *text = g_string_new (NULL);
@@ -387,19 +415,19 @@
   path->count = found->count;
   path->parts = g_new (struct fst_endpoint *, found->count);
   path->layers = g_new (struct rst_layers, found->count);
-  path->token_ms = found->token_ms;
   path->home_zone = home_zone;
   for (uint32_t i = 0; i < found->count; i++)
     {
-      struct fst_endpoint *engine
+      struct fst_endpoint *part
           = g_ptr_array_index (engines, found->parts[i].card);
-      path->parts[i] = fst_reference (engine);
+      path->parts[i] = fst_reference (part);
       path->layers[i] = found->parts[i].layers;
       g_string_append_printf (text, "%s%s=%u-%u", i == 0 ? "" : ",",
-                              engine->address, path->layers[i].first,
+                              part->address, path->layers[i].first,
                               path->layers[i].end);
     }
   path->text = g_string_free (text, FALSE);
+  path->token_ms = token_cost (engine, path);
   return path;
 }
 
@@ -418,8 +446,8 @@
 }
 
 /* Adds the best path that prefers ZONE to PATHS, and makes the engines on it
-   dearer for the next search.  */
-static void
+   dearer for the next search.  Returns false when there is no other path.  */
+static bool
 add_path (GPtrArray *paths, const struct flt_engine *engine, uint32_t zone,
           const GPtrArray *engines, struct pth_card *cards)
 {
@@ -433,23 +461,24 @@
   struct pth_path found;
   if (!pth_find (&costs, cards, engines->len, &found))
     {
-      return;
+      return false;
     }
-  struct fst_path *path = make_path (&found, engines, zone);
+  struct fst_path *path = make_path (engine, &found, engines, zone);
   if (knows_path (paths, path->text))
     {
       fst_release_path (path);
-      return;
+      return false;
     }
   g_ptr_array_add (paths, path);
   for (uint32_t i = 0; i < found.count; i++)
     {
-      cards[found.parts[i].card].layer_ms *= AWAY_FACTOR;
+      cards[found.parts[i].card].layer_ms *= USED_FACTOR;
     }
+  return true;
 }
 
-/* Seeks the paths of SERVICE, one for each data centre and another one beside
-   it where its engines allow that.  */
+/* Seeks the paths of SERVICE, several for each data centre, over engines that
+   differ as far as that can be.  */
 static void
 seek_paths (struct fst_fleet *fleet, uint32_t index,
             struct service_state *service, int64_t now_us)
@@ -481,13 +510,17 @@
   service->paths
       = g_ptr_array_new_with_free_func ((GDestroyNotify)fst_release_path);
   service->paths_until_us = now_us + PATHS_VALID_US;
-  for (uint32_t turn = 0; turn < 2; turn++)
+  for (uint32_t zone = 0; zone < fleet->zones->len; zone++)
     {
-      for (uint32_t zone = 0; zone < fleet->zones->len; zone++)
+      struct pth_card *priced
+          = g_memdup2 (cards->data, cards->len * sizeof (struct pth_card));
+      uint32_t found = 0;
+      while (found < PATHS_PER_ZONE
+             && add_path (service->paths, engine, zone, engines, priced))
         {
-          add_path (service->paths, engine, zone, engines,
-                    (struct pth_card *)cards->data);
+          found++;
         }
+      g_free (priced);
     }
   g_ptr_array_free (engines, TRUE);
   g_array_free (cards, TRUE);
@@ -511,8 +544,23 @@
   return fill;
 }
 
-/* Chooses a path of SERVICE for a request that needs memory for TOKENS.
-   Returns a reference, or NULL when there is none.  */
+/* Returns how much of PATH's room this daemon's own requests use beside the
+   one of TOKENS to be placed, in requests of that size.  A random part of one
+   request spreads daemons that have none or few under way.  */
+static double
+path_load (const struct fst_path *path, double tokens)
+{
+  double used = 0;
+  for (uint32_t i = 0; i < path->count; i++)
+    {
+      used = MAX (used, path->parts[i]->used_tokens);
+    }
+  return used / tokens + g_random_double_range (0.05, 1);
+}
+
+/* Chooses a path of SERVICE for a request that needs memory for TOKENS: the
+   one with the fewest requests for its speed.  Returns a reference, or NULL
+   when there is none.  */
 struct fst_path *
 fst_choose_path (struct fst_fleet *fleet, uint32_t service, double tokens,
                  int64_t now_us)
@@ -529,10 +577,11 @@
     {
       struct fst_path *path = g_ptr_array_index (state->paths, i);
       double fill = path_fill (fleet, path, tokens);
-      double cost
-          = (path->token_ms + (path->home_zone == home ? 0 : AWAY_REQUEST_MS))
-            * (1 + fill * fill + (fill > FULL_SHARE ? 10 * fill : 0))
-            * g_random_double_range (0.95, 1.05);
+      double overfull = MAX (fill - FULL_SHARE, 0);
+      double weight = (path->home_zone == home ? HOME_WEIGHT : 1)
+                      / (path->token_ms * path->token_ms);
+      double cost = path_load (path, tokens) * (1 + OVERFULL_FACTOR * overfull)
+                    / weight;
       if (cost < best_cost)
         {
           best = path;
