Wish for memory of as many requests as an engine has slots; choose paths by their room

Cause: on the grown site the fastest paths got up to four times the streams of others and ran out of memory.

--- a/src/core/stage_plan.c
+++ b/src/core/stage_plan.c
@@ -86,12 +86,15 @@
   return total;
 }
 
-/* Sets the largest memory of requests with which GROUP holds the model.
-   Returns false when it can't hold it.  */
+/* Sets the largest memory of requests with which GROUP holds the model, up to
+   that of as many usual requests as an engine has slots.  Returns false when
+   it can't hold it.  */
 static bool
 choose_cache (struct group *group)
 {
-  double most = group->engine->cache_tokens_max;
+  const struct flt_engine *engine = group->engine;
+  double most = engine->slots
+                * (engine->usual_prompt_tokens + engine->usual_answer_tokens);
   double least = least_cache_tokens (group->engine);
   for (uint32_t step = 0; step <= MEMORY_STEPS; step++)
     {
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -477,6 +477,37 @@
   return true;
 }
 
+/* Divides the memory of requests of ENGINES among PATHS.  */
+static void
+set_rooms (const GPtrArray *paths, const GPtrArray *engines)
+{
+  for (guint i = 0; i < engines->len; i++)
+    {
+      struct fst_endpoint *engine = g_ptr_array_index (engines, i);
+      engine->paths = 0;
+    }
+  for (guint i = 0; i < paths->len; i++)
+    {
+      const struct fst_path *path = g_ptr_array_index (paths, i);
+      for (uint32_t part = 0; part < path->count; part++)
+        {
+          path->parts[part]->paths++;
+        }
+    }
+  for (guint i = 0; i < paths->len; i++)
+    {
+      struct fst_path *path = g_ptr_array_index (paths, i);
+      path->room_tokens = INFINITY;
+      for (uint32_t part = 0; part < path->count; part++)
+        {
+          const struct fst_endpoint *engine = path->parts[part];
+          path->room_tokens
+              = MIN (path->room_tokens,
+                     MAX (engine->cache_tokens, 1) / engine->paths);
+        }
+    }
+}
+
 /* Seeks the paths of SERVICE, several for each data centre, over engines that
    differ as far as that can be.  */
 static void
@@ -522,6 +553,7 @@
         }
       g_free (priced);
     }
+  set_rooms (service->paths, engines);
   g_ptr_array_free (engines, TRUE);
   g_array_free (cards, TRUE);
 }
@@ -544,9 +576,9 @@
   return fill;
 }
 
-/* Returns how much of PATH's room this daemon's own requests use beside the
-   one of TOKENS to be placed, in requests of that size.  A random part of one
-   request spreads daemons that have none or few under way.  */
+/* Returns the tokens of this daemon's own requests on PATH's fullest part,
+   beside those of the request to be placed.  A random part of that request
+   spreads daemons that have none or few under way.  */
 static double
 path_load (const struct fst_path *path, double tokens)
 {
@@ -555,12 +587,12 @@
     {
       used = MAX (used, path->parts[i]->used_tokens);
     }
-  return used / tokens + g_random_double_range (0.05, 1);
+  return used + tokens * g_random_double_range (0.05, 1);
 }
 
 /* Chooses a path of SERVICE for a request that needs memory for TOKENS: the
-   one with the fewest requests for its speed.  Returns a reference, or NULL
-   when there is none.  */
+   one with the most room, and the faster rather than the slower.  Returns a
+   reference, or NULL when there is none.  */
 struct fst_path *
 fst_choose_path (struct fst_fleet *fleet, uint32_t service, double tokens,
                  int64_t now_us)
@@ -579,7 +611,7 @@
       double fill = path_fill (fleet, path, tokens);
       double overfull = MAX (fill - FULL_SHARE, 0);
       double weight = (path->home_zone == home ? HOME_WEIGHT : 1)
-                      / (path->token_ms * path->token_ms);
+                      * path->room_tokens / sqrt (path->token_ms);
       double cost = path_load (path, tokens) * (1 + OVERFULL_FACTOR * overfull)
                     / weight;
       if (cost < best_cost)
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -22,6 +22,7 @@
   double step_factor;
   double cache_tokens; /* memory of requests, in tokens; 0: unknown */
   double used_tokens;  /* of this daemon's requests that pass through it */
+  uint32_t paths;      /* that pass through it */
   struct rst_layers layers;
   bool listed; /* in the list and not leaving */
   bool seen;   /* in the view that is being taken */
@@ -37,6 +38,8 @@
   uint32_t count;
   char *text; /* ADDRESS=FIRST-END, comma-separated */
   double token_ms;
+  double room_tokens; /* memory of requests of its smallest part, divided by
+                         the number of paths over that part */
   uint32_t home_zone;
 };
 
