Ask an engine what its silent streams wait for, and leave the group at a stop

Change: the first engine's report names the engine it waits for, which rests; silent streams over it go on elsewhere; the group's members live 2.5 s and leave when they stop. The exchange is split into the caller's side, the endpoint's side, the watch and the course of attempts.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -57,6 +57,7 @@
   lg_line (LOG_NOTICE, "stop_requested", "signal=%d", number);
   trf_log_busy (entry->traffic);
   trf_stop (entry->traffic);
+  fct_leave (entry->control);
   uv_timer_start (&entry->stop_check, on_stop_check, STOP_CHECK_MS,
                   STOP_CHECK_MS);
 }
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -6,6 +6,7 @@
 
 void exg_start (struct trf_traffic *traffic, struct nsv_connection *caller,
                 const struct msg_message *request, const char *method);
+void exg_destroy_inquiry (gpointer inquiry);
 void exg_caller_gone (void *exchange);
 void exg_caller_drained (void *exchange);
 
--- /dev/null
+++ b/src/entry/exchange_intake.c
@@ -0,0 +1,251 @@
+/* The caller's side of an exchange: takes its request, or refuses it. */
+#include "entry/exchange_private.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "core/stopping.h"
+#include "platform/headers.h"
+
+#include <string.h>
+#include <strings.h>
+
+/* Tokens of a request that doesn't state them. */
+#define DEFAULT_TOKENS 1000
+
+/* What is expected of streams until the first one has ended. */
+#define FIRST_TOKEN_US 25000.0
+
+/* True for headers of callers that this daemon sets itself, or keeps.  */
+static bool
+is_replaced (const char *name)
+{
+  static const char *const replaced[] = {
+    "Host",   PFH_API_KEY,           PFH_ACCOUNT,       PFH_TIME_LEFT_MS,
+    PFH_PATH, PFH_EXPECTED_ENDPOINT, PFH_LAST_EVENT_ID, PFH_ENGINE_PRIORITY,
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (replaced); i++)
+    {
+      if (strcasecmp (replaced[i], name) == 0)
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
+/* Writes the start line of REQUEST and its headers that stay into HEAD.  */
+static void
+copy_request_head (const struct msg_message *request, const char *method,
+                   GString *head)
+{
+  g_string_append_printf (head, "%s %s HTTP/1.1\r\n", method,
+                          request->url->str);
+  for (uint32_t i = 0; i < request->headers->len; i++)
+    {
+      const char *name = msg_name (request, i);
+      if (!is_replaced (name) && !msg_is_hop_by_hop (request, name))
+        {
+          g_string_append_printf (head, "%s: %s\r\n", name,
+                                  msg_value (request, i));
+        }
+    }
+}
+
+/* Returns the memory in tokens that a request of TEXT, "prompt,output", needs
+   at most.  OUTPUT is what it may write.  */
+static double
+parse_tokens (const char *text, double *output)
+{
+  *output = 0;
+  if (text == NULL)
+    {
+      return DEFAULT_TOKENS;
+    }
+  char *end = NULL;
+  double prompt = g_ascii_strtod (text, &end);
+  *output = *end == ',' ? g_ascii_strtod (end + 1, NULL) : 0;
+  return MAX (prompt + *output, 1);
+}
+
+/* Why a request isn't taken. */
+struct refusal
+{
+  uint32_t status; /* 0: it is taken */
+  const char *why;
+};
+
+/* Finds the route and account of REQUEST in CONFIG.  */
+static struct refusal
+check_request (struct trf_traffic *traffic, const struct flt_config *config,
+               const struct msg_message *request,
+               const struct flt_route **route,
+               const struct flt_account **account)
+{
+  if (config == NULL)
+    {
+      return (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE,
+                               "no configuration" };
+    }
+  int64_t now_us = clk_monotonic_us ();
+  int64_t proved_us = fvw_proved_us (traffic->views);
+  bool may_deny = frs_may_deny (&traffic->freshness, proved_us, now_us);
+  const char *host = msg_find (request, "Host");
+  *route
+      = host == NULL ? NULL : flt_find_route (config, host, request->url->str);
+  if (*route == NULL)
+    {
+      return (struct refusal){ may_deny ? HTTP_STATUS_NOT_FOUND
+                                        : HTTP_STATUS_SERVICE_UNAVAILABLE,
+                               "no route" };
+    }
+  if (!config->has_accounts || (*route)->is_public)
+    {
+      return (struct refusal){ 0, "" };
+    }
+  if (!frs_serves_keys (&traffic->freshness, proved_us, now_us))
+    {
+      return (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE,
+                               "keys may be out of date" };
+    }
+  const char *key = msg_find (request, PFH_API_KEY);
+  *account = key == NULL ? NULL : flt_find_account (config, key);
+  if (*account == NULL)
+    {
+      return (struct refusal){ HTTP_STATUS_UNAUTHORIZED, "unknown key" };
+    }
+  return (struct refusal){ 0, "" };
+}
+
+/* Returns how long REQUEST is expected to run.  */
+static int64_t
+expected_us (const struct trf_traffic *traffic,
+             const struct msg_message *request)
+{
+  double output = 0;
+  parse_tokens (msg_find (request, PFH_TOKENS), &output);
+  double token_us
+      = traffic->token_us == 0 ? FIRST_TOKEN_US : traffic->token_us;
+  return (int64_t)(output > 0 ? output * token_us : traffic->call_us);
+}
+
+/* True while REQUEST can be finished although the daemon may be stopping.  */
+static bool
+takes_requests (const struct trf_traffic *traffic,
+                const struct msg_message *request)
+{
+  return traffic->stopping_us == 0
+         || spn_takes (clk_monotonic_us () - traffic->stopping_us,
+                       traffic->settings->stop_us,
+                       expected_us (traffic, request));
+}
+
+/* Returns the time that the request on ROUTE has, from now on.  */
+static int64_t
+time_left_us (const struct flt_route *route, const struct msg_message *request)
+{
+  const char *stated = msg_find (request, PFH_TIME_LEFT_MS);
+  int64_t left_us = route->timeout_us > 0 ? route->timeout_us : INT64_MAX / 4;
+  if (stated != NULL)
+    {
+      int64_t stated_us = g_ascii_strtoll (stated, NULL, 10) * CLK_MS_US;
+      left_us = MIN (left_us, stated_us);
+    }
+  return left_us;
+}
+
+/* Makes the exchange of a request that is taken.  */
+static struct exchange *
+create (struct trf_traffic *traffic, struct nsv_connection *caller,
+        const struct msg_message *request, const char *method,
+        const struct flt_route *route, const struct flt_account *account)
+{
+  struct exchange *exchange = g_new0 (struct exchange, 1);
+  const char *id = msg_find (request, PFH_REQUEST_ID);
+  const char *last_event = msg_find (request, PFH_LAST_EVENT_ID);
+  exchange->traffic = traffic;
+  exchange->caller = caller;
+  exchange->config
+      = flt_reference ((struct flt_config *)fst_config (traffic->fleet));
+  exchange->route = route;
+  exchange->account = account;
+  g_strlcpy (exchange->id, id, sizeof exchange->id);
+  exchange->head = g_string_sized_new (512);
+  copy_request_head (request, method, exchange->head);
+  exchange->body = g_byte_array_sized_new (request->body->len);
+  g_byte_array_append (exchange->body, request->body->data,
+                       request->body->len);
+  exchange->has_body = request->body->len > 0
+                       || msg_find (request, "Content-Length") != NULL
+                       || msg_find (request, "Transfer-Encoding") != NULL;
+  exchange->tokens = parse_tokens (msg_find (request, PFH_TOKENS),
+                                   &exchange->output_tokens);
+  exchange->arrived_us = clk_monotonic_us ();
+  exchange->deadline_us = exchange->arrived_us + time_left_us (route, request);
+  exchange->answer_head = g_string_new (NULL);
+  exchange->answer = g_byte_array_new ();
+  exchange->tried
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)fst_release);
+  evs_init (&exchange->scanner);
+  if (last_event != NULL)
+    {
+      exchange->scanner.last_id = g_ascii_strtoll (last_event, NULL, 10);
+    }
+  uv_timer_init (traffic->loop, &exchange->timer);
+  exchange->timer.data = exchange;
+  g_hash_table_add (traffic->exchanges, exchange);
+  nsv_bind (caller, exchange);
+  cnt_add (traffic->metrics->under_way, 1);
+  return exchange;
+}
+
+/* Takes REQUEST of CALLER: answers it at once, or sends it to an endpoint.  */
+void
+exg_start (struct trf_traffic *traffic, struct nsv_connection *caller,
+           const struct msg_message *request, const char *method)
+{
+  const struct flt_config *config = fst_config (traffic->fleet);
+  const struct flt_route *route = NULL;
+  const struct flt_account *account = NULL;
+  const char *id = msg_find (request, PFH_REQUEST_ID);
+  cnt_add (traffic->metrics->requests, 1);
+  struct refusal refusal
+      = check_request (traffic, config, request, &route, &account);
+  if (refusal.status == 0 && !takes_requests (traffic, request))
+    {
+      refusal
+          = (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE, "stopping" };
+    }
+  if (refusal.status == 0 && (id == NULL || strlen (id) >= EXG_ID_BYTES))
+    {
+      refusal = (struct refusal){ HTTP_STATUS_BAD_REQUEST, "no request id" };
+    }
+  uint32_t service = refusal.status == 0
+                         ? flt_choose_service (route, g_random_int ())
+                         : FLT_NO_INDEX;
+  if (refusal.status == 0 && service == FLT_NO_INDEX)
+    {
+      refusal = (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE,
+                                  "the route has no service" };
+    }
+  if (refusal.status != 0)
+    {
+      bool refused = refusal.status == HTTP_STATUS_SERVICE_UNAVAILABLE;
+      lg_line (LOG_INFO, "request_refused",
+               "request=%s status=%u why=\"%s\" route=%s config=%lu "
+               "proof_age_ms=%ld",
+               id == NULL ? "-" : id, refusal.status, refusal.why,
+               route == NULL ? "-" : route->name,
+               (unsigned long)(config == NULL ? 0 : config->version),
+               (long)((clk_monotonic_us () - fvw_proved_us (traffic->views))
+                      / CLK_MS_US));
+      cnt_add (traffic->metrics->refused, refused);
+      exg_answer_plainly (traffic, caller, refusal.status, id,
+                          refused ? exg_retry_after_s () : 0);
+      return;
+    }
+  struct exchange *exchange
+      = create (traffic, caller, request, method, route, account);
+  exchange->service = g_strdup (config->services[service].name);
+  rbg_request (fst_budget (traffic->fleet, service), exchange->arrived_us);
+  exg_attempt (exchange, ATT_NOT_SENT);
+}
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -36,6 +36,7 @@
 {
   pthread_t thread;
   uv_loop_t loop;
+  uv_async_t leave;
   uv_async_t stop;
   uv_timer_t tick;
   const struct ens_settings *settings;
@@ -234,6 +235,13 @@
             now_us);
 }
 
+static void
+on_leave (uv_async_t *leave)
+{
+  struct fct_control *control = leave->data;
+  grp_leave (control->group);
+}
+
 static void
 on_stop (uv_async_t *stop)
 {
@@ -244,6 +252,7 @@
   grp_destroy (control->group);
   ncl_destroy (control->client);
   uv_close ((uv_handle_t *)&control->tick, NULL);
+  uv_close ((uv_handle_t *)&control->leave, NULL);
   uv_close ((uv_handle_t *)&control->stop, NULL);
 }
 
@@ -319,6 +328,8 @@
   control->view = fvw_view_create (NULL, rst_list (control->roster), 0);
   uv_loop_init (&control->loop);
   control->client = ncl_create (&control->loop, &client_params);
+  uv_async_init (&control->loop, &control->leave, on_leave);
+  control->leave.data = control;
   uv_async_init (&control->loop, &control->stop, on_stop);
   control->stop.data = control;
   uv_timer_init (&control->loop, &control->tick);
@@ -342,6 +353,14 @@
   return control;
 }
 
+/* Takes the daemon out of the group, from any thread, because it stops soon;
+   it goes on following the configuration and the list.  */
+void
+fct_leave (struct fct_control *control)
+{
+  uv_async_send (&control->leave);
+}
+
 /* Ends the control thread.  */
 void
 fct_destroy (struct fct_control *control)
--- a/src/entry/fleet_control.h
+++ b/src/entry/fleet_control.h
@@ -15,6 +15,7 @@
 struct fct_control *fct_create (const struct ens_settings *settings,
                                 struct fvw_store *views, fct_notify notify,
                                 void *context, GError **error);
+void fct_leave (struct fct_control *control);
 void fct_destroy (struct fct_control *control);
 
 #endif
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -9,13 +9,13 @@
 #define TOPIC "entry-shares"
 
 /* A member that is silent so long is out of the group. */
-#define LIFETIME_MS 5000
-#define RENEW_MS 1600
-#define RETRY_MS 400
-#define ANSWER_MS 900
+#define LIFETIME_MS 2500
+#define RENEW_MS 700
+#define RETRY_MS 200
+#define ANSWER_MS 600
 
 /* The lead ends so long before the group would give it to another. */
-#define LEAD_MARGIN_US (500 * CLK_MS_US)
+#define LEAD_MARGIN_US (300 * CLK_MS_US)
 
 #define STATUS_OK 200
 
@@ -102,6 +102,43 @@
   return group;
 }
 
+static void
+on_left (void *context, uint32_t status, const uint8_t *body,
+         size_t body_bytes, const char *why)
+{
+  (void)body;
+  (void)body_bytes;
+  struct grp_group *group = context;
+  group->call = NULL;
+  lg_line (LOG_NOTICE, "group_left", "status=%u why=\"%s\"", status, why);
+}
+
+/* Leaves the group, so that another member leads and shares at once.  */
+void
+grp_leave (struct grp_group *group)
+{
+  if (group->call != NULL)
+    {
+      cal_cancel (group->call);
+    }
+  uv_timer_stop (&group->timer);
+  group->membership.leads = false;
+  char *body = pfs_leave_body (GROUP, group->member);
+  const struct cal_params params = {
+    .client = group->params.client,
+    .loop = group->params.loop,
+    .address = group->address,
+    .method = "POST",
+    .path = PFS_LEAVE_PATH,
+    .body = body,
+    .timeout_ms = ANSWER_MS,
+    .done = on_left,
+    .context = group,
+  };
+  group->call = cal_send (&params);
+  g_free (body);
+}
+
 static void
 on_timer_closed (uv_handle_t *handle)
 {
@@ -111,7 +148,7 @@
   g_free (group);
 }
 
-/* Leaves the group.  */
+/* Frees GROUP.  */
 void
 grp_destroy (struct grp_group *group)
 {
--- a/src/entry/group.h
+++ b/src/entry/group.h
@@ -19,6 +19,7 @@
 };
 
 struct grp_group *grp_create (const struct grp_params *params);
+void grp_leave (struct grp_group *group);
 void grp_destroy (struct grp_group *group);
 bool grp_leads (const struct grp_group *group, uint64_t *fence);
 void grp_step_down (struct grp_group *group);
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -241,6 +241,9 @@
     .revoke_us = settings->revoke_us,
     .change_us = settings->config_us,
   };
+  traffic->exchanges = g_hash_table_new (NULL, NULL);
+  traffic->inquiries = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                              exg_destroy_inquiry);
   traffic->counters = cnt_set_create ();
   traffic->metrics = emt_create (traffic->counters);
   traffic->fleet = fst_create (settings->data_centre, &budget);
@@ -302,6 +305,8 @@
   ncl_destroy (traffic->client);
   uv_close ((uv_handle_t *)&traffic->view_published, NULL);
   uv_close ((uv_handle_t *)&traffic->sweep, NULL);
+  g_hash_table_destroy (traffic->exchanges);
+  g_hash_table_destroy (traffic->inquiries);
   fst_destroy (traffic->fleet);
   emt_destroy (traffic->metrics);
   cnt_set_destroy (traffic->counters);
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -30,7 +30,10 @@
   bool was_ready;
   double token_us; /* moving average over streams, for each token they may
                       write at most; 0: none yet */
-  double call_us;  /* moving average over calls of plain services */
+  double first_us; /* moving average of the time to streams' first events */
+  GHashTable *exchanges; /* set of those under way */
+  GHashTable *inquiries; /* by engine id: questions about stalls */
+  double call_us;        /* moving average over calls of plain services */
 };
 
 struct trf_traffic *trf_create (uv_loop_t *loop,
