Keep slow paths, and order at once when layers are held already

Cause: streams on paths that were slow but whole were given up after 1.3 s and read again elsewhere, over links that were full; a new lead waited 1.5 s for a list that was complete.

--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -24,10 +24,6 @@
 /* While it stays silent it is looked at again after this time. */
 #define LOOK_AGAIN_US (100 * CLK_MS_US)
 
-/* Callers abandon a stream after two seconds without an event; a new attempt
-   has to begin before. */
-#define ABANDON_US (1300 * CLK_MS_US)
-
 /* Between two questions to one engine, and how long an answer may take. */
 #define ASK_AGAIN_US (200 * CLK_MS_US)
 #define ASK_MS 400
@@ -241,8 +237,9 @@
     }
   if (bound_us > 0 && quiet_us >= bound_us)
     {
-      if ((path_failed (exchange) || quiet_us >= ABANDON_US)
-          && may_abandon (exchange))
+      /* A path that is slow but whole isn't given up: reading the prompt again
+         elsewhere would add to the load that slows it. */
+      if (path_failed (exchange) && may_abandon (exchange))
         {
           abandon (exchange);
           return;
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -8,8 +8,8 @@
 
 #include <string.h>
 
-/* The list is taken for complete once it named no new engine for this long;
-   two heartbeats and their way through the store. */
+/* While no engine holds layers, at the first start of all, the list is taken
+   for complete once it named no new engine for this long. */
 #define SETTLE_US (1500 * CLK_MS_US)
 
 /* An order without an answer is sent again after this time. */
@@ -277,13 +277,29 @@
   g_ptr_array_free (zones, TRUE);
 }
 
+/* True when an engine in ENDPOINTS holds layers.  */
+static bool
+any_layers_held (const GPtrArray *endpoints)
+{
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      const struct rst_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+      if (endpoint->layers.end > endpoint->layers.first)
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
 /* Plans with CONFIG and ENDPOINTS and orders what differs, if this daemon
    leads.  Called some times a second.  */
 void
 plc_step (struct plc_placing *placing, const struct flt_config *config,
           const GPtrArray *endpoints, int64_t now_us)
 {
-  if (endpoints->len > placing->engines_seen || placing->settled_us == 0)
+  bool more = endpoints->len > placing->engines_seen;
+  if (more && !any_layers_held (endpoints))
     {
       placing->settled_us = now_us + SETTLE_US;
     }
