Test the decisions of the entry daemon, and slide engines to fill gaps

Cause: a test of every single loss found one engine (of 25) whose layers no other could take: its neighbours were full, with memory left beyond them. Change: engines beside a gap move towards it as far as the nearest one with memory. Before: test_plan_loss failed (layers 33 to 35 without a holder).

--- a/src/core/stage_plan.c
+++ b/src/core/stage_plan.c
@@ -13,6 +13,9 @@
    engines of a group hold the model. */
 #define MEMORY_STEPS 16
 
+/* Engines that move at most to fill one gap. */
+#define CHAIN_MAX 12
+
 /* One group of data centres that holds the model by itself. */
 struct group
 {
@@ -192,38 +195,102 @@
   count_holders (group);
 }
 
-/* Lets a neighbour of GAP take of it what its memory allows.  Returns false
-   when none can.  */
-static bool
-extend_neighbour (struct group *group, const struct rst_layers *gap)
+/* Returns the movable engine of GROUP whose layers end at BOUNDARY, or begin
+   there if not LEFT; or FLT_NO_INDEX.  */
+static uint32_t
+find_neighbour (const struct group *group, uint32_t boundary, bool left)
 {
-  double wished = group->cache_tokens;
-  group->cache_tokens = least_cache_tokens (group->engine);
-  bool extended = false;
-  for (uint32_t i = 0; i < group->member_count && !extended; i++)
+  for (uint32_t i = 0; i < group->member_count; i++)
     {
       uint32_t card = group->members[i];
-      struct rst_layers range = group->wanted[card];
-      uint32_t most = card_layers_max (group, card);
-      uint32_t held = range.end - range.first;
-      if (!group->cards[card].movable || held == 0 || most <= held)
+      const struct rst_layers *range = &group->wanted[card];
+      if (group->cards[card].movable && range->end > range->first
+          && (left ? range->end : range->first) == boundary)
         {
-          continue;
+          return card;
+        }
+    }
+  return FLT_NO_INDEX;
+}
+
+/* Finds the engines that lie between GAP and the nearest one with memory for
+   more layers, on the LEFT or the right of it.  CHAIN gets them, the nearest
+   to the gap first.  Returns their number, the one with memory included, or 0
+   when there is none.  */
+static uint32_t
+find_chain (const struct group *group, const struct rst_layers *gap, bool left,
+            uint32_t *chain)
+{
+  uint32_t boundary = left ? gap->first : gap->end;
+  for (uint32_t count = 0; count < CHAIN_MAX;)
+    {
+      uint32_t card = find_neighbour (group, boundary, left);
+      if (card == FLT_NO_INDEX)
+        {
+          return 0;
+        }
+      const struct rst_layers *range = &group->wanted[card];
+      chain[count++] = card;
+      if (card_layers_max (group, card) > range->end - range->first)
+        {
+          return count;
         }
-      uint32_t more = MIN (most - held, gap->end - gap->first);
-      if (range.end == gap->first)
+      boundary = left ? range->first : range->end;
+    }
+  return 0;
+}
+
+/* Moves the COUNT engines of CHAIN towards GAP, the last of which grows.  */
+static void
+slide (struct group *group, const struct rst_layers *gap, bool left,
+       const uint32_t *chain, uint32_t count)
+{
+  uint32_t grown = chain[count - 1];
+  struct rst_layers range = group->wanted[grown];
+  uint32_t more
+      = MIN (card_layers_max (group, grown) - (range.end - range.first),
+             gap->end - gap->first);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct rst_layers *moved = &group->wanted[chain[i]];
+      bool grows = i == count - 1;
+      if (left)
         {
-          assign (group, card, range.first, range.end + more);
-          extended = true;
+          moved->end += more;
+          moved->first += grows ? 0 : more;
         }
-      else if (range.first == gap->end)
+      else
         {
-          assign (group, card, range.first - more, range.end);
-          extended = true;
+          moved->first -= more;
+          moved->end -= grows ? 0 : more;
         }
     }
+  count_holders (group);
+}
+
+/* Lets engines beside GAP take of it what memory allows when only a few
+   requests are left room for.  Returns false when none can.  */
+static bool
+stretch (struct group *group, const struct rst_layers *gap)
+{
+  uint32_t left[CHAIN_MAX];
+  uint32_t right[CHAIN_MAX];
+  double wished = group->cache_tokens;
+  group->cache_tokens = least_cache_tokens (group->engine);
+  uint32_t left_count = find_chain (group, gap, true, left);
+  uint32_t right_count = find_chain (group, gap, false, right);
+  bool to_left
+      = left_count > 0 && (right_count == 0 || left_count <= right_count);
+  if (to_left)
+    {
+      slide (group, gap, true, left, left_count);
+    }
+  else if (right_count > 0)
+    {
+      slide (group, gap, false, right, right_count);
+    }
   group->cache_tokens = wished;
-  return extended;
+  return left_count + right_count > 0;
 }
 
 /* Gives every layer of GROUP a holder, as far as that can be.  */
@@ -240,7 +307,7 @@
           uint32_t most = card_layers_max (group, card);
           assign (group, card, gap.first, MIN (gap.end, gap.first + most));
         }
-      else if (!extend_neighbour (group, &gap))
+      else if (!stretch (group, &gap))
         {
           return;
         }
--- /dev/null
+++ b/test/limits_test.c
@@ -0,0 +1,215 @@
+#include "core/evidence.h"
+#include "core/freshness.h"
+#include "core/retry_budget.h"
+#include "core/stopping.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#define S_US 1000000
+
+/* Takes repeats at NOW_US until the budget is spent.  Returns their number. */
+static uint32_t
+take_all (struct rbg_budget *budget, int64_t now_us)
+{
+  uint32_t taken = 0;
+  while (rbg_take (budget, now_us))
+    {
+      taken++;
+    }
+  return taken;
+}
+
+static void
+test_retry_budget (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    uint32_t requests;
+    double share;
+    uint32_t want;
+  } rows[] = {
+    { 0, 0, 0 },       { 100, 0, 20 }, { 0, 0.25, 49 },
+    { 100, 0.25, 69 }, { 4, 0, 0 },    { 5, 0, 1 },
+  };
+  const struct rbg_params params
+      = { .ratio = 0.2, .slack = 196, .window_us = 10 * S_US };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct rbg_budget budget;
+      rbg_start (&budget, &params);
+      rbg_set_share (&budget, rows[i].share);
+      for (uint32_t n = 0; n < rows[i].requests; n++)
+        {
+          rbg_request (&budget, S_US);
+        }
+      assert_int_equal (take_all (&budget, S_US), rows[i].want);
+    }
+}
+
+/* What a storm spends comes back only with the window.  */
+static void
+test_retry_budget_window (void **state)
+{
+  (void)state;
+  const struct rbg_params params
+      = { .ratio = 0.2, .slack = 100, .window_us = 10 * S_US };
+  struct rbg_budget budget;
+  rbg_start (&budget, &params);
+  rbg_set_share (&budget, 0.1);
+  assert_int_equal (take_all (&budget, 1 * S_US), 10);
+  for (int64_t now_us = 2 * S_US; now_us < 11 * S_US; now_us += S_US / 2)
+    {
+      assert_false (rbg_allows (&budget, now_us));
+    }
+  assert_int_equal (take_all (&budget, 12 * S_US), 10);
+  /* A process that stood still for long starts with an empty window. */
+  assert_int_equal (take_all (&budget, 900 * S_US), 10);
+}
+
+enum act
+{
+  ACT_FAIL,
+  ACT_CERTAIN,
+  ACT_SUCCEED
+};
+
+/* Applies COUNT times ACT at NOW_US.  */
+static void
+apply (struct evd_evidence *evidence, enum act act, uint32_t count,
+       int64_t now_us)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (act == ACT_SUCCEED)
+        {
+          evd_success (evidence, S_US / 10);
+        }
+      else
+        {
+          evd_failure (evidence, act == ACT_CERTAIN, now_us);
+        }
+    }
+}
+
+/* One failure of many is no reason to rest; a certain one is, and so are
+   failures that are more than half.  */
+static void
+test_evidence_rests (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    enum act act;
+    uint32_t count;
+    bool usable;
+  } rows[] = {
+    { ACT_SUCCEED, 3, true }, { ACT_FAIL, 1, true },     { ACT_FAIL, 4, true },
+    { ACT_FAIL, 6, false },   { ACT_CERTAIN, 1, false },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct evd_evidence evidence = { 0 };
+      apply (&evidence, rows[i].act, rows[i].count, S_US);
+      assert_int_equal (evd_usable (&evidence, S_US), rows[i].usable);
+    }
+}
+
+/* An endpoint that goes up and down rests longer each time, gets one request
+   at a time as proof, and is good again after a success.  */
+static void
+test_evidence_flaps (void **state)
+{
+  (void)state;
+  struct evd_evidence evidence = { 0 };
+  int64_t now_us = S_US;
+  int64_t last_rest_us = 0;
+  for (uint32_t turn = 0; turn < 4; turn++)
+    {
+      assert_true (evd_failure (&evidence, true, now_us));
+      int64_t rest_us = evidence.rest_until_us - now_us;
+      assert_true (rest_us > last_rest_us);
+      assert_false (evd_usable (&evidence, evidence.rest_until_us - 1));
+      now_us = evidence.rest_until_us;
+      assert_true (evd_usable (&evidence, now_us));
+      evd_begin (&evidence);
+      assert_false (evd_usable (&evidence, now_us));
+      evd_end (&evidence);
+      last_rest_us = rest_us;
+    }
+  evd_success (&evidence, S_US / 10);
+  evd_begin (&evidence);
+  assert_true (evd_usable (&evidence, now_us));
+  apply (&evidence, ACT_SUCCEED, 40, now_us);
+  assert_int_equal (evidence.strikes, 0);
+}
+
+static void
+test_freshness (void **state)
+{
+  (void)state;
+  const struct frs_params params
+      = { .revoke_us = 5 * S_US, .change_us = 2 * S_US };
+  static const struct
+  {
+    int64_t age_us;
+    bool serves;
+    bool denies;
+  } rows[] = {
+    { 0, true, true },
+    { 4 * S_US, true, true },
+    { 5 * S_US, false, true },
+    { 8 * S_US, false, false },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      int64_t now_us = 100 * S_US;
+      int64_t proved_us = now_us - rows[i].age_us;
+      assert_int_equal (frs_serves_keys (&params, proved_us, now_us),
+                        rows[i].serves);
+      assert_int_equal (frs_may_deny (&params, proved_us, now_us),
+                        rows[i].denies);
+    }
+}
+
+/* Found by a hunt: all daemons were stopped in series, and streams that came
+   seconds after the stop were cut by its end.  */
+static void
+test_stopping (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    double age_s;
+    double expected_s;
+    bool want;
+  } rows[] = {
+    { 0.1, 4, true },     { 2.5, 4, true },  { 4.9, 4, false },
+    { 3.5, 2, true },     { 5.0, 2, false }, { 6.0, 0.06, true },
+    { 7.5, 0.06, false },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      assert_int_equal (spn_takes ((int64_t)(rows[i].age_s * S_US), 8 * S_US,
+                                   (int64_t)(rows[i].expected_s * S_US)),
+                        rows[i].want);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_retry_budget),
+    cmocka_unit_test (test_retry_budget_window),
+    cmocka_unit_test (test_evidence_rests),
+    cmocka_unit_test (test_evidence_flaps),
+    cmocka_unit_test (test_freshness),
+    cmocka_unit_test (test_stopping),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/stages_test.c
@@ -0,0 +1,379 @@
+#include "core/path.h"
+#include "core/stage_plan.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <math.h>
+#include <string.h>
+
+#define LAYERS 80
+#define CARDS_MAX 64
+
+/* An engine of 80 layers of 1,750 MB, as the users describe theirs. */
+static const struct flt_engine engine = {
+  .slots = 192,
+  .cache_tokens_max = 100000,
+  .cache_token_bytes = 426000,
+  .step_ms = 0.85,
+  .layers = LAYERS,
+  .layer_mb = 1750,
+  .usual_prompt_tokens = 772,
+  .usual_answer_tokens = 150,
+};
+
+struct kind
+{
+  double memory_mb;
+  double step_factor;
+};
+
+static const struct kind a100s = { 36000, 3.1 };
+static const struct kind l4 = { 21600, 16 };
+static const struct kind t4 = { 14400, 15 };
+
+/* Engines of each kind in one data centre. */
+struct zone_row
+{
+  uint32_t a100s;
+  uint32_t l4;
+  uint32_t t4;
+};
+
+struct fleet
+{
+  struct stp_card cards[CARDS_MAX];
+  uint32_t count;
+  uint32_t zones;
+};
+
+static void
+add_cards (struct fleet *fleet, uint32_t zone, const struct kind *kind,
+           uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      fleet->cards[fleet->count++] = (struct stp_card){
+        .zone = zone,
+        .memory_mb = kind->memory_mb,
+        .step_factor = kind->step_factor,
+        .movable = true,
+      };
+    }
+}
+
+static void
+build (struct fleet *fleet, const struct zone_row *zones, uint32_t count)
+{
+  *fleet = (struct fleet){ .zones = count };
+  for (uint32_t zone = 0; zone < count; zone++)
+    {
+      add_cards (fleet, zone, &a100s, zones[zone].a100s);
+      add_cards (fleet, zone, &l4, zones[zone].l4);
+      add_cards (fleet, zone, &t4, zones[zone].t4);
+    }
+}
+
+/* Returns the least number of holders that a layer has in ZONE, or in all data
+   centres for UINT32_MAX.  */
+static uint32_t
+least_holders (const struct fleet *fleet, const struct rst_layers *wanted,
+               uint32_t zone)
+{
+  uint32_t holders[LAYERS] = { 0 };
+  for (uint32_t i = 0; i < fleet->count; i++)
+    {
+      for (uint32_t layer = wanted[i].first; layer < wanted[i].end; layer++)
+        {
+          holders[layer] += zone == UINT32_MAX || fleet->cards[i].zone == zone;
+        }
+    }
+  uint32_t least = UINT32_MAX;
+  for (uint32_t layer = 0; layer < LAYERS; layer++)
+    {
+      least = holders[layer] < least ? holders[layer] : least;
+    }
+  return least;
+}
+
+/* No engine holds more than its memory, with room for some requests.  */
+static void
+assert_fits (const struct fleet *fleet, const struct rst_layers *wanted)
+{
+  for (uint32_t i = 0; i < fleet->count; i++)
+    {
+      uint32_t held = wanted[i].end - wanted[i].first;
+      assert_true (wanted[i].end <= LAYERS);
+      assert_true (held * engine.layer_mb < fleet->cards[i].memory_mb);
+    }
+}
+
+/* The two sites of the users, a data centre that can't hold the model alone,
+   and a fleet that can't at all.  */
+static void
+test_plan_cold (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    struct zone_row zones[3];
+    uint32_t least_in[3]; /* holders of each layer in each data centre */
+    uint32_t least;       /* in all */
+  } rows[] = {
+    { { { 1, 8, 5 }, { 3, 3, 5 }, { 1, 4, 8 } }, { 1, 1, 1 }, 3 },
+    { { { 5, 0, 0 }, { 0, 8, 0 }, { 0, 0, 12 } }, { 1, 1, 1 }, 3 },
+    { { { 3, 3, 5 }, { 1, 1, 1 }, { 0, 5, 2 } }, { 1, 0, 0 }, 2 },
+    { { { 1, 1, 1 }, { 0, 0, 0 }, { 0, 0, 0 } }, { 0, 0, 0 }, 0 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct fleet fleet;
+      struct rst_layers wanted[CARDS_MAX];
+      build (&fleet, rows[i].zones, 3);
+      stp_plan (&engine, fleet.zones, fleet.cards, fleet.count, wanted);
+      assert_fits (&fleet, wanted);
+      for (uint32_t zone = 0; zone < 3; zone++)
+        {
+          assert_true (least_holders (&fleet, wanted, zone)
+                       >= rows[i].least_in[zone]);
+        }
+      assert_true (least_holders (&fleet, wanted, UINT32_MAX)
+                   >= rows[i].least);
+    }
+}
+
+/* Takes over what WANTED says, so that a next plan starts from there.  */
+static void
+carry_out (struct fleet *fleet, const struct rst_layers *wanted)
+{
+  for (uint32_t i = 0; i < fleet->count; i++)
+    {
+      fleet->cards[i].held = wanted[i];
+    }
+}
+
+static void
+test_plan_stands (void **state)
+{
+  (void)state;
+  static const struct zone_row zones[] = { { 1, 8, 5 }, { 3, 3, 5 } };
+  struct fleet fleet;
+  struct rst_layers wanted[CARDS_MAX];
+  struct rst_layers again[CARDS_MAX];
+  build (&fleet, zones, 2);
+  stp_plan (&engine, 2, fleet.cards, fleet.count, wanted);
+  carry_out (&fleet, wanted);
+  stp_plan (&engine, 2, fleet.cards, fleet.count, again);
+  assert_memory_equal (wanted, again, fleet.count * sizeof wanted[0]);
+}
+
+/* Any one engine that is lost, or comes back empty, is made up for with orders
+   to few others, and those that hold the only copy stay.  */
+static void
+test_plan_loss (void **state)
+{
+  (void)state;
+  static const struct zone_row zones[] = { { 1, 8, 5 }, { 3, 3, 5 } };
+  struct fleet fleet;
+  struct rst_layers wanted[CARDS_MAX];
+  build (&fleet, zones, 2);
+  stp_plan (&engine, 2, fleet.cards, fleet.count, wanted);
+  carry_out (&fleet, wanted);
+  for (uint32_t lost = 0; lost < fleet.count; lost++)
+    {
+      struct fleet after = fleet;
+      struct rst_layers next[CARDS_MAX];
+      after.count--;
+      after.cards[lost] = fleet.cards[after.count];
+      stp_plan (&engine, 2, after.cards, after.count, next);
+      assert_fits (&after, next);
+      uint32_t moved = 0;
+      for (uint32_t i = 0; i < after.count; i++)
+        {
+          moved
+              += memcmp (&next[i], &after.cards[i].held, sizeof next[i]) != 0;
+        }
+      assert_true (moved <= 4);
+      for (uint32_t zone = 0; zone < 2; zone++)
+        {
+          assert_true (least_holders (&after, next, zone) >= 1);
+        }
+      struct fleet empty = fleet;
+      empty.cards[lost].held = (struct rst_layers){ 0, 0 };
+      stp_plan (&engine, 2, empty.cards, empty.count, next);
+      assert_true (next[lost].end > next[lost].first);
+      assert_true (least_holders (&empty, next, UINT32_MAX) >= 2);
+    }
+}
+
+/* Engines with an order under way get no other.  */
+static void
+test_plan_unmovable (void **state)
+{
+  (void)state;
+  static const struct zone_row zones[] = { { 5, 0, 0 } };
+  struct fleet fleet;
+  struct rst_layers wanted[CARDS_MAX];
+  build (&fleet, zones, 1);
+  for (uint32_t i = 0; i < fleet.count; i++)
+    {
+      fleet.cards[i].movable = false;
+    }
+  stp_plan (&engine, 1, fleet.cards, fleet.count, wanted);
+  for (uint32_t i = 0; i < fleet.count; i++)
+    {
+      assert_int_equal (wanted[i].end, 0);
+    }
+}
+
+#define PATH_CARDS_MAX 6
+
+/* Engines by range, data centre, use and cost; and the path that is wanted, as
+   indexes of engines, or NULL for none. */
+struct path_row
+{
+  const char *name;
+  struct pth_card cards[PATH_CARDS_MAX];
+  uint32_t count;
+  const char *want;
+};
+
+static const struct path_row path_rows[] = {
+  { "one chain",
+    { { { 0, 4 }, 0, true, 1 }, { { 4, 10 }, 0, true, 1 } },
+    2,
+    "0=0-4,1=4-10" },
+  { "a hole",
+    { { { 0, 4 }, 0, true, 1 }, { { 5, 10 }, 0, true, 1 } },
+    2,
+    NULL },
+  { "an engine that rests leaves a hole",
+    { { { 0, 4 }, 0, true, 1 }, { { 4, 10 }, 0, false, 1 } },
+    2,
+    NULL },
+  { "the lost part is taken from another data centre",
+    { { { 0, 4 }, 0, true, 1 },
+      { { 4, 10 }, 0, false, 1 },
+      { { 0, 10 }, 1, true, 9 } },
+    3,
+    "0=0-4,2=4-10" },
+  { "a path stays in its data centre",
+    { { { 0, 5 }, 0, true, 3 },
+      { { 5, 10 }, 0, true, 3 },
+      { { 0, 5 }, 1, true, 2.5 },
+      { { 5, 10 }, 1, true, 2.5 } },
+    4,
+    "0=0-5,1=5-10" },
+  { "and leaves it for engines that are much faster",
+    { { { 0, 5 }, 0, true, 3 },
+      { { 5, 10 }, 0, true, 3 },
+      { { 0, 5 }, 1, true, 1 },
+      { { 5, 10 }, 1, true, 1 } },
+    4,
+    "2=0-5,3=5-10" },
+  { "the faster of two holders",
+    { { { 0, 10 }, 0, true, 3 }, { { 0, 10 }, 0, true, 1 } },
+    2,
+    "1=0-10" },
+  { "no engine comes twice",
+    { { { 0, 10 }, 0, true, 3 }, { { 3, 6 }, 0, true, 1 } },
+    2,
+    "0=0-10" },
+};
+
+static void
+test_paths (void **state)
+{
+  (void)state;
+  const struct pth_costs costs = {
+    .layers = 10,
+    .home_zone = 0,
+    .hop_ms = 0.3,
+    .zone_hop_ms = 20,
+    .away_factor = 1.5,
+  };
+  for (size_t i = 0; i < sizeof path_rows / sizeof path_rows[0]; i++)
+    {
+      const struct path_row *row = &path_rows[i];
+      struct pth_path path;
+      GString *text = g_string_new (NULL);
+      bool found = pth_find (&costs, row->cards, row->count, &path);
+      for (uint32_t part = 0; found && part < path.count; part++)
+        {
+          g_string_append_printf (
+              text, "%s%u=%u-%u", part == 0 ? "" : ",", path.parts[part].card,
+              path.parts[part].layers.first, path.parts[part].layers.end);
+        }
+      if (found != (row->want != NULL)
+          || (found && strcmp (text->str, row->want) != 0))
+        {
+          fail_msg ("%s: found %d, %s", row->name, found, text->str);
+        }
+      g_string_free (text, TRUE);
+    }
+}
+
+/* Every path over random engines runs every layer once, in order, on engines
+   that hold it, each engine once.  */
+static void
+test_paths_random (void **state)
+{
+  (void)state;
+  GRand *random = g_rand_new_with_seed (20261203);
+  const struct pth_costs costs = {
+    .layers = LAYERS, .hop_ms = 0.3, .zone_hop_ms = 12, .away_factor = 1.5
+  };
+  uint32_t found = 0;
+  for (uint32_t turn = 0; turn < 400; turn++)
+    {
+      struct pth_card cards[40];
+      for (uint32_t i = 0; i < 40; i++)
+        {
+          uint32_t first = (uint32_t)g_rand_int_range (random, 0, LAYERS);
+          uint32_t span = (uint32_t)g_rand_int_range (random, 1, 21);
+          cards[i] = (struct pth_card){
+            .held = { first, MIN (first + span, LAYERS) },
+            .zone = (uint32_t)g_rand_int_range (random, 0, 3),
+            .usable = g_rand_int_range (random, 0, 10) > 0,
+            .layer_ms = g_rand_double_range (random, 0.02, 0.2),
+          };
+        }
+      struct pth_path path;
+      if (!pth_find (&costs, cards, 40, &path))
+        {
+          continue;
+        }
+      found++;
+      uint32_t next = 0;
+      bool used[40] = { false };
+      for (uint32_t part = 0; part < path.count; part++)
+        {
+          const struct pth_part *at = &path.parts[part];
+          assert_false (used[at->card]);
+          used[at->card] = true;
+          assert_true (cards[at->card].usable);
+          assert_int_equal (at->layers.first, next);
+          assert_true (at->layers.first >= cards[at->card].held.first);
+          assert_true (at->layers.end <= cards[at->card].held.end);
+          assert_true (at->layers.end > at->layers.first);
+          next = at->layers.end;
+        }
+      assert_int_equal (next, LAYERS);
+      assert_true (isfinite (path.token_ms));
+    }
+  assert_true (found > 100);
+  g_rand_free (random);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_plan_cold), cmocka_unit_test (test_plan_stands),
+    cmocka_unit_test (test_plan_loss), cmocka_unit_test (test_plan_unmovable),
+    cmocka_unit_test (test_paths),     cmocka_unit_test (test_paths_random),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
