--- a/src/config/entry_settings.c
+++ b/src/config/entry_settings.c
@@ -19,6 +19,7 @@
 
 static const struct ens_settings defaults = { .log_level = LOG_INFO };
 
+/* NOLINTBEGIN(bugprone-macro-parentheses): members and units of a table. */
 #define ADDRESS(member)                                                       \
   {                                                                           \
     .key = #member, .type = SCH_STRING, SCH_AT (struct ens_settings, member), \
@@ -30,6 +31,7 @@
     .key = name, .type = SCH_UNSIGNED, SCH_AT (struct ens_settings, member),  \
     .required = true, .min = 1, .max = DURATION_MS_MAX, .scale = unit_us      \
   }
+/* NOLINTEND(bugprone-macro-parentheses) */
 
 static const struct sch_field fields[] = {
   { .key = "name",
--- a/src/core/path.c
+++ b/src/core/path.c
@@ -1,6 +1,7 @@
 #include "core/path.h"
 
 #include <math.h>
+#include <string.h>
 
 /* How the cheapest way to run the layers before one, ending on one engine,
    came about. */
@@ -155,7 +156,7 @@
 pth_find (const struct pth_costs *costs, const struct pth_card *cards,
           uint32_t card_count, struct pth_path *path)
 {
-  path->count = 0;
+  memset (path, 0, sizeof *path);
   if (card_count == 0 || costs->layers == 0)
     {
       return false;
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -10,6 +10,10 @@
 /* Bound on an answer that is kept whole before it is delivered. */
 #define ANSWER_BYTES_MAX ((size_t)16 * 1024 * 1024)
 
+/* An answer that is cut sooner after its last bytes is its endpoint's fault.
+ */
+#define SUDDEN_US (800 * CLK_MS_US)
+
 /* Weight of the newest request in the moving averages of durations. */
 #define NEWEST_WEIGHT 0.1
 
@@ -229,6 +233,14 @@
   exg_end_attempt (exchange, ATT_FAILED);
 }
 
+/* True when the answer's end didn't follow a silence, which another engine of
+   the path may have caused.  */
+static bool
+was_sudden (const struct exchange *exchange)
+{
+  return clk_monotonic_us () - exchange->heard_us < SUDDEN_US;
+}
+
 static void
 on_failed (void *context, enum ncl_failure failure)
 {
@@ -242,7 +254,8 @@
       exg_end_attempt (exchange, ATT_NOT_SENT);
       break;
     case NCL_CUT_OFF:
-      exg_blame (exchange, exchange->path != NULL, "it cut an answer off");
+      exg_blame (exchange, exchange->path != NULL && was_sudden (exchange),
+                 "it cut an answer off");
       exg_end_attempt (exchange, ATT_CUT_OFF);
       break;
     case NCL_MALFORMED:
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -354,11 +354,11 @@
          * (1 + endpoint->evidence.latency_us / CLK_S_US);
 }
 
-/* Chooses an endpoint of SERVICE, a plain one, that isn't among TRIED.
-   Returns a reference, or NULL when there is none.  */
-struct fst_endpoint *
-fst_choose_endpoint (struct fst_fleet *fleet, uint32_t service,
-                     const GPtrArray *tried, int64_t now_us)
+/* Returns the cheapest endpoint of SERVICE, a plain one, that isn't among
+   TRIED, or NULL.  One that rests is used only as a LAST_RESORT.  */
+static struct fst_endpoint *
+cheapest_endpoint (struct fst_fleet *fleet, uint32_t service,
+                   const GPtrArray *tried, bool last_resort, int64_t now_us)
 {
   uint32_t home = zone_index (fleet, fleet->data_centre);
   struct fst_endpoint *best = NULL;
@@ -368,7 +368,7 @@
       struct fst_endpoint *endpoint = g_ptr_array_index (fleet->order, i);
       if (endpoint->service != service || !endpoint->listed
           || is_tried (tried, endpoint)
-          || !evd_usable (&endpoint->evidence, now_us))
+          || !(last_resort || evd_usable (&endpoint->evidence, now_us)))
         {
           continue;
         }
@@ -380,6 +380,21 @@
           best_cost = cost;
         }
     }
+  return best;
+}
+
+/* Chooses an endpoint of SERVICE, a plain one, that isn't among TRIED.
+   Returns a reference, or NULL when there is none.  */
+struct fst_endpoint *
+fst_choose_endpoint (struct fst_fleet *fleet, uint32_t service,
+                     const GPtrArray *tried, int64_t now_us)
+{
+  struct fst_endpoint *best
+      = cheapest_endpoint (fleet, service, tried, false, now_us);
+  if (best == NULL)
+    {
+      best = cheapest_endpoint (fleet, service, tried, true, now_us);
+    }
   return best == NULL ? NULL : fst_reference (best);
 }
 
@@ -508,11 +523,29 @@
     }
 }
 
-/* Seeks the paths of SERVICE, several for each data centre, over engines that
-   differ as far as that can be.  */
+/* Describes ENDPOINT, an engine, for the search of paths.  One that rests is
+   used only by a LAST_RESORT.  */
+static struct pth_card
+describe_card (const struct flt_engine *engine, struct fst_endpoint *endpoint,
+               bool last_resort, int64_t now_us)
+{
+  bool usable = evd_usable (&endpoint->evidence, now_us)
+                || endpoint->evidence.state == EVD_PROVING;
+  bool doubtful = endpoint->evidence.strikes > 0;
+  return (struct pth_card){
+    .held = endpoint->layers,
+    .zone = endpoint->zone,
+    .usable = usable || last_resort,
+    .layer_ms = engine->step_ms * endpoint->step_factor / engine->layers
+                * (doubtful ? DOUBT_FACTOR : 1),
+  };
+}
+
+/* Adds the paths of the service INDEX to PATHS, several for each data centre,
+   over engines that differ as far as that can be.  */
 static void
-seek_paths (struct fst_fleet *fleet, uint32_t index,
-            struct service_state *service, int64_t now_us)
+add_paths (struct fst_fleet *fleet, uint32_t index, GPtrArray *paths,
+           bool last_resort, int64_t now_us)
 {
   const struct flt_engine *engine
       = &fleet->view->config->services[index].engine;
@@ -521,43 +554,48 @@
   for (guint i = 0; i < fleet->order->len; i++)
     {
       struct fst_endpoint *endpoint = g_ptr_array_index (fleet->order, i);
-      if (endpoint->service != index || !endpoint->listed)
+      if (endpoint->service == index && endpoint->listed)
         {
-          continue;
+          struct pth_card card
+              = describe_card (engine, endpoint, last_resort, now_us);
+          g_array_append_val (cards, card);
+          g_ptr_array_add (engines, endpoint);
         }
-      bool doubtful = endpoint->evidence.strikes > 0;
-      struct pth_card card = {
-        .held = endpoint->layers,
-        .zone = endpoint->zone,
-        .usable = evd_usable (&endpoint->evidence, now_us)
-                  || endpoint->evidence.state == EVD_PROVING,
-        .layer_ms = engine->step_ms * endpoint->step_factor / engine->layers
-                    * (doubtful ? DOUBT_FACTOR : 1),
-      };
-      g_array_append_val (cards, card);
-      g_ptr_array_add (engines, endpoint);
     }
-  drop_paths (service);
-  service->paths
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)fst_release_path);
-  service->paths_until_us = now_us + PATHS_VALID_US;
   for (uint32_t zone = 0; zone < fleet->zones->len; zone++)
     {
       struct pth_card *priced
           = g_memdup2 (cards->data, cards->len * sizeof (struct pth_card));
       uint32_t found = 0;
       while (found < PATHS_PER_ZONE
-             && add_path (service->paths, engine, zone, engines, priced))
+             && add_path (paths, engine, zone, engines, priced))
         {
           found++;
         }
       g_free (priced);
     }
-  set_rooms (service->paths, engines);
+  set_rooms (paths, engines);
   g_ptr_array_free (engines, TRUE);
   g_array_free (cards, TRUE);
 }
 
+/* Seeks the paths of the service INDEX.  Engines that rest are better than
+   none.  */
+static void
+seek_paths (struct fst_fleet *fleet, uint32_t index,
+            struct service_state *service, int64_t now_us)
+{
+  drop_paths (service);
+  service->paths
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)fst_release_path);
+  service->paths_until_us = now_us + PATHS_VALID_US;
+  add_paths (fleet, index, service->paths, false, now_us);
+  if (service->paths->len == 0)
+    {
+      add_paths (fleet, index, service->paths, true, now_us);
+    }
+}
+
 /* Returns the share of the memory of requests of PATH's fullest part that is
    used once TOKENS more pass through it, as this daemon's own requests let it
    expect.  */
--- /dev/null
+++ b/standin/fleet.c
@@ -0,0 +1,242 @@
+#include "standin/fleet_private.h"
+
+#include <arpa/inet.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define CONNECTIONS_MAX 512
+#define UNSENT_BYTES_MAX 1048576
+#define TIMEOUT_US 30000000
+
+/* An engine of this memory holds half the model, with room for requests. */
+#define CONFIGURATION                                                         \
+  "{\"Version\":%" G_GUINT64_FORMAT ",\"Routes\":["                           \
+  "{\"Name\":\"draft\",\"Hostname\":\"fleet.example\","                       \
+  "\"PathPrefix\":\"/draft/\",\"Kind\":\"stream\",\"TimeoutMs\":10000,"       \
+  "\"TargetLatencyMs\":500,\"TargetGapMs\":200,\"Service\":\"draft\","        \
+  "\"MaxAttempts\":2,\"Resumable\":true},"                                    \
+  "{\"Name\":\"book\",\"Hostname\":\"fleet.example\","                        \
+  "\"PathPrefix\":\"/book/\",\"Kind\":\"non_idempotent\","                    \
+  "\"TimeoutMs\":600,\"Service\":\"book\",\"MaxAttempts\":1},"                \
+  "{\"Name\":\"look\",\"Hostname\":\"fleet.example\","                        \
+  "\"PathPrefix\":\"/look/\",\"Kind\":\"idempotent\",\"TimeoutMs\":600,"      \
+  "\"Service\":\"book\",\"MaxAttempts\":2}],"                                 \
+  "\"Services\":[{\"Name\":\"draft\",\"Engine\":{\"Slots\":16,"               \
+  "\"KvTokenBytes\":80000,\"step_ms\":1,\"Layers\":8,\"LayerMb\":100,"        \
+  "\"Kinds\":[{\"Name\":\"small\",\"Mb\":460,\"pace\":1}],"                   \
+  "\"usual\":{\"prompt\":50,\"answer\":50}}},{\"Name\":\"book\"}],"           \
+  "\"Limits\":{\"MaxHeaderBytes\":4096,\"MaxBodyBytes\":65536,"               \
+  "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"                        \
+  "\"Tenants\":[{\"Name\":\"account-1\",\"ApiKeys\":[\"key-1\"%s%s%s]}]}"
+
+/* Notes the first broken promise.  */
+void
+sfl_violate (struct sfl_fleet *fleet, const char *format, ...)
+{
+  if (fleet->violation != NULL)
+    {
+      return;
+    }
+  va_list arguments;
+  va_start (arguments, format);
+  fleet->violation = g_strdup_vprintf (format, arguments);
+  va_end (arguments);
+}
+
+/* Returns a port of loopback that is free.  */
+static uint16_t
+free_port (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t bytes = sizeof address;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int descriptor = socket (AF_INET, SOCK_STREAM, 0);
+  if (bind (descriptor, (struct sockaddr *)&address, sizeof address) != 0
+      || getsockname (descriptor, (struct sockaddr *)&address, &bytes) != 0)
+    {
+      g_error ("no port is free");
+    }
+  close (descriptor);
+  return ntohs (address.sin_port);
+}
+
+/* Opens a server of FLEET on a port of loopback, whose ADDRESS is set.  */
+struct nsv_server *
+sfl_listen (struct sfl_fleet *fleet, const struct nsv_events *events,
+            void *context, char **address)
+{
+  const struct nsv_limits limits = {
+    .header_bytes_max = 65536,
+    .body_bytes_max = 1048576,
+    .header_timeout_us = TIMEOUT_US,
+    .idle_timeout_us = TIMEOUT_US,
+    .unsent_bytes_max = UNSENT_BYTES_MAX,
+    .silence_ms = 10000,
+    .connections_max = CONNECTIONS_MAX,
+  };
+  g_autoptr (GError) error = NULL;
+  *address = g_strdup_printf ("127.0.0.1:%u", free_port ());
+  struct nsv_server *server = nsv_create (fleet->params.loop, *address,
+                                          &limits, events, context, &error);
+  if (server == NULL)
+    {
+      g_error ("%s", error->message);
+    }
+  return server;
+}
+
+static void
+add_endpoint (struct sfl_fleet *fleet, bool is_engine)
+{
+  struct sfl_endpoint *endpoint = g_new0 (struct sfl_endpoint, 1);
+  endpoint->fleet = fleet;
+  endpoint->index = fleet->endpoints->len;
+  endpoint->is_engine = is_engine;
+  endpoint->id = g_strdup_printf ("%s-%u", is_engine ? "engine" : "service",
+                                  endpoint->index);
+  g_ptr_array_add (fleet->endpoints, endpoint);
+  sfl_endpoint_open (endpoint);
+}
+
+/* Creates a fleet with the configuration of version 1.  Endpoints are numbered
+   from 0, engines first.  */
+struct sfl_fleet *
+sfl_create (const struct sfl_params *params)
+{
+  struct sfl_fleet *fleet = g_new0 (struct sfl_fleet, 1);
+  fleet->params = *params;
+  fleet->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fleet->endpoints = g_ptr_array_new ();
+  sfl_store_open (fleet);
+  sfl_publish (fleet, 1, NULL);
+  for (uint32_t i = 0; i < params->engines + params->services; i++)
+    {
+      add_endpoint (fleet, i < params->engines);
+    }
+  return fleet;
+}
+
+/* Closes FLEET; the loop must run until its handles are closed.  */
+void
+sfl_destroy (struct sfl_fleet *fleet)
+{
+  sfl_set_store_down (fleet, true);
+  sfl_store_close (fleet);
+  for (guint i = 0; i < fleet->endpoints->len; i++)
+    {
+      struct sfl_endpoint *endpoint = g_ptr_array_index (fleet->endpoints, i);
+      nsv_destroy (endpoint->server);
+    }
+  uv_run (fleet->params.loop, UV_RUN_NOWAIT);
+  uv_run (fleet->params.loop, UV_RUN_NOWAIT);
+  for (guint i = 0; i < fleet->endpoints->len; i++)
+    {
+      struct sfl_endpoint *endpoint = g_ptr_array_index (fleet->endpoints, i);
+      g_free (endpoint->id);
+      g_free (endpoint->address);
+      g_free (endpoint);
+    }
+  g_ptr_array_free (fleet->endpoints, TRUE);
+  g_hash_table_destroy (fleet->runs);
+  g_free (fleet->violation);
+  g_free (fleet);
+}
+
+/* Returns the address of the store.  */
+const char *
+sfl_store_address (const struct sfl_fleet *fleet)
+{
+  return fleet->store_address;
+}
+
+/* Publishes the configuration as VERSION, with EXTRA_KEY beside the key that
+   the account always has, unless it is NULL.  */
+void
+sfl_publish (struct sfl_fleet *fleet, uint64_t version, const char *extra_key)
+{
+  bool extra = extra_key != NULL;
+  char *text = g_strdup_printf (CONFIGURATION, version, extra ? ",\"" : "",
+                                extra ? extra_key : "", extra ? "\"" : "");
+  sfl_append (fleet, &fleet->operator_topic, "config", text);
+  g_free (text);
+}
+
+static struct sfl_endpoint *
+endpoint_at (const struct sfl_fleet *fleet, uint32_t index)
+{
+  return g_ptr_array_index (fleet->endpoints, index);
+}
+
+/* Lists the endpoint INDEX as leaving; it goes on serving.  */
+void
+sfl_leave (struct sfl_fleet *fleet, uint32_t index)
+{
+  sfl_endpoint_list (endpoint_at (fleet, index), "draining");
+}
+
+/* Kills the endpoint INDEX, which the list goes on naming.  */
+void
+sfl_kill (struct sfl_fleet *fleet, uint32_t index)
+{
+  struct sfl_endpoint *endpoint = endpoint_at (fleet, index);
+  endpoint->dead = true;
+  nsv_destroy (endpoint->server);
+  endpoint->server = NULL;
+}
+
+/* Gives the next REQUESTS to services, or to ENGINES, the FAULT.  */
+void
+sfl_set_fault (struct sfl_fleet *fleet, bool engines, enum sfl_fault fault,
+               uint32_t requests)
+{
+  fleet->faults[engines] = fault;
+  fleet->fault_requests[engines] = requests;
+}
+
+/* Returns how often the request REQUEST_ID has run.  */
+uint32_t
+sfl_runs (const struct sfl_fleet *fleet, const char *request_id)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (fleet->runs, request_id));
+}
+
+/* Returns the number of requests that reached the endpoint INDEX.  */
+uint32_t
+sfl_arrivals (const struct sfl_fleet *fleet, uint32_t index)
+{
+  return endpoint_at (fleet, index)->arrivals;
+}
+
+/* Returns the number of answers whose connections were closed by the daemon
+   before their end.  */
+uint32_t
+sfl_cancelled (const struct sfl_fleet *fleet)
+{
+  return fleet->cancelled;
+}
+
+/* True when living engines hold every layer.  */
+bool
+sfl_is_placed (const struct sfl_fleet *fleet)
+{
+  uint32_t held = 0;
+  for (guint i = 0; i < fleet->endpoints->len; i++)
+    {
+      const struct sfl_endpoint *endpoint = endpoint_at (fleet, i);
+      for (uint32_t layer = endpoint->first;
+           !endpoint->dead && layer < endpoint->end; layer++)
+        {
+          held |= 1U << layer;
+        }
+    }
+  return held == (1U << SFL_LAYERS) - 1;
+}
+
+/* Returns the first broken promise, or NULL.  */
+const char *
+sfl_violation (const struct sfl_fleet *fleet)
+{
+  return fleet->violation;
+}
--- /dev/null
+++ b/standin/fleet_endpoint.c
@@ -0,0 +1,426 @@
+/* The engines and plain services of the stand-in fleet. */
+#include "standin/fleet_private.h"
+
+#include "platform/headers.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* How long a plain call takes. */
+#define CALL_MS 5
+
+/* How long work that depends on a dead engine stalls before it is cut. */
+#define STALL_MS 1500
+
+static void
+on_answer_closed (uv_handle_t *handle)
+{
+  struct sfl_answer *answer = handle->data;
+  g_free (answer->id);
+  g_free (answer);
+}
+
+static void
+end_answer (struct sfl_answer *answer)
+{
+  uv_close ((uv_handle_t *)&answer->timer, on_answer_closed);
+}
+
+/* Notes that a request runs.  */
+static void
+note_run (struct sfl_fleet *fleet, const char *id)
+{
+  guint runs = GPOINTER_TO_UINT (g_hash_table_lookup (fleet->runs, id));
+  g_hash_table_insert (fleet->runs, g_strdup (id),
+                       GUINT_TO_POINTER (runs + 1));
+}
+
+/* Returns the endpoint at ADDRESS, or NULL.  */
+static struct sfl_endpoint *
+find_address (struct sfl_fleet *fleet, const char *address)
+{
+  for (guint i = 0; i < fleet->endpoints->len; i++)
+    {
+      struct sfl_endpoint *endpoint = g_ptr_array_index (fleet->endpoints, i);
+      if (strcmp (endpoint->address, address) == 0)
+        {
+          return endpoint;
+        }
+    }
+  return NULL;
+}
+
+/* Checks that the path TEXT runs every layer once, in order, from ENDPOINT on.
+   Returns the engine that is dead or doesn't hold its part, or NULL.  */
+static struct sfl_endpoint *
+check_path (struct sfl_endpoint *endpoint, const char *text)
+{
+  struct sfl_fleet *fleet = endpoint->fleet;
+  struct sfl_endpoint *at_fault = NULL;
+  gchar **parts = g_strsplit (text == NULL ? "" : text, ",", 0);
+  uint32_t next = 0;
+  for (guint i = 0; parts[i] != NULL; i++)
+    {
+      char address[64] = "";
+      uint32_t first = 0;
+      uint32_t end = 0;
+      int fields = sscanf (parts[i], "%63[^=]=%u-%u", address, &first, &end);
+      struct sfl_endpoint *part = find_address (fleet, address);
+      if (fields != 3 || part == NULL || first != next || end <= first
+          || (i == 0 && part != endpoint))
+        {
+          sfl_violate (fleet, "path '%s' is wrong at part %u", text, i);
+          break;
+        }
+      if (at_fault == NULL
+          && (part->dead || first < part->first || end > part->end))
+        {
+          at_fault = part;
+        }
+      next = end;
+    }
+  if (next != SFL_LAYERS)
+    {
+      sfl_violate (fleet, "path '%s' ends at layer %u", text, next);
+    }
+  g_strfreev (parts);
+  return at_fault;
+}
+
+/* Writes the headers of ANSWER's endpoint into HEADERS.  */
+static void
+write_headers (const struct sfl_answer *answer, char *headers, size_t bytes)
+{
+  bool foreign = answer->fault == SFL_FOREIGN;
+  const char *signature
+      = answer->fault == SFL_UNSIGNED ? "" : PFH_SIGNATURE ": 1.2.3\r\n";
+  g_snprintf (headers, (gulong)bytes,
+              PFH_REQUEST_ID ": %s\r\n%sKeep-Alive: timeout=5\r\n"
+                             "Content-Type: %s\r\n",
+              foreign ? "another" : answer->id, signature,
+              answer->is_stream ? "text/event-stream" : "text/plain");
+}
+
+/* Sends the next event of a stream.  Returns false after the last one.  */
+static bool
+send_event (struct sfl_answer *answer)
+{
+  char headers[512];
+  char event[64];
+  if (!answer->begun)
+    {
+      write_headers (answer, headers, sizeof headers);
+      nsv_begin (answer->connection, HTTP_STATUS_OK, headers,
+                 answer->fault != SFL_WITHOUT_LENGTH);
+      answer->begun = true;
+    }
+  answer->next_event++;
+  int length = g_snprintf (event, sizeof event, "id: %u\ndata: %s-%u\n\n",
+                           answer->next_event, answer->id, answer->next_event);
+  if (answer->fault == SFL_CUTS_MIDWAY && answer->next_event == 3)
+    {
+      nsv_piece (answer->connection, event, (size_t)length / 2);
+      nsv_abort (answer->connection);
+      return false;
+    }
+  nsv_piece (answer->connection, event, (size_t)length);
+  if (answer->next_event < SFL_STREAM_EVENTS)
+    {
+      return true;
+    }
+  nsv_bind (answer->connection, NULL);
+  nsv_end (answer->connection);
+  return false;
+}
+
+static void
+on_event_due (uv_timer_t *timer)
+{
+  struct sfl_answer *answer = timer->data;
+  if (!send_event (answer))
+    {
+      end_answer (answer);
+    }
+}
+
+/* Ends a plain call.  */
+static void
+on_call_done (uv_timer_t *timer)
+{
+  struct sfl_answer *answer = timer->data;
+  char headers[512];
+  char body[96];
+  write_headers (answer, headers, sizeof headers);
+  int length = g_snprintf (body, sizeof body, "done %s", answer->id);
+  nsv_bind (answer->connection, NULL);
+  switch (answer->fault)
+    {
+    case SFL_FAILS:
+      nsv_answer (answer->connection, HTTP_STATUS_INTERNAL_SERVER_ERROR,
+                  headers, "failed", strlen ("failed"));
+      break;
+    case SFL_CUTS:
+      nsv_abort (answer->connection);
+      break;
+    case SFL_TEARS:
+      nsv_begin (answer->connection, HTTP_STATUS_OK, headers, true);
+      nsv_piece (answer->connection, body, (size_t)length / 2);
+      nsv_abort (answer->connection);
+      break;
+    case SFL_WITHOUT_LENGTH:
+      nsv_begin (answer->connection, HTTP_STATUS_OK, headers, false);
+      nsv_piece (answer->connection, body, (size_t)length);
+      nsv_end (answer->connection);
+      break;
+    default:
+      nsv_answer (answer->connection, HTTP_STATUS_OK, headers, body,
+                  (size_t)length);
+      break;
+    }
+  end_answer (answer);
+}
+
+static void
+on_stall_over (uv_timer_t *timer)
+{
+  struct sfl_answer *answer = timer->data;
+  nsv_abort (answer->connection);
+  end_answer (answer);
+}
+
+/* Returns the fault of the next request to ENDPOINT.  */
+static enum sfl_fault
+take_fault (struct sfl_endpoint *endpoint)
+{
+  struct sfl_fleet *fleet = endpoint->fleet;
+  bool engine = endpoint->is_engine;
+  if (fleet->fault_requests[engine] == 0)
+    {
+      return SFL_SOUND;
+    }
+  fleet->fault_requests[engine]--;
+  return fleet->faults[engine];
+}
+
+/* Answers that the request wasn't run, because of AT_FAULT.  */
+static void
+refuse (struct nsv_connection *connection, const struct sfl_endpoint *at_fault)
+{
+  char headers[192];
+  g_snprintf (headers, sizeof headers,
+              PFH_NOT_EXECUTED ": 1\r\n" PFH_ENDPOINT_AT_FAULT ": %s\r\n",
+              at_fault->address);
+  nsv_answer (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, headers, "", 0);
+}
+
+/* Runs REQUEST.  */
+static void
+run (struct sfl_endpoint *endpoint, struct nsv_connection *connection,
+     const struct msg_message *request, const char *id, enum sfl_fault fault)
+{
+  struct sfl_fleet *fleet = endpoint->fleet;
+  const char *last_event = msg_find (request, PFH_LAST_EVENT_ID);
+  struct sfl_answer *answer = g_new0 (struct sfl_answer, 1);
+  answer->endpoint = endpoint;
+  answer->connection = connection;
+  answer->id = g_strdup (id);
+  answer->is_stream = endpoint->is_engine;
+  answer->fault = fault;
+  answer->next_event = last_event == NULL ? 0 : (uint32_t)atoi (last_event);
+  uv_timer_init (fleet->params.loop, &answer->timer);
+  answer->timer.data = answer;
+  nsv_bind (connection, answer);
+  note_run (fleet, id);
+  if (fault == SFL_MUTE)
+    {
+      return;
+    }
+  if (fault == SFL_STALLS)
+    {
+      uv_timer_start (&answer->timer, on_stall_over, STALL_MS, 0);
+    }
+  else if (endpoint->is_engine)
+    {
+      uv_timer_start (&answer->timer, on_event_due, fleet->params.event_ms,
+                      fleet->params.event_ms);
+    }
+  else
+    {
+      uv_timer_start (&answer->timer, on_call_done, CALL_MS, 0);
+    }
+}
+
+/* Takes an order to hold layers.  */
+static void
+take_order (struct sfl_endpoint *endpoint, struct nsv_connection *connection,
+            const struct msg_message *request)
+{
+  json_t *root = json_loadb ((const char *)request->body->data,
+                             request->body->len, 0, NULL);
+  uint64_t fence
+      = (uint64_t)json_integer_value (json_object_get (root, "FencingToken"));
+  uint32_t first
+      = (uint32_t)json_integer_value (json_object_get (root, "From"));
+  uint32_t end
+      = (uint32_t)json_integer_value (json_object_get (root, "Target"));
+  json_decref (root);
+  if (fence < endpoint->fence)
+    {
+      nsv_answer (connection, HTTP_STATUS_PRECONDITION_FAILED, "", "", 0);
+      return;
+    }
+  if (end - first > SFL_LAYERS / 2)
+    {
+      sfl_violate (endpoint->fleet, "%s is ordered to hold %u layers",
+                   endpoint->id, end - first);
+    }
+  endpoint->fence = fence;
+  endpoint->first = first;
+  endpoint->end = end;
+  endpoint->orders++;
+  nsv_answer (connection, HTTP_STATUS_ACCEPTED, "", "", 0);
+  sfl_endpoint_list (endpoint, "ready");
+}
+
+/* Tells which engine the stalled work waits for: the dead one.  */
+static void
+report (struct sfl_endpoint *endpoint, struct nsv_connection *connection)
+{
+  GString *body = g_string_new ("{\"Stalled\":[");
+  for (guint i = 0; i < endpoint->fleet->endpoints->len; i++)
+    {
+      const struct sfl_endpoint *other
+          = g_ptr_array_index (endpoint->fleet->endpoints, i);
+      if (other->dead)
+        {
+          g_string_append_printf (body, "%s{\"Id\":\"x\",\"Address\":\"%s\"}",
+                                  body->str[body->len - 1] == '[' ? "" : ",",
+                                  other->address);
+        }
+    }
+  g_string_append (body, "]}");
+  nsv_answer (connection, HTTP_STATUS_OK, "", body->str, body->len);
+  g_string_free (body, TRUE);
+}
+
+/* Checks what every request to an endpoint must bear.  */
+static void
+check_request (struct sfl_endpoint *endpoint,
+               const struct msg_message *request)
+{
+  const char *left = msg_find (request, PFH_TIME_LEFT_MS);
+  if (msg_find (request, PFH_API_KEY) != NULL)
+    {
+      sfl_violate (endpoint->fleet, "a key was passed on");
+    }
+  if (g_strcmp0 (msg_find (request, PFH_ACCOUNT), "account-1") != 0)
+    {
+      sfl_violate (endpoint->fleet, "the account is missing or wrong");
+    }
+  if (left == NULL || atoi (left) <= 0)
+    {
+      sfl_violate (endpoint->fleet, "no time is left");
+    }
+  if (msg_find (request, "X-Own") == NULL)
+    {
+      sfl_violate (endpoint->fleet, "a header of the caller is missing");
+    }
+}
+
+static void
+on_request (void *context, struct nsv_connection *connection,
+            const struct msg_message *request, const char *method)
+{
+  (void)method;
+  struct sfl_endpoint *endpoint = context;
+  const char *url = request->url->str;
+  if (strcmp (url, "/api/order") == 0)
+    {
+      take_order (endpoint, connection, request);
+      return;
+    }
+  if (strcmp (url, "/api/report") == 0)
+    {
+      report (endpoint, connection);
+      return;
+    }
+  const char *id = msg_find (request, PFH_REQUEST_ID);
+  const char *expected = msg_find (request, PFH_EXPECTED_ENDPOINT);
+  endpoint->arrivals++;
+  if (id == NULL || g_strcmp0 (expected, endpoint->id) != 0)
+    {
+      nsv_answer (connection, HTTP_STATUS_MISDIRECTED_REQUEST, "", "", 0);
+      return;
+    }
+  check_request (endpoint, request);
+  enum sfl_fault fault = take_fault (endpoint);
+  const struct sfl_endpoint *at_fault
+      = endpoint->is_engine
+            ? check_path (endpoint, msg_find (request, PFH_PATH))
+            : NULL;
+  if (fault == SFL_REFUSES)
+    {
+      refuse (connection, endpoint);
+    }
+  else if (at_fault != NULL && fault != SFL_STALLS)
+    {
+      refuse (connection, at_fault);
+    }
+  else
+    {
+      run (endpoint, connection, request, id, fault);
+    }
+}
+
+static void
+on_gone (void *context)
+{
+  struct sfl_answer *answer = context;
+  answer->endpoint->fleet->cancelled++;
+  end_answer (answer);
+}
+
+static void
+on_drained (void *context)
+{
+  (void)context;
+}
+
+static const struct nsv_events events = {
+  .request = on_request,
+  .gone = on_gone,
+  .drained = on_drained,
+};
+
+/* Lists ENDPOINT in STATE, or removes it when that is NULL.  */
+void
+sfl_endpoint_list (struct sfl_endpoint *endpoint, const char *state)
+{
+  char *entry = NULL;
+  if (state != NULL)
+    {
+      char *layers = g_strdup_printf (
+          ",\"Kind\":\"small\",\"Layers\":{\"From\":%u,\"Target\":%u}",
+          endpoint->first, endpoint->end);
+      entry = g_strdup_printf (
+          "{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"kgn\","
+          "\"Slots\":64,\"State\":\"%s\",\"born\":1%s}",
+          endpoint->is_engine ? "draft" : "book", endpoint->address, state,
+          endpoint->is_engine ? layers : "");
+      g_free (layers);
+    }
+  sfl_append (endpoint->fleet, &endpoint->fleet->endpoint_topic, endpoint->id,
+              entry);
+  g_free (entry);
+}
+
+/* Opens and lists ENDPOINT.  */
+void
+sfl_endpoint_open (struct sfl_endpoint *endpoint)
+{
+  endpoint->server
+      = sfl_listen (endpoint->fleet, &events, endpoint, &endpoint->address);
+  sfl_endpoint_list (endpoint, "ready");
+}
--- /dev/null
+++ b/standin/fleet_store.c
@@ -0,0 +1,293 @@
+/* The store of the stand-in fleet. */
+#include "standin/fleet_private.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void
+init_topic (struct sfl_topic *topic)
+{
+  topic->records
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  topic->newest
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+static void
+clear_topic (struct sfl_topic *topic)
+{
+  g_ptr_array_free (topic->records, TRUE);
+  g_hash_table_destroy (topic->newest);
+}
+
+static void
+append_number (GByteArray *body, uint64_t value, uint32_t bytes)
+{
+  for (uint32_t i = bytes; i-- > 0;)
+    {
+      guint8 byte = (guint8)(value >> (8 * i));
+      g_byte_array_append (body, &byte, 1);
+    }
+}
+
+/* Answers CONNECTION with the records of TOPIC from offset FROM on.  */
+static void
+answer_read (struct nsv_connection *connection, const struct sfl_topic *topic,
+             uint64_t from)
+{
+  GByteArray *body = g_byte_array_new ();
+  append_number (body, topic->records->len, 8);
+  append_number (body, 0, 8);
+  for (guint i = (guint)from; i < topic->records->len; i++)
+    {
+      gsize bytes = 0;
+      gconstpointer data
+          = g_bytes_get_data (g_ptr_array_index (topic->records, i), &bytes);
+      append_number (body, bytes, 4);
+      g_byte_array_append (body, data, (guint)bytes);
+    }
+  nsv_answer (connection, HTTP_STATUS_OK, "", body->data, body->len);
+  g_byte_array_free (body, TRUE);
+}
+
+static void
+on_reader_closed (uv_handle_t *handle)
+{
+  g_free (handle->data);
+}
+
+/* Ends READER; its answer is sent when ANSWER.  */
+static void
+end_reader (struct sfl_reader *reader, bool answer)
+{
+  if (reader->over)
+    {
+      return;
+    }
+  reader->over = true;
+  g_ptr_array_remove (reader->fleet->readers, reader);
+  if (answer)
+    {
+      answer_read (reader->connection, reader->topic, reader->from);
+    }
+  uv_close ((uv_handle_t *)&reader->timer, on_reader_closed);
+}
+
+static void
+on_wait_over (uv_timer_t *timer)
+{
+  end_reader (timer->data, true);
+}
+
+/* Appends the record of KEY, removed when VALUE is NULL, to TOPIC.  */
+void
+sfl_append (struct sfl_fleet *fleet, struct sfl_topic *topic, const char *key,
+            const char *value)
+{
+  GByteArray *record = g_byte_array_new ();
+  append_number (record, strlen (key), 1);
+  g_byte_array_append (record, (const guint8 *)key, (guint)strlen (key));
+  if (value != NULL)
+    {
+      g_byte_array_append (record, (const guint8 *)value,
+                           (guint)strlen (value));
+      g_hash_table_insert (topic->newest, g_strdup (key),
+                           GUINT_TO_POINTER (topic->records->len + 1));
+    }
+  else
+    {
+      g_hash_table_remove (topic->newest, key);
+    }
+  g_ptr_array_add (topic->records, g_byte_array_free_to_bytes (record));
+  for (guint i = fleet->readers->len; i-- > 0;)
+    {
+      struct sfl_reader *reader = g_ptr_array_index (fleet->readers, i);
+      if (reader->topic == topic)
+        {
+          end_reader (reader, true);
+        }
+    }
+}
+
+/* Returns the number that follows NAME= in URL, or 0.  */
+static uint64_t
+query_number (const char *url, const char *name)
+{
+  const char *found = strstr (url, name);
+  return found == NULL ? 0
+                       : g_ascii_strtoull (found + strlen (name), NULL, 10);
+}
+
+static struct sfl_topic *
+find_topic (struct sfl_fleet *fleet, const char *url)
+{
+  return strstr (url, "Topic=keyed.op") != NULL ? &fleet->operator_topic
+                                                : &fleet->endpoint_topic;
+}
+
+static void
+read_topic (struct sfl_fleet *fleet, struct nsv_connection *connection,
+            const char *url)
+{
+  struct sfl_topic *topic = find_topic (fleet, url);
+  uint64_t from = query_number (url, "From=");
+  uint64_t wait_ms = query_number (url, "WaitMs=");
+  if (from < topic->records->len || wait_ms == 0)
+    {
+      answer_read (connection, topic, from);
+      return;
+    }
+  struct sfl_reader *reader = g_new0 (struct sfl_reader, 1);
+  reader->fleet = fleet;
+  reader->connection = connection;
+  reader->topic = topic;
+  reader->from = from;
+  uv_timer_init (fleet->params.loop, &reader->timer);
+  reader->timer.data = reader;
+  uv_timer_start (&reader->timer, on_wait_over, wait_ms, 0);
+  g_ptr_array_add (fleet->readers, reader);
+  nsv_bind (connection, reader);
+}
+
+static void
+list_newest (struct sfl_fleet *fleet, struct nsv_connection *connection,
+             const char *url)
+{
+  const struct sfl_topic *topic = find_topic (fleet, url);
+  json_t *items = json_array ();
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  g_hash_table_iter_init (&iter, topic->newest);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      guint offset = GPOINTER_TO_UINT (value) - 1;
+      gsize bytes = 0;
+      const guint8 *record = g_bytes_get_data (
+          g_ptr_array_index (topic->records, offset), &bytes);
+      size_t skip = 1 + strlen (key);
+      char *encoded = g_base64_encode (record + skip, bytes - skip);
+      json_array_append_new (
+          items, json_pack ("{s:s,s:s,s:i}", "Key", (const char *)key, "Value",
+                            encoded, "Offset", (int)offset));
+      g_free (encoded);
+    }
+  json_t *root = json_pack ("{s:o,s:b,s:i}", "Items", items, "HasMore", 0,
+                            "End", (int)topic->records->len);
+  char *text = json_dumps (root, JSON_COMPACT);
+  nsv_answer (connection, HTTP_STATUS_OK, "", text, strlen (text));
+  free (text);
+  json_decref (root);
+}
+
+/* Lets the first member of the group that comes lead until it leaves.  */
+static void
+join (struct sfl_fleet *fleet, struct nsv_connection *connection,
+      const struct msg_message *request, bool leaves)
+{
+  json_t *root = json_loadb ((const char *)request->body->data,
+                             request->body->len, 0, NULL);
+  const char *member = json_string_value (json_object_get (root, "Member"));
+  if (member != NULL && fleet->leader == NULL && !leaves)
+    {
+      fleet->leader = g_strdup (member);
+      fleet->generation++;
+    }
+  bool leads = g_strcmp0 (member, fleet->leader) == 0;
+  if (leaves && leads)
+    {
+      g_clear_pointer (&fleet->leader, g_free);
+    }
+  char *body = g_strdup_printf (
+      "{\"Generation\":%" G_GUINT64_FORMAT ",\"TtlMs\":1000,\"parts\":[%s]}",
+      fleet->generation, leads ? "[\"t\",0,0],[\"t\",1,0]" : "");
+  nsv_answer (connection, HTTP_STATUS_OK, "", body, strlen (body));
+  g_free (body);
+  json_decref (root);
+}
+
+static void
+on_request (void *context, struct nsv_connection *connection,
+            const struct msg_message *request, const char *method)
+{
+  (void)method;
+  struct sfl_fleet *fleet = context;
+  const char *url = request->url->str;
+  if (fleet->store_down)
+    {
+      nsv_answer (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, "", "", 0);
+    }
+  else if (g_str_has_prefix (url, "/api/log-read"))
+    {
+      read_topic (fleet, connection, url);
+    }
+  else if (g_str_has_prefix (url, "/api/log-newest"))
+    {
+      list_newest (fleet, connection, url);
+    }
+  else if (g_str_has_prefix (url, "/api/log-join")
+           || g_str_has_prefix (url, "/api/log-leave"))
+    {
+      join (fleet, connection, request,
+            g_str_has_prefix (url, "/api/log-leave"));
+    }
+  else
+    {
+      nsv_answer (connection, HTTP_STATUS_NOT_FOUND, "", "", 0);
+    }
+}
+
+static void
+on_gone (void *context)
+{
+  end_reader (context, false);
+}
+
+static void
+on_drained (void *context)
+{
+  (void)context;
+}
+
+static const struct nsv_events events = {
+  .request = on_request,
+  .gone = on_gone,
+  .drained = on_drained,
+};
+
+/* Opens the store of FLEET.  */
+void
+sfl_store_open (struct sfl_fleet *fleet)
+{
+  init_topic (&fleet->operator_topic);
+  init_topic (&fleet->endpoint_topic);
+  fleet->readers = g_ptr_array_new ();
+  fleet->store = sfl_listen (fleet, &events, fleet, &fleet->store_address);
+}
+
+/* Closes what sfl_store_open opened.  */
+void
+sfl_store_close (struct sfl_fleet *fleet)
+{
+  nsv_destroy (fleet->store);
+  clear_topic (&fleet->operator_topic);
+  clear_topic (&fleet->endpoint_topic);
+  g_ptr_array_free (fleet->readers, TRUE);
+  g_free (fleet->store_address);
+  g_free (fleet->leader);
+}
+
+/* Lets the store refuse every call while DOWN; reads that wait are cut.  */
+void
+sfl_set_store_down (struct sfl_fleet *fleet, bool down)
+{
+  fleet->store_down = down;
+  while (down && fleet->readers->len > 0)
+    {
+      struct sfl_reader *reader = g_ptr_array_index (fleet->readers, 0);
+      struct nsv_connection *connection = reader->connection;
+      end_reader (reader, false);
+      nsv_abort (connection);
+    }
+}
--- /dev/null
+++ b/test/entry_test.c
@@ -0,0 +1,765 @@
+/* The entry daemon as a process of its own before the stand-in fleet.  */
+#include "base/clock.h"
+#include "net/client.h"
+#include "platform/headers.h"
+#include "standin/fleet.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define ENGINES 4
+#define SERVICES 2
+#define EVENT_MS 15
+
+/* Bounds of the daemon under test. */
+#define DRAIN_MS 800
+#define REVOKE_MS 2000
+#define STOP_S 6
+
+/* Everything is over by then. */
+#define PATIENCE_US (20 * CLK_S_US)
+
+struct fixture
+{
+  uv_loop_t loop;
+  uv_timer_t tick;
+  struct sfl_fleet *fleet;
+  struct ncl_client *client;
+  char *folder;
+  char *settings_path;
+  char caller_address[32];
+  char ready_address[32];
+  pid_t daemon;
+  uint32_t next_id;
+};
+
+/* A request of a caller and what came of it. */
+struct call
+{
+  struct ncl_exchange *exchange;
+  uint32_t status;
+  bool over;
+  bool complete;
+  bool ends_with_connection;
+  bool has_retry_after;
+  GString *body;
+};
+
+static bool
+on_headers (void *context, uint32_t status, const struct msg_message *answer)
+{
+  struct call *call = context;
+  call->status = status;
+  call->has_retry_after = msg_find (answer, "Retry-After") != NULL;
+  call->ends_with_connection = ncl_ends_with_connection (call->exchange);
+  return true;
+}
+
+static void
+on_body (void *context, const char *bytes, size_t count)
+{
+  struct call *call = context;
+  g_string_append_len (call->body, bytes, (gssize)count);
+}
+
+static void
+on_complete (void *context)
+{
+  struct call *call = context;
+  call->over = true;
+  call->complete = true;
+}
+
+static void
+on_failed (void *context, enum ncl_failure failure)
+{
+  (void)failure;
+  struct call *call = context;
+  call->over = true;
+}
+
+static const struct ncl_events call_events = {
+  .headers = on_headers,
+  .body = on_body,
+  .complete = on_complete,
+  .failed = on_failed,
+};
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct fixture *fixture = timer->data;
+  ncl_expire (fixture->client, clk_monotonic_us ());
+}
+
+/* Runs the loop for DURATION_US.  */
+static void
+run_for (struct fixture *fixture, int64_t duration_us)
+{
+  int64_t end_us = clk_monotonic_us () + duration_us;
+  while (clk_monotonic_us () < end_us)
+    {
+      uv_run (&fixture->loop, UV_RUN_ONCE);
+    }
+}
+
+/* Sends REQUEST, a whole one, on a new connection.  */
+static void
+start_call (struct fixture *fixture, struct call *call, const char *address,
+            const char *request, size_t request_bytes)
+{
+  *call = (struct call){ .body = g_string_new (NULL) };
+  call->exchange = ncl_send (fixture->client, address, request, request_bytes,
+                             true, &call_events, call);
+  assert_non_null (call->exchange);
+}
+
+static void
+await_call (struct fixture *fixture, struct call *call)
+{
+  int64_t end_us = clk_monotonic_us () + PATIENCE_US;
+  while (!call->over && clk_monotonic_us () < end_us)
+    {
+      uv_run (&fixture->loop, UV_RUN_ONCE);
+    }
+  assert_true (call->over);
+}
+
+static void
+clear_call (struct call *call)
+{
+  g_string_free (call->body, TRUE);
+}
+
+/* Returns the status of a probe of the balancer, or 0.  */
+static uint32_t
+probe (struct fixture *fixture)
+{
+  static const char request[]
+      = "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+  struct call call;
+  start_call (fixture, &call, fixture->ready_address, request,
+              strlen (request));
+  await_call (fixture, &call);
+  uint32_t status = call.status;
+  clear_call (&call);
+  return status;
+}
+
+/* Writes the settings of a daemon in FIXTURE.  */
+static void
+write_settings (struct fixture *fixture)
+{
+  uint32_t port = 20000 + (uint32_t)(getpid () % 20000);
+  g_snprintf (fixture->caller_address, sizeof fixture->caller_address,
+              "127.0.0.1:%u", port);
+  g_snprintf (fixture->ready_address, sizeof fixture->ready_address,
+              "127.0.0.1:%u", port + 1);
+  char *text = g_strdup_printf (
+      "name: entry-1\ndata_centre: kgn\ncaller_address: \"%s\"\n"
+      "ready_address: \"%s\"\nmetrics_address: \"127.0.0.1:%u\"\n"
+      "store_address: \"%s\"\nstore_partitions: 2\nmemory_mb: 260\n"
+      "descriptors: 1024\nheartbeat_ms: 400\ndrain_ms: %u\nconfig_ms: 1000\n"
+      "revoke_ms: %u\nstop_s: %u\nstall_ms: 1500\nretry_window_s: 10\n"
+      "retry_ratio: 0.2\nretry_slack: 100\n",
+      fixture->caller_address, fixture->ready_address, port + 2,
+      sfl_store_address (fixture->fleet), DRAIN_MS, REVOKE_MS, STOP_S);
+  fixture->settings_path
+      = g_build_filename (fixture->folder, "settings.yaml", NULL);
+  assert_true (g_file_set_contents (fixture->settings_path, text, -1, NULL));
+  g_free (text);
+}
+
+/* Starts the daemon that was built beside this test.  */
+static void
+start_daemon (struct fixture *fixture)
+{
+  char self[512] = "";
+  assert_true (readlink ("/proc/self/exe", self, sizeof self - 1) > 0);
+  char *tests = g_path_get_dirname (self);
+  char *build = g_path_get_dirname (tests);
+  char *binary = g_build_filename (build, "kumquatthread", NULL);
+  char *log = g_build_filename (fixture->folder, "log", NULL);
+  fixture->daemon = fork ();
+  assert_true (fixture->daemon >= 0);
+  if (fixture->daemon == 0)
+    {
+      if (freopen (log, "a", stdout) != NULL)
+        {
+          execl (binary, binary, "entry", fixture->settings_path,
+                 (char *)NULL);
+        }
+      _exit (127);
+    }
+  g_free (log);
+  g_free (binary);
+  g_free (build);
+  g_free (tests);
+}
+
+/* Waits until the daemon is ready and its engines hold every layer.  */
+static void
+await_ready (struct fixture *fixture)
+{
+  int64_t end_us = clk_monotonic_us () + PATIENCE_US;
+  while (clk_monotonic_us () < end_us
+         && (!sfl_is_placed (fixture->fleet) || probe (fixture) != 200))
+    {
+      run_for (fixture, 50 * CLK_MS_US);
+    }
+  assert_true (sfl_is_placed (fixture->fleet));
+  run_for (fixture, 2 * DRAIN_MS * CLK_MS_US);
+}
+
+static int
+set_up (void **state)
+{
+  struct fixture *fixture = g_new0 (struct fixture, 1);
+  const struct ncl_params client_params = {
+    .idle_max_us = CLK_S_US,
+    .connect_timeout_us = 2 * CLK_S_US,
+    .silence_ms = 20000,
+    .idle_connections_max = 4,
+  };
+  uv_loop_init (&fixture->loop);
+  uv_timer_init (&fixture->loop, &fixture->tick);
+  fixture->tick.data = fixture;
+  uv_timer_start (&fixture->tick, on_tick, 20, 20);
+  const struct sfl_params params = {
+    .loop = &fixture->loop,
+    .engines = ENGINES,
+    .services = SERVICES,
+    .event_ms = EVENT_MS,
+  };
+  signal (SIGPIPE, SIG_IGN);
+  fixture->fleet = sfl_create (&params);
+  fixture->client = ncl_create (&fixture->loop, &client_params);
+  fixture->folder = g_dir_make_tmp ("entry-XXXXXX", NULL);
+  write_settings (fixture);
+  start_daemon (fixture);
+  await_ready (fixture);
+  *state = fixture;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  struct fixture *fixture = *state;
+  if (fixture->daemon > 0)
+    {
+      kill (fixture->daemon, SIGKILL);
+      waitpid (fixture->daemon, NULL, 0);
+    }
+  ncl_destroy (fixture->client);
+  uv_close ((uv_handle_t *)&fixture->tick, NULL);
+  sfl_destroy (fixture->fleet);
+  uv_run (&fixture->loop, UV_RUN_NOWAIT);
+  char *log = g_build_filename (fixture->folder, "log", NULL);
+  unlink (log);
+  unlink (fixture->settings_path);
+  rmdir (fixture->folder);
+  g_free (log);
+  g_free (fixture->settings_path);
+  g_free (fixture->folder);
+  g_free (fixture);
+  return 0;
+}
+
+#define FLEET_HOST "fleet.example"
+
+/* Builds a request of ID.  */
+static char *
+build (const char *method, const char *host, const char *path, const char *key,
+       const char *id, const char *body)
+{
+  return g_strdup_printf (
+      "%s %s HTTP/1.1\r\nHost: %s\r\nX-Api-Key: %s\r\nX-Own: 1\r\n"
+      "%s: %s\r\n%s: 5000\r\n%s: 40,24\r\n" PFH_ACCOUNT ": forged\r\n"
+      "Content-Length: %zu\r\n\r\n%s",
+      method, path, host, key, PFH_REQUEST_ID, id, PFH_TIME_LEFT_MS,
+      PFH_TOKENS, strlen (body), body);
+}
+
+/* Returns the events of the whole stream of ID.  */
+static GString *
+whole_stream (const char *id)
+{
+  GString *text = g_string_new (NULL);
+  for (uint32_t i = 1; i <= SFL_STREAM_EVENTS; i++)
+    {
+      g_string_append_printf (text, "id: %u\ndata: %s-%u\n\n", i, id, i);
+    }
+  return text;
+}
+
+enum want
+{
+  WANT_NOTHING,
+  WANT_STREAM,
+  WANT_DONE
+};
+
+struct row
+{
+  const char *name;
+  const char *host; /* NULL: the fleet's */
+  const char *path;
+  const char *key; /* NULL: the account's */
+  bool engines;    /* have the fault; else services */
+  enum sfl_fault fault;
+  uint32_t fault_requests;
+  uint32_t status;
+  enum want want;
+  uint32_t runs;
+  bool retry_after;
+};
+
+static const struct row rows[] = {
+  { .name = "a stream",
+    .path = "/draft/a",
+    .status = 200,
+    .want = WANT_STREAM,
+    .runs = 1 },
+  { .name = "a booking",
+    .path = "/book/a",
+    .status = 200,
+    .want = WANT_DONE,
+    .runs = 1 },
+  { .name = "a lookup",
+    .path = "/look/a",
+    .status = 200,
+    .want = WANT_DONE,
+    .runs = 1 },
+  { .name = "an unknown key",
+    .path = "/book/a",
+    .key = "key-9",
+    .status = 401 },
+  { .name = "an unknown path", .path = "/other/a", .status = 404 },
+  { .name = "an unknown host",
+    .host = "other.example",
+    .path = "/book/a",
+    .status = 404 },
+  { .name = "a booking that was refused unrun is sent elsewhere",
+    .path = "/book/a",
+    .fault = SFL_REFUSES,
+    .fault_requests = 1,
+    .status = 200,
+    .want = WANT_DONE,
+    .runs = 1 },
+  { .name = "a booking that is refused everywhere",
+    .path = "/book/a",
+    .fault = SFL_REFUSES,
+    .fault_requests = 9,
+    .status = 503,
+    .retry_after = true },
+  { .name = "a booking whose connection is cut runs once",
+    .path = "/book/a",
+    .fault = SFL_CUTS,
+    .fault_requests = 1,
+    .status = 502,
+    .runs = 1 },
+  { .name = "a booking whose answer is torn runs once",
+    .path = "/book/a",
+    .fault = SFL_TEARS,
+    .fault_requests = 1,
+    .status = 502,
+    .runs = 1 },
+  { .name = "a booking that gets another's answer",
+    .path = "/book/a",
+    .fault = SFL_FOREIGN,
+    .fault_requests = 1,
+    .status = 502,
+    .runs = 1 },
+  { .name = "a booking whose answer bears no signature",
+    .path = "/book/a",
+    .fault = SFL_UNSIGNED,
+    .fault_requests = 1,
+    .status = 502,
+    .runs = 1 },
+  { .name = "a booking without an answer ends in time",
+    .path = "/book/a",
+    .fault = SFL_MUTE,
+    .fault_requests = 1,
+    .status = 504,
+    .runs = 1 },
+  { .name = "a booking that fails",
+    .path = "/book/a",
+    .fault = SFL_FAILS,
+    .fault_requests = 1,
+    .status = 500,
+    .runs = 1 },
+  { .name = "a lookup whose connection is cut runs again",
+    .path = "/look/a",
+    .fault = SFL_CUTS,
+    .fault_requests = 1,
+    .status = 200,
+    .want = WANT_DONE,
+    .runs = 2 },
+  { .name = "a lookup that fails runs again",
+    .path = "/look/a",
+    .fault = SFL_FAILS,
+    .fault_requests = 1,
+    .status = 200,
+    .want = WANT_DONE,
+    .runs = 2 },
+  { .name = "a lookup that always fails delivers the failure",
+    .path = "/look/a",
+    .fault = SFL_FAILS,
+    .fault_requests = 9,
+    .status = 500,
+    .runs = 2 },
+  { .name = "a stream that is cut within an event goes on elsewhere",
+    .path = "/draft/a",
+    .engines = true,
+    .fault = SFL_CUTS_MIDWAY,
+    .fault_requests = 1,
+    .status = 200,
+    .want = WANT_STREAM,
+    .runs = 2 },
+  { .name = "a stream that was refused unrun",
+    .path = "/draft/a",
+    .engines = true,
+    .fault = SFL_REFUSES,
+    .fault_requests = 1,
+    .status = 200,
+    .want = WANT_STREAM,
+    .runs = 1 },
+};
+
+/* Checks the answer to the request ID against ROW.  */
+static void
+check_answer (struct fixture *fixture, const struct row *row, const char *id,
+              const struct call *call)
+{
+  GString *want
+      = row->want == WANT_STREAM ? whole_stream (id) : g_string_new (NULL);
+  if (row->want == WANT_DONE)
+    {
+      g_string_append_printf (want, "done %s", id);
+    }
+  bool body_good
+      = row->want == WANT_NOTHING || strcmp (want->str, call->body->str) == 0;
+  if (call->status != row->status || !call->complete || !body_good
+      || sfl_runs (fixture->fleet, id) != row->runs
+      || call->has_retry_after != row->retry_after
+      || call->ends_with_connection)
+    {
+      fail_msg ("%s: status %u, complete %d, %u runs, retry-after %d, '%s'",
+                row->name, call->status, call->complete,
+                sfl_runs (fixture->fleet, id), call->has_retry_after,
+                call->body->str);
+    }
+  g_string_free (want, TRUE);
+}
+
+/* Endpoints that rested after a fault are proved good again.  */
+static void
+heal (struct fixture *fixture)
+{
+  sfl_set_fault (fixture->fleet, false, SFL_SOUND, 0);
+  sfl_set_fault (fixture->fleet, true, SFL_SOUND, 0);
+  run_for (fixture, 500 * CLK_MS_US);
+  for (uint32_t i = 0; i < 24; i++)
+    {
+      struct call call;
+      char id[32];
+      g_snprintf (id, sizeof id, "heal-%u", fixture->next_id++);
+      char *request = build ("POST", FLEET_HOST,
+                             i < 4 ? "/draft/h" : "/book/h", "key-1", id, "");
+      start_call (fixture, &call, fixture->caller_address, request,
+                  strlen (request));
+      await_call (fixture, &call);
+      clear_call (&call);
+      g_free (request);
+    }
+}
+
+static void
+test_requests (void **state)
+{
+  struct fixture *fixture = *state;
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      const struct row *row = &rows[i];
+      struct call call;
+      char id[32];
+      g_snprintf (id, sizeof id, "row-%zu", i);
+      char *request = build (
+          "POST", row->host == NULL ? FLEET_HOST : row->host, row->path,
+          row->key == NULL ? "key-1" : row->key, id, "some body");
+      sfl_set_fault (fixture->fleet, row->engines, row->fault,
+                     row->fault_requests);
+      start_call (fixture, &call, fixture->caller_address, request,
+                  strlen (request));
+      await_call (fixture, &call);
+      check_answer (fixture, row, id, &call);
+      clear_call (&call);
+      g_free (request);
+      if (row->fault != SFL_SOUND)
+        {
+          heal (fixture);
+        }
+    }
+  assert_null (sfl_violation (fixture->fleet));
+}
+
+/* Found by the first hunt: an answer that only the end of its connection ends
+   was passed on with a length, torn or not.  */
+static void
+test_without_length (void **state)
+{
+  struct fixture *fixture = *state;
+  static const char *const paths[] = { "/book/a", "/draft/a" };
+  for (size_t i = 0; i < 2; i++)
+    {
+      struct call call;
+      char id[32];
+      g_snprintf (id, sizeof id, "unframed-%zu", i);
+      char *request = build ("POST", FLEET_HOST, paths[i], "key-1", id, "");
+      sfl_set_fault (fixture->fleet, i == 1, SFL_WITHOUT_LENGTH, 1);
+      start_call (fixture, &call, fixture->caller_address, request,
+                  strlen (request));
+      await_call (fixture, &call);
+      assert_int_equal (call.status, 200);
+      assert_true (call.ends_with_connection);
+      clear_call (&call);
+      g_free (request);
+    }
+}
+
+/* Callers' faults, each on a raw request.  */
+static void
+test_callers_limits (void **state)
+{
+  struct fixture *fixture = *state;
+  GString *long_header = g_string_new (
+      "GET /book/a HTTP/1.1\r\nHost: " FLEET_HOST "\r\nX-Long: ");
+  for (uint32_t i = 0; i < 5000; i++)
+    {
+      g_string_append_c (long_header, 'x');
+    }
+  g_string_append (long_header, "\r\n\r\n");
+  const struct
+  {
+    const char *request;
+    uint32_t status;
+  } cases[] = {
+    { "nonsense\r\n\r\n", 400 },
+    { long_header->str, 431 },
+    { "POST /book/a HTTP/1.1\r\nHost: " FLEET_HOST
+      "\r\nContent-Length: 70000\r\n\r\n",
+      413 },
+    { "POST /book/a HTTP/1.1\r\nHost: " FLEET_HOST
+      "\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+      400 },
+    { "GET /book/a HTTP/1.1\r\nHost: " FLEET_HOST
+      "\r\nX-Api-Key: key-1\r\n\r\n",
+      400 },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct call call;
+      start_call (fixture, &call, fixture->caller_address, cases[i].request,
+                  strlen (cases[i].request));
+      await_call (fixture, &call);
+      if (call.status != cases[i].status)
+        {
+          fail_msg ("case %zu: %u", i, call.status);
+        }
+      clear_call (&call);
+    }
+  g_string_free (long_header, TRUE);
+}
+
+/* An endpoint stops working soon after its caller has left.  */
+static void
+test_caller_leaves (void **state)
+{
+  struct fixture *fixture = *state;
+  struct call call;
+  uint32_t before = sfl_cancelled (fixture->fleet);
+  char *request
+      = build ("POST", FLEET_HOST, "/draft/a", "key-1", "leaver", "");
+  start_call (fixture, &call, fixture->caller_address, request,
+              strlen (request));
+  while (call.body->len == 0)
+    {
+      uv_run (&fixture->loop, UV_RUN_ONCE);
+    }
+  ncl_cancel (call.exchange);
+  run_for (fixture, 100 * CLK_MS_US);
+  assert_int_equal (sfl_cancelled (fixture->fleet), before + 1);
+  clear_call (&call);
+  g_free (request);
+}
+
+/* Sends one booking with KEY.  Returns the status.  */
+static uint32_t
+book (struct fixture *fixture, const char *key)
+{
+  struct call call;
+  char id[32];
+  g_snprintf (id, sizeof id, "book-%u", fixture->next_id++);
+  char *request = build ("POST", FLEET_HOST, "/book/a", key, id, "");
+  start_call (fixture, &call, fixture->caller_address, request,
+              strlen (request));
+  await_call (fixture, &call);
+  uint32_t status = call.status;
+  clear_call (&call);
+  g_free (request);
+  return status;
+}
+
+/* Versions come into force at once, older ones never; keys are served only
+   while they are known to be fresh, and again after the first contact.  */
+static void
+test_configurations (void **state)
+{
+  struct fixture *fixture = *state;
+  static const struct
+  {
+    uint64_t version; /* 0: none */
+    const char *extra_key;
+    bool store_down;
+    int64_t wait_ms;
+    uint32_t status; /* of the account's key */
+    uint32_t extra_status;
+  } steps[] = {
+    { 0, NULL, false, 0, 200, 401 },
+    { 5, "key-2", false, 200, 200, 200 },
+    { 3, NULL, false, 200, 200, 200 }, /* an older one: stays in force */
+    { 8, NULL, false, 200, 200, 401 },
+    { 0, NULL, true, 100, 200, 401 },
+    { 0, NULL, true, REVOKE_MS, 503, 503 },
+    { 0, NULL, false, 1500, 200, 401 },
+  };
+  for (size_t i = 0; i < sizeof steps / sizeof steps[0]; i++)
+    {
+      sfl_set_store_down (fixture->fleet, steps[i].store_down);
+      if (steps[i].version > 0)
+        {
+          sfl_publish (fixture->fleet, steps[i].version, steps[i].extra_key);
+        }
+      run_for (fixture, steps[i].wait_ms * CLK_MS_US);
+      uint32_t status = book (fixture, "key-1");
+      uint32_t extra_status = book (fixture, "key-2");
+      if (status != steps[i].status || extra_status != steps[i].extra_status)
+        {
+          fail_msg ("step %zu: %u, %u", i, status, extra_status);
+        }
+    }
+}
+
+/* A leaving endpoint gets no new work once the list has said so.  */
+static void
+test_leaving (void **state)
+{
+  struct fixture *fixture = *state;
+  uint32_t leaver = ENGINES;
+  sfl_leave (fixture->fleet, leaver);
+  run_for (fixture, (DRAIN_MS + 100) * CLK_MS_US);
+  uint32_t before = sfl_arrivals (fixture->fleet, leaver);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      assert_int_equal (book (fixture, "key-1"), 200);
+    }
+  assert_int_equal (sfl_arrivals (fixture->fleet, leaver), before);
+}
+
+/* Streams over an engine that dies go on over the others, each event once and
+   in order, while the list still names the dead one.  */
+static void
+test_engine_dies (void **state)
+{
+  struct fixture *fixture = *state;
+  struct call calls[8];
+  char *requests[8];
+  char id[32];
+  sfl_set_fault (fixture->fleet, true, SFL_STALLS, 1);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      g_snprintf (id, sizeof id, "dies-%u", i);
+      requests[i] = build ("POST", FLEET_HOST, "/draft/a", "key-1", id, "");
+      start_call (fixture, &calls[i], fixture->caller_address, requests[i],
+                  strlen (requests[i]));
+    }
+  run_for (fixture, 60 * CLK_MS_US);
+  sfl_kill (fixture->fleet, 0);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      await_call (fixture, &calls[i]);
+      g_snprintf (id, sizeof id, "dies-%u", i);
+      GString *want = whole_stream (id);
+      if (!calls[i].complete || strcmp (calls[i].body->str, want->str) != 0
+          || sfl_runs (fixture->fleet, id) > 2)
+        {
+          fail_msg ("%s: status %u, complete %d, %u runs, '%s'", id,
+                    calls[i].status, calls[i].complete,
+                    sfl_runs (fixture->fleet, id), calls[i].body->str);
+        }
+      g_string_free (want, TRUE);
+      clear_call (&calls[i]);
+      g_free (requests[i]);
+    }
+  assert_null (sfl_violation (fixture->fleet));
+}
+
+/* A stop cuts nothing: what is under way ends, what comes while the balancer
+   doesn't know yet is served, and then the process ends by itself.  */
+static void
+test_stop (void **state)
+{
+  struct fixture *fixture = *state;
+  struct call stream;
+  GString *want = whole_stream ("stops");
+  char *request = build ("POST", FLEET_HOST, "/draft/a", "key-1", "stops", "");
+  start_call (fixture, &stream, fixture->caller_address, request,
+              strlen (request));
+  run_for (fixture, 50 * CLK_MS_US);
+  kill (fixture->daemon, SIGTERM);
+  run_for (fixture, 50 * CLK_MS_US);
+  assert_int_equal (probe (fixture), 503);
+  assert_int_equal (book (fixture, "key-1"), 200);
+  await_call (fixture, &stream);
+  assert_true (stream.complete);
+  assert_string_equal (stream.body->str, want->str);
+  int status = -1;
+  int64_t end_us = clk_monotonic_us () + STOP_S * CLK_S_US;
+  while (waitpid (fixture->daemon, &status, WNOHANG) == 0
+         && clk_monotonic_us () < end_us)
+    {
+      run_for (fixture, 20 * CLK_MS_US);
+    }
+  assert_true (WIFEXITED (status));
+  assert_int_equal (WEXITSTATUS (status), 0);
+  fixture->daemon = 0;
+  clear_call (&stream);
+  g_string_free (want, TRUE);
+  g_free (request);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_requests),
+    cmocka_unit_test (test_without_length),
+    cmocka_unit_test (test_callers_limits),
+    cmocka_unit_test (test_caller_leaves),
+    cmocka_unit_test (test_configurations),
+    cmocka_unit_test (test_leaving),
+    cmocka_unit_test (test_engine_dies),
+    cmocka_unit_test (test_stop),
+  };
+  return cmocka_run_group_tests (tests, set_up, tear_down);
+}
--- a/test/limits_test.c
+++ b/test/limits_test.c
@@ -9,7 +9,7 @@
 
 #include <cmocka.h>
 
-#define S_US 1000000
+#define S_US INT64_C (1000000)
 
 /* Takes repeats at NOW_US until the budget is spent.  Returns their number. */
 static uint32_t
--- a/test/roster_test.c
+++ b/test/roster_test.c
@@ -7,7 +7,7 @@
 #include <cmocka.h>
 #include <string.h>
 
-#define S_US 1000000
+#define S_US INT64_C (1000000)
 
 /* Creates an endpoint, as a record of the list describes it.  */
 static struct rst_endpoint *
