--- a/src/core/path.c
+++ b/src/core/path.c
@@ -165,7 +165,7 @@
     .costs = costs,
     .cards = cards,
     .card_count = card_count,
-    .steps = g_new (struct step, (size_t)costs->layers * card_count),
+    .steps = g_new0 (struct step, (size_t)costs->layers * card_count),
   };
   for (uint32_t layer = 0; layer < costs->layers; layer++)
     {
@@ -177,10 +177,10 @@
     {
       path->token_ms = step_at (&search, costs->layers - 1, card)->cost_ms;
     }
-  for (uint32_t layer = costs->layers; found && layer-- > 0;)
+  for (uint32_t layer = costs->layers; found && layer > 0; layer--)
     {
-      found = prepend (path, card, layer);
-      card = step_at (&search, layer, card)->from_card;
+      found = prepend (path, card, layer - 1);
+      card = step_at (&search, layer - 1, card)->from_card;
     }
   reverse (path);
   g_free (search.steps);
--- a/src/net/event_scan.c
+++ b/src/net/event_scan.c
@@ -16,7 +16,8 @@
 void
 evs_clear (struct evs_scanner *scanner)
 {
-  g_clear_pointer (&scanner->pending, g_byte_array_unref);
+  g_byte_array_unref (scanner->pending);
+  scanner->pending = NULL;
 }
 
 /* Drops the unfinished event, for a sender that goes on after the last whole
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -217,7 +217,7 @@
       run_for (fixture, 50 * CLK_MS_US);
     }
   assert_true (sfl_is_placed (fixture->fleet));
-  run_for (fixture, 2 * DRAIN_MS * CLK_MS_US);
+  run_for (fixture, CLK_MS_US * DRAIN_MS * 2);
 }
 
 static int
@@ -263,7 +263,8 @@
   ncl_destroy (fixture->client);
   uv_close ((uv_handle_t *)&fixture->tick, NULL);
   sfl_destroy (fixture->fleet);
-  uv_run (&fixture->loop, UV_RUN_NOWAIT);
+  uv_run (&fixture->loop, UV_RUN_DEFAULT);
+  uv_loop_close (&fixture->loop);
   char *log = g_build_filename (fixture->folder, "log", NULL);
   unlink (log);
   unlink (fixture->settings_path);
@@ -315,12 +316,12 @@
   const char *host; /* NULL: the fleet's */
   const char *path;
   const char *key; /* NULL: the account's */
-  bool engines;    /* have the fault; else services */
   enum sfl_fault fault;
   uint32_t fault_requests;
   uint32_t status;
   enum want want;
   uint32_t runs;
+  bool engines; /* have the fault; else services */
   bool retry_after;
 };
 
--- a/test/limits_test.c
+++ b/test/limits_test.c
@@ -29,12 +29,12 @@
   (void)state;
   static const struct
   {
-    uint32_t requests;
     double share;
+    uint32_t requests;
     uint32_t want;
   } rows[] = {
-    { 0, 0, 0 },       { 100, 0, 20 }, { 0, 0.25, 49 },
-    { 100, 0.25, 69 }, { 4, 0, 0 },    { 5, 0, 1 },
+    { 0, 0, 0 },       { 0, 100, 20 }, { 0.25, 0, 49 },
+    { 0.25, 100, 69 }, { 0, 4, 0 },    { 0, 5, 1 },
   };
   const struct rbg_params params
       = { .ratio = 0.2, .slack = 196, .window_us = 10 * S_US };
