Seek paths over all data centres at once, and cross links only if nothing else is left

Cause: paths were sought for each data centre with a preference that a faster one elsewhere outbid, so all searches ended in the same two data centres and a third of the grown fleet stood idle.

--- a/src/core/path.c
+++ b/src/core/path.c
@@ -31,14 +31,6 @@
   return card->usable && layer >= card->held.first && layer < card->held.end;
 }
 
-static double
-layer_cost (const struct search *search, uint32_t card)
-{
-  bool away = search->cards[card].zone != search->costs->home_zone;
-  return search->cards[card].layer_ms
-         * (away ? search->costs->away_factor : 1);
-}
-
 /* Returns the cheapest engine that ran LAYER, of ZONE only unless ANY, or
    UINT32_MAX.  */
 static uint32_t
@@ -103,7 +95,7 @@
           relax (search, layer - 1, near, search->costs->hop_ms, step);
           relax (search, layer - 1, any, search->costs->zone_hop_ms, step);
         }
-      step->cost_ms += layer_cost (search, i);
+      step->cost_ms += search->cards[i].layer_ms;
     }
 }
 
--- a/src/core/path.h
+++ b/src/core/path.h
@@ -19,10 +19,8 @@
 struct pth_costs
 {
   uint32_t layers;
-  uint32_t home_zone; /* preferred */
   double hop_ms;      /* to another engine of the same data centre */
   double zone_hop_ms; /* to another data centre */
-  double away_factor; /* on layers outside the preferred data centre */
 };
 
 struct pth_part
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -8,12 +8,10 @@
 #include <string.h>
 
 /* Costs of a path beside its engines' steps: the way between two engines of a
-   data centre and the wait for the next pass; the same between data centres,
-   where every prompt takes its share of a link that all paths use; and the
-   factor on layers away from the data centre that the path prefers. */
+   data centre and the wait for the next pass, and the same between data
+   centres. */
 #define HOP_MS 0.3
 #define ZONE_HOP_MS 12.0
-#define AWAY_FACTOR 1.5
 
 /* An engine that failed lately costs so much more, until it has proved
    itself. */
@@ -23,8 +21,8 @@
    endpoints end their rest. */
 #define PATHS_VALID_US (200 * CLK_MS_US)
 
-/* Paths that are sought for each data centre, and how much dearer engines get
-   for the next search once a path uses them. */
+/* Searches of paths, by data centre, and how much dearer engines get for the
+   next search once a path uses them. */
 #define PATHS_PER_ZONE 5
 #define USED_FACTOR 3.0
 
@@ -422,7 +420,7 @@
 /* Makes a path of what was FOUND over ENGINES.  */
 static struct fst_path *
 make_path (const struct flt_engine *engine, const struct pth_path *found,
-           const GPtrArray *engines, uint32_t home_zone)
+           const GPtrArray *engines)
 {
   struct fst_path *path = g_new0 (struct fst_path, 1);
   GString *text = g_string_new (NULL);
@@ -430,7 +428,6 @@
   path->count = found->count;
   path->parts = g_new (struct fst_endpoint *, found->count);
   path->layers = g_new (struct rst_layers, found->count);
-  path->home_zone = home_zone;
   for (uint32_t i = 0; i < found->count; i++)
     {
       struct fst_endpoint *part
@@ -460,31 +457,43 @@
   return false;
 }
 
-/* Adds the best path that prefers ZONE to PATHS, and makes the engines on it
-   dearer for the next search.  Returns false when there is no other path.  */
+/* Returns the number of times that PATH goes to another data centre.  */
+static uint32_t
+count_crossings (const struct fst_path *path)
+{
+  uint32_t crossings = 0;
+  for (uint32_t i = 1; i < path->count; i++)
+    {
+      crossings += path->parts[i]->zone != path->parts[i - 1]->zone;
+    }
+  return crossings;
+}
+
+/* Adds the best path over ENGINES to PATHS, and makes the engines on it dearer
+   for the next search.  Returns false when there is no path.  */
 static bool
-add_path (GPtrArray *paths, const struct flt_engine *engine, uint32_t zone,
+add_path (GPtrArray *paths, const struct flt_engine *engine,
           const GPtrArray *engines, struct pth_card *cards)
 {
   const struct pth_costs costs = {
     .layers = engine->layers,
-    .home_zone = zone,
     .hop_ms = HOP_MS,
     .zone_hop_ms = ZONE_HOP_MS,
-    .away_factor = AWAY_FACTOR,
   };
   struct pth_path found;
   if (!pth_find (&costs, cards, engines->len, &found))
     {
       return false;
     }
-  struct fst_path *path = make_path (engine, &found, engines, zone);
+  struct fst_path *path = make_path (engine, &found, engines);
   if (knows_path (paths, path->text))
     {
       fst_release_path (path);
-      return false;
     }
-  g_ptr_array_add (paths, path);
+  else
+    {
+      g_ptr_array_add (paths, path);
+    }
   for (uint32_t i = 0; i < found.count; i++)
     {
       cards[found.parts[i].card].layer_ms *= USED_FACTOR;
@@ -492,6 +501,26 @@
   return true;
 }
 
+/* Leaves only those of PATHS that go between data centres least often: a
+   prompt takes a good part of the links between them, which all paths
+   share.  */
+static void
+drop_crossing_paths (GPtrArray *paths)
+{
+  uint32_t least = UINT32_MAX;
+  for (guint i = 0; i < paths->len; i++)
+    {
+      least = MIN (least, count_crossings (g_ptr_array_index (paths, i)));
+    }
+  for (guint i = paths->len; i-- > 0;)
+    {
+      if (count_crossings (g_ptr_array_index (paths, i)) > least)
+        {
+          g_ptr_array_remove_index (paths, i);
+        }
+    }
+}
+
 /* Divides the memory of requests of ENGINES among PATHS.  */
 static void
 set_rooms (const GPtrArray *paths, const GPtrArray *engines)
@@ -541,8 +570,8 @@
   };
 }
 
-/* Adds the paths of the service INDEX to PATHS, several for each data centre,
-   over engines that differ as far as that can be.  */
+/* Adds the paths of the service INDEX to PATHS, over engines that differ as
+   far as that can be.  */
 static void
 add_paths (struct fst_fleet *fleet, uint32_t index, GPtrArray *paths,
            bool last_resort, int64_t now_us)
@@ -562,18 +591,13 @@
           g_ptr_array_add (engines, endpoint);
         }
     }
-  for (uint32_t zone = 0; zone < fleet->zones->len; zone++)
+  uint32_t turns = PATHS_PER_ZONE * fleet->zones->len;
+  while (turns > 0
+         && add_path (paths, engine, engines, (struct pth_card *)cards->data))
     {
-      struct pth_card *priced
-          = g_memdup2 (cards->data, cards->len * sizeof (struct pth_card));
-      uint32_t found = 0;
-      while (found < PATHS_PER_ZONE
-             && add_path (paths, engine, zone, engines, priced))
-        {
-          found++;
-        }
-      g_free (priced);
+      turns--;
     }
+  drop_crossing_paths (paths);
   set_rooms (paths, engines);
   g_ptr_array_free (engines, TRUE);
   g_array_free (cards, TRUE);
@@ -648,7 +672,7 @@
       struct fst_path *path = g_ptr_array_index (state->paths, i);
       double fill = path_fill (fleet, path, tokens);
       double overfull = MAX (fill - FULL_SHARE, 0);
-      double weight = (path->home_zone == home ? HOME_WEIGHT : 1)
+      double weight = (path->parts[0]->zone == home ? HOME_WEIGHT : 1)
                       * path->room_tokens / sqrt (path->token_ms);
       double cost = path_load (path, tokens) * (1 + OVERFULL_FACTOR * overfull)
                     / weight;
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -40,7 +40,6 @@
   double token_ms;
   double room_tokens; /* memory of requests of its smallest part, divided by
                          the number of paths over that part */
-  uint32_t home_zone;
 };
 
 struct fst_fleet;
