--- a/src/config/entry_settings.c
+++ b/src/config/entry_settings.c
@@ -9,6 +9,7 @@
 #define SETTINGS_BYTES_MAX ((size_t)64 * 1024)
 #define DEPTH_MAX 2
 #define NODES_MAX 200
+#define RELAYS_MAX 16
 #define DURATION_MS_MAX 3600000
 #define MS_US 1000
 #define S_US 1000000
@@ -48,6 +49,12 @@
   ADDRESS (ready_address),
   ADDRESS (metrics_address),
   ADDRESS (store_address),
+  ADDRESS (relay_address),
+  { .key = "relays",
+    .type = SCH_STRINGS,
+    SCH_AT (struct ens_settings, relays),
+    .max = RELAYS_MAX,
+    .check = sch_check_address },
   { .key = "store_partitions",
     .type = SCH_UNSIGNED,
     SCH_AT (struct ens_settings, store_partitions),
@@ -150,5 +157,7 @@
   g_free (settings->ready_address);
   g_free (settings->metrics_address);
   g_free (settings->store_address);
+  g_free (settings->relay_address);
+  g_strfreev (settings->relays);
   g_free (settings);
 }
--- a/src/config/entry_settings.h
+++ b/src/config/entry_settings.h
@@ -13,6 +13,8 @@
   char *ready_address;
   char *metrics_address;
   char *store_address;
+  char *relay_address;       /* where other daemons ask this one */
+  char **relays;             /* addresses of daemons to ask; NULL-terminated */
   uint32_t store_partitions; /* of each topic */
   uint32_t memory_mb;
   uint32_t descriptors;
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -2,6 +2,10 @@
 
 #include <string.h>
 
+/* Share of the budget that is used: windows of others begin elsewhere, and
+   daemons that start don't know what was spent before. */
+#define SAFE_SHARE 0.8
+
 /* Prepares BUDGET, with a small share of the slack until the number of daemons
    is known.  */
 void
@@ -60,7 +64,7 @@
     }
   double allowed = budget->params.ratio * requests
                    + budget->params.slack * budget->slack_share;
-  return repeats + 1 <= allowed;
+  return repeats + 1 <= allowed * SAFE_SHARE;
 }
 
 /* Takes one repeat out of BUDGET.  Returns false when it is spent.  */
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -14,18 +14,24 @@
    and the constant beside them. */
 #define SILENCE_PAUSES 4.0
 #define SILENCE_US (60 * CLK_MS_US)
-#define SILENCE_LEAST_US (150 * CLK_MS_US)
+#define SILENCE_LEAST_US (100 * CLK_MS_US)
 #define SILENCE_MOST_US (700 * CLK_MS_US)
 
 /* The same before its first event, in usual times to it. */
 #define FIRST_PAUSES 3.0
-#define FIRST_LEAST_US (300 * CLK_MS_US)
+#define FIRST_LEAST_US (160 * CLK_MS_US)
 
 /* While it stays silent it is looked at again after this time. */
-#define LOOK_AGAIN_US (100 * CLK_MS_US)
+#define LOOK_AGAIN_US (50 * CLK_MS_US)
 
-/* Between two questions to one engine, and how long an answer may take. */
-#define ASK_AGAIN_US (200 * CLK_MS_US)
+/* Between two questions to one engine: the first pause, since its report lags,
+   and the longest, which follows answers that name no stall.  A pause that has
+   been over for some time begins anew. */
+#define ASK_AGAIN_US (90 * CLK_MS_US)
+#define ASK_LATEST_US (800 * CLK_MS_US)
+#define ASK_ANEW_US (2 * CLK_S_US)
+
+/* How long an answer may take. */
 #define ASK_MS 400
 
 #define STATUS_OK 200
@@ -37,6 +43,7 @@
   struct fst_endpoint *engine; /* reference */
   bool open;
   int64_t asked_us;
+  int64_t pause_us; /* before the next question */
 };
 
 static void look (struct exchange *exchange);
@@ -156,6 +163,10 @@
                ? "-"
                : ((struct pfr_stall *)g_ptr_array_index (stalls, 0))->address);
   inquiry->open = false;
+  if (stalls != NULL && stalls->len > 0)
+    {
+      inquiry->pause_us = ASK_AGAIN_US;
+    }
   if (stalls != NULL)
     {
       take_stalls (traffic, inquiry->engine, stalls);
@@ -191,10 +202,13 @@
       inquiry->engine = fst_reference (engine);
       g_hash_table_insert (traffic->inquiries, engine->id, inquiry);
     }
-  else if (inquiry->open || now_us - inquiry->asked_us < ASK_AGAIN_US)
+  else if (inquiry->open || now_us - inquiry->asked_us < inquiry->pause_us)
     {
       return;
     }
+  bool anew = now_us - inquiry->asked_us > ASK_ANEW_US;
+  inquiry->pause_us
+      = anew ? ASK_AGAIN_US : MIN (inquiry->pause_us * 2, ASK_LATEST_US);
   inquiry->open = true;
   inquiry->asked_us = now_us;
   const struct cal_params params = {
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -6,6 +6,7 @@
 #include "core/roster.h"
 #include "entry/group.h"
 #include "entry/placing.h"
+#include "entry/relay.h"
 #include "entry/topic.h"
 #include "platform/configuration.h"
 #include "platform/runner.h"
@@ -46,6 +47,8 @@
   struct ncl_client *client;
   struct tpc_topic *operator_topic;
   struct tpc_topic *endpoint_topic;
+  struct rly_relay *relay;
+  GPtrArray *relays; /* addresses of other daemons' relays, NULL-terminated */
   struct grp_group *group;
   struct plc_placing *placing;
   struct flt_config *config;
@@ -104,17 +107,20 @@
 static void
 on_operator_record (void *context, const struct pfs_record *record)
 {
+  struct fct_control *control = context;
   if (strcmp (record->key, PFS_CONFIGURATION_KEY) == 0
       && record->value != NULL)
     {
-      take_configuration (context, record);
+      rly_put (control->relay, PFS_OPERATOR_TOPIC, record);
+      take_configuration (control, record);
     }
 }
 
 static void
-on_operator_current (void *context, int64_t proved_us)
+on_operator_current (void *context, int64_t proved_us, uint64_t end)
 {
   struct fct_control *control = context;
+  rly_current (control->relay, PFS_OPERATOR_TOPIC, end, proved_us);
   publish (control);
   if (control->config != NULL)
     {
@@ -129,10 +135,10 @@
 }
 
 static void
-ignore_end (void *context, uint64_t end)
+on_operator_end (void *context, uint64_t end)
 {
-  (void)context;
-  (void)end;
+  struct fct_control *control = context;
+  rly_restart (control->relay, PFS_OPERATOR_TOPIC, end);
 }
 
 static void
@@ -144,7 +150,7 @@
 
 static const struct tpc_events operator_events = {
   .begin_full = ignore,
-  .end_full = ignore_end,
+  .end_full = on_operator_end,
   .record = on_operator_record,
   .current = on_operator_current,
   .outage = ignore_outage,
@@ -170,6 +176,10 @@
                      ? rst_take (control->roster, endpoint, record->offset)
                      : rst_remove (control->roster, record->key,
                                    record->offset, clk_monotonic_us ());
+  if (changed || endpoint == NULL)
+    {
+      rly_put (control->relay, PFS_ENDPOINT_TOPIC, record);
+    }
   if (changed)
     {
       lg_line (LOG_INFO, "endpoint_changed",
@@ -194,15 +204,16 @@
 on_endpoint_end (void *context, uint64_t end)
 {
   struct fct_control *control = context;
+  rly_restart (control->relay, PFS_ENDPOINT_TOPIC, end);
   control->changed |= rst_end_full (control->roster, end, clk_monotonic_us ());
   publish (control);
 }
 
 static void
-on_endpoint_current (void *context, int64_t proved_us)
+on_endpoint_current (void *context, int64_t proved_us, uint64_t end)
 {
-  (void)proved_us;
   struct fct_control *control = context;
+  rly_current (control->relay, PFS_ENDPOINT_TOPIC, end, proved_us);
   rst_contact (control->roster, clk_monotonic_us ());
   publish (control);
 }
@@ -250,6 +261,7 @@
   tpc_destroy (control->endpoint_topic);
   plc_destroy (control->placing);
   grp_destroy (control->group);
+  rly_destroy (control->relay);
   ncl_destroy (control->client);
   uv_close ((uv_handle_t *)&control->tick, NULL);
   uv_close ((uv_handle_t *)&control->leave, NULL);
@@ -265,6 +277,7 @@
     .loop = &control->loop,
     .address = control->settings->store_address,
     .topic = PFS_OPERATOR_TOPIC,
+    .relays = (const char *const *)control->relays->pdata,
     .wait_ms = (uint32_t)((double)control->settings->revoke_us
                           * CONFIG_WAIT_SHARE / CLK_MS_US),
     .events = &operator_events,
@@ -279,6 +292,24 @@
   control->endpoint_topic = tpc_create (&params);
 }
 
+/* Finds the relays that this daemon asks: none if it is one itself.  */
+static void
+find_relays (struct fct_control *control)
+{
+  char **listed = control->settings->relays;
+  bool is_relay = false;
+  control->relays = g_ptr_array_new ();
+  for (guint i = 0; listed != NULL && listed[i] != NULL; i++)
+    {
+      is_relay |= strcmp (listed[i], control->settings->relay_address) == 0;
+    }
+  for (guint i = 0; !is_relay && listed != NULL && listed[i] != NULL; i++)
+    {
+      g_ptr_array_add (control->relays, listed[i]);
+    }
+  g_ptr_array_add (control->relays, NULL);
+}
+
 /* Joins the group, under a name that no earlier start of this daemon had.  */
 static void
 join_group (struct fct_control *control)
@@ -335,6 +366,12 @@
   uv_timer_init (&control->loop, &control->tick);
   control->tick.data = control;
   uv_timer_start (&control->tick, on_tick, TICK_MS, TICK_MS);
+  control->relay = rly_create (&control->loop, settings->relay_address, error);
+  if (control->relay == NULL)
+    {
+      return NULL; /* the process ends */
+    }
+  find_relays (control);
   join_group (control);
   const struct plc_params placing_params = {
     .client = control->client,
@@ -375,5 +412,6 @@
   fvw_release (control->view);
   flt_release (control->config);
   rst_destroy (control->roster);
+  g_ptr_array_free (control->relays, TRUE);
   g_free (control);
 }
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -91,11 +91,15 @@
   return view;
 }
 
-/* Notes that the configuration in force was the newest at PROVED_US.  */
+/* Notes that the configuration in force was the newest at PROVED_US.  Called
+   by the control thread only.  */
 void
 fvw_set_proved (struct fvw_store *store, int64_t proved_us)
 {
-  atomic_store (&store->proved_us, proved_us);
+  if (proved_us > atomic_load (&store->proved_us))
+    {
+      atomic_store (&store->proved_us, proved_us);
+    }
 }
 
 /* Returns the moment of fvw_set_proved, or 0.  */
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "entry/relay.h"
 #include "net/call.h"
 
 #include <string.h>
@@ -16,6 +17,16 @@
 /* A topic that can't be read so long is out. */
 #define OUTAGE_US (1500 * CLK_MS_US)
 
+/* How long a relay may wait for news. */
+#define RELAY_WAIT_MS 1000
+
+/* At least this passes between two answers of a relay. */
+#define RELAY_PACE_MS 150
+
+/* After a start or a failure the store itself is read for this time at least,
+   and twice as long at most, before a relay is asked. */
+#define STORE_ONLY_MS 3000
+
 #define STATUS_OK 200
 #define STATUS_GONE 410
 
@@ -30,6 +41,10 @@
   uint64_t list_end; /* of the topic when the listing began */
   int64_t list_us;   /* when that was */
   uint64_t next;     /* offset to read from */
+  uint32_t relay_count;
+  uint32_t relay; /* index of the one in use */
+  bool at_relay;
+  int64_t store_until_us; /* no relay is asked before */
   int64_t sent_us;
   int64_t last_good_us;
   bool failed; /* the call before this one */
@@ -59,6 +74,41 @@
   g_clear_pointer (&topic->after, g_free);
 }
 
+/* Lets the store itself be read for a while.  */
+static void
+go_to_store (struct tpc_topic *topic)
+{
+  topic->at_relay = false;
+  topic->store_until_us
+      = clk_monotonic_us ()
+        + g_random_int_range (STORE_ONLY_MS, 2 * STORE_ONLY_MS) * CLK_MS_US;
+}
+
+/* Moves on to a relay when it is time for that.  */
+static void
+choose_source (struct tpc_topic *topic)
+{
+  if (topic->relay_count > 0 && !topic->at_relay && !topic->listing
+      && !topic->failed && clk_monotonic_us () >= topic->store_until_us)
+    {
+      topic->at_relay = true;
+      topic->relay
+          = (uint32_t)g_random_int_range (0, (gint32)topic->relay_count);
+    }
+}
+
+/* Takes a relay's failure: the store is read at once instead.  */
+static void
+leave_relay (struct tpc_topic *topic, uint32_t status, const char *why)
+{
+  lg_line (LOG_INFO, "relay_left", "topic=%s relay=%s status=%u why=\"%s\"",
+           topic->params.topic, topic->params.relays[topic->relay], status,
+           why);
+  go_to_store (topic);
+  topic->failed = true;
+  step (topic);
+}
+
 /* Takes a failed call: tries again after a pause.  */
 static void
 take_failure (struct tpc_topic *topic, uint32_t status, const char *why)
@@ -136,8 +186,8 @@
           topic->next = topic->list_end;
           topic->params.events->end_full (topic->params.context,
                                           topic->list_end);
-          topic->params.events->current (topic->params.context,
-                                         topic->list_us);
+          topic->params.events->current (topic->params.context, topic->list_us,
+                                         topic->list_end);
         }
     }
   pfs_clear_page (&page);
@@ -162,8 +212,8 @@
       else if (!page.more)
         {
           topic->next = page.end;
-          topic->params.events->current (topic->params.context,
-                                         topic->sent_us);
+          topic->params.events->current (topic->params.context, topic->sent_us,
+                                         topic->next);
         }
       else if (page.records->len > 0)
         {
@@ -176,12 +226,38 @@
   return valid;
 }
 
+/* Takes an answer of a relay.  */
+static bool
+take_relayed (struct tpc_topic *topic, const uint8_t *body, size_t body_bytes,
+              GError **error)
+{
+  struct pfs_page page;
+  int64_t lead_us = 0;
+  bool valid = rly_decode (body, body_bytes, &page, &lead_us, error);
+  if (valid)
+    {
+      take_success (topic);
+      tell_records (topic, &page);
+      topic->next = MAX (topic->next, page.end);
+      topic->params.events->current (topic->params.context,
+                                     topic->sent_us + lead_us, topic->next);
+    }
+  pfs_clear_page (&page);
+  return valid;
+}
+
 static void
 on_answer (void *context, uint32_t status, const uint8_t *body,
            size_t body_bytes, const char *why)
 {
   struct tpc_topic *topic = context;
   topic->call = NULL;
+  bool relayed = topic->at_relay;
+  if (relayed && status != STATUS_OK)
+    {
+      leave_relay (topic, status, why);
+      return;
+    }
   if (status == STATUS_GONE && !topic->listing)
     {
       lg_line (LOG_NOTICE, "history_lost", "topic=%s offset=%lu",
@@ -197,14 +273,21 @@
     }
   g_autoptr (GError) error = NULL;
   bool listed = topic->listing;
-  bool valid = listed ? take_listing (topic, body, body_bytes, &error)
-                      : take_read (topic, body, body_bytes, &error);
+  bool valid = relayed  ? take_relayed (topic, body, body_bytes, &error)
+               : listed ? take_listing (topic, body, body_bytes, &error)
+                        : take_read (topic, body, body_bytes, &error);
+  if (!valid && relayed)
+    {
+      leave_relay (topic, status, error->message);
+      return;
+    }
   if (!valid)
     {
       take_failure (topic, 0, error->message);
       return;
     }
-  step_after (topic, listed || topic->listing ? 0 : topic->params.pace_ms);
+  uint32_t pace_ms = relayed ? RELAY_PACE_MS : topic->params.pace_ms;
+  step_after (topic, listed || topic->listing ? 0 : pace_ms);
 }
 
 /* Makes the next call.  */
@@ -214,13 +297,21 @@
   /* After a failure the state is wanted now, not with the next change. */
   bool at_once = topic->listing || topic->failed;
   uint32_t wait_ms = at_once ? 0 : topic->params.wait_ms;
-  char *path = topic->listing
+  choose_source (topic);
+  if (topic->at_relay)
+    {
+      wait_ms = RELAY_WAIT_MS;
+    }
+  char *path = topic->at_relay
+                   ? rly_path (topic->params.topic, topic->next, wait_ms)
+               : topic->listing
                    ? pfs_newest_path (topic->params.topic, topic->after)
                    : pfs_read_path (topic->params.topic, topic->next, wait_ms);
   const struct cal_params params = {
     .client = topic->params.client,
     .loop = topic->params.loop,
-    .address = topic->address,
+    .address
+    = topic->at_relay ? topic->params.relays[topic->relay] : topic->address,
     .method = "GET",
     .path = path,
     .timeout_ms = wait_ms + ANSWER_MS,
@@ -242,6 +333,11 @@
   topic->failed = false;
   topic->retry_ms = RETRY_FIRST_MS;
   topic->last_good_us = clk_monotonic_us ();
+  while (params->relays != NULL && params->relays[topic->relay_count] != NULL)
+    {
+      topic->relay_count++;
+    }
+  go_to_store (topic);
   uv_timer_init (params->loop, &topic->timer);
   topic->timer.data = topic;
   begin_listing (topic);
--- a/src/entry/topic.h
+++ b/src/entry/topic.h
@@ -13,8 +13,9 @@
   void (*begin_full) (void *context);
   void (*end_full) (void *context, uint64_t end);
   void (*record) (void *context, const struct pfs_record *record);
-  /* All records that were there at PROVED_US have been told. */
-  void (*current) (void *context, int64_t proved_us);
+  /* All records that were there at PROVED_US, up to the offset END, have been
+     told. */
+  void (*current) (void *context, int64_t proved_us, uint64_t end);
   /* The topic can't be read; `current' ends this. */
   void (*outage) (void *context, const char *why);
 };
@@ -25,8 +26,10 @@
   uv_loop_t *loop;
   const char *address; /* of the store */
   const char *topic;
-  uint32_t wait_ms; /* an answer waits so long for a record */
-  uint32_t pace_ms; /* between an answer and the next call */
+  const char *const *relays; /* addresses of daemons that may be asked in the
+                                store's place, NULL-terminated */
+  uint32_t wait_ms;          /* an answer waits so long for a record */
+  uint32_t pace_ms;          /* between an answer and the next call */
   const struct tpc_events *events;
   void *context;
 };
