Send readers that waited across a whole reading to the store; relays as a second way

(1) readers that waited while a relay read its topic as a whole were told the new end without the removals before it, and went on using engines that were gone (7,400 answers 421). (2) relays called their own proofs too old, so their readers fell back to the store all at once, whose shared read rate then ended every read that was given up after the same 0.9 s. Change: a waiting reader below the floor is sent to the store; relays ask more often; a read that came too late may take longer next time and lists instead; a daemon that can't reach the store asks a relay.

--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -22,6 +22,9 @@
    as old. */
 #define CONFIG_WAIT_SHARE 0.36
 
+/* The same for a daemon whose proofs others rely on, which age on the way. */
+#define RELAY_WAIT_SHARE 0.18
+
 /* Share of the time in which a leaving endpoint may still get work that passes
    between two readings of the list; the rest is for the store's answer. */
 #define LIST_PACE_SHARE 0.5
@@ -48,6 +51,7 @@
   struct tpc_topic *operator_topic;
   struct tpc_topic *endpoint_topic;
   struct rly_relay *relay;
+  bool is_relay;     /* other daemons ask this one */
   GPtrArray *relays; /* addresses of other daemons' relays, NULL-terminated */
   struct grp_group *group;
   struct plc_placing *placing;
@@ -278,8 +282,11 @@
     .address = control->settings->store_address,
     .topic = PFS_OPERATOR_TOPIC,
     .relays = (const char *const *)control->relays->pdata,
-    .wait_ms = (uint32_t)((double)control->settings->revoke_us
-                          * CONFIG_WAIT_SHARE / CLK_MS_US),
+    .relays_first = !control->is_relay,
+    .wait_ms
+    = (uint32_t)((double)control->settings->revoke_us
+                 * (control->is_relay ? RELAY_WAIT_SHARE : CONFIG_WAIT_SHARE)
+                 / CLK_MS_US),
     .events = &operator_events,
     .context = control,
   };
@@ -292,20 +299,23 @@
   control->endpoint_topic = tpc_create (&params);
 }
 
-/* Finds the relays that this daemon asks: none if it is one itself.  */
+/* Finds the relays that this daemon asks, and whether it is one itself.  */
 static void
 find_relays (struct fct_control *control)
 {
   char **listed = control->settings->relays;
-  bool is_relay = false;
   control->relays = g_ptr_array_new ();
   for (guint i = 0; listed != NULL && listed[i] != NULL; i++)
     {
-      is_relay |= strcmp (listed[i], control->settings->relay_address) == 0;
+      control->is_relay
+          |= strcmp (listed[i], control->settings->relay_address) == 0;
     }
-  for (guint i = 0; !is_relay && listed != NULL && listed[i] != NULL; i++)
+  for (guint i = 0; listed != NULL && listed[i] != NULL; i++)
     {
-      g_ptr_array_add (control->relays, listed[i]);
+      if (strcmp (listed[i], control->settings->relay_address) != 0)
+        {
+          g_ptr_array_add (control->relays, listed[i]);
+        }
     }
   g_ptr_array_add (control->relays, NULL);
 }
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -11,7 +11,7 @@
 
 /* A relay that hasn't reached the store for so long sends its readers there.
  */
-#define PROOF_AGE_MAX_US (2500 * CLK_MS_US)
+#define PROOF_AGE_MAX_US (2800 * CLK_MS_US)
 
 /* Records that are told at once. */
 #define RECORDS_MAX 4096
@@ -103,11 +103,17 @@
 }
 
 /* Answers CONNECTION, whose request arrived at ARRIVED_US, with the changes of
-   MIRROR from the offset FROM on.  */
+   MIRROR from the offset FROM on, or sends it to the store if removals since
+   then aren't known.  */
 static void
 answer (const struct mirror *mirror, struct nsv_connection *connection,
         uint64_t from, int64_t arrived_us)
 {
+  if (from < mirror->floor)
+    {
+      nsv_answer (connection, STATUS_GONE, "", "", 0);
+      return;
+    }
   GArray *records = g_array_new (FALSE, FALSE, sizeof (RelayRecord));
   GHashTableIter iter;
   gpointer value;
@@ -231,11 +237,9 @@
     {
       nsv_answer (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, "", "", 0);
     }
-  else if (from < mirror->floor)
-    {
-      nsv_answer (connection, STATUS_GONE, "", "", 0);
-    }
-  else if (g_hash_table_size (mirror->changes) > 0 && from <= mirror->newest)
+  else if (from < mirror->floor
+           || (g_hash_table_size (mirror->changes) > 0
+               && from <= mirror->newest))
     {
       answer (mirror, connection, from, now_us);
     }
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -7,8 +7,11 @@
 
 #include <string.h>
 
-/* How long an answer may take beyond the wait that was asked for. */
+/* How long an answer may take beyond the wait that was asked for: at first,
+   and at most after answers that came too late.  Reads that are given up still
+   cost the store its rate, so that ever the same bound could end them all. */
 #define ANSWER_MS 900
+#define ANSWER_LONGEST_MS 4000
 
 /* Pauses after failed calls: the first, and the longest. */
 #define RETRY_FIRST_MS 150
@@ -47,7 +50,10 @@
   int64_t store_until_us; /* no relay is asked before */
   int64_t sent_us;
   int64_t last_good_us;
-  bool failed; /* the call before this one */
+  bool failed;        /* the call before this one */
+  bool store_failed;  /* it was made to the store */
+  bool must_list;     /* only a reading of all keys helps */
+  uint32_t answer_ms; /* how long the next answer may take */
   uint32_t retry_ms;
   bool out;
 };
@@ -84,17 +90,21 @@
         + g_random_int_range (STORE_ONLY_MS, 2 * STORE_ONLY_MS) * CLK_MS_US;
 }
 
-/* Moves on to a relay when it is time for that.  */
+/* Moves on to a relay when it is time for that, or when the store failed.  A
+   topic that has to be read as a whole is read in the store.  */
 static void
 choose_source (struct tpc_topic *topic)
 {
-  if (topic->relay_count > 0 && !topic->at_relay && !topic->listing
-      && !topic->failed && clk_monotonic_us () >= topic->store_until_us)
+  bool chosen = topic->params.relays_first
+                && clk_monotonic_us () >= topic->store_until_us;
+  if (topic->relay_count > 0 && !topic->at_relay && !topic->must_list
+      && (topic->store_failed || chosen))
     {
       topic->at_relay = true;
       topic->relay
           = (uint32_t)g_random_int_range (0, (gint32)topic->relay_count);
     }
+  topic->store_failed = false;
 }
 
 /* Takes a relay's failure: the store is read at once instead.  */
@@ -127,6 +137,13 @@
       topic->params.events->outage (topic->params.context, reason);
     }
   topic->failed = true;
+  topic->store_failed = true;
+  if (status == 0)
+    {
+      /* What was appended meanwhile may be more than all keys together. */
+      topic->answer_ms = MIN (topic->answer_ms * 2, ANSWER_LONGEST_MS);
+      begin_listing (topic);
+    }
   uint32_t jitter_ms = g_random_int_range (0, RETRY_FIRST_MS);
   step_after (topic, topic->retry_ms + jitter_ms);
   topic->retry_ms = MIN (topic->retry_ms * 2, RETRY_LONGEST_MS);
@@ -137,6 +154,7 @@
 take_success (struct tpc_topic *topic)
 {
   topic->failed = false;
+  topic->answer_ms = ANSWER_MS;
   topic->retry_ms = RETRY_FIRST_MS;
   topic->last_good_us = clk_monotonic_us ();
   if (topic->out)
@@ -183,6 +201,7 @@
       else
         {
           topic->listing = false;
+          topic->must_list = false;
           topic->next = topic->list_end;
           topic->params.events->end_full (topic->params.context,
                                           topic->list_end);
@@ -208,6 +227,7 @@
       if (page.end < topic->next)
         {
           begin_listing (topic); /* the topic was made anew */
+          topic->must_list = true;
         }
       else if (!page.more)
         {
@@ -238,6 +258,7 @@
     {
       take_success (topic);
       tell_records (topic, &page);
+      topic->listing = false;
       topic->next = MAX (topic->next, page.end);
       topic->params.events->current (topic->params.context,
                                      topic->sent_us + lead_us, topic->next);
@@ -263,6 +284,7 @@
       lg_line (LOG_NOTICE, "history_lost", "topic=%s offset=%lu",
                topic->params.topic, (unsigned long)topic->next);
       begin_listing (topic);
+      topic->must_list = true;
       step (topic);
       return;
     }
@@ -294,14 +316,12 @@
 static void
 step (struct tpc_topic *topic)
 {
+  choose_source (topic);
   /* After a failure the state is wanted now, not with the next change. */
   bool at_once = topic->listing || topic->failed;
-  uint32_t wait_ms = at_once ? 0 : topic->params.wait_ms;
-  choose_source (topic);
-  if (topic->at_relay)
-    {
-      wait_ms = RELAY_WAIT_MS;
-    }
+  uint32_t wait_ms = topic->at_relay ? RELAY_WAIT_MS
+                     : at_once       ? 0
+                                     : topic->params.wait_ms;
   char *path = topic->at_relay
                    ? rly_path (topic->params.topic, topic->next, wait_ms)
                : topic->listing
@@ -314,7 +334,7 @@
     = topic->at_relay ? topic->params.relays[topic->relay] : topic->address,
     .method = "GET",
     .path = path,
-    .timeout_ms = wait_ms + ANSWER_MS,
+    .timeout_ms = wait_ms + topic->answer_ms,
     .done = on_answer,
     .context = topic,
   };
@@ -332,6 +352,7 @@
   topic->address = g_strdup (params->address);
   topic->failed = false;
   topic->retry_ms = RETRY_FIRST_MS;
+  topic->answer_ms = ANSWER_MS;
   topic->last_good_us = clk_monotonic_us ();
   while (params->relays != NULL && params->relays[topic->relay_count] != NULL)
     {
@@ -341,6 +362,7 @@
   uv_timer_init (params->loop, &topic->timer);
   topic->timer.data = topic;
   begin_listing (topic);
+  topic->must_list = true;
   step (topic);
   return topic;
 }
--- a/src/entry/topic.h
+++ b/src/entry/topic.h
@@ -28,8 +28,9 @@
   const char *topic;
   const char *const *relays; /* addresses of daemons that may be asked in the
                                 store's place, NULL-terminated */
-  uint32_t wait_ms;          /* an answer waits so long for a record */
-  uint32_t pace_ms;          /* between an answer and the next call */
+  bool relays_first; /* asked by choice; else only while the store fails */
+  uint32_t wait_ms;  /* an answer waits so long for a record */
+  uint32_t pace_ms;  /* between an answer and the next call */
   const struct tpc_events *events;
   void *context;
 };
--- /dev/null
+++ b/test/relay_test.c
@@ -0,0 +1,259 @@
+#include "base/clock.h"
+#include "entry/relay.h"
+#include "net/call.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <string.h>
+#include <unistd.h>
+
+#define TOPIC "keyed.servers"
+#define WAIT_MS 150
+#define RECORDS_MAX 4
+
+/* What a daemon got of a relay. */
+struct answer
+{
+  bool over;
+  uint32_t status;
+  char keys[64]; /* of records, a removal after a minus */
+  uint64_t end;
+  int64_t proof_lead_us;
+};
+
+enum act
+{
+  ACT_NOTHING,
+  ACT_PUT, /* `key' at `offset' */
+  ACT_REMOVE,
+  ACT_CURRENT, /* read up to `offset', proved now */
+  ACT_RESTART  /* read as a whole when it ended at `offset' */
+};
+
+struct step
+{
+  enum act act;
+  const char *key;
+  uint64_t offset;
+};
+
+struct row
+{
+  const char *name;
+  struct step before[RECORDS_MAX];
+  uint64_t from;
+  struct step during[RECORDS_MAX]; /* while the daemon waits */
+  uint32_t status;
+  const char *keys;
+  uint64_t end;
+};
+
+static const struct row rows[] = {
+  { "nothing was read yet",
+    { { ACT_NOTHING, NULL, 0 } },
+    0,
+    { { ACT_NOTHING, NULL, 0 } },
+    503,
+    "",
+    0 },
+  { "what changed is told at once",
+    { { ACT_PUT, "a", 5 }, { ACT_PUT, "b", 6 }, { ACT_CURRENT, NULL, 7 } },
+    6,
+    { { ACT_NOTHING, NULL, 0 } },
+    200,
+    "b ",
+    7 },
+  { "a removal is told",
+    { { ACT_PUT, "a", 5 }, { ACT_REMOVE, "a", 6 }, { ACT_CURRENT, NULL, 7 } },
+    5,
+    { { ACT_NOTHING, NULL, 0 } },
+    200,
+    "-a ",
+    7 },
+  { "without news the wait ends",
+    { { ACT_PUT, "a", 5 }, { ACT_CURRENT, NULL, 7 } },
+    7,
+    { { ACT_NOTHING, NULL, 0 } },
+    200,
+    "",
+    7 },
+  { "news end the wait",
+    { { ACT_PUT, "a", 5 }, { ACT_CURRENT, NULL, 7 } },
+    7,
+    { { ACT_PUT, "c", 8 }, { ACT_CURRENT, NULL, 9 } },
+    200,
+    "c ",
+    9 },
+  { "an older record changes nothing",
+    { { ACT_PUT, "a", 5 }, { ACT_REMOVE, "a", 4 }, { ACT_CURRENT, NULL, 7 } },
+    0,
+    { { ACT_NOTHING, NULL, 0 } },
+    200,
+    "a ",
+    7 },
+  { "who knows less than a whole reading is sent to the store",
+    { { ACT_PUT, "a", 9 },
+      { ACT_RESTART, NULL, 10 },
+      { ACT_CURRENT, NULL, 10 } },
+    7,
+    { { ACT_NOTHING, NULL, 0 } },
+    410,
+    "",
+    0 },
+  /* Found on a day that dropped the store's history: removals were lost. */
+  { "also if it waited while that was made",
+    { { ACT_PUT, "a", 5 }, { ACT_CURRENT, NULL, 7 } },
+    7,
+    { { ACT_RESTART, NULL, 10 }, { ACT_CURRENT, NULL, 10 } },
+    410,
+    "",
+    0 },
+};
+
+static void
+apply (struct rly_relay *relay, const struct step *step)
+{
+  struct pfs_record record = {
+    .key = (char *)step->key,
+    .offset = step->offset,
+    .value = step->act == ACT_PUT ? (uint8_t *)"v" : NULL,
+    .value_bytes = step->act == ACT_PUT ? 1 : 0,
+  };
+  switch (step->act)
+    {
+    case ACT_NOTHING:
+      break;
+    case ACT_PUT:
+    case ACT_REMOVE:
+      rly_put (relay, TOPIC, &record);
+      break;
+    case ACT_CURRENT:
+      rly_current (relay, TOPIC, step->offset, clk_monotonic_us ());
+      break;
+    case ACT_RESTART:
+      rly_restart (relay, TOPIC, step->offset);
+      break;
+    }
+}
+
+static void
+on_done (void *context, uint32_t status, const uint8_t *body,
+         size_t body_bytes, const char *why)
+{
+  (void)why;
+  struct answer *answer = context;
+  struct pfs_page page;
+  answer->over = true;
+  answer->status = status;
+  if (status != 200)
+    {
+      return;
+    }
+  assert_true (
+      rly_decode (body, body_bytes, &page, &answer->proof_lead_us, NULL));
+  for (guint i = 0; i < page.records->len; i++)
+    {
+      const struct pfs_record *record = g_ptr_array_index (page.records, i);
+      g_strlcat (answer->keys, record->value == NULL ? "-" : "",
+                 sizeof answer->keys);
+      g_strlcat (answer->keys, record->key, sizeof answer->keys);
+      g_strlcat (answer->keys, " ", sizeof answer->keys);
+    }
+  answer->end = page.end;
+  pfs_clear_page (&page);
+}
+
+/* Plays ROW on a relay of its own.  */
+static void
+play (const struct row *row, struct answer *answer)
+{
+  const struct ncl_params client_params
+      = { .connect_timeout_us = CLK_S_US, .silence_ms = 1000 };
+  char address[32];
+  uv_loop_t loop;
+  g_snprintf (address, sizeof address, "127.0.0.1:%d",
+              40000 + (int)(getpid () % 20000));
+  uv_loop_init (&loop);
+  struct rly_relay *relay = rly_create (&loop, address, NULL);
+  assert_non_null (relay);
+  struct ncl_client *client = ncl_create (&loop, &client_params);
+  for (size_t i = 0; i < RECORDS_MAX; i++)
+    {
+      apply (relay, &row->before[i]);
+    }
+  char *path = rly_path (TOPIC, row->from, WAIT_MS);
+  const struct cal_params params = {
+    .client = client,
+    .loop = &loop,
+    .address = address,
+    .method = "GET",
+    .path = path,
+    .timeout_ms = 2000,
+    .done = on_done,
+    .context = answer,
+  };
+  cal_send (&params);
+  int64_t change_us = clk_monotonic_us () + WAIT_MS / 3 * CLK_MS_US;
+  bool changed = false;
+  while (!answer->over)
+    {
+      usleep (1000);
+      uv_run (&loop, UV_RUN_NOWAIT);
+      bool due = !changed && clk_monotonic_us () >= change_us;
+      for (size_t i = 0; due && i < RECORDS_MAX; i++)
+        {
+          apply (relay, &row->during[i]);
+        }
+      changed |= due;
+    }
+  g_free (path);
+  ncl_destroy (client);
+  rly_destroy (relay);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  uv_loop_close (&loop);
+}
+
+static void
+test_rows (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct answer answer = { 0 };
+      play (&rows[i], &answer);
+      if (answer.status != rows[i].status
+          || strcmp (answer.keys, rows[i].keys) != 0
+          || answer.end != rows[i].end)
+        {
+          fail_msg ("%s: status %u, keys '%s', end %lu", rows[i].name,
+                    answer.status, answer.keys, (unsigned long)answer.end);
+        }
+      /* The proof of what a relay tells is never newer than the answer. */
+      assert_true (answer.proof_lead_us < CLK_S_US);
+    }
+}
+
+static void
+test_malformed (void **state)
+{
+  (void)state;
+  struct pfs_page page;
+  int64_t lead_us = 0;
+  g_autoptr (GError) error = NULL;
+  assert_false (rly_decode ("\xff\xff\xff", 3, &page, &lead_us, &error));
+  assert_non_null (error);
+  pfs_clear_page (&page);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_rows),
+    cmocka_unit_test (test_malformed),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
