End attempts only over proved deaths, give no slack at the start, relays only in large fleets

Change: death, refusal and doubt are told apart; an attempt is given up only with room for four repeats; no slack in the first window after a start; relays serve only fleets with more daemons than partitions, answer within a second and must be in touch themselves.

--- a/src/core/evidence.c
+++ b/src/core/evidence.c
@@ -41,6 +41,7 @@
 void
 evd_success (struct evd_evidence *evidence, int64_t latency_us)
 {
+  evidence->dead = false;
   evidence->failure_rate *= 1 - NEWEST_WEIGHT;
   evidence->latency_us = evidence->latency_us == 0
                              ? (double)latency_us
@@ -57,11 +58,17 @@
     }
 }
 
-/* Takes a failure; a CERTAIN one proves that the endpoint can't serve now.
-   Returns true when the endpoint stops being usable by it.  */
+/* Takes a failure, which is worth PROOF.  Returns true when the endpoint stops
+   being usable by it.  */
 bool
-evd_failure (struct evd_evidence *evidence, bool certain, int64_t now_us)
+evd_failure (struct evd_evidence *evidence, enum evd_proof proof,
+             int64_t now_us)
 {
+  bool certain = proof != EVD_DOUBT;
+  if (certain)
+    {
+      evidence->dead = proof == EVD_DEATH;
+    }
   evidence->failure_rate
       = evidence->failure_rate * (1 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
   if (evidence->state == EVD_RESTING)
--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -15,9 +15,18 @@
   EVD_PROVING  /* gets one request at a time */
 };
 
+/* What a failure proves. */
+enum evd_proof
+{
+  EVD_DOUBT,   /* little by itself */
+  EVD_REFUSAL, /* the endpoint lives, and can't serve now */
+  EVD_DEATH    /* it doesn't answer anybody */
+};
+
 struct evd_evidence
 {
   enum evd_state state;
+  bool dead;        /* since the last proof of either */
   uint32_t strikes; /* failures in a row that ended a good time */
   int64_t rest_until_us;
   double failure_rate; /* moving average, 0 to 1 */
@@ -29,6 +38,7 @@
 void evd_begin (struct evd_evidence *evidence);
 void evd_end (struct evd_evidence *evidence);
 void evd_success (struct evd_evidence *evidence, int64_t latency_us);
-bool evd_failure (struct evd_evidence *evidence, bool certain, int64_t now_us);
+bool evd_failure (struct evd_evidence *evidence, enum evd_proof proof,
+                  int64_t now_us);
 
 #endif
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -50,9 +50,9 @@
   budget->requests[budget->slot % RBG_SLOTS]++;
 }
 
-/* Returns true when BUDGET has room for one more repeat.  */
+/* Returns true when BUDGET has room for COUNT more repeats.  */
 bool
-rbg_allows (struct rbg_budget *budget, int64_t now_us)
+rbg_allows (struct rbg_budget *budget, uint32_t count, int64_t now_us)
 {
   advance (budget, now_us);
   uint32_t requests = 0;
@@ -62,16 +62,18 @@
       requests += budget->requests[i];
       repeats += budget->repeats[i];
     }
-  double allowed = budget->params.ratio * requests
-                   + budget->params.slack * budget->slack_share;
-  return repeats + 1 <= allowed * SAFE_SHARE;
+  double slack = now_us < budget->params.slack_from_us
+                     ? 0
+                     : budget->params.slack * budget->slack_share;
+  double allowed = budget->params.ratio * requests + slack;
+  return repeats + count <= allowed * SAFE_SHARE;
 }
 
 /* Takes one repeat out of BUDGET.  Returns false when it is spent.  */
 bool
 rbg_take (struct rbg_budget *budget, int64_t now_us)
 {
-  if (!rbg_allows (budget, now_us))
+  if (!rbg_allows (budget, 1, now_us))
     {
       return false;
     }
--- a/src/core/retry_budget.h
+++ b/src/core/retry_budget.h
@@ -14,6 +14,7 @@
   double ratio; /* repeats for each request */
   double slack; /* repeats in a window beside these, of all daemons */
   int64_t window_us;
+  int64_t slack_from_us; /* no slack before: it isn't known what was spent */
 };
 
 struct rbg_budget
@@ -28,7 +29,7 @@
 void rbg_start (struct rbg_budget *budget, const struct rbg_params *params);
 void rbg_set_share (struct rbg_budget *budget, double share);
 void rbg_request (struct rbg_budget *budget, int64_t now_us);
-bool rbg_allows (struct rbg_budget *budget, int64_t now_us);
+bool rbg_allows (struct rbg_budget *budget, uint32_t count, int64_t now_us);
 bool rbg_take (struct rbg_budget *budget, int64_t now_us);
 
 #endif
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -27,7 +27,7 @@
 
 /* Blames the engine that the endpoint named, or else the endpoint itself.  */
 void
-exg_blame (struct exchange *exchange, bool certain, const char *reason)
+exg_blame (struct exchange *exchange, enum evd_proof proof, const char *reason)
 {
   struct fst_fleet *fleet = exchange->traffic->fleet;
   struct fst_endpoint *culprit = exchange->endpoint;
@@ -40,7 +40,7 @@
     }
   if (culprit != NULL)
     {
-      fst_blame (fleet, culprit, certain, reason, clk_monotonic_us ());
+      fst_blame (fleet, culprit, proof, reason, clk_monotonic_us ());
     }
 }
 
@@ -192,7 +192,7 @@
       || !exchange->answer_begun
       || (exchange->ends_with_connection && exchange->answer_chunked))
     {
-      exg_blame (exchange, false, "the stream ended within an event");
+      exg_blame (exchange, EVD_DOUBT, "the stream ended within an event");
       exg_end_attempt (exchange, ATT_SPOILED);
       return;
     }
@@ -225,11 +225,12 @@
     }
   if (exchange->not_executed)
     {
-      exg_blame (exchange, exchange->path != NULL, "it didn't run a request");
+      exg_blame (exchange, exchange->path != NULL ? EVD_REFUSAL : EVD_DOUBT,
+                 "it didn't run a request");
       exg_end_attempt (exchange, ATT_NOT_RUN);
       return;
     }
-  exg_blame (exchange, false, "it failed a request");
+  exg_blame (exchange, EVD_DOUBT, "it failed a request");
   exg_end_attempt (exchange, ATT_FAILED);
 }
 
@@ -250,17 +251,19 @@
   switch (failure)
     {
     case NCL_NOT_CONNECTED:
-      exg_blame (exchange, true, "no connection");
+      exg_blame (exchange, EVD_DEATH, "no connection");
       exg_end_attempt (exchange, ATT_NOT_SENT);
       break;
     case NCL_CUT_OFF:
-      exg_blame (exchange, exchange->path != NULL && was_sudden (exchange),
+      exg_blame (exchange,
+                 exchange->path != NULL && was_sudden (exchange) ? EVD_DEATH
+                                                                 : EVD_DOUBT,
                  "it cut an answer off");
       exg_end_attempt (exchange, ATT_CUT_OFF);
       break;
     case NCL_MALFORMED:
     case NCL_FOREIGN:
-      exg_blame (exchange, false, "it spoiled an answer");
+      exg_blame (exchange, EVD_DOUBT, "it spoiled an answer");
       exg_end_attempt (exchange, ATT_SPOILED);
       break;
     }
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -66,7 +66,8 @@
                    struct att_request *request);
 void exg_attempt (struct exchange *exchange, enum att_end before);
 void exg_end_attempt (struct exchange *exchange, enum att_end end);
-void exg_blame (struct exchange *exchange, bool certain, const char *reason);
+void exg_blame (struct exchange *exchange, enum evd_proof proof,
+                const char *reason);
 void exg_watch (struct exchange *exchange);
 
 #endif
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -34,6 +34,10 @@
 /* How long an answer may take. */
 #define ASK_MS 400
 
+/* Repeats that the budget must have left before an attempt is given up, since
+   the next one may be refused first. */
+#define RESUME_REPEATS 4
+
 #define STATUS_OK 200
 
 /* A question to an engine about what it waits for. */
@@ -75,14 +79,15 @@
   return held_up ? 0 : now_us - exchange->heard_us;
 }
 
-/* True when a part of EXCHANGE's path gets no work now.  */
+/* True when a part of EXCHANGE's path was proved dead.  One that refused
+   others may still be at work on this one.  */
 static bool
 path_failed (const struct exchange *exchange)
 {
   for (uint32_t i = 0; i < exchange->path->count; i++)
     {
       const struct fst_endpoint *part = exchange->path->parts[i];
-      if (part->evidence.state == EVD_RESTING)
+      if (part->evidence.dead)
         {
           return true;
         }
@@ -100,7 +105,7 @@
   exg_describe (exchange, &request);
   return service != FLT_NO_INDEX && att_may_abandon (&request)
          && rbg_allows (fst_budget (exchange->traffic->fleet, service),
-                        clk_monotonic_us ());
+                        RESUME_REPEATS, clk_monotonic_us ());
 }
 
 /* Takes the stalls that ENGINE told of.  */
@@ -115,7 +120,7 @@
           = fst_find_address (traffic->fleet, engine->service, stall->address);
       if (culprit != NULL)
         {
-          fst_blame (traffic->fleet, culprit, true,
+          fst_blame (traffic->fleet, culprit, EVD_DEATH,
                      "an engine waits for it in vain", clk_monotonic_us ());
         }
     }
@@ -174,7 +179,7 @@
     }
   else if (status == 0)
     {
-      fst_blame (traffic->fleet, inquiry->engine, true,
+      fst_blame (traffic->fleet, inquiry->engine, EVD_DEATH,
                  "it didn't answer a question", clk_monotonic_us ());
     }
   look_at_streams (traffic, inquiry->engine);
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -23,7 +23,7 @@
 #define CONFIG_WAIT_SHARE 0.36
 
 /* The same for a daemon whose proofs others rely on, which age on the way. */
-#define RELAY_WAIT_SHARE 0.18
+#define RELAY_WAIT_SHARE 0.12
 
 /* Share of the time in which a leaving endpoint may still get work that passes
    between two readings of the list; the rest is for the store's answer. */
@@ -238,18 +238,6 @@
   .outage = on_endpoint_outage,
 };
 
-static void
-on_tick (uv_timer_t *timer)
-{
-  struct fct_control *control = timer->data;
-  int64_t now_us = clk_monotonic_us ();
-  ncl_expire (control->client, now_us);
-  control->changed |= rst_tick (control->roster, now_us);
-  publish (control);
-  plc_step (control->placing, control->view->config, control->view->endpoints,
-            now_us);
-}
-
 static void
 on_leave (uv_async_t *leave)
 {
@@ -272,6 +260,42 @@
   uv_close ((uv_handle_t *)&control->stop, NULL);
 }
 
+/* Returns how long a call for the configuration waits, by its SHARE of the
+   time in which keys may be served after their removal.  */
+static uint32_t
+wait_ms (const struct fct_control *control, double share)
+{
+  return (uint32_t)((double)control->settings->revoke_us * share / CLK_MS_US);
+}
+
+/* In a large fleet, lets the relays read the store for all, and read it often
+   enough for that.  */
+static void
+choose_readers (struct fct_control *control)
+{
+  bool crowded = grp_is_crowded (control->group);
+  bool asks = crowded && !control->is_relay;
+  bool relays = crowded && control->is_relay;
+  tpc_ask_relays (control->operator_topic, asks);
+  tpc_ask_relays (control->endpoint_topic, asks);
+  tpc_set_wait (
+      control->operator_topic,
+      wait_ms (control, relays ? RELAY_WAIT_SHARE : CONFIG_WAIT_SHARE));
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct fct_control *control = timer->data;
+  int64_t now_us = clk_monotonic_us ();
+  ncl_expire (control->client, now_us);
+  control->changed |= rst_tick (control->roster, now_us);
+  publish (control);
+  choose_readers (control);
+  plc_step (control->placing, control->view->config, control->view->endpoints,
+            now_us);
+}
+
 /* Begins to follow the topics of the store.  */
 static void
 follow_topics (struct fct_control *control)
@@ -282,11 +306,7 @@
     .address = control->settings->store_address,
     .topic = PFS_OPERATOR_TOPIC,
     .relays = (const char *const *)control->relays->pdata,
-    .relays_first = !control->is_relay,
-    .wait_ms
-    = (uint32_t)((double)control->settings->revoke_us
-                 * (control->is_relay ? RELAY_WAIT_SHARE : CONFIG_WAIT_SHARE)
-                 / CLK_MS_US),
+    .wait_ms = wait_ms (control, CONFIG_WAIT_SHARE),
     .events = &operator_events,
     .context = control,
   };
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -705,9 +705,9 @@
 /* Takes a failure of ENDPOINT; REASON goes into the log.  */
 void
 fst_blame (struct fst_fleet *fleet, struct fst_endpoint *endpoint,
-           bool certain, const char *reason, int64_t now_us)
+           enum evd_proof proof, const char *reason, int64_t now_us)
 {
-  if (!evd_failure (&endpoint->evidence, certain, now_us))
+  if (!evd_failure (&endpoint->evidence, proof, now_us))
     {
       return;
     }
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -61,7 +61,7 @@
 struct fst_endpoint *fst_find_address (struct fst_fleet *fleet,
                                        uint32_t service, const char *address);
 void fst_blame (struct fst_fleet *fleet, struct fst_endpoint *endpoint,
-                bool certain, const char *reason, int64_t now_us);
+                enum evd_proof proof, const char *reason, int64_t now_us);
 
 struct fst_endpoint *fst_reference (struct fst_endpoint *endpoint);
 void fst_release (struct fst_endpoint *endpoint);
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -184,3 +184,12 @@
 {
   return group->membership.share;
 }
+
+/* True when there are more daemons than partitions to divide, as far as this
+   daemon's own part shows: it has one at most.  */
+bool
+grp_is_crowded (const struct grp_group *group)
+{
+  return group->membership.generation > 0
+         && group->membership.share * group->params.partitions <= 1;
+}
--- a/src/entry/group.h
+++ b/src/entry/group.h
@@ -23,6 +23,7 @@
 void grp_destroy (struct grp_group *group);
 bool grp_leads (const struct grp_group *group, uint64_t *fence);
 void grp_step_down (struct grp_group *group);
+bool grp_is_crowded (const struct grp_group *group);
 double grp_share (const struct grp_group *group);
 
 #endif
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -1,6 +1,7 @@
 #include "entry/topic.h"
 
 #include "base/clock.h"
+#include "base/error.h"
 #include "base/log.h"
 #include "entry/relay.h"
 #include "net/call.h"
@@ -20,8 +21,11 @@
 /* A topic that can't be read so long is out. */
 #define OUTAGE_US (1500 * CLK_MS_US)
 
-/* How long a relay may wait for news. */
-#define RELAY_WAIT_MS 1000
+/* How long a relay may wait for news, and its answer may take beyond that.  A
+   relay that is silent or out of touch must not hold a change up for long. */
+#define RELAY_WAIT_MS 700
+#define RELAY_ANSWER_MS 300
+#define RELAY_PROOF_AGE_US (1600 * CLK_MS_US)
 
 /* At least this passes between two answers of a relay. */
 #define RELAY_PACE_MS 150
@@ -254,14 +258,21 @@
   struct pfs_page page;
   int64_t lead_us = 0;
   bool valid = rly_decode (body, body_bytes, &page, &lead_us, error);
+  int64_t proved_us = topic->sent_us + lead_us;
+  if (valid && clk_monotonic_us () - proved_us > RELAY_PROOF_AGE_US)
+    {
+      valid = false;
+      g_set_error (error, ERR_DOMAIN, ERR_PROTOCOL,
+                   "the relay itself is out of touch");
+    }
   if (valid)
     {
       take_success (topic);
       tell_records (topic, &page);
       topic->listing = false;
       topic->next = MAX (topic->next, page.end);
-      topic->params.events->current (topic->params.context,
-                                     topic->sent_us + lead_us, topic->next);
+      topic->params.events->current (topic->params.context, proved_us,
+                                     topic->next);
     }
   pfs_clear_page (&page);
   return valid;
@@ -334,7 +345,8 @@
     = topic->at_relay ? topic->params.relays[topic->relay] : topic->address,
     .method = "GET",
     .path = path,
-    .timeout_ms = wait_ms + topic->answer_ms,
+    .timeout_ms
+    = wait_ms + (topic->at_relay ? RELAY_ANSWER_MS : topic->answer_ms),
     .done = on_answer,
     .context = topic,
   };
@@ -367,6 +379,20 @@
   return topic;
 }
 
+/* Lets relays be asked FIRST, or only while the store fails.  */
+void
+tpc_ask_relays (struct tpc_topic *topic, bool first)
+{
+  topic->params.relays_first = first;
+}
+
+/* Lets the store's answers wait WAIT_MS for a record from the next call on. */
+void
+tpc_set_wait (struct tpc_topic *topic, uint32_t wait_ms)
+{
+  topic->params.wait_ms = wait_ms;
+}
+
 static void
 on_timer_closed (uv_handle_t *handle)
 {
--- a/src/entry/topic.h
+++ b/src/entry/topic.h
@@ -38,6 +38,8 @@
 struct tpc_topic;
 
 struct tpc_topic *tpc_create (const struct tpc_params *params);
+void tpc_ask_relays (struct tpc_topic *topic, bool first);
+void tpc_set_wait (struct tpc_topic *topic, uint32_t wait_ms);
 void tpc_destroy (struct tpc_topic *topic);
 
 #endif
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -233,6 +233,7 @@
     .ratio = settings->retry_ratio,
     .slack = settings->retry_slack,
     .window_us = settings->retry_window_us,
+    .slack_from_us = clk_monotonic_us () + settings->retry_window_us,
   };
   traffic->loop = loop;
   traffic->settings = settings;
--- a/test/limits_test.c
+++ b/test/limits_test.c
@@ -64,13 +64,30 @@
   assert_int_equal (take_all (&budget, 1 * S_US), 8);
   for (int64_t now_us = 2 * S_US; now_us < 11 * S_US; now_us += S_US / 2)
     {
-      assert_false (rbg_allows (&budget, now_us));
+      assert_false (rbg_allows (&budget, 1, now_us));
     }
   assert_int_equal (take_all (&budget, 12 * S_US), 8);
   /* A process that stood still for long starts with an empty window. */
   assert_int_equal (take_all (&budget, 900 * S_US), 8);
 }
 
+/* Found by a hunt: daemons that were killed and started again had forgotten
+   what they had spent, and spent the slack once more.  */
+static void
+test_retry_budget_start (void **state)
+{
+  (void)state;
+  const struct rbg_params params = { .ratio = 0.2,
+                                     .slack = 100,
+                                     .window_us = 10 * S_US,
+                                     .slack_from_us = 30 * S_US };
+  struct rbg_budget budget;
+  rbg_start (&budget, &params);
+  rbg_set_share (&budget, 1);
+  assert_int_equal (take_all (&budget, 25 * S_US), 0);
+  assert_int_equal (take_all (&budget, 31 * S_US), 80);
+}
+
 enum act
 {
   ACT_FAIL,
@@ -91,7 +108,8 @@
         }
       else
         {
-          evd_failure (evidence, act == ACT_CERTAIN, now_us);
+          evd_failure (evidence, act == ACT_CERTAIN ? EVD_DEATH : EVD_DOUBT,
+                       now_us);
         }
     }
 }
@@ -130,7 +148,7 @@
   int64_t last_rest_us = 0;
   for (uint32_t turn = 0; turn < 4; turn++)
     {
-      assert_true (evd_failure (&evidence, true, now_us));
+      assert_true (evd_failure (&evidence, EVD_DEATH, now_us));
       int64_t rest_us = evidence.rest_until_us - now_us;
       assert_true (rest_us > last_rest_us);
       assert_false (evd_usable (&evidence, evidence.rest_until_us - 1));
@@ -148,6 +166,41 @@
   assert_int_equal (evidence.strikes, 0);
 }
 
+/* Found by a hunt: streams over an engine that had only refused others were
+   given up, and broken off when nothing else took them.  */
+static void
+test_evidence_death (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    enum evd_proof proofs[3];
+    uint32_t count;
+    bool success; /* at the end */
+    bool dead;
+  } rows[] = {
+    { { EVD_DOUBT, EVD_DOUBT, EVD_DOUBT }, 3, false, false },
+    { { EVD_REFUSAL }, 1, false, false },
+    { { EVD_DEATH }, 1, false, true },
+    { { EVD_DEATH, EVD_DOUBT }, 2, false, true },
+    { { EVD_DEATH, EVD_REFUSAL }, 2, false, false },
+    { { EVD_DEATH }, 1, true, false },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct evd_evidence evidence = { 0 };
+      for (uint32_t n = 0; n < rows[i].count; n++)
+        {
+          evd_failure (&evidence, rows[i].proofs[n], S_US);
+        }
+      if (rows[i].success)
+        {
+          evd_success (&evidence, S_US / 10);
+        }
+      assert_int_equal (evidence.dead, rows[i].dead);
+    }
+}
+
 static void
 test_freshness (void **state)
 {
@@ -208,6 +261,8 @@
     cmocka_unit_test (test_retry_budget_window),
     cmocka_unit_test (test_evidence_rests),
     cmocka_unit_test (test_evidence_flaps),
+    cmocka_unit_test (test_evidence_death),
+    cmocka_unit_test (test_retry_budget_start),
     cmocka_unit_test (test_freshness),
     cmocka_unit_test (test_stopping),
   };
