--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -71,7 +71,10 @@
 {
   struct change *change = data;
   g_free (change->key);
-  g_clear_pointer (&change->value, g_bytes_unref);
+  if (change->value != NULL)
+    {
+      g_bytes_unref (change->value);
+    }
   g_free (change);
 }
 
