Keep one copy of addresses, passed headers, layer costs and counts; drop what nothing reads

Cause: a last reading of the whole change: IP:PORT was parsed twice (leniently in the client), headers were copied in two loops, query numbers read by two functions, the cost of a layer written out twice, answers counted by class in three places; three settings, five fields and three parameters were never read, and HTTP statuses were defined again beside http_parser's. Ruled out: peer/address's adr_parse for the first: it asks getaddrinfo, on a path that opens connections. Change: net/address, msg_copy_headers, msg_query_number, layer_cost, emt_count_answer, proof_of_cut; the rest is removed. Behaviour is meant to be the same; an address with bytes after its port is now refused by the client as the list's decoder did. memory_mb, heartbeat_ms and stall_ms are no settings any more.

--- a/src/config/entry_settings.h
+++ b/src/config/entry_settings.h
@@ -16,14 +16,11 @@
   char *relay_address;       /* where other daemons ask this one */
   char **relays;             /* addresses of daemons to ask; NULL-terminated */
   uint32_t store_partitions; /* of each topic */
-  uint32_t memory_mb;
   uint32_t descriptors;
-  int64_t heartbeat_us; /* between two records of an endpoint */
-  int64_t drain_us;     /* a leaving endpoint may get work so long */
-  int64_t config_us;    /* a configuration is in force after this */
-  int64_t revoke_us;    /* a removed key may be served so long */
-  int64_t stop_us;      /* from SIGTERM to SIGKILL */
-  int64_t stall_us;     /* engines wait so long for a dead one */
+  int64_t drain_us;  /* a leaving endpoint may get work so long */
+  int64_t config_us; /* a configuration is in force after this */
+  int64_t revoke_us; /* a removed key may be served so long */
+  int64_t stop_us;   /* from SIGTERM to SIGKILL */
   int64_t retry_window_us;
   double retry_ratio;   /* repeats for each request */
   uint32_t retry_slack; /* repeats beside these, of all daemons */
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -204,9 +204,8 @@
 
 /* Notes that the list can't be read.  */
 void
-rst_outage (struct rst *roster, int64_t now_us)
+rst_outage (struct rst *roster)
 {
-  (void)now_us;
   roster->in_outage = true;
 }
 
--- a/src/core/roster.h
+++ b/src/core/roster.h
@@ -27,8 +27,7 @@
   bool leaving;
   int64_t born_ms; /* start of this incarnation; 0 where it isn't told */
   struct rst_layers layers;
-  uint64_t order_count; /* that it carried out in this incarnation */
-  bool busy;            /* an order is under way */
+  bool busy; /* an order is under way */
 };
 
 struct rst;
@@ -43,7 +42,7 @@
                  int64_t now_us);
 void rst_begin_full (struct rst *roster);
 bool rst_end_full (struct rst *roster, uint64_t offset, int64_t now_us);
-void rst_outage (struct rst *roster, int64_t now_us);
+void rst_outage (struct rst *roster);
 void rst_contact (struct rst *roster, int64_t now_us);
 bool rst_tick (struct rst *roster, int64_t now_us);
 GPtrArray *rst_list (struct rst *roster);
--- a/src/entry/entry_metrics.c
+++ b/src/entry/entry_metrics.c
@@ -83,6 +83,16 @@
   return metrics;
 }
 
+/* Counts an answer of STATUS.  */
+void
+emt_count_answer (struct emt_metrics *metrics, uint32_t status)
+{
+  cnt_add (status < 400   ? metrics->answers_2xx
+           : status < 500 ? metrics->answers_4xx
+                          : metrics->answers_5xx,
+           1);
+}
+
 /* Frees METRICS; the series stay with their set.  */
 void
 emt_destroy (struct emt_metrics *metrics)
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -30,6 +30,7 @@
 };
 
 struct emt_metrics *emt_create (struct cnt_set *set);
+void emt_count_answer (struct emt_metrics *metrics, uint32_t status);
 void emt_destroy (struct emt_metrics *metrics);
 
 #endif
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -100,9 +100,7 @@
       g_snprintf (headers + used, sizeof headers - (size_t)used,
                   "Retry-After: %.2f\r\n", retry_after_s);
     }
-  cnt_add (status < 500 ? traffic->metrics->answers_4xx
-                        : traffic->metrics->answers_5xx,
-           1);
+  emt_count_answer (traffic->metrics, status);
   nsv_answer (caller, status, headers, "", 0);
 }
 
@@ -132,11 +130,7 @@
 void
 exg_deliver_kept (struct exchange *exchange)
 {
-  struct emt_metrics *metrics = exchange->traffic->metrics;
-  cnt_add (exchange->status < 400   ? metrics->answers_2xx
-           : exchange->status < 500 ? metrics->answers_4xx
-                                    : metrics->answers_5xx,
-           1);
+  emt_count_answer (exchange->traffic->metrics, exchange->status);
   if (!exchange->ends_with_connection)
     {
       nsv_answer (exchange->caller, exchange->status,
@@ -200,6 +194,7 @@
     }
 }
 
+/* Describes EXCHANGE and its attempts so far into REQUEST.  */
 void
 exg_describe (const struct exchange *exchange, struct att_request *request)
 {
@@ -378,8 +373,6 @@
   g_clear_pointer (&exchange->at_fault, g_free);
   exchange->sent_us = clk_monotonic_us ();
   exchange->heard_us = exchange->sent_us;
-  /* A request that may run only once doesn't risk a connection that the
-     endpoint may be closing. */
   exchange->attempt
       = ncl_send (traffic->client, exchange->endpoint->address, request->str,
                   request->len, false, &exg_attempt_events, exchange);
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -70,22 +70,6 @@
     }
 }
 
-/* Writes the headers of ANSWER that go to the caller into HEAD.  */
-static void
-copy_answer_head (const struct msg_message *answer, GString *head)
-{
-  g_string_truncate (head, 0);
-  for (uint32_t i = 0; i < answer->headers->len; i++)
-    {
-      const char *name = msg_name (answer, i);
-      if (!msg_is_hop_by_hop (answer, name))
-        {
-          g_string_append_printf (head, "%s: %s\r\n", name,
-                                  msg_value (answer, i));
-        }
-    }
-}
-
 /* Returns false when ANSWER can't be that of EXCHANGE's request.  */
 static bool
 on_headers (void *context, uint32_t status, const struct msg_message *answer)
@@ -117,7 +101,8 @@
         && (type == NULL || strstr (type, "text/event-stream") != NULL);
   if (!exchange->answer_begun)
     {
-      copy_answer_head (answer, exchange->answer_head);
+      g_string_truncate (exchange->answer_head, 0);
+      msg_copy_headers (answer, NULL, exchange->answer_head);
     }
   else if (!exchange->is_stream && success)
     {
@@ -187,7 +172,6 @@
 static void
 complete_stream (struct exchange *exchange)
 {
-  struct emt_metrics *metrics = exchange->traffic->metrics;
   if (exchange->scanner.pending->len > 0 || exchange->scanner.out_of_order
       || !exchange->answer_begun
       || (exchange->ends_with_connection && exchange->answer_chunked))
@@ -197,7 +181,7 @@
       return;
     }
   take_success (exchange);
-  cnt_add (metrics->answers_2xx, 1);
+  emt_count_answer (exchange->traffic->metrics, exchange->status);
   nsv_end (exchange->caller);
   exchange->caller = NULL;
   exg_finish (exchange, exchange->status, "delivered");
@@ -234,12 +218,13 @@
   exg_end_attempt (exchange, ATT_FAILED);
 }
 
-/* True when the answer's end didn't follow a silence, which another engine of
-   the path may have caused.  */
-static bool
-was_sudden (const struct exchange *exchange)
+/* Returns what a cut answer proves against its endpoint: after a silence,
+   another engine of the path may have caused it.  */
+static enum evd_proof
+proof_of_cut (const struct exchange *exchange)
 {
-  return clk_monotonic_us () - exchange->heard_us < SUDDEN_US;
+  bool sudden = clk_monotonic_us () - exchange->heard_us < SUDDEN_US;
+  return exchange->path != NULL && sudden ? EVD_DEATH : EVD_DOUBT;
 }
 
 static void
@@ -255,10 +240,7 @@
       exg_end_attempt (exchange, ATT_NOT_SENT);
       break;
     case NCL_CUT_OFF:
-      exg_blame (exchange,
-                 exchange->path != NULL && was_sudden (exchange) ? EVD_DEATH
-                                                                 : EVD_DOUBT,
-                 "it cut an answer off");
+      exg_blame (exchange, proof_of_cut (exchange), "it cut an answer off");
       exg_end_attempt (exchange, ATT_CUT_OFF);
       break;
     case NCL_MALFORMED:
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -40,15 +40,7 @@
 {
   g_string_append_printf (head, "%s %s HTTP/1.1\r\n", method,
                           request->url->str);
-  for (uint32_t i = 0; i < request->headers->len; i++)
-    {
-      const char *name = msg_name (request, i);
-      if (!is_replaced (name) && !msg_is_hop_by_hop (request, name))
-        {
-          g_string_append_printf (head, "%s: %s\r\n", name,
-                                  msg_value (request, i));
-        }
-    }
+  msg_copy_headers (request, is_replaced, head);
 }
 
 /* Returns the memory in tokens that a request of TEXT, "prompt,output", needs
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -38,8 +38,6 @@
    the next one may be refused first. */
 #define RESUME_REPEATS 4
 
-#define STATUS_OK 200
-
 /* A question to an engine about what it waits for. */
 struct inquiry
 {
@@ -157,7 +155,7 @@
   struct inquiry *inquiry = context;
   struct trf_traffic *traffic = inquiry->traffic;
   g_autoptr (GError) error = NULL;
-  GPtrArray *stalls = status == STATUS_OK
+  GPtrArray *stalls = status == HTTP_STATUS_OK
                           ? pfr_decode_stalls (body, body_bytes, &error)
                           : NULL;
   lg_line (LOG_INFO, "stall_report",
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -56,7 +56,6 @@
   struct grp_group *group;
   struct plc_placing *placing;
   struct flt_config *config;
-  uint64_t config_offset;
   struct rst *roster;
   struct fvw_view *view; /* the last one published */
   bool changed;          /* since then */
@@ -227,7 +226,7 @@
 {
   (void)why;
   struct fct_control *control = context;
-  rst_outage (control->roster, clk_monotonic_us ());
+  rst_outage (control->roster);
 }
 
 static const struct tpc_events endpoint_events = {
@@ -327,12 +326,9 @@
   control->relays = g_ptr_array_new ();
   for (guint i = 0; listed != NULL && listed[i] != NULL; i++)
     {
-      control->is_relay
-          |= strcmp (listed[i], control->settings->relay_address) == 0;
-    }
-  for (guint i = 0; listed != NULL && listed[i] != NULL; i++)
-    {
-      if (strcmp (listed[i], control->settings->relay_address) != 0)
+      bool own = strcmp (listed[i], control->settings->relay_address) == 0;
+      control->is_relay |= own;
+      if (!own)
         {
           g_ptr_array_add (control->relays, listed[i]);
         }
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -285,9 +285,8 @@
 
 /* Takes VIEW, owned from now on, in place of the one in force.  */
 void
-fst_take (struct fst_fleet *fleet, struct fvw_view *view, int64_t now_us)
+fst_take (struct fst_fleet *fleet, struct fvw_view *view)
 {
-  (void)now_us;
   fvw_release (fleet->view);
   fleet->view = view;
   for (guint i = 0; i < fleet->order->len; i++)
@@ -396,6 +395,15 @@
   return best == NULL ? NULL : fst_reference (best);
 }
 
+/* Returns the cost of one layer of one token on PART, an engine.  */
+static double
+layer_cost (const struct flt_engine *engine, const struct fst_endpoint *part)
+{
+  bool doubtful = part->evidence.strikes > 0;
+  return engine->step_ms * part->step_factor / engine->layers
+         * (doubtful ? DOUBT_FACTOR : 1);
+}
+
 /* Returns the cost of one token on PATH with its engines' own figures.  */
 static double
 token_cost (const struct flt_engine *engine, const struct fst_path *path)
@@ -404,10 +412,8 @@
   for (uint32_t i = 0; i < path->count; i++)
     {
       const struct fst_endpoint *part = path->parts[i];
-      bool doubtful = part->evidence.strikes > 0;
       double layers = path->layers[i].end - path->layers[i].first;
-      cost_ms += engine->step_ms * part->step_factor * layers / engine->layers
-                 * (doubtful ? DOUBT_FACTOR : 1);
+      cost_ms += layers * layer_cost (engine, part);
       if (i > 0)
         {
           bool crosses = part->zone != path->parts[i - 1]->zone;
@@ -560,13 +566,11 @@
 {
   bool usable = evd_usable (&endpoint->evidence, now_us)
                 || endpoint->evidence.state == EVD_PROVING;
-  bool doubtful = endpoint->evidence.strikes > 0;
   return (struct pth_card){
     .held = endpoint->layers,
     .zone = endpoint->zone,
     .usable = usable || last_resort,
-    .layer_ms = engine->step_ms * endpoint->step_factor / engine->layers
-                * (doubtful ? DOUBT_FACTOR : 1),
+    .layer_ms = layer_cost (engine, endpoint),
   };
 }
 
@@ -725,9 +729,8 @@
 /* True when the configuration is known and an endpoint is listed, so that
    requests have a chance.  */
 bool
-fst_can_serve (struct fst_fleet *fleet, int64_t now_us)
+fst_can_serve (const struct fst_fleet *fleet)
 {
-  (void)now_us;
   const struct flt_config *config = fst_config (fleet);
   if (config == NULL)
     {
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -47,10 +47,10 @@
 struct fst_fleet *fst_create (const char *data_centre,
                               const struct rbg_params *budget);
 void fst_destroy (struct fst_fleet *fleet);
-void fst_take (struct fst_fleet *fleet, struct fvw_view *view, int64_t now_us);
+void fst_take (struct fst_fleet *fleet, struct fvw_view *view);
 const struct flt_config *fst_config (const struct fst_fleet *fleet);
 struct rbg_budget *fst_budget (struct fst_fleet *fleet, uint32_t service);
-bool fst_can_serve (struct fst_fleet *fleet, int64_t now_us);
+bool fst_can_serve (const struct fst_fleet *fleet);
 
 struct fst_endpoint *fst_choose_endpoint (struct fst_fleet *fleet,
                                           uint32_t service,
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -17,8 +17,6 @@
 /* The lead ends so long before the group would give it to another. */
 #define LEAD_MARGIN_US (300 * CLK_MS_US)
 
-#define STATUS_OK 200
-
 struct grp_group
 {
   struct grp_params params;
@@ -40,7 +38,7 @@
   struct grp_group *group = context;
   group->call = NULL;
   g_autoptr (GError) error = NULL;
-  bool good = status == STATUS_OK
+  bool good = status == HTTP_STATUS_OK
               && pfs_decode_join (body, body_bytes, group->params.partitions,
                                   &group->membership, &error);
   if (good)
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -22,10 +22,6 @@
    heartbeat and the list's lag. */
 #define SHOWN_US (20 * CLK_S_US)
 
-#define STATUS_OK 200
-#define STATUS_ACCEPTED 202
-#define STATUS_PRECONDITION 412
-
 /* An order that is under way. */
 struct order
 {
@@ -93,9 +89,9 @@
            "endpoint=%s layers=%u-%u fence=%lu status=%u why=\"%s\"",
            order->id, order->layers.first, order->layers.end,
            (unsigned long)order->fence, status, why);
-  order->accepted = status == STATUS_OK || status == STATUS_ACCEPTED;
+  order->accepted = status == HTTP_STATUS_OK || status == HTTP_STATUS_ACCEPTED;
   order->next_us = now_us + (order->accepted ? SHOWN_US : REFUSED_US);
-  if (status == STATUS_PRECONDITION)
+  if (status == HTTP_STATUS_PRECONDITION_FAILED)
     {
       grp_step_down (order->placing->params.group);
     }
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -26,8 +26,6 @@
 #define CONNECTIONS_MAX 1024
 #define SWEEP_MS 500
 
-#define STATUS_GONE 410
-
 /* The newest change of one key. */
 struct change
 {
@@ -114,7 +112,7 @@
 {
   if (from < mirror->floor)
     {
-      nsv_answer (connection, STATUS_GONE, "", "", 0);
+      nsv_answer (connection, HTTP_STATUS_GONE, "", "", 0);
       return;
     }
   GArray *records = g_array_new (FALSE, FALSE, sizeof (RelayRecord));
@@ -191,15 +189,6 @@
   end_reader (timer->data, true);
 }
 
-/* Returns the number that follows NAME= in URL, or 0.  */
-static uint64_t
-query_number (const char *url, const char *name)
-{
-  const char *found = strstr (url, name);
-  return found == NULL ? 0
-                       : g_ascii_strtoull (found + strlen (name), NULL, 10);
-}
-
 /* Lets CONNECTION wait for news of MIRROR.  */
 static void
 add_reader (struct rly_relay *relay, struct mirror *mirror,
@@ -233,7 +222,7 @@
   char *topic = g_strndup (url + strlen (PATH), name_bytes);
   struct mirror *mirror = g_hash_table_lookup (relay->mirrors, topic);
   g_free (topic);
-  uint64_t from = query_number (url, "&from=");
+  uint64_t from = msg_query_number (url, "&from=");
   int64_t now_us = clk_monotonic_us ();
   if (mirror == NULL || mirror->proved_us == 0
       || now_us - mirror->proved_us > PROOF_AGE_MAX_US)
@@ -249,7 +238,7 @@
   else
     {
       add_reader (relay, mirror, connection, from,
-                  query_number (url, "&wait="));
+                  msg_query_number (url, "&wait="));
     }
 }
 
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -34,9 +34,6 @@
    and twice as long at most, before a relay is asked. */
 #define STORE_ONLY_MS 3000
 
-#define STATUS_OK 200
-#define STATUS_GONE 410
-
 struct tpc_topic
 {
   struct tpc_params params;
@@ -153,7 +150,7 @@
   topic->retry_ms = MIN (topic->retry_ms * 2, RETRY_LONGEST_MS);
 }
 
-/* Takes a good answer of a call sent at PROVED_US.  */
+/* Takes a good answer: what failed before is over.  */
 static void
 take_success (struct tpc_topic *topic)
 {
@@ -285,12 +282,12 @@
   struct tpc_topic *topic = context;
   topic->call = NULL;
   bool relayed = topic->at_relay;
-  if (relayed && status != STATUS_OK)
+  if (relayed && status != HTTP_STATUS_OK)
     {
       leave_relay (topic, status, why);
       return;
     }
-  if (status == STATUS_GONE && !topic->listing)
+  if (status == HTTP_STATUS_GONE && !topic->listing)
     {
       lg_line (LOG_NOTICE, "history_lost", "topic=%s offset=%lu",
                topic->params.topic, (unsigned long)topic->next);
@@ -299,7 +296,7 @@
       step (topic);
       return;
     }
-  if (status != STATUS_OK)
+  if (status != HTTP_STATUS_OK)
     {
       take_failure (topic, status, why);
       return;
@@ -362,7 +359,6 @@
   struct tpc_topic *topic = g_new0 (struct tpc_topic, 1);
   topic->params = *params;
   topic->address = g_strdup (params->address);
-  topic->failed = false;
   topic->retry_ms = RETRY_FIRST_MS;
   topic->answer_ms = ANSWER_MS;
   topic->last_good_us = clk_monotonic_us ();
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -39,10 +39,9 @@
 #define IDLE_SPARE_US (500 * CLK_MS_US)
 
 static bool
-is_ready (struct trf_traffic *traffic)
+is_ready (const struct trf_traffic *traffic)
 {
-  return traffic->stopping_us == 0
-         && fst_can_serve (traffic->fleet, clk_monotonic_us ());
+  return traffic->stopping_us == 0 && fst_can_serve (traffic->fleet);
 }
 
 static void
@@ -153,7 +152,7 @@
     {
       return;
     }
-  fst_take (traffic->fleet, view, clk_monotonic_us ());
+  fst_take (traffic->fleet, view);
   struct nsv_limits limits = caller_limits (traffic, view->config);
   nsv_set_limits (traffic->callers, &limits);
   cnt_put (traffic->metrics->endpoints, view->endpoints->len);
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -31,9 +31,9 @@
   double token_us; /* moving average over streams, for each token they may
                       write at most; 0: none yet */
   double first_us; /* moving average of the time to streams' first events */
+  double call_us;  /* moving average over calls of plain services */
   GHashTable *exchanges; /* set of those under way */
   GHashTable *inquiries; /* by engine id: questions about stalls */
-  double call_us;        /* moving average over calls of plain services */
 };
 
 struct trf_traffic *trf_create (uv_loop_t *loop,
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -1,9 +1,9 @@
 #include "net/client.h"
 
 #include "base/clock.h"
+#include "net/address.h"
 
 #include <netinet/tcp.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define READ_BYTES 65536
@@ -21,13 +21,11 @@
   GByteArray *unsent; /* the request while connecting */
   bool connected;
   bool in_use; /* carries an exchange */
-  bool sent;   /* bytes of the exchange may have left */
   bool headers_seen;
   bool finished; /* the answer's end was seen in this read */
   bool foreign;  /* the answer belongs to another request */
   bool closing;
   bool paused;
-  bool used_before; /* carried an exchange before this one */
   int64_t idle_since_us;
   int64_t keep_us; /* how long it may stay idle */
   int64_t connect_by_us;
@@ -59,20 +57,6 @@
   .on_message_complete = on_message_complete,
 };
 
-/* Reads IP:PORT from TEXT.  Returns false when it is none.  */
-bool
-ncl_parse_address (const char *text, struct sockaddr_in *address)
-{
-  char host[INET_ADDRSTRLEN] = "";
-  const char *colon = strchr (text, ':');
-  if (colon == NULL || colon - text >= (ptrdiff_t)sizeof host)
-    {
-      return false;
-    }
-  memcpy (host, text, (size_t)(colon - text));
-  return uv_ip4_addr (host, atoi (colon + 1), address) == 0;
-}
-
 static void
 destroy_list (gpointer list)
 {
@@ -242,7 +226,6 @@
           g_hash_table_insert (client->idle, g_strdup (connection->address),
                                list);
         }
-      connection->used_before = true;
       connection->idle_since_us = clk_monotonic_us ();
       g_ptr_array_add (list, connection);
       if (list->len > client->params.idle_connections_max)
@@ -352,7 +335,6 @@
              size_t count)
 {
   uv_stream_t *stream = (uv_stream_t *)&connection->tcp;
-  connection->sent = true;
   uv_buf_t whole = uv_buf_init ((char *)bytes, (unsigned)count);
   int written = uv_try_write (stream, &whole, 1);
   size_t done = written > 0 ? (size_t)written : 0;
@@ -407,7 +389,7 @@
 open_connection (struct ncl_client *client, const char *address)
 {
   struct sockaddr_in parsed;
-  if (!ncl_parse_address (address, &parsed))
+  if (!nad_parse (address, &parsed))
     {
       return NULL;
     }
@@ -474,7 +456,6 @@
   connection->events = events;
   connection->context = context;
   connection->in_use = true;
-  connection->sent = false;
   connection->headers_seen = false;
   connection->finished = false;
   connection->foreign = false;
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -61,6 +61,5 @@
 const struct ncl_counts *ncl_counts (const struct ncl_client *client);
 void ncl_expire (struct ncl_client *client, int64_t now_us);
 void ncl_forget (struct ncl_client *client, const char *address);
-bool ncl_parse_address (const char *text, struct sockaddr_in *address);
 
 #endif
--- a/src/net/message.c
+++ b/src/net/message.c
@@ -156,6 +156,33 @@
   return lists_word (msg_find (message, "Connection"), name);
 }
 
+/* Returns the number that follows NAME, such as `from=', in URL, or 0.  */
+uint64_t
+msg_query_number (const char *url, const char *name)
+{
+  const char *found = strstr (url, name);
+  return found == NULL ? 0
+                       : g_ascii_strtoull (found + strlen (name), NULL, 10);
+}
+
+/* Appends the headers of MESSAGE that are passed on to HEAD, each with CRLF:
+   all but those of one connection and those that DROPS, unless NULL, names. */
+void
+msg_copy_headers (const struct msg_message *message,
+                  bool (*drops) (const char *name), GString *head)
+{
+  for (uint32_t i = 0; i < message->headers->len; i++)
+    {
+      const char *name = msg_name (message, i);
+      if (!msg_is_hop_by_hop (message, name)
+          && (drops == NULL || !drops (name)))
+        {
+          g_string_append_printf (head, "%s: %s\r\n", name,
+                                  msg_value (message, i));
+        }
+    }
+}
+
 /* Returns the reason phrase of STATUS.  */
 const char *
 msg_reason (uint32_t status)
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
-#include "net/client.h"
+#include "net/address.h"
 
 #include <netinet/tcp.h>
 #include <string.h>
@@ -459,7 +459,7 @@
   struct sockaddr_in parsed;
   uv_tcp_init (loop, &server->listener);
   server->listener.data = server;
-  int status = ncl_parse_address (address, &parsed) ? 0 : UV_EINVAL;
+  int status = nad_parse (address, &parsed) ? 0 : UV_EINVAL;
   if (status == 0)
     {
       status = uv_tcp_bind (&server->listener,
--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -110,15 +110,6 @@
     }
 }
 
-/* Returns the number that follows NAME= in URL, or 0.  */
-static uint64_t
-query_number (const char *url, const char *name)
-{
-  const char *found = strstr (url, name);
-  return found == NULL ? 0
-                       : g_ascii_strtoull (found + strlen (name), NULL, 10);
-}
-
 static struct sfl_topic *
 find_topic (struct sfl_fleet *fleet, const char *url)
 {
@@ -131,8 +122,8 @@
             const char *url)
 {
   struct sfl_topic *topic = find_topic (fleet, url);
-  uint64_t from = query_number (url, "From=");
-  uint64_t wait_ms = query_number (url, "WaitMs=");
+  uint64_t from = msg_query_number (url, "From=");
+  uint64_t wait_ms = msg_query_number (url, "WaitMs=");
   if (from < topic->records->len || wait_ms == 0)
     {
       answer_read (connection, topic, from);
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -168,9 +168,9 @@
       "name: entry-1\ndata_centre: kgn\ncaller_address: \"%s\"\n"
       "ready_address: \"%s\"\nmetrics_address: \"127.0.0.1:%u\"\n"
       "relay_address: \"127.0.0.1:%u\"\nstore_address: \"%s\"\n"
-      "store_partitions: 2\nmemory_mb: 260\n"
-      "descriptors: 1024\nheartbeat_ms: 400\ndrain_ms: %u\nconfig_ms: 1000\n"
-      "revoke_ms: %u\nstop_s: %u\nstall_ms: 1500\nretry_window_s: 2\n"
+      "store_partitions: 2\n"
+      "descriptors: 1024\ndrain_ms: %u\nconfig_ms: 1000\n"
+      "revoke_ms: %u\nstop_s: %u\nretry_window_s: 2\n"
       "retry_ratio: 0.2\nretry_slack: 100\n",
       fixture->caller_address, fixture->ready_address, port + 2, port + 3,
       sfl_store_address (fixture->fleet), DRAIN_MS, REVOKE_MS, STOP_S);
--- a/test/roster_test.c
+++ b/test/roster_test.c
@@ -105,7 +105,7 @@
       rst_remove (roster, "a", step->offset, step->at_us);
       break;
     case ACT_OUTAGE:
-      rst_outage (roster, step->at_us);
+      rst_outage (roster);
       break;
     case ACT_CONTACT:
       rst_contact (roster, step->at_us);
