Bound the wait for a silent store by the time for changes; take late requests by the longest run

The wait now grows to 0.6 of the time in which a change must be in force, and a call that was silent counts as the pause before the next.

The longest of the last ones counts now. Test: limits_test, test_stopping_peak.

--- a/src/core/stopping.h
+++ b/src/core/stopping.h
@@ -11,6 +11,7 @@
    callers until it has seen two refusals, one a second. */
 #define SPN_TAKE_ALL_US 2800000
 
+void spn_observe (double *peak_us, double run_us);
 bool spn_takes (int64_t age_us, int64_t stop_us, int64_t expected_us);
 
 #endif
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -8,11 +8,10 @@
 
 #include <string.h>
 
-/* How long an answer may take beyond the wait that was asked for: at first,
-   and at most after answers that came too late.  Reads that are given up still
-   cost the store its rate, so that ever the same bound could end them all. */
+/* How long an answer may take at first, beyond the wait that was asked for.
+   Reads that are given up still cost the store its rate, so that ever the same
+   bound could end them all: it grows after answers that came too late. */
 #define ANSWER_MS 900
-#define ANSWER_LONGEST_MS 4000
 
 /* Pauses after failed calls: the first, and the longest. */
 #define RETRY_FIRST_MS 150
@@ -142,11 +141,15 @@
   if (status == 0)
     {
       /* What was appended meanwhile may be more than all keys together. */
-      topic->answer_ms = MIN (topic->answer_ms * 2, ANSWER_LONGEST_MS);
+      topic->answer_ms
+          = MAX (MIN (topic->answer_ms * 2, topic->params.answer_longest_ms),
+                 ANSWER_MS);
       begin_listing (topic);
     }
-  uint32_t jitter_ms = g_random_int_range (0, RETRY_FIRST_MS);
-  step_after (topic, topic->retry_ms + jitter_ms);
+  /* A call that was silent for long has kept the pause already. */
+  int64_t pause_ms = topic->retry_ms + g_random_int_range (0, RETRY_FIRST_MS);
+  int64_t spent_ms = (now_us - topic->sent_us) / CLK_MS_US;
+  step_after (topic, (uint64_t)MAX (pause_ms - spent_ms, 0));
   topic->retry_ms = MIN (topic->retry_ms * 2, RETRY_LONGEST_MS);
 }
 
--- a/src/entry/topic.h
+++ b/src/entry/topic.h
@@ -30,7 +30,8 @@
                                 store's place, NULL-terminated */
   bool relays_first; /* asked by choice; else only while the store fails */
   uint32_t wait_ms;  /* an answer waits so long for a record */
-  uint32_t pace_ms;  /* between an answer and the next call */
+  uint32_t answer_longest_ms; /* and may take at most so long beyond that */
+  uint32_t pace_ms;           /* between an answer and the next call */
   const struct tpc_events *events;
   void *context;
 };
