Wait for a replacement before moving engines with streams; take no cut answer for a death

Change: a gap that no spare engine fills waits 2.5 s first; a cut is a failure that proves neither life nor death.

--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -20,7 +20,7 @@
 {
   EVD_DOUBT,   /* little by itself */
   EVD_REFUSAL, /* the endpoint lives, and can't serve now */
-  EVD_NAMED,   /* another endpoint says that it can't serve now */
+  EVD_UNABLE,  /* it can't serve now; whether it lives isn't known */
   EVD_DEATH    /* it doesn't answer anybody */
 };
 
--- a/src/core/stage_plan.c
+++ b/src/core/stage_plan.c
@@ -310,13 +310,14 @@
   count_holders (group);
 }
 
-/* Gives every layer of GROUP a holder, as far as that can be.  */
-static void
-fill_gaps (struct group *group)
+/* Gives every layer of GROUP a holder, as far as EFFORT goes and that can be.
+   Returns true when none lacks one.  */
+static bool
+fill_gaps (struct group *group, enum stp_effort effort)
 {
   struct rst_layers gap;
   fill_with_spares (group);
-  if (find_gap (group, &gap))
+  if (effort == STP_DIVIDE_ANEW && find_gap (group, &gap))
     {
       reset (group);
       if (!divide_anew (group))
@@ -324,6 +325,7 @@
           fill_with_spares (group);
         }
     }
+  return !find_gap (group, &gap);
 }
 
 /* Returns the first of COUNT layers that have the fewest holders together,
@@ -385,23 +387,26 @@
     }
 }
 
-static void
-plan_group (struct group *group)
+static bool
+plan_group (struct group *group, enum stp_effort effort)
 {
   count_holders (group);
-  fill_gaps (group);
+  bool whole = fill_gaps (group, effort);
   place_repeats (group);
+  return whole;
 }
 
 /* Plans, for the CARD_COUNT engines CARDS in ZONE_COUNT data centres, which
    layers each is to hold.  Each data centre with the memory for it holds the
    whole model; the others do so together.  WANTED, one for each engine, is the
-   result; it equals what is held where nothing has to change.  */
-void
-stp_plan (const struct flt_engine *engine, uint32_t zone_count,
-          const struct stp_card *cards, uint32_t card_count,
-          struct rst_layers *wanted)
+   result; it equals what is held where nothing has to change.  Returns true
+   when each of these groups holds every layer then.  */
+bool
+stp_plan (const struct flt_engine *engine, enum stp_effort effort,
+          uint32_t zone_count, const struct stp_card *cards,
+          uint32_t card_count, struct rst_layers *wanted)
 {
+  bool whole = true;
   struct group group = {
     .engine = engine,
     .cards = cards,
@@ -423,7 +428,7 @@
       group.origin = engine->layers * zone / zone_count;
       if (choose_cache (&group))
         {
-          plan_group (&group);
+          whole &= plan_group (&group, effort);
         }
       else
         {
@@ -435,10 +440,11 @@
   if (group.member_count > 0)
     {
       choose_cache (&group);
-      plan_group (&group);
+      whole &= plan_group (&group, effort);
     }
   g_free (group.members);
   g_free (group.holders);
   g_free (alone);
   g_free (rest);
+  return whole;
 }
--- a/src/core/stage_plan.h
+++ b/src/core/stage_plan.h
@@ -19,9 +19,16 @@
   bool in_reserve;        /* fills gaps, but repeats nothing yet */
 };
 
-void stp_plan (const struct flt_engine *engine, uint32_t zone_count,
-               const struct stp_card *cards, uint32_t card_count,
-               struct rst_layers *wanted);
+/* How much may be moved for layers that nobody holds. */
+enum stp_effort
+{
+  STP_SPARES,     /* only engines that nothing depends on */
+  STP_DIVIDE_ANEW /* engines that others need as well */
+};
+
+bool stp_plan (const struct flt_engine *engine, enum stp_effort effort,
+               uint32_t zone_count, const struct stp_card *cards,
+               uint32_t card_count, struct rst_layers *wanted);
 uint32_t stp_layers_max (const struct flt_engine *engine, double memory_mb,
                          double cache_tokens);
 double stp_cache_tokens (const struct flt_engine *engine, double memory_mb,
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -40,7 +40,7 @@
                     : fst_find_address (fleet, service, exchange->at_fault);
       if (proof == EVD_REFUSAL && culprit != exchange->endpoint)
         {
-          proof = EVD_NAMED;
+          proof = EVD_UNABLE;
         }
     }
   if (culprit != NULL)
@@ -236,7 +236,7 @@
 proof_of_cut (const struct exchange *exchange)
 {
   bool sudden = clk_monotonic_us () - exchange->heard_us < SUDDEN_US;
-  return exchange->path != NULL && sudden ? EVD_DEATH : EVD_DOUBT;
+  return exchange->path != NULL && sudden ? EVD_UNABLE : EVD_DOUBT;
 }
 
 static void
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -31,6 +31,11 @@
    and fill its gap: it repeats the layers of others only after this time. */
 #define RESERVE_US (3 * CLK_S_US)
 
+/* A lost layer that no spare engine can hold waits so long for an engine that
+   comes or comes back, before engines that others need are moved: these serve
+   nobody until the streams through them have ended. */
+#define GAP_PATIENCE_US (2500 * CLK_MS_US)
+
 /* An order that is under way. */
 struct order
 {
@@ -48,7 +53,8 @@
 struct plc_placing
 {
   struct plc_params params;
-  GHashTable *orders; /* endpoint id to struct order */
+  GHashTable *orders;   /* endpoint id to struct order */
+  int64_t gap_since_us; /* a layer lacks a holder; 0: none does */
   GHashTable *idle; /* endpoint id to when it was first seen without layers */
   guint engines_seen;
   int64_t settled_us;
@@ -294,6 +300,22 @@
   return cut_off ? listed : alive;
 }
 
+/* Notes since when a layer lacks a holder.  When all that can be done about
+   it was done, PATIENT being false, a new wait begins.  */
+static void
+take_gap (struct plc_placing *placing, bool whole, bool patient,
+          int64_t now_us)
+{
+  if (whole)
+    {
+      placing->gap_since_us = 0;
+    }
+  else if (placing->gap_since_us == 0 || !patient)
+    {
+      placing->gap_since_us = now_us;
+    }
+}
+
 /* Plans the engines of SERVICE and orders what differs.  */
 static void
 place_service (struct plc_placing *placing, const struct flt_service *service,
@@ -312,8 +334,12 @@
   struct rst_layers *wanted = g_new0 (struct rst_layers, engines->len + 1);
   if (engines->len > 0)
     {
-      stp_plan (&service->engine, zones->len,
-                (const struct stp_card *)cards->data, cards->len, wanted);
+      bool patient = placing->gap_since_us == 0
+                     || now_us - placing->gap_since_us < GAP_PATIENCE_US;
+      bool whole = stp_plan (
+          &service->engine, patient ? STP_SPARES : STP_DIVIDE_ANEW, zones->len,
+          (const struct stp_card *)cards->data, cards->len, wanted);
+      take_gap (placing, whole, patient, now_us);
     }
   for (guint i = 0; i < engines->len; i++)
     {
--- a/test/limits_test.c
+++ b/test/limits_test.c
@@ -184,8 +184,8 @@
     { { EVD_DEATH }, 1, false, true },
     { { EVD_DEATH, EVD_DOUBT }, 2, false, true },
     { { EVD_DEATH, EVD_REFUSAL }, 2, false, false },
-    { { EVD_NAMED }, 1, false, false },
-    { { EVD_DEATH, EVD_NAMED }, 2, false, true },
+    { { EVD_UNABLE }, 1, false, false },
+    { { EVD_DEATH, EVD_UNABLE }, 2, false, true },
     { { EVD_DEATH }, 1, true, false },
   };
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
--- a/test/stages_test.c
+++ b/test/stages_test.c
@@ -134,7 +134,8 @@
       struct fleet fleet;
       struct rst_layers wanted[CARDS_MAX];
       build (&fleet, rows[i].zones, 3);
-      stp_plan (&engine, fleet.zones, fleet.cards, fleet.count, wanted);
+      stp_plan (&engine, STP_DIVIDE_ANEW, fleet.zones, fleet.cards,
+                fleet.count, wanted);
       assert_fits (&fleet, wanted);
       for (uint32_t zone = 0; zone < 3; zone++)
         {
@@ -165,9 +166,9 @@
   struct rst_layers wanted[CARDS_MAX];
   struct rst_layers again[CARDS_MAX];
   build (&fleet, zones, 2);
-  stp_plan (&engine, 2, fleet.cards, fleet.count, wanted);
+  stp_plan (&engine, STP_DIVIDE_ANEW, 2, fleet.cards, fleet.count, wanted);
   carry_out (&fleet, wanted);
-  stp_plan (&engine, 2, fleet.cards, fleet.count, again);
+  stp_plan (&engine, STP_DIVIDE_ANEW, 2, fleet.cards, fleet.count, again);
   assert_memory_equal (wanted, again, fleet.count * sizeof wanted[0]);
 }
 
@@ -181,7 +182,7 @@
   struct fleet fleet;
   struct rst_layers wanted[CARDS_MAX];
   build (&fleet, zones, 2);
-  stp_plan (&engine, 2, fleet.cards, fleet.count, wanted);
+  stp_plan (&engine, STP_DIVIDE_ANEW, 2, fleet.cards, fleet.count, wanted);
   carry_out (&fleet, wanted);
   for (uint32_t lost = 0; lost < fleet.count; lost++)
     {
@@ -189,7 +190,7 @@
       struct rst_layers next[CARDS_MAX];
       after.count--;
       after.cards[lost] = fleet.cards[after.count];
-      stp_plan (&engine, 2, after.cards, after.count, next);
+      stp_plan (&engine, STP_DIVIDE_ANEW, 2, after.cards, after.count, next);
       assert_fits (&after, next);
       uint32_t moved = 0;
       for (uint32_t i = 0; i < after.count; i++)
@@ -204,7 +205,7 @@
         }
       struct fleet empty = fleet;
       empty.cards[lost].held = (struct rst_layers){ 0, 0 };
-      stp_plan (&engine, 2, empty.cards, empty.count, next);
+      stp_plan (&engine, STP_DIVIDE_ANEW, 2, empty.cards, empty.count, next);
       assert_true (next[lost].end > next[lost].first);
       assert_true (least_holders (&empty, next, UINT32_MAX) >= 2);
     }
@@ -231,7 +232,7 @@
   struct fleet fleet;
   struct rst_layers wanted[CARDS_MAX];
   build (&fleet, zones, 2);
-  stp_plan (&engine, 2, fleet.cards, fleet.count, wanted);
+  stp_plan (&engine, STP_DIVIDE_ANEW, 2, fleet.cards, fleet.count, wanted);
   carry_out (&fleet, wanted);
   uint32_t leaving = 1; /* the first l4, which holds a part alone */
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
@@ -250,7 +251,7 @@
                                .step_factor = l4.step_factor,
                                .movable = true,
                                .in_reserve = rows[i].in_reserve };
-      stp_plan (&engine, 2, after.cards, after.count, next);
+      stp_plan (&engine, STP_DIVIDE_ANEW, 2, after.cards, after.count, next);
       assert_int_equal (next[newcomer].end > next[newcomer].first,
                         rows[i].gets_layers);
       assert_true (least_holders (&after, next, 0) >= 1);
@@ -305,13 +306,15 @@
           struct fleet fleet;
           struct rst_layers wanted[CARDS_MAX];
           build (&fleet, &rows[i].zone, 1);
-          stp_plan (&engine, 1, fleet.cards, fleet.count, wanted);
+          stp_plan (&engine, STP_DIVIDE_ANEW, 1, fleet.cards, fleet.count,
+                    wanted);
           carry_out (&fleet, wanted);
           for (uint32_t n = 0; n < rows[i].losses; n++)
             {
               uint32_t lost = (start + 3 * n) % fleet.count;
               fleet.cards[lost] = fleet.cards[--fleet.count];
-              stp_plan (&engine, 1, fleet.cards, fleet.count, wanted);
+              stp_plan (&engine, STP_DIVIDE_ANEW, 1, fleet.cards, fleet.count,
+                        wanted);
               carry_out (&fleet, wanted);
             }
           assert_true (least_holders (&fleet, wanted, 0) >= 1);
@@ -388,7 +391,7 @@
     {
       fleet.cards[i].movable = false;
     }
-  stp_plan (&engine, 1, fleet.cards, fleet.count, wanted);
+  stp_plan (&engine, STP_DIVIDE_ANEW, 1, fleet.cards, fleet.count, wanted);
   for (uint32_t i = 0; i < fleet.count; i++)
     {
       assert_int_equal (wanted[i].end, 0);
