Fill a gap with as many layers as its filler holds; let repeats complete copies

Change: a filler takes the gap and the thinnest layers beside it; an engine that repeats takes the layers from the first thinnest one on, so that one more copy is whole before the next begins. Test: test_plan_small_gap.

--- a/src/core/stage_plan.c
+++ b/src/core/stage_plan.c
@@ -32,7 +32,6 @@
   uint32_t member_count;
   uint32_t *holders;   /* by layer, within the group */
   double cache_tokens; /* wished for on each engine */
-  uint32_t origin;     /* layer from which repeats begin */
 };
 
 /* Returns the megabytes that one token needs on an engine for each layer that
@@ -283,6 +282,44 @@
   return found;
 }
 
+/* Returns the first of COUNT layers that have the fewest holders together,
+   where the first is one from LOWEST to HIGHEST.  */
+static uint32_t
+thinnest_window (const struct group *group, uint32_t count, uint32_t lowest,
+                 uint32_t highest)
+{
+  uint32_t best = lowest;
+  uint32_t best_holders = UINT32_MAX;
+  for (uint32_t first = lowest; first <= highest; first++)
+    {
+      uint32_t holders = 0;
+      for (uint32_t layer = first; layer < first + count; layer++)
+        {
+          holders += group->holders[layer];
+        }
+      if (holders < best_holders)
+        {
+          best = first;
+          best_holders = holders;
+        }
+    }
+  return best;
+}
+
+/* Lets CARD hold as much of GAP as its memory allows, and the thinnest of the
+   layers beside it.  */
+static void
+fill_gap (struct group *group, uint32_t card, const struct rst_layers *gap)
+{
+  uint32_t most = card_layers_max (group, card);
+  uint32_t lowest = gap->end > most ? gap->end - most : 0;
+  uint32_t highest = MIN (gap->first, group->engine->layers - most);
+  uint32_t first = lowest >= highest
+                       ? highest
+                       : thinnest_window (group, most, lowest, highest);
+  assign (group, card, first, first + most);
+}
+
 /* Fills the gaps of GROUP with engines that nothing depends on, as far as that
    can be.  Every turn shrinks the gaps.  */
 static void
@@ -293,8 +330,7 @@
   while (find_gap (group, &gap)
          && (card = choose_filler (group)) != FLT_NO_INDEX)
     {
-      uint32_t most = card_layers_max (group, card);
-      assign (group, card, gap.first, MIN (gap.end, gap.first + most));
+      fill_gap (group, card, &gap);
     }
 }
 
@@ -328,30 +364,22 @@
   return !find_gap (group, &gap);
 }
 
-/* Returns the first of COUNT layers that have the fewest holders together,
-   looking from the group's origin on.  */
+/* Returns the first of COUNT layers that begin with the thinnest run: windows
+   that follow one another complete one more copy of the model, which paths can
+   use, before the next is begun.  */
 static uint32_t
-thinnest_window (const struct group *group, uint32_t count)
+next_window (const struct group *group, uint32_t count)
 {
   uint32_t layers = group->engine->layers;
-  uint32_t positions = layers - count + 1;
-  uint32_t best = 0;
-  uint32_t best_holders = UINT32_MAX;
-  for (uint32_t i = 0; i < positions; i++)
+  uint32_t thinnest = 0;
+  for (uint32_t layer = 1; layer < layers; layer++)
     {
-      uint32_t first = (group->origin + i) % positions;
-      uint32_t holders = 0;
-      for (uint32_t layer = first; layer < first + count; layer++)
-        {
-          holders += group->holders[layer];
-        }
-      if (holders < best_holders)
+      if (group->holders[layer] < group->holders[thinnest])
         {
-          best = first;
-          best_holders = holders;
+          thinnest = layer;
         }
     }
-  return best;
+  return MIN (thinnest, layers - count);
 }
 
 /* Lets engines that hold nothing repeat layers that others hold.  */
@@ -366,7 +394,7 @@
       if (range->first == range->end && group->cards[card].movable
           && !group->cards[card].in_reserve && most > 0)
         {
-          uint32_t first = thinnest_window (group, most);
+          uint32_t first = next_window (group, most);
           assign (group, card, first, first + most);
         }
     }
@@ -425,7 +453,6 @@
       alone[zone] = true;
       collect_members (&group, card_count, alone);
       alone[zone] = false;
-      group.origin = engine->layers * zone / zone_count;
       if (choose_cache (&group))
         {
           whole &= plan_group (&group, effort);
@@ -436,7 +463,6 @@
         }
     }
   collect_members (&group, card_count, rest);
-  group.origin = 0;
   if (group.member_count > 0)
     {
       choose_cache (&group);
--- a/test/stages_test.c
+++ b/test/stages_test.c
@@ -263,6 +263,36 @@
     }
 }
 
+/* Found in a large fleet: a fast engine that filled a gap of one layer held
+   nothing else from then on.  */
+static void
+test_plan_small_gap (void **state)
+{
+  (void)state;
+  static const struct zone_row zones[] = { { 4, 0, 0 } };
+  static const struct
+  {
+    uint32_t first;
+    uint32_t end;
+  } gaps[] = { { 0, 1 }, { 43, 44 }, { 79, 80 }, { 30, 36 } };
+  for (size_t i = 0; i < sizeof gaps / sizeof gaps[0]; i++)
+    {
+      struct fleet fleet;
+      struct rst_layers wanted[CARDS_MAX];
+      build (&fleet, zones, 1);
+      fleet.cards[0].held = (struct rst_layers){ 0, gaps[i].first };
+      fleet.cards[1].held = (struct rst_layers){ gaps[i].end, LAYERS };
+      fleet.cards[2].held = (struct rst_layers){ 0, gaps[i].first };
+      fleet.cards[0].memory_mb = 300000;
+      fleet.cards[1].memory_mb = 300000;
+      fleet.cards[2].memory_mb = 300000;
+      stp_plan (&engine, STP_SPARES, 1, fleet.cards, fleet.count, wanted);
+      assert_true (wanted[3].first <= gaps[i].first);
+      assert_true (wanted[3].end >= gaps[i].end);
+      assert_int_equal (wanted[3].end - wanted[3].first, 13);
+    }
+}
+
 /* Returns the least memory of requests, in tokens, of an engine in ZONE that
    holds layers.  */
 static double
@@ -536,6 +566,7 @@
     cmocka_unit_test (test_plan_loss),
     cmocka_unit_test (test_plan_newcomer),
     cmocka_unit_test (test_plan_keeps_room),
+    cmocka_unit_test (test_plan_small_gap),
     cmocka_unit_test (test_divide),
     cmocka_unit_test (test_plan_unmovable),
     cmocka_unit_test (test_paths),
