Let spare engines stand at the gap when layers are divided anew

Engines whose layers others hold too may now be used where the gap is, which takes fewer orders than sliding those beside it. All of stages_test passes, its bounds unchanged.

--- a/src/core/stage_plan.c
+++ b/src/core/stage_plan.c
@@ -215,8 +215,9 @@
 }
 
 /* Divides all layers anew among the engines of GROUP with the room for
-   requests that it wishes for now.  Returns false when they can't hold
-   them.  */
+   requests that it wishes for now.  Engines that hold nothing, or nothing that
+   others lack, stand where the first gap is.  Returns false when the engines
+   can't hold the layers.  */
 static bool
 divide (const struct group *group, struct rst_layers *divided)
 {
@@ -227,16 +228,22 @@
     {
       uint32_t card = group->members[i];
       const struct rst_layers *held = &group->wanted[card];
-      bool empty = held->first == held->end;
-      /* An engine that holds nothing stands where the first gap is. */
+      bool spare = group->cards[card].movable && is_repeated (group, held);
       engines[i] = (struct til_engine){
-        .held = empty ? (struct rst_layers){ gap.first, gap.first } : *held,
+        .held = spare ? (struct rst_layers){ gap.first, gap.first } : *held,
         .layers_max = card_layers_max (group, card),
         .movable = group->cards[card].movable,
       };
     }
   bool found = til_divide (engines, group->member_count, group->engine->layers,
                            divided);
+  for (uint32_t i = 0; found && i < group->member_count; i++)
+    {
+      if (divided[i].first == divided[i].end)
+        {
+          divided[i] = group->wanted[group->members[i]];
+        }
+    }
   g_free (engines);
   return found;
 }
@@ -271,9 +278,7 @@
     }
   for (uint32_t i = 0; found && i < group->member_count; i++)
     {
-      bool empty = roomiest[i].first == roomiest[i].end;
-      group->wanted[group->members[i]]
-          = empty ? (struct rst_layers){ 0, 0 } : roomiest[i];
+      group->wanted[group->members[i]] = roomiest[i];
     }
   group->cache_tokens = wished;
   count_holders (group);
