Divide the room for requests among paths; keep no reserve shortly after a loss

Change: rooms are divided evenly over the memory of each part and the slots of the first (core/room), and a path is chosen by its room over the time of its tokens. A newcomer is held in reserve only when no engine was lost in the last 10 s.

--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/room.h"
 #include "core/stage_plan.h"
 
 #include <math.h>
@@ -29,6 +30,9 @@
 /* Preference for paths of the daemon's own data centre. */
 #define HOME_WEIGHT 1.15
 
+/* Bounds the random part of a request's load. */
+#define RANDOM_LEAST 1e-6
+
 /* From this share of an endpoint's room on, another one is sought first; what
    is beyond it weighs so much more. */
 #define FULL_SHARE 0.9
@@ -150,6 +154,7 @@
 void
 fst_begin_path (struct fst_path *path, double tokens)
 {
+  path->parts[0]->begun++;
   for (uint32_t i = 0; i < path->count; i++)
     {
       path->parts[i]->used_tokens += tokens;
@@ -161,6 +166,7 @@
 void
 fst_end_path (struct fst_path *path, double tokens)
 {
+  path->parts[0]->begun--;
   for (uint32_t i = 0; i < path->count; i++)
     {
       path->parts[i]->used_tokens -= tokens;
@@ -536,35 +542,61 @@
     }
 }
 
-/* Divides the memory of requests of ENGINES among PATHS.  */
+/* Returns the position of ENGINE in ENGINES.  */
+static uint32_t
+find_engine (const GPtrArray *engines, const struct fst_endpoint *engine)
+{
+  guint index = 0;
+  g_ptr_array_find ((GPtrArray *)engines, engine, &index);
+  return index;
+}
+
+/* Describes what PATH needs: memory of each of its parts, and slots of the
+   first.  ENGINES have their memories first, then their slots.  */
+static struct rom_path
+describe_needs (const struct fst_path *path, const GPtrArray *engines)
+{
+  uint32_t *resources = g_new (uint32_t, path->count + 1);
+  for (uint32_t part = 0; part < path->count; part++)
+    {
+      resources[part] = find_engine (engines, path->parts[part]);
+    }
+  resources[path->count]
+      = engines->len + find_engine (engines, path->parts[0]);
+  return (struct rom_path){
+    .resources = resources,
+    .resource_count = path->count + 1,
+  };
+}
+
+/* Divides the room for requests of ENGINES among PATHS.  */
 static void
-set_rooms (const GPtrArray *paths, const GPtrArray *engines)
+set_rooms (const struct flt_engine *engine, const GPtrArray *paths,
+           const GPtrArray *engines)
 {
+  double usual_tokens
+      = MAX (engine->usual_prompt_tokens + engine->usual_answer_tokens, 1);
+  double *capacities = g_new (double, 2 * (size_t)engines->len + 1);
+  struct rom_path *needs = g_new0 (struct rom_path, paths->len + 1);
   for (guint i = 0; i < engines->len; i++)
     {
-      struct fst_endpoint *engine = g_ptr_array_index (engines, i);
-      engine->paths = 0;
+      const struct fst_endpoint *part = g_ptr_array_index (engines, i);
+      capacities[i] = MAX (part->cache_tokens, usual_tokens);
+      capacities[engines->len + i] = MAX (part->slots, 1) * usual_tokens;
     }
   for (guint i = 0; i < paths->len; i++)
     {
-      const struct fst_path *path = g_ptr_array_index (paths, i);
-      for (uint32_t part = 0; part < path->count; part++)
-        {
-          path->parts[part]->paths++;
-        }
+      needs[i] = describe_needs (g_ptr_array_index (paths, i), engines);
     }
+  rom_divide (capacities, 2 * engines->len, needs, paths->len);
   for (guint i = 0; i < paths->len; i++)
     {
       struct fst_path *path = g_ptr_array_index (paths, i);
-      path->room_tokens = INFINITY;
-      for (uint32_t part = 0; part < path->count; part++)
-        {
-          const struct fst_endpoint *engine = path->parts[part];
-          path->room_tokens
-              = MIN (path->room_tokens,
-                     MAX (engine->cache_tokens, 1) / engine->paths);
-        }
+      path->room_tokens = MAX (needs[i].room, 1);
+      g_free (needs[i].resources);
     }
+  g_free (needs);
+  g_free (capacities);
 }
 
 /* Describes ENDPOINT, an engine, for the search of paths.  One that rests is
@@ -611,7 +643,7 @@
       turns--;
     }
   drop_crossing_paths (paths);
-  set_rooms (paths, engines);
+  set_rooms (engine, paths, engines);
   g_ptr_array_free (engines, TRUE);
   g_array_free (cards, TRUE);
 }
@@ -633,15 +665,16 @@
     }
 }
 
-/* Returns the share of the memory of requests of PATH's fullest part that is
-   used once TOKENS more pass through it, as this daemon's own requests let it
-   expect.  */
+/* Returns the share of this daemon's part of PATH's room that is used once
+   TOKENS more pass through it: of the memory of the fullest engine, or of the
+   slots of the first.  */
 static double
 path_fill (const struct fst_fleet *fleet, const struct fst_path *path,
            double tokens)
 {
   double share = MAX (fleet->view->share, LEAST_SHARE);
-  double fill = 0;
+  const struct fst_endpoint *first = path->parts[0];
+  double fill = (first->begun + 1) / MAX (first->slots * share, 1);
   for (uint32_t i = 0; i < path->count; i++)
     {
       const struct fst_endpoint *part = path->parts[i];
@@ -652,8 +685,9 @@
 }
 
 /* Returns the tokens of this daemon's own requests on PATH's fullest part,
-   beside those of the request to be placed.  A random part of that request
-   spreads daemons that have none or few under way.  */
+   beside those of the request to be placed.  The random part of that request
+   lets daemons that have none or few under way choose paths as often as they
+   have room.  */
 static double
 path_load (const struct fst_path *path, double tokens)
 {
@@ -662,7 +696,7 @@
     {
       used = MAX (used, path->parts[i]->used_tokens);
     }
-  return used + tokens * g_random_double_range (0.05, 1);
+  return used - tokens * log (g_random_double_range (RANDOM_LEAST, 1));
 }
 
 /* Chooses a path of SERVICE for a request that needs memory for TOKENS: the
@@ -686,7 +720,7 @@
       double fill = path_fill (fleet, path, tokens);
       double overfull = MAX (fill - FULL_SHARE, 0);
       double weight = (path->parts[0]->zone == home ? HOME_WEIGHT : 1)
-                      * path->room_tokens / sqrt (path->token_ms);
+                      * path->room_tokens / path->token_ms;
       double cost = path_load (path, tokens) * (1 + OVERFULL_FACTOR * overfull)
                     / weight;
       if (cost < best_cost)
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -23,7 +23,7 @@
   double step_factor;
   double cache_tokens; /* memory of requests, in tokens; 0: unknown */
   double used_tokens;  /* of this daemon's requests that pass through it */
-  uint32_t paths;      /* that pass through it */
+  uint32_t begun;      /* of these, those whose paths begin at it */
   struct rst_layers layers;
   bool listed; /* in the list and not leaving */
   bool seen;   /* in the view that is being taken */
@@ -40,8 +40,7 @@
   char *text; /* ADDRESS=FIRST-END, comma-separated */
   double token_ms;
   uint32_t crossings; /* times that it goes to another data centre */
-  double room_tokens; /* memory of requests of its smallest part, divided by
-                         the number of paths over that part */
+  double room_tokens; /* its share of the room of its parts */
 };
 
 struct fst_fleet;
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -31,6 +31,10 @@
    and fill its gap: it repeats the layers of others only after this time. */
 #define RESERVE_US (3 * CLK_S_US)
 
+/* After an engine was lost, those that come rather replace it, and are kept
+   for nothing, for this time. */
+#define LOSS_US (10 * CLK_S_US)
+
 /* A lost layer that no spare engine can hold waits so long for an engine that
    comes or comes back, before engines that others need are moved: these serve
    nobody until the streams through them have ended. */
@@ -55,6 +59,8 @@
   struct plc_params params;
   GHashTable *orders;   /* endpoint id to struct order */
   int64_t gap_since_us; /* a layer lacks a holder; 0: none does */
+  int64_t lost_us;      /* when an engine last ended without notice */
+  GHashTable *staying;  /* set of the ids that were listed and not leaving */
   GHashTable *idle; /* endpoint id to when it was first seen without layers */
   guint engines_seen;
   int64_t settled_us;
@@ -81,6 +87,9 @@
   placing->params = *params;
   placing->orders
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, destroy_order);
+  placing->staying
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  placing->lost_us = -LOSS_US;
   placing->idle
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return placing;
@@ -92,6 +101,7 @@
 {
   g_hash_table_destroy (placing->orders);
   g_hash_table_destroy (placing->idle);
+  g_hash_table_destroy (placing->staying);
   g_free (placing);
 }
 
@@ -219,7 +229,8 @@
       g_hash_table_insert (placing->idle, g_strdup (endpoint->id), first_us);
       since_us = first_us;
     }
-  return now_us - *since_us < RESERVE_US;
+  return now_us - *since_us < RESERVE_US
+         && now_us - placing->lost_us >= LOSS_US;
 }
 
 /* Describes ENDPOINT, an engine, for the planner.  */
@@ -273,6 +284,30 @@
     }
 }
 
+/* Notes when an endpoint is gone from ENDPOINTS that hadn't been leaving.  */
+static void
+note_losses (struct plc_placing *placing, const GPtrArray *endpoints,
+             int64_t now_us)
+{
+  GHashTable *staying
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      const struct rst_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+      if (!endpoint->leaving)
+        {
+          g_hash_table_add (staying, g_strdup (endpoint->id));
+        }
+      g_hash_table_remove (placing->staying, endpoint->id);
+    }
+  if (g_hash_table_size (placing->staying) > 0)
+    {
+      placing->lost_us = now_us;
+    }
+  g_hash_table_destroy (placing->staying);
+  placing->staying = staying;
+}
+
 /* Returns the engines of SERVICE in ENDPOINTS that can hold layers.  */
 static GPtrArray *
 find_engines (const struct plc_placing *placing,
@@ -392,6 +427,7 @@
       return;
     }
   forget_orders (placing, endpoints, now_us);
+  note_losses (placing, endpoints, now_us);
   if (now_us < placing->settled_us)
     {
       return;
