--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 STANDIN_SOURCES = $(wildcard standin/*.c)
 STANDIN_MAINS = $(filter %_main.c,$(STANDIN_SOURCES))
 STANDIN_LIBRARY = $(filter-out %_main.c,$(STANDIN_SOURCES))
+SOAK_SOURCES = $(filter-out soak/soak.c,$(wildcard soak/*.c))
 TEST_SOURCES = $(wildcard test/*_test.c)
 TEST_HELPERS = $(filter-out %_test.c,$(wildcard test/*.c))
 BENCH_SOURCES = $(wildcard bench/*.c)
@@ -54,11 +55,12 @@
 BINARY = $(BUILD)/kumquatthread
 STANDINS = $(patsubst standin/%_main.c,$(BUILD)/standin-%,$(STANDIN_MAINS))
 TESTS = $(patsubst test/%.c,$(BUILD)/test/%,$(TEST_SOURCES))
+SOAK = $(BUILD)/soak/soak
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SOURCES))
 FUZZERS = $(patsubst test/fuzz/%_fuzz.c,$(BUILD)/fuzzer/%,$(FUZZ_SOURCES))
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/examples/%,$(EXAMPLE_SOURCES))
 
-all: $(BINARY) $(STANDINS) $(TESTS) $(BENCHES) $(EXAMPLES)
+all: $(BINARY) $(STANDINS) $(TESTS) $(SOAK) $(BENCHES) $(EXAMPLES)
 
 $(BUILD)/obj/proto/%.o: WARNINGS = -w
 
@@ -82,7 +84,11 @@
 $(BUILD)/standin-%: $(BUILD)/obj/standin/%_main.o $(call object,$(STANDIN_LIBRARY)) $(LIBRARIES)
 	$(link)
 
-$(BUILD)/test/%: $(BUILD)/obj/test/%.o $(call object,$(TEST_HELPERS) $(STANDIN_LIBRARY)) $(LIBRARIES)
+$(BUILD)/test/%: $(BUILD)/obj/test/%.o $(call object,$(TEST_HELPERS) $(SOAK_SOURCES) $(STANDIN_LIBRARY)) $(LIBRARIES)
+	@mkdir -p $(@D)
+	$(link)
+
+$(SOAK): $(call object,soak/soak.c $(SOAK_SOURCES) $(STANDIN_LIBRARY)) $(LIBRARIES)
 	@mkdir -p $(@D)
 	$(link)
 
@@ -108,7 +114,7 @@
 proto:
 	cd proto && protoc-c --c_out=. *.proto
 
-FORMATTED = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] test/*.[ch] test/fuzz/*.[ch] bench/*.[ch] examples/*.[ch]))
+FORMATTED = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] soak/*.[ch] test/*.[ch] test/fuzz/*.[ch] bench/*.[ch] examples/*.[ch]))
 LINTED = $(filter %.c,$(FORMATTED))
 
 format:
--- /dev/null
+++ b/soak/callers.c
@@ -0,0 +1,264 @@
+#include "soak/callers.h"
+
+#include "base/clock.h"
+#include "platform/headers.h"
+#include "standin/fleet.h"
+
+#include <string.h>
+
+/* Out of 100: drafts, and bookings; the rest are lookups. */
+#define DRAFTS 40
+#define BOOKINGS 35
+
+/* Out of 100: requests with the key that comes and goes, requests on
+   connections to daemons that take no new ones, and drafts whose callers leave
+   early. */
+#define EXTRA_KEYS 30
+#define KEPT_CONNECTIONS 30
+#define EARLY_LEAVERS 10
+
+/* How long callers that leave early wait, at most. */
+#define LEAVE_LATEST_MS 150
+
+/* What callers say that they wait for, and the time-outs of the stand-in's
+   routes. */
+#define DRAFT_US (5 * CLK_S_US)
+#define CALL_US (600 * CLK_MS_US)
+
+/* Requests that are over their deadline are given up after this time. */
+#define GIVE_UP_US (3 * CLK_S_US)
+
+struct scl_callers
+{
+  struct scl_params params;
+  struct ncl_client *client;
+  GPtrArray *calls; /* struct call, under way */
+  uint32_t next_id;
+};
+
+/* A request under way. */
+struct call
+{
+  struct scl_callers *callers;
+  struct srd_request *request;
+  struct ncl_exchange *exchange;
+  GString *body;
+  int64_t leaves_us; /* the caller leaves early */
+};
+
+static void
+end_call (struct call *call)
+{
+  g_ptr_array_remove_fast (call->callers->calls, call);
+  g_string_free (call->body, TRUE);
+  g_free (call);
+}
+
+/* Returns the answer that REQUEST is to get.  */
+static GString *
+wanted_answer (const struct srd_request *request)
+{
+  GString *text = g_string_new (NULL);
+  if (request->kind != SRD_DRAFT)
+    {
+      g_string_append_printf (text, "done %s", request->id);
+      return text;
+    }
+  for (uint32_t i = 1; i <= SFL_STREAM_EVENTS; i++)
+    {
+      g_string_append_printf (text, "id: %u\ndata: %s-%u\n\n", i, request->id,
+                              i);
+    }
+  return text;
+}
+
+static bool
+on_headers (void *context, uint32_t status, const struct msg_message *answer)
+{
+  (void)answer;
+  struct call *call = context;
+  call->request->status = status;
+  return true;
+}
+
+static void
+on_body (void *context, const char *bytes, size_t count)
+{
+  struct call *call = context;
+  g_string_append_len (call->body, bytes, (gssize)count);
+}
+
+static void
+on_complete (void *context)
+{
+  struct call *call = context;
+  struct srd_request *request = call->request;
+  GString *wanted = wanted_answer (request);
+  request->complete = true;
+  request->right = g_string_equal (wanted, call->body);
+  request->ended_us = clk_monotonic_us ();
+  g_string_free (wanted, TRUE);
+  end_call (call);
+}
+
+static void
+on_failed (void *context, enum ncl_failure failure)
+{
+  (void)failure;
+  struct call *call = context;
+  call->request->ended_us = clk_monotonic_us ();
+  end_call (call);
+}
+
+static const struct ncl_events call_events = {
+  .headers = on_headers,
+  .body = on_body,
+  .complete = on_complete,
+  .failed = on_failed,
+};
+
+/* Creates the callers of PARAMS.  */
+struct scl_callers *
+scl_create (const struct scl_params *params)
+{
+  const struct ncl_params client = {
+    .idle_max_us = 8 * CLK_S_US,
+    .idle_margin_us = CLK_S_US,
+    .connect_timeout_us = CLK_S_US,
+    .silence_ms = 20000,
+    .idle_connections_max = 16,
+  };
+  struct scl_callers *callers = g_new0 (struct scl_callers, 1);
+  callers->params = *params;
+  callers->client = ncl_create (params->loop, &client);
+  callers->calls = g_ptr_array_new ();
+  return callers;
+}
+
+/* Ends what scl_create began.  */
+void
+scl_destroy (struct scl_callers *callers)
+{
+  for (guint i = callers->calls->len; i-- > 0;)
+    {
+      struct call *call = g_ptr_array_index (callers->calls, i);
+      ncl_cancel (call->exchange);
+      g_string_free (call->body, TRUE);
+      g_free (call);
+    }
+  ncl_destroy (callers->client);
+  g_ptr_array_free (callers->calls, TRUE);
+  g_free (callers);
+}
+
+static bool
+happens (struct scl_callers *callers, gint percent)
+{
+  return g_rand_int_range (callers->params.random, 0, 100) < percent;
+}
+
+/* Returns the daemon that the next request goes to.  */
+static struct sdm_daemon *
+choose_daemon (struct scl_callers *callers)
+{
+  const struct sdm_daemons *daemons = callers->params.daemons;
+  uint32_t number = g_rand_int (callers->params.random);
+  struct sdm_daemon *any = sdm_at (daemons, number % daemons->list->len);
+  return happens (callers, KEPT_CONNECTIONS) && sep_is_running (any->process)
+             ? any
+             : sdm_choose (daemons, number);
+}
+
+/* Draws the kind, key and times of REQUEST.  */
+static void
+draw (struct scl_callers *callers, uint32_t extra_key,
+      struct srd_request *request)
+{
+  request->kind = happens (callers, DRAFTS) ? SRD_DRAFT
+                  : happens (callers, 100 * BOOKINGS / (100 - DRAFTS))
+                      ? SRD_BOOK
+                      : SRD_LOOK;
+  request->key
+      = extra_key > 0 && happens (callers, EXTRA_KEYS) ? extra_key : 0;
+  request->sent_us = clk_monotonic_us ();
+  request->deadline_us
+      = request->sent_us + (request->kind == SRD_DRAFT ? DRAFT_US : CALL_US);
+}
+
+/* Returns the bytes of REQUEST.  */
+static char *
+build (const struct srd_request *request)
+{
+  static const char *const paths[SRD_KINDS] = {
+    [SRD_DRAFT] = "/draft/a",
+    [SRD_BOOK] = "/book/a",
+    [SRD_LOOK] = "/look/a",
+  };
+  return g_strdup_printf (
+      "POST %s HTTP/1.1\r\nHost: fleet.example\r\nX-Api-Key: key-%u\r\n"
+      "X-Own: 1\r\n" PFH_REQUEST_ID ": %s\r\n" PFH_TIME_LEFT_MS
+      ": %ld\r\n%sContent-Length: 4\r\n\r\nbody",
+      paths[request->kind], request->key + 1, request->id,
+      (long)(DRAFT_US / CLK_MS_US),
+      request->kind == SRD_DRAFT ? PFH_TOKENS ": 40,24\r\n" : "");
+}
+
+/* Sends one request, with the key EXTRA_KEY now and then unless it is 0.  */
+void
+scl_send (struct scl_callers *callers, uint32_t extra_key)
+{
+  char id[SRD_ID_BYTES];
+  g_snprintf (id, sizeof id, "r%u", ++callers->next_id);
+  struct sdm_daemon *daemon = choose_daemon (callers);
+  struct srd_request *request = srd_add_request (callers->params.record, id);
+  draw (callers, extra_key, request);
+  request->daemon = daemon->index;
+  request->start = daemon->start;
+  struct call *call = g_new0 (struct call, 1);
+  call->callers = callers;
+  call->request = request;
+  call->body = g_string_new (NULL);
+  call->leaves_us = SRD_NEVER;
+  if (request->kind == SRD_DRAFT && happens (callers, EARLY_LEAVERS))
+    {
+      call->leaves_us
+          = request->sent_us
+            + g_rand_int_range (callers->params.random, 1, LEAVE_LATEST_MS)
+                  * CLK_MS_US;
+    }
+  g_ptr_array_add (callers->calls, call);
+  g_autofree char *bytes = build (request);
+  call->exchange
+      = ncl_send (callers->client, sep_caller_address (daemon->process), bytes,
+                  strlen (bytes), false, &call_events, call);
+  if (call->exchange == NULL)
+    {
+      request->ended_us = request->sent_us;
+      end_call (call);
+    }
+}
+
+/* Lets callers leave whose time has come.  */
+void
+scl_expire (struct scl_callers *callers, int64_t now_us)
+{
+  ncl_expire (callers->client, now_us);
+  for (guint i = callers->calls->len; i-- > 0;)
+    {
+      struct call *call = g_ptr_array_index (callers->calls, i);
+      bool leaves = now_us >= call->leaves_us;
+      if (leaves || now_us >= call->request->deadline_us + GIVE_UP_US)
+        {
+          call->request->left_us = leaves ? now_us : SRD_NEVER;
+          ncl_cancel (call->exchange);
+          end_call (call);
+        }
+    }
+}
+
+/* Returns the number of requests that have no end yet.  */
+guint
+scl_under_way (const struct scl_callers *callers)
+{
+  return callers->calls->len;
+}
--- /dev/null
+++ b/soak/callers.h
@@ -0,0 +1,25 @@
+/* The callers of a soak: send requests, on kept and new connections, and check
+   what they get. */
+#ifndef SOAK_CALLERS_H
+#define SOAK_CALLERS_H
+
+#include "soak/daemons.h"
+#include "soak/record.h"
+
+struct scl_callers;
+
+struct scl_params
+{
+  uv_loop_t *loop;
+  GRand *random;
+  struct sdm_daemons *daemons;
+  struct srd_record *record;
+};
+
+struct scl_callers *scl_create (const struct scl_params *params);
+void scl_destroy (struct scl_callers *callers);
+void scl_send (struct scl_callers *callers, uint32_t extra_key);
+void scl_expire (struct scl_callers *callers, int64_t now_us);
+guint scl_under_way (const struct scl_callers *callers);
+
+#endif
--- /dev/null
+++ b/soak/soak.c
@@ -0,0 +1,391 @@
+/* Runs daemons as processes of their own before the stand-in fleet, lets
+   troubles befall them by a seed, and judges what callers and endpoints saw.
+   ./run soak --seed N --minutes M [--daemons D] [--rate R] [--verbose] */
+#include "soak/callers.h"
+#include "soak/troubles.h"
+
+#include "base/clock.h"
+
+#include <argtable2.h>
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define ENGINES 6
+#define SERVICES 3
+#define EVENT_MS 15
+
+#define TICK_MS 10
+#define PROBE_US (1 * CLK_S_US)
+#define WATCH_US (50 * CLK_MS_US)
+
+/* Requests a second, unless the command line tells. */
+#define RATE 40
+
+/* The fleet must be placed and ready by then. */
+#define START_US (20 * CLK_S_US)
+
+/* After the last trouble, the daemons recover for this time; then everything
+   must be served for the other one. */
+#define RECOVERY_US (8 * CLK_S_US)
+#define SETTLED_US (3 * CLK_S_US)
+
+/* The daemons' part of a machine. */
+#define MEMORY_MAX_KB 65536
+
+#define STOP_S 5
+
+static const struct sjd_bounds bounds = {
+  .stable_us = 3 * CLK_S_US,
+  .config_us = 2 * CLK_S_US,
+  .rollback_us = 250 * CLK_MS_US,
+  .revoke_us = 3 * CLK_S_US,
+  .drain_us = 1 * CLK_S_US,
+  .gone_us = 500 * CLK_MS_US,
+  .answer_us = 1 * CLK_S_US,
+  .window_us = 4 * CLK_S_US,
+  .retry_ratio = 0.2,
+  .retry_slack = 40,
+};
+
+struct options
+{
+  uint32_t seed;
+  double minutes;
+  uint32_t daemons;
+  double rate;
+  bool verbose;
+};
+
+struct soak
+{
+  struct options options;
+  uv_loop_t loop;
+  uv_timer_t tick;
+  GRand *random;
+  char *folder;
+  GPtrArray *proxies; /* struct spx_proxy, before the endpoints */
+  struct srd_record *record;
+  struct sfl_fleet *fleet;
+  struct sdm_daemons *daemons;
+  struct scl_callers *callers;
+  struct stb_troubles *troubles;
+  int64_t next_request_us;
+  int64_t next_probe_us;
+  int64_t next_watch_us;
+  bool sends;
+};
+
+static void
+on_arrived (void *context, uint32_t endpoint, const char *request_id)
+{
+  struct soak *soak = context;
+  srd_arrived (soak->record, request_id, endpoint, clk_monotonic_us ());
+}
+
+static void
+on_runs (void *context, uint32_t endpoint, const char *request_id)
+{
+  (void)endpoint;
+  struct soak *soak = context;
+  srd_runs (soak->record, request_id, clk_monotonic_us ());
+}
+
+static void
+on_rests (void *context, const char *request_id)
+{
+  struct soak *soak = context;
+  srd_rests (soak->record, request_id, clk_monotonic_us ());
+}
+
+static const struct sfl_observer observer = {
+  .arrived = on_arrived,
+  .runs = on_runs,
+  .rests = on_rests,
+};
+
+/* Puts a proxy before the endpoint at ADDRESS.  */
+static char *
+announce (void *context, const char *address)
+{
+  struct soak *soak = context;
+  struct spx_proxy *proxy = spx_create (&soak->loop, address);
+  g_ptr_array_add (soak->proxies, proxy);
+  return g_strdup (spx_address (proxy));
+}
+
+/* Sends the requests that are due, as a random process.  */
+static void
+send_requests (struct soak *soak, int64_t now_us)
+{
+  while (soak->sends && now_us >= soak->next_request_us)
+    {
+      double pause_s
+          = -log (1 - g_rand_double (soak->random)) / soak->options.rate;
+      soak->next_request_us += (int64_t)(pause_s * CLK_S_US) + 1;
+      scl_send (soak->callers,
+                soak->troubles == NULL ? 0 : stb_extra_key (soak->troubles));
+    }
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct soak *soak = timer->data;
+  int64_t now_us = clk_monotonic_us ();
+  send_requests (soak, now_us);
+  scl_expire (soak->callers, now_us);
+  if (now_us >= soak->next_probe_us)
+    {
+      soak->next_probe_us = now_us + PROBE_US;
+      sdm_probe (soak->daemons);
+    }
+  if (now_us >= soak->next_watch_us)
+    {
+      soak->next_watch_us = now_us + WATCH_US;
+      sdm_watch (soak->daemons, now_us);
+    }
+  if (soak->troubles != NULL)
+    {
+      stb_step (soak->troubles, now_us);
+    }
+}
+
+/* Runs the loop for DURATION_US.  */
+static void
+run_for (struct soak *soak, int64_t duration_us)
+{
+  int64_t end_us = clk_monotonic_us () + duration_us;
+  while (clk_monotonic_us () < end_us)
+    {
+      uv_run (&soak->loop, UV_RUN_ONCE);
+    }
+}
+
+static void
+begin (struct soak *soak)
+{
+  const struct sfl_params fleet = {
+    .loop = &soak->loop,
+    .engines = ENGINES,
+    .services = SERVICES,
+    .event_ms = EVENT_MS,
+    .observer = &observer,
+    .announce = announce,
+    .context = soak,
+  };
+  uv_loop_init (&soak->loop);
+  soak->random = g_rand_new_with_seed (soak->options.seed);
+  soak->folder = g_dir_make_tmp ("soak-XXXXXX", NULL);
+  soak->proxies = g_ptr_array_new ();
+  soak->record = srd_create ();
+  soak->fleet = sfl_create (&fleet);
+  struct srd_change first = { .version = 1, .acked_us = clk_monotonic_us () };
+  g_array_append_val (soak->record->changes, first);
+  const struct sdm_params daemons = {
+    .loop = &soak->loop,
+    .folder = soak->folder,
+    .store_address = sfl_store_address (soak->fleet),
+    .count = soak->options.daemons,
+    .bounds = &bounds,
+    .stop_s = STOP_S,
+    .memory_max_kb = MEMORY_MAX_KB,
+  };
+  soak->daemons = sdm_create (&daemons);
+  const struct scl_params callers = {
+    .loop = &soak->loop,
+    .random = soak->random,
+    .daemons = soak->daemons,
+    .record = soak->record,
+  };
+  soak->callers = scl_create (&callers);
+  uv_timer_init (&soak->loop, &soak->tick);
+  soak->tick.data = soak;
+  uv_timer_start (&soak->tick, on_tick, TICK_MS, TICK_MS);
+}
+
+/* Waits until the engines hold every layer and all daemons are ready.  */
+static bool
+await_ready (struct soak *soak)
+{
+  int64_t end_us = clk_monotonic_us () + START_US;
+  for (;;)
+    {
+      bool ready = sfl_is_placed (soak->fleet);
+      for (guint i = 0; i < soak->daemons->list->len; i++)
+        {
+          ready &= sdm_at (soak->daemons, i)->in_rotation;
+        }
+      if (ready || clk_monotonic_us () >= end_us)
+        {
+          return ready;
+        }
+      run_for (soak, 50 * CLK_MS_US);
+    }
+}
+
+/* Lets requests and troubles come, and in the end requests alone.  */
+static void
+play (struct soak *soak)
+{
+  const struct stb_params troubles = {
+    .loop = &soak->loop,
+    .random = soak->random,
+    .fleet = soak->fleet,
+    .daemons = soak->daemons,
+    .proxies = soak->proxies,
+    .record = soak->record,
+    .engines = ENGINES,
+    .services = SERVICES,
+    .verbose = soak->options.verbose,
+  };
+  soak->next_request_us = clk_monotonic_us ();
+  soak->sends = true;
+  soak->troubles = stb_create (&troubles);
+  run_for (soak, (int64_t)(soak->options.minutes * 60 * CLK_S_US));
+  stb_end (soak->troubles, clk_monotonic_us ());
+  while (!stb_is_over (soak->troubles))
+    {
+      run_for (soak, 50 * CLK_MS_US);
+    }
+  run_for (soak, RECOVERY_US);
+  soak->record->settled_us = clk_monotonic_us ();
+  run_for (soak, SETTLED_US);
+  soak->sends = false;
+  while (scl_under_way (soak->callers) > 0)
+    {
+      run_for (soak, 50 * CLK_MS_US);
+    }
+}
+
+/* Tells what was broken.  Returns the number of violations.  */
+static uint32_t
+judge (struct soak *soak)
+{
+  GPtrArray *violations = sjd_judge (soak->record, &bounds);
+  const char *fleet = sfl_violation (soak->fleet);
+  if (fleet != NULL)
+    {
+      g_ptr_array_add (violations, g_strdup (fleet));
+    }
+  for (guint i = 0; i < soak->daemons->complaints->len; i++)
+    {
+      const char *text = g_ptr_array_index (soak->daemons->complaints, i);
+      g_ptr_array_add (violations, g_strdup (text));
+    }
+  uint32_t served = 0;
+  for (guint i = 0; i < soak->record->requests->len; i++)
+    {
+      const struct srd_request *request
+          = g_ptr_array_index (soak->record->requests, i);
+      served += request->right;
+    }
+  for (guint i = 0; i < violations->len; i++)
+    {
+      printf ("violation: %s\n", (char *)g_ptr_array_index (violations, i));
+    }
+  printf ("seed %u: %u requests, %u served, %u troubles, %u violations\n",
+          soak->options.seed, soak->record->requests->len, served,
+          soak->record->troubles->len, violations->len);
+  uint32_t count = violations->len;
+  g_ptr_array_free (violations, TRUE);
+  return count;
+}
+
+/* Ends everything that begin began; logs stay if KEEP_FILES.  */
+static void
+end (struct soak *soak, bool keep_files)
+{
+  if (soak->troubles != NULL)
+    {
+      stb_destroy (soak->troubles);
+    }
+  scl_destroy (soak->callers);
+  sdm_destroy (soak->daemons, keep_files);
+  uv_close ((uv_handle_t *)&soak->tick, NULL);
+  sfl_destroy (soak->fleet);
+  for (guint i = 0; i < soak->proxies->len; i++)
+    {
+      spx_destroy (g_ptr_array_index (soak->proxies, i));
+    }
+  uv_run (&soak->loop, UV_RUN_DEFAULT);
+  uv_loop_close (&soak->loop);
+  g_ptr_array_free (soak->proxies, TRUE);
+  srd_destroy (soak->record);
+  g_rand_free (soak->random);
+  if (keep_files)
+    {
+      printf ("logs: %s\n", soak->folder);
+    }
+  else
+    {
+      rmdir (soak->folder);
+    }
+  g_free (soak->folder);
+}
+
+/* Reads the command line.  */
+static bool
+read_options (int argc, char **argv, struct options *options)
+{
+  struct arg_int *seed = arg_int0 (NULL, "seed", "N", "what befalls them");
+  struct arg_dbl *minutes = arg_dbl0 (NULL, "minutes", "M", "how long (1)");
+  struct arg_int *daemons
+      = arg_int0 (NULL, "daemons", "D", "number of daemons (3)");
+  struct arg_dbl *rate
+      = arg_dbl0 (NULL, "rate", "R", "requests a second (40)");
+  struct arg_lit *verbose
+      = arg_lit0 (NULL, "verbose", "tell what befalls them");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { seed, minutes, daemons, rate, verbose, end };
+  bool valid = arg_nullcheck (table) == 0;
+  if (valid)
+    {
+      seed->ival[0] = 1;
+      minutes->dval[0] = 1;
+      daemons->ival[0] = 3;
+      rate->dval[0] = RATE;
+      int errors = arg_parse (argc, argv, table);
+      valid = errors == 0 && daemons->ival[0] > 0 && rate->dval[0] > 0;
+      if (errors > 0)
+        {
+          arg_print_errors (stderr, end, "soak");
+        }
+      *options = (struct options){
+        .seed = (uint32_t)seed->ival[0],
+        .minutes = minutes->dval[0],
+        .daemons = (uint32_t)daemons->ival[0],
+        .rate = rate->dval[0],
+        .verbose = verbose->count > 0,
+      };
+    }
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return valid;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct soak soak = { .sends = false };
+  if (!read_options (argc, argv, &soak.options))
+    {
+      return 2;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  begin (&soak);
+  bool ready = await_ready (&soak);
+  uint32_t violations = 1;
+  if (ready)
+    {
+      play (&soak);
+      violations = judge (&soak);
+    }
+  else
+    {
+      printf ("violation: the daemons weren't ready in time\n");
+    }
+  end (&soak, violations > 0);
+  return violations == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/standin/entry_process.c
@@ -0,0 +1,185 @@
+#include "standin/entry_process.h"
+
+#include "standin/fleet.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+struct sep_process
+{
+  char *settings_path;
+  char *log_path;
+  char *binary;
+  char *caller_address;
+  char *ready_address;
+  pid_t pid; /* 0: not running */
+};
+
+/* Returns the path of the daemon's program: this program lies in a folder
+   beside it.  */
+static char *
+find_binary (void)
+{
+  char self[512] = "";
+  if (readlink ("/proc/self/exe", self, sizeof self - 1) <= 0)
+    {
+      g_error ("can't tell the path of this program");
+    }
+  g_autofree char *folder = g_path_get_dirname (self);
+  g_autofree char *build = g_path_get_dirname (folder);
+  return g_build_filename (build, "kumquatthread", NULL);
+}
+
+/* Returns an address on a free port, allocated.  */
+static char *
+free_address (void)
+{
+  return g_strdup_printf ("127.0.0.1:%u", sfl_free_port ());
+}
+
+/* Writes the settings of PARAMS for PROCESS.  */
+static void
+write_settings (struct sep_process *process, const struct sep_params *params)
+{
+  g_autofree char *metrics_address = free_address ();
+  g_autofree char *relay_address = free_address ();
+  g_autofree char *text = g_strdup_printf (
+      "name: %s\ndata_centre: kgn\ncaller_address: \"%s\"\n"
+      "ready_address: \"%s\"\nmetrics_address: \"%s\"\n"
+      "relay_address: \"%s\"\nstore_address: \"%s\"\n"
+      "store_partitions: 2\ndescriptors: 1024\n"
+      "drain_ms: %u\nconfig_ms: %u\nrevoke_ms: %u\nstop_s: %u\n"
+      "retry_window_s: %u\nretry_ratio: %g\nretry_slack: %u\n",
+      params->name, process->caller_address, process->ready_address,
+      metrics_address, relay_address, params->store_address, params->drain_ms,
+      params->config_ms, params->revoke_ms, params->stop_s,
+      params->retry_window_s, params->retry_ratio, params->retry_slack);
+  g_autoptr (GError) error = NULL;
+  if (!g_file_set_contents (process->settings_path, text, -1, &error))
+    {
+      g_error ("%s", error->message);
+    }
+}
+
+/* Writes the settings of a daemon by PARAMS, and doesn't start it yet.  */
+struct sep_process *
+sep_create (const struct sep_params *params)
+{
+  struct sep_process *process = g_new0 (struct sep_process, 1);
+  g_autofree char *settings = g_strdup_printf ("%s.yaml", params->name);
+  g_autofree char *log = g_strdup_printf ("%s.log", params->name);
+  process->settings_path = g_build_filename (params->folder, settings, NULL);
+  process->log_path = g_build_filename (params->folder, log, NULL);
+  process->binary = find_binary ();
+  process->caller_address = free_address ();
+  process->ready_address = free_address ();
+  write_settings (process, params);
+  return process;
+}
+
+/* Kills PROCESS if it runs and frees it; its files stay.  */
+void
+sep_destroy (struct sep_process *process)
+{
+  if (process->pid > 0)
+    {
+      kill (process->pid, SIGKILL);
+      waitpid (process->pid, NULL, 0);
+    }
+  g_free (process->settings_path);
+  g_free (process->log_path);
+  g_free (process->binary);
+  g_free (process->caller_address);
+  g_free (process->ready_address);
+  g_free (process);
+}
+
+/* Removes the settings and the log of PROCESS.  */
+void
+sep_remove_files (const struct sep_process *process)
+{
+  unlink (process->settings_path);
+  unlink (process->log_path);
+}
+
+/* Starts the daemon, whose lines are added to its log.  */
+void
+sep_start (struct sep_process *process)
+{
+  process->pid = fork ();
+  if (process->pid < 0)
+    {
+      g_error ("no process can be started");
+    }
+  if (process->pid == 0)
+    {
+      if (freopen (process->log_path, "a", stdout) != NULL)
+        {
+          execl (process->binary, process->binary, "entry",
+                 process->settings_path, (char *)NULL);
+        }
+      _exit (127);
+    }
+}
+
+/* Sends the signal NUMBER to the daemon.  Returns false when it doesn't
+   run.  */
+bool
+sep_signal (struct sep_process *process, int number)
+{
+  return process->pid > 0 && kill (process->pid, number) == 0;
+}
+
+/* Returns true, once, when the daemon has ended, with its STATUS as waitpid
+   tells it.  */
+bool
+sep_has_ended (struct sep_process *process, int *status)
+{
+  if (process->pid <= 0 || waitpid (process->pid, status, WNOHANG) <= 0)
+    {
+      return false;
+    }
+  process->pid = 0;
+  return true;
+}
+
+/* True from sep_start until sep_has_ended told the end.  */
+bool
+sep_is_running (const struct sep_process *process)
+{
+  return process->pid > 0;
+}
+
+/* Returns the memory that the daemon holds, or 0 when it doesn't run.  */
+uint64_t
+sep_memory_kb (const struct sep_process *process)
+{
+  g_autofree char *path
+      = g_strdup_printf ("/proc/%d/statm", (int)process->pid);
+  g_autofree char *text = NULL;
+  unsigned long total = 0;
+  unsigned long resident = 0;
+  if (process->pid <= 0 || !g_file_get_contents (path, &text, NULL, NULL)
+      || sscanf (text, "%lu %lu", &total, &resident) != 2)
+    {
+      return 0;
+    }
+  return (uint64_t)resident * (uint64_t)sysconf (_SC_PAGESIZE) / 1024;
+}
+
+/* Returns where the daemon serves callers.  */
+const char *
+sep_caller_address (const struct sep_process *process)
+{
+  return process->caller_address;
+}
+
+/* Returns where the daemon tells whether it is ready.  */
+const char *
+sep_ready_address (const struct sep_process *process)
+{
+  return process->ready_address;
+}
--- /dev/null
+++ b/standin/entry_process.h
@@ -0,0 +1,38 @@
+/* An entry daemon as a process of its own, built beside the calling
+   program. */
+#ifndef STANDIN_ENTRY_PROCESS_H
+#define STANDIN_ENTRY_PROCESS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+struct sep_params
+{
+  const char *name;
+  const char *folder; /* for its settings and log */
+  const char *store_address;
+  uint32_t drain_ms;
+  uint32_t config_ms;
+  uint32_t revoke_ms;
+  uint32_t stop_s;
+  uint32_t retry_window_s;
+  double retry_ratio;
+  uint32_t retry_slack;
+};
+
+struct sep_process;
+
+struct sep_process *sep_create (const struct sep_params *params);
+void sep_destroy (struct sep_process *process);
+void sep_remove_files (const struct sep_process *process);
+void sep_start (struct sep_process *process);
+bool sep_signal (struct sep_process *process, int number);
+bool sep_has_ended (struct sep_process *process, int *status);
+bool sep_is_running (const struct sep_process *process);
+uint64_t sep_memory_kb (const struct sep_process *process);
+const char *sep_caller_address (const struct sep_process *process);
+const char *sep_ready_address (const struct sep_process *process);
+
+#endif
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -10,6 +10,12 @@
 #define UNSENT_BYTES_MAX 1048576
 #define TIMEOUT_US 30000000
 
+/* Ports are taken from below the range of outgoing connections, by each
+   process from a block of its own. */
+#define PORT_FIRST 10000
+#define PORT_END 30000
+#define PORT_BLOCK 200
+
 /* An engine of this memory holds half the model, with room for requests. */
 #define CONFIGURATION                                                         \
   "{\"Version\":%" G_GUINT64_FORMAT ",\"Routes\":["                           \
@@ -45,21 +51,29 @@
   va_end (arguments);
 }
 
-/* Returns a port of loopback that is free.  */
-static uint16_t
-free_port (void)
+/* Returns a port of loopback that is free, another one each time: its user may
+   open it later.  */
+uint16_t
+sfl_free_port (void)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t bytes = sizeof address;
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  int descriptor = socket (AF_INET, SOCK_STREAM, 0);
-  if (bind (descriptor, (struct sockaddr *)&address, sizeof address) != 0
-      || getsockname (descriptor, (struct sockaddr *)&address, &bytes) != 0)
+  static guint taken = 0;
+  guint block = (guint)getpid () % ((PORT_END - PORT_FIRST) / PORT_BLOCK);
+  for (;;)
     {
-      g_error ("no port is free");
+      guint offset = (guint)g_atomic_int_add (&taken, 1) % PORT_BLOCK;
+      uint16_t port = (uint16_t)(PORT_FIRST + block * PORT_BLOCK + offset);
+      struct sockaddr_in address
+          = { .sin_family = AF_INET, .sin_port = htons (port) };
+      address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+      int descriptor = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      int status
+          = bind (descriptor, (struct sockaddr *)&address, sizeof address);
+      close (descriptor);
+      if (status == 0)
+        {
+          return port;
+        }
     }
-  close (descriptor);
-  return ntohs (address.sin_port);
 }
 
 /* Opens a server of FLEET on a port of loopback, whose ADDRESS is set.  */
@@ -77,7 +91,7 @@
     .connections_max = CONNECTIONS_MAX,
   };
   g_autoptr (GError) error = NULL;
-  *address = g_strdup_printf ("127.0.0.1:%u", free_port ());
+  *address = g_strdup_printf ("127.0.0.1:%u", sfl_free_port ());
   struct nsv_server *server = nsv_create (fleet->params.loop, *address,
                                           &limits, events, context, &error);
   if (server == NULL)
@@ -169,6 +183,39 @@
   return g_ptr_array_index (fleet->endpoints, index);
 }
 
+/* Removes the endpoint INDEX from the list; it goes on serving.  */
+void
+sfl_remove (struct sfl_fleet *fleet, uint32_t index)
+{
+  sfl_endpoint_list (endpoint_at (fleet, index), NULL);
+}
+
+/* Starts the endpoint INDEX, which was killed, anew under another id and
+   address.  */
+void
+sfl_restart (struct sfl_fleet *fleet, uint32_t index)
+{
+  struct sfl_endpoint *endpoint = endpoint_at (fleet, index);
+  g_free (endpoint->id);
+  g_free (endpoint->address);
+  endpoint->starts++;
+  endpoint->id = g_strdup_printf ("%s-%u-%u",
+                                  endpoint->is_engine ? "engine" : "service",
+                                  index, endpoint->starts);
+  endpoint->dead = false;
+  endpoint->first = 0;
+  endpoint->end = 0;
+  endpoint->fence = 0;
+  sfl_endpoint_open (endpoint);
+}
+
+/* True unless the endpoint INDEX was killed.  */
+bool
+sfl_is_alive (const struct sfl_fleet *fleet, uint32_t index)
+{
+  return !endpoint_at (fleet, index)->dead;
+}
+
 /* Lists the endpoint INDEX as leaving; it goes on serving.  */
 void
 sfl_leave (struct sfl_fleet *fleet, uint32_t index)
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -33,17 +33,34 @@
 {
   SFL_STORE_SOUND,
   SFL_STORE_REFUSES,
-  SFL_STORE_SILENT /* never answers those that come now */
+  SFL_STORE_SILENT, /* never answers those that come now */
+  SFL_STORE_LOSES   /* does what is asked and closes the connection */
 };
 
 struct sfl_fleet;
 
+/* What an endpoint sees, told as it happens.  */
+struct sfl_observer
+{
+  /* A request has reached it, and begins to run.  */
+  void (*arrived) (void *context, uint32_t endpoint, const char *request_id);
+  void (*runs) (void *context, uint32_t endpoint, const char *request_id);
+  /* It no longer works on the request.  */
+  void (*rests) (void *context, const char *request_id);
+};
+
 struct sfl_params
 {
   uv_loop_t *loop;
   uint32_t engines; /* each with memory for half the model */
   uint32_t services;
-  uint32_t event_ms; /* between two events of a stream */
+  uint32_t event_ms;     /* between two events of a stream */
+  uint64_t group_ttl_ms; /* a member that is silent for longer is gone */
+  const struct sfl_observer *observer; /* NULL: none */
+  /* Returns the address to list in place of ADDRESS, allocated; NULL: the
+     same.  */
+  char *(*announce) (void *context, const char *address);
+  void *context;
 };
 
 struct sfl_fleet *sfl_create (const struct sfl_params *params);
@@ -52,8 +69,13 @@
 void sfl_publish (struct sfl_fleet *fleet, uint64_t version,
                   const char *extra_key);
 void sfl_set_store (struct sfl_fleet *fleet, enum sfl_store_state state);
+void sfl_forget_history (struct sfl_fleet *fleet);
+void sfl_deal_anew (struct sfl_fleet *fleet);
 void sfl_leave (struct sfl_fleet *fleet, uint32_t endpoint);
+void sfl_remove (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_kill (struct sfl_fleet *fleet, uint32_t endpoint);
+void sfl_restart (struct sfl_fleet *fleet, uint32_t endpoint);
+bool sfl_is_alive (const struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_set_fault (struct sfl_fleet *fleet, bool engines,
                     enum sfl_fault fault, uint32_t requests);
 uint32_t sfl_runs (const struct sfl_fleet *fleet, const char *request_id);
@@ -61,5 +83,6 @@
 uint32_t sfl_cancelled (const struct sfl_fleet *fleet);
 bool sfl_is_placed (const struct sfl_fleet *fleet);
 const char *sfl_violation (const struct sfl_fleet *fleet);
+uint16_t sfl_free_port (void);
 
 #endif
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -25,13 +25,24 @@
 static void
 end_answer (struct sfl_answer *answer)
 {
+  const struct sfl_params *params = &answer->endpoint->fleet->params;
+  if (params->observer != NULL)
+    {
+      params->observer->rests (params->context, answer->id);
+    }
   uv_close ((uv_handle_t *)&answer->timer, on_answer_closed);
 }
 
-/* Notes that a request runs.  */
+/* Notes that a request runs on ENDPOINT.  */
 static void
-note_run (struct sfl_fleet *fleet, const char *id)
+note_run (const struct sfl_endpoint *endpoint, const char *id)
 {
+  struct sfl_fleet *fleet = endpoint->fleet;
+  if (fleet->params.observer != NULL)
+    {
+      fleet->params.observer->runs (fleet->params.context, endpoint->index,
+                                    id);
+    }
   guint runs = GPOINTER_TO_UINT (g_hash_table_lookup (fleet->runs, id));
   g_hash_table_insert (fleet->runs, g_strdup (id),
                        GUINT_TO_POINTER (runs + 1));
@@ -53,12 +64,13 @@
 }
 
 /* Checks that the path TEXT runs every layer once, in order, from ENDPOINT on.
-   Returns the engine that is dead or doesn't hold its part, or NULL.  */
-static struct sfl_endpoint *
+   Returns the address of the engine that is dead or doesn't hold its part,
+   allocated, or NULL.  */
+static char *
 check_path (struct sfl_endpoint *endpoint, const char *text)
 {
   struct sfl_fleet *fleet = endpoint->fleet;
-  struct sfl_endpoint *at_fault = NULL;
+  char *at_fault = NULL;
   gchar **parts = g_strsplit (text == NULL ? "" : text, ",", 0);
   uint32_t next = 0;
   for (guint i = 0; parts[i] != NULL; i++)
@@ -67,17 +79,18 @@
       uint32_t first = 0;
       uint32_t end = 0;
       int fields = sscanf (parts[i], "%63[^=]=%u-%u", address, &first, &end);
-      struct sfl_endpoint *part = find_address (fleet, address);
-      if (fields != 3 || part == NULL || first != next || end <= first
+      const struct sfl_endpoint *part = find_address (fleet, address);
+      if (fields != 3 || first != next || end <= first
           || (i == 0 && part != endpoint))
         {
           sfl_violate (fleet, "path '%s' is wrong at part %u", text, i);
           break;
         }
-      if (at_fault == NULL
-          && (part->dead || first < part->first || end > part->end))
+      bool serves = part != NULL && !part->dead && first >= part->first
+                    && end <= part->end;
+      if (at_fault == NULL && !serves)
         {
-          at_fault = part;
+          at_fault = g_strdup (address);
         }
       next = end;
     }
@@ -206,12 +219,12 @@
 
 /* Answers that the request wasn't run, because of AT_FAULT.  */
 static void
-refuse (struct nsv_connection *connection, const struct sfl_endpoint *at_fault)
+refuse (struct nsv_connection *connection, const char *at_fault)
 {
   char headers[192];
   g_snprintf (headers, sizeof headers,
               PFH_NOT_EXECUTED ": 1\r\n" PFH_ENDPOINT_AT_FAULT ": %s\r\n",
-              at_fault->address);
+              at_fault);
   nsv_answer (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, headers, "", 0);
 }
 
@@ -232,7 +245,7 @@
   uv_timer_init (fleet->params.loop, &answer->timer);
   answer->timer.data = answer;
   nsv_bind (connection, answer);
-  note_run (fleet, id);
+  note_run (endpoint, id);
   if (fault == SFL_MUTE)
     {
       return;
@@ -355,14 +368,19 @@
       return;
     }
   check_request (endpoint, request);
+  const struct sfl_params *params = &endpoint->fleet->params;
+  if (params->observer != NULL)
+    {
+      params->observer->arrived (params->context, endpoint->index, id);
+    }
   enum sfl_fault fault = take_fault (endpoint);
-  const struct sfl_endpoint *at_fault
+  g_autofree char *at_fault
       = endpoint->is_engine
             ? check_path (endpoint, msg_find (request, PFH_PATH))
             : NULL;
   if (fault == SFL_REFUSES)
     {
-      refuse (connection, endpoint);
+      refuse (connection, endpoint->address);
     }
   else if (at_fault != NULL && fault != SFL_STALLS)
     {
@@ -420,7 +438,14 @@
 void
 sfl_endpoint_open (struct sfl_endpoint *endpoint)
 {
+  const struct sfl_params *params = &endpoint->fleet->params;
   endpoint->server
       = sfl_listen (endpoint->fleet, &events, endpoint, &endpoint->address);
+  if (params->announce != NULL)
+    {
+      char *listed = params->announce (params->context, endpoint->address);
+      g_free (endpoint->address);
+      endpoint->address = listed;
+    }
   sfl_endpoint_list (endpoint, "ready");
 }
--- a/standin/fleet_private.h
+++ b/standin/fleet_private.h
@@ -10,6 +10,7 @@
 {
   GPtrArray *records; /* GBytes, by offset */
   GHashTable *newest; /* key to offset + 1 */
+  uint64_t first;     /* offset of the oldest record that is kept */
 };
 
 /* A read that waits for a record. */
@@ -28,7 +29,8 @@
   struct sfl_fleet *fleet;
   uint32_t index;
   char *id;
-  char *address;
+  char *address; /* that is listed */
+  uint32_t starts;
   bool is_engine;
   bool dead;
   struct nsv_server *server;
@@ -39,6 +41,13 @@
   uint32_t arrivals;
 };
 
+/* A member of the group. */
+struct sfl_member
+{
+  char *name;
+  int64_t heard_us;
+};
+
 /* An answer under way. */
 struct sfl_answer
 {
@@ -61,7 +70,7 @@
   struct sfl_topic operator_topic;
   struct sfl_topic endpoint_topic;
   GPtrArray *readers; /* struct sfl_reader */
-  char *leader;       /* member of the group that holds the partition */
+  GPtrArray *members; /* struct sfl_member, of the group */
   uint64_t generation;
   GPtrArray *endpoints;     /* struct sfl_endpoint; engines first */
   GHashTable *runs;         /* request id to number of runs */
@@ -71,6 +80,13 @@
   char *violation; /* the first broken promise; NULL: none */
 };
 
+void sfl_group_open (struct sfl_fleet *fleet);
+void sfl_group_close (struct sfl_fleet *fleet);
+void sfl_group_note (struct sfl_fleet *fleet,
+                     const struct msg_message *request);
+void sfl_group_call (struct sfl_fleet *fleet,
+                     struct nsv_connection *connection,
+                     const struct msg_message *request, bool leaves);
 void sfl_store_open (struct sfl_fleet *fleet);
 void sfl_store_close (struct sfl_fleet *fleet);
 void sfl_append (struct sfl_fleet *fleet, struct sfl_topic *topic,
--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -38,7 +38,7 @@
 {
   GByteArray *body = g_byte_array_new ();
   append_number (body, topic->records->len, 8);
-  append_number (body, 0, 8);
+  append_number (body, topic->first, 8);
   for (guint i = (guint)from; i < topic->records->len; i++)
     {
       gsize bytes = 0;
@@ -124,6 +124,11 @@
   struct sfl_topic *topic = find_topic (fleet, url);
   uint64_t from = msg_query_number (url, "From=");
   uint64_t wait_ms = msg_query_number (url, "WaitMs=");
+  if (from < topic->first)
+    {
+      nsv_answer (connection, HTTP_STATUS_GONE, "", "{}", 2);
+      return;
+    }
   if (from < topic->records->len || wait_ms == 0)
     {
       answer_read (connection, topic, from);
@@ -172,32 +177,6 @@
   json_decref (root);
 }
 
-/* Lets the first member of the group that comes lead until it leaves.  */
-static void
-join (struct sfl_fleet *fleet, struct nsv_connection *connection,
-      const struct msg_message *request, bool leaves)
-{
-  json_t *root = json_loadb ((const char *)request->body->data,
-                             request->body->len, 0, NULL);
-  const char *member = json_string_value (json_object_get (root, "Member"));
-  if (member != NULL && fleet->leader == NULL && !leaves)
-    {
-      fleet->leader = g_strdup (member);
-      fleet->generation++;
-    }
-  bool leads = g_strcmp0 (member, fleet->leader) == 0;
-  if (leaves && leads)
-    {
-      g_clear_pointer (&fleet->leader, g_free);
-    }
-  char *body = g_strdup_printf (
-      "{\"Generation\":%" G_GUINT64_FORMAT ",\"TtlMs\":1000,\"parts\":[%s]}",
-      fleet->generation, leads ? "[\"t\",0,0],[\"t\",1,0]" : "");
-  nsv_answer (connection, HTTP_STATUS_OK, "", body, strlen (body));
-  g_free (body);
-  json_decref (root);
-}
-
 static void
 on_request (void *context, struct nsv_connection *connection,
             const struct msg_message *request, const char *method)
@@ -209,6 +188,15 @@
     {
       return;
     }
+  if (fleet->store_state == SFL_STORE_LOSES)
+    {
+      if (g_str_has_prefix (url, "/api/log-join"))
+        {
+          sfl_group_note (fleet, request);
+        }
+      nsv_abort (connection);
+      return;
+    }
   if (fleet->store_state == SFL_STORE_REFUSES)
     {
       nsv_answer (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, "", "", 0);
@@ -224,8 +212,8 @@
   else if (g_str_has_prefix (url, "/api/log-join")
            || g_str_has_prefix (url, "/api/log-leave"))
     {
-      join (fleet, connection, request,
-            g_str_has_prefix (url, "/api/log-leave"));
+      sfl_group_call (fleet, connection, request,
+                      g_str_has_prefix (url, "/api/log-leave"));
     }
   else
     {
@@ -258,6 +246,7 @@
   init_topic (&fleet->operator_topic);
   init_topic (&fleet->endpoint_topic);
   fleet->readers = g_ptr_array_new ();
+  sfl_group_open (fleet);
   fleet->store = sfl_listen (fleet, &events, fleet, &fleet->store_address);
 }
 
@@ -270,7 +259,7 @@
   clear_topic (&fleet->endpoint_topic);
   g_ptr_array_free (fleet->readers, TRUE);
   g_free (fleet->store_address);
-  g_free (fleet->leader);
+  sfl_group_close (fleet);
 }
 
 /* Sets what the store does with calls from now on.  Reads that wait are cut,
@@ -291,3 +280,11 @@
         }
     }
 }
+
+/* Drops the records of all topics; the newest of each key stays.  */
+void
+sfl_forget_history (struct sfl_fleet *fleet)
+{
+  fleet->operator_topic.first = fleet->operator_topic.records->len;
+  fleet->endpoint_topic.first = fleet->endpoint_topic.records->len;
+}
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -2,6 +2,7 @@
 #include "base/clock.h"
 #include "net/client.h"
 #include "platform/headers.h"
+#include "standin/entry_process.h"
 #include "standin/fleet.h"
 
 #include <setjmp.h>
@@ -36,10 +37,7 @@
   struct sfl_fleet *fleet;
   struct ncl_client *client;
   char *folder;
-  char *settings_path;
-  char caller_address[32];
-  char ready_address[32];
-  pid_t daemon;
+  struct sep_process *daemon;
   uint32_t next_id;
 };
 
@@ -148,7 +146,7 @@
   static const char request[]
       = "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
   struct call call;
-  start_call (fixture, &call, fixture->ready_address, request,
+  start_call (fixture, &call, sep_ready_address (fixture->daemon), request,
               strlen (request));
   await_call (fixture, &call);
   uint32_t status = call.status;
@@ -156,59 +154,6 @@
   return status;
 }
 
-/* Writes the settings of a daemon in FIXTURE.  */
-static void
-write_settings (struct fixture *fixture)
-{
-  uint32_t port = 20000 + (uint32_t)(getpid () % 20000);
-  g_snprintf (fixture->caller_address, sizeof fixture->caller_address,
-              "127.0.0.1:%u", port);
-  g_snprintf (fixture->ready_address, sizeof fixture->ready_address,
-              "127.0.0.1:%u", port + 1);
-  char *text = g_strdup_printf (
-      "name: entry-1\ndata_centre: kgn\ncaller_address: \"%s\"\n"
-      "ready_address: \"%s\"\nmetrics_address: \"127.0.0.1:%u\"\n"
-      "relay_address: \"127.0.0.1:%u\"\nstore_address: \"%s\"\n"
-      "store_partitions: 2\n"
-      "descriptors: 1024\ndrain_ms: %u\nconfig_ms: %u\n"
-      "revoke_ms: %u\nstop_s: %u\nretry_window_s: 2\n"
-      "retry_ratio: 0.2\nretry_slack: 100\n",
-      fixture->caller_address, fixture->ready_address, port + 2, port + 3,
-      sfl_store_address (fixture->fleet), DRAIN_MS, CONFIG_MS, REVOKE_MS,
-      STOP_S);
-  fixture->settings_path
-      = g_build_filename (fixture->folder, "settings.yaml", NULL);
-  assert_true (g_file_set_contents (fixture->settings_path, text, -1, NULL));
-  g_free (text);
-}
-
-/* Starts the daemon that was built beside this test.  */
-static void
-start_daemon (struct fixture *fixture)
-{
-  char self[512] = "";
-  assert_true (readlink ("/proc/self/exe", self, sizeof self - 1) > 0);
-  char *tests = g_path_get_dirname (self);
-  char *build = g_path_get_dirname (tests);
-  char *binary = g_build_filename (build, "kumquatthread", NULL);
-  char *log = g_build_filename (fixture->folder, "log", NULL);
-  fixture->daemon = fork ();
-  assert_true (fixture->daemon >= 0);
-  if (fixture->daemon == 0)
-    {
-      if (freopen (log, "a", stdout) != NULL)
-        {
-          execl (binary, binary, "entry", fixture->settings_path,
-                 (char *)NULL);
-        }
-      _exit (127);
-    }
-  g_free (log);
-  g_free (binary);
-  g_free (build);
-  g_free (tests);
-}
-
 /* Waits until the daemon is ready and its engines hold every layer.  */
 static void
 await_ready (struct fixture *fixture)
@@ -247,8 +192,20 @@
   fixture->fleet = sfl_create (&params);
   fixture->client = ncl_create (&fixture->loop, &client_params);
   fixture->folder = g_dir_make_tmp ("entry-XXXXXX", NULL);
-  write_settings (fixture);
-  start_daemon (fixture);
+  const struct sep_params daemon_params = {
+    .name = "entry-1",
+    .folder = fixture->folder,
+    .store_address = sfl_store_address (fixture->fleet),
+    .drain_ms = DRAIN_MS,
+    .config_ms = CONFIG_MS,
+    .revoke_ms = REVOKE_MS,
+    .stop_s = STOP_S,
+    .retry_window_s = 2,
+    .retry_ratio = 0.2,
+    .retry_slack = 100,
+  };
+  fixture->daemon = sep_create (&daemon_params);
+  sep_start (fixture->daemon);
   await_ready (fixture);
   *state = fixture;
   return 0;
@@ -258,22 +215,14 @@
 tear_down (void **state)
 {
   struct fixture *fixture = *state;
-  if (fixture->daemon > 0)
-    {
-      kill (fixture->daemon, SIGKILL);
-      waitpid (fixture->daemon, NULL, 0);
-    }
+  sep_remove_files (fixture->daemon);
+  sep_destroy (fixture->daemon);
   ncl_destroy (fixture->client);
   uv_close ((uv_handle_t *)&fixture->tick, NULL);
   sfl_destroy (fixture->fleet);
   uv_run (&fixture->loop, UV_RUN_DEFAULT);
   uv_loop_close (&fixture->loop);
-  char *log = g_build_filename (fixture->folder, "log", NULL);
-  unlink (log);
-  unlink (fixture->settings_path);
   rmdir (fixture->folder);
-  g_free (log);
-  g_free (fixture->settings_path);
   g_free (fixture->folder);
   g_free (fixture);
   return 0;
@@ -480,8 +429,8 @@
       g_snprintf (id, sizeof id, "heal-%u", fixture->next_id++);
       char *request = build ("POST", FLEET_HOST,
                              i < 4 ? "/draft/h" : "/book/h", "key-1", id, "");
-      start_call (fixture, &call, fixture->caller_address, request,
-                  strlen (request));
+      start_call (fixture, &call, sep_caller_address (fixture->daemon),
+                  request, strlen (request));
       await_call (fixture, &call);
       clear_call (&call);
       g_free (request);
@@ -503,8 +452,8 @@
           row->key == NULL ? "key-1" : row->key, id, "some body");
       sfl_set_fault (fixture->fleet, row->engines, row->fault,
                      row->fault_requests);
-      start_call (fixture, &call, fixture->caller_address, request,
-                  strlen (request));
+      start_call (fixture, &call, sep_caller_address (fixture->daemon),
+                  request, strlen (request));
       await_call (fixture, &call);
       check_answer (fixture, row, id, &call);
       clear_call (&call);
@@ -531,8 +480,8 @@
       g_snprintf (id, sizeof id, "unframed-%zu", i);
       char *request = build ("POST", FLEET_HOST, paths[i], "key-1", id, "");
       sfl_set_fault (fixture->fleet, i == 1, SFL_WITHOUT_LENGTH, 1);
-      start_call (fixture, &call, fixture->caller_address, request,
-                  strlen (request));
+      start_call (fixture, &call, sep_caller_address (fixture->daemon),
+                  request, strlen (request));
       await_call (fixture, &call);
       assert_int_equal (call.status, 200);
       assert_true (call.ends_with_connection);
@@ -573,8 +522,8 @@
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
       struct call call;
-      start_call (fixture, &call, fixture->caller_address, cases[i].request,
-                  strlen (cases[i].request));
+      start_call (fixture, &call, sep_caller_address (fixture->daemon),
+                  cases[i].request, strlen (cases[i].request));
       await_call (fixture, &call);
       if (call.status != cases[i].status)
         {
@@ -594,7 +543,7 @@
   uint32_t before = sfl_cancelled (fixture->fleet);
   char *request
       = build ("POST", FLEET_HOST, "/draft/a", "key-1", "leaver", "");
-  start_call (fixture, &call, fixture->caller_address, request,
+  start_call (fixture, &call, sep_caller_address (fixture->daemon), request,
               strlen (request));
   while (call.body->len == 0)
     {
@@ -615,7 +564,7 @@
   char id[32];
   g_snprintf (id, sizeof id, "book-%u", fixture->next_id++);
   char *request = build ("POST", FLEET_HOST, "/book/a", key, id, "");
-  start_call (fixture, &call, fixture->caller_address, request,
+  start_call (fixture, &call, sep_caller_address (fixture->daemon), request,
               strlen (request));
   await_call (fixture, &call);
   uint32_t status = call.status;
@@ -698,8 +647,8 @@
     {
       g_snprintf (id, sizeof id, "dies-%u", i);
       requests[i] = build ("POST", FLEET_HOST, "/draft/a", "key-1", id, "");
-      start_call (fixture, &calls[i], fixture->caller_address, requests[i],
-                  strlen (requests[i]));
+      start_call (fixture, &calls[i], sep_caller_address (fixture->daemon),
+                  requests[i], strlen (requests[i]));
     }
   run_for (fixture, 60 * CLK_MS_US);
   sfl_kill (fixture->fleet, 0);
@@ -731,10 +680,10 @@
   struct call stream;
   GString *want = whole_stream ("stops");
   char *request = build ("POST", FLEET_HOST, "/draft/a", "key-1", "stops", "");
-  start_call (fixture, &stream, fixture->caller_address, request,
+  start_call (fixture, &stream, sep_caller_address (fixture->daemon), request,
               strlen (request));
   run_for (fixture, 50 * CLK_MS_US);
-  kill (fixture->daemon, SIGTERM);
+  sep_signal (fixture->daemon, SIGTERM);
   run_for (fixture, 50 * CLK_MS_US);
   assert_int_equal (probe (fixture), 503);
   assert_int_equal (book (fixture, "key-1"), 200);
@@ -743,14 +692,13 @@
   assert_string_equal (stream.body->str, want->str);
   int status = -1;
   int64_t end_us = clk_monotonic_us () + STOP_S * CLK_S_US;
-  while (waitpid (fixture->daemon, &status, WNOHANG) == 0
+  while (!sep_has_ended (fixture->daemon, &status)
          && clk_monotonic_us () < end_us)
     {
       run_for (fixture, 20 * CLK_MS_US);
     }
   assert_true (WIFEXITED (status));
   assert_int_equal (WEXITSTATUS (status), 0);
-  fixture->daemon = 0;
   clear_call (&stream);
   g_string_free (want, TRUE);
   g_free (request);
