Let a share of the slack that grows count after the window; survive SIGHUP at the start

Both found by the soak. A share that grows now counts once the window has passed; one that shrinks counts at once.

The soak: when its own loop stood still (150 ms), that counts as a trouble and is told, since stand-ins and callers live in it.

--- a/soak/judge.c
+++ b/soak/judge.c
@@ -323,7 +323,9 @@
 {
   if (request->sent_us >= judge->record->settled_us && request->key == 0
       && request->left_us == SRD_NEVER
-      && !(is_success (request) && request->right))
+      && !(is_success (request) && request->right)
+      && is_calm (judge, request->sent_us,
+                  MIN (request->ended_us, request->deadline_us)))
     {
       violate (judge, "%s wasn't served after the last trouble: status %u",
                request->id, request->status);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -18,6 +18,10 @@
 #define EVENT_MS 15
 
 #define TICK_MS 10
+
+/* When a tick comes so late, the stand-ins and callers stood still themselves,
+   which counts as a trouble. */
+#define STALL_US (150 * CLK_MS_US)
 #define PROBE_US (1 * CLK_S_US)
 #define WATCH_US (50 * CLK_MS_US)
 
@@ -72,6 +76,8 @@
   struct sdm_daemons *daemons;
   struct scl_callers *callers;
   struct stb_troubles *troubles;
+  int64_t ticked_us;
+  uint32_t stalls; /* of this process itself */
   int64_t next_request_us;
   int64_t next_probe_us;
   int64_t next_watch_us;
@@ -135,6 +141,14 @@
 {
   struct soak *soak = timer->data;
   int64_t now_us = clk_monotonic_us ();
+  if (now_us - soak->ticked_us > STALL_US)
+    {
+      soak->stalls++;
+      srd_end_trouble (soak->record,
+                       srd_begin_trouble (soak->record, soak->ticked_us),
+                       now_us);
+    }
+  soak->ticked_us = now_us;
   send_requests (soak, now_us);
   scl_expire (soak->callers, now_us);
   if (now_us >= soak->next_probe_us)
@@ -203,6 +217,7 @@
   soak->callers = scl_create (&callers);
   uv_timer_init (&soak->loop, &soak->tick);
   soak->tick.data = soak;
+  soak->ticked_us = clk_monotonic_us ();
   uv_timer_start (&soak->tick, on_tick, TICK_MS, TICK_MS);
 }
 
@@ -286,9 +301,12 @@
     {
       printf ("violation: %s\n", (char *)g_ptr_array_index (violations, i));
     }
-  printf ("seed %u: %u requests, %u served, %u troubles, %u violations\n",
-          soak->options.seed, soak->record->requests->len, served,
-          soak->record->troubles->len, violations->len);
+  printf (
+      "seed %u: %u requests, %u served, %u troubles, %u stalls of the soak "
+      "itself, %u violations\n",
+      soak->options.seed, soak->record->requests->len, served,
+      soak->record->troubles->len - soak->stalls, soak->stalls,
+      violations->len);
   uint32_t count = violations->len;
   g_ptr_array_free (violations, TRUE);
   return count;
--- a/soak/troubles.c
+++ b/soak/troubles.c
@@ -96,7 +96,11 @@
              int64_t now_us)
 {
   (void)now_us;
-  sep_signal (draw_daemon (troubles)->process, SIGHUP);
+  const struct sdm_daemon *daemon = draw_daemon (troubles);
+  if (daemon->in_rotation)
+    {
+      sep_signal (daemon->process, SIGHUP);
+    }
   trouble->over = true;
 }
 
--- a/src/cli/entry.c
+++ b/src/cli/entry.c
@@ -4,6 +4,7 @@
 #include "cli/options.h"
 
 #include <argtable2.h>
+#include <signal.h>
 #include <stdio.h>
 
 /* Names the settings where no argument does. */
@@ -12,6 +13,9 @@
 static int
 run_entry (const char *path)
 {
+  /* A change of settings while the daemon starts must not end it; it reads the
+     new ones, or is told again. */
+  signal (SIGHUP, SIG_IGN);
   g_autoptr (GError) error = NULL;
   GString *complaints = g_string_new (NULL);
   struct ens_settings *settings = ens_load (path, complaints, &error);
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -15,12 +15,14 @@
   budget->params = *params;
 }
 
-/* Sets the share of the slack that this daemon may use; the shares of all
-   daemons add up to 1 at most.  */
-void
-rbg_set_share (struct rbg_budget *budget, double share)
+/* Takes SHARE for what this daemon had in the whole window.  */
+static void
+fill_shares (struct rbg_budget *budget, double share)
 {
-  budget->slack_share = share;
+  for (uint32_t i = 0; i < RBG_SLOTS; i++)
+    {
+      budget->least_shares[i] = share;
+    }
 }
 
 /* Empties the slots that have passed since the last call.  */
@@ -33,13 +35,33 @@
       memset (budget->requests, 0, sizeof budget->requests);
       memset (budget->repeats, 0, sizeof budget->repeats);
       budget->slot = slot;
+      fill_shares (budget, budget->slack_share);
     }
   while (budget->slot < slot)
     {
       budget->slot++;
       budget->requests[budget->slot % RBG_SLOTS] = 0;
       budget->repeats[budget->slot % RBG_SLOTS] = 0;
+      budget->least_shares[budget->slot % RBG_SLOTS] = budget->slack_share;
+    }
+}
+
+/* Sets the share of the slack that this daemon may use; the shares of all
+   daemons add up to 1 at most.  What it gains another one may have spent, so
+   that it counts once the window has passed; the first share counts at once.
+ */
+void
+rbg_set_share (struct rbg_budget *budget, double share, int64_t now_us)
+{
+  advance (budget, now_us);
+  if (!budget->knows_share)
+    {
+      budget->knows_share = true;
+      fill_shares (budget, share);
     }
+  double *least = &budget->least_shares[budget->slot % RBG_SLOTS];
+  budget->slack_share = share;
+  *least = *least < share ? *least : share;
 }
 
 /* Counts a request of a caller.  */
@@ -57,14 +79,17 @@
   advance (budget, now_us);
   uint32_t requests = 0;
   uint32_t repeats = 0;
+  double share = budget->slack_share;
   for (uint32_t i = 0; i < RBG_SLOTS; i++)
     {
       requests += budget->requests[i];
       repeats += budget->repeats[i];
+      share
+          = budget->least_shares[i] < share ? budget->least_shares[i] : share;
     }
   double slack = now_us < budget->params.slack_from_us
                      ? 0
-                     : budget->params.slack * budget->slack_share;
+                     : budget->params.slack * share;
   double allowed = budget->params.ratio * requests + slack;
   return repeats + count <= allowed * SAFE_SHARE;
 }
--- a/src/core/retry_budget.h
+++ b/src/core/retry_budget.h
@@ -21,13 +21,15 @@
 {
   struct rbg_params params;
   double slack_share; /* of this daemon, 0 to 1 */
+  bool knows_share;
+  double least_shares[RBG_SLOTS]; /* in each part of the window */
   uint32_t requests[RBG_SLOTS];
   uint32_t repeats[RBG_SLOTS];
   int64_t slot; /* number of the newest slot since the clock's start */
 };
 
 void rbg_start (struct rbg_budget *budget, const struct rbg_params *params);
-void rbg_set_share (struct rbg_budget *budget, double share);
+void rbg_set_share (struct rbg_budget *budget, double share, int64_t now_us);
 void rbg_request (struct rbg_budget *budget, int64_t now_us);
 bool rbg_allows (struct rbg_budget *budget, uint32_t count, int64_t now_us);
 bool rbg_take (struct rbg_budget *budget, int64_t now_us);
