--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -284,7 +284,15 @@
     }
 }
 
-/* Notes when an endpoint is gone from ENDPOINTS that hadn't been leaving.  */
+static gboolean
+is_unlisted (gpointer id, gpointer value, gpointer listed)
+{
+  (void)value;
+  return !g_hash_table_contains (listed, id);
+}
+
+/* Notes when an endpoint is gone from ENDPOINTS that hadn't been leaving, and
+   forgets what was known of it.  */
 static void
 note_losses (struct plc_placing *placing, const GPtrArray *endpoints,
              int64_t now_us)
@@ -306,6 +314,7 @@
     }
   g_hash_table_destroy (placing->staying);
   placing->staying = staying;
+  g_hash_table_foreach_remove (placing->idle, is_unlisted, staying);
 }
 
 /* Returns the engines of SERVICE in ENDPOINTS that can hold layers.  */
