Search paths over the engines that hold a layer, not over all of them

Now each layer has a list of the engines that hold it, and the cheapest of the layer before is noted once, of all and by data centre.

--- a/src/core/path.c
+++ b/src/core/path.c
@@ -3,12 +3,15 @@
 #include <math.h>
 #include <string.h>
 
-/* How the cheapest way to run the layers before one, ending on one engine,
-   came about. */
+#define NONE UINT32_MAX
+
+/* The cheapest way to run the layers up to one, ending on one engine that
+   holds it. */
 struct step
 {
   double cost_ms;
-  uint32_t from_card; /* that ran the layer before */
+  uint32_t card;
+  uint32_t from; /* step of the layer before */
 };
 
 struct search
@@ -16,87 +19,133 @@
   const struct pth_costs *costs;
   const struct pth_card *cards;
   uint32_t card_count;
-  struct step *steps; /* by layer that was run, then engine */
+  struct step *steps;  /* by layer */
+  uint32_t *first;     /* step of each layer, and their number at the end */
+  uint32_t *last_step; /* of each engine, of the layer before; NONE: none */
+  uint32_t zone_count;
+  uint32_t cheapest;     /* step of the layer before; NONE: none */
+  uint32_t *cheapest_in; /* the same by data centre */
 };
 
-static struct step *
-step_at (const struct search *search, uint32_t layer, uint32_t card)
+/* Returns the layers that CARD may run.  */
+static struct rst_layers
+usable_layers (const struct pth_card *card, uint32_t layers)
 {
-  return &search->steps[(size_t)layer * search->card_count + card];
+  struct rst_layers range = { card->held.first, MIN (card->held.end, layers) };
+  return card->usable && range.first < range.end ? range
+                                                 : (struct rst_layers){ 0, 0 };
 }
 
-static bool
-runs (const struct pth_card *card, uint32_t layer)
+/* Makes one step for each layer of each engine.  */
+static void
+make_steps (struct search *search)
+{
+  uint32_t layers = search->costs->layers;
+  search->first = g_new0 (uint32_t, layers + 1);
+  for (uint32_t i = 0; i < search->card_count; i++)
+    {
+      struct rst_layers range = usable_layers (&search->cards[i], layers);
+      for (uint32_t layer = range.first; layer < range.end; layer++)
+        {
+          search->first[layer + 1]++;
+        }
+      search->zone_count = MAX (search->zone_count, search->cards[i].zone + 1);
+    }
+  for (uint32_t layer = 0; layer < layers; layer++)
+    {
+      search->first[layer + 1] += search->first[layer];
+    }
+  search->steps = g_new (struct step, search->first[layers] + 1);
+  uint32_t *next = g_memdup2 (search->first, layers * sizeof *next);
+  for (uint32_t i = 0; i < search->card_count; i++)
+    {
+      struct rst_layers range = usable_layers (&search->cards[i], layers);
+      for (uint32_t layer = range.first; layer < range.end; layer++)
+        {
+          search->steps[next[layer]++]
+              = (struct step){ .cost_ms = INFINITY, .card = i, .from = NONE };
+        }
+    }
+  g_free (next);
+}
+
+/* Notes INDEX in CHEAPEST if its step is cheaper.  */
+static void
+note (const struct search *search, uint32_t index, uint32_t *cheapest)
 {
-  return card->usable && layer >= card->held.first && layer < card->held.end;
+  if (*cheapest == NONE
+      || search->steps[index].cost_ms < search->steps[*cheapest].cost_ms)
+    {
+      *cheapest = index;
+    }
 }
 
-/* Returns the cheapest engine that ran LAYER, of ZONE only unless ANY, or
-   UINT32_MAX.  */
-static uint32_t
-cheapest (const struct search *search, uint32_t layer, uint32_t zone, bool any)
+/* Notes the steps of LAYER that the next layer may come from.  */
+static void
+note_layer (struct search *search, uint32_t layer)
 {
-  uint32_t best = UINT32_MAX;
-  for (uint32_t i = 0; i < search->card_count; i++)
+  for (uint32_t i = search->first[layer > 0 ? layer - 1 : 0];
+       i < search->first[layer]; i++)
+    {
+      search->last_step[search->steps[i].card] = NONE;
+    }
+  search->cheapest = NONE;
+  for (uint32_t zone = 0; zone < search->zone_count; zone++)
+    {
+      search->cheapest_in[zone] = NONE;
+    }
+  for (uint32_t i = search->first[layer]; i < search->first[layer + 1]; i++)
     {
-      double cost = step_at (search, layer, i)->cost_ms;
-      if (isfinite (cost) && (any || search->cards[i].zone == zone)
-          && (best == UINT32_MAX
-              || cost < step_at (search, layer, best)->cost_ms))
+      const struct step *step = &search->steps[i];
+      if (isfinite (step->cost_ms))
         {
-          best = i;
+          search->last_step[step->card] = i;
+          note (search, i, &search->cheapest);
+          note (search, i,
+                &search->cheapest_in[search->cards[step->card].zone]);
         }
     }
-  return best;
 }
 
-/* Lowers the cost of STEP to that of coming from the engine FROM.  */
+/* Lowers the cost of STEP to that of coming from the step FROM.  */
 static void
-relax (const struct search *search, uint32_t layer, uint32_t from,
-       double hop_ms, struct step *step)
+relax (const struct search *search, uint32_t from, double hop_ms,
+       struct step *step)
 {
-  if (from == UINT32_MAX)
+  if (from == NONE)
     {
       return;
     }
-  double cost = step_at (search, layer, from)->cost_ms + hop_ms;
+  double cost = search->steps[from].cost_ms + hop_ms;
   if (cost < step->cost_ms)
     {
-      *step = (struct step){ .cost_ms = cost, .from_card = from };
+      step->cost_ms = cost;
+      step->from = from;
     }
 }
 
 /* Fills the steps of LAYER from those of the layer before.  */
 static void
-advance (const struct search *search, uint32_t layer)
+advance (struct search *search, uint32_t layer)
 {
-  uint32_t any
-      = layer == 0 ? UINT32_MAX : cheapest (search, layer - 1, 0, true);
-  for (uint32_t i = 0; i < search->card_count; i++)
+  for (uint32_t i = search->first[layer]; i < search->first[layer + 1]; i++)
     {
-      struct step *step = step_at (search, layer, i);
-      *step = (struct step){ .cost_ms = INFINITY, .from_card = UINT32_MAX };
-      if (!runs (&search->cards[i], layer))
-        {
-          continue;
-        }
+      struct step *step = &search->steps[i];
+      const struct pth_card *card = &search->cards[step->card];
       if (layer == 0)
         {
           step->cost_ms = 0;
         }
       else
         {
-          uint32_t near
-              = cheapest (search, layer - 1, search->cards[i].zone, false);
-          if (isfinite (step_at (search, layer - 1, i)->cost_ms))
-            {
-              relax (search, layer - 1, i, 0, step);
-            }
-          relax (search, layer - 1, near, search->costs->hop_ms, step);
-          relax (search, layer - 1, any, search->costs->zone_hop_ms, step);
+          relax (search, search->last_step[step->card], 0, step);
+          relax (search, search->cheapest_in[card->zone],
+                 search->costs->hop_ms, step);
+          relax (search, search->cheapest, search->costs->zone_hop_ms, step);
         }
-      step->cost_ms += search->cards[i].layer_ms;
+      step->cost_ms += card->layer_ms;
     }
+  note_layer (search, layer);
 }
 
 /* Adds the run of LAYER on CARD to the front of PATH, which is built from its
@@ -157,24 +206,33 @@
     .costs = costs,
     .cards = cards,
     .card_count = card_count,
-    .steps = g_new0 (struct step, (size_t)costs->layers * card_count),
+    .last_step = g_new (uint32_t, card_count),
   };
+  make_steps (&search);
+  search.cheapest_in = g_new (uint32_t, search.zone_count);
+  for (uint32_t i = 0; i < card_count; i++)
+    {
+      search.last_step[i] = NONE;
+    }
   for (uint32_t layer = 0; layer < costs->layers; layer++)
     {
       advance (&search, layer);
     }
-  uint32_t card = cheapest (&search, costs->layers - 1, 0, true);
-  bool found = card != UINT32_MAX;
+  uint32_t at = search.cheapest;
+  bool found = at != NONE;
   if (found)
     {
-      path->token_ms = step_at (&search, costs->layers - 1, card)->cost_ms;
+      path->token_ms = search.steps[at].cost_ms;
     }
   for (uint32_t layer = costs->layers; found && layer > 0; layer--)
     {
-      found = prepend (path, card, layer - 1);
-      card = step_at (&search, layer - 1, card)->from_card;
+      found = prepend (path, search.steps[at].card, layer - 1);
+      at = search.steps[at].from;
     }
   reverse (path);
   g_free (search.steps);
+  g_free (search.first);
+  g_free (search.last_step);
+  g_free (search.cheapest_in);
   return found;
 }
