--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -66,10 +66,11 @@
   const char *why;
 };
 
-/* Finds the route and account of REQUEST in CONFIG.  */
+/* Finds the route and account of REQUEST in CONFIG, the newest at
+   PROVED_US.  */
 static struct refusal
 check_request (struct trf_traffic *traffic, const struct flt_config *config,
-               const struct msg_message *request,
+               int64_t proved_us, const struct msg_message *request,
                const struct flt_route **route,
                const struct flt_account **account)
 {
@@ -79,7 +80,6 @@
                                "no configuration" };
     }
   int64_t now_us = clk_monotonic_us ();
-  int64_t proved_us = fvw_proved_us (traffic->views);
   bool may_deny = frs_may_deny (&traffic->freshness, proved_us, now_us);
   const char *host = msg_find (request, "Host");
   *route
@@ -195,13 +195,14 @@
 exg_start (struct trf_traffic *traffic, struct nsv_connection *caller,
            const struct msg_message *request, const char *method)
 {
+  int64_t proved_us = trf_refresh (traffic);
   const struct flt_config *config = fst_config (traffic->fleet);
   const struct flt_route *route = NULL;
   const struct flt_account *account = NULL;
   const char *id = msg_find (request, PFH_REQUEST_ID);
   cnt_add (traffic->metrics->requests, 1);
   struct refusal refusal
-      = check_request (traffic, config, request, &route, &account);
+      = check_request (traffic, config, proved_us, request, &route, &account);
   if (refusal.status == 0 && !takes_requests (traffic, request))
     {
       refusal
@@ -228,8 +229,7 @@
                id == NULL ? "-" : id, refusal.status, refusal.why,
                route == NULL ? "-" : route->name,
                (unsigned long)(config == NULL ? 0 : config->version),
-               (long)((clk_monotonic_us () - fvw_proved_us (traffic->views))
-                      / CLK_MS_US));
+               (long)((clk_monotonic_us () - proved_us) / CLK_MS_US));
       cnt_add (traffic->metrics->refused, refused);
       exg_answer_plainly (traffic, caller, refusal.status, id,
                           refused ? exg_retry_after_s () : 0);
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -321,6 +321,13 @@
     }
 }
 
+/* Returns the view in force, or NULL before the first.  */
+const struct fvw_view *
+fst_view (const struct fst_fleet *fleet)
+{
+  return fleet->view;
+}
+
 /* Returns the configuration in force, or NULL.  It is valid until the next
    fst_take.  */
 const struct flt_config *
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -50,6 +50,7 @@
                               struct vdt_verdicts *verdicts);
 void fst_destroy (struct fst_fleet *fleet);
 void fst_take (struct fst_fleet *fleet, struct fvw_view *view);
+const struct fvw_view *fst_view (const struct fst_fleet *fleet);
 const struct flt_config *fst_config (const struct fst_fleet *fleet);
 struct rbg_budget *fst_budget (struct fst_fleet *fleet, uint32_t service);
 bool fst_can_serve (const struct fst_fleet *fleet);
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -76,13 +76,23 @@
     }
 }
 
-/* Returns a reference to the view in force, or NULL before the first.  The
+/* Returns a reference to the view in force, or NULL if that is KNOWN, to which
+   the caller has one, or before the first.  PROVED_US is when the
+   configuration of the returned view, or of KNOWN, was the newest.  The
    calling thread must be registered with liburcu.  */
 struct fvw_view *
-fvw_acquire (struct fvw_store *store)
+fvw_acquire_newer (struct fvw_store *store, const struct fvw_view *known,
+                   int64_t *proved_us)
 {
+  /* A proof is set after its view, so it is read before: read after, it could
+     be that of a view which the caller doesn't have yet. */
+  *proved_us = atomic_load (&store->proved_us);
   rcu_read_lock ();
   struct fvw_view *view = rcu_dereference (store->current);
+  if (view == known)
+    {
+      view = NULL;
+    }
   if (view != NULL)
     {
       fvw_reference (view);
@@ -91,8 +101,8 @@
   return view;
 }
 
-/* Notes that the configuration in force was the newest at PROVED_US.  Called
-   by the control thread only.  */
+/* Notes that the configuration of the view in force was the newest at
+   PROVED_US. Called by the control thread only, after fvw_publish.  */
 void
 fvw_set_proved (struct fvw_store *store, int64_t proved_us)
 {
@@ -102,7 +112,8 @@
     }
 }
 
-/* Returns the moment of fvw_set_proved, or 0.  */
+/* Returns the moment of fvw_set_proved, or 0, for logs and metrics: a view
+   that was acquired before may be older.  */
 int64_t
 fvw_proved_us (struct fvw_store *store)
 {
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -24,7 +24,9 @@
 struct fvw_view *fvw_view_create (struct flt_config *config,
                                   GPtrArray *endpoints, double share);
 void fvw_publish (struct fvw_store *store, struct fvw_view *view);
-struct fvw_view *fvw_acquire (struct fvw_store *store);
+struct fvw_view *fvw_acquire_newer (struct fvw_store *store,
+                                    const struct fvw_view *known,
+                                    int64_t *proved_us);
 struct fvw_view *fvw_reference (struct fvw_view *view);
 void fvw_release (struct fvw_view *view);
 void fvw_set_proved (struct fvw_store *store, int64_t proved_us);
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -143,20 +143,28 @@
   return limits;
 }
 
-/* Takes the view that the control thread published last.  */
-static void
-on_view (uv_async_t *async)
+/* Takes the view that the control thread published last.  Returns when its
+   configuration was the newest.  */
+int64_t
+trf_refresh (struct trf_traffic *traffic)
 {
-  struct trf_traffic *traffic = async->data;
-  struct fvw_view *view = fvw_acquire (traffic->views);
-  if (view == NULL)
+  int64_t proved_us = 0;
+  struct fvw_view *view = fvw_acquire_newer (
+      traffic->views, fst_view (traffic->fleet), &proved_us);
+  if (view != NULL)
     {
-      return;
+      fst_take (traffic->fleet, view);
+      struct nsv_limits limits = caller_limits (traffic, view->config);
+      nsv_set_limits (traffic->callers, &limits);
+      cnt_put (traffic->metrics->endpoints, view->endpoints->len);
     }
-  fst_take (traffic->fleet, view);
-  struct nsv_limits limits = caller_limits (traffic, view->config);
-  nsv_set_limits (traffic->callers, &limits);
-  cnt_put (traffic->metrics->endpoints, view->endpoints->len);
+  return proved_us;
+}
+
+static void
+on_view (uv_async_t *async)
+{
+  trf_refresh (async->data);
 }
 
 /* Logs when this daemon becomes ready or stops being so.  */
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -42,6 +42,7 @@
                                 struct vdt_verdicts *verdicts, GError **error);
 void trf_destroy (struct trf_traffic *traffic);
 void trf_notify (void *traffic);
+int64_t trf_refresh (struct trf_traffic *traffic);
 void trf_stop (struct trf_traffic *traffic);
 bool trf_is_idle (const struct trf_traffic *traffic);
 void trf_log_busy (const struct trf_traffic *traffic);
