--- a/test/view_test.c
+++ b/test/view_test.c
@@ -46,7 +46,8 @@
           fvw_release (known);
           known = newer;
         }
-      assert_true (proved_us == 0 || (double)proved_us <= known->share);
+      assert_true (proved_us == 0
+                   || (known != NULL && (double)proved_us <= known->share));
     }
   pthread_join (thread, NULL);
   fvw_release (known);
