Judge the soak only after cancellations are due; bind relay_test to port 0

Cause: the soak judged its record as soon as the last caller had left, before the daemon's 500 ms to cancel the work had passed. relay_test listened on a port within the range of outgoing connections, which another connection may hold.

The relay listens on port 0 in its test and tells its address.

--- a/soak/judge.c
+++ b/soak/judge.c
@@ -139,7 +139,8 @@
     }
 }
 
-/* Endpoints stop the work for a caller that has closed its connection.  */
+/* Endpoints stop the work for a caller that has closed its connection.  The
+   run must last long enough to observe this.  */
 static void
 check_abandoned_work (struct judge *judge, const struct srd_request *request)
 {
@@ -148,6 +149,12 @@
       return;
     }
   int64_t latest_us = request->caller_left_us + judge->bounds->cancel_us;
+  if (judge->record->ended_us < latest_us)
+    {
+      add_violation (judge, "the run ended too soon to judge the work for %s",
+                     request->id);
+      return;
+    }
   bool still_runs = request->active_runs > 0
                     || request->last_run_end_us > latest_us
                     || request->last_arrival_us > latest_us;
--- a/soak/record.c
+++ b/soak/record.c
@@ -12,6 +12,7 @@
   record->drains = g_array_new (FALSE, FALSE, sizeof (struct srd_drain));
   record->faults = g_array_new (FALSE, FALSE, sizeof (struct srd_fault));
   record->recovered_us = SRD_NEVER;
+  record->ended_us = SRD_NEVER;
   return record;
 }
 
--- a/soak/record.h
+++ b/soak/record.h
@@ -87,6 +87,7 @@
   GArray *drains;       /* struct srd_drain */
   GArray *faults;       /* struct srd_fault */
   int64_t recovered_us; /* requests sent from then on must all be served */
+  int64_t ended_us;     /* nothing was observed from then on */
 };
 
 struct srd_record *srd_create (void);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -251,7 +251,7 @@
 
 /* Sends requests and injects disruptions for the given minutes, then sends
    requests alone until the daemons have recovered, and waits for the last
-   answers.  */
+   answers and for the work of callers that left to stop.  */
 static void
 run_workload (struct soak *soak)
 {
@@ -283,6 +283,9 @@
     {
       run_for (soak, 50 * CLK_MS_US);
     }
+  /* The last caller may have left just now. */
+  run_for (soak, bounds.cancel_us);
+  soak->record->ended_us = clk_monotonic_us ();
 }
 
 /* Checks the record and prints the violations and the summary line.  Returns
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -323,6 +323,13 @@
   uv_close ((uv_handle_t *)&relay->sweep, on_sweep_closed);
 }
 
+/* Returns the address that RELAY listens on, IP:PORT.  The caller frees it. */
+char *
+rly_address (const struct rly_relay *relay)
+{
+  return nsv_address (relay->server);
+}
+
 /* Adds RECORD of TOPIC, which changes a key.  Waiting readers are answered by
    the next rly_set_current.  */
 void
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -13,6 +13,7 @@
 struct rly_relay *rly_create (uv_loop_t *loop, const char *address,
                               GError **error);
 void rly_destroy (struct rly_relay *relay);
+char *rly_address (const struct rly_relay *relay);
 void rly_add_record (struct rly_relay *relay, const char *topic,
                      const struct pfs_record *record);
 void rly_set_floor (struct rly_relay *relay, const char *topic,
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -517,6 +517,19 @@
   uv_close ((uv_handle_t *)&server->listener, on_listener_closed);
 }
 
+/* Returns the address that SERVER listens on, IP:PORT, with the port that the
+   kernel chose if port 0 was asked for.  The caller frees it.  */
+char *
+nsv_address (const struct nsv_server *server)
+{
+  struct sockaddr_in bound = { .sin_family = AF_INET };
+  int bytes = sizeof bound;
+  char ip[INET_ADDRSTRLEN] = "";
+  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&bound, &bytes);
+  uv_ip4_name (&bound, ip, sizeof ip);
+  return g_strdup_printf ("%s:%u", ip, ntohs (bound.sin_port));
+}
+
 /* Replaces the limits of SERVER.  Open connections keep `user_timeout_ms'.  */
 void
 nsv_set_limits (struct nsv_server *server, const struct nsv_limits *limits)
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -44,6 +44,7 @@
                                const struct nsv_events *events, void *context,
                                GError **error);
 void nsv_destroy (struct nsv_server *server);
+char *nsv_address (const struct nsv_server *server);
 void nsv_set_limits (struct nsv_server *server,
                      const struct nsv_limits *limits);
 void nsv_disable_keep_alive (struct nsv_server *server, int64_t idle_until_us);
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -177,13 +177,11 @@
 {
   const struct ncl_params client_params
       = { .connect_timeout_us = CLK_S_US, .user_timeout_ms = 1000 };
-  char address[32];
   uv_loop_t loop;
-  g_snprintf (address, sizeof address, "127.0.0.1:%d",
-              40000 + (int)(getpid () % 20000));
   uv_loop_init (&loop);
-  struct rly_relay *relay = rly_create (&loop, address, NULL);
+  struct rly_relay *relay = rly_create (&loop, "127.0.0.1:0", NULL);
   assert_non_null (relay);
+  char *address = rly_address (relay);
   struct ncl_client *client = ncl_create (&loop, &client_params);
   for (size_t i = 0; i < RECORDS_MAX; i++)
     {
@@ -215,6 +213,7 @@
       changed |= due;
     }
   g_free (path);
+  g_free (address);
   ncl_destroy (client);
   rly_destroy (relay);
   uv_run (&loop, UV_RUN_DEFAULT);
--- a/test/soak_judge_test.c
+++ b/test/soak_judge_test.c
@@ -38,7 +38,8 @@
   EVENT_CONFIG_CHANGE, /* value: index of the extra key */
   EVENT_DRAIN,         /* value: endpoint */
   EVENT_FAULT,         /* value: duration in seconds */
-  EVENT_RECOVERED
+  EVENT_RECOVERED,
+  EVENT_END /* of the run */
 };
 
 /* An event at a time, of the request ID if the event has one. */
@@ -124,6 +125,20 @@
       { 2, EVENT_CALLER_LEFT, 0, "d1" },
       { 2.2, EVENT_RUN_END, 0, "d1" } },
     NULL },
+  { "work continues until the end of the run",
+    { { 1, EVENT_REQUEST, 0, "d1" },
+      { 1.1, EVENT_RUN_BEGIN, 0, "d1" },
+      { 2, EVENT_CALLER_LEFT, 0, "d1" },
+      { 2.6, EVENT_END, 0, NULL } },
+    "d1 was worked on" },
+  /* Guards against a run that ends with the last caller, before the daemon
+     could cancel its work. */
+  { "the run ends before work had to stop",
+    { { 1, EVENT_REQUEST, 0, "d1" },
+      { 1.1, EVENT_RUN_BEGIN, 0, "d1" },
+      { 2, EVENT_CALLER_LEFT, 0, "d1" },
+      { 2.3, EVENT_END, 0, NULL } },
+    "the run ended too soon to judge the work for d1" },
   { "a removed key after the revocation bound, during a fault",
     { { 1, EVENT_CONFIG_CHANGE, 7, NULL },
       { 2, EVENT_CONFIG_CHANGE, 0, NULL },
@@ -278,6 +293,9 @@
     case EVENT_RECOVERED:
       record->recovered_us = now_us;
       break;
+    case EVENT_END:
+      record->ended_us = now_us;
+      break;
     default:
       if (step->id != NULL)
         {
