Accept decimals, zero and large values in the settings of entry daemons

Cause: on the small twins of the large deployment no daemon started, since BudgetSlack is 40.73 there and retry_slack had to be a whole number. The platform states its bounds as whole numbers or fractions.

Change: durations and counts of the entry settings may be decimals and 0; the slack is a real number and the ratio may exceed 1. A retry window of 0 no longer divides by zero.

--- a/src/config/entry_settings.c
+++ b/src/config/entry_settings.c
@@ -10,7 +10,10 @@
 #define DEPTH_MAX 2
 #define NODES_MAX 200
 #define RELAYS_MAX 16
-#define DURATION_MAX 3600000 /* in the unit of the key: ms or s */
+#define DURATION_MAX 86400000 /* in the unit of the key: ms or s */
+#define RETRY_RATIO_MAX 1000
+#define RETRY_SLACK_MAX 1e9
+#define DESCRIPTORS_MIN 256
 #define US_PER_MS 1000
 #define US_PER_S 1000000
 
@@ -18,7 +21,8 @@
     = { "emerg",  "alert", "crit",  "err", "warning",
         "notice", "info",  "debug", NULL };
 
-static const struct ens_settings defaults = { .log_level = LOG_INFO };
+static const struct ens_settings defaults
+    = { .membership_min_us = US_PER_S, .log_level = LOG_INFO };
 
 /* NOLINTBEGIN(bugprone-macro-parentheses): the arguments are member names and
    units, which cannot be in parentheses. */
@@ -31,12 +35,12 @@
     .check = sch_check_listen_address                                         \
   }
 
-/* A required duration, in a file unit of UNIT_US microseconds.  */
-#define DURATION(name, member, unit_us)                                       \
+/* A duration, in a file unit of UNIT_US microseconds.  */
+#define DURATION(name, member, unit_us, is_required)                          \
   {                                                                           \
     .key = name, .type = SCH_UNSIGNED,                                        \
-    SCH_MEMBER (struct ens_settings, member), .required = true, .min = 1,     \
-    .max = DURATION_MAX, .scale = unit_us                                     \
+    SCH_MEMBER (struct ens_settings, member), .required = is_required,        \
+    .max = DURATION_MAX, .scale = unit_us, .decimal = true                    \
   }
 /* NOLINTEND(bugprone-macro-parentheses) */
 
@@ -66,29 +70,33 @@
     SCH_MEMBER (struct ens_settings, store_partitions),
     .required = true,
     .min = 1,
-    .max = UINT32_MAX },
+    .max = UINT32_MAX,
+    .decimal = true },
   { .key = "descriptors",
     .type = SCH_UNSIGNED,
     SCH_MEMBER (struct ens_settings, descriptors),
     .required = true,
-    .min = 512,
-    .max = UINT32_MAX },
-  DURATION ("drain_ms", drain_us, US_PER_MS),
-  DURATION ("config_ms", config_apply_max_us, US_PER_MS),
-  DURATION ("revoke_ms", revoke_us, US_PER_MS),
-  DURATION ("stop_s", stop_us, US_PER_S),
-  DURATION ("retry_window_s", retry_window_us, US_PER_S),
+    .min = DESCRIPTORS_MIN,
+    .max = UINT32_MAX,
+    .decimal = true },
+  DURATION ("drain_ms", drain_us, US_PER_MS, true),
+  DURATION ("config_ms", config_apply_max_us, US_PER_MS, true),
+  DURATION ("revoke_ms", revoke_us, US_PER_MS, true),
+  DURATION ("stop_s", stop_us, US_PER_S, true),
+  DURATION ("retry_window_s", retry_window_us, US_PER_S, true),
+  DURATION ("membership_min_ms", membership_min_us, US_PER_MS, false),
   { .key = "retry_ratio",
     .type = SCH_FRACTION,
     SCH_MEMBER (struct ens_settings, retry_ratio),
     .required = true,
     .min_fraction = 0,
-    .max_fraction = 1 },
+    .max_fraction = RETRY_RATIO_MAX },
   { .key = "retry_slack",
-    .type = SCH_UNSIGNED,
+    .type = SCH_FRACTION,
     SCH_MEMBER (struct ens_settings, retry_slack),
     .required = true,
-    .max = UINT32_MAX },
+    .min_fraction = 0,
+    .max_fraction = RETRY_SLACK_MAX },
   { .key = "log_level",
     .type = SCH_CHOICE,
     SCH_MEMBER (struct ens_settings, log_level),
--- a/src/config/entry_settings.h
+++ b/src/config/entry_settings.h
@@ -24,8 +24,9 @@
   int64_t stop_us;         /* time from SIGTERM to SIGKILL */
   int64_t retry_window_us; /* sliding window of the retry budget */
   double retry_ratio;      /* retries per request in the window */
-  uint32_t retry_slack;    /* additional retries per window, for all daemons */
-  int log_level;           /* LOG_EMERG to LOG_DEBUG */
+  double retry_slack;      /* additional retries per window, for all daemons */
+  int64_t membership_min_us; /* shortest membership that the store accepts */
+  int log_level;             /* LOG_EMERG to LOG_DEBUG */
 };
 
 struct ens_settings *ens_load (const char *path, GString *messages,
--- a/src/config/schema.h
+++ b/src/config/schema.h
@@ -50,6 +50,8 @@
   size_t count_offset;            /* SCH_LIST: of the length, a uint32_t */
   enum sch_type type;
   bool required;
+  bool decimal;   /* SCH_UNSIGNED: decimal numbers are valid too; the scaled
+                     value is rounded down */
   bool omit_zero; /* the key is not written when the value is 0 or false */
   bool secret;    /* the value is never shown in an error message or diff */
 };
--- a/src/config/schema_value.c
+++ b/src/config/schema_value.c
@@ -64,10 +64,40 @@
   memcpy (member, &value, sizeof value);
 }
 
+/* Reads a number that may have decimals, such as 40.75 or 4e+06.  */
+static void
+read_decimal (struct sch_reader *reader, const struct sch_field *field,
+              const struct yt_node *node, void *member)
+{
+  char allowed[QUOTED_BYTES];
+  g_snprintf (allowed, sizeof allowed,
+              "a number, %" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT,
+              field->min, field->max);
+  char *end = NULL;
+  double value = g_ascii_strtod (node->text, &end);
+  if (!node->plain || end == node->text || *end != '\0' || !isfinite (value))
+    {
+      report_invalid_value (reader, field, node, "is not a number", allowed);
+      return;
+    }
+  if (value < (double)field->min || value > (double)field->max)
+    {
+      report_invalid_value (reader, field, node, "is out of range", allowed);
+      return;
+    }
+  store_unsigned (field, (uint64_t)(value * (double)MAX (field->scale, 1)),
+                  member);
+}
+
 static void
 read_unsigned (struct sch_reader *reader, const struct sch_field *field,
                const struct yt_node *node, void *member)
 {
+  if (field->decimal)
+    {
+      read_decimal (reader, field, node, member);
+      return;
+    }
   char allowed[QUOTED_BYTES];
   g_snprintf (allowed, sizeof allowed,
               "a whole number, %" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT,
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -8,12 +8,16 @@
 #define USABLE_FRACTION 0.8
 
 /* Initializes BUDGET, without slack until the first rbg_set_share.  PARAMS is
-   copied.  */
+   copied; a window shorter than RBG_SLOTS microseconds is lengthened.  */
 void
 rbg_start (struct rbg_budget *budget, const struct rbg_params *params)
 {
   memset (budget, 0, sizeof *budget);
   budget->params = *params;
+  if (budget->params.window_us < RBG_SLOTS)
+    {
+      budget->params.window_us = RBG_SLOTS;
+    }
 }
 
 /* Sets the lowest share of all slots of the window to SHARE.  */
