Refuse streams that would wait too long; don't rest engines that are full

Engines short of memory answer 503 while their streams go on; each such answer took a sound engine out for 0.4 to 6.4 s, so the search built paths over other paths' parts, which filled up and refused in turn, five attempts within 10 ms for one request. Streams that were cut used up their attempts and the budget while no path had room.

Change: core/first_wait keeps, for each first engine, how long this daemon's streams wait for the first event and for how long those that wait now have done so. A path whose wait would exceed 0.4 of the target, or twice the shortest wait seen lately, gets new streams only if there is no other; if all are so, a request that hasn't run is refused at once, with a time to come back that covers the drain and is spread over 2 s. A refusal by an engine whose other streams went on within 0.5 s closes the paths over it for 0.25 s instead of putting it in backoff. The continuation of a broken stream looks for room for up to a second before it takes a path without.

--- a/src/core/evidence.c
+++ b/src/core/evidence.c
@@ -11,6 +11,19 @@
    conclusive. */
 #define FAILURE_RATE_MAX 0.5
 
+/* An engine on which a stream went on within this time is alive. */
+#define PROGRESS_US 500000
+
+/* How long an engine that was short of room counts as full. */
+#define FULL_US 250000
+
+/* Records that a stream on the endpoint went on at NOW_US.  */
+void
+evd_progress (struct evd_evidence *evidence, int64_t now_us)
+{
+  evidence->progressed_us = now_us;
+}
+
 /* Returns whether the endpoint may get a request at NOW_US.  Ends a backoff
    that has expired.  */
 bool
@@ -60,13 +73,21 @@
 }
 
 /* Records a request that ended in a failure of KIND.  Returns whether the
-   failure starts a backoff.  */
+   failure starts a backoff.  A refusal of an engine whose streams go on only
+   shows that it is full.  */
 bool
 evd_failure (struct evd_evidence *evidence, enum evd_failure_kind kind,
              int64_t now_us)
 {
   bool conclusive = kind != EVD_INCONCLUSIVE;
-  if (kind == EVD_DEAD || kind == EVD_REFUSING)
+  if ((kind == EVD_REFUSING || kind == EVD_UNAVAILABLE)
+      && evidence->progressed_us != 0
+      && now_us - evidence->progressed_us < PROGRESS_US)
+    {
+      evidence->full_until_us = now_us + FULL_US;
+      return false;
+    }
+  if (kind == EVD_DEAD || kind == EVD_REFUSING || kind == EVD_MISDIRECTED)
     {
       evidence->dead = kind == EVD_DEAD;
     }
--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -4,7 +4,12 @@
    list of endpoints report them as healthy.  After a conclusive failure, or at
    a high rate of others, an endpoint gets no requests for a backoff period
    that grows exponentially, and then one probe request at a time: a success
-   makes the endpoint healthy, any failure starts the next backoff. */
+   makes the endpoint healthy, any failure starts the next backoff.
+
+   An engine that refuses a stream while others on it go on is short of memory
+   or slots, not ill.  A backoff would send its load to the other engines,
+   which fill up and refuse in turn, until none is left; instead it counts as
+   full for a moment. */
 #ifndef CORE_EVIDENCE_H
 #define CORE_EVIDENCE_H
 
@@ -25,6 +30,7 @@
   EVD_INCONCLUSIVE, /* nothing by itself; starts a backoff only when the
                        failure rate is high or the request was a probe */
   EVD_REFUSING,     /* alive, but can't serve requests now */
+  EVD_MISDIRECTED,  /* alive, but isn't what the request was meant for */
   EVD_UNAVAILABLE,  /* can't serve requests now; may be alive or dead */
   EVD_DEAD          /* dead: doesn't respond to any caller */
 };
@@ -39,8 +45,12 @@
   double failure_rate;      /* moving average, 0 to 1 */
   double latency_us;        /* of successes, moving average; 0: none */
   uint32_t in_flight;       /* requests without a result yet */
+  int64_t progressed_us; /* monotonic, when a stream on it last went on; 0: not
+                            yet */
+  int64_t full_until_us; /* monotonic; it is short of room until then */
 };
 
+void evd_progress (struct evd_evidence *evidence, int64_t now_us);
 bool evd_usable (struct evd_evidence *evidence, int64_t now_us);
 void evd_begin (struct evd_evidence *evidence);
 void evd_end (struct evd_evidence *evidence);
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -11,6 +11,10 @@
 #define RETRY_AFTER_MIN_S 0.2
 #define RETRY_AFTER_MAX_S 0.6
 
+/* How long the continuation of a broken stream waits for a path with room.
+   Callers leave after a pause of about two seconds. */
+#define ROOM_WAIT_MAX_US (1000 * CLK_MS_US)
+
 static void
 on_timer_closed (uv_handle_t *handle)
 {
@@ -34,12 +38,24 @@
   uv_close ((uv_handle_t *)&exchange->timer, on_timer_closed);
 }
 
+/* Ends the wait for the first event of the current attempt, if it waits.  */
+void
+exg_end_wait (struct exchange *exchange)
+{
+  if (exchange->is_waiting)
+    {
+      exchange->is_waiting = false;
+      fst_end_wait (exchange->endpoint, &exchange->wait_link);
+    }
+}
+
 /* Releases the endpoint and the path of the current attempt and ends the
    accounting of the request on them.  */
 static void
 release_target (struct exchange *exchange)
 {
   exchange->attempt = NULL;
+  exg_end_wait (exchange);
   if (exchange->path != NULL)
     {
       fst_end_request (exchange->path, exchange->tokens);
@@ -120,15 +136,17 @@
 }
 
 /* Answers EXCHANGE with STATUS instead of an endpoint's answer, and ends it.
-   WHY goes into the log.  */
+   WHY goes into the log.  A refused caller may return after
+   RETRY_AFTER_S.  */
 static void
-answer_with_error (struct exchange *exchange, uint32_t status, const char *why)
+answer_with_error (struct exchange *exchange, uint32_t status, const char *why,
+                   double retry_after_s)
 {
   bool refused = status == HTTP_STATUS_SERVICE_UNAVAILABLE;
   struct emt_metrics *metrics = exchange->traffic->metrics;
   cnt_add (refused ? metrics->refused : metrics->outcome_unknown, 1);
   exg_answer_without_body (exchange->traffic, exchange->caller, status,
-                           exchange->id, refused ? exg_retry_after_s () : 0);
+                           exchange->id, refused ? retry_after_s : 0);
   exchange->caller = NULL;
   exg_finish (exchange, status, why);
 }
@@ -201,7 +219,8 @@
     case ATT_ANSWER:
     case ATT_RETRY:
     case ATT_RESUME:
-      answer_with_error (exchange, verdict->status, attempt_end_name (end));
+      answer_with_error (exchange, verdict->status, attempt_end_name (end),
+                         exg_retry_after_s ());
       break;
     }
 }
@@ -288,12 +307,44 @@
   exg_start_attempt (exchange, end);
 }
 
+/* True when EXCHANGE is refused rather than kept waiting: it hasn't run, and
+   it doesn't go on with an earlier answer.  */
+static bool
+is_refusable (const struct exchange *exchange)
+{
+  return exchange->may_have_run == 0 && exchange->scanner.last_id < 0;
+}
+
+/* Delays the next attempt of EXCHANGE, the continuation of a broken stream,
+   since no path has room now.  Returns false when it has waited for
+   ROOM_WAIT_MAX_US already; BEFORE is how the previous attempt ended.  */
+static bool
+wait_for_room (struct exchange *exchange, enum att_end before)
+{
+  int64_t now_us = clk_monotonic_us ();
+  if (exchange->room_wait_end_us == 0)
+    {
+      exchange->room_wait_end_us = now_us + ROOM_WAIT_MAX_US;
+    }
+  if (now_us >= exchange->room_wait_end_us)
+    {
+      return false;
+    }
+  release_target (exchange);
+  exchange->waits_for_room = true;
+  exchange->end_before_wait = before;
+  exg_schedule_check (exchange);
+  return true;
+}
+
 /* Chooses the endpoint, and for services with layers the path, of the next
-   attempt, and counts the request on them.  Returns false when there is
-   none.  */
+   attempt, and counts the request on them.  Sets EXCESS_US to the time, in
+   microseconds, by which the wait for the first event will be too long.
+   Returns false when there is no endpoint.  */
 static bool
-choose_target (struct exchange *exchange)
+choose_target (struct exchange *exchange, double *excess_us)
 {
+  *excess_us = 0;
   struct fst_fleet *fleet = exchange->traffic->fleet;
   int64_t now_us = clk_monotonic_us ();
   uint32_t index = exg_service_index (exchange);
@@ -304,8 +355,9 @@
   const struct flt_service *service = &fst_config (fleet)->services[index];
   if (service->has_engine && service->engine.layers > 0)
     {
-      exchange->path
-          = fst_choose_path (fleet, index, exchange->tokens, now_us);
+      exchange->path = fst_choose_path (fleet, index, exchange->tokens,
+                                        exchange->route->target_latency_us,
+                                        now_us, excess_us);
       if (exchange->path == NULL)
         {
           return false;
@@ -366,11 +418,29 @@
 }
 
 /* Starts an attempt at an endpoint.  BEFORE is how the previous attempt ended;
-   ATT_NOT_SENT at first.  Without an endpoint EXCHANGE ends.  */
+   ATT_NOT_SENT at first.  Without an endpoint EXCHANGE ends, and so it does
+   when nothing of it was sent and it would wait too long everywhere.  */
 void
 exg_start_attempt (struct exchange *exchange, enum att_end before)
 {
-  if (!choose_target (exchange))
+  double excess_us = 0;
+  bool found = choose_target (exchange, &excess_us);
+  if (found && excess_us > 0 && is_refusable (exchange))
+    {
+      lg_line (LOG_INFO, "queues_full", "request=%s endpoint=%s excess_ms=%ld",
+               exchange->id, exchange->endpoint->id,
+               (long)(excess_us / CLK_MS_US));
+      answer_with_error (exchange, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                         "queues_full",
+                         fwt_retry_after_s (excess_us, g_random_double ()));
+      return;
+    }
+  if (found && excess_us > 0 && wait_for_room (exchange, before))
+    {
+      return;
+    }
+  exchange->room_wait_end_us = 0;
+  if (!found)
     {
       struct att_request request;
       struct att_verdict verdict;
@@ -404,6 +474,12 @@
       exg_end_attempt (exchange, ATT_NOT_SENT);
       return;
     }
+  if (exchange->path != NULL)
+    {
+      exchange->wait_link.data = &exchange->sent_us;
+      exchange->is_waiting = true;
+      fst_begin_wait (exchange->endpoint, &exchange->wait_link);
+    }
   exg_schedule_check (exchange);
 }
 
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -192,6 +192,14 @@
       = evs_feed (&exchange->scanner, bytes, count, exchange->answer);
   if (events > 0)
     {
+      fst_report_progress (exchange->path, exchange->last_received_us);
+      if (exchange->is_waiting)
+        {
+          exg_end_wait (exchange);
+          fwt_observe (&exchange->endpoint->first_wait,
+                       exchange->last_received_us - exchange->sent_us,
+                       exchange->last_received_us);
+        }
       if (exchange->answer_begun)
         {
           update_average (&exchange->event_interval_us, (double)interval_us);
@@ -244,9 +252,13 @@
     }
   if (exchange->not_executed)
     {
-      exg_report_failure (
-          exchange, exchange->path != NULL ? EVD_REFUSING : EVD_INCONCLUSIVE,
-          "did not run a request");
+      /* A wrong incarnation or layers aren't a shortage of room. */
+      bool misdirected = exchange->status == HTTP_STATUS_MISDIRECTED_REQUEST;
+      exg_report_failure (exchange,
+                          exchange->path == NULL ? EVD_INCONCLUSIVE
+                          : misdirected          ? EVD_MISDIRECTED
+                                                 : EVD_REFUSING,
+                          "did not run a request");
       exg_end_attempt (exchange, ATT_NOT_RUN);
       return;
     }
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -35,6 +35,8 @@
   struct fst_path *path;         /* NULL for plain services */
   uint32_t status;               /* of the answer; 0: none yet */
   int64_t sent_us;
+  GList wait_link; /* in the engine's queue; its data is `sent_us' */
+  bool is_waiting; /* for the first event on a path: `wait_link' is in use */
   double event_interval_us; /* moving average of the time between events; 0:
                                none yet */
   int64_t last_received_us; /* when the newest bytes of the answer arrived */
@@ -47,6 +49,11 @@
   GString *answer_head; /* headers for the caller */
   GByteArray *answer;   /* the buffered body, or the events to deliver next */
 
+  /* State between attempts. */
+  bool waits_for_room;      /* the next attempt waits for a path with room */
+  int64_t room_wait_end_us; /* when it is made without; 0: hasn't waited */
+  enum att_end end_before_wait; /* of the previous attempt */
+
   /* State over all attempts. */
   GPtrArray *tried_endpoints; /* references to struct fst_endpoint */
   uint32_t attempts;          /* started */
@@ -67,6 +74,7 @@
                               struct nsv_connection *caller, uint32_t status,
                               const char *id, double retry_after_s);
 double exg_retry_after_s (void);
+void exg_end_wait (struct exchange *exchange);
 void exg_deliver_buffered (struct exchange *exchange);
 void exg_finish (struct exchange *exchange, uint32_t status,
                  const char *outcome);
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -24,6 +24,9 @@
 #define FIRST_EVENT_FACTOR 3.0
 #define FIRST_EVENT_MIN_US (160 * CLK_MS_US)
 
+/* Interval at which a stream that waits for a path with room looks for one. */
+#define ROOM_RECHECK_US (60 * CLK_MS_US)
+
 /* A stream that stays silent is checked again at this interval. */
 #define SILENCE_RECHECK_US (50 * CLK_MS_US)
 
@@ -127,7 +130,8 @@
   exg_end_attempt (exchange, ATT_NO_RESPONSE);
 }
 
-/* Ends EXCHANGE at its deadline.  For a silent stream, abandons the attempt if
+/* Ends EXCHANGE at its deadline.  Makes the next attempt of one that waits for
+   room.  For a silent stream, abandons the attempt if
    an engine of its path is dead, or else asks the first engine for a
    report.  */
 static void
@@ -145,6 +149,12 @@
       exg_end_attempt (exchange, ATT_TIMED_OUT);
       return;
     }
+  if (exchange->waits_for_room)
+    {
+      exchange->waits_for_room = false;
+      exg_start_attempt (exchange, exchange->end_before_wait);
+      return;
+    }
   if (limit_us > 0 && silent_for_us >= limit_us)
     {
       /* A slow path without a dead engine isn't abandoned: processing the
@@ -173,7 +183,11 @@
   int64_t now_us = clk_monotonic_us ();
   int64_t due_us = exchange->deadline_us;
   int64_t limit_us = silence_limit_us (exchange);
-  if (limit_us > 0)
+  if (exchange->waits_for_room)
+    {
+      due_us = MIN (due_us, now_us + ROOM_RECHECK_US);
+    }
+  else if (limit_us > 0)
     {
       int64_t silent_at_us = exchange->last_received_us + limit_us;
       due_us
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -34,6 +34,14 @@
 /* Lower bound of the random number whose logarithm is taken in path_load. */
 #define RANDOM_MIN 1e-6
 
+/* One of this many streams that wait at an engine may be stuck for reasons of
+   its own, and says nothing of new ones. */
+#define STUCK_DIVISOR 8
+
+/* Multiplies the cost of a path whose expected first wait is over its limit,
+   so that such a path is chosen only if there is no other. */
+#define CLOSED_FACTOR 1e6
+
 /* Fill of a path above which others are preferred, and the factor by which the
    excess over it raises the path's cost. */
 #define FULL_FILL 0.9
@@ -179,6 +187,42 @@
     }
 }
 
+/* Records that a stream on PATH went on at NOW_US.  PATH may be NULL.  */
+void
+fst_report_progress (struct fst_path *path, int64_t now_us)
+{
+  for (uint32_t i = 0; path != NULL && i < path->count; i++)
+    {
+      evd_progress (&path->parts[i]->evidence, now_us);
+    }
+}
+
+/* Records that a stream waits for its first event on a path that begins at
+   ENGINE.  LINK must stay valid until fst_end_wait; its data is the time of
+   sending, int64_t.  */
+void
+fst_begin_wait (struct fst_endpoint *engine, GList *link)
+{
+  g_queue_push_tail_link (&engine->waiting, link);
+}
+
+/* Ends the wait that fst_begin_wait began with the same arguments.  */
+void
+fst_end_wait (struct fst_endpoint *engine, GList *link)
+{
+  g_queue_unlink (&engine->waiting, link);
+}
+
+/* Returns for how long the streams that wait at ENGINE have done so: all but
+   the few that may be stuck for reasons of their own.  */
+static int64_t
+oldest_wait_us (const struct fst_endpoint *engine, int64_t now_us)
+{
+  const int64_t *sent_us = g_queue_peek_nth (
+      (GQueue *)&engine->waiting, engine->waiting.length / STUCK_DIVISOR);
+  return sent_us == NULL ? 0 : now_us - *sent_us;
+}
+
 /* Returns the index of the data centre NAME, which is added if it is new.  */
 static uint32_t
 data_centre_index (struct fst_fleet *fleet, const char *name)
@@ -725,13 +769,34 @@
   return used - tokens * log (g_random_double_range (RANDOM_MIN, 1));
 }
 
-/* Chooses a path of SERVICE for a request that needs memory for TOKENS: the
-   one with the least load for its capacity and speed, with a preference for
-   the daemon's own data centre.  Returns a reference, or NULL when there is
-   none.  */
+/* Returns by how much the wait for a first event on PATH is expected to exceed
+   the limit for a request that targets TARGET_US, in microseconds, or for how
+   long one of its engines still counts as full; 0 if neither.  */
+static double
+wait_excess_us (const struct fst_path *path, int64_t target_us, int64_t now_us)
+{
+  const struct fst_endpoint *first = path->parts[0];
+  double excess_us = fwt_expected_us (&first->first_wait,
+                                      oldest_wait_us (first, now_us), now_us)
+                     - fwt_limit_us (&first->first_wait, target_us, now_us);
+  for (uint32_t i = 0; i < path->count; i++)
+    {
+      excess_us
+          = MAX (excess_us, path->parts[i]->evidence.full_until_us - now_us);
+    }
+  return MAX (excess_us, 0);
+}
+
+/* Chooses a path of SERVICE for a request that needs memory for TOKENS and
+   targets a first event within TARGET_US: of the paths with room and without a
+   queue that is too long for this, the one with the least load for its
+   capacity and speed, with a preference for the daemon's own data centre.
+   Sets EXCESS_US to the time, in microseconds, by which the expected wait on
+   that path is too long; 0 if it isn't.  Returns a reference, or NULL when
+   there is no path.  */
 struct fst_path *
 fst_choose_path (struct fst_fleet *fleet, uint32_t service, double tokens,
-                 int64_t now_us)
+                 int64_t target_us, int64_t now_us, double *excess_us)
 {
   struct service_state *state = service_state (fleet, service);
   if (state->paths == NULL || now_us >= state->paths_until_us)
@@ -741,19 +806,26 @@
   uint32_t home = data_centre_index (fleet, fleet->data_centre);
   struct fst_path *best = NULL;
   double best_cost = INFINITY;
+  *excess_us = 0;
   for (guint i = 0; i < state->paths->len; i++)
     {
       struct fst_path *path = g_ptr_array_index (state->paths, i);
+      double excess = wait_excess_us (path, target_us, now_us);
       double fill = path_fill (fleet, path, tokens);
       double overload = MAX (fill - FULL_FILL, 0);
       double weight = (path->parts[0]->data_centre == home ? HOME_WEIGHT : 1)
                       * path->capacity_tokens / path->token_ms;
       double cost = path_load (path, tokens) * (1 + OVERLOAD_FACTOR * overload)
                     / weight;
+      if (excess > 0)
+        {
+          cost *= CLOSED_FACTOR * (1 + excess);
+        }
       if (cost < best_cost)
         {
           best = path;
           best_cost = cost;
+          *excess_us = excess;
         }
     }
   return best == NULL ? NULL : fst_reference_path (best);
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -5,6 +5,7 @@
 #define ENTRY_FLEET_STATE_H
 
 #include "core/evidence.h"
+#include "core/first_wait.h"
 #include "core/path.h"
 #include "core/retry_budget.h"
 #include "entry/fleet_view.h"
@@ -30,6 +31,9 @@
   bool listed;  /* in the list and not leaving */
   bool in_view; /* in the view that fst_set_view is applying */
   struct evd_evidence evidence;
+  struct fwt_estimate first_wait; /* of streams whose paths begin at it */
+  GQueue waiting; /* int64_t: when each stream that waits there for its first
+                     event was sent, the oldest first */
 };
 
 /* A path through the engines of a service.  Exists while the list of paths or
@@ -64,7 +68,8 @@
                                           const GPtrArray *tried,
                                           int64_t now_us);
 struct fst_path *fst_choose_path (struct fst_fleet *fleet, uint32_t service,
-                                  double tokens, int64_t now_us);
+                                  double tokens, int64_t target_us,
+                                  int64_t now_us, double *excess_us);
 struct fst_endpoint *fst_find_address (struct fst_fleet *fleet,
                                        uint32_t service, const char *address);
 void fst_report_failure (struct fst_fleet *fleet,
@@ -80,5 +85,8 @@
 void fst_release_path (struct fst_path *path);
 void fst_begin_request (struct fst_path *path, double tokens);
 void fst_end_request (struct fst_path *path, double tokens);
+void fst_report_progress (struct fst_path *path, int64_t now_us);
+void fst_begin_wait (struct fst_endpoint *engine, GList *link);
+void fst_end_wait (struct fst_endpoint *engine, GList *link);
 
 #endif
--- a/test/limits_test.c
+++ b/test/limits_test.c
@@ -326,10 +326,51 @@
     }
 }
 
+/* A refusal of an engine whose other streams go on.  Guards against a cascade:
+   engines short of memory were rested one after the other, and the paths that
+   were left took their load and filled up too. */
+static void
+test_full_engine_isnt_rested (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *name;
+    int64_t progressed_us; /* before the refusal; 0: never */
+    enum evd_failure_kind kind;
+    bool full; /* and not in backoff */
+  } rows[] = {
+    { "its streams go on", S_US / 10, EVD_REFUSING, true },
+    { "another engine names it, its streams go on", S_US / 10, EVD_UNAVAILABLE,
+      true },
+    { "its streams have stopped", S_US, EVD_REFUSING, false },
+    { "it has had no streams", 0, EVD_UNAVAILABLE, false },
+    { "it is another incarnation", S_US / 10, EVD_MISDIRECTED, false },
+    { "it is dead", S_US / 10, EVD_DEAD, false },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct evd_evidence evidence = { 0 };
+      int64_t now_us = 9 * S_US;
+      if (rows[i].progressed_us != 0)
+        {
+          evd_progress (&evidence, now_us - rows[i].progressed_us);
+        }
+      bool rests = evd_failure (&evidence, rows[i].kind, now_us);
+      if (rests == rows[i].full || evd_usable (&evidence, now_us) == rests
+          || (evidence.full_until_us > now_us) != rows[i].full
+          || (evidence.backoffs > 0) != rests)
+        {
+          fail_msg ("%s", rows[i].name);
+        }
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_full_engine_isnt_rested),
     cmocka_unit_test (test_retry_budget),
     cmocka_unit_test (test_retry_budget_window),
     cmocka_unit_test (test_retry_budget_share_changes),
