Ask refused callers back later in lasting shortages; let broken streams wait

Change: a shortage is expected to last as long again as refusals have gone on so far, up to 3 s. A broken stream that the budget denies a repeat, or that has no path, looks again for a second before it is given up.

--- a/src/core/first_wait.c
+++ b/src/core/first_wait.c
@@ -24,6 +24,12 @@
 #define RETURN_MIN_S 0.5
 #define RETURN_MAX_S 2.5
 
+/* Refusals that are this far apart belong to different shortages. */
+#define REFUSALS_GAP_US 1000000
+
+/* Limit of the time that a shortage is expected to last. */
+#define LASTING_MAX_US 3000000.0
+
 /* Starts a new period if the current one is over.  */
 static void
 advance_period (struct fwt_estimate *estimate, int64_t now_us)
@@ -100,12 +106,27 @@
                shortest_us (estimate, now_us) * SHORTEST_FACTOR);
 }
 
-/* Returns after how many seconds a refused caller may come back.  EXCESS_US is
-   how much the shortest expected wait is over its limit, which the queue takes
-   to drain; DRAW, random from 0 to 1, spreads the callers.  */
+/* Counts a refusal at NOW_US.  */
+void
+fwt_count_refusal (struct fwt_refusals *refusals, int64_t now_us)
+{
+  if (refusals->last_us == 0 || now_us - refusals->last_us > REFUSALS_GAP_US)
+    {
+      refusals->since_us = now_us;
+    }
+  refusals->last_us = now_us;
+}
+
+/* Returns after how many seconds a caller that is refused at NOW_US may come
+   back.  EXCESS_US is how much the shortest expected wait is over its limit,
+   which the queue takes to drain.  A shortage is expected to last as long
+   again as REFUSALS have gone on so far: a caller that returns too early is
+   refused again.  DRAW, random from 0 to 1, spreads the callers.  */
 double
-fwt_retry_after_s (double excess_us, double draw)
+fwt_retry_after_s (const struct fwt_refusals *refusals, double excess_us,
+                   double draw, int64_t now_us)
 {
-  return fmax (excess_us, 0) / 1e6 + RETURN_MIN_S
-         + (RETURN_MAX_S - RETURN_MIN_S) * draw;
+  double lasted_us = (double)(now_us - refusals->since_us);
+  return (fmax (excess_us, 0) + fmin (lasted_us, LASTING_MAX_US)) / 1e6
+         + RETURN_MIN_S + (RETURN_MAX_S - RETURN_MIN_S) * draw;
 }
--- a/src/core/first_wait.h
+++ b/src/core/first_wait.h
@@ -27,12 +27,21 @@
   int64_t observed_at_us; /* monotonic; 0: never */
 };
 
+/* The refusals of a daemon for want of room.  All zero at first: none. */
+struct fwt_refusals
+{
+  int64_t since_us; /* monotonic; they have gone on since then */
+  int64_t last_us;  /* monotonic; 0: none yet */
+};
+
 void fwt_observe (struct fwt_estimate *estimate, int64_t wait_us,
                   int64_t now_us);
 double fwt_expected_us (const struct fwt_estimate *estimate,
                         int64_t oldest_wait_us, int64_t now_us);
 double fwt_limit_us (const struct fwt_estimate *estimate, int64_t target_us,
                      int64_t now_us);
-double fwt_retry_after_s (double excess_us, double draw);
+void fwt_count_refusal (struct fwt_refusals *refusals, int64_t now_us);
+double fwt_retry_after_s (const struct fwt_refusals *refusals,
+                          double excess_us, double draw, int64_t now_us);
 
 #endif
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -252,9 +252,44 @@
                         : flt_find_service (config, exchange->service);
 }
 
+/* Takes the repeat that EXCHANGE needs from the retry budget, if one is
+   NEEDED. Returns false when there is none, or no service any more.  */
+static bool
+take_repeat (struct exchange *exchange, bool needed)
+{
+  uint32_t service = exg_service_index (exchange);
+  return service != FLT_NO_INDEX
+         && (!needed
+             || rbg_take (fst_budget (exchange->traffic->fleet, service),
+                          clk_monotonic_us ()));
+}
+
+/* Delays the next attempt of EXCHANGE, the continuation of a broken stream,
+   since no path has room now or the retry budget is used up.  Returns false
+   when it has waited for ROOM_WAIT_MAX_US already; BEFORE is how the previous
+   attempt ended.  */
+static bool
+wait_for_room (struct exchange *exchange, enum att_end before)
+{
+  int64_t now_us = clk_monotonic_us ();
+  if (exchange->room_wait_end_us == 0)
+    {
+      exchange->room_wait_end_us = now_us + ROOM_WAIT_MAX_US;
+    }
+  if (now_us >= exchange->room_wait_end_us)
+    {
+      return false;
+    }
+  release_target (exchange);
+  exchange->waits_for_room = true;
+  exchange->end_before_wait = before;
+  exg_schedule_check (exchange);
+  return true;
+}
+
 /* Handles the end of the current attempt, END: retries the request, resumes
    the stream or answers the caller.  A retry that the budget denies is not
-   made.  */
+   made, but a broken stream waits for the budget.  */
 void
 exg_end_attempt (struct exchange *exchange, enum att_end end)
 {
@@ -270,17 +305,12 @@
   struct att_verdict verdict;
   exg_describe_request (exchange, &request);
   att_decide (&request, end, &verdict);
-  uint32_t service = exg_service_index (exchange);
   bool retry = verdict.next == ATT_RETRY || verdict.next == ATT_RESUME;
-  if (retry
-      && (service == FLT_NO_INDEX
-          || (verdict.needs_budget
-              && !rbg_take (fst_budget (exchange->traffic->fleet, service),
-                            clk_monotonic_us ()))))
+  bool denied = retry && !take_repeat (exchange, verdict.needs_budget);
+  if (denied)
     {
-      retry = false;
-      att_decide_without_budget (&request, end, &verdict);
       cnt_add (exchange->traffic->metrics->retries_denied, 1);
+      retry = false;
     }
   lg_line (LOG_INFO, "attempt_ended",
            "request=%s end=%s status=%u endpoint=%s at_fault=%s again=%d "
@@ -291,6 +321,15 @@
            retry, exchange->sent, exchange->may_have_run,
            (long)exchange->scanner.last_id,
            (long)((clk_monotonic_us () - exchange->sent_us) / CLK_MS_US));
+  if (denied && verdict.next == ATT_RESUME && wait_for_room (exchange, end))
+    {
+      exchange->owes_repeat = true;
+      return;
+    }
+  if (denied)
+    {
+      att_decide_without_budget (&request, end, &verdict);
+    }
   if (!retry)
     {
       end_without_retry (exchange, &verdict, end);
@@ -315,28 +354,6 @@
   return exchange->may_have_run == 0 && exchange->scanner.last_id < 0;
 }
 
-/* Delays the next attempt of EXCHANGE, the continuation of a broken stream,
-   since no path has room now.  Returns false when it has waited for
-   ROOM_WAIT_MAX_US already; BEFORE is how the previous attempt ended.  */
-static bool
-wait_for_room (struct exchange *exchange, enum att_end before)
-{
-  int64_t now_us = clk_monotonic_us ();
-  if (exchange->room_wait_end_us == 0)
-    {
-      exchange->room_wait_end_us = now_us + ROOM_WAIT_MAX_US;
-    }
-  if (now_us >= exchange->room_wait_end_us)
-    {
-      return false;
-    }
-  release_target (exchange);
-  exchange->waits_for_room = true;
-  exchange->end_before_wait = before;
-  exg_schedule_check (exchange);
-  return true;
-}
-
 /* Chooses the endpoint, and for services with layers the path, of the next
    attempt, and counts the request on them.  Sets EXCESS_US to the time, in
    microseconds, by which the wait for the first event will be too long.
@@ -430,12 +447,16 @@
       lg_line (LOG_INFO, "queues_full", "request=%s endpoint=%s excess_ms=%ld",
                exchange->id, exchange->endpoint->id,
                (long)(excess_us / CLK_MS_US));
-      answer_with_error (exchange, HTTP_STATUS_SERVICE_UNAVAILABLE,
-                         "queues_full",
-                         fwt_retry_after_s (excess_us, g_random_double ()));
+      struct fwt_refusals *refusals = &exchange->traffic->refusals;
+      int64_t now_us = clk_monotonic_us ();
+      fwt_count_refusal (refusals, now_us);
+      answer_with_error (
+          exchange, HTTP_STATUS_SERVICE_UNAVAILABLE, "queues_full",
+          fwt_retry_after_s (refusals, excess_us, g_random_double (), now_us));
       return;
     }
-  if (found && excess_us > 0 && wait_for_room (exchange, before))
+  bool lacks_room = found ? excess_us > 0 : exchange->answer_begun;
+  if (lacks_room && wait_for_room (exchange, before))
     {
       return;
     }
@@ -483,6 +504,28 @@
   exg_schedule_check (exchange);
 }
 
+/* Makes the attempt that EXCHANGE has delayed, or delays it again.  */
+void
+exg_end_room_wait (struct exchange *exchange)
+{
+  enum att_end before = exchange->end_before_wait;
+  exchange->waits_for_room = false;
+  if (exchange->owes_repeat && !take_repeat (exchange, true))
+    {
+      if (!wait_for_room (exchange, before))
+        {
+          struct att_request request;
+          struct att_verdict verdict;
+          exg_describe_request (exchange, &request);
+          att_decide_without_budget (&request, before, &verdict);
+          end_without_retry (exchange, &verdict, before);
+        }
+      return;
+    }
+  exchange->owes_repeat = false;
+  exg_start_attempt (exchange, before);
+}
+
 /* Ends an exchange whose caller has disconnected.  The attempt is cancelled,
    so that the endpoint stops working on the request.  */
 void
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -50,6 +50,7 @@
   GByteArray *answer;   /* the buffered body, or the events to deliver next */
 
   /* State between attempts. */
+  bool owes_repeat;         /* a repeat of the retry budget, before it */
   bool waits_for_room;      /* the next attempt waits for a path with room */
   int64_t room_wait_end_us; /* when it is made without; 0: hasn't waited */
   enum att_end end_before_wait; /* of the previous attempt */
@@ -75,6 +76,7 @@
                               const char *id, double retry_after_s);
 double exg_retry_after_s (void);
 void exg_end_wait (struct exchange *exchange);
+void exg_end_room_wait (struct exchange *exchange);
 void exg_deliver_buffered (struct exchange *exchange);
 void exg_finish (struct exchange *exchange, uint32_t status,
                  const char *outcome);
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -151,8 +151,7 @@
     }
   if (exchange->waits_for_room)
     {
-      exchange->waits_for_room = false;
-      exg_start_attempt (exchange, exchange->end_before_wait);
+      exg_end_room_wait (exchange);
       return;
     }
   if (limit_us > 0 && silent_for_us >= limit_us)
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -34,6 +34,7 @@
                       generate; 0: none has ended yet */
   double first_event_us; /* moving average of the time from an attempt's start
                             to the first event; 0: none yet */
+  struct fwt_refusals refusals; /* for want of room */
   double call_us; /* recent peak of the time of requests to plain services */
   GHashTable *exchanges; /* set of struct exchange in progress */
   GHashTable *inquiries; /* engine to its stall inquiry */
