--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -252,11 +252,14 @@
 }
 
 /* Returns for how long, at the monotonic time NOW_US, this daemon has been a
-   member that owns no partition; 0 if it owns one or isn't a member.  */
+   member that owns no partition; 0 if it isn't a member, or owned one at the
+   newest renewal.  */
 int64_t
 grp_idle_us (const struct grp_group *group, int64_t now_us)
 {
-  return group->joined ? now_us - group->idle_since_us : 0;
+  return group->joined && grp_partitions (group) == 0
+             ? now_us - group->idle_since_us
+             : 0;
 }
 
 /* Joins the group and keeps the membership if KEEP, or else ends it.  */
