--- a/src/core/first_wait.c
+++ b/src/core/first_wait.c
@@ -82,6 +82,23 @@
   estimate->observed_at_us = now_us;
 }
 
+/* Records that a stream waited WAIT_US, until NOW_US, and ended without a
+   first event, since its caller left or its attempt was given up.  It would
+   have waited for longer, so only a wait above the expected one says anything.
+ */
+void
+fwt_observe_end (struct fwt_estimate *estimate, int64_t wait_us,
+                 int64_t now_us)
+{
+  double expected = fwt_expected_us (estimate, 0, now_us);
+  if ((double)wait_us > expected)
+    {
+      estimate->wait_us
+          = expected + RISE_WEIGHT * ((double)wait_us - expected);
+      estimate->observed_at_us = now_us;
+    }
+}
+
 /* Returns the time that a stream that is sent at NOW_US is expected to wait.
    OLDEST_WAIT_US is for how long the streams that wait now have done so; 0:
    none waits.  */
--- a/src/core/first_wait.h
+++ b/src/core/first_wait.h
@@ -36,6 +36,8 @@
 
 void fwt_observe (struct fwt_estimate *estimate, int64_t wait_us,
                   int64_t now_us);
+void fwt_observe_end (struct fwt_estimate *estimate, int64_t wait_us,
+                      int64_t now_us);
 double fwt_expected_us (const struct fwt_estimate *estimate,
                         int64_t oldest_wait_us, int64_t now_us);
 double fwt_limit_us (const struct fwt_estimate *estimate, int64_t target_us,
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -55,6 +55,12 @@
 release_target (struct exchange *exchange)
 {
   exchange->attempt = NULL;
+  if (exchange->is_waiting)
+    {
+      int64_t now_us = clk_monotonic_us ();
+      fwt_observe_end (&exchange->endpoint->first_wait,
+                       now_us - exchange->sent_us, now_us);
+    }
   exg_end_wait (exchange);
   if (exchange->path != NULL)
     {
--- a/test/first_wait_test.c
+++ b/test/first_wait_test.c
@@ -155,6 +155,11 @@
       bool done
           = stream->run_from_us > 0 && now_us >= stream->run_from_us + RUN_US;
       bool left = !stream->answered && waited_us >= PATIENCE_US;
+      if (left)
+        {
+          fwt_observe_end (&model->estimates[stream->daemon][path], waited_us,
+                           now_us);
+        }
       if (done || left || is_lost (path, now_us))
         {
           g_ptr_array_remove_index (streams, i);
@@ -272,6 +277,24 @@
   assert_true (fwt_expected_us (&estimate, 0, 3 * S) < limit_us);
 }
 
+/* Streams whose callers left without an event count too.  Guards against a
+   path that answers nobody: its queue emptied as callers left, and it got the
+   next streams.  */
+static void
+unanswered_streams_count (void **state)
+{
+  (void)state;
+  struct fwt_estimate estimate = { 0 };
+  fwt_observe (&estimate, 80 * MS, S);
+  fwt_observe_end (&estimate, 2000 * MS, 4 * S);
+  double limit_us = fwt_limit_us (&estimate, TARGET_US, 4 * S);
+  assert_true (fwt_expected_us (&estimate, 0, 4 * S) > limit_us);
+  /* One that ended early says nothing. */
+  double before_us = fwt_expected_us (&estimate, 0, 4 * S);
+  fwt_observe_end (&estimate, 10 * MS, 4 * S);
+  assert_true (fwt_expected_us (&estimate, 0, 4 * S) == before_us);
+}
+
 static void
 refused_callers_return_spread (void **state)
 {
@@ -298,6 +321,7 @@
     cmocka_unit_test (usual_load_is_not_refused),
     cmocka_unit_test (slow_links_are_not_a_queue),
     cmocka_unit_test (estimate_follows_the_streams),
+    cmocka_unit_test (unanswered_streams_count),
     cmocka_unit_test (refused_callers_return_spread),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
