Derive the pause after failed calls from the bound of configurations

A change published as an outage of the store ended wasn't in force within the bound of 1 s: the call in progress timed out after 600 ms, and the pause before the next one, up to 1,000 ms from the sending of the call (a constant), went on for up to 550 ms more.

Change: the pause is at most 0.35 of the bound, so the next call follows a time-out at once. refresh_test checks it for drawn bounds; with the constant, it fails.

--- a/src/core/refresh.c
+++ b/src/core/refresh.c
@@ -35,6 +35,13 @@
    answered must time out soon enough for another one. */
 #define ANSWER_TIMEOUT_SHARE 0.6
 
+/* Limit of the pause after a failed call, and its share of the time in which a
+   change must be in force: shorter than the time-out of an answer, so that the
+   next call follows at once when an outage ends during one without an
+   answer. */
+#define RETRY_MAX_US 1000000
+#define RETRY_MAX_SHARE 0.35
+
 /* How long no proof may arrive, beyond the age limit, before it counts as an
    outage. */
 #define OUTAGE_US 1500000
@@ -69,6 +76,8 @@
     .gap_max_us = age_max_us + OUTAGE_US,
     .answer_timeout_max_us
     = share_of (bounds->config_us, ANSWER_TIMEOUT_SHARE),
+    .retry_max_us
+    = MIN_OF (share_of (bounds->config_us, RETRY_MAX_SHARE), RETRY_MAX_US),
   };
 }
 
@@ -83,6 +92,8 @@
     .gap_max_us = age_max_us + OUTAGE_US,
     .answer_timeout_max_us
     = share_of (bounds->config_us, ANSWER_TIMEOUT_SHARE),
+    .retry_max_us
+    = MIN_OF (share_of (bounds->config_us, RETRY_MAX_SHARE), RETRY_MAX_US),
   };
 }
 
--- a/src/core/refresh.h
+++ b/src/core/refresh.h
@@ -50,6 +50,7 @@
   int64_t gap_max_us;    /* between two proofs; a longer gap means that neither
                             the store nor a relay could be read */
   int64_t answer_timeout_max_us; /* of the store, beyond the wait */
+  int64_t retry_max_us;          /* between two calls of the store that fail */
 };
 
 /* How the membership in the group of all daemons is kept. */
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -14,10 +14,8 @@
    answer that came too late. */
 #define ANSWER_TIMEOUT_MS 900
 
-/* Pause after a failed call: the first, and the upper bound of its
-   doubling. */
+/* First pause after a failed call; it doubles up to `retry_max_us'. */
 #define RETRY_MIN_MS 150
-#define RETRY_MAX_MS 1000
 
 /* A topic that couldn't be read for this long is reported as an outage. */
 #define OUTAGE_US (1500 * CLK_MS_US)
@@ -84,6 +82,13 @@
   return (uint32_t)(topic->params.plan.answer_timeout_max_us / CLK_MS_US);
 }
 
+/* Returns the limit of the pause after a failed call.  */
+static uint32_t
+retry_max_ms (const struct tpc_topic *topic)
+{
+  return (uint32_t)(topic->params.plan.retry_max_us / CLK_MS_US);
+}
+
 /* Makes the next call begin a snapshot.  */
 static void
 begin_snapshot (struct tpc_topic *topic)
@@ -158,7 +163,8 @@
   topic->relay_failed = true;
   int64_t pause_ms
       = topic->relay_retry_ms + g_random_int_range (0, RETRY_MIN_MS);
-  topic->relay_retry_ms = MIN (topic->relay_retry_ms * 2, RETRY_MAX_MS);
+  topic->relay_retry_ms
+      = MIN (topic->relay_retry_ms * 2, retry_max_ms (topic));
   schedule_call (topic, (uint64_t)CLAMP (left_us / CLK_MS_US, 0, pause_ms));
 }
 
@@ -198,7 +204,7 @@
                      + g_random_int_range (0, RETRY_MIN_MS);
   int64_t spent_ms = (now_us - topic->sent_us) / CLK_MS_US;
   schedule_call (topic, (uint64_t)MAX (pause_ms - spent_ms, 0));
-  topic->retry_ms = MIN (topic->retry_ms * 2, RETRY_MAX_MS);
+  topic->retry_ms = MIN (topic->retry_ms * 2, retry_max_ms (topic));
 }
 
 /* Resets the state of failures after a valid answer of the store, or of a
--- a/test/refresh_test.c
+++ b/test/refresh_test.c
@@ -22,6 +22,9 @@
 #define STORE_CALL_US (60 * MS)
 #define RELAY_HOP_US (30 * MS)
 
+/* Random part of a pause after a failed call. */
+#define RETRY_JITTER_US (150 * MS)
+
 /* What happens to the relay when the change is stored. */
 enum relay_fate
 {
@@ -164,6 +167,11 @@
          after the store is lost: a proof is never older than the rest. */
       assert_true (plan.age_max_us + STORE_CALL_US < bounds.revoke_us / 2);
       assert_true (2 * plan.wait_us < bounds.revoke_us / 2);
+      /* A change right after an outage is in force in time, although the call
+         in progress gets no answer: the pause counts from its sending. */
+      int64_t cycle_us = MAX (plan.answer_timeout_max_us,
+                              plan.retry_max_us + RETRY_JITTER_US);
+      assert_true (cycle_us + STORE_CALL_US < bounds.config_us * 9 / 10);
     }
   g_rand_free (random);
 }
