Settle the linter: one weight, fields in order, no null or zero the tests allow

Change: one weight; fields reordered; the division is guarded; the test returns after its failure. No behaviour changes.

--- a/src/core/first_wait.c
+++ b/src/core/first_wait.c
@@ -2,10 +2,9 @@
 
 #include <math.h>
 
-/* Weight of a new wait in the moving average: of one above it, and of one
-   below it.  A queue that builds up must be noticed within few streams. */
-#define RISE_WEIGHT 0.5
-#define FALL_WEIGHT 0.5
+/* Weight of a new wait in the moving average.  A queue that builds up must be
+   noticed within few streams. */
+#define NEWEST_WEIGHT 0.5
 
 /* The excess of the average over the shortest wait halves in this time without
    streams, so that an engine that isn't used gets a chance again. */
@@ -75,10 +74,9 @@
       estimate->shortest_us[0] = wait;
     }
   double expected = fwt_expected_us (estimate, 0, now_us);
-  double weight = wait > expected ? RISE_WEIGHT : FALL_WEIGHT;
   estimate->wait_us = estimate->observed_at_us == 0
                           ? wait
-                          : expected + weight * (wait - expected);
+                          : expected + NEWEST_WEIGHT * (wait - expected);
   estimate->observed_at_us = now_us;
 }
 
@@ -94,7 +92,7 @@
   if ((double)wait_us > expected)
     {
       estimate->wait_us
-          = expected + RISE_WEIGHT * ((double)wait_us - expected);
+          = expected + NEWEST_WEIGHT * ((double)wait_us - expected);
       estimate->observed_at_us = now_us;
     }
 }
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -34,36 +34,37 @@
   struct fst_endpoint *endpoint; /* reference; the request is sent to it */
   struct fst_path *path;         /* NULL for plain services */
   uint32_t status;               /* of the answer; 0: none yet */
-  int64_t sent_us;
-  GList wait_link; /* in the engine's queue; its data is `sent_us' */
-  bool is_waiting; /* for the first event on a path: `wait_link' is in use */
-  double event_interval_us; /* moving average of the time between events; 0:
-                               none yet */
-  int64_t last_received_us; /* when the newest bytes of the answer arrived */
+  bool is_waiting;   /* for the first event on a path: `wait_link' is in use */
   bool not_executed; /* the endpoint states that it didn't run the request */
   bool is_stream;
   bool ends_with_connection; /* neither a length nor chunks mark the end of the
                                 answer, so a cut one looks complete */
+  int64_t sent_us;
+  GList wait_link;          /* in the engine's queue; its data is `sent_us' */
+  double event_interval_us; /* moving average of the time between events; 0:
+                               none yet */
+  int64_t last_received_us; /* when the newest bytes of the answer arrived */
   char *failed_address; /* address of the failed engine as the endpoint stated
                            it, or NULL */
   GString *answer_head; /* headers for the caller */
   GByteArray *answer;   /* the buffered body, or the events to deliver next */
 
   /* State between attempts. */
-  bool owes_repeat;         /* a repeat of the retry budget, before it */
-  bool waits_for_room;      /* the next attempt waits for a path with room */
-  int64_t room_wait_end_us; /* when it is made without; 0: hasn't waited */
+  int64_t room_wait_end_us; /* when the next attempt is made without room; 0:
+                               hasn't waited */
   enum att_end end_before_wait; /* of the previous attempt */
+  bool waits_for_room; /* the next attempt waits for a path with room */
+  bool owes_repeat;    /* and for a repeat of the retry budget */
 
   /* State over all attempts. */
   GPtrArray *tried_endpoints; /* references to struct fst_endpoint */
   uint32_t attempts;          /* started */
   uint32_t sent;         /* ended attempts whose request arrived or may have */
   uint32_t may_have_run; /* ended attempts in which the request may have run */
+  bool answer_begun;     /* the caller has the headers of a stream */
+  bool answer_chunked;   /* sent to the caller in chunks, whose end marks a
+                            complete answer */
   struct evs_scanner scanner;
-  bool answer_begun;         /* the caller has the headers of a stream */
-  bool answer_chunked;       /* sent to the caller in chunks, whose end marks a
-                                complete answer */
   int64_t first_event_us;    /* when the answer began; 0: not yet */
   int64_t last_delivered_us; /* when the newest event was sent to the caller */
   int64_t longest_gap_us;    /* longest between two deliveries to the caller */
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -134,7 +134,7 @@
       topic->relay_index += (guint)g_random_int_range (
           1, (gint32)MAX (topic->relays->len, 2));
     }
-  if (call.to_relay)
+  if (topic->relays->len > 0)
     {
       topic->relay_index %= topic->relays->len;
     }
--- a/test/entry_settings_test.c
+++ b/test/entry_settings_test.c
@@ -153,6 +153,7 @@
         {
           fail_msg ("%s = %s: %s", rows[i].value.name, rows[i].value.text,
                     messages->str);
+          return;
         }
       if (member_value (settings, i) != rows[i].expected)
         {
