--- a/src/config/schema_value.c
+++ b/src/config/schema_value.c
@@ -64,29 +64,44 @@
   memcpy (member, &value, sizeof value);
 }
 
+/* Parses the number in NODE, from MIN to MAX, into VALUE.  Returns false, and
+   adds an error that names the ALLOWED values, when it isn't one.  */
+static bool
+parse_number (struct sch_reader *reader, const struct sch_field *field,
+              const struct yt_node *node, double min, double max,
+              const char *allowed, double *value)
+{
+  char *end = NULL;
+  *value = g_ascii_strtod (node->text, &end);
+  if (!node->plain || end == node->text || *end != '\0' || !isfinite (*value))
+    {
+      report_invalid_value (reader, field, node, "is not a number", allowed);
+      return false;
+    }
+  if (*value < min || *value > max)
+    {
+      report_invalid_value (reader, field, node, "is out of range", allowed);
+      return false;
+    }
+  return true;
+}
+
 /* Reads a number that may have decimals, such as 40.75 or 4e+06.  */
 static void
 read_decimal (struct sch_reader *reader, const struct sch_field *field,
               const struct yt_node *node, void *member)
 {
   char allowed[QUOTED_BYTES];
+  double value = 0;
   g_snprintf (allowed, sizeof allowed,
               "a number, %" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT,
               field->min, field->max);
-  char *end = NULL;
-  double value = g_ascii_strtod (node->text, &end);
-  if (!node->plain || end == node->text || *end != '\0' || !isfinite (value))
-    {
-      report_invalid_value (reader, field, node, "is not a number", allowed);
-      return;
-    }
-  if (value < (double)field->min || value > (double)field->max)
+  if (parse_number (reader, field, node, (double)field->min,
+                    (double)field->max, allowed, &value))
     {
-      report_invalid_value (reader, field, node, "is out of range", allowed);
-      return;
+      store_unsigned (field, (uint64_t)(value * (double)MAX (field->scale, 1)),
+                      member);
     }
-  store_unsigned (field, (uint64_t)(value * (double)MAX (field->scale, 1)),
-                  member);
 }
 
 static void
@@ -124,21 +139,14 @@
                const struct yt_node *node, void *member)
 {
   char allowed[QUOTED_BYTES];
+  double value = 0;
   g_snprintf (allowed, sizeof allowed, "a number, %g to %g",
               field->min_fraction, field->max_fraction);
-  char *end = NULL;
-  double value = g_ascii_strtod (node->text, &end);
-  if (!node->plain || end == node->text || *end != '\0' || !isfinite (value))
+  if (parse_number (reader, field, node, field->min_fraction,
+                    field->max_fraction, allowed, &value))
     {
-      report_invalid_value (reader, field, node, "is not a number", allowed);
-      return;
-    }
-  if (value < field->min_fraction || value > field->max_fraction)
-    {
-      report_invalid_value (reader, field, node, "is out of range", allowed);
-      return;
+      memcpy (member, &value, sizeof value);
     }
-  memcpy (member, &value, sizeof value);
 }
 
 static void
--- a/src/core/refresh.c
+++ b/src/core/refresh.c
@@ -61,17 +61,12 @@
   return MAX_OF ((int64_t)((double)time_us * share), INTERVAL_MIN_US);
 }
 
-/* Sets TOPIC to how the configuration and its API keys are followed.  */
-void
-rfs_plan_config (const struct rfs_bounds *bounds, struct rfs_topic *topic)
+/* Returns what the topics have in common: how old a proof may get,
+   AGE_MAX_US, and how failures are handled.  */
+static struct rfs_topic
+plan_topic (const struct rfs_bounds *bounds, int64_t age_max_us)
 {
-  int64_t age_max_us = MIN_OF (share_of (bounds->config_us, AGE_MAX_SHARE),
-                               share_of (bounds->revoke_us, REVOKE_AGE_SHARE));
-  *topic = (struct rfs_topic){
-    .wait_us = MIN_OF (share_of (bounds->revoke_us, REVOKE_WAIT_SHARE),
-                       share_of (bounds->config_us, CONFIG_WAIT_SHARE)),
-    .relay_wait_us = share_of (age_max_us, RELAY_WAIT_SHARE),
-    .interval_us = 0,
+  return (struct rfs_topic){
     .age_max_us = age_max_us,
     .gap_max_us = age_max_us + OUTAGE_US,
     .answer_timeout_max_us
@@ -81,20 +76,24 @@
   };
 }
 
+/* Sets TOPIC to how the configuration and its API keys are followed.  */
+void
+rfs_plan_config (const struct rfs_bounds *bounds, struct rfs_topic *topic)
+{
+  *topic = plan_topic (
+      bounds, MIN_OF (share_of (bounds->config_us, AGE_MAX_SHARE),
+                      share_of (bounds->revoke_us, REVOKE_AGE_SHARE)));
+  topic->wait_us = MIN_OF (share_of (bounds->revoke_us, REVOKE_WAIT_SHARE),
+                           share_of (bounds->config_us, CONFIG_WAIT_SHARE));
+  topic->relay_wait_us = share_of (topic->age_max_us, RELAY_WAIT_SHARE);
+}
+
 /* Sets TOPIC to how the list of endpoints is followed.  */
 void
 rfs_plan_list (const struct rfs_bounds *bounds, struct rfs_topic *topic)
 {
-  int64_t age_max_us = share_of (bounds->drain_us, AGE_MAX_SHARE);
-  *topic = (struct rfs_topic){
-    .interval_us = share_of (bounds->drain_us, LIST_INTERVAL_SHARE),
-    .age_max_us = age_max_us,
-    .gap_max_us = age_max_us + OUTAGE_US,
-    .answer_timeout_max_us
-    = share_of (bounds->config_us, ANSWER_TIMEOUT_SHARE),
-    .retry_max_us
-    = MIN_OF (share_of (bounds->config_us, RETRY_MAX_SHARE), RETRY_MAX_US),
-  };
+  *topic = plan_topic (bounds, share_of (bounds->drain_us, AGE_MAX_SHARE));
+  topic->interval_us = share_of (bounds->drain_us, LIST_INTERVAL_SHARE);
 }
 
 /* Sets MEMBERSHIP to how a membership is kept in a store that accepts
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -38,14 +38,27 @@
   uv_close ((uv_handle_t *)&exchange->timer, on_timer_closed);
 }
 
-/* Ends the wait for the first event of the current attempt, if it waits.  */
+/* Ends the wait for the first event of the current attempt, if it waits, and
+   records how long it was.  ANSWERED: the event has come just now.  */
 void
-exg_end_wait (struct exchange *exchange)
+exg_end_wait (struct exchange *exchange, bool answered)
 {
-  if (exchange->is_waiting)
+  if (!exchange->is_waiting)
     {
-      exchange->is_waiting = false;
-      fst_end_wait (exchange->endpoint, &exchange->wait_link);
+      return;
+    }
+  struct fwt_estimate *estimate = &exchange->endpoint->first_wait;
+  int64_t now_us = answered ? exchange->last_received_us : clk_monotonic_us ();
+  int64_t wait_us = now_us - exchange->sent_us;
+  exchange->is_waiting = false;
+  fst_end_wait (exchange->endpoint, &exchange->wait_link);
+  if (answered)
+    {
+      fwt_observe (estimate, wait_us, now_us);
+    }
+  else
+    {
+      fwt_observe_end (estimate, wait_us, now_us);
     }
 }
 
@@ -55,13 +68,7 @@
 release_target (struct exchange *exchange)
 {
   exchange->attempt = NULL;
-  if (exchange->is_waiting)
-    {
-      int64_t now_us = clk_monotonic_us ();
-      fwt_observe_end (&exchange->endpoint->first_wait,
-                       now_us - exchange->sent_us, now_us);
-    }
-  exg_end_wait (exchange);
+  exg_end_wait (exchange, false);
   if (exchange->path != NULL)
     {
       fst_end_request (exchange->path, exchange->tokens);
@@ -258,6 +265,19 @@
                         : flt_find_service (config, exchange->service);
 }
 
+/* Ends EXCHANGE without another attempt, since there is no endpoint or no
+   repeat for it.  BEFORE is how the previous attempt ended.  */
+static void
+give_up (struct exchange *exchange, enum att_end before)
+{
+  struct att_request request;
+  struct att_verdict verdict;
+  exg_describe_request (exchange, &request);
+  att_decide_without_budget (
+      &request, exchange->sent == 0 ? ATT_NOT_SENT : before, &verdict);
+  end_without_retry (exchange, &verdict, before);
+}
+
 /* Takes the repeat that EXCHANGE needs from the retry budget, if one is
    NEEDED. Returns false when there is none, or no service any more.  */
 static bool
@@ -469,14 +489,9 @@
   exchange->room_wait_end_us = 0;
   if (!found)
     {
-      struct att_request request;
-      struct att_verdict verdict;
-      exg_describe_request (exchange, &request);
-      att_decide_without_budget (
-          &request, exchange->sent == 0 ? ATT_NOT_SENT : before, &verdict);
       lg_line (LOG_INFO, "no_endpoint", "request=%s service=%s sent=%u",
                exchange->id, exchange->service, exchange->sent);
-      end_without_retry (exchange, &verdict, before);
+      give_up (exchange, before);
       return;
     }
   struct trf_traffic *traffic = exchange->traffic;
@@ -520,11 +535,7 @@
     {
       if (!wait_for_room (exchange, before))
         {
-          struct att_request request;
-          struct att_verdict verdict;
-          exg_describe_request (exchange, &request);
-          att_decide_without_budget (&request, before, &verdict);
-          end_without_retry (exchange, &verdict, before);
+          give_up (exchange, before);
         }
       return;
     }
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -193,13 +193,7 @@
   if (events > 0)
     {
       fst_report_progress (exchange->path, exchange->last_received_us);
-      if (exchange->is_waiting)
-        {
-          exg_end_wait (exchange);
-          fwt_observe (&exchange->endpoint->first_wait,
-                       exchange->last_received_us - exchange->sent_us,
-                       exchange->last_received_us);
-        }
+      exg_end_wait (exchange, true);
       if (exchange->answer_begun)
         {
           update_average (&exchange->event_interval_us, (double)interval_us);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -76,7 +76,7 @@
                               struct nsv_connection *caller, uint32_t status,
                               const char *id, double retry_after_s);
 double exg_retry_after_s (void);
-void exg_end_wait (struct exchange *exchange);
+void exg_end_wait (struct exchange *exchange, bool answered);
 void exg_end_room_wait (struct exchange *exchange);
 void exg_deliver_buffered (struct exchange *exchange);
 void exg_finish (struct exchange *exchange, uint32_t status,
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -131,9 +131,8 @@
 }
 
 /* Ends EXCHANGE at its deadline.  Makes the next attempt of one that waits for
-   room.  For a silent stream, abandons the attempt if
-   an engine of its path is dead, or else asks the first engine for a
-   report.  */
+   room.  For a silent stream, abandons the attempt if an engine of its path is
+   dead, or else asks the first engine for a report.  */
 static void
 check_exchange (struct exchange *exchange)
 {
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -413,14 +413,12 @@
           g_ptr_array_add (control->relays, addresses[i]);
         }
     }
-  control->relayless_max_us
-      = g_random_int_range (RELAYLESS_MIN_US, 2 * RELAYLESS_MIN_US);
 }
 
-/* Joins the group under a name that is different for each start, so that the
-   membership of an earlier start isn't taken over.  */
+/* Creates the membership in the group, under a name that is different for each
+   start, so that the membership of an earlier start isn't taken over.  */
 static void
-join_group (struct fct_control *control)
+create_group (struct fct_control *control)
 {
   char *member
       = g_strdup_printf ("%s-%08x", control->settings->name, g_random_int ());
@@ -485,8 +483,10 @@
     {
       return NULL; /* no clean-up: the process exits */
     }
+  control->relayless_max_us
+      = g_random_int_range (RELAYLESS_MIN_US, 2 * RELAYLESS_MIN_US);
   list_relays (control);
-  join_group (control);
+  create_group (control);
   const struct plc_params placer_params = {
     .client = control->client,
     .loop = &control->loop,
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -117,7 +117,7 @@
 
 /* Answers CONNECTION, whose request arrived at ARRIVED_US, with the changes of
    MIRROR in RELAY from the offset FROM on.  Answers 410 if removals after FROM
-   may be unknown; the reader then reads the whole topic from the store.  */
+   may be unknown; the reader then asks another relay or the store.  */
 static void
 send_answer (const struct rly_relay *relay, const struct mirror *mirror,
              struct nsv_connection *connection, uint64_t from,
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -20,7 +20,7 @@
 /* A topic that couldn't be read for this long is reported as an outage. */
 #define OUTAGE_US (1500 * CLK_MS_US)
 
-/* Time-out of a relay's answer, beyond the wait that was asked for. */
+/* Shortest time-out of a relay's answer. */
 #define RELAY_TIMEOUT_MS 300
 
 /* Pause between an answer of a relay and the next call. */
@@ -40,7 +40,6 @@
   GPtrArray *relays;        /* addresses of other daemons' relays */
   guint relay_index;        /* of the relay in use */
   bool uses_relay;          /* for the newest call */
-  bool prefers_relays;      /* use relays even while the store works */
   bool serves_relay;        /* other daemons rely on this one's proofs */
   int64_t sent_us;          /* newest call; this and the times below:
                                monotonic */
@@ -101,7 +100,7 @@
 static bool
 reads_relays (const struct tpc_topic *topic)
 {
-  return topic->prefers_relays && topic->relays->len > 0;
+  return topic->params.prefers_relays && topic->relays->len > 0;
 }
 
 /* Passes a proof on: the topic held nothing after END at PROVED_US.  */
@@ -469,7 +468,6 @@
 {
   struct tpc_topic *topic = g_new0 (struct tpc_topic, 1);
   topic->params = *params;
-  topic->prefers_relays = params->prefers_relays;
   topic->address = g_strdup (params->address);
   topic->relays = g_ptr_array_new_with_free_func (g_free);
   topic->retry_ms = RETRY_MIN_MS;
@@ -504,7 +502,7 @@
 void
 tpc_prefer_relays (struct tpc_topic *topic, bool prefer)
 {
-  topic->prefers_relays = prefer;
+  topic->params.prefers_relays = prefer;
 }
 
 /* Reads the store more often if SERVES, since other daemons rely on the proofs
