Log what a stopping daemon knew when it accepted or refused a request

A stopping daemon now writes one stop_admission line for each request that it accepts or refuses: how long the stop has gone on and may take, the expected duration, the tokens that the request states, and how many streams and calls have ended in this process. No decision changes.

--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -69,10 +69,12 @@
     {
       spn_update_peak (&traffic->token_us,
                        (double)latency_us / exchange->output_tokens_max);
+      traffic->streams_ended++;
     }
   else
     {
       spn_update_peak (&traffic->call_us, (double)latency_us);
+      traffic->calls_ended++;
     }
   if (exchange->path == NULL)
     {
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -127,16 +127,28 @@
   return (int64_t)(output > 0 ? output * token_us : traffic->call_us);
 }
 
-/* True unless the daemon is stopping and REQUEST is expected to run for longer
-   than the stop allows.  */
+/* True unless the daemon is stopping and REQUEST, with the id ID or NULL, is
+   expected to run for longer than the stop allows.  */
 static bool
 can_finish (const struct trf_traffic *traffic,
-            const struct msg_message *request)
+            const struct msg_message *request, const char *id)
 {
-  return traffic->stopping_us == 0
-         || spn_accepts (clk_monotonic_us () - traffic->stopping_us,
-                         traffic->settings->stop_us,
-                         expected_us (traffic, request));
+  if (traffic->stopping_us == 0)
+    {
+      return true;
+    }
+  int64_t age_us = clk_monotonic_us () - traffic->stopping_us;
+  int64_t run_us = expected_us (traffic, request);
+  bool accepted = spn_accepts (age_us, traffic->settings->stop_us, run_us);
+  const char *tokens = msg_find (request, PFH_TOKENS);
+  lg_line (LOG_INFO, "stop_admission",
+           "request=%s accepted=%d age_ms=%ld stop_ms=%ld expected_ms=%ld "
+           "tokens=%s streams_ended=%u calls_ended=%u",
+           id == NULL ? "-" : id, accepted, (long)(age_us / CLK_MS_US),
+           (long)(traffic->settings->stop_us / CLK_MS_US),
+           (long)(run_us / CLK_MS_US), tokens == NULL ? "-" : tokens,
+           traffic->streams_ended, traffic->calls_ended);
+  return accepted;
 }
 
 /* Returns the time in microseconds that REQUEST on ROUTE has from now on: the
@@ -214,7 +226,7 @@
   cnt_add (traffic->metrics->requests, 1);
   struct refusal refusal
       = check_request (traffic, config, proved_us, request, &route, &account);
-  if (refusal.status == 0 && !can_finish (traffic, request))
+  if (refusal.status == 0 && !can_finish (traffic, request, id))
     {
       refusal
           = (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE, "stopping" };
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -36,6 +36,8 @@
                             to the first event; 0: none yet */
   struct fwt_refusals refusals; /* for want of room */
   double call_us; /* recent peak of the time of requests to plain services */
+  uint32_t streams_ended; /* that `token_us' has seen */
+  uint32_t calls_ended;   /* that `call_us' has seen */
   GHashTable *exchanges; /* set of struct exchange in progress */
   GHashTable *inquiries; /* engine to its stall inquiry */
 };
