Reproduce streams cut off by a stop soon after the daemon's start

The new case of entry_test plays it on the stand-in fleet: four short streams, SIGTERM, and 3.1 s later a stream that may have 400 tokens and has 300 events. It fails on this code:

a stream that may be long, and is: status 200, complete 0 test/entry_test.c:792

The stand-in's engines get a setting for the length of their streams.

--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -127,6 +127,7 @@
 {
   struct sfl_fleet *fleet = g_new0 (struct sfl_fleet, 1);
   fleet->params = *params;
+  fleet->stream_events = SFL_STREAM_EVENTS;
   fleet->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->endpoints = g_ptr_array_new ();
   sfl_store_open (fleet);
@@ -242,6 +243,13 @@
   endpoint->server = NULL;
 }
 
+/* Ends streams that are in progress or start later after EVENTS events.  */
+void
+sfl_set_stream_events (struct sfl_fleet *fleet, uint32_t events)
+{
+  fleet->stream_events = events;
+}
+
 /* Injects FAULT into the next REQUESTS requests to engines when ENGINES is
    true, else to services.  */
 void
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -13,7 +13,7 @@
 #include <uv.h>
 
 #define SFL_LAYERS 8         /* layers of the model */
-#define SFL_STREAM_EVENTS 12 /* events in a complete stream */
+#define SFL_STREAM_EVENTS 12 /* events in a complete stream, at first */
 
 /* How an endpoint handles the next requests. */
 enum sfl_fault
@@ -88,6 +88,7 @@
 bool sfl_is_alive (const struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_set_fault (struct sfl_fleet *fleet, bool engines,
                     enum sfl_fault fault, uint32_t requests);
+void sfl_set_stream_events (struct sfl_fleet *fleet, uint32_t events);
 uint32_t sfl_run_count (const struct sfl_fleet *fleet, const char *request_id);
 uint32_t sfl_arrival_count (const struct sfl_fleet *fleet, uint32_t endpoint);
 uint32_t sfl_cancelled_count (const struct sfl_fleet *fleet);
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -144,7 +144,7 @@
       return false;
     }
   nsv_send_body (answer->connection, event, (size_t)length);
-  if (answer->last_event_id < SFL_STREAM_EVENTS)
+  if (answer->last_event_id < answer->endpoint->fleet->stream_events)
     {
       return true;
     }
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -682,6 +682,22 @@
   assert_null (sfl_violation (fixture->fleet));
 }
 
+/* Waits until the daemon, which is stopping, has ended, and checks that it
+   exited normally.  */
+static void
+await_exit (struct fixture *fixture)
+{
+  int status = -1;
+  int64_t end_us = clk_monotonic_us () + STOP_S * CLK_S_US;
+  while (!sep_has_ended (fixture->daemon, &status)
+         && clk_monotonic_us () < end_us)
+    {
+      run_for (fixture, 20 * CLK_MS_US);
+    }
+  assert_true (WIFEXITED (status));
+  assert_int_equal (WEXITSTATUS (status), 0);
+}
+
 /* A graceful stop aborts no request: requests in progress are finished, those
    that arrive before the load balancer has noticed the stop are served, and
    then the process exits.  */
@@ -703,20 +719,81 @@
   await_call (fixture, &stream);
   assert_true (stream.complete);
   assert_string_equal (stream.body->str, expected->str);
-  int status = -1;
-  int64_t end_us = clk_monotonic_us () + STOP_S * CLK_S_US;
-  while (!sep_has_ended (fixture->daemon, &status)
-         && clk_monotonic_us () < end_us)
-    {
-      run_for (fixture, 20 * CLK_MS_US);
-    }
-  assert_true (WIFEXITED (status));
-  assert_int_equal (WEXITSTATUS (status), 0);
+  await_exit (fixture);
   clear_call (&stream);
   g_string_free (expected, TRUE);
   g_free (request);
 }
 
+/* Sends a stream that may have OUTPUT_TOKENS tokens.  */
+static void
+start_stream (struct fixture *fixture, struct call *call,
+              uint32_t output_tokens)
+{
+  g_autofree char *request = g_strdup_printf (
+      "POST /draft/a HTTP/1.1\r\nHost: " FLEET_HOST
+      "\r\nX-Api-Key: key-1\r\nX-Own: 1\r\n" PFH_REQUEST_ID
+      ": late-%u\r\n" PFH_TIME_LEFT_MS ": 9000\r\n" PFH_TOKENS
+      ": 40,%u\r\nContent-Length: 0\r\n\r\n",
+      fixture->next_id++, output_tokens);
+  start_call (fixture, call, sep_caller_address (fixture->daemon), request,
+              strlen (request));
+}
+
+/* Guards against cutting off streams that are accepted late in a stop.  A
+   daemon that is stopped soon after its start has only seen short streams end,
+   so it expected a stream that may be long to be short too, accepted it and
+   cut it off at the end of the stop.  */
+static void
+test_stop_soon_after_start (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    uint32_t output_tokens;
+    uint32_t events;
+    bool accepted;
+  } late[] = {
+    { "may be long, and is", 400, 300, false },
+    { "may be long, but isn't", 400, 12, false },
+    { "can't be long", 24, 24, true },
+  };
+  struct fixture *fixture = *state;
+  struct call calls[G_N_ELEMENTS (late)];
+  sep_start (fixture->daemon);
+  await_ready (fixture);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      start_stream (fixture, &calls[0], 400);
+      await_call (fixture, &calls[0]);
+      assert_true (calls[0].complete);
+      clear_call (&calls[0]);
+    }
+  sep_signal (fixture->daemon, SIGTERM);
+  run_for (fixture, 3100 * CLK_MS_US);
+  for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
+    {
+      sfl_set_stream_events (fixture->fleet, late[i].events);
+      start_stream (fixture, &calls[i], late[i].output_tokens);
+      await_call (fixture, &calls[i]);
+    }
+  await_exit (fixture);
+  sfl_set_stream_events (fixture->fleet, SFL_STREAM_EVENTS);
+  for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
+    {
+      bool correct = calls[i].complete
+                     && calls[i].status == (late[i].accepted ? 200 : 503)
+                     && calls[i].has_retry_after != late[i].accepted;
+      if (!correct)
+        {
+          print_message ("a stream that %s: status %u, complete %d\n",
+                         late[i].name, calls[i].status, calls[i].complete);
+        }
+      assert_true (correct);
+      clear_call (&calls[i]);
+    }
+}
+
 int
 main (void)
 {
@@ -729,6 +806,7 @@
     cmocka_unit_test (test_leaving_endpoint),
     cmocka_unit_test (test_engine_dies),
     cmocka_unit_test (test_graceful_stop),
+    cmocka_unit_test (test_stop_soon_after_start),
   };
   return cmocka_run_group_tests (tests, set_up, tear_down);
 }
