Estimate run times in a stop from streams in progress, too, and from bounds

Cause: the expected duration came from streams that had ended, as time for each token that they might have had. With nothing seen at all, a call was expected to take no time.

The daemon now keeps the slowest pace, in time for each event, of the streams seen lately, with those in progress. Pace times the events that a request may have is how long it may run; requests that ended without success count with the time that they took until then. With fewer than four streams seen the declared pause between events counts too, and what is unknown lasts until the request's deadline. A request whose deadline comes before the end of the stop is accepted in any case.

--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -43,6 +43,7 @@
   double step_per_stream_ms;  /* added for each stream that is decoding */
   double step_per_context_ms; /* added for each 1,000 tokens of context */
   double prefill_tokens_per_s;
+  uint32_t event_tokens; /* tokens in one event of a stream */
   uint32_t layers;
   double layer_mb;              /* memory for the weights of one layer */
   double activation_bytes;      /* of one token, between two parts of a path */
--- a/src/core/stopping.c
+++ b/src/core/stopping.c
@@ -1,15 +1,21 @@
 #include "core/stopping.h"
 
+#include <math.h>
+
 /* Fraction by which the peak run time decays with each shorter request. */
 #define PEAK_DECAY 0.01
 
-/* Requests take at most this many times the expected time while other daemons
-   shut down too and their load shifts to the few that remain. */
+/* Requests take at most this many times the longest time seen while other
+   daemons shut down too and their load shifts to the few that remain. */
 #define SLOWDOWN_FACTOR 1.6
 
 /* Time to deliver the last bytes and to exit the process. */
 #define MARGIN_US 600000
 
+/* With fewer requests than this the times seen may be those of the fastest
+   endpoints alone; what is declared then counts too. */
+#define SEEN_MIN 4
+
 /* Updates PEAK_US, the decaying maximum of request run times, with a request
    that ran for RUN_US.  The maximum rises at once and falls slowly.  */
 void
@@ -19,16 +25,91 @@
   *peak_us = run_us > decayed_us ? run_us : decayed_us;
 }
 
+/* Returns the mean time between two events of the stream TIMES, which has
+   several.  */
+static double
+event_us (const struct spn_times *times)
+{
+  return (double)(times->run_us - times->first_event_us) / (times->events - 1);
+}
+
+/* Updates HISTORY with TIMES, those of a request that was served.  */
+void
+spn_observe_success (struct spn_history *history,
+                     const struct spn_times *times)
+{
+  if (!times->is_stream)
+    {
+      spn_update_peak (&history->call_us, (double)times->run_us);
+      history->calls++;
+      return;
+    }
+  spn_update_peak (&history->first_event_us, (double)times->first_event_us);
+  if (times->events > 1)
+    {
+      spn_update_peak (&history->event_us, event_us (times));
+      history->streams++;
+    }
+}
+
+/* Updates HISTORY with TIMES, those of a request that is in progress or that
+   ended without success.  It takes, or would have taken, longer still.  */
+void
+spn_observe_partial (struct spn_history *history,
+                     const struct spn_times *times)
+{
+  if (!times->is_stream)
+    {
+      history->call_us = fmax (history->call_us, (double)times->run_us);
+      return;
+    }
+  history->first_event_us
+      = fmax (history->first_event_us, (double)times->first_event_us);
+  if (times->events > 1)
+    {
+      history->event_us = fmax (history->event_us, event_us (times));
+      history->streams++;
+    }
+}
+
+/* Returns how long REQUEST may run at most, in microseconds, as far as HISTORY
+   tells, and no longer than until its deadline.  */
+int64_t
+spn_longest_us (const struct spn_history *history,
+                const struct spn_request *request)
+{
+  double left_us = (double)request->left_us;
+  if (!request->is_stream)
+    {
+      bool known = history->calls >= SEEN_MIN;
+      return (int64_t)(known ? fmin (history->call_us, left_us) : left_us);
+    }
+  double first_us = history->first_event_us;
+  double gap_us = history->event_us;
+  if (history->streams < SEEN_MIN)
+    {
+      first_us = fmax (first_us, (double)request->target_latency_us);
+      gap_us = fmax (gap_us, (double)request->target_gap_us);
+    }
+  if (request->events_max == 0 || gap_us == 0)
+    {
+      return request->left_us;
+    }
+  return (int64_t)fmin (first_us + request->events_max * gap_us, left_us);
+}
+
 /* Returns true when the daemon, which started to shut down AGE_US ago and is
-   killed STOP_US after that start, accepts a request that is expected to run
-   for EXPECTED_US.  */
+   killed STOP_US after that start, accepts a request that has seldom run for
+   longer than LONGEST_US and ends LEFT_US from now, at its deadline, in any
+   case.  */
 bool
-spn_accepts (int64_t age_us, int64_t stop_us, int64_t expected_us)
+spn_accepts (int64_t age_us, int64_t stop_us, int64_t longest_us,
+             int64_t left_us)
 {
   if (age_us <= SPN_ACCEPT_ALL_US)
     {
       return true;
     }
-  double end_us = (double)age_us + (double)expected_us * SLOWDOWN_FACTOR;
-  return end_us <= (double)(stop_us - MARGIN_US);
+  double run_us = fmin ((double)longest_us * SLOWDOWN_FACTOR, (double)left_us);
+  return (double)age_us + run_us <= (double)(stop_us - MARGIN_US);
 }
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -86,6 +86,21 @@
     }
 }
 
+/* Fills TIMES with those that EXCHANGE has taken until now.  */
+void
+exg_describe_times (const struct exchange *exchange, struct spn_times *times)
+{
+  int64_t run_us = clk_monotonic_us () - exchange->arrived_us;
+  *times = (struct spn_times){
+    .is_stream = exchange->route->repeat == FLT_REPEAT_STREAM,
+    .events = exchange->events,
+    .first_event_us = exchange->events == 0
+                          ? run_us
+                          : exchange->first_event_us - exchange->arrived_us,
+    .run_us = run_us,
+  };
+}
+
 /* Logs the OUTCOME of EXCHANGE, whose answer had the HTTP status STATUS (0:
    none), and frees it.  */
 void
@@ -111,6 +126,10 @@
            exchange->endpoint == NULL ? "-" : exchange->endpoint->id,
            exchange->path == NULL ? "-" : exchange->path->text);
   cnt_observe_us (metrics->total_time, now_us - exchange->arrived_us);
+  struct spn_times times;
+  exg_describe_times (exchange, &times);
+  (exchange->served ? spn_observe_success : spn_observe_partial) (
+      &exchange->traffic->run_times, &times);
   release_target (exchange);
   destroy_exchange (exchange);
 }
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -4,7 +4,6 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "core/stopping.h"
 #include "platform/headers.h"
 
 #include <string.h>
@@ -65,17 +64,7 @@
 {
   int64_t latency_us = clk_monotonic_us () - exchange->sent_us;
   struct trf_traffic *traffic = exchange->traffic;
-  if (exchange->output_tokens_max > 0)
-    {
-      spn_update_peak (&traffic->token_us,
-                       (double)latency_us / exchange->output_tokens_max);
-      traffic->streams_ended++;
-    }
-  else
-    {
-      spn_update_peak (&traffic->call_us, (double)latency_us);
-      traffic->calls_ended++;
-    }
+  exchange->served = true;
   if (exchange->path == NULL)
     {
       fst_report_success (traffic->fleet, exchange->endpoint, latency_us);
@@ -159,6 +148,7 @@
                           exchange->answer_head->str,
                           exchange->answer_chunked);
     }
+  exchange->events += events;
   cnt_add (metrics->events, events);
   nsv_send_body (exchange->caller, exchange->answer->data,
                  exchange->answer->len);
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -4,9 +4,9 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "core/stopping.h"
 #include "platform/headers.h"
 
+#include <math.h>
 #include <string.h>
 #include <strings.h>
 
@@ -14,9 +14,8 @@
    counts. */
 #define DEFAULT_TOKENS 1000
 
-/* Time for each output token that is assumed of streams until the first one
-   has ended. */
-#define INITIAL_TOKEN_US 25000.0
+/* Limit on the stated number of output tokens. */
+#define OUTPUT_TOKENS_MAX 1e9
 
 /* True for headers that aren't forwarded from callers, since this daemon sets
    them itself or they are meant for it alone.  */
@@ -115,57 +114,86 @@
   return (struct refusal){ 0, "" };
 }
 
-/* Returns how long REQUEST is expected to run, in microseconds.  */
+/* Returns the time in microseconds that REQUEST on ROUTE has from now on: the
+   route's time-out, or what the request states if that is less.  */
 static int64_t
-expected_us (const struct trf_traffic *traffic,
-             const struct msg_message *request)
+time_left_us (const struct flt_route *route, const struct msg_message *request)
+{
+  const char *header = msg_find (request, PFH_TIME_LEFT_MS);
+  int64_t left_us = route->timeout_us > 0 ? route->timeout_us : INT64_MAX / 4;
+  if (header != NULL)
+    {
+      int64_t stated_us = g_ascii_strtoll (header, NULL, 10) * CLK_MS_US;
+      left_us = MIN (left_us, stated_us);
+    }
+  return left_us;
+}
+
+/* Returns the times of the requests that TRAFFIC has seen, with those in
+   progress.  */
+static struct spn_history
+run_times (const struct trf_traffic *traffic)
+{
+  struct spn_history history = traffic->run_times;
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, traffic->exchanges);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct spn_times times;
+      exg_describe_times (key, &times);
+      spn_observe_partial (&history, &times);
+    }
+  return history;
+}
+
+/* Returns how many events the answer to REQUEST has at most when SERVICE
+   streams it, or 0 if the request doesn't state its token counts.  */
+static uint32_t
+events_max (const struct flt_service *service,
+            const struct msg_message *request)
 {
   double output = 0;
   parse_tokens (msg_find (request, PFH_TOKENS), &output);
-  double token_us
-      = traffic->token_us == 0 ? INITIAL_TOKEN_US : traffic->token_us;
-  return (int64_t)(output > 0 ? output * token_us : traffic->call_us);
+  uint32_t event_tokens
+      = service->has_engine ? service->engine.event_tokens : 1;
+  return (uint32_t)ceil (MIN (output, OUTPUT_TOKENS_MAX) / event_tokens);
 }
 
-/* True unless the daemon is stopping and REQUEST, with the id ID or NULL, is
-   expected to run for longer than the stop allows.  */
+/* True unless the daemon is stopping and REQUEST on ROUTE, to be served by
+   SERVICE, may run for longer than the stop allows.  ID is the request's, or
+   NULL.  */
 static bool
-can_finish (const struct trf_traffic *traffic,
+can_finish (const struct trf_traffic *traffic, const struct flt_route *route,
+            const struct flt_service *service,
             const struct msg_message *request, const char *id)
 {
   if (traffic->stopping_us == 0)
     {
       return true;
     }
+  const struct spn_request needs = {
+    .is_stream = route->repeat == FLT_REPEAT_STREAM,
+    .events_max = events_max (service, request),
+    .left_us = time_left_us (route, request),
+    .target_latency_us = route->target_latency_us,
+    .target_gap_us = route->target_gap_us,
+  };
+  struct spn_history history = run_times (traffic);
   int64_t age_us = clk_monotonic_us () - traffic->stopping_us;
-  int64_t run_us = expected_us (traffic, request);
-  bool accepted = spn_accepts (age_us, traffic->settings->stop_us, run_us);
-  const char *tokens = msg_find (request, PFH_TOKENS);
+  int64_t longest_us = spn_longest_us (&history, &needs);
+  bool accepted = spn_accepts (age_us, traffic->settings->stop_us, longest_us,
+                               needs.left_us);
   lg_line (LOG_INFO, "stop_admission",
-           "request=%s accepted=%d age_ms=%ld stop_ms=%ld expected_ms=%ld "
-           "tokens=%s streams_ended=%u calls_ended=%u",
+           "request=%s accepted=%d age_ms=%ld stop_ms=%ld longest_ms=%ld "
+           "left_ms=%ld events_max=%u event_us=%.0f streams=%u calls=%u",
            id == NULL ? "-" : id, accepted, (long)(age_us / CLK_MS_US),
            (long)(traffic->settings->stop_us / CLK_MS_US),
-           (long)(run_us / CLK_MS_US), tokens == NULL ? "-" : tokens,
-           traffic->streams_ended, traffic->calls_ended);
+           (long)(longest_us / CLK_MS_US), (long)(needs.left_us / CLK_MS_US),
+           needs.events_max, history.event_us, history.streams, history.calls);
   return accepted;
 }
 
-/* Returns the time in microseconds that REQUEST on ROUTE has from now on: the
-   route's time-out, or what the request states if that is less.  */
-static int64_t
-time_left_us (const struct flt_route *route, const struct msg_message *request)
-{
-  const char *header = msg_find (request, PFH_TIME_LEFT_MS);
-  int64_t left_us = route->timeout_us > 0 ? route->timeout_us : INT64_MAX / 4;
-  if (header != NULL)
-    {
-      int64_t stated_us = g_ascii_strtoll (header, NULL, 10) * CLK_MS_US;
-      left_us = MIN (left_us, stated_us);
-    }
-  return left_us;
-}
-
 /* Creates the exchange of an accepted request.  */
 static struct exchange *
 create_exchange (struct trf_traffic *traffic, struct nsv_connection *caller,
@@ -191,8 +219,9 @@
   exchange->has_body = request->body->len > 0
                        || msg_find (request, "Content-Length") != NULL
                        || msg_find (request, "Transfer-Encoding") != NULL;
-  exchange->tokens = parse_tokens (msg_find (request, PFH_TOKENS),
-                                   &exchange->output_tokens_max);
+  double output_tokens = 0;
+  exchange->tokens
+      = parse_tokens (msg_find (request, PFH_TOKENS), &output_tokens);
   exchange->arrived_us = clk_monotonic_us ();
   exchange->deadline_us = exchange->arrived_us + time_left_us (route, request);
   exchange->answer_head = g_string_new (NULL);
@@ -226,11 +255,6 @@
   cnt_add (traffic->metrics->requests, 1);
   struct refusal refusal
       = check_request (traffic, config, proved_us, request, &route, &account);
-  if (refusal.status == 0 && !can_finish (traffic, request, id))
-    {
-      refusal
-          = (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE, "stopping" };
-    }
   if (refusal.status == 0 && (id == NULL || strlen (id) >= EXG_ID_BYTES))
     {
       refusal = (struct refusal){ HTTP_STATUS_BAD_REQUEST, "no request id" };
@@ -243,6 +267,12 @@
       refusal = (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE,
                                   "the route has no service" };
     }
+  if (refusal.status == 0
+      && !can_finish (traffic, route, &config->services[service], request, id))
+    {
+      refusal
+          = (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE, "stopping" };
+    }
   if (refusal.status != 0)
     {
       bool refused = refusal.status == HTTP_STATUS_SERVICE_UNAVAILABLE;
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -22,9 +22,7 @@
   GString *head;    /* start line and forwarded headers of the request */
   GByteArray *body; /* of the request */
   bool has_body;
-  double tokens;            /* memory that the request needs in an engine */
-  double output_tokens_max; /* upper bound on the answer's length; 0: not a
-                               stream */
+  double tokens; /* memory that the request needs in an engine */
   int64_t arrived_us;
   int64_t deadline_us;
   uv_timer_t timer; /* for the next check, see exg_schedule_check */
@@ -62,9 +60,11 @@
   uint32_t sent;         /* ended attempts whose request arrived or may have */
   uint32_t may_have_run; /* ended attempts in which the request may have run */
   bool answer_begun;     /* the caller has the headers of a stream */
+  bool served;           /* the answer is complete and a success */
   bool answer_chunked;   /* sent to the caller in chunks, whose end marks a
                             complete answer */
   struct evs_scanner scanner;
+  uint32_t events;           /* delivered to the caller */
   int64_t first_event_us;    /* when the answer began; 0: not yet */
   int64_t last_delivered_us; /* when the newest event was sent to the caller */
   int64_t longest_gap_us;    /* longest between two deliveries to the caller */
@@ -81,6 +81,8 @@
 void exg_deliver_buffered (struct exchange *exchange);
 void exg_finish (struct exchange *exchange, uint32_t status,
                  const char *outcome);
+void exg_describe_times (const struct exchange *exchange,
+                         struct spn_times *times);
 uint32_t exg_service_index (const struct exchange *exchange);
 void exg_describe_request (const struct exchange *exchange,
                            struct att_request *request);
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -6,6 +6,7 @@
 
 #include "config/entry_settings.h"
 #include "core/freshness.h"
+#include "core/stopping.h"
 #include "entry/entry_metrics.h"
 #include "entry/fleet_state.h"
 #include "net/client.h"
@@ -30,16 +31,12 @@
   int64_t last_sweep_us;   /* monotonic */
   int64_t stopping_us; /* monotonic, when the stop began; 0: not stopping */
   bool ready_logged;
-  double token_us; /* recent peak of a stream's time for each token that it may
-                      generate; 0: none has ended yet */
+  struct spn_history run_times; /* of ended requests */
   double first_event_us; /* moving average of the time from an attempt's start
                             to the first event; 0: none yet */
   struct fwt_refusals refusals; /* for want of room */
-  double call_us; /* recent peak of the time of requests to plain services */
-  uint32_t streams_ended; /* that `token_us' has seen */
-  uint32_t calls_ended;   /* that `call_us' has seen */
-  GHashTable *exchanges; /* set of struct exchange in progress */
-  GHashTable *inquiries; /* engine to its stall inquiry */
+  GHashTable *exchanges;        /* set of struct exchange in progress */
+  GHashTable *inquiries;        /* engine to its stall inquiry */
 };
 
 struct trf_traffic *trf_create (uv_loop_t *loop,
--- a/test/limits_test.c
+++ b/test/limits_test.c
@@ -8,6 +8,7 @@
 #include <stddef.h>
 
 #include <cmocka.h>
+#include <math.h>
 
 #define S_US INT64_C (1000000) /* microseconds in a second */
 
@@ -292,7 +293,8 @@
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
     {
       assert_int_equal (spn_accepts ((int64_t)(rows[i].age_s * S_US), 8 * S_US,
-                                     (int64_t)(rows[i].expected_s * S_US)),
+                                     (int64_t)(rows[i].expected_s * S_US),
+                                     20 * S_US),
                         rows[i].want);
     }
 }
@@ -326,6 +328,106 @@
     }
 }
 
+/* Guards against taking what a young daemon hasn't seen for short.  Of the
+   streams that began with it, only the short ones have ended; what it saw of
+   the others in progress counts, and what it can't know lasts until the
+   deadline.  */
+static void
+test_stopping_longest (void **state)
+{
+  (void)state;
+  static const struct spn_request stream = {
+    .is_stream = true,
+    .events_max = 100,
+    .left_us = 20 * S_US,
+    .target_latency_us = S_US / 2,
+    .target_gap_us = S_US / 5,
+  };
+  static const struct spn_request open_end
+      = { .is_stream = true, .left_us = 20 * S_US };
+  static const struct spn_request call = { .left_us = 2 * S_US };
+  static const struct
+  {
+    const char *name;
+    const struct spn_request *request;
+    uint32_t ended; /* requests like it, each after EVENTS */
+    uint32_t events;
+    double gap_s;
+    double run_s;     /* of calls */
+    double running_s; /* since the first event of one with 11, or, of a call,
+                         since the arrival; 0: none is in progress */
+    double want_s;
+  } rows[] = {
+    { "nothing seen", &stream, 0, 0, 0, 0, 0, 20 },
+    { "few short ones ended", &stream, 3, 20, 0.05, 0, 0, 20 },
+    { "many short ones ended", &stream, 20, 20, 0.05, 0, 0, 5.1 },
+    { "a slower one is in progress", &stream, 20, 20, 0.05, 0, 1, 10.1 },
+    { "a faster one is in progress", &stream, 20, 20, 0.05, 0, 0.2, 5.1 },
+    { "many refused before an event", &stream, 20, 0, 0, 0, 0, 20 },
+    { "no token counts", &open_end, 20, 20, 0.05, 0, 0, 20 },
+    { "no call seen", &call, 0, 0, 0, 0, 0, 2 },
+    { "few calls ended", &call, 3, 0, 0, 0.06, 0, 2 },
+    { "many calls ended", &call, 20, 0, 0, 0.06, 0, 0.06 },
+    { "a slower call is in progress", &call, 20, 0, 0, 0.06, 1, 1 },
+    { "slower than the deadline", &call, 20, 0, 0, 0.06, 3, 2 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct spn_history history = { 0 };
+      bool is_stream = rows[i].request->is_stream;
+      int64_t first_us = is_stream ? S_US / 10 : 0;
+      for (uint32_t n = 0; n < rows[i].ended; n++)
+        {
+          double run_s = is_stream && rows[i].events > 0
+                             ? rows[i].gap_s * (rows[i].events - 1)
+                             : rows[i].run_s;
+          const struct spn_times times = {
+            .is_stream = is_stream,
+            .events = rows[i].events,
+            .first_event_us = first_us,
+            .run_us = first_us + (int64_t)(run_s * S_US),
+          };
+          spn_observe_success (&history, &times);
+        }
+      if (rows[i].running_s > 0)
+        {
+          const struct spn_times times = {
+            .is_stream = is_stream,
+            .events = 11,
+            .first_event_us = first_us,
+            .run_us = first_us + (int64_t)(rows[i].running_s * S_US),
+          };
+          spn_observe_partial (&history, &times);
+        }
+      int64_t longest_us = spn_longest_us (&history, rows[i].request);
+      if (fabs ((double)longest_us - rows[i].want_s * S_US) > S_US / 1000.0)
+        {
+          fail_msg ("%s: %.3f s", rows[i].name, (double)longest_us / S_US);
+        }
+    }
+}
+
+/* A request that ends at its deadline, before the daemon does, is accepted
+   whatever it may take.  */
+static void
+test_stopping_deadline (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    double age_s;
+    double left_s;
+    bool want;
+  } rows[] = { { 5, 2, true }, { 5, 3, false }, { 7, 0.3, true } };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      int64_t left_us = (int64_t)(rows[i].left_s * S_US);
+      assert_int_equal (spn_accepts ((int64_t)(rows[i].age_s * S_US), 8 * S_US,
+                                     left_us, left_us),
+                        rows[i].want);
+    }
+}
+
 /* A refusal of an engine whose other streams go on.  Guards against a cascade:
    engines short of memory were rested one after the other, and the paths that
    were left took their load and filled up too. */
@@ -381,6 +483,8 @@
     cmocka_unit_test (test_freshness),
     cmocka_unit_test (test_stopping),
     cmocka_unit_test (test_stopping_peak),
+    cmocka_unit_test (test_stopping_longest),
+    cmocka_unit_test (test_stopping_deadline),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
