Estimate run times in a stop from requests on the same route to the same service

Callers of a stopping daemon saw calls break off that it had accepted three seconds after its SIGTERM, when the daemon had seen calls on other routes only.

Cause: all requests that aren't streams shared one peak and one count, and all streams another. Some short calls of one route counted as evidence for a route of which none had been seen, and likewise the pace of one service's streams for those of another.

The daemon now keeps the times by route and service. What it hasn't seen is taken to last as declared, or until the deadline, as before.

The new case of entry_test plays eight calls of 5 ms on one route, SIGTERM, and 3.1 s later a call of 4 s on another route.

--- a/src/core/stopping.h
+++ b/src/core/stopping.h
@@ -28,7 +28,8 @@
   int64_t run_us;         /* from the arrival */
 };
 
-/* Peaks of the times seen lately.  All zero at first: nothing was seen. */
+/* Peaks of the times of like requests seen lately.  All zero at first: nothing
+ * was seen. */
 struct spn_history
 {
   double first_event_us; /* from a stream's arrival to its first event */
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -101,6 +101,23 @@
   };
 }
 
+/* Returns the times of ended requests on ROUTE to SERVICE.  Those of other
+   requests say nothing of how long these take.  */
+struct spn_history *
+exg_history (struct trf_traffic *traffic, const struct flt_route *route,
+             const char *service)
+{
+  g_autofree char *key = g_strdup_printf ("%s\n%s", route->name, service);
+  struct spn_history *history = g_hash_table_lookup (traffic->run_times, key);
+  if (history == NULL)
+    {
+      history = g_new0 (struct spn_history, 1);
+      g_hash_table_insert (traffic->run_times, g_steal_pointer (&key),
+                           history);
+    }
+  return history;
+}
+
 /* Logs the OUTCOME of EXCHANGE, whose answer had the HTTP status STATUS (0:
    none), and frees it.  */
 void
@@ -129,7 +146,8 @@
   struct spn_times times;
   exg_describe_times (exchange, &times);
   (exchange->served ? spn_observe_success : spn_observe_partial) (
-      &exchange->traffic->run_times, &times);
+      exg_history (exchange->traffic, exchange->route, exchange->service),
+      &times);
   release_target (exchange);
   destroy_exchange (exchange);
 }
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -129,20 +129,26 @@
   return left_us;
 }
 
-/* Returns the times of the requests that TRAFFIC has seen, with those in
-   progress.  */
+/* Returns the times of the requests on ROUTE to SERVICE that TRAFFIC has seen,
+   with those in progress.  */
 static struct spn_history
-run_times (const struct trf_traffic *traffic)
+run_times (struct trf_traffic *traffic, const struct flt_route *route,
+           const struct flt_service *service)
 {
-  struct spn_history history = traffic->run_times;
+  struct spn_history history = *exg_history (traffic, route, service->name);
   GHashTableIter iter;
   gpointer key;
   g_hash_table_iter_init (&iter, traffic->exchanges);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
-      struct spn_times times;
-      exg_describe_times (key, &times);
-      spn_observe_partial (&history, &times);
+      const struct exchange *exchange = key;
+      if (strcmp (exchange->route->name, route->name) == 0
+          && strcmp (exchange->service, service->name) == 0)
+        {
+          struct spn_times times;
+          exg_describe_times (exchange, &times);
+          spn_observe_partial (&history, &times);
+        }
     }
   return history;
 }
@@ -164,7 +170,7 @@
    SERVICE, may run for longer than the stop allows.  ID is the request's, or
    NULL.  */
 static bool
-can_finish (const struct trf_traffic *traffic, const struct flt_route *route,
+can_finish (struct trf_traffic *traffic, const struct flt_route *route,
             const struct flt_service *service,
             const struct msg_message *request, const char *id)
 {
@@ -179,7 +185,7 @@
     .target_latency_us = route->target_latency_us,
     .target_gap_us = route->target_gap_us,
   };
-  struct spn_history history = run_times (traffic);
+  struct spn_history history = run_times (traffic, route, service);
   int64_t age_us = clk_monotonic_us () - traffic->stopping_us;
   int64_t longest_us = spn_longest_us (&history, &needs);
   bool accepted = spn_accepts (age_us, traffic->settings->stop_us, longest_us,
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -83,6 +83,9 @@
                  const char *outcome);
 void exg_describe_times (const struct exchange *exchange,
                          struct spn_times *times);
+struct spn_history *exg_history (struct trf_traffic *traffic,
+                                 const struct flt_route *route,
+                                 const char *service);
 uint32_t exg_service_index (const struct exchange *exchange);
 void exg_describe_request (const struct exchange *exchange,
                            struct att_request *request);
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -270,6 +270,8 @@
     .revoke_us = settings->revoke_us,
     .change_us = settings->config_apply_max_us,
   };
+  traffic->run_times
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   traffic->exchanges = g_hash_table_new (NULL, NULL);
   traffic->inquiries = inq_table_create ();
   traffic->series = cnt_set_create ();
@@ -340,6 +342,7 @@
   uv_close ((uv_handle_t *)&traffic->view_changed, NULL);
   uv_close ((uv_handle_t *)&traffic->sweep, NULL);
   g_hash_table_destroy (traffic->exchanges);
+  g_hash_table_destroy (traffic->run_times);
   fst_destroy (traffic->fleet);
   emt_destroy (traffic->metrics);
   cnt_set_destroy (traffic->series);
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -31,7 +31,8 @@
   int64_t last_sweep_us;   /* monotonic */
   int64_t stopping_us; /* monotonic, when the stop began; 0: not stopping */
   bool ready_logged;
-  struct spn_history run_times; /* of ended requests */
+  GHashTable *run_times; /* route and service to struct spn_history, of
+                            ended requests; see exg_history */
   double first_event_us; /* moving average of the time from an attempt's start
                             to the first event; 0: none yet */
   struct fwt_refusals refusals; /* for want of room */
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -30,6 +30,9 @@
   "\"TimeoutMs\":600,\"Service\":\"book\",\"MaxAttempts\":1},"                \
   "{\"Name\":\"look\",\"Hostname\":\"fleet.example\","                        \
   "\"PathPrefix\":\"/look/\",\"Kind\":\"idempotent\",\"TimeoutMs\":600,"      \
+  "\"Service\":\"book\",\"MaxAttempts\":2},"                                  \
+  "{\"Name\":\"sum\",\"Hostname\":\"fleet.example\","                         \
+  "\"PathPrefix\":\"/sum/\",\"Kind\":\"idempotent\",\"TimeoutMs\":10000,"     \
   "\"Service\":\"book\",\"MaxAttempts\":2}],"                                 \
   "\"Services\":[{\"Name\":\"draft\",\"Engine\":{\"Slots\":16,"               \
   "\"KvTokenBytes\":80000,\"step_ms\":1,\"Layers\":8,\"LayerMb\":100,"        \
@@ -128,6 +131,7 @@
   struct sfl_fleet *fleet = g_new0 (struct sfl_fleet, 1);
   fleet->params = *params;
   fleet->stream_events = SFL_STREAM_EVENTS;
+  fleet->call_ms = SFL_CALL_MS;
   fleet->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->endpoints = g_ptr_array_new ();
   sfl_store_open (fleet);
@@ -250,6 +254,13 @@
   fleet->stream_events = events;
 }
 
+/* Makes services answer the calls that arrive from now on after CALL_MS.  */
+void
+sfl_set_call_ms (struct sfl_fleet *fleet, uint32_t call_ms)
+{
+  fleet->call_ms = call_ms;
+}
+
 /* Injects FAULT into the next REQUESTS requests to engines when ENGINES is
    true, else to services.  */
 void
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -14,6 +14,7 @@
 
 #define SFL_LAYERS 8         /* layers of the model */
 #define SFL_STREAM_EVENTS 12 /* events in a complete stream, at first */
+#define SFL_CALL_MS 5        /* time of a call to a service, at first */
 
 /* How an endpoint handles the next requests. */
 enum sfl_fault
@@ -89,6 +90,7 @@
 void sfl_set_fault (struct sfl_fleet *fleet, bool engines,
                     enum sfl_fault fault, uint32_t requests);
 void sfl_set_stream_events (struct sfl_fleet *fleet, uint32_t events);
+void sfl_set_call_ms (struct sfl_fleet *fleet, uint32_t call_ms);
 uint32_t sfl_run_count (const struct sfl_fleet *fleet, const char *request_id);
 uint32_t sfl_arrival_count (const struct sfl_fleet *fleet, uint32_t endpoint);
 uint32_t sfl_cancelled_count (const struct sfl_fleet *fleet);
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -8,9 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Duration of a call to a plain service. */
-#define SERVICE_CALL_MS 5
-
 /* Time until an endpoint closes the connection of a stalled request. */
 #define STALL_MS 1500
 
@@ -271,7 +268,7 @@
     }
   else
     {
-      uv_timer_start (&answer->timer, on_call_done, SERVICE_CALL_MS, 0);
+      uv_timer_start (&answer->timer, on_call_done, fleet->call_ms, 0);
     }
 }
 
--- a/standin/fleet_private.h
+++ b/standin/fleet_private.h
@@ -76,6 +76,7 @@
   GPtrArray *endpoints;       /* struct sfl_endpoint; engines first */
   GHashTable *runs;           /* request id to number of runs */
   uint32_t stream_events;     /* in a complete stream */
+  uint32_t call_ms;           /* time of a call to a service */
   enum sfl_fault faults[2];   /* [0] of services, [1] of engines */
   uint32_t fault_requests[2]; /* that the faults still apply to */
   uint32_t cancelled;         /* answers that the daemon cancelled */
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -794,6 +794,69 @@
     }
 }
 
+/* Sends a call of the route at PATH that states its time left, but no
+   tokens.  */
+static void
+send_call (struct fixture *fixture, struct call *call, const char *path)
+{
+  g_autofree char *request
+      = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: " FLEET_HOST
+                         "\r\nX-Api-Key: key-1\r\nX-Own: 1\r\n" PFH_REQUEST_ID
+                         ": call-%u\r\n" PFH_TIME_LEFT_MS ": 9000\r\n\r\n",
+                         path, fixture->next_id++);
+  start_call (fixture, call, sep_caller_address (fixture->daemon), request,
+              strlen (request));
+  await_call (fixture, call);
+}
+
+/* Guards against cutting off calls of a route of which a stopping daemon has
+   seen none: it took them for as short as the calls of other routes.  */
+static void
+test_stop_unseen_route (void **state)
+{
+  static const struct
+  {
+    const char *path;
+    uint32_t call_ms;
+    bool accepted;
+  } late[] = {
+    { "/sum/a", 4000, false },
+    { "/look/a", SFL_CALL_MS, true },
+  };
+  struct fixture *fixture = *state;
+  struct call calls[G_N_ELEMENTS (late)];
+  sep_start (fixture->daemon);
+  await_ready (fixture);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      send_call (fixture, &calls[0], "/look/a");
+      assert_int_equal (calls[0].status, 200);
+      clear_call (&calls[0]);
+    }
+  sep_signal (fixture->daemon, SIGTERM);
+  run_for (fixture, 3100 * CLK_MS_US);
+  for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
+    {
+      sfl_set_call_ms (fixture->fleet, late[i].call_ms);
+      send_call (fixture, &calls[i], late[i].path);
+    }
+  sfl_set_call_ms (fixture->fleet, SFL_CALL_MS);
+  await_exit (fixture);
+  for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
+    {
+      bool correct = calls[i].complete
+                     && calls[i].status == (late[i].accepted ? 200 : 503);
+      if (!correct)
+        {
+          print_message ("%s after %u ms: status %u, complete %d\n",
+                         late[i].path, late[i].call_ms, calls[i].status,
+                         calls[i].complete);
+        }
+      assert_true (correct);
+      clear_call (&calls[i]);
+    }
+}
+
 int
 main (void)
 {
@@ -807,6 +870,7 @@
     cmocka_unit_test (test_engine_dies),
     cmocka_unit_test (test_graceful_stop),
     cmocka_unit_test (test_stop_soon_after_start),
+    cmocka_unit_test (test_stop_unseen_route),
   };
   return cmocka_run_group_tests (tests, set_up, tear_down);
 }
