Take streams without declared targets to last until their deadline in a stop

With fewer than four streams seen, the declared pause and latency count too in the estimate of a stopping daemon. A route that declares none had 0 there, which means no time: three short streams were enough to accept a long one, and a route that declares a pause but no latency had its first event at once.

Without both declared, such a stream is now taken to last until its deadline.

limits_test has four more rows. Before the change it failed: ERROR: nothing declared, few ended: 5.100 s test/limits_test.c:417: error: Failure! All 13 cases of limits_test pass now.

--- a/src/core/stopping.c
+++ b/src/core/stopping.c
@@ -84,14 +84,16 @@
       bool known = history->calls >= SEEN_MIN;
       return (int64_t)(known ? fmin (history->call_us, left_us) : left_us);
     }
+  bool known = history->streams >= SEEN_MIN;
+  bool declared = request->target_latency_us > 0 && request->target_gap_us > 0;
   double first_us = history->first_event_us;
   double gap_us = history->event_us;
-  if (history->streams < SEEN_MIN)
+  if (!known)
     {
       first_us = fmax (first_us, (double)request->target_latency_us);
       gap_us = fmax (gap_us, (double)request->target_gap_us);
     }
-  if (request->events_max == 0 || gap_us == 0)
+  if (request->events_max == 0 || gap_us == 0 || !(known || declared))
     {
       return request->left_us;
     }
--- a/src/core/stopping.h
+++ b/src/core/stopping.h
@@ -45,8 +45,8 @@
   bool is_stream;
   uint32_t events_max;       /* of a stream; 0: it states none */
   int64_t left_us;           /* until its deadline */
-  int64_t target_latency_us; /* declared time to the first event */
-  int64_t target_gap_us;     /* declared time between two events */
+  int64_t target_latency_us; /* declared time to the first event; 0: none */
+  int64_t target_gap_us;     /* declared time between two events; 0: none */
 };
 
 void spn_update_peak (double *peak_us, double run_us);
--- a/test/limits_test.c
+++ b/test/limits_test.c
@@ -345,6 +345,14 @@
   };
   static const struct spn_request open_end
       = { .is_stream = true, .left_us = 20 * S_US };
+  static const struct spn_request no_targets
+      = { .is_stream = true, .events_max = 100, .left_us = 20 * S_US };
+  static const struct spn_request no_latency = {
+    .is_stream = true,
+    .events_max = 100,
+    .left_us = 30 * S_US,
+    .target_gap_us = S_US / 5,
+  };
   static const struct spn_request call = { .left_us = 2 * S_US };
   static const struct
   {
@@ -365,6 +373,10 @@
     { "a faster one is in progress", &stream, 20, 20, 0.05, 0, 0.2, 5.1 },
     { "many refused before an event", &stream, 20, 0, 0, 0, 0, 20 },
     { "no token counts", &open_end, 20, 20, 0.05, 0, 0, 20 },
+    { "nothing declared, few ended", &no_targets, 3, 20, 0.05, 0, 0, 20 },
+    { "nothing declared, many ended", &no_targets, 20, 20, 0.05, 0, 0, 5.1 },
+    { "no latency declared or seen", &no_latency, 0, 0, 0, 0, 0, 30 },
+    { "no latency declared, few ended", &no_latency, 3, 20, 0.05, 0, 0, 30 },
     { "no call seen", &call, 0, 0, 0, 0, 0, 2 },
     { "few calls ended", &call, 3, 0, 0, 0.06, 0, 2 },
     { "many calls ended", &call, 20, 0, 0, 0.06, 0, 0.06 },
