Learn the step time of a slower engine from steps that it didn't answer in time

Callers of the `serve' daemon would see their streams moved from engine to engine and given up when engines had become slower than the silence bound, for as long as they stayed that slow.

Cause: only answered steps counted in the average step time, from which the silence bound follows. A step that timed out at an engine that was alive left no trace, so the bound stayed where faster steps had put it, and routing went on taking the engine for fast.

A step of one position that times out at an engine that answers other requests now counts with the time that it was waited for, if that is above the average. An engine without observations keeps its longest bound.

routing_test has a table of engines that become slower. With the calls changed but the waits still ignored it failed: row: over the minimum, 100 unanswered test/routing_test.c:433: error: Failure! It passes now: the bound is long enough after 1 unanswered step of 300 ms, and after 3 of 900 ms. shared_load_test, request_test and service_call_test pass.

--- a/src/core/load.c
+++ b/src/core/load.c
@@ -73,19 +73,11 @@
     }
 }
 
-/* Records the answer to a step of one position, STEP_US after it was sent, and
-   updates the moving average and mean deviation.  A STEP_US of 0 stands for a
-   step of several positions, whose duration doesn't predict that of later
-   steps.  Concurrent updates by two threads may lose one of the two
-   observations.  */
-void
-ld_step_done (struct ld_load *load, int64_t step_us, int64_t now_us)
+/* Updates the moving average and mean deviation with a step of STEP_US.
+   Concurrent updates by two threads may lose one of the two observations.  */
+static void
+observe_step (struct ld_load *load, int64_t step_us, int64_t now_us)
 {
-  step_answered (load);
-  if (step_us <= 0)
-    {
-      return;
-    }
   int64_t average_us = load->step_us;
   if (average_us == 0)
     {
@@ -105,12 +97,32 @@
   load->step_at_us = now_us;
 }
 
-/* Counts the end of a step whose answer is no longer needed, as its caller has
-   disconnected.  */
+/* Records the answer to a step of one position, STEP_US after it was sent.  A
+   STEP_US of 0 stands for a step of several positions, whose duration doesn't
+   predict that of later steps.  */
+void
+ld_step_done (struct ld_load *load, int64_t step_us, int64_t now_us)
+{
+  step_answered (load);
+  if (step_us > 0)
+    {
+      observe_step (load, step_us, now_us);
+    }
+}
+
+/* Counts the end of a step of one position that wasn't answered, WAITED_US
+   after it was sent, by an endpoint that is alive.  The step takes longer
+   still, so only a wait above the average says anything.  A WAITED_US of 0
+   stands for a step whose wait says nothing.  */
 void
-ld_step_abandoned (struct ld_load *load)
+ld_step_abandoned (struct ld_load *load, int64_t waited_us, int64_t now_us)
 {
   atomic_fetch_sub_explicit (&load->steps_in_flight, 1, memory_order_relaxed);
+  int64_t average_us = load->step_us;
+  if (average_us > 0 && waited_us > average_us)
+    {
+      observe_step (load, waited_us, now_us);
+    }
 }
 
 /* Returns the backoff after FAILURES consecutive failures, 1 or more.  */
--- a/src/core/load.h
+++ b/src/core/load.h
@@ -39,7 +39,8 @@
 void ld_stream_removed (struct ld_load *load);
 void ld_step_sent (struct ld_load *load);
 void ld_step_done (struct ld_load *load, int64_t step_us, int64_t now_us);
-void ld_step_abandoned (struct ld_load *load);
+void ld_step_abandoned (struct ld_load *load, int64_t waited_us,
+                        int64_t now_us);
 void ld_step_failed (struct ld_load *load, int64_t now_us);
 void ld_report (struct ld_load *load, int32_t running, int32_t queued,
                 bool leaving, int64_t now_us);
--- a/src/daemon/draft.c
+++ b/src/daemon/draft.c
@@ -123,7 +123,9 @@
     }
   if (event->endpoint_alive)
     {
-      ld_step_abandoned (stage->load);
+      bool timed_out = event->error == ERR_ENDPOINT_SILENT && action->step > 0;
+      ld_step_abandoned (stage->load, timed_out ? now_us - sent_us : 0,
+                         now_us);
     }
   else
     {
--- a/test/routing_test.c
+++ b/test/routing_test.c
@@ -389,6 +389,72 @@
   assert_true (ld_step_timeout_us (&load) > 300000);
 }
 
+/* An endpoint whose steps have become slower, and after how many unanswered
+   steps the silence bound may still be too short for it. */
+struct slower_case
+{
+  const char *name;
+  int64_t step_us; /* at first */
+  int64_t slow_us; /* later on */
+  int unanswered_max;
+};
+
+static const struct slower_case slower_cases[] = {
+  { "as fast as before", 20000, 20000, 0 },
+  { "over the minimum", 20000, 300000, 4 },
+  { "under the maximum", 20000, 900000, 16 },
+};
+
+/* Guards against never waiting long enough for an endpoint that has become
+   slower: steps that weren't answered within the silence bound left the bound
+   as it was.  */
+static void
+silence_bound_follows_unanswered_steps (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof slower_cases / sizeof slower_cases[0]; i++)
+    {
+      const struct slower_case *row = &slower_cases[i];
+      struct ld_load load = { 0 };
+      for (int j = 0; j < 100; j++)
+        {
+          ld_step_sent (&load);
+          ld_step_done (&load, row->step_us, NOW_US);
+        }
+      int unanswered = 0;
+      while (ld_step_timeout_us (&load) < row->slow_us && unanswered < 100)
+        {
+          int64_t waited_us = ld_step_timeout_us (&load);
+          ld_step_sent (&load);
+          ld_step_abandoned (&load, waited_us, NOW_US);
+          unanswered++;
+        }
+      print_message ("row: %s, %d unanswered\n", row->name, unanswered);
+      assert_in_range (unanswered, 0, row->unanswered_max);
+      assert_int_equal (load.steps_in_flight, 0);
+    }
+}
+
+/* A step that is abandoned early says nothing of how long steps take.  */
+static void
+early_end_is_not_an_observation (void **state)
+{
+  (void)state;
+  struct ld_load load = { 0 };
+  ld_step_sent (&load);
+  ld_step_abandoned (&load, 1000, NOW_US);
+  assert_int_equal (ld_step_timeout_us (&load), CLK_S_US);
+  ld_step_sent (&load);
+  ld_step_done (&load, 20000, NOW_US);
+  int64_t bound_us = ld_step_timeout_us (&load);
+  ld_step_sent (&load);
+  ld_step_abandoned (&load, 1000, NOW_US);
+  ld_step_sent (&load);
+  ld_step_abandoned (&load, 0, NOW_US);
+  assert_int_equal (load.step_us, 20000);
+  assert_int_equal (ld_step_timeout_us (&load), bound_us);
+}
+
 int
 main (void)
 {
@@ -400,6 +466,8 @@
     cmocka_unit_test (simultaneous_failures_count_once),
     cmocka_unit_test (silence_bound_follows_observed_steps),
     cmocka_unit_test (prefill_is_not_an_observation),
+    cmocka_unit_test (silence_bound_follows_unanswered_steps),
+    cmocka_unit_test (early_end_is_not_an_observation),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
