Don't accept every request until the end of a short stop

Callers of a daemon whose stop is shorter than about 4 s saw requests cut off that it had accepted shortly before its end.

Cause: for 2.8 s a stopping daemon accepted whatever came, however long the stop was: with a stop of 2 s also what came 0.1 s before the end.

That time is now limited to half of the stop without its margin; later requests are accepted if they can finish. Stops of 6.2 s and longer behave as before.

limits_test has a table of short and long stops. Before the change it failed: ERROR: 1.3 s after the start of a stop of 2 s: accepted 1 test/limits_test.c:445: error: Failure!

--- a/src/core/stopping.c
+++ b/src/core/stopping.c
@@ -108,10 +108,12 @@
 spn_accepts (int64_t age_us, int64_t stop_us, int64_t longest_us,
              int64_t left_us)
 {
-  if (age_us <= SPN_ACCEPT_ALL_US)
+  int64_t usable_us = stop_us - MARGIN_US;
+  /* In a short stop, the second half is left for the requests to finish. */
+  if (age_us <= SPN_ACCEPT_ALL_US && age_us <= usable_us / 2)
     {
       return true;
     }
   double run_us = fmin ((double)longest_us * SLOWDOWN_FACTOR, (double)left_us);
-  return (double)age_us + run_us <= (double)(stop_us - MARGIN_US);
+  return (double)age_us + run_us <= (double)usable_us;
 }
--- a/src/core/stopping.h
+++ b/src/core/stopping.h
@@ -14,8 +14,9 @@
 #include <stdint.h>
 
 /* Requests that arrive within this time of the start of the shutdown are
-   always accepted: the load balancer keeps sending requests until two of its
-   readiness checks, one a second, have failed. */
+   accepted whatever they take, unless the stop is short: the load balancer
+   keeps sending requests until two of its readiness checks, one a second, have
+   failed. */
 #define SPN_ACCEPT_ALL_US 2800000
 
 /* The times that a request has taken until now or until its end. */
--- a/test/limits_test.c
+++ b/test/limits_test.c
@@ -419,6 +419,35 @@
     }
 }
 
+/* Guards against accepting requests just before the end of a short stop.  */
+static void
+test_stopping_short (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    double age_s;
+    double stop_s;
+    double longest_s;
+    bool want;
+  } rows[] = {
+    { 0.1, 2, 0.5, true },  { 0.1, 2, 5, true },   { 1.3, 2, 5, false },
+    { 1.9, 2, 0.1, false }, { 2.5, 3, 1, false },  { 2.5, 60, 20, true },
+    { 20, 60, 20, true },   { 40, 60, 20, false },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      bool accepted = spn_accepts (
+          (int64_t)(rows[i].age_s * S_US), (int64_t)(rows[i].stop_s * S_US),
+          (int64_t)(rows[i].longest_s * S_US), 30 * S_US);
+      if (accepted != rows[i].want)
+        {
+          fail_msg ("%.1f s after the start of a stop of %.0f s: accepted %d",
+                    rows[i].age_s, rows[i].stop_s, accepted);
+        }
+    }
+}
+
 /* A request that ends at its deadline, before the daemon does, is accepted
    whatever it may take.  */
 static void
@@ -496,6 +525,7 @@
     cmocka_unit_test (test_stopping),
     cmocka_unit_test (test_stopping_peak),
     cmocka_unit_test (test_stopping_longest),
+    cmocka_unit_test (test_stopping_short),
     cmocka_unit_test (test_stopping_deadline),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
