Count calls that an endpoint left unanswered as failures

Callers of a plain service saw half of their calls time out while one of its two endpoints hung, for as long as it did.

Cause: an endpoint's cost follows from the calls that succeeded or failed. A call that timed out, or whose caller left first, did neither: the endpoint that never answered looked idle and fast, and the next call went there again.

Such a call now counts as an inconclusive failure if it took twice as long as those that succeeded, and 0.1 s or longer, since callers set short deadlines, too. Engines aren't blamed: a stream may wait for others of its path.

The new case of entry_test sends 30 calls, one after another, while one of two endpoints runs calls without answering. Before the change it failed: /look/a: 17 of 30 calls unanswered /sum/a: 15 of 30 calls unanswered test/entry_test.c:911: error: Failure! Now 1 of 30 is unanswered in both. entry_test (11 cases) and limits_test (15) pass.

--- a/src/core/evidence.c
+++ b/src/core/evidence.c
@@ -1,5 +1,7 @@
 #include "core/evidence.h"
 
+#include <math.h>
+
 /* First and longest backoff of an endpoint that failed. */
 #define BACKOFF_FIRST_US 400000
 #define BACKOFF_MAX_US 6400000
@@ -11,6 +13,11 @@
    conclusive. */
 #define FAILURE_RATE_MAX 0.5
 
+/* A request without an answer counts as a failure after this many times the
+   average latency, with a lower bound. */
+#define OVERDUE_FACTOR 2.0
+#define OVERDUE_MIN_US 100000.0
+
 /* An engine on which a stream went on within this time is alive. */
 #define PROGRESS_US 500000
 
@@ -113,3 +120,13 @@
   evidence->backoff_until_us = now_us + backoff_us;
   return true;
 }
+
+/* True when a request that ends without an answer after WAITED_US, since its
+   time was up or its caller has left, counts as a failure: it took longer than
+   those that succeeded.  */
+bool
+evd_is_overdue (const struct evd_evidence *evidence, int64_t waited_us)
+{
+  return (double)waited_us
+         >= fmax (evidence->latency_us * OVERDUE_FACTOR, OVERDUE_MIN_US);
+}
--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -57,5 +57,6 @@
 void evd_success (struct evd_evidence *evidence, int64_t latency_us);
 bool evd_failure (struct evd_evidence *evidence, enum evd_failure_kind kind,
                   int64_t now_us);
+bool evd_is_overdue (const struct evd_evidence *evidence, int64_t waited_us);
 
 #endif
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -588,6 +588,7 @@
   struct exchange *exchange = context;
   exchange->caller = NULL;
   cnt_add (exchange->traffic->metrics->callers_disconnected, 1);
+  exg_report_unanswered (exchange);
   if (exchange->attempt != NULL)
     {
       ncl_cancel (exchange->attempt);
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -57,6 +57,22 @@
     }
 }
 
+/* Records that EXCHANGE ends without an answer to its current attempt, if it
+   has one.  An engine isn't blamed: its stream may wait for others of the
+   path, see inquiry.h.  */
+void
+exg_report_unanswered (struct exchange *exchange)
+{
+  if (exchange->attempt != NULL && exchange->path == NULL
+      && evd_is_overdue (&exchange->endpoint->evidence,
+                         clk_monotonic_us () - exchange->sent_us))
+    {
+      fst_report_failure (exchange->traffic->fleet, exchange->endpoint,
+                          EVD_INCONCLUSIVE, "did not answer",
+                          clk_monotonic_us ());
+    }
+}
+
 /* Records the success of an attempt for its endpoint, or for every engine on
    its path, and how long it took.  */
 static void
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -91,6 +91,7 @@
                            struct att_request *request);
 void exg_start_attempt (struct exchange *exchange, enum att_end before);
 void exg_end_attempt (struct exchange *exchange, enum att_end end);
+void exg_report_unanswered (struct exchange *exchange);
 void exg_report_failure (struct exchange *exchange, enum evd_failure_kind kind,
                          const char *reason);
 void exg_schedule_check (struct exchange *exchange);
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -141,6 +141,7 @@
   int64_t silent_for_us = silence_us (exchange, now_us);
   if (now_us >= exchange->deadline_us)
     {
+      exg_report_unanswered (exchange);
       if (exchange->attempt != NULL)
         {
           ncl_cancel (exchange->attempt);
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -237,6 +237,13 @@
   sfl_endpoint_publish (endpoint_at (fleet, index), "draining");
 }
 
+/* Lists the endpoint INDEX as ready again.  */
+void
+sfl_list_ready (struct sfl_fleet *fleet, uint32_t index)
+{
+  sfl_endpoint_publish (endpoint_at (fleet, index), "ready");
+}
+
 /* Kills the endpoint INDEX.  Its entry in the endpoint list stays.  */
 void
 sfl_kill (struct sfl_fleet *fleet, uint32_t index)
@@ -261,6 +268,14 @@
   fleet->call_ms = call_ms;
 }
 
+/* Sets whether the endpoint INDEX runs requests without ever answering
+   them.  */
+void
+sfl_set_silent (struct sfl_fleet *fleet, uint32_t index, bool silent)
+{
+  endpoint_at (fleet, index)->silent = silent;
+}
+
 /* Injects FAULT into the next REQUESTS requests to engines when ENGINES is
    true, else to services.  */
 void
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -84,11 +84,13 @@
 void sfl_rebalance (struct sfl_fleet *fleet);
 void sfl_list_draining (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_unlist (struct sfl_fleet *fleet, uint32_t endpoint);
+void sfl_list_ready (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_kill (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_restart (struct sfl_fleet *fleet, uint32_t endpoint);
 bool sfl_is_alive (const struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_set_fault (struct sfl_fleet *fleet, bool engines,
                     enum sfl_fault fault, uint32_t requests);
+void sfl_set_silent (struct sfl_fleet *fleet, uint32_t endpoint, bool silent);
 void sfl_set_stream_events (struct sfl_fleet *fleet, uint32_t events);
 void sfl_set_call_ms (struct sfl_fleet *fleet, uint32_t call_ms);
 uint32_t sfl_run_count (const struct sfl_fleet *fleet, const char *request_id);
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -213,6 +213,10 @@
 {
   struct sfl_fleet *fleet = endpoint->fleet;
   bool engine = endpoint->is_engine;
+  if (endpoint->silent)
+    {
+      return SFL_NEVER_ANSWERS;
+    }
   if (fleet->fault_requests[engine] == 0)
     {
       return SFL_NO_FAULT;
--- a/standin/fleet_private.h
+++ b/standin/fleet_private.h
@@ -34,6 +34,7 @@
   uint32_t restarts;
   bool is_engine;
   bool dead;
+  bool silent;               /* never answers the requests that it runs */
   struct nsv_server *server; /* NULL: killed */
   uint32_t first_layer;
   uint32_t end_layer;     /* exclusive */
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -794,10 +794,11 @@
     }
 }
 
-/* Sends a call of the route at PATH that states its time left, but no
-   tokens.  */
+/* Sends a call of the route at PATH that states its time left, but no tokens,
+   and waits for the answer for PATIENCE_US at most.  */
 static void
-send_call (struct fixture *fixture, struct call *call, const char *path)
+send_call (struct fixture *fixture, struct call *call, const char *path,
+           int64_t patience_us)
 {
   g_autofree char *request
       = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: " FLEET_HOST
@@ -806,7 +807,15 @@
                          path, fixture->next_id++);
   start_call (fixture, call, sep_caller_address (fixture->daemon), request,
               strlen (request));
-  await_call (fixture, call);
+  int64_t end_us = clk_monotonic_us () + patience_us;
+  while (!call->done && clk_monotonic_us () < end_us)
+    {
+      uv_run (&fixture->loop, UV_RUN_ONCE);
+    }
+  if (!call->done)
+    {
+      ncl_cancel (call->exchange);
+    }
 }
 
 /* Guards against cutting off calls of a route of which a stopping daemon has
@@ -829,7 +838,7 @@
   await_ready (fixture);
   for (uint32_t i = 0; i < 8; i++)
     {
-      send_call (fixture, &calls[0], "/look/a");
+      send_call (fixture, &calls[0], "/look/a", TIMEOUT_US);
       assert_int_equal (calls[0].status, 200);
       clear_call (&calls[0]);
     }
@@ -838,7 +847,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
     {
       sfl_set_call_ms (fixture->fleet, late[i].call_ms);
-      send_call (fixture, &calls[i], late[i].path);
+      send_call (fixture, &calls[i], late[i].path, TIMEOUT_US);
     }
   sfl_set_call_ms (fixture->fleet, SFL_CALL_MS);
   await_exit (fixture);
@@ -857,6 +866,52 @@
     }
 }
 
+/* Guards against sending calls on and on to an endpoint that hangs: a call
+   that timed out or whose caller left said nothing about its endpoint, which
+   looked idle.  */
+static void
+test_silent_endpoint (void **state)
+{
+  static const struct
+  {
+    const char *path;
+    int64_t patience_us;
+  } callers[SERVICES] = {
+    { "/look/a", TIMEOUT_US }, /* times out after 0.6 s */
+    { "/sum/a", 400 * CLK_MS_US },
+  };
+  enum
+  {
+    CALLS = 30,
+    UNANSWERED_MAX = 5
+  };
+  struct fixture *fixture = *state;
+  uint32_t unanswered[SERVICES] = { 0 };
+  sfl_list_ready (fixture->fleet, ENGINES); /* drained by another test */
+  for (uint32_t i = 0; i < SERVICES; i++)
+    {
+      sep_start (fixture->daemon);
+      await_ready (fixture);
+      sfl_set_silent (fixture->fleet, ENGINES + i, true);
+      for (uint32_t n = 0; n < CALLS; n++)
+        {
+          struct call call;
+          send_call (fixture, &call, callers[i].path, callers[i].patience_us);
+          unanswered[i] += call.status != 200;
+          clear_call (&call);
+        }
+      sfl_set_silent (fixture->fleet, ENGINES + i, false);
+      print_message ("%s: %u of %d calls unanswered\n", callers[i].path,
+                     unanswered[i], CALLS);
+      sep_signal (fixture->daemon, SIGTERM);
+      await_exit (fixture);
+    }
+  for (uint32_t i = 0; i < SERVICES; i++)
+    {
+      assert_in_range (unanswered[i], 0, UNANSWERED_MAX);
+    }
+}
+
 int
 main (void)
 {
@@ -871,6 +926,7 @@
     cmocka_unit_test (test_graceful_stop),
     cmocka_unit_test (test_stop_soon_after_start),
     cmocka_unit_test (test_stop_unseen_route),
+    cmocka_unit_test (test_silent_endpoint),
   };
   return cmocka_run_group_tests (tests, set_up, tear_down);
 }
--- a/test/limits_test.c
+++ b/test/limits_test.c
@@ -173,6 +173,34 @@
     }
 }
 
+/* A request that ends without an answer counts as a failure only if it has
+   taken longer than usual: callers set short deadlines, too.  */
+static void
+test_evidence_overdue (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    double latency_s; /* of successes; 0: none */
+    double waited_s;
+    bool want;
+  } rows[] = {
+    { 0, 0.02, false },   { 0, 0.6, true },    { 0.005, 0.02, false },
+    { 0.005, 0.6, true }, { 0.4, 0.6, false }, { 0.4, 0.9, true },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct evd_evidence evidence = { 0 };
+      if (rows[i].latency_s > 0)
+        {
+          evd_success (&evidence, (int64_t)(rows[i].latency_s * S_US));
+        }
+      assert_int_equal (
+          evd_is_overdue (&evidence, (int64_t)(rows[i].waited_s * S_US)),
+          rows[i].want);
+    }
+}
+
 /* A flapping endpoint gets a longer backoff each time, then a single probe
    request, and is healthy again after a success.  */
 static void
@@ -518,6 +546,7 @@
     cmocka_unit_test (test_retry_budget_window),
     cmocka_unit_test (test_retry_budget_share_changes),
     cmocka_unit_test (test_evidence_backoff),
+    cmocka_unit_test (test_evidence_overdue),
     cmocka_unit_test (test_evidence_flapping),
     cmocka_unit_test (test_evidence_death),
     cmocka_unit_test (test_retry_budget_restart),
