--- a/src/core/stopping.c
+++ b/src/core/stopping.c
@@ -84,14 +84,16 @@
       bool known = history->calls >= SEEN_MIN;
       return (int64_t)(known ? fmin (history->call_us, left_us) : left_us);
     }
+  bool known = history->streams >= SEEN_MIN;
+  bool declared = request->target_latency_us > 0 && request->target_gap_us > 0;
   double first_us = history->first_event_us;
   double gap_us = history->event_us;
-  if (history->streams < SEEN_MIN)
+  if (!known)
     {
       first_us = fmax (first_us, (double)request->target_latency_us);
       gap_us = fmax (gap_us, (double)request->target_gap_us);
     }
-  if (request->events_max == 0 || gap_us == 0)
+  if (request->events_max == 0 || gap_us == 0 || !(known || declared))
     {
       return request->left_us;
     }
@@ -106,10 +108,12 @@
 spn_accepts (int64_t age_us, int64_t stop_us, int64_t longest_us,
              int64_t left_us)
 {
-  if (age_us <= SPN_ACCEPT_ALL_US)
+  int64_t usable_us = stop_us - MARGIN_US;
+  /* In a short stop, the second half is left for the requests to finish. */
+  if (age_us <= SPN_ACCEPT_ALL_US && age_us <= usable_us / 2)
     {
       return true;
     }
   double run_us = fmin ((double)longest_us * SLOWDOWN_FACTOR, (double)left_us);
-  return (double)age_us + run_us <= (double)(stop_us - MARGIN_US);
+  return (double)age_us + run_us <= (double)usable_us;
 }
--- a/src/core/stopping.h
+++ b/src/core/stopping.h
@@ -14,8 +14,9 @@
 #include <stdint.h>
 
 /* Requests that arrive within this time of the start of the shutdown are
-   always accepted: the load balancer keeps sending requests until two of its
-   readiness checks, one a second, have failed. */
+   accepted whatever they take, unless the stop is short: the load balancer
+   keeps sending requests until two of its readiness checks, one a second, have
+   failed. */
 #define SPN_ACCEPT_ALL_US 2800000
 
 /* The times that a request has taken until now or until its end. */
@@ -28,7 +29,8 @@
   int64_t run_us;         /* from the arrival */
 };
 
-/* Peaks of the times seen lately.  All zero at first: nothing was seen. */
+/* Peaks of the times of like requests seen lately.  All zero at first: nothing
+ * was seen. */
 struct spn_history
 {
   double first_event_us; /* from a stream's arrival to its first event */
@@ -44,8 +46,8 @@
   bool is_stream;
   uint32_t events_max;       /* of a stream; 0: it states none */
   int64_t left_us;           /* until its deadline */
-  int64_t target_latency_us; /* declared time to the first event */
-  int64_t target_gap_us;     /* declared time between two events */
+  int64_t target_latency_us; /* declared time to the first event; 0: none */
+  int64_t target_gap_us;     /* declared time between two events; 0: none */
 };
 
 void spn_update_peak (double *peak_us, double run_us);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -83,11 +83,15 @@
                  const char *outcome);
 void exg_describe_times (const struct exchange *exchange,
                          struct spn_times *times);
+struct spn_history *exg_history (struct trf_traffic *traffic,
+                                 const struct flt_route *route,
+                                 const char *service);
 uint32_t exg_service_index (const struct exchange *exchange);
 void exg_describe_request (const struct exchange *exchange,
                            struct att_request *request);
 void exg_start_attempt (struct exchange *exchange, enum att_end before);
 void exg_end_attempt (struct exchange *exchange, enum att_end end);
+void exg_report_unanswered (struct exchange *exchange);
 void exg_report_failure (struct exchange *exchange, enum evd_failure_kind kind,
                          const char *reason);
 void exg_schedule_check (struct exchange *exchange);
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -794,6 +794,124 @@
     }
 }
 
+/* Sends a call of the route at PATH that states its time left, but no tokens,
+   and waits for the answer for PATIENCE_US at most.  */
+static void
+send_call (struct fixture *fixture, struct call *call, const char *path,
+           int64_t patience_us)
+{
+  g_autofree char *request
+      = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: " FLEET_HOST
+                         "\r\nX-Api-Key: key-1\r\nX-Own: 1\r\n" PFH_REQUEST_ID
+                         ": call-%u\r\n" PFH_TIME_LEFT_MS ": 9000\r\n\r\n",
+                         path, fixture->next_id++);
+  start_call (fixture, call, sep_caller_address (fixture->daemon), request,
+              strlen (request));
+  int64_t end_us = clk_monotonic_us () + patience_us;
+  while (!call->done && clk_monotonic_us () < end_us)
+    {
+      uv_run (&fixture->loop, UV_RUN_ONCE);
+    }
+  if (!call->done)
+    {
+      ncl_cancel (call->exchange);
+    }
+}
+
+/* Guards against cutting off calls of a route of which a stopping daemon has
+   seen none: it took them for as short as the calls of other routes.  */
+static void
+test_stop_unseen_route (void **state)
+{
+  static const struct
+  {
+    const char *path;
+    uint32_t call_ms;
+    bool accepted;
+  } late[] = {
+    { "/sum/a", 4000, false },
+    { "/look/a", SFL_CALL_MS, true },
+  };
+  struct fixture *fixture = *state;
+  struct call calls[G_N_ELEMENTS (late)];
+  sep_start (fixture->daemon);
+  await_ready (fixture);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      send_call (fixture, &calls[0], "/look/a", TIMEOUT_US);
+      assert_int_equal (calls[0].status, 200);
+      clear_call (&calls[0]);
+    }
+  sep_signal (fixture->daemon, SIGTERM);
+  run_for (fixture, 3100 * CLK_MS_US);
+  for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
+    {
+      sfl_set_call_ms (fixture->fleet, late[i].call_ms);
+      send_call (fixture, &calls[i], late[i].path, TIMEOUT_US);
+    }
+  sfl_set_call_ms (fixture->fleet, SFL_CALL_MS);
+  await_exit (fixture);
+  for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
+    {
+      bool correct = calls[i].complete
+                     && calls[i].status == (late[i].accepted ? 200 : 503);
+      if (!correct)
+        {
+          print_message ("%s after %u ms: status %u, complete %d\n",
+                         late[i].path, late[i].call_ms, calls[i].status,
+                         calls[i].complete);
+        }
+      assert_true (correct);
+      clear_call (&calls[i]);
+    }
+}
+
+/* Guards against sending calls on and on to an endpoint that hangs: a call
+   that timed out or whose caller left said nothing about its endpoint, which
+   looked idle.  */
+static void
+test_silent_endpoint (void **state)
+{
+  static const struct
+  {
+    const char *path;
+    int64_t patience_us;
+  } callers[SERVICES] = {
+    { "/look/a", TIMEOUT_US }, /* times out after 0.6 s */
+    { "/sum/a", 400 * CLK_MS_US },
+  };
+  enum
+  {
+    CALLS = 30,
+    UNANSWERED_MAX = 5
+  };
+  struct fixture *fixture = *state;
+  uint32_t unanswered[SERVICES] = { 0 };
+  sfl_list_ready (fixture->fleet, ENGINES); /* drained by another test */
+  for (uint32_t i = 0; i < SERVICES; i++)
+    {
+      sep_start (fixture->daemon);
+      await_ready (fixture);
+      sfl_set_silent (fixture->fleet, ENGINES + i, true);
+      for (uint32_t n = 0; n < CALLS; n++)
+        {
+          struct call call;
+          send_call (fixture, &call, callers[i].path, callers[i].patience_us);
+          unanswered[i] += call.status != 200;
+          clear_call (&call);
+        }
+      sfl_set_silent (fixture->fleet, ENGINES + i, false);
+      print_message ("%s: %u of %d calls unanswered\n", callers[i].path,
+                     unanswered[i], CALLS);
+      sep_signal (fixture->daemon, SIGTERM);
+      await_exit (fixture);
+    }
+  for (uint32_t i = 0; i < SERVICES; i++)
+    {
+      assert_in_range (unanswered[i], 0, UNANSWERED_MAX);
+    }
+}
+
 int
 main (void)
 {
@@ -807,6 +925,8 @@
     cmocka_unit_test (test_engine_dies),
     cmocka_unit_test (test_graceful_stop),
     cmocka_unit_test (test_stop_soon_after_start),
+    cmocka_unit_test (test_stop_unseen_route),
+    cmocka_unit_test (test_silent_endpoint),
   };
   return cmocka_run_group_tests (tests, set_up, tear_down);
 }
--- a/test/limits_test.c
+++ b/test/limits_test.c
@@ -173,6 +173,34 @@
     }
 }
 
+/* A request that ends without an answer counts as a failure only if it has
+   taken longer than usual: callers set short deadlines, too.  */
+static void
+test_evidence_overdue (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    double latency_s; /* of successes; 0: none */
+    double waited_s;
+    bool want;
+  } rows[] = {
+    { 0, 0.02, false },   { 0, 0.6, true },    { 0.005, 0.02, false },
+    { 0.005, 0.6, true }, { 0.4, 0.6, false }, { 0.4, 0.9, true },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct evd_evidence evidence = { 0 };
+      if (rows[i].latency_s > 0)
+        {
+          evd_success (&evidence, (int64_t)(rows[i].latency_s * S_US));
+        }
+      assert_int_equal (
+          evd_is_overdue (&evidence, (int64_t)(rows[i].waited_s * S_US)),
+          rows[i].want);
+    }
+}
+
 /* A flapping endpoint gets a longer backoff each time, then a single probe
    request, and is healthy again after a success.  */
 static void
@@ -345,6 +373,14 @@
   };
   static const struct spn_request open_end
       = { .is_stream = true, .left_us = 20 * S_US };
+  static const struct spn_request no_targets
+      = { .is_stream = true, .events_max = 100, .left_us = 20 * S_US };
+  static const struct spn_request no_latency = {
+    .is_stream = true,
+    .events_max = 100,
+    .left_us = 30 * S_US,
+    .target_gap_us = S_US / 5,
+  };
   static const struct spn_request call = { .left_us = 2 * S_US };
   static const struct
   {
@@ -365,6 +401,10 @@
     { "a faster one is in progress", &stream, 20, 20, 0.05, 0, 0.2, 5.1 },
     { "many refused before an event", &stream, 20, 0, 0, 0, 0, 20 },
     { "no token counts", &open_end, 20, 20, 0.05, 0, 0, 20 },
+    { "nothing declared, few ended", &no_targets, 3, 20, 0.05, 0, 0, 20 },
+    { "nothing declared, many ended", &no_targets, 20, 20, 0.05, 0, 0, 5.1 },
+    { "no latency declared or seen", &no_latency, 0, 0, 0, 0, 0, 30 },
+    { "no latency declared, few ended", &no_latency, 3, 20, 0.05, 0, 0, 30 },
     { "no call seen", &call, 0, 0, 0, 0, 0, 2 },
     { "few calls ended", &call, 3, 0, 0, 0.06, 0, 2 },
     { "many calls ended", &call, 20, 0, 0, 0.06, 0, 0.06 },
@@ -407,6 +447,35 @@
     }
 }
 
+/* Guards against accepting requests just before the end of a short stop.  */
+static void
+test_stopping_short (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    double age_s;
+    double stop_s;
+    double longest_s;
+    bool want;
+  } rows[] = {
+    { 0.1, 2, 0.5, true },  { 0.1, 2, 5, true },   { 1.3, 2, 5, false },
+    { 1.9, 2, 0.1, false }, { 2.5, 3, 1, false },  { 2.5, 60, 20, true },
+    { 20, 60, 20, true },   { 40, 60, 20, false },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      bool accepted = spn_accepts (
+          (int64_t)(rows[i].age_s * S_US), (int64_t)(rows[i].stop_s * S_US),
+          (int64_t)(rows[i].longest_s * S_US), 30 * S_US);
+      if (accepted != rows[i].want)
+        {
+          fail_msg ("%.1f s after the start of a stop of %.0f s: accepted %d",
+                    rows[i].age_s, rows[i].stop_s, accepted);
+        }
+    }
+}
+
 /* A request that ends at its deadline, before the daemon does, is accepted
    whatever it may take.  */
 static void
@@ -477,6 +546,7 @@
     cmocka_unit_test (test_retry_budget_window),
     cmocka_unit_test (test_retry_budget_share_changes),
     cmocka_unit_test (test_evidence_backoff),
+    cmocka_unit_test (test_evidence_overdue),
     cmocka_unit_test (test_evidence_flapping),
     cmocka_unit_test (test_evidence_death),
     cmocka_unit_test (test_retry_budget_restart),
@@ -484,6 +554,7 @@
     cmocka_unit_test (test_stopping),
     cmocka_unit_test (test_stopping_peak),
     cmocka_unit_test (test_stopping_longest),
+    cmocka_unit_test (test_stopping_short),
     cmocka_unit_test (test_stopping_deadline),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
