End connections whose writes libuv rejects, instead of losing the bytes

A response or a request whose bytes couldn't be queued was lost without an event or a log line: the owner of the exchange wasn't told, the request stayed open as long as the caller kept its connection, and the copied bytes leaked.

Cause: the server and the client ignored the result of uv_write. libuv rejects a write at once when the stream is closed or shut down for writing. Reading the callers showed no way to get there today; the test brings it about by shutting the connection down below the server and the client.

The rejection is now logged (caller_write_failed, endpoint_write_failed), and the socket is shut down, so that the next read ends the exchange as a lost connection does. The owner is never called back from its own call.

--- a/src/net/client.c
+++ b/src/net/client.c
@@ -1,7 +1,9 @@
 #include "net/client.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "net/address.h"
+#include "net/stream.h"
 
 #include <netinet/tcp.h>
 #include <string.h>
@@ -338,7 +340,8 @@
 }
 
 /* Sends COUNT bytes on CONNECTION; queues what the socket doesn't accept at
-   once.  */
+   once.  When that fails, the next read fails the exchange, since `failed'
+   must not be called before ncl_send returns.  */
 static void
 write_bytes (struct ncl_exchange *connection, const uint8_t *bytes,
              size_t count)
@@ -354,7 +357,16 @@
   uv_write_t *request = g_new0 (uv_write_t, 1);
   request->data = g_memdup2 (bytes + done, count - done);
   uv_buf_t rest = uv_buf_init (request->data, (unsigned)(count - done));
-  uv_write (request, stream, &rest, 1, on_written);
+  int status = uv_write (request, stream, &rest, 1, on_written);
+  if (status != 0)
+    {
+      lg_line (LOG_WARNING, "endpoint_write_failed",
+               "address=%s bytes=%zu reason=\"%s\"", connection->address,
+               count - done, uv_strerror (status));
+      g_free (request->data);
+      g_free (request);
+      nst_end_reading (&connection->tcp);
+    }
 }
 
 static void
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -2,7 +2,9 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/log.h"
 #include "net/address.h"
+#include "net/stream.h"
 
 #include <netinet/tcp.h>
 #include <string.h>
@@ -255,7 +257,8 @@
 }
 
 /* Sends the bytes of COUNT BUFFERS; queues a copy of what the socket doesn't
-   accept at once.  */
+   accept at once.  When that fails, the next read closes the connection, since
+   `disconnected' must not be called from a call of the owner.  */
 static void
 write_bytes (struct nsv_connection *connection, const uv_buf_t *buffers,
              unsigned count)
@@ -288,7 +291,16 @@
     }
   request->data = rest;
   uv_buf_t buffer = uv_buf_init (rest, (unsigned)used);
-  uv_write (request, stream, &buffer, 1, on_written);
+  int status = uv_write (request, stream, &buffer, 1, on_written);
+  if (status != 0)
+    {
+      lg_line (LOG_WARNING, "caller_write_failed", "bytes=%zu reason=\"%s\"",
+               used, uv_strerror (status));
+      g_free (rest);
+      g_free (request);
+      nst_end_reading (&connection->tcp);
+      return;
+    }
   /* Stays set until all bytes have been sent, when `drained' is called. */
   connection->slow |= uv_stream_get_write_queue_size (stream)
                       > connection->server->limits.unsent_bytes_max;
--- a/test/net_test.c
+++ b/test/net_test.c
@@ -24,11 +24,14 @@
   char *address;
   struct nsv_connection *connection; /* of the newest request */
   uint32_t drained;                  /* calls */
+  uint32_t disconnected;             /* calls */
   struct ncl_client *client;
   struct ncl_exchange *exchange;
-  uint32_t completed; /* exchanges */
-  bool pauses;        /* the client pauses the next answer */
-  uv_tcp_t caller;    /* a caller that reads when it is told to */
+  uint32_t completed;       /* exchanges */
+  uint32_t failed;          /* exchanges */
+  enum ncl_failure failure; /* of the last one that failed */
+  bool pauses;              /* the client pauses the next answer */
+  uv_tcp_t caller;          /* a caller that reads when it is told to */
   uv_connect_t connecting;
   char read_buffer[READ_BYTES];
 };
@@ -52,7 +55,8 @@
 static void
 on_disconnected (void *context)
 {
-  (void)context;
+  struct fixture *fixture = context;
+  fixture->disconnected++;
 }
 
 static void
@@ -99,8 +103,9 @@
 static void
 on_failed (void *context, enum ncl_failure failure)
 {
-  (void)context;
-  fail_msg ("exchange failed: %d", failure);
+  struct fixture *fixture = context;
+  fixture->failed++;
+  fixture->failure = failure;
 }
 
 static const struct ncl_events client_events = {
@@ -209,13 +214,11 @@
                     sizeof request - 1);
 }
 
-/* A caller that is slow stays so until it has read everything, whatever is
-   sent or configured meanwhile; then `drained' is called.  Guards against an
-   answer whose reading was paused for good.  */
+/* Connects the caller of FIXTURE, which sends a request to /long, and returns
+   when the server has begun to respond.  */
 static void
-slow_caller_drains (void **state)
+begin_long_response (struct fixture *fixture)
 {
-  struct fixture *fixture = *state;
   struct sockaddr_in address;
   const char *port = strchr (fixture->address, ':') + 1;
   uv_ip4_addr ("127.0.0.1", atoi (port), &address);
@@ -229,6 +232,16 @@
       uv_run (&fixture->loop, UV_RUN_NOWAIT);
     }
   assert_non_null (fixture->connection);
+}
+
+/* A caller that is slow stays so until it has read everything, whatever is
+   sent or configured meanwhile; then `drained' is called.  Guards against an
+   answer whose reading was paused for good.  */
+static void
+slow_caller_drains (void **state)
+{
+  struct fixture *fixture = *state;
+  begin_long_response (fixture);
   char *chunk = g_strnfill (CHUNK_BYTES, 'x');
   while (!nsv_is_slow (fixture->connection))
     {
@@ -245,6 +258,111 @@
   uv_close ((uv_handle_t *)&fixture->caller, NULL);
 }
 
+static void
+on_shut_down (uv_shutdown_t *shutdown, int status)
+{
+  (void)status;
+  g_free (shutdown);
+}
+
+/* Makes a connection of the server or of the client unusable for further
+   writes; libuv rejects them at once.  */
+static void
+disable_writing (uv_handle_t *handle, void *context)
+{
+  struct fixture *fixture = context;
+  if (handle->type == UV_TCP && handle != (uv_handle_t *)&fixture->caller
+      && uv_is_writable ((uv_stream_t *)handle))
+    {
+      uv_shutdown (g_new0 (uv_shutdown_t, 1), (uv_stream_t *)handle,
+                   on_shut_down);
+    }
+}
+
+static void
+send_body (struct nsv_connection *connection)
+{
+  nsv_send_body (connection, "body", 4);
+}
+
+static void
+send_body_twice (struct nsv_connection *connection)
+{
+  nsv_send_body (connection, "body", 4);
+  nsv_send_body (connection, "body", 4);
+}
+
+/* How the owner uses a connection that accepts no writes. */
+struct unwritable_case
+{
+  const char *name;
+  void (*write) (struct nsv_connection *connection);
+  uint32_t disconnected; /* calls expected */
+  uint32_t requests;     /* without a complete response afterwards */
+};
+
+/* The owner of a response is told when its bytes can't be queued, though the
+   caller keeps the connection open.  Guards against a response that is lost
+   without an event, and whose buffers are leaked.  */
+static void
+rejected_write_disconnects (void **state)
+{
+  struct fixture *fixture = *state;
+  static const struct unwritable_case cases[] = {
+    { "part of the body", send_body, 1, 0 },
+    { "two parts of the body", send_body_twice, 1, 0 },
+    { "end of the body", nsv_end_response, 0, 0 },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      uint32_t open = nsv_connection_count (fixture->server);
+      fixture->connection = NULL;
+      fixture->disconnected = 0;
+      begin_long_response (fixture);
+      uv_walk (&fixture->loop, disable_writing, fixture);
+      cases[i].write (fixture->connection);
+      int64_t end_us = clk_monotonic_us () + CLK_S_US;
+      while (nsv_connection_count (fixture->server) > open
+             && clk_monotonic_us () < end_us)
+        {
+          uv_run (&fixture->loop, UV_RUN_NOWAIT);
+        }
+      uint32_t left = nsv_connection_count (fixture->server) - open;
+      if (left != 0 || fixture->disconnected != cases[i].disconnected
+          || nsv_request_count (fixture->server) != cases[i].requests)
+        {
+          fail_msg ("%s: %u connections left, disconnected called %u times, "
+                    "%u requests open",
+                    cases[i].name, left, fixture->disconnected,
+                    nsv_request_count (fixture->server));
+        }
+      uv_close ((uv_handle_t *)&fixture->caller, NULL);
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+    }
+}
+
+/* An exchange fails when its request can't be queued on a kept connection.
+   Guards against a request that is lost, and whose buffers are leaked.  */
+static void
+rejected_request_fails (void **state)
+{
+  struct fixture *fixture = *state;
+  static const char request[] = "GET /short HTTP/1.1\r\nHost: a\r\n\r\n";
+  fixture->exchange
+      = ncl_send (fixture->client, fixture->address, request, strlen (request),
+                  false, &client_events, fixture);
+  assert_true (run_until (fixture, &fixture->completed, 1));
+  uv_walk (&fixture->loop, disable_writing, fixture);
+  fixture->exchange
+      = ncl_send (fixture->client, fixture->address, request, strlen (request),
+                  false, &client_events, fixture);
+  assert_non_null (fixture->exchange);
+  assert_int_equal (fixture->failed, 0);
+  assert_true (run_until (fixture, &fixture->failed, 1));
+  assert_int_equal (fixture->failure, NCL_CUT_OFF);
+  assert_int_equal (ncl_counts (fixture->client)->connections, 1);
+}
+
 int
 main (void)
 {
@@ -253,6 +371,10 @@
                                      create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (slow_caller_drains, create_fixture,
                                      destroy_fixture),
+    cmocka_unit_test_setup_teardown (rejected_write_disconnects,
+                                     create_fixture, destroy_fixture),
+    cmocka_unit_test_setup_teardown (rejected_request_fails, create_fixture,
+                                     destroy_fixture),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
