Refuse to send without descriptors, instead of breaking the event loop

After a call that found no free descriptor, the event loop lost connections opened in the same turn: its list of handles pointed to memory that was freed soon after, and a process that runs short of descriptors could crash later.

Cause: the client ignored the result of uv_tcp_init_ex. At EMFILE or ENFILE libuv takes the handle out of the list of the loop, and the uv_close that followed took it out a second time, with the neighbours that it had had.

ncl_send now returns NULL at once and closes nothing; why a connection could not be begun is logged (endpoint_connect_failed).

--- a/src/net/client.c
+++ b/src/net/client.c
@@ -405,6 +405,13 @@
     }
 }
 
+static void
+log_connect_failure (const char *address, int status)
+{
+  lg_line (LOG_WARNING, "endpoint_connect_failed", "address=%s reason=\"%s\"",
+           address, uv_strerror (status));
+}
+
 /* Begins to connect to ADDRESS.  Returns the new connection, or NULL when the
    address is not valid or connecting fails at once.  */
 static struct ncl_exchange *
@@ -416,10 +423,18 @@
       return NULL;
     }
   struct ncl_exchange *connection = g_new0 (struct ncl_exchange, 1);
+  int status = uv_tcp_init_ex (client->loop, &connection->tcp, AF_INET);
+  if (status != 0)
+    {
+      /* Without a socket, the loop doesn't know the handle: closing it would
+         break the loop's list of handles.  */
+      log_connect_failure (address, status);
+      g_free (connection);
+      return NULL;
+    }
   connection->client = client;
   connection->address = g_strdup (address);
   msg_init (&connection->response);
-  uv_tcp_init_ex (client->loop, &connection->tcp, AF_INET);
   connection->tcp.data = connection;
   connection->connect.data = connection;
   connection->connect_by_us
@@ -428,10 +443,11 @@
   g_ptr_array_add (client->connections, connection);
   client->counts.connections++;
   client->counts.open++;
-  int status = uv_tcp_connect (&connection->connect, &connection->tcp,
-                               (const struct sockaddr *)&parsed, on_connected);
+  status = uv_tcp_connect (&connection->connect, &connection->tcp,
+                           (const struct sockaddr *)&parsed, on_connected);
   if (status != 0)
     {
+      log_connect_failure (address, status);
       close_connection (connection);
       return NULL;
     }
--- a/test/net_test.c
+++ b/test/net_test.c
@@ -8,8 +8,11 @@
 #include <stddef.h>
 
 #include <cmocka.h>
+#include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #define TIMEOUT_US (10 * CLK_S_US)
 #define CHUNK_BYTES 65536
@@ -122,7 +125,7 @@
     .idle_max_us = 8 * CLK_S_US,
     .connect_timeout_us = CLK_S_US,
     .user_timeout_ms = 1000,
-    .idle_connections_max = 2,
+    .idle_connections_max = 4,
   };
   struct fixture *fixture = g_new0 (struct fixture, 1);
   fixture->limits = (struct nsv_limits){
@@ -363,6 +366,57 @@
   assert_int_equal (ncl_counts (fixture->client)->connections, 1);
 }
 
+/* Lowers the limit on open files so that none can be opened.  Returns the
+   limits to restore.  */
+static struct rlimit
+exhaust_descriptors (void)
+{
+  struct rlimit old;
+  assert_int_equal (getrlimit (RLIMIT_NOFILE, &old), 0);
+  int next = fcntl (STDIN_FILENO, F_DUPFD, 0);
+  assert_true (next >= 0);
+  close (next);
+  struct rlimit low = { .rlim_cur = (rlim_t)next, .rlim_max = old.rlim_max };
+  assert_int_equal (setrlimit (RLIMIT_NOFILE, &low), 0);
+  return old;
+}
+
+static void
+count_connection (uv_handle_t *handle, void *context)
+{
+  uint32_t *count = context;
+  *count += handle->type == UV_TCP && !uv_is_closing (handle);
+}
+
+/* A client that is out of descriptors refuses to send, and sends again once
+   there are some.  Guards against handles that were removed twice from the
+   list of the loop, which broke the list: later handles were missing in it,
+   and it pointed to freed memory.  */
+static void
+client_survives_lack_of_descriptors (void **state)
+{
+  struct fixture *fixture = *state;
+  static const char request[] = "GET /short HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (uint32_t i = 1; i <= 3; i++)
+    {
+      struct rlimit old = exhaust_descriptors ();
+      struct ncl_exchange *refused
+          = ncl_send (fixture->client, fixture->address, request,
+                      strlen (request), true, &client_events, fixture);
+      setrlimit (RLIMIT_NOFILE, &old);
+      assert_null (refused);
+      assert_int_equal (ncl_counts (fixture->client)->open, i - 1);
+      fixture->exchange
+          = ncl_send (fixture->client, fixture->address, request,
+                      strlen (request), true, &client_events, fixture);
+      assert_non_null (fixture->exchange);
+      assert_true (run_until (fixture, &fixture->completed, i));
+      uint32_t count = 0;
+      uv_walk (&fixture->loop, count_connection, &count);
+      assert_int_equal (count, 1 + 2 * i); /* the listener, and both ends */
+    }
+}
+
 int
 main (void)
 {
@@ -375,6 +429,8 @@
                                      create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (rejected_request_fails, create_fixture,
                                      destroy_fixture),
+    cmocka_unit_test_setup_teardown (client_survives_lack_of_descriptors,
+                                     create_fixture, destroy_fixture),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
