Pass on the headers of calls to services whole, whatever their length

A caller's Content-Type longer than 113 bytes reached the service cut off, and the service's Content-Type longer than 63 bytes reached the caller cut off: a long boundary of a multipart body no longer matched, and the body couldn't be parsed. Nothing was logged.

Cause: the header lines were put together in a buffer of 128 bytes, and the response's type was kept in one of 64. The X-Request-Id went through the same buffer; the ids that are made today are shorter.

The lines and the type of the response are now allocated.

connection_test, headers_arrive_whole, before: "case 4: the server received [113 of 114 bytes], the answer has Content-Type [63 of 64 bytes]". Now it passes in the release and the address build, as do the tests of callers, services and stand-in endpoints.

--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -55,8 +55,8 @@
 struct cal_service_answer
 {
   uint16_t status;
-  char content_type[64];
-  GString *body; /* to be freed by the server */
+  char *content_type; /* NULL: none; to be freed by the server */
+  GString *body;      /* to be freed by the server */
 };
 
 /* How a completion ended. */
--- a/src/caller/server.c
+++ b/src/caller/server.c
@@ -133,8 +133,8 @@
       g_snprintf (headers, sizeof headers, "X-Request-Id: %s\r\n",
                   terms->request_id);
       http_send (connection, response.status,
-                 response.content_type[0] != '\0' ? response.content_type
-                                                  : "application/json",
+                 response.content_type != NULL ? response.content_type
+                                               : "application/json",
                  headers, response.body->str, response.body->len);
     }
   if (failure.kind != ERR_NONE)
@@ -145,6 +145,7 @@
     {
       g_string_free (response.body, TRUE);
     }
+  g_free (response.content_type);
   return failure.kind;
 }
 
--- a/src/daemon/service_call.c
+++ b/src/daemon/service_call.c
@@ -159,14 +159,14 @@
   return result;
 }
 
-/* Moves the service's answer to ANSWER, which then owns the body.  */
+/* Moves the service's answer to ANSWER, which then owns the body and the
+   content type.  */
 static void
 move_answer (struct con_answer *from, struct cal_service_answer *answer)
 {
   answer->status = from->status;
   answer->body = g_steal_pointer (&from->body);
-  g_strlcpy (answer->content_type, from->content_type,
-             sizeof answer->content_type);
+  answer->content_type = g_steal_pointer (&from->content_type);
 }
 
 /* Runs an idempotent call: sends it to one endpoint after another, until one
@@ -242,8 +242,7 @@
       = claim->body != NULL ? g_bytes_get_data (claim->body, &bytes) : "";
   answer->status = (uint16_t)claim->status;
   answer->body = g_string_new_len (data, (gssize)bytes);
-  g_strlcpy (answer->content_type, "application/json",
-             sizeof answer->content_type);
+  answer->content_type = g_strdup ("application/json");
   return true;
 }
 
--- a/src/endpoint/connection.c
+++ b/src/endpoint/connection.c
@@ -125,28 +125,32 @@
     }
 }
 
+/* Appends a header to HEADERS.  Returns the new list.  */
+static struct curl_slist *
+append_header (struct curl_slist *headers, const char *name, const char *value)
+{
+  g_autofree char *line = g_strdup_printf ("%s: %s", name, value);
+  return curl_slist_append (headers, line);
+}
+
 /* Returns the headers of CALL, to be freed with curl_slist_free_all.  The
    empty `Expect' keeps libcurl from waiting for a response 100 before it sends
    the body.  */
 static struct curl_slist *
 make_headers (const struct con_call *call)
 {
-  char line[128];
   struct curl_slist *headers = curl_slist_append (NULL, "Expect:");
-  g_snprintf (line, sizeof line, "Content-Type: %s",
-              call->content_type != NULL ? call->content_type
-                                         : "application/json");
-  headers = curl_slist_append (headers, line);
+  headers = append_header (headers, "Content-Type",
+                           call->content_type != NULL ? call->content_type
+                                                      : "application/json");
   if (call->request_id != NULL)
     {
-      g_snprintf (line, sizeof line, "X-Request-Id: %s", call->request_id);
-      headers = curl_slist_append (headers, line);
+      headers = append_header (headers, "X-Request-Id", call->request_id);
     }
   if (call->bearer != NULL)
     {
-      g_autofree char *bearer
-          = g_strdup_printf ("Authorization: Bearer %s", call->bearer);
-      headers = curl_slist_append (headers, bearer);
+      g_autofree char *bearer = g_strconcat ("Bearer ", call->bearer, NULL);
+      headers = append_header (headers, "Authorization", bearer);
     }
   return headers;
 }
@@ -189,8 +193,7 @@
   curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (curl, CURLINFO_CONTENT_TYPE, &content_type);
   answer->status = (uint16_t)status;
-  g_strlcpy (answer->content_type, content_type != NULL ? content_type : "",
-             sizeof answer->content_type);
+  answer->content_type = g_strdup (content_type);
 }
 
 /* Returns whether any part of the request may have been sent.  A request size
@@ -239,7 +242,7 @@
   return result_to_error (result);
 }
 
-/* Frees the body of ANSWER; may be called again.  */
+/* Frees the body and the content type of ANSWER; may be called again.  */
 void
 con_answer_clear (struct con_answer *answer)
 {
@@ -248,4 +251,5 @@
       g_string_free (answer->body, TRUE);
       answer->body = NULL;
     }
+  g_clear_pointer (&answer->content_type, g_free);
 }
--- a/src/endpoint/connection.h
+++ b/src/endpoint/connection.h
@@ -29,11 +29,11 @@
 /* An HTTP response. */
 struct con_answer
 {
-  uint16_t status;       /* 0: none was received */
-  bool not_run;          /* with the header X-Not-Run: true */
-  bool maybe_sent;       /* part of the request may have been sent */
-  char content_type[64]; /* "": none */
-  GString *body;         /* freed by con_answer_clear */
+  uint16_t status;    /* 0: none was received */
+  bool not_run;       /* with the header X-Not-Run: true */
+  bool maybe_sent;    /* part of the request may have been sent */
+  char *content_type; /* NULL: none; freed by con_answer_clear */
+  GString *body;      /* freed by con_answer_clear */
 };
 
 struct con_pool *con_pool_create (const char *base_url);
