Wait between attempts to accept a peer when descriptors run out

A daemon of the engines' fleet that had used up its file descriptors used one core on top, without a log line, for as long as a peer was waiting to connect.

Cause: accept4 leaves the connection in the kernel's queue at EMFILE, ENFILE, ENOBUFS and ENOMEM, so the listening socket stays readable, and the main loop called the failing accept4 again and again.

--- a/src/peer/hub.c
+++ b/src/peer/hub.c
@@ -30,7 +30,8 @@
   uint32_t connections_max;
   int fd;
   uint16_t port;
-  GSource *accept_source;
+  GSource *accept_source; /* NULL: waits for the timer, see
+                             on_accept_ready */
   GSource *timer_source;
   struct peer_stats stats;
 };
@@ -110,6 +111,17 @@
   hub->callbacks.on_message (hub->user_data, &connection->peer, envelope);
 }
 
+static void
+unwatch_listener (struct peer_hub *hub)
+{
+  g_source_destroy (hub->accept_source);
+  g_source_unref (hub->accept_source);
+  hub->accept_source = NULL;
+}
+
+/* Accepts a connection.  For lack of descriptors or memory, the connection
+   stays in the kernel's queue and the socket readable; the hub then doesn't
+   watch the socket until the timer expires.  */
 static gboolean
 on_accept_ready (gint fd, GIOCondition condition, gpointer data)
 {
@@ -118,6 +130,13 @@
   const int accepted = accept4 (fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (accepted < 0)
     {
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS
+          || errno == ENOMEM)
+        {
+          lg_line (LOG_WARNING, "peer_accept_failed", "reason=\"%s\"",
+                   g_strerror (errno));
+          unwatch_listener (hub);
+        }
       return G_SOURCE_CONTINUE;
     }
   ensure_free_slot (hub);
@@ -157,10 +176,24 @@
     }
 }
 
+/* Makes the main loop call on_accept_ready when a peer connects.  */
+static void
+watch_listener (struct peer_hub *hub)
+{
+  hub->accept_source = g_unix_fd_source_new (hub->fd, G_IO_IN);
+  g_source_set_callback (hub->accept_source, G_SOURCE_FUNC (on_accept_ready),
+                         hub, NULL);
+  g_source_attach (hub->accept_source, hub->context);
+}
+
 static gboolean
 on_timer (gpointer data)
 {
   struct peer_hub *hub = data;
+  if (hub->accept_source == NULL)
+    {
+      watch_listener (hub);
+    }
   const int64_t now_us = clk_monotonic_us ();
   for (guint i = 0; i < hub->connections->len; i++)
     {
@@ -201,18 +234,15 @@
   return true;
 }
 
-/* Adds the sources of the listening socket and of the timer for heartbeats and
-   timeouts to the main loop.  */
+/* Adds the sources of the listening socket and of the timer for heartbeats,
+   timeouts and further attempts to accept to the main loop.  */
 static void
 attach_sources (struct peer_hub *hub)
 {
   const int64_t interval_us
       = MIN (hub->receive_timeout_us / CHECKS_PER_RECEIVE_TIMEOUT,
              hub->heartbeat_interval_us);
-  hub->accept_source = g_unix_fd_source_new (hub->fd, G_IO_IN);
-  g_source_set_callback (hub->accept_source, G_SOURCE_FUNC (on_accept_ready),
-                         hub, NULL);
-  g_source_attach (hub->accept_source, hub->context);
+  watch_listener (hub);
   hub->timer_source
       = g_timeout_source_new ((guint)MAX (interval_us / CLK_MS_US, 1));
   g_source_set_callback (hub->timer_source, on_timer, hub, NULL);
--- a/test/peer_test.c
+++ b/test/peer_test.c
@@ -5,10 +5,12 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -111,6 +113,13 @@
   return peer_hub_stats (node->hub).rejected > 0;
 }
 
+static bool
+has_accepted (const void *data)
+{
+  const struct node *node = data;
+  return peer_hub_stats (node->hub).accepted > 0;
+}
+
 static bool
 has_timed_out (const void *data)
 {
@@ -396,6 +405,55 @@
   peer_hub_destroy (b.hub);
 }
 
+/* Lowers the limit on open files so that none can be opened.  Returns the
+   limits to restore.  */
+static struct rlimit
+exhaust_descriptors (void)
+{
+  struct rlimit old;
+  assert_int_equal (getrlimit (RLIMIT_NOFILE, &old), 0);
+  const int next = fcntl (STDIN_FILENO, F_DUPFD, 0);
+  assert_true (next >= 0);
+  close (next);
+  const struct rlimit low
+      = { .rlim_cur = (rlim_t)next, .rlim_max = old.rlim_max };
+  assert_int_equal (setrlimit (RLIMIT_NOFILE, &low), 0);
+  return old;
+}
+
+/* A hub that can't accept for lack of descriptors sleeps between its attempts,
+   and accepts the waiting connection once there are some.  Guards against a
+   main loop that used a whole core meanwhile.  */
+static void
+lack_of_descriptors_does_not_spin (void **state)
+{
+  (void)state;
+  const struct peer_settings settings
+      = { .name = "entry-a",
+          .address = "127.0.0.1:0",
+          .secret = "secret",
+          .incarnation = 1,
+          .heartbeat_interval_us = 50 * CLK_MS_US };
+  struct node node;
+  start_with (&node, &settings);
+  const int fd = connect_to (&node);
+  const struct rlimit old = exhaust_descriptors ();
+  const int64_t end_us = clk_monotonic_us () + CLK_S_US;
+  uint32_t turns = 0;
+  while (clk_monotonic_us () < end_us)
+    {
+      g_main_context_iteration (NULL, TRUE);
+      turns++;
+    }
+  setrlimit (RLIMIT_NOFILE, &old);
+  assert_int_equal (peer_hub_stats (node.hub).accepted, 0);
+  /* A few in each of 20 intervals of the timer. */
+  assert_in_range (turns, 1, 200);
+  run_until (has_accepted, &node);
+  close (fd);
+  peer_hub_destroy (node.hub);
+}
+
 static void
 invalid_addresses_are_rejected (void **state)
 {
@@ -431,6 +489,7 @@
     cmocka_unit_test (the_number_of_connections_is_limited),
     cmocka_unit_test (unauthenticated_clients_do_not_evict_peers),
     cmocka_unit_test (large_messages_are_delivered),
+    cmocka_unit_test (lack_of_descriptors_does_not_spin),
     cmocka_unit_test (invalid_addresses_are_rejected),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
