Keep the event loop running when a server can't accept for lack of descriptors

A daemon that ran out of file descriptors could stop for good: one call of the event loop never returned, no timer ran, no open request was continued, and nothing was logged.

Cause: at EMFILE libuv gives up a descriptor that it keeps in reserve, accepts and closes the waiting connections, and opens the reserve again. When another thread takes the descriptor in between, the reserve is gone; libuv then repeats the failing accept without returning to the loop, and the server ignored the failures that it reported. ENOBUFS and ENOMEM do so without a reserve.

The server now logs the failure (caller_accept_failed), closes its listener, which ends the repetition, and listens on the same address again from the next nsv_expire, 200 ms later in an entry daemon (caller_listen_failed otherwise). With its reserve, libuv closes the connections of callers without telling the server; that stays without a line.

--- a/src/net/server.c
+++ b/src/net/server.c
@@ -51,7 +51,8 @@
 
 struct nsv_server
 {
-  uv_tcp_t listener;
+  uv_tcp_t *listener; /* NULL: closed for lack of descriptors or memory */
+  struct sockaddr_in address; /* of the listener */
   uv_loop_t *loop;
   struct nsv_limits limits;
   const struct nsv_events *events;
@@ -429,6 +430,39 @@
   parse (connection, buffer->base, (size_t)count);
 }
 
+static void
+on_listener_closed (uv_handle_t *handle)
+{
+  g_free (handle);
+}
+
+static void
+close_listener (struct nsv_server *server)
+{
+  if (server->listener != NULL)
+    {
+      uv_close ((uv_handle_t *)server->listener, on_listener_closed);
+      server->listener = NULL;
+    }
+}
+
+/* Handles a failure to accept.  For lack of descriptors or memory, closes the
+   listener until the next nsv_expire: libuv would repeat the attempt for ever,
+   without returning to the event loop.  */
+static void
+handle_accept_failure (struct nsv_server *server, int status)
+{
+  lg_line (LOG_WARNING, "caller_accept_failed",
+           "port=%u connections=%u reason=\"%s\"",
+           ntohs (server->address.sin_port), server->connections->len,
+           uv_strerror (status));
+  if (status == UV_EMFILE || status == UV_ENFILE || status == UV_ENOBUFS
+      || status == UV_ENOMEM)
+    {
+      close_listener (server);
+    }
+}
+
 /* Accepts a connection, and resets it when there are too many.  */
 static void
 on_connection (uv_stream_t *listener, int status)
@@ -436,6 +470,7 @@
   struct nsv_server *server = listener->data;
   if (status < 0)
     {
+      handle_accept_failure (server, status);
       return;
     }
   struct nsv_connection *connection = g_new0 (struct nsv_connection, 1);
@@ -465,6 +500,34 @@
   uv_read_start ((uv_stream_t *)&connection->tcp, on_alloc, on_read);
 }
 
+/* Listens on the address of SERVER, and sets it to the one that the socket was
+   bound to.  Returns 0, or the error of libuv.  */
+static int
+open_listener (struct nsv_server *server)
+{
+  int bytes = sizeof server->address;
+  server->listener = g_new0 (uv_tcp_t, 1);
+  server->listener->data = server;
+  uv_tcp_init (server->loop, server->listener);
+  int status = uv_tcp_bind (server->listener,
+                            (const struct sockaddr *)&server->address, 0);
+  if (status == 0)
+    {
+      status = uv_listen ((uv_stream_t *)server->listener, BACKLOG,
+                          on_connection);
+    }
+  if (status == 0)
+    {
+      status = uv_tcp_getsockname (
+          server->listener, (struct sockaddr *)&server->address, &bytes);
+    }
+  if (status != 0)
+    {
+      close_listener (server);
+    }
+  return status;
+}
+
 /* Creates a server that listens on ADDRESS, IP:PORT.  Returns NULL and sets
    ERROR to ERR_SETTINGS when it can't.  LOOP must run in the calling thread.
    EVENTS must outlive the server.  */
@@ -480,20 +543,8 @@
   server->context = context;
   server->connections = g_ptr_array_new ();
   server->read_buffer = g_malloc (READ_BYTES);
-  struct sockaddr_in parsed;
-  uv_tcp_init (loop, &server->listener);
-  server->listener.data = server;
-  int status = nad_parse (address, &parsed) ? 0 : UV_EINVAL;
-  if (status == 0)
-    {
-      status = uv_tcp_bind (&server->listener,
-                            (const struct sockaddr *)&parsed, 0);
-    }
-  if (status == 0)
-    {
-      status = uv_listen ((uv_stream_t *)&server->listener, BACKLOG,
-                          on_connection);
-    }
+  int status = nad_parse (address, &server->address) ? open_listener (server)
+                                                     : UV_EINVAL;
   if (status != 0)
     {
       g_set_error (error, ERR_DOMAIN, ERR_SETTINGS, "can't listen on %s: %s",
@@ -504,15 +555,6 @@
   return server;
 }
 
-static void
-on_listener_closed (uv_handle_t *handle)
-{
-  struct nsv_server *server = handle->data;
-  g_ptr_array_free (server->connections, TRUE);
-  g_free (server->read_buffer);
-  g_free (server);
-}
-
 /* Closes the connections of SERVER, which may be NULL, and frees it.  The loop
    must run once more.  */
 void
@@ -527,7 +569,10 @@
       close_connection (g_ptr_array_index (server->connections, 0), false,
                         true);
     }
-  uv_close ((uv_handle_t *)&server->listener, on_listener_closed);
+  close_listener (server);
+  g_ptr_array_free (server->connections, TRUE);
+  g_free (server->read_buffer);
+  g_free (server);
 }
 
 /* Returns the address that SERVER listens on, IP:PORT, with the port that the
@@ -535,12 +580,9 @@
 char *
 nsv_address (const struct nsv_server *server)
 {
-  struct sockaddr_in bound = { .sin_family = AF_INET };
-  int bytes = sizeof bound;
   char ip[INET_ADDRSTRLEN] = "";
-  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&bound, &bytes);
-  uv_ip4_name (&bound, ip, sizeof ip);
-  return g_strdup_printf ("%s:%u", ip, ntohs (bound.sin_port));
+  uv_ip4_name (&server->address, ip, sizeof ip);
+  return g_strdup_printf ("%s:%u", ip, ntohs (server->address.sin_port));
 }
 
 /* Replaces the limits of SERVER.  Open connections keep `user_timeout_ms'.  */
@@ -566,11 +608,28 @@
     }
 }
 
-/* Closes connections that have exceeded their time-outs.  NOW_US is monotonic
-   time.  To be called several times a second.  */
+/* Listens again after a lack of descriptors or memory.  */
+static void
+reopen_listener (struct nsv_server *server)
+{
+  int status = open_listener (server);
+  if (status != 0)
+    {
+      lg_line (LOG_WARNING, "caller_listen_failed", "port=%u reason=\"%s\"",
+               ntohs (server->address.sin_port), uv_strerror (status));
+    }
+}
+
+/* Closes connections that have exceeded their time-outs, and listens again if
+   the server had to stop that.  NOW_US is monotonic time.  To be called
+   several times a second.  */
 void
 nsv_expire (struct nsv_server *server, int64_t now_us)
 {
+  if (server->listener == NULL)
+    {
+      reopen_listener (server);
+    }
   for (guint i = server->connections->len; i-- > 0;)
     {
       struct nsv_connection *connection
--- a/test/net_test.c
+++ b/test/net_test.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define TIMEOUT_US (10 * CLK_S_US)
@@ -417,6 +418,73 @@
     }
 }
 
+/* Whether libuv still holds the descriptor that it reserves for connections
+   that it can't accept.  It loses that when another thread opens a file at the
+   wrong moment. */
+struct accept_case
+{
+  const char *name;
+  bool reserve;
+};
+
+/* A server without descriptors closes the connections of its callers, keeps
+   its event loop running, and serves callers once there are some.  Guards
+   against an event loop that never returned from accepting.  */
+static void
+server_survives_lack_of_descriptors (void **state)
+{
+  struct fixture *fixture = *state;
+  static const char request[] = "GET /short HTTP/1.1\r\nHost: a\r\n\r\n";
+  static const struct accept_case cases[] = {
+    { "with the reserve", true },
+    { "without the reserve", false },
+    { "with the reserve again", true },
+  };
+  for (uint32_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct sockaddr_in address;
+      const char *port = strchr (fixture->address, ':') + 1;
+      uv_ip4_addr ("127.0.0.1", atoi (port), &address);
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      assert_int_equal (
+          connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+      struct rlimit old = exhaust_descriptors ();
+      int taken = -1;
+      if (!cases[i].reserve)
+        {
+          close (fixture->loop.emfile_fd);
+          fixture->loop.emfile_fd = -1;
+          taken = dup (STDIN_FILENO);
+        }
+      alarm (TIMEOUT_US / CLK_S_US); /* ends the test when the loop is stuck */
+      int64_t end_us = clk_monotonic_us () + CLK_S_US / 10;
+      while (clk_monotonic_us () < end_us)
+        {
+          uv_run (&fixture->loop, UV_RUN_NOWAIT);
+        }
+      alarm (0);
+      setrlimit (RLIMIT_NOFILE, &old);
+      char byte;
+      if (recv (fd, &byte, 1, MSG_DONTWAIT) == 1
+          || nsv_connection_count (fixture->server) != 0)
+        {
+          fail_msg ("%s: the connection was accepted", cases[i].name);
+        }
+      close (fd);
+      close (taken);
+      nsv_expire (fixture->server, clk_monotonic_us ());
+      fixture->exchange
+          = ncl_send (fixture->client, fixture->address, request,
+                      strlen (request), true, &client_events, fixture);
+      assert_true (run_until (fixture, &fixture->completed, i + 1));
+      ncl_close_idle (fixture->client, fixture->address);
+      while (nsv_connection_count (fixture->server) > 0)
+        {
+          uv_run (&fixture->loop, UV_RUN_ONCE);
+        }
+    }
+}
+
 int
 main (void)
 {
@@ -429,6 +497,8 @@
                                      create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (rejected_request_fails, create_fixture,
                                      destroy_fixture),
+    cmocka_unit_test_setup_teardown (server_survives_lack_of_descriptors,
+                                     create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (client_survives_lack_of_descriptors,
                                      create_fixture, destroy_fixture),
   };
