Let every configuration fit into a frame, and send no message that doesn't

Daemons with a configuration within 30 bytes of the allowed 4 MiB could never pass it on to a peer: the peer closed the connection (oversized_frame), heard of the newer version with the next gossip, asked for it again, and so on, with the whole text sent and every other message on the connection lost each time.

Cause: a frame was limited to the 4 MiB of the text alone, without the fields around it, and the sender checked no limit.

The limit of a frame is now 4 MiB and 64 KiB, and a static assertion ties it to the limit of a configuration. The hub checks the length before it sends; it logs each message that it drops (peer_message_dropped: too_long, queue_full, not_dialled), which it only counted before.

peer_test, message_sizes_do_not_close_the_connection, before: "4194303 bytes: 0 messages received, 1 connections rejected, 0 messages dropped". After: passes, like frame_test and shared_peer_test, in the release and the address build.

--- a/src/daemon/control_peers.c
+++ b/src/daemon/control_peers.c
@@ -2,12 +2,19 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "config/parse.h"
+#include "peer/frame.h"
 
 #include <string.h>
 
 /* Time after the last successful read until the log counts as unreachable. */
 #define LOG_UNREACHABLE_AFTER_US (3 * CLK_S_US)
 
+/* A daemon sends its configuration in one frame.  A longer frame closes the
+   connection, and the peer would ask for the configuration again. */
+_Static_assert(CFG_TEXT_BYTES_MAX < FRM_BYTES_MAX,
+               "each configuration must fit into a frame");
+
 static void
 send_envelope (struct ctl_control *control, const char *address,
                const Peer__Envelope *envelope)
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -10,7 +10,9 @@
 #include <stdint.h>
 
 #define FRM_HEADER_BYTES 4
-#define FRM_BYTES_MAX (UINT32_C (4) << 20)  /* after the handshake */
+/* Largest envelope after the handshake: the largest text of a configuration,
+   and 64 KiB for the fields around it. */
+#define FRM_BYTES_MAX ((UINT32_C (4) << 20) + (UINT32_C (64) << 10))
 #define FRM_HELLO_BYTES_MAX UINT32_C (4096) /* during the handshake */
 
 enum frm_status
--- a/src/peer/hub.c
+++ b/src/peer/hub.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "peer/address.h"
 #include "peer/connection.h"
+#include "peer/frame.h"
 
 #include <errno.h>
 #include <glib-unix.h>
@@ -354,14 +355,29 @@
   return found;
 }
 
+/* Counts and logs a message that isn't sent.  */
+static void
+drop_message (struct peer_hub *hub, const char *address, const char *reason)
+{
+  hub->stats.dropped += 1;
+  lg_line (LOG_WARNING, "peer_message_dropped", "peer=%s reason=%s", address,
+           reason);
+}
+
 /* Sends ENVELOPE to the daemon at ADDRESS, IP:PORT; dials if there is no
-   connection.  Delivery isn't confirmed.  The message is dropped if more than
-   PEER_QUEUE_BYTES_MAX bytes are already queued for the connection or if the
-   address can't be dialled.  */
+   connection.  Delivery isn't confirmed.  The message is dropped if it is
+   longer than FRM_BYTES_MAX, for which the peer would close the connection, if
+   more than PEER_QUEUE_BYTES_MAX bytes are already queued for the connection,
+   or if the address can't be dialled.  */
 void
 peer_hub_send (struct peer_hub *hub, const char *address,
                const Peer__Envelope *envelope)
 {
+  if (peer__envelope__get_packed_size (envelope) > FRM_BYTES_MAX)
+    {
+      drop_message (hub, address, "too_long");
+      return;
+    }
   struct pcn_connection *connection = find_connection (hub, address);
   if (connection == NULL)
     {
@@ -369,7 +385,7 @@
       connection = pcn_dial (&hub->params, address);
       if (connection == NULL)
         {
-          hub->stats.dropped += 1;
+          drop_message (hub, address, "not_dialled");
           return;
         }
       hub->stats.dialled += 1;
@@ -377,7 +393,7 @@
     }
   if (pcn_queued_bytes (connection) > PEER_QUEUE_BYTES_MAX)
     {
-      hub->stats.dropped += 1;
+      drop_message (hub, address, "queue_full");
       return;
     }
   pcn_send (connection, envelope);
--- a/test/peer_test.c
+++ b/test/peer_test.c
@@ -1,11 +1,14 @@
 /* Tests of peer/hub: hubs on one main loop that connect to each other over
    loopback, and plain sockets that send invalid data to a hub.  */
 #include "base/clock.h"
+#include "config/parse.h"
+#include "peer/frame.h"
 #include "peer/hub.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <inttypes.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -405,6 +408,63 @@
   peer_hub_destroy (b.hub);
 }
 
+/* A configuration that is sent to a peer. */
+struct size_case
+{
+  uint32_t yaml_bytes;
+  bool sent;
+};
+
+/* The largest configuration reaches the peer, and a message that is too long
+   for a frame is dropped; the connection stays open in any case.  Guards
+   against a connection that was closed, and dialled again, for each message
+   that the peer had to reject.  */
+static void
+message_sizes_do_not_close_the_connection (void **state)
+{
+  (void)state;
+  static const struct size_case cases[] = {
+    { CFG_TEXT_BYTES_MAX - 1, true },
+    { CFG_TEXT_BYTES_MAX, true },
+    { FRM_BYTES_MAX, false },
+    { 2 * FRM_BYTES_MAX, false },
+  };
+  for (size_t i = 0; i < LENGTH (cases); i++)
+    {
+      struct node a;
+      struct node b;
+      start (&a, "entry-a", "secret");
+      start (&b, "entry-b", "secret");
+      Peer__ConfigReply reply = PEER__CONFIG_REPLY__INIT;
+      reply.version = UINT64_MAX;
+      reply.yaml.len = cases[i].yaml_bytes;
+      reply.yaml.data = g_malloc0 (reply.yaml.len);
+      Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+      envelope.body_case = PEER__ENVELOPE__BODY_CONFIG_REPLY;
+      envelope.config_reply = &reply;
+      peer_hub_send (a.hub, peer_hub_address (b.hub), &envelope);
+      send_version (&a, peer_hub_address (b.hub), 1);
+      g_free (reply.yaml.data);
+      const int64_t end_us = clk_monotonic_us () + CLK_S_US;
+      while (b.last_version != 1 && clk_monotonic_us () < end_us)
+        {
+          g_main_context_iteration (NULL, FALSE);
+        }
+      const struct peer_stats sent = peer_hub_stats (a.hub);
+      const struct peer_stats received = peer_hub_stats (b.hub);
+      if (b.messages != (cases[i].sent ? 2 : 1) || received.rejected != 0
+          || sent.dropped != !cases[i].sent)
+        {
+          fail_msg ("%u bytes: %u messages received, %" PRIu64
+                    " connections rejected, %" PRIu64 " messages dropped",
+                    cases[i].yaml_bytes, b.messages, received.rejected,
+                    sent.dropped);
+        }
+      peer_hub_destroy (a.hub);
+      peer_hub_destroy (b.hub);
+    }
+}
+
 /* Lowers the limit on open files so that none can be opened.  Returns the
    limits to restore.  */
 static struct rlimit
@@ -489,6 +549,7 @@
     cmocka_unit_test (the_number_of_connections_is_limited),
     cmocka_unit_test (unauthenticated_clients_do_not_evict_peers),
     cmocka_unit_test (large_messages_are_delivered),
+    cmocka_unit_test (message_sizes_do_not_close_the_connection),
     cmocka_unit_test (lack_of_descriptors_does_not_spin),
     cmocka_unit_test (invalid_addresses_are_rejected),
   };
