Shrink the retry budgets when the streams that they were for have ended

A daemon that once had many streams open, when a single retry was taken, could hours later, with no stream open, send that many retries at once: the storm that the budget is there to prevent.

Cause: the depth of the budgets of accounts and of endpoints followed the open streams upwards only, and the bucket filled up to it meanwhile.

The depth now follows the streams both ways. It goes down no faster than the bucket refills, so that depths that go up and down grant no more than the refill does, and the second round of retries after a fault is kept. The budget of the entry daemons (core/retry_budget) counts in a sliding window and isn't concerned.

admission_test, retry_budget_shrinks_with_the_streams, before: "0 of 390 streams left after 3600 s: 1186 retries allowed, not 16"; bucket_shrinks_as_it_refills: "step 3: level 25 of 30". After: all tests of admission_test pass in the release and the address build, two_faults_allow_a_retry_of_every_stream unchanged.

--- a/src/core/account_limit.c
+++ b/src/core/account_limit.c
@@ -234,8 +234,8 @@
 acc_take_retry (struct acc_account *account, int64_t now_us)
 {
   /* A single fault may affect every open stream. */
-  bkt_grow_depth (&account->retries,
-                  RETRY_BURST + RETRIES_PER_STREAM * account->streams, now_us);
+  bkt_set_depth (&account->retries,
+                 RETRY_BURST + RETRIES_PER_STREAM * account->streams, now_us);
   if (bkt_level (&account->retries, now_us) < 1.0)
     {
       return false;
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -489,7 +489,7 @@
                            bucket);
     }
   /* All running streams may pass through one endpoint. */
-  bkt_grow_depth (bucket, ENDPOINT_RETRY_DEPTH + adm->streams, now_us);
+  bkt_set_depth (bucket, ENDPOINT_RETRY_DEPTH + adm->streams, now_us);
   return bucket;
 }
 
--- a/src/core/bucket.c
+++ b/src/core/bucket.c
@@ -18,6 +18,7 @@
     .rate_per_s = rate_per_s,
     .depth = depth,
     .refilled_at_us = now_us,
+    .depth_set_at_us = now_us,
   };
 }
 
@@ -33,17 +34,27 @@
   bucket->level = MIN (level, depth);
 }
 
-/* Raises the bucket's depth to DEPTH and its level by the difference.  Does
-   nothing when the bucket is as deep already.  */
+/* Raises the bucket's depth to DEPTH, and its level by the difference, or
+   lowers it towards DEPTH, no faster than the bucket refills.  A depth that
+   goes up and down thus grants no more tokens than the refill does.  */
 void
-bkt_grow_depth (struct bkt_bucket *bucket, double depth, int64_t now_us)
+bkt_set_depth (struct bkt_bucket *bucket, double depth, int64_t now_us)
 {
+  double level = bkt_level (bucket, now_us);
+  int64_t elapsed_us = MAX (now_us - bucket->depth_set_at_us, 0);
   if (depth > bucket->depth)
     {
-      double level = bkt_level (bucket, now_us);
       bucket->level = level + depth - bucket->depth;
       bucket->depth = depth;
     }
+  else
+    {
+      double lowest
+          = bucket->depth - bucket->rate_per_s * (double)elapsed_us / CLK_S_US;
+      bucket->depth = MAX (depth, lowest);
+      bucket->level = MIN (level, bucket->depth);
+    }
+  bucket->depth_set_at_us += elapsed_us;
 }
 
 /* Refills the bucket up to NOW_US and returns its level in tokens, negative
--- a/test/admission_test.c
+++ b/test/admission_test.c
@@ -1,10 +1,12 @@
 #include "core/admission.h"
 
 #include "base/clock.h"
+#include "core/bucket.h"
 #include "core/concurrency.h"
 #include "core/fair.h"
 
 #include <glib.h>
+#include <inttypes.h>
 #include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -439,6 +441,113 @@
   cfg_config_destroy (config);
 }
 
+/* Retries that an account without requests may take a while after a fault. */
+struct retry_case
+{
+  int64_t wait_s;        /* from the fault, at which most streams end */
+  uint32_t streams_left; /* of the account */
+  uint32_t retries;      /* allowed at once */
+};
+
+/* The retry budget of an account covers the streams that are open now, not
+   those that once were.  Guards against a single busy moment that allowed a
+   storm of retries hours later.  */
+static void
+retry_budget_shrinks_with_the_streams (void **state)
+{
+  (void)state;
+  static const struct retry_case cases[] = {
+    { 3600, 0, 16 },
+    { 3600, 1, 19 },
+    { 3600, 10, 46 },
+    { 86400, 0, 16 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct cfg_config *config = build_config (PLENTY, PLENTY, PLENTY, 1000);
+      struct adm *adm = start (config, 1, 10000.0);
+      const uint32_t streams = fill_streams (adm);
+      const int64_t later_us = NOW_US + cases[i].wait_s * CLK_S_US;
+      uint32_t retries = 0;
+      assert_true (adm_retry_allowed (adm, 0, 0, NOW_US));
+      for (uint32_t j = cases[i].streams_left; j < streams; j++)
+        {
+          adm_finish (adm, 1000000 + j, 10, NOW_US);
+        }
+      for (uint32_t j = 0; j < 10000; j++)
+        {
+          retries += adm_retry_allowed (adm, 0, 1 + j % 100, later_us);
+        }
+      if (retries != cases[i].retries)
+        {
+          fail_msg ("%u of %u streams left after %" PRId64
+                    " s: %u retries allowed, not %u",
+                    cases[i].streams_left, streams, cases[i].wait_s, retries,
+                    cases[i].retries);
+        }
+      adm_destroy (adm);
+      cfg_config_destroy (config);
+    }
+}
+
+/* A change of a bucket's depth, and what is in the bucket then. */
+struct depth_step
+{
+  int64_t at_s;
+  double depth;
+  double taken; /* after the change */
+  double level; /* expected after that */
+  double depth_now;
+};
+
+/* A bucket of one token a second grows at once, with its level, and shrinks by
+   one token a second.  */
+static void
+bucket_shrinks_as_it_refills (void **state)
+{
+  (void)state;
+  static const struct depth_step steps[] = {
+    { 0, 10, 0, 10, 10 },    { 0, 30, 5, 25, 30 },   { 0, 10, 0, 25, 30 },
+    { 5, 10, 0, 25, 25 },    { 6, 10, 20, 4, 24 },   { 10, 10, 0, 8, 20 },
+    { 12, 25, 0, 15, 25 },   { 13, 25, 0, 16, 25 },  { 11, 10, 0, 16, 25 },
+    { 100, 10, 15, -5, 10 }, { 100, 12, 0, -3, 12 }, { 200, 10, 0, 10, 10 },
+  };
+  struct bkt_bucket bucket;
+  bkt_init (&bucket, 1.0, 10.0, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      bkt_set_depth (&bucket, steps[i].depth, steps[i].at_s * CLK_S_US);
+      bkt_take (&bucket, steps[i].taken);
+      if (fabs (bucket.level - steps[i].level) > 1e-6
+          || fabs (bucket.depth - steps[i].depth_now) > 1e-6)
+        {
+          fail_msg ("step %zu: level %g of %g", i, bucket.level, bucket.depth);
+        }
+    }
+}
+
+/* A depth that goes up and down grants no more tokens than the refill.  */
+static void
+changes_of_depth_grant_no_more_than_the_refill (void **state)
+{
+  (void)state;
+  struct bkt_bucket bucket;
+  const double depths[] = { 10.0, 100.0, 55.0 };
+  uint32_t taken = 0;
+  bkt_init (&bucket, 1.0, 10.0, 0);
+  for (int64_t at_ms = 0; at_ms < 1000000; at_ms += 10)
+    {
+      const int64_t now_us = at_ms * CLK_MS_US;
+      bkt_set_depth (&bucket, depths[at_ms / 10 % 3], now_us);
+      while (bkt_level (&bucket, now_us) >= 1.0)
+        {
+          bkt_take (&bucket, 1.0);
+          taken++;
+        }
+    }
+  assert_in_range (taken, 1000, 100 + 2 * 1000);
+}
+
 /* Flows are served in proportion to their weights, and the items of a flow by
    priority, then in order of arrival.  */
 static void
@@ -874,6 +983,9 @@
     cmocka_unit_test (finish_and_cancel_release_the_limits),
     cmocka_unit_test (retries_and_hedges_stay_within_budgets),
     cmocka_unit_test (two_faults_allow_a_retry_of_every_stream),
+    cmocka_unit_test (retry_budget_shrinks_with_the_streams),
+    cmocka_unit_test (bucket_shrinks_as_it_refills),
+    cmocka_unit_test (changes_of_depth_grant_no_more_than_the_refill),
     cmocka_unit_test (fair_queue_serves_by_weight_and_priority),
     cmocka_unit_test (stream_limit_follows_real_capacity),
     cmocka_unit_test (stream_length_estimate_follows_observations),
