Count requests in the next bucket when a stepped clock has used up sequences

After the clock of a daemon went back, error budgets could miss requests, and a shift was undefined: by 64 places in a word of 64 bits.

Cause: a daemon goes on counting in its newest bucket while the clock is behind it. When that bucket's 64 records had been closed and the clock went back over its end, the next record got sequence 64, which readers reject as malformed.

Counting now goes on in the next bucket, whose records have sequences of their own.

burn_outbox_test, counts_survive_clock_steps, before: "back without a sequence left: 128 requests, 64 read, a record rejected", in the address build "burn.c:325:31: runtime error: shift exponent 64 is too large for 64-bit type". After: burn_test, burn_outbox_test and burn_report_test pass in both builds.

--- a/src/core/burn_observe.c
+++ b/src/core/burn_observe.c
@@ -40,17 +40,20 @@
 
 /* Ensures that a record of the bucket of NOW_US is open; one of an earlier
    bucket is closed first.  When the clock goes backwards, counting continues
-   in the newest bucket.  */
+   in the newest bucket, and in the next one once that has BRN_SEQUENCES_MAX
+   records.  */
 static void
 ensure_open_record (struct brn_state *state, int64_t now_us)
 {
   uint32_t bucket = (uint32_t)(now_us / (BRN_BUCKET_S * SECOND_US));
-  if (bucket > state->open_bucket)
+  bool exhausted
+      = state->open == NULL && state->next_sequence >= BRN_SEQUENCES_MAX;
+  if (bucket > state->open_bucket || exhausted)
     {
       brn_close_record (state);
-      state->open_bucket = bucket;
+      state->open_bucket = MAX (bucket, state->open_bucket + 1);
       state->next_sequence = 0;
-      brn_advance_day (state, bucket);
+      brn_advance_day (state, state->open_bucket);
     }
   if (state->open == NULL)
     {
--- a/test/burn_outbox_test.c
+++ b/test/burn_outbox_test.c
@@ -241,11 +241,85 @@
     }
 }
 
+/* A clock that goes back after records were flushed. */
+struct clock_case
+{
+  const char *name;
+  uint32_t flushes;   /* before and after, with one request each */
+  int64_t last_us;    /* when the clock goes back, after START_US */
+  int64_t stepped_us; /* where to, after START_US */
+};
+
+/* Flushes the records of WRITER to READER.  Returns false when one isn't valid
+   or was merged before.  */
+static bool
+flush_to_reader (struct brn_state *writer, struct brn_state *reader,
+                 int64_t now_us)
+{
+  GPtrArray *flushed = bfx_flush_records (writer, now_us);
+  bool merged = true;
+  for (guint i = 0; i < flushed->len && merged; i++)
+    {
+      const struct brn_record *record = g_ptr_array_index (flushed, i);
+      merged = record != NULL && brn_merge (reader, record) == BRN_MERGED;
+    }
+  g_ptr_array_free (flushed, TRUE);
+  return merged;
+}
+
+/* Each request is counted once, whatever the clock does.  Guards against a
+   record whose sequence was out of range, which no reader accepted.  */
+static void
+counts_survive_clock_steps (void **state)
+{
+  (void)state;
+  static const struct clock_case cases[] = {
+    { "steady", 10, BUCKET_US, BUCKET_US },
+    { "back over the end of a bucket", 10, BUCKET_US, BUCKET_US - 1 },
+    { "back with one sequence left", 63, BUCKET_US - 1, 0 },
+    { "back without a sequence left", 64, BUCKET_US, BUCKET_US - 1 },
+    { "back by hours without a sequence left", 70, BUCKET_US, -3 * HOUR_US },
+    { "sequences of several buckets", 200, BUCKET_US, -DAY_US },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct clock_case *c = &cases[i];
+      struct brn_state *writer = bfx_create (1);
+      struct brn_state *reader = bfx_create (2);
+      const uint32_t requests = 2 * c->flushes;
+      bool merged = true;
+      for (uint32_t j = 0; j < requests; j++)
+        {
+          int64_t now_us = START_US + (j < c->flushes ? 0 : c->stepped_us);
+          bfx_observe (writer, bfx_draft_outcome (0, ERR_NONE), now_us, 1);
+          merged &= flush_to_reader (writer, reader, now_us);
+          if (j + 1 == c->flushes)
+            {
+              merged
+                  &= flush_to_reader (writer, reader, START_US + c->last_us);
+            }
+        }
+      int64_t end_us = START_US + HOUR_US;
+      merged &= flush_to_reader (writer, reader, end_us);
+      struct brn_report_line line = bfx_find_line (reader, "trust", BRN_DRAFT,
+                                                   BRN_AVAILABILITY, end_us);
+      if (!merged || line.total != requests)
+        {
+          fail_msg ("%s: %u requests, %u read, %s", c->name, requests,
+                    (unsigned)line.total,
+                    merged ? "all records merged" : "a record rejected");
+        }
+      brn_destroy (writer);
+      brn_destroy (reader);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (counts_survive_log_faults),
+    cmocka_unit_test (counts_survive_clock_steps),
     cmocka_unit_test (one_append_at_a_time),
     cmocka_unit_test (a_pending_append_keeps_its_record),
     cmocka_unit_test (retries_back_off),
