--- a/src/net/client.c
+++ b/src/net/client.c
@@ -1,7 +1,9 @@
 #include "net/client.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "net/address.h"
+#include "net/stream.h"
 
 #include <netinet/tcp.h>
 #include <string.h>
@@ -338,7 +340,8 @@
 }
 
 /* Sends COUNT bytes on CONNECTION; queues what the socket doesn't accept at
-   once.  */
+   once.  When that fails, the next read fails the exchange, since `failed'
+   must not be called before ncl_send returns.  */
 static void
 write_bytes (struct ncl_exchange *connection, const uint8_t *bytes,
              size_t count)
@@ -354,7 +357,16 @@
   uv_write_t *request = g_new0 (uv_write_t, 1);
   request->data = g_memdup2 (bytes + done, count - done);
   uv_buf_t rest = uv_buf_init (request->data, (unsigned)(count - done));
-  uv_write (request, stream, &rest, 1, on_written);
+  int status = uv_write (request, stream, &rest, 1, on_written);
+  if (status != 0)
+    {
+      lg_line (LOG_WARNING, "endpoint_write_failed",
+               "address=%s bytes=%zu reason=\"%s\"", connection->address,
+               count - done, uv_strerror (status));
+      g_free (request->data);
+      g_free (request);
+      nst_end_reading (&connection->tcp);
+    }
 }
 
 static void
@@ -393,6 +405,13 @@
     }
 }
 
+static void
+log_connect_failure (const char *address, int status)
+{
+  lg_line (LOG_WARNING, "endpoint_connect_failed", "address=%s reason=\"%s\"",
+           address, uv_strerror (status));
+}
+
 /* Begins to connect to ADDRESS.  Returns the new connection, or NULL when the
    address is not valid or connecting fails at once.  */
 static struct ncl_exchange *
@@ -404,10 +423,18 @@
       return NULL;
     }
   struct ncl_exchange *connection = g_new0 (struct ncl_exchange, 1);
+  int status = uv_tcp_init_ex (client->loop, &connection->tcp, AF_INET);
+  if (status != 0)
+    {
+      /* Without a socket, the loop doesn't know the handle: closing it would
+         break the loop's list of handles.  */
+      log_connect_failure (address, status);
+      g_free (connection);
+      return NULL;
+    }
   connection->client = client;
   connection->address = g_strdup (address);
   msg_init (&connection->response);
-  uv_tcp_init_ex (client->loop, &connection->tcp, AF_INET);
   connection->tcp.data = connection;
   connection->connect.data = connection;
   connection->connect_by_us
@@ -416,10 +443,11 @@
   g_ptr_array_add (client->connections, connection);
   client->counts.connections++;
   client->counts.open++;
-  int status = uv_tcp_connect (&connection->connect, &connection->tcp,
-                               (const struct sockaddr *)&parsed, on_connected);
+  status = uv_tcp_connect (&connection->connect, &connection->tcp,
+                           (const struct sockaddr *)&parsed, on_connected);
   if (status != 0)
     {
+      log_connect_failure (address, status);
       close_connection (connection);
       return NULL;
     }
--- a/test/net_test.c
+++ b/test/net_test.c
@@ -8,8 +8,12 @@
 #include <stddef.h>
 
 #include <cmocka.h>
+#include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define TIMEOUT_US (10 * CLK_S_US)
 #define CHUNK_BYTES 65536
@@ -24,11 +28,14 @@
   char *address;
   struct nsv_connection *connection; /* of the newest request */
   uint32_t drained;                  /* calls */
+  uint32_t disconnected;             /* calls */
   struct ncl_client *client;
   struct ncl_exchange *exchange;
-  uint32_t completed; /* exchanges */
-  bool pauses;        /* the client pauses the next answer */
-  uv_tcp_t caller;    /* a caller that reads when it is told to */
+  uint32_t completed;       /* exchanges */
+  uint32_t failed;          /* exchanges */
+  enum ncl_failure failure; /* of the last one that failed */
+  bool pauses;              /* the client pauses the next answer */
+  uv_tcp_t caller;          /* a caller that reads when it is told to */
   uv_connect_t connecting;
   char read_buffer[READ_BYTES];
 };
@@ -52,7 +59,8 @@
 static void
 on_disconnected (void *context)
 {
-  (void)context;
+  struct fixture *fixture = context;
+  fixture->disconnected++;
 }
 
 static void
@@ -99,8 +107,9 @@
 static void
 on_failed (void *context, enum ncl_failure failure)
 {
-  (void)context;
-  fail_msg ("exchange failed: %d", failure);
+  struct fixture *fixture = context;
+  fixture->failed++;
+  fixture->failure = failure;
 }
 
 static const struct ncl_events client_events = {
@@ -117,7 +126,7 @@
     .idle_max_us = 8 * CLK_S_US,
     .connect_timeout_us = CLK_S_US,
     .user_timeout_ms = 1000,
-    .idle_connections_max = 2,
+    .idle_connections_max = 4,
   };
   struct fixture *fixture = g_new0 (struct fixture, 1);
   fixture->limits = (struct nsv_limits){
@@ -209,13 +218,11 @@
                     sizeof request - 1);
 }
 
-/* A caller that is slow stays so until it has read everything, whatever is
-   sent or configured meanwhile; then `drained' is called.  Guards against an
-   answer whose reading was paused for good.  */
+/* Connects the caller of FIXTURE, which sends a request to /long, and returns
+   when the server has begun to respond.  */
 static void
-slow_caller_drains (void **state)
+begin_long_response (struct fixture *fixture)
 {
-  struct fixture *fixture = *state;
   struct sockaddr_in address;
   const char *port = strchr (fixture->address, ':') + 1;
   uv_ip4_addr ("127.0.0.1", atoi (port), &address);
@@ -229,6 +236,16 @@
       uv_run (&fixture->loop, UV_RUN_NOWAIT);
     }
   assert_non_null (fixture->connection);
+}
+
+/* A caller that is slow stays so until it has read everything, whatever is
+   sent or configured meanwhile; then `drained' is called.  Guards against an
+   answer whose reading was paused for good.  */
+static void
+slow_caller_drains (void **state)
+{
+  struct fixture *fixture = *state;
+  begin_long_response (fixture);
   char *chunk = g_strnfill (CHUNK_BYTES, 'x');
   while (!nsv_is_slow (fixture->connection))
     {
@@ -245,6 +262,229 @@
   uv_close ((uv_handle_t *)&fixture->caller, NULL);
 }
 
+static void
+on_shut_down (uv_shutdown_t *shutdown, int status)
+{
+  (void)status;
+  g_free (shutdown);
+}
+
+/* Makes a connection of the server or of the client unusable for further
+   writes; libuv rejects them at once.  */
+static void
+disable_writing (uv_handle_t *handle, void *context)
+{
+  struct fixture *fixture = context;
+  if (handle->type == UV_TCP && handle != (uv_handle_t *)&fixture->caller
+      && uv_is_writable ((uv_stream_t *)handle))
+    {
+      uv_shutdown (g_new0 (uv_shutdown_t, 1), (uv_stream_t *)handle,
+                   on_shut_down);
+    }
+}
+
+static void
+send_body (struct nsv_connection *connection)
+{
+  nsv_send_body (connection, "body", 4);
+}
+
+static void
+send_body_twice (struct nsv_connection *connection)
+{
+  nsv_send_body (connection, "body", 4);
+  nsv_send_body (connection, "body", 4);
+}
+
+/* How the owner uses a connection that accepts no writes. */
+struct unwritable_case
+{
+  const char *name;
+  void (*write) (struct nsv_connection *connection);
+  uint32_t disconnected; /* calls expected */
+  uint32_t requests;     /* without a complete response afterwards */
+};
+
+/* The owner of a response is told when its bytes can't be queued, though the
+   caller keeps the connection open.  Guards against a response that is lost
+   without an event, and whose buffers are leaked.  */
+static void
+rejected_write_disconnects (void **state)
+{
+  struct fixture *fixture = *state;
+  static const struct unwritable_case cases[] = {
+    { "part of the body", send_body, 1, 0 },
+    { "two parts of the body", send_body_twice, 1, 0 },
+    { "end of the body", nsv_end_response, 0, 0 },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      uint32_t open = nsv_connection_count (fixture->server);
+      fixture->connection = NULL;
+      fixture->disconnected = 0;
+      begin_long_response (fixture);
+      uv_walk (&fixture->loop, disable_writing, fixture);
+      cases[i].write (fixture->connection);
+      int64_t end_us = clk_monotonic_us () + CLK_S_US;
+      while (nsv_connection_count (fixture->server) > open
+             && clk_monotonic_us () < end_us)
+        {
+          uv_run (&fixture->loop, UV_RUN_NOWAIT);
+        }
+      uint32_t left = nsv_connection_count (fixture->server) - open;
+      if (left != 0 || fixture->disconnected != cases[i].disconnected
+          || nsv_request_count (fixture->server) != cases[i].requests)
+        {
+          fail_msg ("%s: %u connections left, disconnected called %u times, "
+                    "%u requests open",
+                    cases[i].name, left, fixture->disconnected,
+                    nsv_request_count (fixture->server));
+        }
+      uv_close ((uv_handle_t *)&fixture->caller, NULL);
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+    }
+}
+
+/* An exchange fails when its request can't be queued on a kept connection.
+   Guards against a request that is lost, and whose buffers are leaked.  */
+static void
+rejected_request_fails (void **state)
+{
+  struct fixture *fixture = *state;
+  static const char request[] = "GET /short HTTP/1.1\r\nHost: a\r\n\r\n";
+  fixture->exchange
+      = ncl_send (fixture->client, fixture->address, request, strlen (request),
+                  false, &client_events, fixture);
+  assert_true (run_until (fixture, &fixture->completed, 1));
+  uv_walk (&fixture->loop, disable_writing, fixture);
+  fixture->exchange
+      = ncl_send (fixture->client, fixture->address, request, strlen (request),
+                  false, &client_events, fixture);
+  assert_non_null (fixture->exchange);
+  assert_int_equal (fixture->failed, 0);
+  assert_true (run_until (fixture, &fixture->failed, 1));
+  assert_int_equal (fixture->failure, NCL_CUT_OFF);
+  assert_int_equal (ncl_counts (fixture->client)->connections, 1);
+}
+
+/* Lowers the limit on open files so that none can be opened.  Returns the
+   limits to restore.  */
+static struct rlimit
+exhaust_descriptors (void)
+{
+  struct rlimit old;
+  assert_int_equal (getrlimit (RLIMIT_NOFILE, &old), 0);
+  int next = fcntl (STDIN_FILENO, F_DUPFD, 0);
+  assert_true (next >= 0);
+  close (next);
+  struct rlimit low = { .rlim_cur = (rlim_t)next, .rlim_max = old.rlim_max };
+  assert_int_equal (setrlimit (RLIMIT_NOFILE, &low), 0);
+  return old;
+}
+
+static void
+count_connection (uv_handle_t *handle, void *context)
+{
+  uint32_t *count = context;
+  *count += handle->type == UV_TCP && !uv_is_closing (handle);
+}
+
+/* A client that is out of descriptors refuses to send, and sends again once
+   there are some.  Guards against handles that were removed twice from the
+   list of the loop, which broke the list: later handles were missing in it,
+   and it pointed to freed memory.  */
+static void
+client_survives_lack_of_descriptors (void **state)
+{
+  struct fixture *fixture = *state;
+  static const char request[] = "GET /short HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (uint32_t i = 1; i <= 3; i++)
+    {
+      struct rlimit old = exhaust_descriptors ();
+      struct ncl_exchange *refused
+          = ncl_send (fixture->client, fixture->address, request,
+                      strlen (request), true, &client_events, fixture);
+      setrlimit (RLIMIT_NOFILE, &old);
+      assert_null (refused);
+      assert_int_equal (ncl_counts (fixture->client)->open, i - 1);
+      fixture->exchange
+          = ncl_send (fixture->client, fixture->address, request,
+                      strlen (request), true, &client_events, fixture);
+      assert_non_null (fixture->exchange);
+      assert_true (run_until (fixture, &fixture->completed, i));
+      uint32_t count = 0;
+      uv_walk (&fixture->loop, count_connection, &count);
+      assert_int_equal (count, 1 + 2 * i); /* the listener, and both ends */
+    }
+}
+
+/* Whether libuv still holds the descriptor that it reserves for connections
+   that it can't accept.  It loses that when another thread opens a file at the
+   wrong moment. */
+struct accept_case
+{
+  const char *name;
+  bool reserve;
+};
+
+/* A server without descriptors closes the connections of its callers, keeps
+   its event loop running, and serves callers once there are some.  Guards
+   against an event loop that never returned from accepting.  */
+static void
+server_survives_lack_of_descriptors (void **state)
+{
+  struct fixture *fixture = *state;
+  static const char request[] = "GET /short HTTP/1.1\r\nHost: a\r\n\r\n";
+  static const struct accept_case cases[] = {
+    { "with the reserve", true },
+    { "without the reserve", false },
+    { "with the reserve again", true },
+  };
+  for (uint32_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct sockaddr_in address;
+      const char *port = strchr (fixture->address, ':') + 1;
+      uv_ip4_addr ("127.0.0.1", atoi (port), &address);
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      assert_int_equal (
+          connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+      struct rlimit old = exhaust_descriptors ();
+      int taken = -1;
+      if (!cases[i].reserve)
+        {
+          close (fixture->loop.emfile_fd);
+          fixture->loop.emfile_fd = -1;
+          taken = dup (STDIN_FILENO);
+        }
+      alarm (TIMEOUT_US / CLK_S_US); /* ends the test when the loop is stuck */
+      int64_t end_us = clk_monotonic_us () + CLK_S_US / 10;
+      while (clk_monotonic_us () < end_us)
+        {
+          uv_run (&fixture->loop, UV_RUN_NOWAIT);
+        }
+      alarm (0);
+      setrlimit (RLIMIT_NOFILE, &old);
+      char byte;
+      if (recv (fd, &byte, 1, MSG_DONTWAIT) == 1
+          || nsv_connection_count (fixture->server) != 0)
+        {
+          fail_msg ("%s: the connection was accepted", cases[i].name);
+        }
+      close (fd);
+      close (taken);
+      nsv_expire (fixture->server, clk_monotonic_us ());
+      fixture->exchange
+          = ncl_send (fixture->client, fixture->address, request,
+                      strlen (request), true, &client_events, fixture);
+      assert_true (run_until (fixture, &fixture->completed, i + 1));
+      ncl_close_idle (fixture->client, fixture->address);
+      while (nsv_connection_count (fixture->server) > 0)
+        {
+          uv_run (&fixture->loop, UV_RUN_ONCE);
+        }
+    }
+}
+
 int
 main (void)
 {
@@ -253,6 +493,14 @@
                                      create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (slow_caller_drains, create_fixture,
                                      destroy_fixture),
+    cmocka_unit_test_setup_teardown (rejected_write_disconnects,
+                                     create_fixture, destroy_fixture),
+    cmocka_unit_test_setup_teardown (rejected_request_fails, create_fixture,
+                                     destroy_fixture),
+    cmocka_unit_test_setup_teardown (server_survives_lack_of_descriptors,
+                                     create_fixture, destroy_fixture),
+    cmocka_unit_test_setup_teardown (client_survives_lack_of_descriptors,
+                                     create_fixture, destroy_fixture),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/test/peer_test.c
+++ b/test/peer_test.c
@@ -1,14 +1,19 @@
 /* Tests of peer/hub: hubs on one main loop that connect to each other over
    loopback, and plain sockets that send invalid data to a hub.  */
 #include "base/clock.h"
+#include "config/parse.h"
+#include "peer/frame.h"
 #include "peer/hub.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -111,6 +116,13 @@
   return peer_hub_stats (node->hub).rejected > 0;
 }
 
+static bool
+has_accepted (const void *data)
+{
+  const struct node *node = data;
+  return peer_hub_stats (node->hub).accepted > 0;
+}
+
 static bool
 has_timed_out (const void *data)
 {
@@ -396,6 +408,112 @@
   peer_hub_destroy (b.hub);
 }
 
+/* A configuration that is sent to a peer. */
+struct size_case
+{
+  uint32_t yaml_bytes;
+  bool sent;
+};
+
+/* The largest configuration reaches the peer, and a message that is too long
+   for a frame is dropped; the connection stays open in any case.  Guards
+   against a connection that was closed, and dialled again, for each message
+   that the peer had to reject.  */
+static void
+message_sizes_do_not_close_the_connection (void **state)
+{
+  (void)state;
+  static const struct size_case cases[] = {
+    { CFG_TEXT_BYTES_MAX - 1, true },
+    { CFG_TEXT_BYTES_MAX, true },
+    { FRM_BYTES_MAX, false },
+    { 2 * FRM_BYTES_MAX, false },
+  };
+  for (size_t i = 0; i < LENGTH (cases); i++)
+    {
+      struct node a;
+      struct node b;
+      start (&a, "entry-a", "secret");
+      start (&b, "entry-b", "secret");
+      Peer__ConfigReply reply = PEER__CONFIG_REPLY__INIT;
+      reply.version = UINT64_MAX;
+      reply.yaml.len = cases[i].yaml_bytes;
+      reply.yaml.data = g_malloc0 (reply.yaml.len);
+      Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+      envelope.body_case = PEER__ENVELOPE__BODY_CONFIG_REPLY;
+      envelope.config_reply = &reply;
+      peer_hub_send (a.hub, peer_hub_address (b.hub), &envelope);
+      send_version (&a, peer_hub_address (b.hub), 1);
+      g_free (reply.yaml.data);
+      const int64_t end_us = clk_monotonic_us () + CLK_S_US;
+      while (b.last_version != 1 && clk_monotonic_us () < end_us)
+        {
+          g_main_context_iteration (NULL, FALSE);
+        }
+      const struct peer_stats sent = peer_hub_stats (a.hub);
+      const struct peer_stats received = peer_hub_stats (b.hub);
+      if (b.messages != (cases[i].sent ? 2 : 1) || received.rejected != 0
+          || sent.dropped != !cases[i].sent)
+        {
+          fail_msg ("%u bytes: %u messages received, %" PRIu64
+                    " connections rejected, %" PRIu64 " messages dropped",
+                    cases[i].yaml_bytes, b.messages, received.rejected,
+                    sent.dropped);
+        }
+      peer_hub_destroy (a.hub);
+      peer_hub_destroy (b.hub);
+    }
+}
+
+/* Lowers the limit on open files so that none can be opened.  Returns the
+   limits to restore.  */
+static struct rlimit
+exhaust_descriptors (void)
+{
+  struct rlimit old;
+  assert_int_equal (getrlimit (RLIMIT_NOFILE, &old), 0);
+  const int next = fcntl (STDIN_FILENO, F_DUPFD, 0);
+  assert_true (next >= 0);
+  close (next);
+  const struct rlimit low
+      = { .rlim_cur = (rlim_t)next, .rlim_max = old.rlim_max };
+  assert_int_equal (setrlimit (RLIMIT_NOFILE, &low), 0);
+  return old;
+}
+
+/* A hub that can't accept for lack of descriptors sleeps between its attempts,
+   and accepts the waiting connection once there are some.  Guards against a
+   main loop that used a whole core meanwhile.  */
+static void
+lack_of_descriptors_does_not_spin (void **state)
+{
+  (void)state;
+  const struct peer_settings settings
+      = { .name = "entry-a",
+          .address = "127.0.0.1:0",
+          .secret = "secret",
+          .incarnation = 1,
+          .heartbeat_interval_us = 50 * CLK_MS_US };
+  struct node node;
+  start_with (&node, &settings);
+  const int fd = connect_to (&node);
+  const struct rlimit old = exhaust_descriptors ();
+  const int64_t end_us = clk_monotonic_us () + CLK_S_US;
+  uint32_t turns = 0;
+  while (clk_monotonic_us () < end_us)
+    {
+      g_main_context_iteration (NULL, TRUE);
+      turns++;
+    }
+  setrlimit (RLIMIT_NOFILE, &old);
+  assert_int_equal (peer_hub_stats (node.hub).accepted, 0);
+  /* A few in each of 20 intervals of the timer. */
+  assert_in_range (turns, 1, 200);
+  run_until (has_accepted, &node);
+  close (fd);
+  peer_hub_destroy (node.hub);
+}
+
 static void
 invalid_addresses_are_rejected (void **state)
 {
@@ -431,6 +549,8 @@
     cmocka_unit_test (the_number_of_connections_is_limited),
     cmocka_unit_test (unauthenticated_clients_do_not_evict_peers),
     cmocka_unit_test (large_messages_are_delivered),
+    cmocka_unit_test (message_sizes_do_not_close_the_connection),
+    cmocka_unit_test (lack_of_descriptors_does_not_spin),
     cmocka_unit_test (invalid_addresses_are_rejected),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
