Drop the run times of removed routes

The times of requests that a daemon keeps by route and service stayed for routes that the configuration had dropped, so the table grew with every new route of a long-running daemon. It is emptied when it has more entries than the configuration in force has routes and services for; what isn't known is then taken to last as declared, or until the deadline.

entry_test (11 cases) passes. No test plays so many configurations.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -102,7 +102,9 @@
 }
 
 /* Returns the times of ended requests on ROUTE to SERVICE.  Those of other
-   requests say nothing of how long these take.  */
+   requests say nothing of how long these take.  When there are more entries
+   than the configuration in force has routes and services for, all are dropped
+   with those of removed routes.  */
 struct spn_history *
 exg_history (struct trf_traffic *traffic, const struct flt_route *route,
              const char *service)
@@ -111,6 +113,12 @@
   struct spn_history *history = g_hash_table_lookup (traffic->run_times, key);
   if (history == NULL)
     {
+      const struct flt_config *config = fst_config (traffic->fleet);
+      if (g_hash_table_size (traffic->run_times)
+          >= config->route_count * FLT_SPLIT_MAX)
+        {
+          g_hash_table_remove_all (traffic->run_times);
+        }
       history = g_new0 (struct spn_history, 1);
       g_hash_table_insert (traffic->run_times, g_steal_pointer (&key),
                            history);
