Send nothing new to endpoints that say in an answer that they leave

Only the endpoint list told that an endpoint leaves. While the list lags or the store is out, an endpoint that says so itself, in all its answers, went on getting requests.

Every answer to a request is now read for that, whatever its status. They get no new requests from then on: they are left out of the choice of endpoints and of paths, paths that were computed before are discarded, and requests to them that still wait for their connections go elsewhere. Streams under way go on. The control thread marks the endpoints as leaving in its views, so that the lead places their layers anew as in a drain.

--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -57,6 +57,20 @@
     }
 }
 
+/* Handles what ANSWER, of any status, says of its endpoint.  */
+static void
+note_endpoint_state (struct exchange *exchange,
+                     const struct msg_message *answer)
+{
+  struct trf_traffic *traffic = exchange->traffic;
+  if (g_strcmp0 (msg_find (answer, PFH_LEAVING), "1") == 0
+      && fst_report_leaving (traffic->fleet, exchange->endpoint))
+    {
+      cnt_add (traffic->metrics->leaving_said, 1);
+      exg_withdraw_unsent (traffic, exchange->endpoint);
+    }
+}
+
 /* Records the success of an attempt for its endpoint, or for every engine on
    its path, and how long it took.  */
 static void
@@ -95,6 +109,7 @@
   g_free (exchange->failed_address);
   exchange->failed_address
       = g_strdup (msg_find (answer, PFH_ENDPOINT_AT_FAULT));
+  note_endpoint_state (exchange, answer);
   if (id == NULL ? success : strcmp (id, exchange->id) != 0)
     {
       return false;
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -66,6 +66,21 @@
   return caller_slow ? 0 : now_us - exchange->last_received_us;
 }
 
+/* True when the current attempt of EXCHANGE is made at ENDPOINT or over
+   it.  */
+static bool
+uses_endpoint (const struct exchange *exchange,
+               const struct fst_endpoint *endpoint)
+{
+  bool used = exchange->endpoint == endpoint;
+  for (uint32_t i = 0; exchange->path != NULL && i < exchange->path->count;
+       i++)
+    {
+      used = used || exchange->path->parts[i] == endpoint;
+    }
+  return used;
+}
+
 /* True when an engine on EXCHANGE's path was found dead.  One that only
    refused other requests may still be working on this one.  */
 static bool
@@ -120,6 +135,34 @@
   g_ptr_array_free (streams, TRUE);
 }
 
+/* Withdraws the requests to ENDPOINT that wait for their connections, and
+   sends them elsewhere.  */
+void
+exg_withdraw_unsent (struct trf_traffic *traffic,
+                     const struct fst_endpoint *endpoint)
+{
+  GPtrArray *unsent = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, traffic->exchanges);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const struct exchange *exchange = key;
+      if (exchange->attempt != NULL && !ncl_is_connected (exchange->attempt)
+          && uses_endpoint (exchange, endpoint))
+        {
+          g_ptr_array_add (unsent, key);
+        }
+    }
+  for (guint i = 0; i < unsent->len; i++)
+    {
+      struct exchange *exchange = g_ptr_array_index (unsent, i);
+      ncl_cancel (exchange->attempt);
+      exg_end_attempt (exchange, ATT_NOT_SENT);
+    }
+  g_ptr_array_free (unsent, TRUE);
+}
+
 /* Cancels the current attempt as silent, so that the stream is resumed on
    another path.  */
 static void
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -65,8 +65,27 @@
   struct rst *roster;        /* the endpoint list */
   struct fvw_view *view;     /* newest that was published */
   bool view_outdated;        /* there are changes since then */
+  struct vdt_verdicts *verdicts;
+  uint64_t leaving_count; /* of the verdicts that the view has */
 };
 
+/* Returns the endpoints in use.  Those that said themselves that they leave
+   are leaving, whatever the list says.  The caller frees the array.  */
+static GPtrArray *
+list_endpoints (struct fct_control *control)
+{
+  control->leaving_count = vdt_leaving_count (control->verdicts);
+  GPtrArray *endpoints = rst_list (control->roster);
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      struct rst_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+      endpoint->leaving = endpoint->leaving
+                          || vdt_is_leaving (control->verdicts, endpoint->id,
+                                             endpoint->started_ms);
+    }
+  return endpoints;
+}
+
 /* Publishes a new view if its configuration, endpoints or share have
    changed.  */
 static void
@@ -80,7 +99,7 @@
   control->view_outdated = false;
   fvw_release (control->view);
   control->view
-      = fvw_view_create (control->config, rst_list (control->roster), share);
+      = fvw_view_create (control->config, list_endpoints (control), share);
   fvw_publish (control->views, fvw_reference (control->view));
   control->notify (control->context);
 }
@@ -361,7 +380,9 @@
   struct fct_control *control = timer->data;
   int64_t now_us = clk_monotonic_us ();
   ncl_expire (control->client, now_us);
-  control->view_outdated |= rst_expire (control->roster, now_us);
+  control->view_outdated
+      |= rst_expire (control->roster, now_us)
+         || vdt_leaving_count (control->verdicts) != control->leaving_count;
   publish (control);
   choose_sources (control, now_us);
   plc_step (control->placer, control->view->config, control->view->endpoints,
@@ -446,7 +467,8 @@
 }
 
 /* Starts the control thread, which publishes views in VIEWS and calls NOTIFY
-   with CONTEXT after each.  It replaces engines that VERDICTS name as dead.
+   with CONTEXT after each.  It replaces engines that VERDICTS name as dead or
+   leaving.
    SETTINGS, VIEWS and VERDICTS must outlive the result.  Returns NULL with
    ERR_SETTINGS when the relay's address can't be used, or with ERR_INTERNAL
    when the thread can't be started.  */
@@ -465,6 +487,7 @@
   };
   control->settings = settings;
   control->views = views;
+  control->verdicts = verdicts;
   control->notify = notify;
   control->context = context;
   control->roster = rst_create ();
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -294,7 +294,9 @@
       g_hash_table_insert (fleet->endpoints, endpoint->id, endpoint);
     }
   update_endpoint (fleet, entry, endpoint);
-  endpoint->listed = !entry->leaving;
+  endpoint->listed
+      = !entry->leaving
+        && !vdt_is_leaving (fleet->verdicts, entry->id, entry->started_ms);
   endpoint->in_view = true;
   g_ptr_array_add (fleet->ordered, endpoint);
 }
@@ -872,6 +874,18 @@
     }
 }
 
+/* Discards the paths of ENDPOINT's service.  */
+static void
+invalidate_paths_over (struct fst_fleet *fleet,
+                       const struct fst_endpoint *endpoint)
+{
+  const struct flt_config *config = fst_config (fleet);
+  if (config != NULL && endpoint->service < config->service_count)
+    {
+      invalidate_paths (service_state (fleet, endpoint->service));
+    }
+}
+
 /* Records a success of ENDPOINT, which took LATENCY_US.  */
 void
 fst_report_success (struct fst_fleet *fleet, struct fst_endpoint *endpoint,
@@ -901,11 +915,23 @@
            endpoint->id, endpoint->address, reason,
            endpoint->evidence.backoffs,
            (long)((endpoint->evidence.backoff_until_us - now_us) / CLK_MS_US));
-  if (fst_config (fleet) != NULL && endpoint->service != FLT_NO_INDEX
-      && endpoint->service < fst_config (fleet)->service_count)
+  invalidate_paths_over (fleet, endpoint);
+}
+
+/* Records that ENDPOINT said that it leaves: it gets no new requests.  Returns
+   false when that was known.  */
+bool
+fst_report_leaving (struct fst_fleet *fleet, struct fst_endpoint *endpoint)
+{
+  endpoint->listed = false;
+  if (!vdt_set_leaving (fleet->verdicts, endpoint->id, endpoint->born_ms))
     {
-      invalidate_paths (service_state (fleet, endpoint->service));
+      return false;
     }
+  lg_line (LOG_NOTICE, "endpoint_says_leaving", "endpoint=%s address=%s",
+           endpoint->id, endpoint->address);
+  invalidate_paths_over (fleet, endpoint);
+  return true;
 }
 
 /* True when the configuration is known and an endpoint of one of its services
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -28,7 +28,7 @@
                           it */
   uint32_t first_requests; /* those whose paths begin at it */
   struct rst_layers layers;
-  bool listed;  /* in the list and not leaving */
+  bool listed;  /* in the list and not leaving, as far as known */
   bool in_view; /* in the view that fst_set_view is applying */
   struct evd_evidence evidence;
   struct fwt_estimate first_wait; /* of streams whose paths begin at it */
@@ -78,6 +78,8 @@
                          int64_t now_us);
 void fst_report_success (struct fst_fleet *fleet,
                          struct fst_endpoint *endpoint, int64_t latency_us);
+bool fst_report_leaving (struct fst_fleet *fleet,
+                         struct fst_endpoint *endpoint);
 
 struct fst_endpoint *fst_reference (struct fst_endpoint *endpoint);
 void fst_release (struct fst_endpoint *endpoint);
--- a/src/entry/verdicts.c
+++ b/src/entry/verdicts.c
@@ -1,5 +1,7 @@
 #include "entry/verdicts.h"
 
+#include "core/departures.h"
+
 #include <glib.h>
 
 struct vdt_verdicts
@@ -7,6 +9,7 @@
   GMutex mutex;
   GHashTable *dead; /* endpoint id to the start time, in milliseconds, of the
                        incarnation that was found dead */
+  struct dep_set *leaving;
 };
 
 /* Creates an empty set of verdicts, which any thread may use.  */
@@ -17,6 +20,7 @@
   g_mutex_init (&verdicts->mutex);
   verdicts->dead
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  verdicts->leaving = dep_create ();
   return verdicts;
 }
 
@@ -25,6 +29,7 @@
 vdt_destroy (struct vdt_verdicts *verdicts)
 {
   g_hash_table_destroy (verdicts->dead);
+  dep_destroy (verdicts->leaving);
   g_mutex_clear (&verdicts->mutex);
   g_free (verdicts);
 }
@@ -41,7 +46,7 @@
   g_mutex_unlock (&verdicts->mutex);
 }
 
-/* Removes the verdict on the endpoint ID, if there is one.  */
+/* Removes the verdict that the endpoint ID is dead, if there is one.  */
 void
 vdt_clear (struct vdt_verdicts *verdicts, const char *id)
 {
@@ -61,3 +66,36 @@
   g_mutex_unlock (&verdicts->mutex);
   return dead;
 }
+
+/* Records that the endpoint ID said that it leaves, in its incarnation that
+   started at BORN_MS.  Returns false when that was known.  */
+bool
+vdt_set_leaving (struct vdt_verdicts *verdicts, const char *id,
+                 int64_t born_ms)
+{
+  g_mutex_lock (&verdicts->mutex);
+  bool added = dep_add (verdicts->leaving, id, born_ms);
+  g_mutex_unlock (&verdicts->mutex);
+  return added;
+}
+
+/* True when the endpoint ID said that it leaves, in its incarnation that
+   started at BORN_MS.  */
+bool
+vdt_is_leaving (struct vdt_verdicts *verdicts, const char *id, int64_t born_ms)
+{
+  g_mutex_lock (&verdicts->mutex);
+  bool leaving = dep_contains (verdicts->leaving, id, born_ms);
+  g_mutex_unlock (&verdicts->mutex);
+  return leaving;
+}
+
+/* Returns the number of incarnations that were found to leave so far.  */
+uint64_t
+vdt_leaving_count (struct vdt_verdicts *verdicts)
+{
+  g_mutex_lock (&verdicts->mutex);
+  uint64_t count = dep_count (verdicts->leaving);
+  g_mutex_unlock (&verdicts->mutex);
+  return count;
+}
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -518,6 +518,14 @@
     }
 }
 
+/* Returns true when the connection of EXCHANGE is established; until then no
+   byte of the request has been sent.  */
+bool
+ncl_is_connected (const struct ncl_exchange *exchange)
+{
+  return exchange->connected;
+}
+
 /* Returns true when the response of EXCHANGE has no length and so ends only
    with its connection.  Valid once the headers have arrived.  */
 bool
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -63,6 +63,7 @@
 void ncl_cancel (struct ncl_exchange *exchange);
 void ncl_pause (struct ncl_exchange *exchange);
 void ncl_resume (struct ncl_exchange *exchange);
+bool ncl_is_connected (const struct ncl_exchange *exchange);
 bool ncl_ends_with_connection (const struct ncl_exchange *exchange);
 const struct ncl_counts *ncl_counts (const struct ncl_client *client);
 void ncl_expire (struct ncl_client *client, int64_t now_us);
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -51,6 +51,8 @@
   bool complete;
   bool ends_with_connection;
   bool has_retry_after;
+  int64_t took_us; /* until the end of the answer */
+  int64_t sent_us;
   GString *body;
 };
 
@@ -59,7 +61,8 @@
 {
   struct call *call = context;
   call->status = status;
-  call->has_retry_after = msg_find (answer, "Retry-After") != NULL;
+  const char *retry_after = msg_find (answer, "Retry-After");
+  call->has_retry_after = retry_after != NULL;
   call->ends_with_connection = ncl_ends_with_connection (call->exchange);
   return true;
 }
@@ -77,6 +80,7 @@
   struct call *call = context;
   call->done = true;
   call->complete = true;
+  call->took_us = clk_monotonic_us () - call->sent_us;
 }
 
 static void
@@ -117,7 +121,10 @@
 start_call (struct fixture *fixture, struct call *call, const char *address,
             const char *request, size_t request_bytes)
 {
-  *call = (struct call){ .body = g_string_new (NULL) };
+  *call = (struct call){
+    .body = g_string_new (NULL),
+    .sent_us = clk_monotonic_us (),
+  };
   call->exchange = ncl_send (fixture->client, address, request, request_bytes,
                              true, &call_events, call);
   assert_non_null (call->exchange);
@@ -642,6 +649,297 @@
   assert_int_equal (sfl_arrival_count (fixture->fleet, leaving), before);
 }
 
+/* Number of requests in a burst. */
+#define BURST 8
+
+/* Number of bursts within which an endpoint gets a request. */
+#define BURSTS_MAX 12
+
+/* Sends BURST requests for PATH at the same time and waits for the answers.
+   Returns how many of them were whole, with status 200.  */
+static uint32_t
+send_burst (struct fixture *fixture, const char *path)
+{
+  struct call calls[BURST];
+  uint32_t served = 0;
+  for (uint32_t i = 0; i < BURST; i++)
+    {
+      char id[32];
+      g_snprintf (id, sizeof id, "burst-%u", fixture->next_id++);
+      g_autofree char *request
+          = build_request ("POST", FLEET_HOST, path, "key-1", id, "");
+      start_call (fixture, &calls[i], sep_caller_address (fixture->daemon),
+                  request, strlen (request));
+    }
+  for (uint32_t i = 0; i < BURST; i++)
+    {
+      await_call (fixture, &calls[i]);
+      served += calls[i].complete && calls[i].status == 200;
+      clear_call (&calls[i]);
+    }
+  return served;
+}
+
+/* Sends bursts for PATH until ENDPOINT gets a request, with FAULT injected at
+   services.  Returns false when it doesn't get any.  */
+static bool
+reaches (struct fixture *fixture, const char *path, enum sfl_fault fault,
+         uint32_t endpoint)
+{
+  uint32_t before = sfl_arrival_count (fixture->fleet, endpoint);
+  for (uint32_t i = 0; i < BURSTS_MAX; i++)
+    {
+      sfl_set_fault (fixture->fleet, false, fault, BURST);
+      send_burst (fixture, path);
+      sfl_set_fault (fixture->fleet, false, SFL_NO_FAULT, 0);
+      if (sfl_arrival_count (fixture->fleet, endpoint) > before)
+        {
+          return true;
+        }
+      run_for (fixture, 50 * CLK_MS_US);
+    }
+  return false;
+}
+
+/* Replaces ENDPOINT by a new instance at another address.  */
+static void
+replace_endpoint (struct fixture *fixture, uint32_t endpoint)
+{
+  sfl_unlist (fixture->fleet, endpoint);
+  sfl_kill (fixture->fleet, endpoint);
+  sfl_restart (fixture->fleet, endpoint);
+  run_for (fixture, 300 * CLK_MS_US);
+}
+
+/* Sends one booking and returns its answer, which the caller clears.  */
+static struct call
+send_and_await (struct fixture *fixture, const char *path)
+{
+  struct call call;
+  char id[32];
+  g_snprintf (id, sizeof id, "one-%u", fixture->next_id++);
+  g_autofree char *request
+      = build_request ("POST", FLEET_HOST, path, "key-1", id, "");
+  start_call (fixture, &call, sep_caller_address (fixture->daemon), request,
+              strlen (request));
+  await_call (fixture, &call);
+  return call;
+}
+
+/* A service that says in any answer that it leaves gets no new requests,
+   though the list names it as ready, until it is replaced.  */
+static void
+test_service_says_leaving (void **state)
+{
+  struct fixture *fixture = *state;
+  enum list_change
+  {
+    LIST_UNCHANGED,
+    LIST_READY_AGAIN,
+    LIST_DROPPED_AND_READY
+  };
+  static const struct
+  {
+    const char *name;
+    const char *path;
+    enum sfl_fault fault;
+    enum sfl_store_state store;
+    enum list_change change;
+  } cases[] = {
+    { "in a success", "/book/a", SFL_NO_FAULT, SFL_STORE_NO_FAULT,
+      LIST_UNCHANGED },
+    { "in an error", "/look/a", SFL_FAILS, SFL_STORE_NO_FAULT,
+      LIST_UNCHANGED },
+    { "in a refusal", "/book/a", SFL_REFUSES, SFL_STORE_NO_FAULT,
+      LIST_UNCHANGED },
+    { "in an answer to another request", "/look/a", SFL_WRONG_REQUEST_ID,
+      SFL_STORE_NO_FAULT, LIST_UNCHANGED },
+    { "while the store is out", "/book/a", SFL_NO_FAULT, SFL_STORE_REFUSES,
+      LIST_UNCHANGED },
+    { "and is listed as ready again", "/book/a", SFL_NO_FAULT,
+      SFL_STORE_NO_FAULT, LIST_READY_AGAIN },
+    { "and is dropped and listed again", "/book/a", SFL_NO_FAULT,
+      SFL_STORE_NO_FAULT, LIST_DROPPED_AND_READY },
+  };
+  const uint32_t leaving = ENGINES;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      sfl_set_store (fixture->fleet, cases[i].store);
+      sfl_set_leaving (fixture->fleet, leaving, true);
+      assert_true (reaches (fixture, cases[i].path, cases[i].fault, leaving));
+      uint32_t before = sfl_arrival_count (fixture->fleet, leaving);
+      uint32_t served = send_burst (fixture, "/book/a");
+      if (cases[i].change == LIST_DROPPED_AND_READY)
+        {
+          sfl_unlist (fixture->fleet, leaving);
+          run_for (fixture, 300 * CLK_MS_US);
+        }
+      if (cases[i].change != LIST_UNCHANGED)
+        {
+          sfl_list_ready (fixture->fleet, leaving);
+          run_for (fixture, 300 * CLK_MS_US);
+        }
+      for (uint32_t n = 0; n < 4; n++)
+        {
+          served += send_burst (fixture, "/look/a");
+        }
+      uint32_t late = sfl_arrival_count (fixture->fleet, leaving) - before;
+      sfl_set_store (fixture->fleet, SFL_STORE_NO_FAULT);
+      run_for (fixture, 300 * CLK_MS_US);
+      replace_endpoint (fixture, leaving);
+      bool replaced = reaches (fixture, "/book/a", SFL_NO_FAULT, leaving);
+      if (late > 0 || served < 5 * BURST || !replaced)
+        {
+          fail_msg ("%s: %u late requests, %u of %u served, replaced %d",
+                    cases[i].name, late, served, 5 * BURST, replaced);
+        }
+    }
+}
+
+/* When every service says that it leaves, requests are refused at once.  */
+static void
+test_all_services_say_leaving (void **state)
+{
+  struct fixture *fixture = *state;
+  for (uint32_t i = ENGINES; i < ENGINES + SERVICES; i++)
+    {
+      sfl_set_leaving (fixture->fleet, i, true);
+      assert_true (reaches (fixture, "/book/a", SFL_NO_FAULT, i));
+    }
+  struct call call = send_and_await (fixture, "/book/a");
+  assert_int_equal (call.status, 503);
+  assert_true (call.has_retry_after);
+  assert_true (call.took_us < 200 * CLK_MS_US);
+  clear_call (&call);
+  for (uint32_t i = ENGINES; i < ENGINES + SERVICES; i++)
+    {
+      replace_endpoint (fixture, i);
+    }
+  assert_int_equal (send_burst (fixture, "/book/a"), BURST);
+}
+
+/* Sets FIRST to whether each engine is the first one of a path.  Returns how
+   many are.  */
+static uint32_t
+find_first_engines (struct fixture *fixture, bool first[ENGINES])
+{
+  uint32_t before[ENGINES];
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      before[i] = sfl_arrival_count (fixture->fleet, i);
+    }
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      assert_int_equal (send_burst (fixture, "/draft/a"), BURST);
+    }
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      first[i] = sfl_arrival_count (fixture->fleet, i) > before[i];
+      count += first[i];
+    }
+  return count;
+}
+
+/* Starts BURST streams.  */
+static void
+start_streams (struct fixture *fixture, struct call *calls, const char *name)
+{
+  for (uint32_t i = 0; i < BURST; i++)
+    {
+      char id[32];
+      g_snprintf (id, sizeof id, "%s-%u", name, i);
+      g_autofree char *request
+          = build_request ("POST", FLEET_HOST, "/draft/a", "key-1", id, "");
+      start_call (fixture, &calls[i], sep_caller_address (fixture->daemon),
+                  request, strlen (request));
+    }
+}
+
+/* Waits for the streams of start_streams and checks that each is whole and ran
+   once.  */
+static void
+await_streams (struct fixture *fixture, struct call *calls, const char *name)
+{
+  for (uint32_t i = 0; i < BURST; i++)
+    {
+      char id[32];
+      g_snprintf (id, sizeof id, "%s-%u", name, i);
+      await_call (fixture, &calls[i]);
+      if (!calls[i].complete || calls[i].status != 200
+          || sfl_run_count (fixture->fleet, id) != 1)
+        {
+          fail_msg ("%s: status %u, complete %d, %u runs", id, calls[i].status,
+                    calls[i].complete, sfl_run_count (fixture->fleet, id));
+        }
+      clear_call (&calls[i]);
+    }
+}
+
+/* Engines that say in the heads of streams that they leave finish these
+   streams and get no new ones.  When no engine is left for the first layers,
+   these are placed on others, though the list names all engines as ready.  */
+static void
+test_engines_say_leaving (void **state)
+{
+  struct fixture *fixture = *state;
+  struct call under_way[BURST];
+  struct call later[BURST];
+  bool first[ENGINES];
+  uint32_t before[ENGINES];
+  assert_int_equal (find_first_engines (fixture, first), 2);
+  sfl_set_stream_events (fixture->fleet, 60);
+  uint32_t one = first[0] ? 0 : first[1] ? 1 : 2;
+  start_streams (fixture, under_way, "leaving");
+  sfl_set_leaving (fixture->fleet, one, true);
+  run_for (fixture, 150 * CLK_MS_US);
+  before[one] = sfl_arrival_count (fixture->fleet, one);
+  start_streams (fixture, later, "elsewhere");
+  await_streams (fixture, under_way, "leaving");
+  await_streams (fixture, later, "elsewhere");
+  assert_int_equal (sfl_arrival_count (fixture->fleet, one), before[one]);
+
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      sfl_set_leaving (fixture->fleet, i, first[i]);
+    }
+  start_streams (fixture, under_way, "last");
+  run_for (fixture, 150 * CLK_MS_US);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      before[i] = sfl_arrival_count (fixture->fleet, i);
+    }
+  struct call refused = send_and_await (fixture, "/draft/a");
+  assert_int_equal (refused.status, 503);
+  assert_true (refused.has_retry_after);
+  assert_true (refused.took_us < 200 * CLK_MS_US);
+  clear_call (&refused);
+  await_streams (fixture, under_way, "last");
+  uint32_t served = 0;
+  for (uint32_t i = 0; i < 60 && served < BURST; i++)
+    {
+      run_for (fixture, 100 * CLK_MS_US);
+      served = send_burst (fixture, "/draft/a");
+    }
+  assert_int_equal (served, BURST);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      if (first[i])
+        {
+          assert_int_equal (sfl_arrival_count (fixture->fleet, i), before[i]);
+        }
+    }
+  sfl_set_stream_events (fixture->fleet, SFL_STREAM_EVENTS);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      if (first[i])
+        {
+          replace_endpoint (fixture, i);
+        }
+    }
+  await_ready (fixture);
+}
+
 /* When an engine dies, streams through it are resumed on other engines, each
    event once and in order, while the endpoint list still names the dead
    engine.  */
@@ -803,6 +1101,9 @@
     cmocka_unit_test (test_rejected_requests),
     cmocka_unit_test (test_caller_disconnects),
     cmocka_unit_test (test_configuration_changes),
+    cmocka_unit_test (test_service_says_leaving),
+    cmocka_unit_test (test_all_services_say_leaving),
+    cmocka_unit_test (test_engines_say_leaving),
     cmocka_unit_test (test_leaving_endpoint),
     cmocka_unit_test (test_engine_dies),
     cmocka_unit_test (test_graceful_stop),
