Send nothing to endpoints that turn requests away until their time is over

The Retry-After of an endpoint's 503 was ignored: the endpoint counted as failing or as full for 0.25 s, and got the next requests, and their repeats, while it had said that it wants none.

Closed endpoints are left out of the choice of endpoints, paths over closed engines are left out whichever part of them is closed, and others are searched. No failure is counted. Reports and orders wait too. If all that could serve a request are closed, it waits for the first one to open if it can be in time, and is refused at once if not, with a Retry-After that covers the time and spreads the callers.

A request whose attempt was delayed until its deadline without being sent is refused with 503 now, instead of counting as one that may have run.

--- a/src/core/evidence.c
+++ b/src/core/evidence.c
@@ -51,6 +51,13 @@
   evidence->in_flight--;
 }
 
+/* Records an answer that shows no more than that the endpoint is alive.  */
+void
+evd_answered (struct evd_evidence *evidence)
+{
+  evidence->dead = false;
+}
+
 /* Records a request that succeeded after LATENCY_US.  */
 void
 evd_success (struct evd_evidence *evidence, int64_t latency_us)
--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -54,6 +54,7 @@
 bool evd_usable (struct evd_evidence *evidence, int64_t now_us);
 void evd_begin (struct evd_evidence *evidence);
 void evd_end (struct evd_evidence *evidence);
+void evd_answered (struct evd_evidence *evidence);
 void evd_success (struct evd_evidence *evidence, int64_t latency_us);
 bool evd_failure (struct evd_evidence *evidence, enum evd_failure_kind kind,
                   int64_t now_us);
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -21,6 +21,8 @@
   struct cnt_series *resumed; /* streams continued by another endpoint */
   struct cnt_series *retries_denied; /* by the retry budget */
   struct cnt_series *leaving_said;   /* endpoints that said that they leave */
+  struct cnt_series *turned_away; /* times that an endpoint was closed since it
+                                     turned a request away */
   struct cnt_series *events;
   struct cnt_series *in_progress;
   struct cnt_series *config_version;
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/turned_away.h"
 #include "platform/headers.h"
 
 #include <string.h>
@@ -167,15 +168,35 @@
   return g_random_double_range (RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S);
 }
 
+/* Returns for how long every endpoint that could serve EXCHANGE is closed
+   since it turned requests away; 0 if one is open.  */
+static int64_t
+closed_for_us (struct exchange *exchange)
+{
+  int64_t now_us = clk_monotonic_us ();
+  uint32_t service = exg_service_index (exchange);
+  int64_t opens_us
+      = service == FLT_NO_INDEX
+            ? 0
+            : fst_opens_us (exchange->traffic->fleet, service, now_us);
+  return MAX (opens_us - now_us, 0);
+}
+
 /* Answers EXCHANGE with STATUS instead of an endpoint's answer, and ends it.
-   WHY goes into the log.  A refused caller may return after
-   RETRY_AFTER_S.  */
+   WHY goes into the log.  A refused caller may return after RETRY_AFTER_S, or
+   once an endpoint is open.  */
 static void
 answer_with_error (struct exchange *exchange, uint32_t status, const char *why,
                    double retry_after_s)
 {
   bool refused = status == HTTP_STATUS_SERVICE_UNAVAILABLE;
   struct emt_metrics *metrics = exchange->traffic->metrics;
+  int64_t closed_us = refused ? closed_for_us (exchange) : 0;
+  if (closed_us > 0)
+    {
+      retry_after_s = MAX (retry_after_s,
+                           tna_retry_after_s (closed_us, g_random_double ()));
+    }
   cnt_add (refused ? metrics->refused : metrics->outcome_unknown, 1);
   exg_answer_without_body (exchange->traffic, exchange->caller, status,
                            exchange->id, refused ? retry_after_s : 0);
@@ -332,6 +353,32 @@
   return true;
 }
 
+/* Delays the next attempt of EXCHANGE until the first endpoint that turned
+   requests away opens, if all are closed and its caller can wait for that.
+   BEFORE is how the previous attempt ended.  Returns false when it isn't
+   delayed.  */
+static bool
+wait_for_opening (struct exchange *exchange, enum att_end before)
+{
+  int64_t now_us = clk_monotonic_us ();
+  int64_t closed_us = closed_for_us (exchange);
+  const struct tna_request request = {
+    .age_us = now_us - exchange->arrived_us,
+    .target_us = exchange->route->target_latency_us,
+    .remaining_us = exchange->deadline_us - now_us,
+  };
+  if (closed_us == 0 || tna_decide (&request, closed_us) != TNA_WAIT)
+    {
+      return false;
+    }
+  release_target (exchange);
+  exchange->waits_for_room = true;
+  exchange->opens_us = now_us + closed_us;
+  exchange->end_before_wait = before;
+  exg_schedule_check (exchange);
+  return true;
+}
+
 /* Handles the end of the current attempt, END: retries the request, resumes
    the stream or answers the caller.  A retry that the budget denies is not
    made, but a broken stream waits for the budget.  */
@@ -380,7 +427,7 @@
       end_without_retry (exchange, &verdict, end);
       return;
     }
-  if (exchange->endpoint != NULL)
+  if (exchange->endpoint != NULL && !exchange->turned_away)
     {
       g_ptr_array_add (exchange->tried_endpoints,
                        fst_reference (exchange->endpoint));
@@ -508,8 +555,14 @@
   exchange->room_wait_end_us = 0;
   if (!found)
     {
-      lg_line (LOG_INFO, "no_endpoint", "request=%s service=%s sent=%u",
-               exchange->id, exchange->service, exchange->sent);
+      if (!exchange->answer_begun && wait_for_opening (exchange, before))
+        {
+          return;
+        }
+      lg_line (LOG_INFO, "no_endpoint",
+               "request=%s service=%s sent=%u closed_ms=%ld", exchange->id,
+               exchange->service, exchange->sent,
+               (long)(closed_for_us (exchange) / CLK_MS_US));
       give_up (exchange, before);
       return;
     }
@@ -521,6 +574,7 @@
   exchange->event_interval_us = 0;
   exchange->is_stream = false;
   exchange->not_executed = false;
+  exchange->turned_away = false;
   g_clear_pointer (&exchange->failed_address, g_free);
   exchange->sent_us = clk_monotonic_us ();
   exchange->last_received_us = exchange->sent_us;
@@ -550,6 +604,7 @@
 {
   enum att_end before = exchange->end_before_wait;
   exchange->waits_for_room = false;
+  exchange->opens_us = 0;
   if (exchange->owes_repeat && !take_repeat (exchange, true))
     {
       if (!wait_for_room (exchange, before))
@@ -562,6 +617,14 @@
   exg_start_attempt (exchange, before);
 }
 
+/* Ends EXCHANGE, whose next attempt was delayed until its deadline.  */
+void
+exg_give_up_wait (struct exchange *exchange)
+{
+  exchange->waits_for_room = false;
+  give_up (exchange, exchange->end_before_wait);
+}
+
 /* Ends an exchange whose caller has disconnected.  The attempt is cancelled,
    so that the endpoint stops working on the request.  */
 void
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/turned_away.h"
 #include "platform/headers.h"
 
 #include <string.h>
@@ -57,6 +58,56 @@
     }
 }
 
+/* Records that ENDPOINT wants no requests for DURATION_US.  Requests to it
+   that aren't on their way yet go elsewhere.  */
+static void
+close_endpoint (struct exchange *exchange, struct fst_endpoint *endpoint,
+                int64_t duration_us)
+{
+  struct trf_traffic *traffic = exchange->traffic;
+  if (fst_report_turned_away (traffic->fleet, endpoint, duration_us,
+                              clk_monotonic_us ()))
+    {
+      cnt_add (traffic->metrics->turned_away, 1);
+      exg_withdraw_unsent (traffic, endpoint);
+    }
+}
+
+/* Handles the time for which a 503, ANSWER, says that its endpoint wants no
+   requests.  It holds for the engine at fault too, if ANSWER names one.  */
+static void
+note_turned_away (struct exchange *exchange, const struct msg_message *answer)
+{
+  struct trf_traffic *traffic = exchange->traffic;
+  const char *text = msg_find (answer, PFH_RETRY_AFTER);
+  int64_t bound_us
+      = tna_bound_us (fst_config (traffic->fleet), traffic->settings->stop_us);
+  int64_t duration_us = 0;
+  enum tna_reading reading = tna_read (text, bound_us, &duration_us);
+  if (reading == TNA_BOUNDED || reading == TNA_INVALID)
+    {
+      lg_line (LOG_WARNING, "retry_after_refused",
+               "endpoint=%s bounded=%d for_ms=%ld", exchange->endpoint->id,
+               reading == TNA_BOUNDED, (long)(duration_us / CLK_MS_US));
+    }
+  exchange->turned_away = duration_us > 0;
+  if (!exchange->turned_away)
+    {
+      return;
+    }
+  close_endpoint (exchange, exchange->endpoint, duration_us);
+  uint32_t service = exg_service_index (exchange);
+  struct fst_endpoint *at_fault
+      = exchange->failed_address == NULL || service == FLT_NO_INDEX
+            ? NULL
+            : fst_find_address (traffic->fleet, service,
+                                exchange->failed_address);
+  if (at_fault != NULL && at_fault != exchange->endpoint)
+    {
+      close_endpoint (exchange, at_fault, duration_us);
+    }
+}
+
 /* Handles what ANSWER, of any status, says of its endpoint.  */
 static void
 note_endpoint_state (struct exchange *exchange,
@@ -69,6 +120,10 @@
       cnt_add (traffic->metrics->leaving_said, 1);
       exg_withdraw_unsent (traffic, exchange->endpoint);
     }
+  if (exchange->status == HTTP_STATUS_SERVICE_UNAVAILABLE)
+    {
+      note_turned_away (exchange, answer);
+    }
 }
 
 /* Records the success of an attempt for its endpoint, or for every engine on
@@ -255,15 +310,21 @@
     {
       /* A wrong incarnation or layers aren't a shortage of room. */
       bool misdirected = exchange->status == HTTP_STATUS_MISDIRECTED_REQUEST;
-      exg_report_failure (exchange,
-                          exchange->path == NULL ? EVD_INCONCLUSIVE
-                          : misdirected          ? EVD_MISDIRECTED
-                                                 : EVD_REFUSING,
-                          "did not run a request");
+      if (!exchange->turned_away)
+        {
+          exg_report_failure (exchange,
+                              exchange->path == NULL ? EVD_INCONCLUSIVE
+                              : misdirected          ? EVD_MISDIRECTED
+                                                     : EVD_REFUSING,
+                              "did not run a request");
+        }
       exg_end_attempt (exchange, ATT_NOT_RUN);
       return;
     }
-  exg_report_failure (exchange, EVD_INCONCLUSIVE, "failed a request");
+  if (!exchange->turned_away)
+    {
+      exg_report_failure (exchange, EVD_INCONCLUSIVE, "failed a request");
+    }
   exg_end_attempt (exchange, ATT_FAILED);
 }
 
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -34,6 +34,8 @@
   uint32_t status;               /* of the answer; 0: none yet */
   bool is_waiting;   /* for the first event on a path: `wait_link' is in use */
   bool not_executed; /* the endpoint states that it didn't run the request */
+  bool turned_away;  /* the endpoint closed before or since it was sent the
+                        request: that isn't a failed attempt there */
   bool is_stream;
   bool ends_with_connection; /* neither a length nor chunks mark the end of the
                                 answer, so a cut one looks complete */
@@ -50,6 +52,8 @@
   /* State between attempts. */
   int64_t room_wait_end_us; /* when the next attempt is made without room; 0:
                                hasn't waited */
+  int64_t opens_us; /* when the endpoint that the next attempt waits for opens;
+                       0: it waits for room */
   enum att_end end_before_wait; /* of the previous attempt */
   bool waits_for_room; /* the next attempt waits for a path with room */
   bool owes_repeat;    /* and for a repeat of the retry budget */
@@ -78,6 +82,7 @@
 double exg_retry_after_s (void);
 void exg_end_wait (struct exchange *exchange, bool answered);
 void exg_end_room_wait (struct exchange *exchange);
+void exg_give_up_wait (struct exchange *exchange);
 void exg_withdraw_unsent (struct trf_traffic *traffic,
                           const struct fst_endpoint *endpoint);
 void exg_deliver_buffered (struct exchange *exchange);
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -157,6 +157,7 @@
   for (guint i = 0; i < unsent->len; i++)
     {
       struct exchange *exchange = g_ptr_array_index (unsent, i);
+      exchange->turned_away = true;
       ncl_cancel (exchange->attempt);
       exg_end_attempt (exchange, ATT_NOT_SENT);
     }
@@ -182,6 +183,11 @@
   int64_t now_us = clk_monotonic_us ();
   int64_t limit_us = silence_limit_us (exchange);
   int64_t silent_for_us = silence_us (exchange, now_us);
+  if (now_us >= exchange->deadline_us && exchange->waits_for_room)
+    {
+      exg_give_up_wait (exchange);
+      return;
+    }
   if (now_us >= exchange->deadline_us)
     {
       if (exchange->attempt != NULL)
@@ -227,6 +233,10 @@
   if (exchange->waits_for_room)
     {
       due_us = MIN (due_us, now_us + ROOM_RECHECK_US);
+      if (exchange->opens_us > now_us)
+        {
+          due_us = MIN (due_us, exchange->opens_us);
+        }
     }
   else if (limit_us > 0)
     {
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -57,6 +57,8 @@
   struct rbg_budget budget;
   GPtrArray *paths;       /* struct fst_path; NULL: to be computed */
   int64_t paths_until_us; /* when the paths expire */
+  int64_t opens_us; /* when the first path opens that engines which turned
+                       requests away close; 0: none will */
 };
 
 /* State of the fleet; used by the traffic thread alone. */
@@ -297,6 +299,8 @@
   endpoint->listed
       = !entry->leaving
         && !vdt_is_leaving (fleet->verdicts, entry->id, entry->started_ms);
+  endpoint->opens_us
+      = vdt_opens_us (fleet->verdicts, entry->id, entry->started_ms);
   endpoint->in_view = true;
   g_ptr_array_add (fleet->ordered, endpoint);
 }
@@ -426,7 +430,7 @@
 }
 
 /* Returns the endpoint of the plain service SERVICE with the lowest cost that
-   isn't among TRIED, or NULL.  One that is in backoff is used as a
+   is open and isn't among TRIED, or NULL.  One that is in backoff is used as a
    LAST_RESORT only.  */
 static struct fst_endpoint *
 cheapest_endpoint (struct fst_fleet *fleet, uint32_t service,
@@ -439,7 +443,7 @@
     {
       struct fst_endpoint *endpoint = g_ptr_array_index (fleet->ordered, i);
       if (endpoint->service != service || !endpoint->listed
-          || is_tried (tried, endpoint)
+          || now_us < endpoint->opens_us || is_tried (tried, endpoint)
           || !(last_resort || evd_usable (&endpoint->evidence, now_us)))
         {
           continue;
@@ -668,34 +672,32 @@
   g_free (capacities);
 }
 
-/* Describes the engine ENDPOINT to the path search.  One that is in backoff
-   is used as a LAST_RESORT only.  */
+/* Describes the engine ENDPOINT to the path search, as it will be at NOW_US.
+   One that is in backoff is used as a LAST_RESORT only.  */
 static struct pth_engine
 make_path_engine (const struct flt_engine_spec *engine,
                   struct fst_endpoint *endpoint, bool last_resort,
                   int64_t now_us)
 {
-  bool usable = evd_usable (&endpoint->evidence, now_us)
+  bool usable = last_resort || evd_usable (&endpoint->evidence, now_us)
                 || endpoint->evidence.state == EVD_PROBING;
   return (struct pth_engine){
     .held = endpoint->layers,
     .data_centre = endpoint->data_centre,
-    .usable = usable || last_resort,
+    .usable = usable && now_us >= endpoint->opens_us,
     .layer_ms = layer_cost (engine, endpoint),
   };
 }
 
-/* Adds paths of the service INDEX to PATHS, which use different engines as far
-   as possible.  */
+/* Adds the listed engines of the service INDEX to ENGINES, and their
+   descriptions for the path search, as they will be at NOW_US, to
+   PATH_ENGINES.  */
 static void
-add_paths (struct fst_fleet *fleet, uint32_t index, GPtrArray *paths,
-           bool last_resort, int64_t now_us)
+describe_engines (struct fst_fleet *fleet, uint32_t index, GPtrArray *engines,
+                  GArray *path_engines, bool last_resort, int64_t now_us)
 {
   const struct flt_engine_spec *engine
       = &fleet->view->config->services[index].engine;
-  GPtrArray *engines = g_ptr_array_new ();
-  GArray *path_engines
-      = g_array_new (FALSE, FALSE, sizeof (struct pth_engine));
   for (guint i = 0; i < fleet->ordered->len; i++)
     {
       struct fst_endpoint *endpoint = g_ptr_array_index (fleet->ordered, i);
@@ -707,6 +709,20 @@
           g_ptr_array_add (engines, endpoint);
         }
     }
+}
+
+/* Adds paths of the service INDEX to PATHS, which use different engines as far
+   as possible.  */
+static void
+add_paths (struct fst_fleet *fleet, uint32_t index, GPtrArray *paths,
+           bool last_resort, int64_t now_us)
+{
+  const struct flt_engine_spec *engine
+      = &fleet->view->config->services[index].engine;
+  GPtrArray *engines = g_ptr_array_new ();
+  GArray *path_engines
+      = g_array_new (FALSE, FALSE, sizeof (struct pth_engine));
+  describe_engines (fleet, index, engines, path_engines, last_resort, now_us);
   uint32_t searches = PATHS_PER_DATA_CENTRE * fleet->data_centres->len;
   while (searches > 0
          && add_path (paths, engine, engines,
@@ -720,6 +736,72 @@
   g_array_free (path_engines, TRUE);
 }
 
+static gint
+compare_times (gconstpointer a, gconstpointer b)
+{
+  int64_t left_us = *(const int64_t *)a;
+  int64_t right_us = *(const int64_t *)b;
+  return (left_us > right_us) - (left_us < right_us);
+}
+
+/* True when the service INDEX has a path over the engines that are open at
+   AT_US.  */
+static bool
+has_path (struct fst_fleet *fleet, uint32_t index, int64_t at_us)
+{
+  const struct pth_costs costs = {
+    .layers = fleet->view->config->services[index].engine.layers,
+    .hop_ms = HOP_MS,
+    .data_centre_hop_ms = DATA_CENTRE_HOP_MS,
+  };
+  GPtrArray *engines = g_ptr_array_new ();
+  GArray *path_engines
+      = g_array_new (FALSE, FALSE, sizeof (struct pth_engine));
+  struct pth_path found;
+  describe_engines (fleet, index, engines, path_engines, true, at_us);
+  bool exists = pth_find (&costs, (struct pth_engine *)path_engines->data,
+                          path_engines->len, &found);
+  g_ptr_array_free (engines, TRUE);
+  g_array_free (path_engines, TRUE);
+  return exists;
+}
+
+/* Returns the times after NOW_US at which endpoints of the service INDEX that
+   turned requests away open, in order.  The caller frees them.  */
+static GArray *
+list_openings (const struct fst_fleet *fleet, uint32_t index, int64_t now_us)
+{
+  GArray *openings = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  for (guint i = 0; i < fleet->ordered->len; i++)
+    {
+      const struct fst_endpoint *endpoint
+          = g_ptr_array_index (fleet->ordered, i);
+      if (endpoint->service == index && endpoint->listed
+          && endpoint->opens_us > now_us)
+        {
+          g_array_append_val (openings, endpoint->opens_us);
+        }
+    }
+  g_array_sort (openings, compare_times);
+  return openings;
+}
+
+/* Returns when the service INDEX, which has no path now, has one over engines
+   that open later; 0 if it doesn't.  */
+static int64_t
+first_opening_us (struct fst_fleet *fleet, uint32_t index, int64_t now_us)
+{
+  int64_t opens_us = 0;
+  GArray *openings = list_openings (fleet, index, now_us);
+  for (guint i = 0; i < openings->len && opens_us == 0; i++)
+    {
+      int64_t at_us = g_array_index (openings, int64_t, i);
+      opens_us = has_path (fleet, index, at_us) ? at_us : 0;
+    }
+  g_array_free (openings, TRUE);
+  return opens_us;
+}
+
 /* Computes the paths of the service INDEX.  Engines in backoff are used only
    if there is no path without them.  */
 static void
@@ -735,6 +817,13 @@
     {
       add_paths (fleet, index, service->paths, true, now_us);
     }
+  service->opens_us
+      = service->paths->len == 0 ? first_opening_us (fleet, index, now_us) : 0;
+  if (service->opens_us > 0)
+    {
+      service->paths_until_us
+          = MIN (service->paths_until_us, service->opens_us);
+    }
 }
 
 /* Returns how full PATH would be with a request of TOKENS more, as a share of
@@ -789,10 +878,37 @@
   return MAX (excess_us, 0);
 }
 
+/* True when every part of PATH may get new requests.  */
+static bool
+is_open (const struct fst_path *path, int64_t now_us)
+{
+  for (uint32_t i = 0; i < path->count; i++)
+    {
+      const struct fst_endpoint *part = path->parts[i];
+      if (!part->listed || now_us < part->opens_us)
+        {
+          return false;
+        }
+    }
+  return true;
+}
+
+/* Returns the state of the service INDEX with its paths as of NOW_US.  */
+static struct service_state *
+service_with_paths (struct fst_fleet *fleet, uint32_t index, int64_t now_us)
+{
+  struct service_state *service = service_state (fleet, index);
+  if (service->paths == NULL || now_us >= service->paths_until_us)
+    {
+      find_paths (fleet, index, service, now_us);
+    }
+  return service;
+}
+
 /* Chooses a path of SERVICE for a request that needs memory for TOKENS and
-   targets a first event within TARGET_US: of the paths with room and without a
-   queue that is too long for this, the one with the least load for its
-   capacity and speed, with a preference for the daemon's own data centre.
+   targets a first event within TARGET_US: of the open paths with room and
+   without a queue that is too long for this, the one with the least load for
+   its capacity and speed, with a preference for the daemon's own data centre.
    Sets EXCESS_US to the time, in microseconds, by which the expected wait on
    that path is too long; 0 if it isn't.  Returns a reference, or NULL when
    there is no path.  */
@@ -800,11 +916,7 @@
 fst_choose_path (struct fst_fleet *fleet, uint32_t service, double tokens,
                  int64_t target_us, int64_t now_us, double *excess_us)
 {
-  struct service_state *state = service_state (fleet, service);
-  if (state->paths == NULL || now_us >= state->paths_until_us)
-    {
-      find_paths (fleet, service, state, now_us);
-    }
+  struct service_state *state = service_with_paths (fleet, service, now_us);
   uint32_t home = data_centre_index (fleet, fleet->data_centre);
   struct fst_path *best = NULL;
   double best_cost = INFINITY;
@@ -812,6 +924,10 @@
   for (guint i = 0; i < state->paths->len; i++)
     {
       struct fst_path *path = g_ptr_array_index (state->paths, i);
+      if (!is_open (path, now_us))
+        {
+          continue;
+        }
       double excess = wait_excess_us (path, target_us, now_us);
       double fill = path_fill (fleet, path, tokens);
       double overload = MAX (fill - FULL_FILL, 0);
@@ -833,6 +949,33 @@
   return best == NULL ? NULL : fst_reference_path (best);
 }
 
+/* Returns when the first of the endpoints or paths of SERVICE opens, if all of
+   them are closed now since endpoints turned requests away; else 0.  */
+int64_t
+fst_opens_us (struct fst_fleet *fleet, uint32_t service, int64_t now_us)
+{
+  const struct flt_service *described = &fst_config (fleet)->services[service];
+  if (described->has_engine && described->engine.layers > 0)
+    {
+      return service_with_paths (fleet, service, now_us)->opens_us;
+    }
+  for (guint i = 0; i < fleet->ordered->len; i++)
+    {
+      const struct fst_endpoint *endpoint
+          = g_ptr_array_index (fleet->ordered, i);
+      if (endpoint->service == service && endpoint->listed
+          && endpoint->opens_us <= now_us)
+        {
+          return 0;
+        }
+    }
+  GArray *openings = list_openings (fleet, service, now_us);
+  int64_t opens_us
+      = openings->len == 0 ? 0 : g_array_index (openings, int64_t, 0);
+  g_array_free (openings, TRUE);
+  return opens_us;
+}
+
 /* Returns the endpoint of SERVICE at ADDRESS in the view in force, or
    NULL.  */
 struct fst_endpoint *
@@ -934,6 +1077,31 @@
   return true;
 }
 
+/* Records that ENDPOINT turned a request away and wants no others for
+   DURATION_US from NOW_US on.  That shows that it is alive and short of room,
+   not that it fails.  Returns false when it was closed already.  */
+bool
+fst_report_turned_away (struct fst_fleet *fleet, struct fst_endpoint *endpoint,
+                        int64_t duration_us, int64_t now_us)
+{
+  bool was_dead = endpoint->evidence.dead;
+  evd_answered (&endpoint->evidence);
+  publish_verdict (fleet, endpoint, was_dead);
+  bool was_open = now_us >= endpoint->opens_us;
+  endpoint->opens_us = vdt_turn_away (fleet->verdicts, endpoint->id,
+                                      endpoint->born_ms, duration_us, now_us);
+  if (!was_open)
+    {
+      return false;
+    }
+  lg_line (LOG_NOTICE, "endpoint_turned_away",
+           "endpoint=%s address=%s for_ms=%ld opens_in_ms=%ld", endpoint->id,
+           endpoint->address, (long)(duration_us / CLK_MS_US),
+           (long)((endpoint->opens_us - now_us) / CLK_MS_US));
+  invalidate_paths_over (fleet, endpoint);
+  return true;
+}
+
 /* True when the configuration is known and an endpoint of one of its services
    is listed.  */
 bool
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -28,8 +28,10 @@
                           it */
   uint32_t first_requests; /* those whose paths begin at it */
   struct rst_layers layers;
-  bool listed;  /* in the list and not leaving, as far as known */
-  bool in_view; /* in the view that fst_set_view is applying */
+  int64_t opens_us; /* monotonic; it turned a request away and wants no others
+                       until then */
+  bool listed;      /* in the list and not leaving, as far as known */
+  bool in_view;     /* in the view that fst_set_view is applying */
   struct evd_evidence evidence;
   struct fwt_estimate first_wait; /* of streams whose paths begin at it */
   GQueue waiting; /* int64_t: when each stream that waits there for its first
@@ -70,6 +72,8 @@
 struct fst_path *fst_choose_path (struct fst_fleet *fleet, uint32_t service,
                                   double tokens, int64_t target_us,
                                   int64_t now_us, double *excess_us);
+int64_t fst_opens_us (struct fst_fleet *fleet, uint32_t service,
+                      int64_t now_us);
 struct fst_endpoint *fst_find_address (struct fst_fleet *fleet,
                                        uint32_t service, const char *address);
 void fst_report_failure (struct fst_fleet *fleet,
@@ -80,6 +84,9 @@
                          struct fst_endpoint *endpoint, int64_t latency_us);
 bool fst_report_leaving (struct fst_fleet *fleet,
                          struct fst_endpoint *endpoint);
+bool fst_report_turned_away (struct fst_fleet *fleet,
+                             struct fst_endpoint *endpoint,
+                             int64_t duration_us, int64_t now_us);
 
 struct fst_endpoint *fst_reference (struct fst_endpoint *endpoint);
 void fst_release (struct fst_endpoint *endpoint);
--- a/src/entry/inquiry.c
+++ b/src/entry/inquiry.c
@@ -138,13 +138,14 @@
 }
 
 /* Requests a report from ENGINE on what its streams wait for, unless one is in
-   progress or the interval since the newest isn't over.  */
+   progress, the interval since the newest isn't over, or ENGINE wants no
+   requests now.  */
 void
 inq_request_report (struct trf_traffic *traffic, struct fst_endpoint *engine,
                     int64_t now_us)
 {
   struct inquiry *inquiry = find_inquiry (traffic, engine);
-  if (inquiry->call != NULL
+  if (inquiry->call != NULL || now_us < engine->opens_us
       || now_us - inquiry->sent_us < inquiry->interval_us)
     {
       return;
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -136,10 +136,18 @@
     }
 }
 
-/* Sends ORDER with the fencing token FENCE.  */
+/* Sends ORDER with the fencing token FENCE, or later if its endpoint wants no
+   requests now.  */
 static void
 send_order (struct order *order, uint64_t fence)
 {
+  int64_t opens_us = vdt_opens_us (order->placer->params.verdicts, order->id,
+                                   order->born_ms);
+  if (clk_monotonic_us () < opens_us)
+    {
+      order->next_us = opens_us;
+      return;
+    }
   char *body
       = pfr_place_order_body (order->layers.first, order->layers.end, fence);
   const struct cal_params params = {
--- a/src/entry/verdicts.c
+++ b/src/entry/verdicts.c
@@ -1,6 +1,7 @@
 #include "entry/verdicts.h"
 
 #include "core/departures.h"
+#include "core/turned_away.h"
 
 #include <glib.h>
 
@@ -10,6 +11,7 @@
   GHashTable *dead; /* endpoint id to the start time, in milliseconds, of the
                        incarnation that was found dead */
   struct dep_set *leaving;
+  struct tna_table *turned_away;
 };
 
 /* Creates an empty set of verdicts, which any thread may use.  */
@@ -21,6 +23,7 @@
   verdicts->dead
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   verdicts->leaving = dep_create ();
+  verdicts->turned_away = tna_create ();
   return verdicts;
 }
 
@@ -30,6 +33,7 @@
 {
   g_hash_table_destroy (verdicts->dead);
   dep_destroy (verdicts->leaving);
+  tna_destroy (verdicts->turned_away);
   g_mutex_clear (&verdicts->mutex);
   g_free (verdicts);
 }
@@ -99,3 +103,29 @@
   g_mutex_unlock (&verdicts->mutex);
   return count;
 }
+
+/* Records that the endpoint ID, in its incarnation that started at BORN_MS,
+   wants no requests for DURATION_US from NOW_US on.  Returns when it opens
+   again for this daemon.  */
+int64_t
+vdt_turn_away (struct vdt_verdicts *verdicts, const char *id, int64_t born_ms,
+               int64_t duration_us, int64_t now_us)
+{
+  double draw = g_random_double ();
+  g_mutex_lock (&verdicts->mutex);
+  int64_t opens_us = tna_close (verdicts->turned_away, id, born_ms,
+                                duration_us, draw, now_us);
+  g_mutex_unlock (&verdicts->mutex);
+  return opens_us;
+}
+
+/* Returns when the endpoint ID, in its incarnation that started at BORN_MS,
+   opens again after it turned a request away; 0 if it didn't.  */
+int64_t
+vdt_opens_us (struct vdt_verdicts *verdicts, const char *id, int64_t born_ms)
+{
+  g_mutex_lock (&verdicts->mutex);
+  int64_t opens_us = tna_opens_us (verdicts->turned_away, id, born_ms);
+  g_mutex_unlock (&verdicts->mutex);
+  return opens_us;
+}
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -11,6 +11,7 @@
 #include <stddef.h>
 
 #include <cmocka.h>
+#include <math.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -51,6 +52,7 @@
   bool complete;
   bool ends_with_connection;
   bool has_retry_after;
+  double retry_after_s;
   int64_t took_us; /* until the end of the answer */
   int64_t sent_us;
   GString *body;
@@ -63,6 +65,8 @@
   call->status = status;
   const char *retry_after = msg_find (answer, "Retry-After");
   call->has_retry_after = retry_after != NULL;
+  call->retry_after_s
+      = retry_after == NULL ? 0 : g_ascii_strtod (retry_after, NULL);
   call->ends_with_connection = ncl_ends_with_connection (call->exchange);
   return true;
 }
@@ -940,6 +944,142 @@
   await_ready (fixture);
 }
 
+/* Returns the number of requests that reach ENDPOINT within DURATION_US, while
+   bursts for PATH are sent.  */
+static uint32_t
+count_arrivals (struct fixture *fixture, const char *path, uint32_t endpoint,
+                int64_t duration_us)
+{
+  uint32_t before = sfl_arrival_count (fixture->fleet, endpoint);
+  int64_t end_us = clk_monotonic_us () + duration_us;
+  while (clk_monotonic_us () < end_us)
+    {
+      send_burst (fixture, path);
+      run_for (fixture, 20 * CLK_MS_US);
+    }
+  return sfl_arrival_count (fixture->fleet, endpoint) - before;
+}
+
+/* A service that turns a request away with a time gets none until then; a time
+   that makes no sense has no effect, and one that is too long ends with the
+   instance.  */
+static void
+test_service_turns_away (void **state)
+{
+  struct fixture *fixture = *state;
+  static const struct
+  {
+    const char *retry_after;
+    int64_t closed_ms;
+    bool opens; /* by itself, at most 0.2 of the time later */
+  } cases[] = {
+    { "2", 2000, true },    { "0.7", 700, true },   { "-1", 0, true },
+    { "x", 0, true },       { "", 0, true },        { NULL, 0, true },
+    { "1e9", 2000, false }, { "inf", 2000, false },
+  };
+  const uint32_t full = ENGINES;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      sfl_turn_away (fixture->fleet, full, cases[i].retry_after, 1);
+      assert_true (reaches (fixture, "/look/a", SFL_NO_FAULT, full));
+      /* `reaches' returns up to one burst after the answer. */
+      int64_t checked_us = (cases[i].closed_ms * 9 / 10) * CLK_MS_US;
+      uint32_t early = count_arrivals (fixture, "/look/a", full, checked_us);
+      run_for (fixture, (cases[i].closed_ms * 4 / 10) * CLK_MS_US);
+      if (!cases[i].opens)
+        {
+          early += count_arrivals (fixture, "/look/a", full, CLK_S_US);
+          replace_endpoint (fixture, full);
+        }
+      bool opened = reaches (fixture, "/look/a", SFL_NO_FAULT, full);
+      if (early > 0 || !opened)
+        {
+          fail_msg ("'%s': %u early requests, opened %d", cases[i].retry_after,
+                    early, opened);
+        }
+    }
+}
+
+/* When every endpoint has turned requests away, a request that can't be in
+   time is refused at once, to return when the first opens, and one that can
+   waits for that.  */
+static void
+test_all_turn_away (void **state)
+{
+  struct fixture *fixture = *state;
+  static const struct
+  {
+    const char *path;
+    const char *retry_after;
+    uint32_t status;
+    double closed_s; /* at most; the first opens at most 0.2 of this later */
+  } cases[] = {
+    { "/book/a", "2", 503, 2 },
+    { "/draft/a", "2", 503, 2 },
+    { "/book/a", "0.12", 200, 0.12 },
+    { "/draft/a", "0.12", 200, 0.12 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      double shortest_s = INFINITY;
+      double longest_s = 0;
+      for (uint32_t n = 0; n < ENGINES + SERVICES; n++)
+        {
+          sfl_turn_away (fixture->fleet, n, cases[i].retry_after, 1);
+        }
+      send_burst (fixture, cases[i].path);
+      for (uint32_t n = 0; n < BURST; n++)
+        {
+          struct call call = send_and_await (fixture, cases[i].path);
+          bool refused = call.status == 503 && call.has_retry_after
+                         && call.took_us < 100 * CLK_MS_US;
+          if (call.status != cases[i].status
+              || refused != (call.status == 503))
+            {
+              fail_msg ("%s, '%s': status %u after %ld ms", cases[i].path,
+                        cases[i].retry_after, call.status,
+                        (long)(call.took_us / CLK_MS_US));
+            }
+          shortest_s = MIN (shortest_s, call.retry_after_s);
+          longest_s = MAX (longest_s, call.retry_after_s);
+          clear_call (&call);
+        }
+      if (cases[i].status == 503
+          && (shortest_s < cases[i].closed_s * 0.8
+              || longest_s > cases[i].closed_s * 2.4 + 0.6
+              || longest_s - shortest_s < 0.2))
+        {
+          fail_msg ("%s: callers return after %g to %g s", cases[i].path,
+                    shortest_s, longest_s);
+        }
+      for (uint32_t n = 0; n < ENGINES + SERVICES; n++)
+        {
+          sfl_turn_away (fixture->fleet, n, NULL, 0);
+        }
+      run_for (fixture, (int64_t)(cases[i].closed_s * 1.3 * CLK_S_US));
+      assert_int_equal (send_burst (fixture, cases[i].path), BURST);
+    }
+}
+
+/* A first engine that turns a stream away gets none until its time is over.
+   The streams go to the other paths, and it isn't taken for dead.  */
+static void
+test_engine_turns_away (void **state)
+{
+  struct fixture *fixture = *state;
+  bool first[ENGINES];
+  assert_int_equal (find_first_engines (fixture, first), 2);
+  uint32_t full = first[0] ? 0 : first[1] ? 1 : 2;
+  sfl_turn_away (fixture->fleet, full, "1.5", 1);
+  assert_true (reaches (fixture, "/draft/a", SFL_NO_FAULT, full));
+  assert_int_equal (
+      count_arrivals (fixture, "/draft/a", full, 1200 * CLK_MS_US), 0);
+  assert_int_equal (send_burst (fixture, "/draft/a"), BURST);
+  run_for (fixture, 700 * CLK_MS_US);
+  assert_true (reaches (fixture, "/draft/a", SFL_NO_FAULT, full));
+  assert_true (sfl_is_placed (fixture->fleet));
+}
+
 /* When an engine dies, streams through it are resumed on other engines, each
    event once and in order, while the endpoint list still names the dead
    engine.  */
@@ -1104,6 +1244,9 @@
     cmocka_unit_test (test_service_says_leaving),
     cmocka_unit_test (test_all_services_say_leaving),
     cmocka_unit_test (test_engines_say_leaving),
+    cmocka_unit_test (test_service_turns_away),
+    cmocka_unit_test (test_all_turn_away),
+    cmocka_unit_test (test_engine_turns_away),
     cmocka_unit_test (test_leaving_endpoint),
     cmocka_unit_test (test_engine_dies),
     cmocka_unit_test (test_graceful_stop),
--- /dev/null
+++ b/test/fleet_state_test.c
@@ -0,0 +1,257 @@
+/* Tests of the choice of endpoints and paths while some of them leave or want
+   no requests.  */
+#include "base/clock.h"
+#include "entry/fleet_state.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define S INT64_C (1000000)
+
+/* Engines "a" and "b" hold the first half of the model, "c" and "d" the
+   second; "x" and "y" are plain services. */
+static const struct
+{
+  const char *id;
+  const char *service;
+  struct rst_layers layers;
+} endpoints[] = {
+  { "a", "draft", { 0, 4 } }, { "b", "draft", { 0, 4 } },
+  { "c", "draft", { 4, 8 } }, { "d", "draft", { 4, 8 } },
+  { "x", "book", { 0, 0 } },  { "y", "book", { 0, 0 } },
+};
+
+struct fixture
+{
+  struct vdt_verdicts *verdicts;
+  struct fst_fleet *fleet;
+  struct flt_config *config;
+};
+
+/* Puts a view in force that names the endpoints whose ids are in IDS, started
+   at BORN_MS.  */
+static void
+set_view (struct fixture *fixture, const char *ids, int64_t born_ms)
+{
+  GPtrArray *list
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)rst_endpoint_destroy);
+  for (size_t i = 0; i < G_N_ELEMENTS (endpoints); i++)
+    {
+      if (strstr (ids, endpoints[i].id) == NULL)
+        {
+          continue;
+        }
+      struct rst_endpoint *endpoint = g_new0 (struct rst_endpoint, 1);
+      endpoint->id = g_strdup (endpoints[i].id);
+      endpoint->service = g_strdup (endpoints[i].service);
+      endpoint->address = g_strdup_printf ("127.0.0.1:%zu", 9000 + i);
+      endpoint->data_centre = g_strdup ("east");
+      endpoint->kind = g_strdup ("small");
+      endpoint->slots = 8;
+      endpoint->started_ms = born_ms;
+      endpoint->layers = endpoints[i].layers;
+      g_ptr_array_add (list, endpoint);
+    }
+  fst_set_view (fixture->fleet, fvw_view_create (fixture->config, list, 1));
+}
+
+static void
+open_fixture (struct fixture *fixture)
+{
+  const struct rbg_params budget = { .ratio = 0.2, .window_us = S };
+  fixture->config = flt_create (0, 2, 0);
+  struct flt_service *draft = &fixture->config->services[0];
+  draft->name = g_strdup ("draft");
+  draft->has_engine = true;
+  draft->engine.layers = 8;
+  draft->engine.step_ms = 1;
+  draft->engine.slots = 8;
+  fixture->config->services[1].name = g_strdup ("book");
+  flt_index (fixture->config);
+  fixture->verdicts = vdt_create ();
+  fixture->fleet = fst_create ("east", &budget, fixture->verdicts);
+  set_view (fixture, "abcdxy", 1);
+}
+
+static void
+close_fixture (struct fixture *fixture)
+{
+  fst_destroy (fixture->fleet);
+  flt_release (fixture->config);
+  vdt_destroy (fixture->verdicts);
+}
+
+/* Returns the endpoint ID of the view in force.  */
+static struct fst_endpoint *
+find (struct fixture *fixture, const char *id)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (endpoints); i++)
+    {
+      if (strcmp (endpoints[i].id, id) == 0)
+        {
+          g_autofree char *address
+              = g_strdup_printf ("127.0.0.1:%zu", 9000 + i);
+          return fst_find_address (fixture->fleet, i < 4 ? 0 : 1, address);
+        }
+    }
+  return NULL;
+}
+
+/* Returns the ids of the endpoints that requests at NOW_US are sent to or
+   over, in order.  */
+static char *
+list_used (struct fixture *fixture, int64_t now_us)
+{
+  GString *used = g_string_new (NULL);
+  bool is_used[G_N_ELEMENTS (endpoints)] = { false };
+  for (uint32_t n = 0; n < 100; n++)
+    {
+      double excess_us = 0;
+      struct fst_path *path
+          = fst_choose_path (fixture->fleet, 0, 100, S, now_us, &excess_us);
+      struct fst_endpoint *plain
+          = fst_choose_endpoint (fixture->fleet, 1, NULL, now_us);
+      for (size_t i = 0; i < G_N_ELEMENTS (endpoints); i++)
+        {
+          const char *id = endpoints[i].id;
+          for (uint32_t part = 0; path != NULL && part < path->count; part++)
+            {
+              is_used[i] |= strcmp (path->parts[part]->id, id) == 0;
+            }
+          is_used[i] |= plain != NULL && strcmp (plain->id, id) == 0;
+        }
+      if (path != NULL)
+        {
+          fst_release_path (path);
+        }
+      if (plain != NULL)
+        {
+          fst_release (plain);
+        }
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (endpoints); i++)
+    {
+      g_string_append (used, is_used[i] ? endpoints[i].id : "");
+    }
+  return g_string_free (used, FALSE);
+}
+
+/* An endpoint that says that it leaves, or that turns requests away, is out of
+   use as a first engine, as a later part of paths and as a plain service,
+   through changes of the view, until a newer incarnation is listed.  */
+static void
+closed_endpoints_are_not_used (void **state)
+{
+  (void)state;
+  enum report
+  {
+    REPORT_NONE,
+    REPORT_LEAVING,
+    REPORT_TURNED_AWAY /* for 3 s */
+  };
+  static const struct
+  {
+    const char *name;
+    const char *view; /* put in force first; NULL: none */
+    int64_t born_ms;
+    enum report report;
+    const char *id; /* of the endpoint that the report is of */
+    const char *used_now;
+    const char *used_later; /* after 4 s */
+  } steps[] = {
+    { "at first", NULL, 0, REPORT_NONE, NULL, "abcdxy", "abcdxy" },
+    { "a first engine leaves", NULL, 0, REPORT_LEAVING, "a", "bcdxy",
+      "bcdxy" },
+    { "a later part is full", NULL, 0, REPORT_TURNED_AWAY, "d", "bcxy",
+      "bcdxy" },
+    { "a service is full", NULL, 0, REPORT_TURNED_AWAY, "y", "bcx", "bcdxy" },
+    { "listed as ready again", "abcdxy", 1, REPORT_NONE, NULL, "bcx",
+      "bcdxy" },
+    { "dropped", "bcx", 1, REPORT_NONE, NULL, "bcx", "bcx" },
+    { "and listed again", "abcdxy", 1, REPORT_NONE, NULL, "bcx", "bcdxy" },
+    { "an older record", "abcdxy", 0, REPORT_NONE, NULL, "bcx", "bcdxy" },
+    { "no second half is left", "abcdxy", 1, REPORT_TURNED_AWAY, "c", "x",
+      "bcdxy" },
+    { "the other service leaves", NULL, 0, REPORT_LEAVING, "x", "", "bcdy" },
+    { "new incarnations", "abcdxy", 2, REPORT_NONE, NULL, "abcdxy", "abcdxy" },
+  };
+  struct fixture fixture;
+  open_fixture (&fixture);
+  int64_t now_us = clk_monotonic_us ();
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      if (steps[i].view != NULL)
+        {
+          set_view (&fixture, steps[i].view, steps[i].born_ms);
+        }
+      if (steps[i].report == REPORT_LEAVING)
+        {
+          assert_true (fst_report_leaving (fixture.fleet,
+                                           find (&fixture, steps[i].id)));
+        }
+      if (steps[i].report == REPORT_TURNED_AWAY)
+        {
+          assert_true (fst_report_turned_away (
+              fixture.fleet, find (&fixture, steps[i].id), 3 * S, now_us));
+        }
+      g_autofree char *used_later = list_used (&fixture, now_us + 4 * S);
+      /* Paths are kept until a later time; the view is put in force anew. */
+      fst_set_view (fixture.fleet, fvw_reference ((struct fvw_view *)fst_view (
+                                       fixture.fleet)));
+      g_autofree char *used_now = list_used (&fixture, now_us);
+      if (strcmp (used_now, steps[i].used_now) != 0
+          || strcmp (used_later, steps[i].used_later) != 0)
+        {
+          fail_msg ("%s: '%s', later '%s'", steps[i].name, used_now,
+                    used_later);
+        }
+    }
+  close_fixture (&fixture);
+}
+
+/* The first opening is that of the first endpoint, or of the first path, all
+   of whose parts are open.  */
+static void
+first_opening_is_found (void **state)
+{
+  (void)state;
+  struct fixture fixture;
+  open_fixture (&fixture);
+  struct fst_fleet *fleet = fixture.fleet;
+  int64_t now_us = clk_monotonic_us ();
+  fst_report_turned_away (fleet, find (&fixture, "a"), 2 * S, now_us);
+  fst_report_turned_away (fleet, find (&fixture, "x"), 3 * S, now_us);
+  assert_int_equal (fst_opens_us (fleet, 0, now_us), 0);
+  assert_int_equal (fst_opens_us (fleet, 1, now_us), 0);
+  fst_report_turned_away (fleet, find (&fixture, "b"), 8 * S, now_us);
+  assert_int_equal (fst_opens_us (fleet, 0, now_us),
+                    find (&fixture, "a")->opens_us);
+  fst_report_turned_away (fleet, find (&fixture, "c"), 4 * S, now_us);
+  fst_report_turned_away (fleet, find (&fixture, "d"), 20 * S, now_us);
+  assert_int_equal (fst_opens_us (fleet, 0, now_us),
+                    find (&fixture, "c")->opens_us);
+  fst_report_turned_away (fleet, find (&fixture, "y"), S, now_us);
+  assert_int_equal (fst_opens_us (fleet, 1, now_us),
+                    find (&fixture, "y")->opens_us);
+  fst_report_leaving (fleet, find (&fixture, "y"));
+  assert_int_equal (fst_opens_us (fleet, 1, now_us),
+                    find (&fixture, "x")->opens_us);
+  fst_report_leaving (fleet, find (&fixture, "x"));
+  assert_int_equal (fst_opens_us (fleet, 1, now_us), 0);
+  assert_true (find (&fixture, "a")->evidence.state == EVD_HEALTHY);
+  close_fixture (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (closed_endpoints_are_not_used),
+    cmocka_unit_test (first_opening_is_found),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
