Read what endpoints announce in reports and in answers to orders, too

An engine that answers a report or an order with `Server-Leaving: 1` went on getting streams until one of them told. The reading of the announcements moves out of the exchange into entry/announcement; stall inquiries handle them in the same way, and answers to orders mark the endpoint as leaving in the next view.

--- /dev/null
+++ b/src/entry/announcement.c
@@ -0,0 +1,83 @@
+#include "entry/announcement.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "core/turned_away.h"
+#include "entry/exchange.h"
+#include "platform/headers.h"
+
+/* True when ANSWER says that its endpoint leaves.  */
+bool
+anc_is_leaving (const struct msg_message *answer)
+{
+  return g_strcmp0 (msg_find (answer, PFH_LEAVING), "1") == 0;
+}
+
+/* Closes ENDPOINT for DURATION_US.  Requests to it that aren't on their way
+   yet go elsewhere.  */
+static void
+close_endpoint (struct trf_traffic *traffic, struct fst_endpoint *endpoint,
+                int64_t duration_us)
+{
+  if (fst_report_turned_away (traffic->fleet, endpoint, duration_us,
+                              clk_monotonic_us ()))
+    {
+      cnt_add (traffic->metrics->turned_away, 1);
+      exg_withdraw_unsent (traffic, endpoint);
+    }
+}
+
+/* Returns the time for which a 503, ANSWER, says that ENDPOINT wants no
+   requests; 0 if it states none that makes sense.  */
+static int64_t
+read_retry_after (struct trf_traffic *traffic,
+                  const struct fst_endpoint *endpoint,
+                  const struct msg_message *answer)
+{
+  int64_t bound_us
+      = tna_bound_us (fst_config (traffic->fleet), traffic->settings->stop_us);
+  int64_t duration_us = 0;
+  enum tna_reading reading
+      = tna_read (msg_find (answer, PFH_RETRY_AFTER), bound_us, &duration_us);
+  if (reading == TNA_BOUNDED || reading == TNA_INVALID)
+    {
+      lg_line (LOG_WARNING, "retry_after_refused",
+               "endpoint=%s bounded=%d for_ms=%ld", endpoint->id,
+               reading == TNA_BOUNDED, (long)(duration_us / CLK_MS_US));
+    }
+  return duration_us;
+}
+
+/* Handles what the head of ANSWER, with STATUS, announces of ENDPOINT, which
+   sent it.  The time of a 503 holds for the engine at fault too, if ANSWER
+   names one.  Returns true when ENDPOINT wants no requests for a time.  */
+bool
+anc_handle (struct trf_traffic *traffic, struct fst_endpoint *endpoint,
+            uint32_t status, const struct msg_message *answer)
+{
+  if (anc_is_leaving (answer) && fst_report_leaving (traffic->fleet, endpoint))
+    {
+      cnt_add (traffic->metrics->leaving_said, 1);
+      exg_withdraw_unsent (traffic, endpoint);
+    }
+  if (status != HTTP_STATUS_SERVICE_UNAVAILABLE)
+    {
+      return false;
+    }
+  int64_t duration_us = read_retry_after (traffic, endpoint, answer);
+  if (duration_us == 0)
+    {
+      return false;
+    }
+  close_endpoint (traffic, endpoint, duration_us);
+  const char *address = msg_find (answer, PFH_ENDPOINT_AT_FAULT);
+  struct fst_endpoint *at_fault
+      = address == NULL
+            ? NULL
+            : fst_find_address (traffic->fleet, endpoint->service, address);
+  if (at_fault != NULL && at_fault != endpoint)
+    {
+      close_endpoint (traffic, at_fault, duration_us);
+    }
+  return true;
+}
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -4,7 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "core/turned_away.h"
+#include "entry/announcement.h"
 #include "platform/headers.h"
 
 #include <string.h>
@@ -58,74 +58,6 @@
     }
 }
 
-/* Records that ENDPOINT wants no requests for DURATION_US.  Requests to it
-   that aren't on their way yet go elsewhere.  */
-static void
-close_endpoint (struct exchange *exchange, struct fst_endpoint *endpoint,
-                int64_t duration_us)
-{
-  struct trf_traffic *traffic = exchange->traffic;
-  if (fst_report_turned_away (traffic->fleet, endpoint, duration_us,
-                              clk_monotonic_us ()))
-    {
-      cnt_add (traffic->metrics->turned_away, 1);
-      exg_withdraw_unsent (traffic, endpoint);
-    }
-}
-
-/* Handles the time for which a 503, ANSWER, says that its endpoint wants no
-   requests.  It holds for the engine at fault too, if ANSWER names one.  */
-static void
-note_turned_away (struct exchange *exchange, const struct msg_message *answer)
-{
-  struct trf_traffic *traffic = exchange->traffic;
-  const char *text = msg_find (answer, PFH_RETRY_AFTER);
-  int64_t bound_us
-      = tna_bound_us (fst_config (traffic->fleet), traffic->settings->stop_us);
-  int64_t duration_us = 0;
-  enum tna_reading reading = tna_read (text, bound_us, &duration_us);
-  if (reading == TNA_BOUNDED || reading == TNA_INVALID)
-    {
-      lg_line (LOG_WARNING, "retry_after_refused",
-               "endpoint=%s bounded=%d for_ms=%ld", exchange->endpoint->id,
-               reading == TNA_BOUNDED, (long)(duration_us / CLK_MS_US));
-    }
-  exchange->turned_away = duration_us > 0;
-  if (!exchange->turned_away)
-    {
-      return;
-    }
-  close_endpoint (exchange, exchange->endpoint, duration_us);
-  uint32_t service = exg_service_index (exchange);
-  struct fst_endpoint *at_fault
-      = exchange->failed_address == NULL || service == FLT_NO_INDEX
-            ? NULL
-            : fst_find_address (traffic->fleet, service,
-                                exchange->failed_address);
-  if (at_fault != NULL && at_fault != exchange->endpoint)
-    {
-      close_endpoint (exchange, at_fault, duration_us);
-    }
-}
-
-/* Handles what ANSWER, of any status, says of its endpoint.  */
-static void
-note_endpoint_state (struct exchange *exchange,
-                     const struct msg_message *answer)
-{
-  struct trf_traffic *traffic = exchange->traffic;
-  if (g_strcmp0 (msg_find (answer, PFH_LEAVING), "1") == 0
-      && fst_report_leaving (traffic->fleet, exchange->endpoint))
-    {
-      cnt_add (traffic->metrics->leaving_said, 1);
-      exg_withdraw_unsent (traffic, exchange->endpoint);
-    }
-  if (exchange->status == HTTP_STATUS_SERVICE_UNAVAILABLE)
-    {
-      note_turned_away (exchange, answer);
-    }
-}
-
 /* Records the success of an attempt for its endpoint, or for every engine on
    its path, and how long it took.  */
 static void
@@ -164,7 +96,8 @@
   g_free (exchange->failed_address);
   exchange->failed_address
       = g_strdup (msg_find (answer, PFH_ENDPOINT_AT_FAULT));
-  note_endpoint_state (exchange, answer);
+  exchange->turned_away
+      = anc_handle (exchange->traffic, exchange->endpoint, status, answer);
   if (id == NULL ? success : strcmp (id, exchange->id) != 0)
     {
       return false;
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -83,8 +83,6 @@
 void exg_end_wait (struct exchange *exchange, bool answered);
 void exg_end_room_wait (struct exchange *exchange);
 void exg_give_up_wait (struct exchange *exchange);
-void exg_withdraw_unsent (struct trf_traffic *traffic,
-                          const struct fst_endpoint *endpoint);
 void exg_deliver_buffered (struct exchange *exchange);
 void exg_finish (struct exchange *exchange, uint32_t status,
                  const char *outcome);
--- a/src/entry/inquiry.c
+++ b/src/entry/inquiry.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "entry/announcement.h"
 #include "entry/exchange.h"
 #include "net/call.h"
 #include "platform/runner.h"
@@ -67,6 +68,14 @@
     }
 }
 
+static void
+on_report_head (void *context, uint32_t status,
+                const struct msg_message *response)
+{
+  struct inquiry *inquiry = context;
+  anc_handle (inquiry->traffic, inquiry->engine, status, response);
+}
+
 /* Handles a report, and checks again the streams that begin at its engine.  An
    engine that sends no answer at all counts as dead.  */
 static void
@@ -115,6 +124,7 @@
     .method = "GET",
     .path = PFR_REPORT_PATH,
     .timeout_ms = REPORT_TIMEOUT_MS,
+    .headers = on_report_head,
     .done = on_report,
     .context = inquiry,
   };
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "core/stage_plan.h"
+#include "entry/announcement.h"
 #include "net/call.h"
 #include "platform/runner.h"
 
@@ -112,6 +113,23 @@
   g_free (placer);
 }
 
+/* Handles the head of the answer to an order.  An endpoint that says that it
+   leaves is leaving in the next view.  */
+static void
+on_answer_head (void *context, uint32_t status,
+                const struct msg_message *response)
+{
+  (void)status;
+  const struct order *order = context;
+  if (anc_is_leaving (response)
+      && vdt_set_leaving (order->placer->params.verdicts, order->id,
+                          order->born_ms))
+    {
+      lg_line (LOG_NOTICE, "endpoint_says_leaving", "endpoint=%s address=%s",
+               order->id, order->address);
+    }
+}
+
 /* Handles the answer to an order.  A refused fencing token means that another
    daemon leads.  */
 static void
@@ -158,6 +176,7 @@
     .path = PFR_ORDER_PATH,
     .body = body,
     .timeout_ms = ORDER_TIMEOUT_MS,
+    .headers = on_answer_head,
     .done = on_answer,
     .context = order,
   };
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -822,10 +822,10 @@
   assert_int_equal (send_burst (fixture, "/book/a"), BURST);
 }
 
-/* Sets FIRST to whether each engine is the first one of a path.  Returns how
-   many are.  */
+/* Sets FIRST to whether each engine is the first one of a path that is in use
+   now.  Returns how many are.  */
 static uint32_t
-find_first_engines (struct fixture *fixture, bool first[ENGINES])
+list_first_engines (struct fixture *fixture, bool first[ENGINES])
 {
   uint32_t before[ENGINES];
   uint32_t count = 0;
@@ -845,6 +845,20 @@
   return count;
 }
 
+/* Waits until two engines are the first ones of paths, and sets FIRST to which
+   ones.  */
+static void
+find_first_engines (struct fixture *fixture, bool first[ENGINES])
+{
+  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
+  while (list_first_engines (fixture, first) != 2
+         && clk_monotonic_us () < end_us)
+    {
+      run_for (fixture, 200 * CLK_MS_US);
+    }
+  assert_int_equal (list_first_engines (fixture, first), 2);
+}
+
 /* Starts BURST streams.  */
 static void
 start_streams (struct fixture *fixture, struct call *calls, const char *name)
@@ -891,7 +905,7 @@
   struct call later[BURST];
   bool first[ENGINES];
   uint32_t before[ENGINES];
-  assert_int_equal (find_first_engines (fixture, first), 2);
+  find_first_engines (fixture, first);
   sfl_set_stream_events (fixture->fleet, 60);
   uint32_t one = first[0] ? 0 : first[1] ? 1 : 2;
   start_streams (fixture, under_way, "leaving");
@@ -944,6 +958,73 @@
   await_ready (fixture);
 }
 
+/* An engine that says in a report that it leaves, while streams stall there
+   without an answer, gets no new ones.  */
+static void
+test_leaving_said_in_report (void **state)
+{
+  struct fixture *fixture = *state;
+  struct call stalled[BURST];
+  uint32_t before[ENGINES];
+  uint32_t leaving = 0;
+  bool first[ENGINES];
+  find_first_engines (fixture, first);
+  sfl_set_fault (fixture->fleet, true, SFL_STALLS, BURST);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      before[i] = sfl_arrival_count (fixture->fleet, i);
+    }
+  start_streams (fixture, stalled, "stalled");
+  run_for (fixture, 50 * CLK_MS_US);
+  while (sfl_arrival_count (fixture->fleet, leaving) == before[leaving])
+    {
+      leaving++;
+      assert_true (leaving < ENGINES);
+    }
+  sfl_set_leaving (fixture->fleet, leaving, true);
+  run_for (fixture, 900 * CLK_MS_US);
+  before[leaving] = sfl_arrival_count (fixture->fleet, leaving);
+  for (uint32_t i = 0; i < BURST; i++)
+    {
+      ncl_cancel (stalled[i].exchange);
+      clear_call (&stalled[i]);
+    }
+  run_for (fixture, 2 * CLK_S_US);
+  for (uint32_t i = 0; i < BURSTS_MAX; i++)
+    {
+      assert_int_equal (send_burst (fixture, "/draft/a"), BURST);
+    }
+  assert_int_equal (sfl_arrival_count (fixture->fleet, leaving),
+                    before[leaving]);
+  sfl_set_fault (fixture->fleet, true, SFL_NO_FAULT, 0);
+  replace_endpoint (fixture, leaving);
+  await_ready (fixture);
+}
+
+/* A new engine that says in the answer to its first order that it leaves gets
+   no streams once it has its layers.  */
+static void
+test_leaving_said_to_order (void **state)
+{
+  struct fixture *fixture = *state;
+  bool first[ENGINES];
+  find_first_engines (fixture, first);
+  uint32_t leaving = first[0] ? 0 : first[1] ? 1 : 2;
+  sfl_unlist (fixture->fleet, leaving);
+  sfl_kill (fixture->fleet, leaving);
+  sfl_restart (fixture->fleet, leaving);
+  sfl_set_leaving (fixture->fleet, leaving, true);
+  uint32_t before = sfl_arrival_count (fixture->fleet, leaving);
+  run_for (fixture, 1500 * CLK_MS_US);
+  for (uint32_t i = 0; i < BURSTS_MAX; i++)
+    {
+      assert_int_equal (send_burst (fixture, "/draft/a"), BURST);
+    }
+  assert_int_equal (sfl_arrival_count (fixture->fleet, leaving), before);
+  replace_endpoint (fixture, leaving);
+  await_ready (fixture);
+}
+
 /* Returns the number of requests that reach ENDPOINT within DURATION_US, while
    bursts for PATH are sent.  */
 static uint32_t
@@ -1068,7 +1149,7 @@
 {
   struct fixture *fixture = *state;
   bool first[ENGINES];
-  assert_int_equal (find_first_engines (fixture, first), 2);
+  find_first_engines (fixture, first);
   uint32_t full = first[0] ? 0 : first[1] ? 1 : 2;
   sfl_turn_away (fixture->fleet, full, "1.5", 1);
   assert_true (reaches (fixture, "/draft/a", SFL_NO_FAULT, full));
@@ -1244,6 +1325,8 @@
     cmocka_unit_test (test_service_says_leaving),
     cmocka_unit_test (test_all_services_say_leaving),
     cmocka_unit_test (test_engines_say_leaving),
+    cmocka_unit_test (test_leaving_said_in_report),
+    cmocka_unit_test (test_leaving_said_to_order),
     cmocka_unit_test (test_service_turns_away),
     cmocka_unit_test (test_all_turn_away),
     cmocka_unit_test (test_engine_turns_away),
