Find the first opening of a service by bisection

Each engine that opens was tried in turn, a path search for each. A path that exists at one opening exists at all later ones. fleet_state_test and entry_test (17 of 17, also with the address sanitizer) pass.

--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -791,13 +791,24 @@
 static int64_t
 first_opening_us (struct fst_fleet *fleet, uint32_t index, int64_t now_us)
 {
-  int64_t opens_us = 0;
   GArray *openings = list_openings (fleet, index, now_us);
-  for (guint i = 0; i < openings->len && opens_us == 0; i++)
+  /* A path that exists at one opening exists at all later ones. */
+  guint first = 0;
+  guint end = openings->len;
+  while (first < end)
     {
-      int64_t at_us = g_array_index (openings, int64_t, i);
-      opens_us = has_path (fleet, index, at_us) ? at_us : 0;
+      guint middle = first + (end - first) / 2;
+      if (has_path (fleet, index, g_array_index (openings, int64_t, middle)))
+        {
+          end = middle;
+        }
+      else
+        {
+          first = middle + 1;
+        }
     }
+  int64_t opens_us
+      = first < openings->len ? g_array_index (openings, int64_t, first) : 0;
   g_array_free (openings, TRUE);
   return opens_us;
 }
