--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -1,7 +1,9 @@
 /* Tests of the choice of endpoints and paths while some of them leave or want
    no requests.  */
 #include "base/clock.h"
+#include "entry/announcement.h"
 #include "entry/fleet_state.h"
+#include "platform/headers.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -246,12 +248,111 @@
   close_fixture (&fixture);
 }
 
+/* Adds the header NAME unless VALUE is NULL.  */
+static void
+add_header (struct msg_message *message, const char *name, const char *value)
+{
+  if (value != NULL)
+    {
+      msg_add_name (message, name, strlen (name));
+      msg_add_value (message, value, strlen (value));
+    }
+}
+
+/* True when ENDPOINT is closed from NOW_US on for DURATION_US and at most a
+   quarter more, or open if that is 0.  */
+static bool
+is_closed_for (const struct fst_endpoint *endpoint, int64_t duration_us,
+               int64_t now_us)
+{
+  int64_t closed_us = endpoint->opens_us - now_us;
+  return duration_us == 0 ? endpoint->opens_us == 0
+                          : closed_us >= duration_us
+                                && closed_us <= duration_us * 5 / 4 + S / 10;
+}
+
+/* What the heads of answers announce holds for the endpoint that answered, and
+   a time for the engine at fault as well.  */
+static void
+heads_of_answers_are_read (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *name;
+    const char *leaving;
+    const char *retry_after;
+    const char *at_fault;
+    int64_t closed_us;          /* "a", which answers, at least */
+    int64_t at_fault_closed_us; /* "d", at least */
+    uint32_t status;
+    bool turned_away;
+    bool leaves;
+  } cases[] = {
+    { "a success", NULL, NULL, NULL, 0, 0, 200, false, false },
+    { "leaves, success", "1", NULL, NULL, 0, 0, 200, false, true },
+    { "leaves, refusal", "1", NULL, NULL, 0, 0, 503, false, true },
+    { "leaves, wrong incarnation", "1", NULL, NULL, 0, 0, 421, false, true },
+    { "doesn't leave", "0", NULL, NULL, 0, 0, 200, false, false },
+    { "a time", NULL, "2", NULL, 2 * S, 0, 503, true, false },
+    { "a time of another status", NULL, "2", NULL, 0, 0, 429, false, false },
+    { "a time, itself at fault", NULL, "0.5", "127.0.0.1:9000", S / 2, 0, 503,
+      true, false },
+    { "a time, another at fault", NULL, "0.5", "127.0.0.1:9003", S / 2, S / 2,
+      503, true, false },
+    { "a time, unknown at fault", NULL, "0.5", "127.0.0.1:1", S / 2, 0, 503,
+      true, false },
+    { "a time that is too long", NULL, "1e9", NULL, 6 * S, 0, 503, true,
+      false },
+    { "no time", NULL, "soon", NULL, 0, 0, 503, false, false },
+    { "both", "1", "2", NULL, 2 * S, 0, 503, true, true },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture fixture;
+      struct msg_message answer;
+      struct ens_settings settings = { .stop_us = 6 * S };
+      open_fixture (&fixture);
+      struct cnt_set *series = cnt_set_create ();
+      struct trf_traffic traffic = {
+        .settings = &settings,
+        .fleet = fixture.fleet,
+        .metrics = emt_create (series),
+        .exchanges = g_hash_table_new (NULL, NULL),
+      };
+      msg_init (&answer);
+      add_header (&answer, PFH_LEAVING, cases[i].leaving);
+      add_header (&answer, PFH_RETRY_AFTER, cases[i].retry_after);
+      add_header (&answer, PFH_ENDPOINT_AT_FAULT, cases[i].at_fault);
+      msg_end_headers (&answer);
+      struct fst_endpoint *a = find (&fixture, "a");
+      struct fst_endpoint *d = find (&fixture, "d");
+      int64_t now_us = clk_monotonic_us ();
+      bool turned_away = anc_handle (&traffic, a, cases[i].status, &answer);
+      if (turned_away != cases[i].turned_away || a->listed == cases[i].leaves
+          || !is_closed_for (a, cases[i].closed_us, now_us)
+          || !is_closed_for (d, cases[i].at_fault_closed_us, now_us))
+        {
+          fail_msg ("%s: turned away %d, listed %d, %ld and %ld us",
+                    cases[i].name, turned_away, a->listed,
+                    (long)(a->opens_us - now_us),
+                    (long)(d->opens_us - now_us));
+        }
+      msg_clear (&answer);
+      g_hash_table_destroy (traffic.exchanges);
+      emt_destroy (traffic.metrics);
+      cnt_set_destroy (series);
+      close_fixture (&fixture);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (closed_endpoints_are_not_used),
     cmocka_unit_test (first_opening_is_found),
+    cmocka_unit_test (heads_of_answers_are_read),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
