--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "entry/announcement.h"
 #include "platform/headers.h"
 
 #include <string.h>
@@ -111,6 +112,8 @@
   g_free (exchange->failed_address);
   exchange->failed_address
       = g_strdup (msg_find (answer, PFH_ENDPOINT_AT_FAULT));
+  exchange->turned_away
+      = anc_handle (exchange->traffic, exchange->endpoint, status, answer);
   if (id == NULL ? success : strcmp (id, exchange->id) != 0)
     {
       return false;
@@ -256,15 +259,21 @@
     {
       /* A wrong incarnation or layers aren't a shortage of room. */
       bool misdirected = exchange->status == HTTP_STATUS_MISDIRECTED_REQUEST;
-      exg_report_failure (exchange,
-                          exchange->path == NULL ? EVD_INCONCLUSIVE
-                          : misdirected          ? EVD_MISDIRECTED
-                                                 : EVD_REFUSING,
-                          "did not run a request");
+      if (!exchange->turned_away)
+        {
+          exg_report_failure (exchange,
+                              exchange->path == NULL ? EVD_INCONCLUSIVE
+                              : misdirected          ? EVD_MISDIRECTED
+                                                     : EVD_REFUSING,
+                              "did not run a request");
+        }
       exg_end_attempt (exchange, ATT_NOT_RUN);
       return;
     }
-  exg_report_failure (exchange, EVD_INCONCLUSIVE, "failed a request");
+  if (!exchange->turned_away)
+    {
+      exg_report_failure (exchange, EVD_INCONCLUSIVE, "failed a request");
+    }
   exg_end_attempt (exchange, ATT_FAILED);
 }
 
--- a/src/entry/inquiry.c
+++ b/src/entry/inquiry.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "entry/announcement.h"
 #include "entry/exchange.h"
 #include "net/call.h"
 #include "platform/runner.h"
@@ -67,6 +68,14 @@
     }
 }
 
+static void
+on_report_head (void *context, uint32_t status,
+                const struct msg_message *response)
+{
+  struct inquiry *inquiry = context;
+  anc_handle (inquiry->traffic, inquiry->engine, status, response);
+}
+
 /* Handles a report, and checks again the streams that begin at its engine.  An
    engine that sends no answer at all counts as dead.  */
 static void
@@ -115,6 +124,7 @@
     .method = "GET",
     .path = PFR_REPORT_PATH,
     .timeout_ms = REPORT_TIMEOUT_MS,
+    .headers = on_report_head,
     .done = on_report,
     .context = inquiry,
   };
@@ -138,13 +148,14 @@
 }
 
 /* Requests a report from ENGINE on what its streams wait for, unless one is in
-   progress or the interval since the newest isn't over.  */
+   progress, the interval since the newest isn't over, or ENGINE wants no
+   requests now.  */
 void
 inq_request_report (struct trf_traffic *traffic, struct fst_endpoint *engine,
                     int64_t now_us)
 {
   struct inquiry *inquiry = find_inquiry (traffic, engine);
-  if (inquiry->call != NULL
+  if (inquiry->call != NULL || now_us < engine->opens_us
       || now_us - inquiry->sent_us < inquiry->interval_us)
     {
       return;
