--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -96,7 +96,6 @@
 void sfl_list_draining (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_list_ready (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_unlist (struct sfl_fleet *fleet, uint32_t endpoint);
-void sfl_list_ready (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_kill (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_restart (struct sfl_fleet *fleet, uint32_t endpoint);
 uint32_t sfl_restart_count (const struct sfl_fleet *fleet, uint32_t endpoint);
