Keep the daemon of test_stop_unseen_route busy until the late calls have arrived

The late calls came 3.1 s after SIGTERM, and an idle daemon exits after 3.5 s. On an address build the case failed in one of two runs, the one with linters running beside it: status 0 for the first late call. Its log is lost, so that this was the cause is only suspected.

A stream in progress now keeps the daemon from exiting, and the calls come 3.6 s after SIGTERM, 0.9 s after the time in which everything is accepted. The check is the same: with run times kept by service alone the case still fails: /sum/a after 4000 ms: status 0, complete 0 test/entry_test.c:873: error: Failure! One run of entry_test passes on the release build and one on the address build, both at once.

--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -842,14 +842,23 @@
       assert_int_equal (calls[0].status, 200);
       clear_call (&calls[0]);
     }
+  /* Keeps the daemon from exiting as idle before the late calls. */
+  struct call stream;
+  sfl_set_stream_events (fixture->fleet, 300);
+  start_stream (fixture, &stream, 400);
+  run_for (fixture, 100 * CLK_MS_US);
   sep_signal (fixture->daemon, SIGTERM);
-  run_for (fixture, 3100 * CLK_MS_US);
+  run_for (fixture, 3600 * CLK_MS_US);
   for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
     {
       sfl_set_call_ms (fixture->fleet, late[i].call_ms);
       send_call (fixture, &calls[i], late[i].path, TIMEOUT_US);
     }
   sfl_set_call_ms (fixture->fleet, SFL_CALL_MS);
+  await_call (fixture, &stream);
+  assert_true (stream.complete);
+  clear_call (&stream);
+  sfl_set_stream_events (fixture->fleet, SFL_STREAM_EVENTS);
   await_exit (fixture);
   for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
     {
