Don't take the first events of streams for their pace in a stop

Found in the review of the change of the estimate: four streams in progress with two events 1 ms apart let a stopping daemon expect 100 events to take 0.2 s, and a stream that stalled after its first event counted for nothing. Streams that it accepted on that evidence would be cut off.

The time since the first event is now divided by the events so far, as the newest interval isn't over, and counts from the first event on; a stream counts among those that make a pace known only from its fourth event on. A negative number of tokens and a time left beyond 64 bits of microseconds are bounded.

--- a/src/core/stopping.c
+++ b/src/core/stopping.c
@@ -16,6 +16,10 @@
    endpoints alone; what is declared then counts too. */
 #define SEEN_MIN 4
 
+/* A stream with fewer events than this doesn't count among those: its events
+   may have come in one burst. */
+#define EVENTS_MIN 4
+
 /* Updates PEAK_US, the decaying maximum of request run times, with a request
    that ran for RUN_US.  The maximum rises at once and falls slowly.  */
 void
@@ -25,14 +29,6 @@
   *peak_us = run_us > decayed_us ? run_us : decayed_us;
 }
 
-/* Returns the mean time between two events of the stream TIMES, which has
-   several.  */
-static double
-event_us (const struct spn_times *times)
-{
-  return (double)(times->run_us - times->first_event_us) / (times->events - 1);
-}
-
 /* Updates HISTORY with TIMES, those of a request that was served.  */
 void
 spn_observe_success (struct spn_history *history,
@@ -47,9 +43,11 @@
   spn_update_peak (&history->first_event_us, (double)times->first_event_us);
   if (times->events > 1)
     {
-      spn_update_peak (&history->event_us, event_us (times));
-      history->streams++;
+      int64_t events_us = times->run_us - times->first_event_us;
+      spn_update_peak (&history->event_us,
+                       (double)events_us / (times->events - 1));
     }
+  history->streams += times->events >= EVENTS_MIN;
 }
 
 /* Updates HISTORY with TIMES, those of a request that is in progress or that
@@ -65,11 +63,13 @@
     }
   history->first_event_us
       = fmax (history->first_event_us, (double)times->first_event_us);
-  if (times->events > 1)
+  if (times->events > 0)
     {
-      history->event_us = fmax (history->event_us, event_us (times));
-      history->streams++;
+      int64_t events_us = times->run_us - times->first_event_us;
+      history->event_us
+          = fmax (history->event_us, (double)events_us / times->events);
     }
+  history->streams += times->events >= EVENTS_MIN;
 }
 
 /* Returns how long REQUEST may run at most, in microseconds, as far as HISTORY
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -123,7 +123,9 @@
   int64_t left_us = route->timeout_us > 0 ? route->timeout_us : INT64_MAX / 4;
   if (header != NULL)
     {
-      int64_t stated_us = g_ascii_strtoll (header, NULL, 10) * CLK_MS_US;
+      int64_t stated_us = CLAMP (g_ascii_strtoll (header, NULL, 10),
+                                 INT64_MIN / CLK_MS_US, INT64_MAX / CLK_MS_US)
+                          * CLK_MS_US;
       left_us = MIN (left_us, stated_us);
     }
   return left_us;
@@ -163,7 +165,7 @@
   parse_tokens (msg_find (request, PFH_TOKENS), &output);
   uint32_t event_tokens
       = service->has_engine ? service->engine.event_tokens : 1;
-  return (uint32_t)ceil (MIN (output, OUTPUT_TOKENS_MAX) / event_tokens);
+  return (uint32_t)ceil (CLAMP (output, 0, OUTPUT_TOKENS_MAX) / event_tokens);
 }
 
 /* True unless the daemon is stopping and REQUEST on ROUTE, to be served by
