--- a/test/standin_fleet_test.c
+++ b/test/standin_fleet_test.c
@@ -460,45 +460,46 @@
 static const struct
 {
   const char *name;
-  uint32_t endpoint;
   const char *path;
   const char *expected_endpoint; /* that the request names; NULL: no request */
   const char *body;
-  bool leaving;
-  uint32_t turned_away;    /* the endpoint turns this many requests away */
   const char *retry_after; /* that the endpoint sends */
+  uint32_t endpoint;
+  uint32_t turned_away; /* the endpoint turns this many requests away */
   enum sfl_fault fault;
   uint32_t status;
+  bool leaving;
   bool says_retry_after;
 } endpoint_cases[] = {
-  { "a service serves", SERVICE, "/a", "service-1", "x", .status = 200 },
-  { "a leaving service serves", SERVICE, "/a", "service-1", "x",
-    .leaving = true, .status = 200 },
-  { "a leaving engine serves a stream", ENGINE, "/a", "engine-0", "x",
+  { "a service serves", "/a", "service-1", "x", .endpoint = SERVICE,
+    .status = 200 },
+  { "a leaving service serves", "/a", "service-1", "x", .endpoint = SERVICE,
     .leaving = true, .status = 200 },
-  { "a leaving service fails", SERVICE, "/a", "service-1", "x",
+  { "a leaving engine serves a stream", "/a", "engine-0", "x",
+    .endpoint = ENGINE, .leaving = true, .status = 200 },
+  { "a leaving service fails", "/a", "service-1", "x", .endpoint = SERVICE,
     .leaving = true, .fault = SFL_FAILS, .status = 500 },
-  { "a leaving service refuses", SERVICE, "/a", "service-1", "x",
+  { "a leaving service refuses", "/a", "service-1", "x", .endpoint = SERVICE,
     .leaving = true, .fault = SFL_REFUSES, .status = 503 },
-  { "a leaving service is misaddressed", SERVICE, "/a", "service-9", "x",
-    .leaving = true, .status = 421 },
-  { "a leaving engine reports", ENGINE, "/api/report", NULL, "",
+  { "a leaving service is misaddressed", "/a", "service-9", "x",
+    .endpoint = SERVICE, .leaving = true, .status = 421 },
+  { "a leaving engine reports", "/api/report", NULL, "", .endpoint = ENGINE,
     .leaving = true, .status = 200 },
-  { "a leaving engine takes an order", ENGINE, "/api/order", NULL,
-    "{\"FencingToken\":7,\"From\":0,\"Target\":4}", .leaving = true,
-    .status = 202 },
-  { "a service turns a request away", SERVICE, "/a", "service-1", "x",
-    .turned_away = 1, .retry_after = "1.5", .status = 503,
-    .says_retry_after = true },
-  { "an engine turns a request away with a wrong time", ENGINE, "/a",
-    "engine-0", "x", .turned_away = 1, .retry_after = "soon", .status = 503,
+  { "a leaving engine takes an order", "/api/order", NULL,
+    "{\"FencingToken\":7,\"From\":0,\"Target\":4}", .endpoint = ENGINE,
+    .leaving = true, .status = 202 },
+  { "a service turns a request away", "/a", "service-1", "x",
+    .endpoint = SERVICE, .turned_away = 1, .retry_after = "1.5", .status = 503,
     .says_retry_after = true },
-  { "without a time", SERVICE, "/a", "service-1", "x", .turned_away = 1,
-    .status = 503 },
-  { "a leaving service turns a request away", SERVICE, "/a", "service-1", "x",
-    .leaving = true, .turned_away = 1, .retry_after = "-1", .status = 503,
+  { "an engine turns a request away with a wrong time", "/a", "engine-0", "x",
+    .endpoint = ENGINE, .turned_away = 1, .retry_after = "soon", .status = 503,
     .says_retry_after = true },
-  { "reports aren't turned away", ENGINE, "/api/report", NULL, "",
+  { "without a time", "/a", "service-1", "x", .endpoint = SERVICE,
+    .turned_away = 1, .status = 503 },
+  { "a leaving service turns a request away", "/a", "service-1", "x",
+    .endpoint = SERVICE, .leaving = true, .turned_away = 1,
+    .retry_after = "-1", .status = 503, .says_retry_after = true },
+  { "reports aren't turned away", "/api/report", NULL, "", .endpoint = ENGINE,
     .turned_away = 1, .retry_after = "1", .status = 200 },
 };
 
