Restore the store and make endpoints leave and turn away in the soak

The injector plays three drills with its other faults: the store restored from a copy of a random age, also twice in a row, with the lost records written again at once or later; endpoints that say that they leave and are listed as draining later or never, until a new instance replaces them; endpoints that turn requests away with valid and wrong times. The drills have a generator of their own, so that seeds draw the other disruptions as before.

--- a/soak/injector.c
+++ b/soak/injector.c
@@ -1,6 +1,4 @@
-#include "soak/injector.h"
-
-#include "base/clock.h"
+#include "soak/injector_private.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -10,6 +8,13 @@
 #define ACTIVE_DISRUPTIONS_MAX 4
 #define MEAN_INTERVAL_MS 700
 
+/* The same for the drills. */
+#define ACTIVE_DRILLS_MAX 3
+#define MEAN_DRILL_INTERVAL_MS 1500
+
+/* Mixed into the seed, so that the drills don't draw the same numbers. */
+#define DRILL_SEED 0x6b756d71
+
 /* Periods of this length alternate: one in which any disruption may begin, and
    one of planned work alone, in which the judge checks the time limits. */
 #define PERIOD_US (10 * CLK_S_US)
@@ -26,42 +31,6 @@
 #define FAULTY_REQUESTS_MAX 12
 #define DELAY_MAX_MS 400
 
-struct disruption_kind;
-
-/* An active disruption. */
-struct disruption
-{
-  const struct disruption_kind *kind;
-  guint record_index; /* of the fault, or of the drain */
-  uint32_t target; /* index of a daemon or endpoint; of an endpoint's fault: 1
-                      for the engines, 0 for the services */
-  struct spx_proxy *proxy; /* whose connections are disturbed */
-  int64_t due_us;          /* of the next phase */
-  uint32_t phase;
-  bool ended;
-};
-
-struct stb_injector
-{
-  struct stb_params params;
-  GPtrArray *active; /* struct disruption */
-  int64_t start_us;
-  int64_t next_us;    /* when the next disruption may begin */
-  uint64_t version;   /* of the newest configuration */
-  uint32_t extra_key; /* index of the newest extra key; 0: none yet */
-  bool has_extra_key; /* the newest configuration contains the extra key */
-  bool ending;        /* no disruption begins any more */
-};
-
-/* A kind of disruption: `step' carries out the next phase and sets either when
-   the phase after it is due, or that the disruption has ended. */
-struct disruption_kind
-{
-  const char *name;
-  bool planned;
-  void (*step) (struct stb_injector *, struct disruption *, int64_t now_us);
-};
-
 /* Returns a random number from FIRST to END (exclusive).  */
 static uint32_t
 draw (struct stb_injector *injector, uint32_t first, uint32_t end)
@@ -138,17 +107,21 @@
 
 /* Returns whether another disruption of the same kind as OWN has the target
    INDEX.  */
-static bool
-has_disruption (const struct stb_injector *injector,
-                const struct disruption *own, uint32_t index)
+bool
+stb_has_disruption (const struct stb_injector *injector,
+                    const struct disruption *own, uint32_t index)
 {
-  for (guint i = 0; i < injector->active->len; i++)
+  const GPtrArray *lists[] = { injector->active, injector->active_drills };
+  for (size_t list = 0; list < G_N_ELEMENTS (lists); list++)
     {
-      const struct disruption *other = g_ptr_array_index (injector->active, i);
-      if (other != own && other->kind->step == own->kind->step
-          && other->target == index)
+      for (guint i = 0; i < lists[list]->len; i++)
         {
-          return true;
+          const struct disruption *other = g_ptr_array_index (lists[list], i);
+          if (other != own && other->kind->step == own->kind->step
+              && other->target == index)
+            {
+              return true;
+            }
         }
     }
   return false;
@@ -166,7 +139,7 @@
     case 0:
       disruption->target = draw_endpoint (injector);
       disruption->ended
-          = has_disruption (injector, disruption, disruption->target)
+          = stb_has_disruption (injector, disruption, disruption->target)
             || !sfl_is_alive (fleet, disruption->target);
       if (!disruption->ended)
         {
@@ -250,10 +223,14 @@
       struct sdm_daemon *daemon = draw_daemon (injector);
       disruption->target = daemon->index;
       sdm_pause (daemon, true);
+      disruption->interruption = srd_begin_interruption (
+          injector->params.record, daemon->index, SRD_ALL, now_us);
       schedule_next_phase (injector, disruption, now_us, 200, 4000);
       return;
     }
   sdm_pause (sdm_at (injector->params.daemons, disruption->target), false);
+  srd_end_interruption (injector->params.record, disruption->interruption,
+                        now_us);
   disruption->ended = true;
 }
 
@@ -319,6 +296,22 @@
   disruption->ended = true;
 }
 
+/* Returns the index of the endpoint behind PROXY; SRD_ALL if it is gone.  */
+static uint32_t
+find_endpoint (const struct stb_injector *injector,
+               const struct spx_proxy *proxy)
+{
+  const struct stb_params *params = &injector->params;
+  for (uint32_t i = 0; i < params->engines + params->services; i++)
+    {
+      if (g_str_equal (sfl_address (params->fleet, i), spx_address (proxy)))
+        {
+          return i;
+        }
+    }
+  return SRD_ALL;
+}
+
 /* Disturbs the connections through PROXY, which leads to an endpoint or from a
    daemon to the store.  */
 static void
@@ -343,9 +336,19 @@
                           struct disruption *disruption, int64_t now_us)
 {
   GPtrArray *proxies = injector->params.proxies;
-  disturb_connections (
-      injector, disruption, now_us,
-      g_ptr_array_index (proxies, draw (injector, 0, proxies->len)));
+  struct srd_record *record = injector->params.record;
+  struct spx_proxy *proxy
+      = g_ptr_array_index (proxies, draw (injector, 0, proxies->len));
+  if (disruption->phase == 0)
+    {
+      disruption->interruption = srd_begin_interruption (
+          record, SRD_ALL, find_endpoint (injector, proxy), now_us);
+    }
+  else
+    {
+      srd_end_interruption (record, disruption->interruption, now_us);
+    }
+  disturb_connections (injector, disruption, now_us, proxy);
 }
 
 static void
@@ -383,8 +386,11 @@
   struct stb_injector *injector = g_new0 (struct stb_injector, 1);
   injector->params = *params;
   injector->active = g_ptr_array_new_with_free_func (g_free);
+  injector->drills = g_rand_new_with_seed (params->seed ^ DRILL_SEED);
+  injector->active_drills = g_ptr_array_new_with_free_func (g_free);
   injector->start_us = clk_monotonic_us ();
   injector->next_us = injector->start_us + CLK_S_US;
+  injector->next_drill_us = injector->next_us;
   injector->version = 1;
   return injector;
 }
@@ -394,6 +400,8 @@
 stb_destroy (struct stb_injector *injector)
 {
   g_ptr_array_free (injector->active, TRUE);
+  g_ptr_array_free (injector->active_drills, TRUE);
+  g_rand_free (injector->drills);
   g_free (injector);
 }
 
@@ -409,38 +417,30 @@
     }
 }
 
+/* Begins a disruption of KIND, one of ACTIVE.  */
 static void
-begin_disruption (struct stb_injector *injector, int64_t now_us)
+begin_disruption (struct stb_injector *injector, GPtrArray *active,
+                  const struct disruption_kind *kind, int64_t now_us)
 {
   struct disruption *disruption = g_new0 (struct disruption, 1);
-  bool planned_only = (now_us - injector->start_us) / PERIOD_US % 2 == 1;
-  disruption->kind = &disruption_kinds[draw (
-      injector, 0,
-      planned_only ? PLANNED_KINDS : G_N_ELEMENTS (disruption_kinds))];
+  disruption->kind = kind;
   disruption->due_us = now_us;
   if (!disruption->kind->planned)
     {
       disruption->record_index
           = srd_begin_fault (injector->params.record, now_us);
     }
-  g_ptr_array_add (injector->active, disruption);
+  g_ptr_array_add (active, disruption);
 }
 
-/* Begins a disruption if one is due, and carries out the phases that are due.
-   Call this on each tick.  */
-void
-stb_tick (struct stb_injector *injector, int64_t now_us)
+/* Carries out the phases of ACTIVE that are due.  */
+static void
+step_disruptions (struct stb_injector *injector, GPtrArray *active,
+                  int64_t now_us)
 {
-  if (!injector->ending && now_us >= injector->next_us
-      && injector->active->len < ACTIVE_DISRUPTIONS_MAX)
+  for (guint i = active->len; i-- > 0;)
     {
-      injector->next_us
-          = now_us + draw (injector, 1, 2 * MEAN_INTERVAL_MS) * CLK_MS_US;
-      begin_disruption (injector, now_us);
-    }
-  for (guint i = injector->active->len; i-- > 0;)
-    {
-      struct disruption *disruption = g_ptr_array_index (injector->active, i);
+      struct disruption *disruption = g_ptr_array_index (active, i);
       if (now_us < disruption->due_us)
         {
           continue;
@@ -454,20 +454,51 @@
               srd_end_fault (injector->params.record, disruption->record_index,
                              now_us);
             }
-          g_ptr_array_remove_index (injector->active, i);
+          g_ptr_array_remove_index (active, i);
         }
     }
 }
 
-/* Begins no more disruptions and ends the active faults early; planned work
-   runs to its end.  */
+/* Begins a disruption and a drill if they are due, and carries out the phases
+   that are due.  Call this on each tick.  */
 void
-stb_end (struct stb_injector *injector, int64_t now_us)
+stb_tick (struct stb_injector *injector, int64_t now_us)
 {
-  injector->ending = true;
-  for (guint i = 0; i < injector->active->len; i++)
+  bool planned_only = (now_us - injector->start_us) / PERIOD_US % 2 == 1;
+  if (!injector->ending && now_us >= injector->next_us
+      && injector->active->len < ACTIVE_DISRUPTIONS_MAX)
     {
-      struct disruption *disruption = g_ptr_array_index (injector->active, i);
+      injector->next_us
+          = now_us + draw (injector, 1, 2 * MEAN_INTERVAL_MS) * CLK_MS_US;
+      begin_disruption (
+          injector, injector->active,
+          &disruption_kinds[draw (
+              injector, 0,
+              planned_only ? PLANNED_KINDS : G_N_ELEMENTS (disruption_kinds))],
+          now_us);
+    }
+  if (!injector->ending && !planned_only && now_us >= injector->next_drill_us
+      && injector->active_drills->len < ACTIVE_DRILLS_MAX)
+    {
+      injector->next_drill_us
+          = now_us
+            + stb_draw_drill (injector, 1, 2 * MEAN_DRILL_INTERVAL_MS)
+                  * CLK_MS_US;
+      begin_disruption (
+          injector, injector->active_drills,
+          &stb_drill_kinds[stb_draw_drill (injector, 0, STB_DRILL_KINDS)],
+          now_us);
+    }
+  step_disruptions (injector, injector->active, now_us);
+  step_disruptions (injector, injector->active_drills, now_us);
+}
+
+static void
+end_faults (GPtrArray *active, int64_t now_us)
+{
+  for (guint i = 0; i < active->len; i++)
+    {
+      struct disruption *disruption = g_ptr_array_index (active, i);
       if (!disruption->kind->planned)
         {
           disruption->due_us = MIN (disruption->due_us, now_us);
@@ -475,11 +506,22 @@
     }
 }
 
+/* Begins no more disruptions and ends the active faults early; planned work
+   runs to its end.  */
+void
+stb_end (struct stb_injector *injector, int64_t now_us)
+{
+  injector->ending = true;
+  end_faults (injector->active, now_us);
+  end_faults (injector->active_drills, now_us);
+}
+
 /* Returns whether stb_end was called and no disruption is active.  */
 bool
 stb_has_ended (const struct stb_injector *injector)
 {
-  return injector->ending && injector->active->len == 0;
+  return injector->ending && injector->active->len == 0
+         && injector->active_drills->len == 0;
 }
 
 /* Returns the index of the newest extra key, even if it has been removed
--- a/soak/injector.h
+++ b/soak/injector.h
@@ -14,6 +14,7 @@
 {
   uv_loop_t *loop;
   GRand *random;
+  uint32_t seed; /* of the drills, which have a generator of their own */
   struct sfl_fleet *fleet;
   struct sdm_daemons *daemons;
   GPtrArray *proxies; /* struct spx_proxy, in front of the endpoints */
--- /dev/null
+++ b/soak/injector_private.h
@@ -0,0 +1,61 @@
+/* What the source files of the injector share. */
+#ifndef SOAK_INJECTOR_PRIVATE_H
+#define SOAK_INJECTOR_PRIVATE_H
+
+#include "base/clock.h"
+#include "soak/injector.h"
+
+struct disruption_kind;
+
+/* An active disruption. */
+struct disruption
+{
+  const struct disruption_kind *kind;
+  guint record_index; /* of the fault, or of the drain */
+  guint interruption; /* index in the record, if the kind causes one */
+  uint32_t target; /* index of a daemon or endpoint; of an endpoint's fault: 1
+                      for the engines, 0 for the services */
+  uint32_t instance;       /* of the endpoint that is the target */
+  struct spx_proxy *proxy; /* whose connections are disturbed */
+  int64_t due_us;          /* of the next phase */
+  int64_t rewrite_us;      /* when lost records are written again */
+  uint32_t phase;
+  bool ended;
+};
+
+struct stb_injector
+{
+  struct stb_params params;
+  GPtrArray *active; /* struct disruption */
+  /* The drills: kinds of their own, drawn by their own generator, so that they
+     don't change what a seed draws otherwise. */
+  GPtrArray *active_drills; /* struct disruption */
+  GRand *drills;
+  int64_t start_us;
+  int64_t next_us;       /* when the next disruption may begin */
+  int64_t next_drill_us; /* the same for the drills */
+  uint64_t version;      /* of the newest configuration */
+  uint32_t extra_key;    /* index of the newest extra key; 0: none yet */
+  bool has_extra_key;    /* the newest configuration contains the extra key */
+  bool ending;           /* no disruption begins any more */
+};
+
+/* A kind of disruption: `step' carries out the next phase and sets either when
+   the phase after it is due, or that the disruption has ended. */
+struct disruption_kind
+{
+  const char *name;
+  bool planned;
+  void (*step) (struct stb_injector *, struct disruption *, int64_t now_us);
+};
+
+#define STB_DRILL_KINDS 3
+
+extern const struct disruption_kind stb_drill_kinds[STB_DRILL_KINDS];
+
+bool stb_has_disruption (const struct stb_injector *injector,
+                         const struct disruption *own, uint32_t index);
+uint32_t stb_draw_drill (struct stb_injector *injector, uint32_t first,
+                         uint32_t end);
+
+#endif
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -327,6 +327,7 @@
   const struct stb_params injector = {
     .loop = &soak->loop,
     .random = soak->random,
+    .seed = soak->options.seed,
     .fleet = soak->fleet,
     .daemons = soak->daemons,
     .proxies = soak->proxies,
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -228,6 +228,13 @@
   return !endpoint_at (fleet, index)->dead;
 }
 
+/* Returns the address that the endpoint INDEX is listed with.  */
+const char *
+sfl_address (const struct sfl_fleet *fleet, uint32_t index)
+{
+  return endpoint_at (fleet, index)->address;
+}
+
 /* Returns the number of times that the endpoint INDEX was restarted.  */
 uint32_t
 sfl_restart_count (const struct sfl_fleet *fleet, uint32_t index)
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -96,6 +96,7 @@
 void sfl_unlist (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_kill (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_restart (struct sfl_fleet *fleet, uint32_t endpoint);
+const char *sfl_address (const struct sfl_fleet *fleet, uint32_t endpoint);
 uint32_t sfl_restart_count (const struct sfl_fleet *fleet, uint32_t endpoint);
 bool sfl_is_alive (const struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_set_leaving (struct sfl_fleet *fleet, uint32_t endpoint,
