Play more drills in a soak, and print each step once

The drills began every 1.5 s on average and few of them stated a valid time. They begin every 0.8 s now and last less long. A redirected verbose output repeated lines, since each daemon was forked with the unwritten buffer.

--- a/soak/injector.c
+++ b/soak/injector.c
@@ -9,8 +9,8 @@
 #define MEAN_INTERVAL_MS 700
 
 /* The same for the drills. */
-#define ACTIVE_DRILLS_MAX 3
-#define MEAN_DRILL_INTERVAL_MS 1500
+#define ACTIVE_DRILLS_MAX 4
+#define MEAN_DRILL_INTERVAL_MS 800
 
 /* Mixed into the seed, so that the drills don't draw the same numbers. */
 #define DRILL_SEED 0x6b756d71
--- a/soak/injector_drills.c
+++ b/soak/injector_drills.c
@@ -112,7 +112,7 @@
       if (!drill->ended)
         {
           sfl_set_leaving (fleet, drill->target, true);
-          schedule (injector, drill, now_us, 300, 3000);
+          schedule (injector, drill, now_us, 300, 1500);
         }
       break;
     case 1:
@@ -121,7 +121,7 @@
         {
           sfl_list_draining (fleet, drill->target);
         }
-      schedule (injector, drill, now_us, 1500, 4000);
+      schedule (injector, drill, now_us, 1500, 3000);
       break;
     default:
       replace_endpoint (injector, drill);
@@ -152,7 +152,7 @@
           sfl_turn_away (fleet, drill->target, times[choice],
                          stb_draw_drill (injector, 1, TURNED_AWAY_MAX));
           drill->phase = choice < absurd ? 1 : 2;
-          schedule (injector, drill, now_us, 1500, 5000);
+          schedule (injector, drill, now_us, 1500, 4000);
         }
       break;
     case 1:
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -479,6 +479,8 @@
       return 2;
     }
   signal (SIGPIPE, SIG_IGN);
+  /* The daemons are forked with what is in the buffer. */
+  setvbuf (stdout, NULL, _IOLBF, 0);
   start (&soak);
   bool ready = await_ready (&soak);
   uint32_t violations = 1;
