--- a/src/entry/verdicts.c
+++ b/src/entry/verdicts.c
@@ -1,5 +1,8 @@
 #include "entry/verdicts.h"
 
+#include "core/departures.h"
+#include "core/turned_away.h"
+
 #include <glib.h>
 
 struct vdt_verdicts
@@ -7,6 +10,8 @@
   GMutex mutex;
   GHashTable *dead; /* endpoint id to the start time, in milliseconds, of the
                        incarnation that was found dead */
+  struct dep_set *leaving;
+  struct tna_table *turned_away;
 };
 
 /* Creates an empty set of verdicts, which any thread may use.  */
@@ -17,6 +22,8 @@
   g_mutex_init (&verdicts->mutex);
   verdicts->dead
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  verdicts->leaving = dep_create ();
+  verdicts->turned_away = tna_create ();
   return verdicts;
 }
 
@@ -25,6 +32,8 @@
 vdt_destroy (struct vdt_verdicts *verdicts)
 {
   g_hash_table_destroy (verdicts->dead);
+  dep_destroy (verdicts->leaving);
+  tna_destroy (verdicts->turned_away);
   g_mutex_clear (&verdicts->mutex);
   g_free (verdicts);
 }
@@ -41,7 +50,7 @@
   g_mutex_unlock (&verdicts->mutex);
 }
 
-/* Removes the verdict on the endpoint ID, if there is one.  */
+/* Removes the verdict that the endpoint ID is dead, if there is one.  */
 void
 vdt_clear (struct vdt_verdicts *verdicts, const char *id)
 {
@@ -61,3 +70,62 @@
   g_mutex_unlock (&verdicts->mutex);
   return dead;
 }
+
+/* Records that the endpoint ID said that it leaves, in its incarnation that
+   started at BORN_MS.  Returns false when that was known.  */
+bool
+vdt_set_leaving (struct vdt_verdicts *verdicts, const char *id,
+                 int64_t born_ms)
+{
+  g_mutex_lock (&verdicts->mutex);
+  bool added = dep_add (verdicts->leaving, id, born_ms);
+  g_mutex_unlock (&verdicts->mutex);
+  return added;
+}
+
+/* True when the endpoint ID said that it leaves, in its incarnation that
+   started at BORN_MS.  */
+bool
+vdt_is_leaving (struct vdt_verdicts *verdicts, const char *id, int64_t born_ms)
+{
+  g_mutex_lock (&verdicts->mutex);
+  bool leaving = dep_contains (verdicts->leaving, id, born_ms);
+  g_mutex_unlock (&verdicts->mutex);
+  return leaving;
+}
+
+/* Returns the number of incarnations that were found to leave so far.  */
+uint64_t
+vdt_leaving_count (struct vdt_verdicts *verdicts)
+{
+  g_mutex_lock (&verdicts->mutex);
+  uint64_t count = dep_count (verdicts->leaving);
+  g_mutex_unlock (&verdicts->mutex);
+  return count;
+}
+
+/* Records that the endpoint ID, in its incarnation that started at BORN_MS,
+   wants no requests for DURATION_US from NOW_US on.  Returns when it opens
+   again for this daemon.  */
+int64_t
+vdt_turn_away (struct vdt_verdicts *verdicts, const char *id, int64_t born_ms,
+               int64_t duration_us, int64_t now_us)
+{
+  double draw = g_random_double ();
+  g_mutex_lock (&verdicts->mutex);
+  int64_t opens_us = tna_close (verdicts->turned_away, id, born_ms,
+                                duration_us, draw, now_us);
+  g_mutex_unlock (&verdicts->mutex);
+  return opens_us;
+}
+
+/* Returns when the endpoint ID, in its incarnation that started at BORN_MS,
+   opens again after it turned a request away; 0 if it didn't.  */
+int64_t
+vdt_opens_us (struct vdt_verdicts *verdicts, const char *id, int64_t born_ms)
+{
+  g_mutex_lock (&verdicts->mutex);
+  int64_t opens_us = tna_opens_us (verdicts->turned_away, id, born_ms);
+  g_mutex_unlock (&verdicts->mutex);
+  return opens_us;
+}
