--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -271,6 +271,13 @@
   sfl_endpoint_publish (endpoint_at (fleet, index), "draining");
 }
 
+/* Publishes the endpoint INDEX as ready, whatever its entry says now.  */
+void
+sfl_list_ready (struct sfl_fleet *fleet, uint32_t index)
+{
+  sfl_endpoint_publish (endpoint_at (fleet, index), "ready");
+}
+
 /* Kills the endpoint INDEX.  Its entry in the endpoint list stays.  */
 void
 sfl_kill (struct sfl_fleet *fleet, uint32_t index)
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -93,6 +93,7 @@
 uint64_t sfl_store_era (const struct sfl_fleet *fleet);
 void sfl_rebalance (struct sfl_fleet *fleet);
 void sfl_list_draining (struct sfl_fleet *fleet, uint32_t endpoint);
+void sfl_list_ready (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_unlist (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_kill (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_restart (struct sfl_fleet *fleet, uint32_t endpoint);
