Simulate a store that is restored, and endpoints that leave or are full

The stand-in fleet could play neither a store that comes back from an older copy, nor endpoints that say in their answers that they leave or for how long they want no requests. sfl_restore_store sets topics and group back, raises the era that every answer states, gives out offsets again and writes the lost records again in another order; reads beyond the end get 410. sfl_set_leaving and sfl_turn_away set what an endpoint's answers say.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -112,7 +112,29 @@
   srd_end_run (soak->record, request_id, clk_monotonic_us ());
 }
 
+static void
+on_answered (void *context, uint32_t endpoint, const char *request_id,
+             bool leaving, const char *retry_after)
+{
+  (void)context;
+  (void)endpoint;
+  (void)request_id;
+  (void)leaving;
+  (void)retry_after;
+}
+
+static void
+on_ordered (void *context, uint32_t endpoint, uint64_t fence, bool refused)
+{
+  (void)context;
+  (void)endpoint;
+  (void)fence;
+  (void)refused;
+}
+
 static const struct sfl_observer observer = {
+  .answered = on_answered,
+  .ordered = on_ordered,
   .arrived = on_arrival,
   .started = on_run_begin,
   .stopped = on_run_end,
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -158,6 +158,7 @@
       struct sfl_endpoint *endpoint = g_ptr_array_index (fleet->endpoints, i);
       g_free (endpoint->id);
       g_free (endpoint->address);
+      g_free (endpoint->retry_after);
       g_free (endpoint);
     }
   g_ptr_array_free (fleet->endpoints, TRUE);
@@ -215,6 +216,8 @@
   endpoint->first_layer = 0;
   endpoint->end_layer = 0;
   endpoint->fencing_token = 0;
+  endpoint->leaving = false;
+  endpoint->turned_away = 0;
   sfl_endpoint_open (endpoint);
 }
 
@@ -225,6 +228,34 @@
   return !endpoint_at (fleet, index)->dead;
 }
 
+/* Returns the number of times that the endpoint INDEX was restarted.  */
+uint32_t
+sfl_restart_count (const struct sfl_fleet *fleet, uint32_t index)
+{
+  return endpoint_at (fleet, index)->restarts;
+}
+
+/* Makes all answers of the endpoint INDEX say that it leaves if LEAVING.  Its
+   entry in the endpoint list stays; it continues to serve requests.  */
+void
+sfl_set_leaving (struct sfl_fleet *fleet, uint32_t index, bool leaving)
+{
+  endpoint_at (fleet, index)->leaving = leaving;
+}
+
+/* Makes the endpoint INDEX answer its next REQUESTS requests with status 503,
+   not executed, and with RETRY_AFTER in the header of that name, unless it is
+   NULL.  */
+void
+sfl_turn_away (struct sfl_fleet *fleet, uint32_t index,
+               const char *retry_after, uint32_t requests)
+{
+  struct sfl_endpoint *endpoint = endpoint_at (fleet, index);
+  g_free (endpoint->retry_after);
+  endpoint->retry_after = g_strdup (retry_after);
+  endpoint->turned_away = requests;
+}
+
 /* Lists the endpoint INDEX as draining.  The endpoint continues to serve
    requests.  */
 void
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -51,6 +51,14 @@
 {
   /* A request has reached the endpoint.  */
   void (*arrived) (void *context, uint32_t endpoint, const char *request_id);
+  /* The endpoint has sent the head of its answer to the request.  LEAVING: it
+     says that the endpoint leaves; RETRY_AFTER: its header, or NULL.  */
+  void (*answered) (void *context, uint32_t endpoint, const char *request_id,
+                    bool leaving, const char *retry_after);
+  /* An order with FENCE has reached the engine, which may have refused it as
+     outdated.  */
+  void (*ordered) (void *context, uint32_t endpoint, uint64_t fence,
+                   bool refused);
   /* The endpoint starts to run the request.  */
   void (*started) (void *context, uint32_t endpoint, const char *request_id);
   /* The endpoint has stopped working on the request: its answer is complete,
@@ -80,12 +88,20 @@
                   const char *extra_key);
 void sfl_set_store (struct sfl_fleet *fleet, enum sfl_store_state state);
 void sfl_truncate_history (struct sfl_fleet *fleet);
+void sfl_restore_store (struct sfl_fleet *fleet, int64_t age_us,
+                        int64_t rewrite_us);
+uint64_t sfl_store_era (const struct sfl_fleet *fleet);
 void sfl_rebalance (struct sfl_fleet *fleet);
 void sfl_list_draining (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_unlist (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_kill (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_restart (struct sfl_fleet *fleet, uint32_t endpoint);
+uint32_t sfl_restart_count (const struct sfl_fleet *fleet, uint32_t endpoint);
 bool sfl_is_alive (const struct sfl_fleet *fleet, uint32_t endpoint);
+void sfl_set_leaving (struct sfl_fleet *fleet, uint32_t endpoint,
+                      bool leaving);
+void sfl_turn_away (struct sfl_fleet *fleet, uint32_t endpoint,
+                    const char *retry_after, uint32_t requests);
 void sfl_set_fault (struct sfl_fleet *fleet, bool engines,
                     enum sfl_fault fault, uint32_t requests);
 void sfl_set_stream_events (struct sfl_fleet *fleet, uint32_t events);
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -33,6 +33,27 @@
   uv_close ((uv_handle_t *)&answer->timer, on_answer_closed);
 }
 
+/* Returns the header lines that all answers of ENDPOINT have now.  */
+static const char *
+leaving_header (const struct sfl_endpoint *endpoint)
+{
+  return endpoint->leaving ? PFH_LEAVING ": 1\r\n" : "";
+}
+
+/* Notifies the observer that ENDPOINT sends the head of its answer to the
+   request ID.  */
+static void
+notify_answered (const struct sfl_endpoint *endpoint, const char *id,
+                 const char *retry_after)
+{
+  const struct sfl_params *params = &endpoint->fleet->params;
+  if (params->observer != NULL)
+    {
+      params->observer->answered (params->context, endpoint->index, id,
+                                  endpoint->leaving, retry_after);
+    }
+}
+
 /* Counts a run of the request ID and notifies the observer.  */
 static void
 count_run (const struct sfl_endpoint *endpoint, const char *id)
@@ -113,9 +134,10 @@
   const char *signature
       = answer->fault == SFL_UNSIGNED ? "" : PFH_SIGNATURE ": 1.2.3\r\n";
   g_snprintf (headers, (gulong)bytes,
-              PFH_REQUEST_ID ": %s\r\n%sKeep-Alive: timeout=5\r\n"
+              PFH_REQUEST_ID ": %s\r\n%s%sKeep-Alive: timeout=5\r\n"
                              "Content-Type: %s\r\n",
               wrong_id ? "another" : answer->id, signature,
+              leaving_header (answer->endpoint),
               answer->is_stream ? "text/event-stream" : "text/plain");
 }
 
@@ -129,6 +151,7 @@
   if (!answer->headers_sent)
     {
       write_headers (answer, headers, sizeof headers);
+      notify_answered (answer->endpoint, answer->id, NULL);
       nsv_begin_response (answer->connection, HTTP_STATUS_OK, headers,
                           answer->fault != SFL_WITHOUT_LENGTH);
       answer->headers_sent = true;
@@ -171,6 +194,7 @@
   char headers[512];
   char body[96];
   write_headers (answer, headers, sizeof headers);
+  notify_answered (answer->endpoint, answer->id, NULL);
   int length = g_snprintf (body, sizeof body, "done %s", answer->id);
   nsv_set_request_context (answer->connection, NULL);
   switch (answer->fault)
@@ -224,15 +248,20 @@
   return fleet->faults[engine];
 }
 
-/* Answers that the request wasn't executed and names the address AT_FAULT of
-   the endpoint that caused the refusal.  */
+/* Answers that the request ID wasn't executed and names the address AT_FAULT
+   of the endpoint that caused the refusal.  RETRY_AFTER is the value of the
+   header, or NULL.  */
 static void
-refuse (struct nsv_connection *connection, const char *at_fault)
+refuse (const struct sfl_endpoint *endpoint, struct nsv_connection *connection,
+        const char *id, const char *at_fault, const char *retry_after)
 {
-  char headers[192];
-  g_snprintf (headers, sizeof headers,
-              PFH_NOT_EXECUTED ": 1\r\n" PFH_ENDPOINT_AT_FAULT ": %s\r\n",
-              at_fault);
+  g_autofree char *headers = g_strdup_printf (
+      PFH_NOT_EXECUTED ": 1\r\n" PFH_ENDPOINT_AT_FAULT ": %s\r\n%s%s%s%s",
+      at_fault, leaving_header (endpoint),
+      retry_after == NULL ? "" : PFH_RETRY_AFTER ": ",
+      retry_after == NULL ? "" : retry_after,
+      retry_after == NULL ? "" : "\r\n");
+  notify_answered (endpoint, id, retry_after);
   nsv_respond (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, headers, "", 0);
 }
 
@@ -292,9 +321,17 @@
   uint32_t end
       = (uint32_t)json_integer_value (json_object_get (root, "Target"));
   json_decref (root);
-  if (fence < endpoint->fencing_token)
+  const struct sfl_params *params = &endpoint->fleet->params;
+  bool refused = fence < endpoint->fencing_token;
+  if (params->observer != NULL)
     {
-      nsv_respond (connection, HTTP_STATUS_PRECONDITION_FAILED, "", "", 0);
+      params->observer->ordered (params->context, endpoint->index, fence,
+                                 refused);
+    }
+  if (refused)
+    {
+      nsv_respond (connection, HTTP_STATUS_PRECONDITION_FAILED,
+                   leaving_header (endpoint), "", 0);
       return;
     }
   if (end - first > SFL_LAYERS / 2)
@@ -306,7 +343,8 @@
   endpoint->first_layer = first;
   endpoint->end_layer = end;
   endpoint->orders++;
-  nsv_respond (connection, HTTP_STATUS_ACCEPTED, "", "", 0);
+  nsv_respond (connection, HTTP_STATUS_ACCEPTED, leaving_header (endpoint), "",
+               0);
   sfl_endpoint_publish (endpoint, "ready");
 }
 
@@ -329,7 +367,8 @@
         }
     }
   g_string_append (body, "]}");
-  nsv_respond (connection, HTTP_STATUS_OK, "", body->str, body->len);
+  nsv_respond (connection, HTTP_STATUS_OK, leaving_header (endpoint),
+               body->str, body->len);
   g_string_free (body, TRUE);
 }
 
@@ -383,7 +422,8 @@
   endpoint->arrivals++;
   if (id == NULL || g_strcmp0 (expected, endpoint->id) != 0)
     {
-      nsv_respond (connection, HTTP_STATUS_MISDIRECTED_REQUEST, "", "", 0);
+      nsv_respond (connection, HTTP_STATUS_MISDIRECTED_REQUEST,
+                   leaving_header (endpoint), "", 0);
       return;
     }
   check_request (endpoint, request);
@@ -392,6 +432,13 @@
     {
       params->observer->arrived (params->context, endpoint->index, id);
     }
+  if (endpoint->turned_away > 0)
+    {
+      endpoint->turned_away--;
+      refuse (endpoint, connection, id, endpoint->address,
+              endpoint->retry_after);
+      return;
+    }
   enum sfl_fault fault = take_fault (endpoint);
   g_autofree char *at_fault
       = endpoint->is_engine
@@ -399,11 +446,11 @@
             : NULL;
   if (fault == SFL_REFUSES)
     {
-      refuse (connection, endpoint->address);
+      refuse (endpoint, connection, id, endpoint->address, NULL);
     }
   else if (at_fault != NULL && fault != SFL_STALLS)
     {
-      refuse (connection, at_fault);
+      refuse (endpoint, connection, id, at_fault, NULL);
     }
   else
     {
--- a/standin/fleet_group.c
+++ b/standin/fleet_group.c
@@ -18,10 +18,37 @@
   g_free (member);
 }
 
+static void
+destroy_state (gpointer data)
+{
+  struct sfl_group_state *state = data;
+  g_strfreev (state->names);
+  g_free (state);
+}
+
+/* Starts the next generation and adds the group, as it is now, to its history.
+ */
+static void
+start_generation (struct sfl_fleet *fleet)
+{
+  struct sfl_group_state *state = g_new0 (struct sfl_group_state, 1);
+  fleet->generation++;
+  state->at_us = clk_monotonic_us ();
+  state->generation = fleet->generation;
+  state->names = g_new0 (char *, fleet->members->len + 1);
+  for (guint i = 0; i < fleet->members->len; i++)
+    {
+      const struct sfl_member *member = g_ptr_array_index (fleet->members, i);
+      state->names[i] = g_strdup (member->name);
+    }
+  g_ptr_array_add (fleet->group_history, state);
+}
+
 /* Creates the group of FLEET, which has no members yet.  */
 void
 sfl_group_open (struct sfl_fleet *fleet)
 {
+  fleet->group_history = g_ptr_array_new_with_free_func (destroy_state);
   fleet->members = g_ptr_array_new_with_free_func (destroy_member);
   if (fleet->params.group_ttl_ms == 0)
     {
@@ -34,6 +61,7 @@
 sfl_group_close (struct sfl_fleet *fleet)
 {
   g_ptr_array_free (fleet->members, TRUE);
+  g_ptr_array_free (fleet->group_history, TRUE);
 }
 
 /* Removes members whose last join is older than the group's time to live.  */
@@ -48,7 +76,7 @@
       if (member->last_join_us < oldest_us)
         {
           g_ptr_array_remove_index (fleet->members, i);
-          fleet->generation++;
+          start_generation (fleet);
         }
     }
 }
@@ -80,7 +108,7 @@
       struct sfl_member *added = g_new0 (struct sfl_member, 1);
       added->name = g_strdup (name);
       g_ptr_array_add (fleet->members, added);
-      fleet->generation++;
+      start_generation (fleet);
     }
   struct sfl_member *member = g_ptr_array_index (fleet->members, index);
   member->last_join_us = clk_monotonic_us ();
@@ -129,7 +157,7 @@
   else if (name != NULL && find_member (fleet, name) < index)
     {
       g_ptr_array_remove_index (fleet->members, find_member (fleet, name));
-      fleet->generation++;
+      start_generation (fleet);
       index = fleet->members->len;
     }
   g_string_append_printf (body,
@@ -147,7 +175,7 @@
         }
     }
   g_string_append (body, "]}");
-  nsv_respond (connection, HTTP_STATUS_OK, "", body->str, body->len);
+  sfl_store_respond (fleet, connection, HTTP_STATUS_OK, body->str, body->len);
   g_string_free (body, TRUE);
 }
 
@@ -156,10 +184,41 @@
 void
 sfl_rebalance (struct sfl_fleet *fleet)
 {
-  fleet->generation++;
   if (fleet->members->len > 1)
     {
       struct sfl_member *first = g_ptr_array_steal_index (fleet->members, 0);
       g_ptr_array_add (fleet->members, first);
     }
+  start_generation (fleet);
+}
+
+/* Sets the group back to what it was at COPIED_US.  Its members get their full
+   time to live from now on.  */
+void
+sfl_group_restore (struct sfl_fleet *fleet, int64_t copied_us)
+{
+  GPtrArray *history = fleet->group_history;
+  const struct sfl_group_state *state = NULL;
+  g_ptr_array_set_size (fleet->members, 0);
+  fleet->generation = 0;
+  while (history->len > 0 && state == NULL)
+    {
+      state = g_ptr_array_index (history, history->len - 1);
+      if (state->at_us > copied_us)
+        {
+          g_ptr_array_remove_index (history, history->len - 1);
+          state = NULL;
+        }
+    }
+  for (guint i = 0; state != NULL && state->names[i] != NULL; i++)
+    {
+      struct sfl_member *member = g_new0 (struct sfl_member, 1);
+      member->name = g_strdup (state->names[i]);
+      member->last_join_us = clk_monotonic_us ();
+      g_ptr_array_add (fleet->members, member);
+    }
+  if (state != NULL)
+    {
+      fleet->generation = state->generation;
+    }
 }
--- a/standin/fleet_private.h
+++ b/standin/fleet_private.h
@@ -9,6 +9,7 @@
 struct sfl_topic
 {
   GPtrArray *records;    /* GBytes, indexed by offset */
+  GArray *times_us;      /* int64_t, of the appends; monotonic */
   GHashTable *newest;    /* key to offset + 1 of its newest record */
   uint64_t first_offset; /* oldest record that can be read */
 };
@@ -40,6 +41,10 @@
   uint64_t fencing_token; /* of the newest order that was applied */
   uint64_t orders;        /* number applied */
   uint32_t arrivals;      /* number of requests received */
+  bool leaving;           /* says in its answers that it leaves */
+  char *retry_after;      /* of the answers to requests that are turned away;
+                             NULL: none */
+  uint32_t turned_away;   /* number of next requests to turn away */
 };
 
 /* A member of the consumer group. */
@@ -49,6 +54,22 @@
   int64_t last_join_us; /* monotonic */
 };
 
+/* The group at a time; one is kept for each generation. */
+struct sfl_group_state
+{
+  int64_t at_us; /* monotonic */
+  uint64_t generation;
+  char **names; /* of the members, in order */
+};
+
+/* A record that a restore of the store has dropped. */
+struct sfl_lost
+{
+  struct sfl_topic *topic;
+  GBytes *record;
+  int64_t at_us; /* when it was appended; monotonic */
+};
+
 /* The answer to a request that is running. */
 struct sfl_answer
 {
@@ -70,9 +91,14 @@
   enum sfl_store_state store_state;
   struct sfl_topic operator_topic;
   struct sfl_topic endpoint_topic;
+  uint64_t era;    /* rises with each restore, from 1 */
+  GPtrArray *lost; /* struct sfl_lost, not written again yet, in the order
+                      in which they were first written */
+  uv_timer_t rewrite_timer;
   GPtrArray *readers;         /* struct sfl_reader */
   GPtrArray *members;         /* struct sfl_member */
   uint64_t generation;        /* of the group's partition assignment */
+  GPtrArray *group_history;   /* struct sfl_group_state, in order of time */
   GPtrArray *endpoints;       /* struct sfl_endpoint; engines first */
   GHashTable *runs;           /* request id to number of runs */
   uint32_t stream_events;     /* in a complete stream */
@@ -89,6 +115,17 @@
 void sfl_group_serve (struct sfl_fleet *fleet,
                       struct nsv_connection *connection,
                       const struct msg_message *request, bool leaves);
+void sfl_group_restore (struct sfl_fleet *fleet, int64_t copied_us);
+void sfl_restore_open (struct sfl_fleet *fleet);
+void sfl_restore_close (struct sfl_fleet *fleet);
+void sfl_store_respond (const struct sfl_fleet *fleet,
+                        struct nsv_connection *connection, uint32_t status,
+                        const void *body, size_t body_bytes);
+void sfl_drop_readers (struct sfl_fleet *fleet, bool close_connections);
+char *sfl_record_key (GBytes *record, bool *has_value);
+void sfl_index_record (struct sfl_topic *topic, guint offset);
+void sfl_append_record (struct sfl_fleet *fleet, struct sfl_topic *topic,
+                        GBytes *record);
 void sfl_store_open (struct sfl_fleet *fleet);
 void sfl_store_close (struct sfl_fleet *fleet);
 void sfl_append (struct sfl_fleet *fleet, struct sfl_topic *topic,
--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -1,6 +1,9 @@
 /* The simulated store: keyed topics with long-poll reads, served over HTTP. */
 #include "standin/fleet_private.h"
 
+#include "base/clock.h"
+#include "platform/headers.h"
+
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +13,7 @@
 {
   topic->records
       = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  topic->times_us = g_array_new (FALSE, FALSE, sizeof (int64_t));
   topic->newest
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
@@ -18,6 +22,7 @@
 clear_topic (struct sfl_topic *topic)
 {
   g_ptr_array_free (topic->records, TRUE);
+  g_array_free (topic->times_us, TRUE);
   g_hash_table_destroy (topic->newest);
 }
 
@@ -32,11 +37,24 @@
     }
 }
 
+/* Answers CONNECTION with STATUS, BODY and the header that every answer of the
+   store has.  */
+void
+sfl_store_respond (const struct sfl_fleet *fleet,
+                   struct nsv_connection *connection, uint32_t status,
+                   const void *body, size_t body_bytes)
+{
+  char headers[64];
+  g_snprintf (headers, sizeof headers,
+              PFH_STORE_ERA ": %" G_GUINT64_FORMAT "\r\n", fleet->era);
+  nsv_respond (connection, status, headers, body, body_bytes);
+}
+
 /* Answers CONNECTION with the end offset and the first offset of TOPIC and the
    records from offset FROM on, each after its length.  */
 static void
-answer_read (struct nsv_connection *connection, const struct sfl_topic *topic,
-             uint64_t from)
+answer_read (const struct sfl_fleet *fleet, struct nsv_connection *connection,
+             const struct sfl_topic *topic, uint64_t from)
 {
   GByteArray *body = g_byte_array_new ();
   append_number (body, topic->records->len, 8);
@@ -49,7 +67,7 @@
       append_number (body, bytes, 4);
       g_byte_array_append (body, data, (guint)bytes);
     }
-  nsv_respond (connection, HTTP_STATUS_OK, "", body->data, body->len);
+  sfl_store_respond (fleet, connection, HTTP_STATUS_OK, body->data, body->len);
   g_byte_array_free (body, TRUE);
 }
 
@@ -71,7 +89,8 @@
   g_ptr_array_remove (reader->fleet->readers, reader);
   if (answer)
     {
-      answer_read (reader->connection, reader->topic, reader->from);
+      answer_read (reader->fleet, reader->connection, reader->topic,
+                   reader->from);
     }
   uv_close ((uv_handle_t *)&reader->timer, on_reader_closed);
 }
@@ -82,27 +101,48 @@
   end_reader (timer->data, true);
 }
 
-/* Appends a record with KEY and VALUE to TOPIC and answers the reads that wait
-   for the topic.  A NULL VALUE appends a record that removes KEY.  */
+/* Returns the key of RECORD, allocated, and sets HAS_VALUE unless it is NULL.
+ */
+char *
+sfl_record_key (GBytes *record, bool *has_value)
+{
+  gsize bytes = 0;
+  const guint8 *data = g_bytes_get_data (record, &bytes);
+  if (has_value != NULL)
+    {
+      *has_value = bytes > (gsize)data[0] + 1;
+    }
+  return g_strndup ((const char *)data + 1, data[0]);
+}
+
+/* Notes the record at OFFSET of TOPIC as the newest one of its key.  */
 void
-sfl_append (struct sfl_fleet *fleet, struct sfl_topic *topic, const char *key,
-            const char *value)
+sfl_index_record (struct sfl_topic *topic, guint offset)
 {
-  GByteArray *record = g_byte_array_new ();
-  append_number (record, strlen (key), 1);
-  g_byte_array_append (record, (const guint8 *)key, (guint)strlen (key));
-  if (value != NULL)
+  bool has_value = false;
+  char *key = sfl_record_key (g_ptr_array_index (topic->records, offset),
+                              &has_value);
+  if (has_value)
     {
-      g_byte_array_append (record, (const guint8 *)value,
-                           (guint)strlen (value));
-      g_hash_table_insert (topic->newest, g_strdup (key),
-                           GUINT_TO_POINTER (topic->records->len + 1));
+      g_hash_table_insert (topic->newest, key, GUINT_TO_POINTER (offset + 1));
     }
   else
     {
       g_hash_table_remove (topic->newest, key);
+      g_free (key);
     }
-  g_ptr_array_add (topic->records, g_byte_array_free_to_bytes (record));
+}
+
+/* Appends RECORD, of which this function takes the reference, to TOPIC and
+   answers the reads that wait for the topic.  */
+void
+sfl_append_record (struct sfl_fleet *fleet, struct sfl_topic *topic,
+                   GBytes *record)
+{
+  int64_t now_us = clk_monotonic_us ();
+  g_ptr_array_add (topic->records, record);
+  g_array_append_val (topic->times_us, now_us);
+  sfl_index_record (topic, topic->records->len - 1);
   for (guint i = fleet->readers->len; i-- > 0;)
     {
       struct sfl_reader *reader = g_ptr_array_index (fleet->readers, i);
@@ -113,6 +153,23 @@
     }
 }
 
+/* Appends a record with KEY and VALUE to TOPIC.  A NULL VALUE appends a record
+   that removes KEY.  */
+void
+sfl_append (struct sfl_fleet *fleet, struct sfl_topic *topic, const char *key,
+            const char *value)
+{
+  GByteArray *record = g_byte_array_new ();
+  append_number (record, strlen (key), 1);
+  g_byte_array_append (record, (const guint8 *)key, (guint)strlen (key));
+  if (value != NULL)
+    {
+      g_byte_array_append (record, (const guint8 *)value,
+                           (guint)strlen (value));
+    }
+  sfl_append_record (fleet, topic, g_byte_array_free_to_bytes (record));
+}
+
 /* Returns the topic that the query of URL names.  */
 static struct sfl_topic *
 find_topic (struct sfl_fleet *fleet, const char *url)
@@ -130,14 +187,14 @@
   struct sfl_topic *topic = find_topic (fleet, url);
   uint64_t from = msg_query_number (url, "From=");
   uint64_t wait_ms = msg_query_number (url, "WaitMs=");
-  if (from < topic->first_offset)
+  if (from < topic->first_offset || from > topic->records->len)
     {
-      nsv_respond (connection, HTTP_STATUS_GONE, "", "{}", 2);
+      sfl_store_respond (fleet, connection, HTTP_STATUS_GONE, "{}", 2);
       return;
     }
   if (from < topic->records->len || wait_ms == 0)
     {
-      answer_read (connection, topic, from);
+      answer_read (fleet, connection, topic, from);
       return;
     }
   struct sfl_reader *reader = g_new0 (struct sfl_reader, 1);
@@ -180,7 +237,7 @@
   json_t *root = json_pack ("{s:o,s:b,s:i}", "Items", items, "HasMore", 0,
                             "End", (int)topic->records->len);
   char *text = json_dumps (root, JSON_COMPACT);
-  nsv_respond (connection, HTTP_STATUS_OK, "", text, strlen (text));
+  sfl_store_respond (fleet, connection, HTTP_STATUS_OK, text, strlen (text));
   free (text);
   json_decref (root);
 }
@@ -207,7 +264,8 @@
     }
   if (fleet->store_state == SFL_STORE_REFUSES)
     {
-      nsv_respond (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, "", "", 0);
+      sfl_store_respond (fleet, connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                         "", 0);
     }
   else if (g_str_has_prefix (url, "/api/log-read"))
     {
@@ -225,7 +283,7 @@
     }
   else
     {
-      nsv_respond (connection, HTTP_STATUS_NOT_FOUND, "", "", 0);
+      sfl_store_respond (fleet, connection, HTTP_STATUS_NOT_FOUND, "", 0);
     }
 }
 
@@ -255,6 +313,7 @@
   init_topic (&fleet->endpoint_topic);
   fleet->readers = g_ptr_array_new ();
   sfl_group_open (fleet);
+  sfl_restore_open (fleet);
   fleet->store = sfl_listen (fleet, &events, fleet, &fleet->store_address);
 }
 
@@ -263,6 +322,7 @@
 sfl_store_close (struct sfl_fleet *fleet)
 {
   nsv_destroy (fleet->store);
+  sfl_restore_close (fleet);
   clear_topic (&fleet->operator_topic);
   clear_topic (&fleet->endpoint_topic);
   g_ptr_array_free (fleet->readers, TRUE);
@@ -270,26 +330,37 @@
   sfl_group_close (fleet);
 }
 
-/* Sets how the store handles calls from now on.  Unless STATE is
-   SFL_STORE_NO_FAULT, waiting reads are dropped: SFL_STORE_REFUSES closes
-   their connections, any other state leaves them open without an answer.  */
+/* Ends the waiting reads without an answer and closes their connections if
+   CLOSE_CONNECTIONS.  */
 void
-sfl_set_store (struct sfl_fleet *fleet, enum sfl_store_state state)
+sfl_drop_readers (struct sfl_fleet *fleet, bool close_connections)
 {
-  fleet->store_state = state;
-  while (state != SFL_STORE_NO_FAULT && fleet->readers->len > 0)
+  while (fleet->readers->len > 0)
     {
       struct sfl_reader *reader = g_ptr_array_index (fleet->readers, 0);
       struct nsv_connection *connection = reader->connection;
       end_reader (reader, false);
       nsv_set_request_context (connection, NULL);
-      if (state == SFL_STORE_REFUSES)
+      if (close_connections)
         {
           nsv_abort (connection);
         }
     }
 }
 
+/* Sets how the store handles calls from now on.  Unless STATE is
+   SFL_STORE_NO_FAULT, waiting reads are dropped: SFL_STORE_REFUSES closes
+   their connections, any other state leaves them open without an answer.  */
+void
+sfl_set_store (struct sfl_fleet *fleet, enum sfl_store_state state)
+{
+  fleet->store_state = state;
+  if (state != SFL_STORE_NO_FAULT)
+    {
+      sfl_drop_readers (fleet, state == SFL_STORE_REFUSES);
+    }
+}
+
 /* Makes the records appended so far unreadable by offset, in all topics.  The
    newest value of each key stays available.  */
 void
