Decide how eras of the store relate

The platform's store states in its answers how often it was restored from an older copy. Offsets and generations of its groups are given out again after a restore, so they count only together with the era.

core/era says how an answer's era relates to the known one, which of two positions is newer, what a reader may do with a relay's page, and which fencing token follows from a generation. Nothing uses it yet.

--- /dev/null
+++ b/src/core/era.h
@@ -0,0 +1,48 @@
+/* Eras of the platform's store.  The store counts the times that it was
+   restored from an older copy.  After a restore, records that it had
+   acknowledged are gone, and their offsets and the generations of its groups
+   are given out again.  An offset or a generation therefore means something
+   only together with its era.
+
+   This decides how an answer of one era relates to what is known from another,
+   which of two positions in a log is newer, and which fencing token follows
+   from a generation. */
+#ifndef CORE_ERA_H
+#define CORE_ERA_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Of a store that doesn't state its era. */
+#define ERA_UNKNOWN UINT64_C (0)
+
+/* How an answer's era relates to the one that is known. */
+enum era_order
+{
+  ERA_SAME,  /* or the answer states none */
+  ERA_RISEN, /* the store was restored since, or states its era for the first
+                time */
+  ERA_STALE  /* the answer is from before a restore that is known */
+};
+
+/* What a reader may do with a page of a relay. */
+enum era_use
+{
+  ERA_CONTINUE, /* the page continues the reader's position */
+  ERA_RESTART,  /* the page replaces all that was read before */
+  ERA_REJECT    /* the relay is no source for this reader */
+};
+
+/* A position in a log. */
+struct era_position
+{
+  uint64_t era;
+  uint64_t offset;
+};
+
+enum era_order era_compare (uint64_t known, uint64_t stated);
+bool era_is_before (struct era_position a, struct era_position b);
+enum era_use era_use_of_page (uint64_t known, uint64_t stated, bool whole);
+uint64_t era_fence (uint64_t era, uint64_t generation);
+
+#endif
