Keep endpoints that left out of use after a restore of the list

Records of the endpoint list were ordered by offset alone. After a restore from an older copy, offsets go back, so newer records would be taken for older ones, and the copy names endpoints that have left since.

Records are now ordered by era and offset. An endpoint that was removed in an earlier era is in use again only when it shows that it runs: by a new incarnation, by a higher sequence number, or, where these don't tell, by a record appended after the time in which lost records are written again. A record older than what is known of the same incarnation names the endpoint and changes nothing else.

test/roster_test.c has ten new scripts; they use the new call, so they were not run on the code before.

--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -1,5 +1,7 @@
 #include "core/roster.h"
 
+#include "core/era.h"
+
 #include <string.h>
 
 /* Time that the list may take to name running endpoints again after an outage.
@@ -11,7 +13,12 @@
 struct entry
 {
   struct rst_endpoint *endpoint; /* NULL: removed */
-  uint64_t offset;               /* of the newest record about it */
+  struct era_position position;  /* of the newest record about it */
+  bool gone;                     /* was removed, and wasn't named since by a
+                                    record that counts */
+  uint64_t gone_era;             /* in which it was removed */
+  int64_t started_ms;            /* of its newest incarnation that is known */
+  uint64_t sequence;             /* highest one of that incarnation */
   int64_t expires_at_us;         /* time of its removal; 0: not due */
   bool named;                    /* by the full read in progress */
 };
@@ -21,6 +28,9 @@
   GHashTable *entries;  /* id to struct entry */
   bool in_outage;       /* the list can't be read now */
   int64_t recovered_us; /* end of the latest outage; 0: none */
+  uint64_t era;         /* of the list */
+  int64_t restored_us;  /* when that era was first seen */
+  bool copy_read;       /* a full read of the list in that era has ended */
 };
 
 static void
@@ -109,20 +119,93 @@
          && a->layers.end == b->layers.end;
 }
 
+/* Records at NOW_US that the list was restored from an older copy and that
+   later records are of ERA.  It had an outage, even if that wasn't seen.  */
+void
+rst_restored (struct rst *roster, uint64_t era, int64_t now_us)
+{
+  roster->era = era;
+  roster->restored_us = now_us;
+  roster->copy_read = false;
+  rst_outage (roster);
+  rst_list_read (roster, now_us);
+}
+
+/* Records what ENDPOINT shows of its incarnation.  */
+static void
+record_incarnation (struct entry *entry, const struct rst_endpoint *endpoint)
+{
+  bool same = entry->started_ms == endpoint->started_ms;
+  entry->sequence
+      = same ? MAX (entry->sequence, endpoint->sequence) : endpoint->sequence;
+  entry->started_ms = endpoint->started_ms;
+}
+
+/* True when ENDPOINT, a record of the list at POSITION, read at NOW_US, shows
+   that the endpoint of ENTRY still runs, although it was removed in an earlier
+   era.  */
+static bool
+shows_life (const struct rst *roster, const struct entry *entry,
+            const struct rst_endpoint *endpoint, struct era_position position,
+            int64_t now_us)
+{
+  if (endpoint->started_ms != entry->started_ms)
+    {
+      return endpoint->started_ms > entry->started_ms;
+    }
+  if (endpoint->sequence != entry->sequence && endpoint->sequence != 0)
+    {
+      return endpoint->sequence > entry->sequence;
+    }
+  return roster->copy_read && era_is_before (entry->position, position)
+         && now_us - roster->restored_us >= RELIST_GRACE_US;
+}
+
+/* True when ENDPOINT describes an earlier state than the one that is known of
+   it from an earlier era.  */
+static bool
+is_outdated (const struct entry *entry, const struct rst_endpoint *endpoint)
+{
+  if (endpoint->started_ms != entry->started_ms)
+    {
+      return endpoint->started_ms != 0
+             && endpoint->started_ms < entry->started_ms;
+    }
+  return endpoint->sequence != 0 && endpoint->sequence < entry->sequence;
+}
+
 /* Replaces what is known of an endpoint by ENDPOINT, which comes from the
    record at OFFSET.  Takes ownership of ENDPOINT, and ignores the record if a
-   newer one about the endpoint was taken before.  Returns true when routing
-   may change.  */
+   newer one about the endpoint was taken before, or if it comes from an older
+   copy of the list.  Returns true when routing may change.  */
 bool
-rst_update (struct rst *roster, struct rst_endpoint *endpoint, uint64_t offset)
+rst_update (struct rst *roster, struct rst_endpoint *endpoint, uint64_t offset,
+            int64_t now_us)
 {
+  const struct era_position position = { roster->era, offset };
   struct entry *entry = find_or_add (roster, endpoint->id);
   entry->named = true;
-  if (entry->offset > offset)
+  if (era_is_before (position, entry->position))
+    {
+      rst_endpoint_destroy (endpoint);
+      return false;
+    }
+  bool restored = roster->restored_us != 0;
+  bool stays_gone = restored && entry->gone && entry->gone_era < roster->era
+                    && !shows_life (roster, entry, endpoint, position, now_us);
+  entry->position = position;
+  if (stays_gone)
     {
       rst_endpoint_destroy (endpoint);
       return false;
     }
+  if (restored && entry->endpoint != NULL && is_outdated (entry, endpoint))
+    {
+      rst_endpoint_destroy (endpoint);
+      bool was_due = entry->expires_at_us != 0;
+      entry->expires_at_us = 0;
+      return was_due;
+    }
   /* An incarnation that has started to leave never gets requests again. */
   if (entry->endpoint != NULL && entry->endpoint->leaving
       && entry->endpoint->started_ms == endpoint->started_ms)
@@ -132,12 +215,33 @@
   bool changed
       = !is_same (entry->endpoint, endpoint) || entry->expires_at_us != 0;
   rst_endpoint_destroy (entry->endpoint);
+  record_incarnation (entry, endpoint);
   entry->endpoint = endpoint;
-  entry->offset = offset;
+  entry->gone = false;
   entry->expires_at_us = 0;
   return changed;
 }
 
+/* True when the endpoint ID was removed and hasn't shown since that it
+   runs.  */
+bool
+rst_is_gone (struct rst *roster, const char *id)
+{
+  const struct entry *entry = g_hash_table_lookup (roster->entries, id);
+  return entry != NULL && entry->gone;
+}
+
+/* Removes the endpoint of ENTRY at once.  */
+static void
+drop_endpoint (const struct rst *roster, struct entry *entry)
+{
+  rst_endpoint_destroy (entry->endpoint);
+  entry->endpoint = NULL;
+  entry->gone = true;
+  entry->gone_era = roster->era;
+  entry->expires_at_us = 0;
+}
+
 /* Removes the endpoint of ENTRY.  Within RELIST_GRACE_US of the end of an
    outage, only schedules the removal for the end of that time, unless the
    endpoint is leaving.  Returns true when the endpoint was removed now.  */
@@ -155,9 +259,7 @@
       entry->expires_at_us = grace_end_us;
       return false;
     }
-  rst_endpoint_destroy (entry->endpoint);
-  entry->endpoint = NULL;
-  entry->expires_at_us = 0;
+  drop_endpoint (roster, entry);
   return true;
 }
 
@@ -169,11 +271,12 @@
             int64_t now_us)
 {
   struct entry *entry = find_or_add (roster, id);
-  if (entry->offset > offset)
+  const struct era_position position = { roster->era, offset };
+  if (era_is_before (position, entry->position))
     {
       return false;
     }
-  entry->offset = offset;
+  entry->position = position;
   return remove_endpoint (roster, entry, now_us);
 }
 
@@ -196,14 +299,16 @@
 bool
 rst_end_full (struct rst *roster, uint64_t offset, int64_t now_us)
 {
+  const struct era_position end = { roster->era, offset };
   bool changed = false;
+  roster->copy_read = true;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, roster->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct entry *entry = value;
-      if (!entry->named && entry->offset < offset)
+      if (!entry->named && era_is_before (entry->position, end))
         {
           changed |= remove_endpoint (roster, entry, now_us);
         }
@@ -262,9 +367,7 @@
       struct entry *entry = value;
       if (entry->expires_at_us != 0 && now_us >= entry->expires_at_us)
         {
-          rst_endpoint_destroy (entry->endpoint);
-          entry->endpoint = NULL;
-          entry->expires_at_us = 0;
+          drop_endpoint (roster, entry);
           changed = true;
         }
     }
--- a/src/core/roster.h
+++ b/src/core/roster.h
@@ -4,7 +4,16 @@
    An endpoint that leaves, as in a release or a scale-in, is marked so that it
    gets no new requests.  An endpoint that is missing from the list shortly
    after an outage of the list stays in use until the list had time to name it
-   again. */
+   again.
+
+   After a restore of the list from an older copy, the list may name endpoints
+   that have left since, and describe others as they were.  An endpoint that
+   was removed stays so until it shows that it runs: by a new incarnation, by a
+   record with a higher sequence number than any known one, or, where these
+   numbers don't tell, by a record that it appends after the time in which lost
+   records are written again.  A record with a lower sequence number than a
+   known one of the same incarnation names the endpoint, but doesn't change
+   what is known of it. */
 #ifndef CORE_ROSTER_H
 #define CORE_ROSTER_H
 
@@ -30,6 +39,7 @@
   uint32_t slots;     /* requests that it runs at once */
   bool leaving;       /* shuts down, and gets no new requests */
   int64_t started_ms; /* start time of this incarnation; 0: unknown */
+  uint64_t sequence;  /* of its record; rises with each; 0: unknown */
   struct rst_layers layers; /* held */
   bool busy;                /* carries out an order to load layers */
 };
@@ -41,8 +51,10 @@
 void rst_destroy (struct rst *roster);
 void rst_endpoint_destroy (struct rst_endpoint *endpoint);
 struct rst_endpoint *rst_endpoint_copy (const struct rst_endpoint *endpoint);
+void rst_restored (struct rst *roster, uint64_t era, int64_t now_us);
 bool rst_update (struct rst *roster, struct rst_endpoint *endpoint,
-                 uint64_t offset);
+                 uint64_t offset, int64_t now_us);
+bool rst_is_gone (struct rst *roster, const char *id);
 bool rst_remove (struct rst *roster, const char *id, uint64_t offset,
                  int64_t now_us);
 void rst_begin_full (struct rst *roster);
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -190,7 +190,8 @@
                (unsigned long)record->offset, error->message);
     }
   bool changed = endpoint != NULL
-                     ? rst_update (control->roster, endpoint, record->offset)
+                     ? rst_update (control->roster, endpoint, record->offset,
+                                   clk_monotonic_us ())
                      : rst_remove (control->roster, record->key,
                                    record->offset, clk_monotonic_us ());
   if (changed || endpoint == NULL)
--- a/test/roster_test.c
+++ b/test/roster_test.c
@@ -11,7 +11,7 @@
 
 /* Returns an endpoint as rst_update gets it.  */
 static struct rst_endpoint *
-new_endpoint (const char *id, int64_t born_ms, bool leaving)
+new_endpoint (const char *id, int64_t born_ms, uint64_t sequence, bool leaving)
 {
   struct rst_endpoint *endpoint = g_new0 (struct rst_endpoint, 1);
   endpoint->id = g_strdup (id);
@@ -19,6 +19,7 @@
   endpoint->address = g_strdup ("10.0.0.1:80");
   endpoint->data_centre = g_strdup ("kgn");
   endpoint->started_ms = born_ms;
+  endpoint->sequence = sequence;
   endpoint->leaving = leaving;
   return endpoint;
 }
@@ -32,7 +33,11 @@
   ACTION_OUTAGE,
   ACTION_CONTACT,
   ACTION_TICK,
-  ACTION_EMPTY_FULL_READ /* a full read that does not name the endpoint */
+  ACTION_EMPTY_FULL_READ, /* a full read that does not name the endpoint */
+  ACTION_FULL_LIST,  /* a full read up to `offset' that names the endpoint with
+                        a record before it */
+  ACTION_FULL_LEAVE, /* the same, as leaving */
+  ACTION_RESTORED    /* the list is in the era `offset' from now on */
 };
 
 /* An action, and the state of the endpoint afterwards. */
@@ -43,6 +48,7 @@
   int64_t at_us;
   int64_t born_ms;
   const char *expected; /* "used", "leaving" or "gone" */
+  uint64_t sequence;    /* of the record */
 };
 
 #define STEPS_MAX 9
@@ -57,57 +63,118 @@
 
 static const struct script scripts[] = {
   { "an endpoint that leaves is marked",
-    { { ACTION_LIST, 1, 0, 1, "used" },
-      { ACTION_LEAVE, 2, 0, 1, "leaving" } } },
+    { { ACTION_LIST, 1, 0, 1, "used", 0 },
+      { ACTION_LEAVE, 2, 0, 1, "leaving", 0 } } },
   { "a record older than the one of leaving is ignored",
-    { { ACTION_LEAVE, 5, 0, 1, "leaving" },
-      { ACTION_LIST, 4, 0, 1, "leaving" } } },
+    { { ACTION_LEAVE, 5, 0, 1, "leaving", 0 },
+      { ACTION_LIST, 4, 0, 1, "leaving", 0 } } },
   { "an incarnation that leaves stays marked",
-    { { ACTION_LEAVE, 5, 0, 1, "leaving" },
-      { ACTION_LIST, 6, 0, 1, "leaving" } } },
+    { { ACTION_LEAVE, 5, 0, 1, "leaving", 0 },
+      { ACTION_LIST, 6, 0, 1, "leaving", 0 } } },
   { "the next incarnation is in use",
-    { { ACTION_LEAVE, 5, 0, 1, "leaving" },
-      { ACTION_LIST, 6, 0, 2, "used" } } },
+    { { ACTION_LEAVE, 5, 0, 1, "leaving", 0 },
+      { ACTION_LIST, 6, 0, 2, "used", 0 } } },
   { "a removal takes effect at once",
-    { { ACTION_LIST, 1, 0, 1, "used" },
-      { ACTION_REMOVE, 2, S_US, 1, "gone" } } },
+    { { ACTION_LIST, 1, 0, 1, "used", 0 },
+      { ACTION_REMOVE, 2, S_US, 1, "gone", 0 } } },
   { "an outage of the list removes no endpoint",
-    { { ACTION_LIST, 1, 0, 1, "used" },
-      { ACTION_OUTAGE, 0, S_US, 1, "used" },
-      { ACTION_TICK, 0, 60 * S_US, 1, "used" } } },
+    { { ACTION_LIST, 1, 0, 1, "used", 0 },
+      { ACTION_OUTAGE, 0, S_US, 1, "used", 0 },
+      { ACTION_TICK, 0, 60 * S_US, 1, "used", 0 } } },
   { "an endpoint removed in an outage may be named again",
-    { { ACTION_LIST, 1, 0, 1, "used" },
-      { ACTION_OUTAGE, 0, S_US, 1, "used" },
-      { ACTION_CONTACT, 0, 9 * S_US, 1, "used" },
-      { ACTION_REMOVE, 2, 9 * S_US, 1, "used" },
-      { ACTION_LIST, 3, 10 * S_US, 1, "used" },
-      { ACTION_TICK, 0, 20 * S_US, 1, "used" } } },
+    { { ACTION_LIST, 1, 0, 1, "used", 0 },
+      { ACTION_OUTAGE, 0, S_US, 1, "used", 0 },
+      { ACTION_CONTACT, 0, 9 * S_US, 1, "used", 0 },
+      { ACTION_REMOVE, 2, 9 * S_US, 1, "used", 0 },
+      { ACTION_LIST, 3, 10 * S_US, 1, "used", 0 },
+      { ACTION_TICK, 0, 20 * S_US, 1, "used", 0 } } },
   { "an endpoint that is not named again is removed",
-    { { ACTION_LIST, 1, 0, 1, "used" },
-      { ACTION_OUTAGE, 0, S_US, 1, "used" },
-      { ACTION_CONTACT, 0, 9 * S_US, 1, "used" },
-      { ACTION_REMOVE, 2, 9 * S_US, 1, "used" },
-      { ACTION_TICK, 0, 12 * S_US, 1, "gone" } } },
+    { { ACTION_LIST, 1, 0, 1, "used", 0 },
+      { ACTION_OUTAGE, 0, S_US, 1, "used", 0 },
+      { ACTION_CONTACT, 0, 9 * S_US, 1, "used", 0 },
+      { ACTION_REMOVE, 2, 9 * S_US, 1, "used", 0 },
+      { ACTION_TICK, 0, 12 * S_US, 1, "gone", 0 } } },
   /* Guards against a single grace for two outages: the endpoint couldn't be
      named again between them. */
   { "a second outage soon after the first gives more time",
-    { { ACTION_LIST, 1, 0, 1, "used" },
-      { ACTION_OUTAGE, 0, S_US, 1, "used" },
-      { ACTION_CONTACT, 0, 9 * S_US, 1, "used" },
-      { ACTION_REMOVE, 2, 9 * S_US, 1, "used" },
-      { ACTION_OUTAGE, 0, 10 * S_US, 1, "used" },
-      { ACTION_CONTACT, 0, 14 * S_US, 1, "used" },
-      { ACTION_TICK, 0, 15 * S_US, 1, "used" },
-      { ACTION_TICK, 0, 17 * S_US, 1, "gone" } } },
+    { { ACTION_LIST, 1, 0, 1, "used", 0 },
+      { ACTION_OUTAGE, 0, S_US, 1, "used", 0 },
+      { ACTION_CONTACT, 0, 9 * S_US, 1, "used", 0 },
+      { ACTION_REMOVE, 2, 9 * S_US, 1, "used", 0 },
+      { ACTION_OUTAGE, 0, 10 * S_US, 1, "used", 0 },
+      { ACTION_CONTACT, 0, 14 * S_US, 1, "used", 0 },
+      { ACTION_TICK, 0, 15 * S_US, 1, "used", 0 },
+      { ACTION_TICK, 0, 17 * S_US, 1, "gone", 0 } } },
   { "a full read after an outage delays the removal as well",
-    { { ACTION_LIST, 1, 0, 1, "used" },
-      { ACTION_OUTAGE, 0, S_US, 1, "used" },
-      { ACTION_CONTACT, 0, 9 * S_US, 1, "used" },
-      { ACTION_EMPTY_FULL_READ, 7, 9 * S_US, 1, "used" },
-      { ACTION_TICK, 0, 12 * S_US, 1, "gone" } } },
+    { { ACTION_LIST, 1, 0, 1, "used", 0 },
+      { ACTION_OUTAGE, 0, S_US, 1, "used", 0 },
+      { ACTION_CONTACT, 0, 9 * S_US, 1, "used", 0 },
+      { ACTION_EMPTY_FULL_READ, 7, 9 * S_US, 1, "used", 0 },
+      { ACTION_TICK, 0, 12 * S_US, 1, "gone", 0 } } },
   { "a full read without an outage removes at once",
-    { { ACTION_LIST, 1, 0, 1, "used" },
-      { ACTION_EMPTY_FULL_READ, 7, 9 * S_US, 1, "gone" } } },
+    { { ACTION_LIST, 1, 0, 1, "used", 0 },
+      { ACTION_EMPTY_FULL_READ, 7, 9 * S_US, 1, "gone", 0 } } },
+  { "records after a restore are newer, whatever their offsets are",
+    { { ACTION_LIST, 9, 0, 1, "used", 0 },
+      { ACTION_RESTORED, 2, S_US, 1, "used", 0 },
+      { ACTION_FULL_LIST, 4, S_US, 1, "used", 0 },
+      { ACTION_LEAVE, 4, 2 * S_US, 1, "leaving", 0 } } },
+  { "the copy doesn't know an endpoint yet: it has time to write again",
+    { { ACTION_LIST, 9, 0, 1, "used", 0 },
+      { ACTION_RESTORED, 2, S_US, 1, "used", 0 },
+      { ACTION_EMPTY_FULL_READ, 4, S_US, 1, "used", 0 },
+      { ACTION_LIST, 4, 2 * S_US, 1, "used", 0 },
+      { ACTION_TICK, 0, 9 * S_US, 1, "used", 0 } } },
+  { "an endpoint that doesn't write again is removed",
+    { { ACTION_LIST, 9, 0, 1, "used", 0 },
+      { ACTION_RESTORED, 2, S_US, 1, "used", 0 },
+      { ACTION_EMPTY_FULL_READ, 4, S_US, 1, "used", 0 },
+      { ACTION_TICK, 0, 4 * S_US, 1, "gone", 0 } } },
+  { "the copy doesn't know that an endpoint leaves",
+    { { ACTION_LEAVE, 9, 0, 1, "leaving", 5 },
+      { ACTION_RESTORED, 2, S_US, 1, "leaving", 0 },
+      { ACTION_FULL_LIST, 4, S_US, 1, "leaving", 3 },
+      { ACTION_LIST, 4, 5 * S_US, 1, "leaving", 4 },
+      { ACTION_LIST, 5, 5 * S_US, 2, "used", 1 } } },
+  { "an endpoint that has left isn't back in the copy",
+    { { ACTION_LIST, 8, 0, 1, "used", 5 },
+      { ACTION_REMOVE, 9, 0, 1, "gone", 0 },
+      { ACTION_RESTORED, 2, S_US, 1, "gone", 0 },
+      { ACTION_FULL_LIST, 4, S_US, 1, "gone", 3 },
+      { ACTION_LIST, 4, 9 * S_US, 1, "gone", 4 },
+      { ACTION_FULL_LIST, 5, 9 * S_US, 1, "gone", 4 } } },
+  { "it is after a second restore neither",
+    { { ACTION_LIST, 8, 0, 1, "used", 5 },
+      { ACTION_REMOVE, 9, 0, 1, "gone", 0 },
+      { ACTION_RESTORED, 2, S_US, 1, "gone", 0 },
+      { ACTION_RESTORED, 3, S_US, 1, "gone", 0 },
+      { ACTION_FULL_LIST, 3, S_US, 1, "gone", 3 } } },
+  { "it is back with its next record",
+    { { ACTION_LIST, 8, 0, 1, "used", 5 },
+      { ACTION_REMOVE, 9, 0, 1, "gone", 0 },
+      { ACTION_RESTORED, 2, S_US, 1, "gone", 0 },
+      { ACTION_FULL_LIST, 4, S_US, 1, "gone", 3 },
+      { ACTION_LIST, 5, S_US, 1, "used", 6 } } },
+  { "it is back with its next incarnation",
+    { { ACTION_LIST, 8, 0, 7, "used", 5 },
+      { ACTION_REMOVE, 9, 0, 7, "gone", 0 },
+      { ACTION_RESTORED, 2, S_US, 7, "gone", 0 },
+      { ACTION_FULL_LIST, 4, S_US, 6, "gone", 9 },
+      { ACTION_LIST, 5, S_US, 8, "used", 1 } } },
+  { "without sequence numbers, a record after the copy counts in time",
+    { { ACTION_LIST, 8, 0, 1, "used", 0 },
+      { ACTION_REMOVE, 9, 0, 1, "gone", 0 },
+      { ACTION_RESTORED, 2, S_US, 1, "gone", 0 },
+      { ACTION_FULL_LIST, 4, S_US, 1, "gone", 0 },
+      { ACTION_LIST, 4, 2 * S_US, 1, "gone", 0 },
+      { ACTION_FULL_LIST, 5, 5 * S_US, 1, "gone", 0 },
+      { ACTION_LIST, 5, 5 * S_US, 1, "used", 0 } } },
+  { "within an era, an endpoint that was removed may be named again",
+    { { ACTION_RESTORED, 2, S_US, 1, "gone", 0 },
+      { ACTION_LIST, 8, 2 * S_US, 1, "used", 5 },
+      { ACTION_REMOVE, 9, 2 * S_US, 1, "used", 0 },
+      { ACTION_TICK, 0, 5 * S_US, 1, "gone", 0 },
+      { ACTION_LIST, 10, 5 * S_US, 1, "used", 5 } } },
 };
 
 /* Applies the action of STEP to ROSTER.  */
@@ -117,12 +184,14 @@
   switch (step->action)
     {
     case ACTION_LIST:
-      rst_update (roster, new_endpoint ("a", step->born_ms, false),
-                  step->offset);
+      rst_update (roster,
+                  new_endpoint ("a", step->born_ms, step->sequence, false),
+                  step->offset, step->at_us);
       break;
     case ACTION_LEAVE:
-      rst_update (roster, new_endpoint ("a", step->born_ms, true),
-                  step->offset);
+      rst_update (roster,
+                  new_endpoint ("a", step->born_ms, step->sequence, true),
+                  step->offset, step->at_us);
       break;
     case ACTION_REMOVE:
       rst_remove (roster, "a", step->offset, step->at_us);
@@ -140,6 +209,18 @@
       rst_begin_full (roster);
       rst_end_full (roster, step->offset, step->at_us);
       break;
+    case ACTION_FULL_LIST:
+    case ACTION_FULL_LEAVE:
+      rst_begin_full (roster);
+      rst_update (roster,
+                  new_endpoint ("a", step->born_ms, step->sequence,
+                                step->action == ACTION_FULL_LEAVE),
+                  step->offset - 1, step->at_us);
+      rst_end_full (roster, step->offset, step->at_us);
+      break;
+    case ACTION_RESTORED:
+      rst_restored (roster, step->offset, step->at_us);
+      break;
     }
 }
 
