--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -174,7 +174,7 @@
   (ProtobufCMessageInit) relay_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor relay_page__field_descriptors[5] =
+static const ProtobufCFieldDescriptor relay_page__field_descriptors[7] =
 {
   {
     "records",
@@ -236,18 +236,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RelayPage, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RelayPage, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned relay_page__field_indices_by_name[] = {
   1,   /* field[1] = end */
+  5,   /* field[5] = era */
   3,   /* field[3] = partitions */
   2,   /* field[2] = proof_lead_us */
   4,   /* field[4] = readers */
   0,   /* field[0] = records */
+  6,   /* field[6] = whole */
 };
 static const ProtobufCIntRange relay_page__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor relay_page__descriptor =
 {
@@ -257,7 +283,7 @@
   "RelayPage",
   "",
   sizeof(RelayPage),
-  5,
+  7,
   relay_page__field_descriptors,
   relay_page__field_indices_by_name,
   1,  relay_page__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -76,10 +76,18 @@
    * number of daemons that read from the relay
    */
   uint32_t readers;
+  /*
+   * of the store, to which the offsets belong; 0: unknown
+   */
+  uint64_t era;
+  /*
+   * The records are all that the topic has, whatever offset was requested.
+   */
+  protobuf_c_boolean whole;
 };
 #define RELAY_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&relay_page__descriptor) \
-    , 0,NULL, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /* RelayRecord methods */
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -25,6 +25,7 @@
   struct cnt_series *config_version;
   struct cnt_series *endpoints; /* in the view in force */
   struct cnt_series *connections_opened;
+  struct cnt_series *store_restores;  /* from an older copy */
   struct cnt_series *log_dropped;     /* log lines over the rate limit */
   struct cnt_series *proof_age_ms;    /* age of the newest proof that the
                                          configuration is current */
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -62,6 +62,8 @@
   struct grp_group *group;
   struct plc_placer *placer;
   struct flt_config *config; /* in force; NULL before the first */
+  GBytes *config_text;       /* its record's value */
+  uint64_t era;              /* of the store, newest that was seen */
   struct rst *roster;        /* the endpoint list */
   struct fvw_view *view;     /* newest that was published */
   bool view_outdated;        /* there are changes since then */
@@ -86,8 +88,8 @@
 }
 
 /* Applies the configuration in RECORD if it is valid and newer than the one in
-   force.  */
-static void
+   force.  Returns false when it is older.  */
+static bool
 apply_configuration (struct fct_control *control,
                      const struct pfs_record *record)
 {
@@ -98,12 +100,21 @@
     {
       lg_line (LOG_ERR, "configuration_refused", "offset=%lu why=\"%s\"",
                (unsigned long)record->offset, error->message);
-      return;
+      return true;
     }
   if (control->config != NULL && config->version <= control->config->version)
     {
+      bool older = config->version < control->config->version;
+      if (older)
+        {
+          lg_line (LOG_NOTICE, "configuration_kept",
+                   "version=%lu offset=%lu read=%lu",
+                   (unsigned long)control->config->version,
+                   (unsigned long)record->offset,
+                   (unsigned long)config->version);
+        }
       flt_release (config);
-      return;
+      return !older;
     }
   lg_line (LOG_NOTICE, "configuration_in_force",
            "version=%lu before=%lu routes=%u services=%u accounts=%u",
@@ -112,18 +123,103 @@
            config->route_count, config->service_count, config->account_count);
   flt_release (control->config);
   control->config = config;
+  if (control->config_text != NULL)
+    {
+      g_bytes_unref (control->config_text);
+    }
+  control->config_text = g_bytes_new (record->value, record->value_bytes);
   control->view_outdated = true;
+  return true;
+}
+
+/* Relays the configuration in force as the record at OFFSET.  */
+static void
+relay_configuration (struct fct_control *control, uint64_t offset)
+{
+  gsize bytes = 0;
+  const struct pfs_record record = {
+    .key = (char *)PFS_CONFIGURATION_KEY,
+    .value = (uint8_t *)g_bytes_get_data (control->config_text, &bytes),
+    .value_bytes = bytes,
+    .offset = offset,
+  };
+  rly_add_record (control->relay, PFS_OPERATOR_TOPIC, &record);
 }
 
+static bool
+is_configuration (const struct pfs_record *record)
+{
+  return strcmp (record->key, PFS_CONFIGURATION_KEY) == 0
+         && record->value != NULL;
+}
+
+/* Handles a record of the operator.  The store may have lost a newer
+   configuration in a restore; other daemons get the newest that is known.  */
 static void
 on_operator_record (void *context, const struct pfs_record *record)
 {
   struct fct_control *control = context;
-  if (strcmp (record->key, PFS_CONFIGURATION_KEY) == 0
-      && record->value != NULL)
+  if (!is_configuration (record))
+    {
+      return;
+    }
+  if (apply_configuration (control, record))
     {
       rly_add_record (control->relay, PFS_OPERATOR_TOPIC, record);
-      apply_configuration (control, record);
+    }
+  else
+    {
+      relay_configuration (control, record->offset);
+    }
+}
+
+/* Handles what another daemon's relay holds: a configuration was in force if
+   any daemon knows it, whether or not the store still has it.  */
+static void
+on_operator_held (void *context, const struct pfs_record *record,
+                  bool same_era)
+{
+  (void)same_era;
+  struct fct_control *control = context;
+  uint64_t before = control->config == NULL ? 0 : control->config->version;
+  if (!is_configuration (record))
+    {
+      return;
+    }
+  apply_configuration (control, record);
+  if (control->config != NULL && control->config->version > before)
+    {
+      uint64_t offset = 0;
+      rly_find_key (control->relay, PFS_OPERATOR_TOPIC, PFS_CONFIGURATION_KEY,
+                    &offset);
+      relay_configuration (control, offset);
+    }
+}
+
+/* Handles a change of the store's era: RESTORED says that it was restored from
+   an older copy.  */
+static void
+handle_era (struct fct_control *control, const char *topic, uint64_t era,
+            bool restored)
+{
+  if (restored && era > control->era)
+    {
+      fvw_count_restore (control->views);
+    }
+  control->era = MAX (control->era, era);
+  rly_set_era (control->relay, topic, era);
+}
+
+/* Handles a change of the era of the operator's topic.  The configuration in
+   force stays so, and is relayed until the store has a newer one.  */
+static void
+on_operator_era (void *context, uint64_t era, bool restored)
+{
+  struct fct_control *control = context;
+  handle_era (control, PFS_OPERATOR_TOPIC, era, restored);
+  if (control->config_text != NULL)
+    {
+      relay_configuration (control, 0);
     }
 }
 
@@ -164,9 +260,11 @@
 }
 
 static const struct tpc_events operator_events = {
+  .era = on_operator_era,
   .snapshot_begin = on_operator_begin,
   .snapshot_end = on_operator_end,
   .record = on_operator_record,
+  .held = on_operator_held,
   .current = on_operator_current,
   .outage = ignore_outage,
 };
@@ -189,12 +287,29 @@
       lg_line (LOG_WARNING, "endpoint_entry_refused", "offset=%lu why=\"%s\"",
                (unsigned long)record->offset, error->message);
     }
-  bool changed = endpoint != NULL
-                     ? rst_update (control->roster, endpoint, record->offset,
-                                   clk_monotonic_us ())
-                     : rst_remove (control->roster, record->key,
-                                   record->offset, clk_monotonic_us ());
-  if (changed || endpoint == NULL)
+  bool is_entry = endpoint != NULL;
+  bool leaving = is_entry && endpoint->leaving;
+  struct rst_layers layers = { 0 };
+  if (is_entry)
+    {
+      layers = endpoint->layers;
+    }
+  uint64_t relayed_offset = 0;
+  bool changed = is_entry ? rst_update (control->roster, endpoint,
+                                        record->offset, clk_monotonic_us ())
+                          : rst_remove (control->roster, record->key,
+                                        record->offset, clk_monotonic_us ());
+  if (is_entry && rst_is_gone (control->roster, record->key))
+    {
+      const struct pfs_record removal
+          = { .key = record->key, .offset = record->offset };
+      rly_add_record (control->relay, PFS_ENDPOINT_TOPIC, &removal);
+      lg_line (LOG_INFO, "endpoint_stays_gone", "endpoint=%s offset=%lu",
+               record->key, (unsigned long)record->offset);
+    }
+  else if (changed || !is_entry
+           || !rly_find_key (control->relay, PFS_ENDPOINT_TOPIC, record->key,
+                             &relayed_offset))
     {
       rly_add_record (control->relay, PFS_ENDPOINT_TOPIC, record);
     }
@@ -206,10 +321,32 @@
     {
       lg_line (LOG_INFO, "endpoint_changed",
                "endpoint=%s offset=%lu listed=%d leaving=%d layers=%u-%u",
-               record->key, (unsigned long)record->offset, endpoint != NULL,
-               endpoint != NULL && endpoint->leaving,
-               endpoint != NULL ? endpoint->layers.first : 0,
-               endpoint != NULL ? endpoint->layers.end : 0);
+               record->key, (unsigned long)record->offset, is_entry, leaving,
+               layers.first, layers.end);
+      control->view_outdated = true;
+    }
+}
+
+/* Handles what another daemon's relay holds, such as removals that the store
+   has lost in a restore.  */
+static void
+on_endpoint_held (void *context, const struct pfs_record *record,
+                  bool same_era)
+{
+  if (same_era)
+    {
+      on_endpoint_record (context, record);
+    }
+}
+
+static void
+on_list_era (void *context, uint64_t era, bool restored)
+{
+  struct fct_control *control = context;
+  handle_era (control, PFS_ENDPOINT_TOPIC, era, restored);
+  if (restored)
+    {
+      rst_restored (control->roster, era, clk_monotonic_us ());
       control->view_outdated = true;
     }
 }
@@ -251,9 +388,11 @@
 }
 
 static const struct tpc_events endpoint_events = {
+  .era = on_list_era,
   .snapshot_begin = on_list_begin,
   .snapshot_end = on_list_end,
   .record = on_endpoint_record,
+  .held = on_endpoint_held,
   .current = on_list_current,
   .outage = on_list_outage,
 };
@@ -527,6 +666,10 @@
   uv_loop_close (&control->loop);
   fvw_release (control->view);
   flt_release (control->config);
+  if (control->config_text != NULL)
+    {
+      g_bytes_unref (control->config_text);
+    }
   rst_destroy (control->roster);
   g_ptr_array_free (control->relays, TRUE);
   g_free (control);
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -8,6 +8,7 @@
                                 fvw_publish */
   _Atomic int64_t proved_us; /* monotonic time of the newest proof; 0: none
                                 yet */
+  _Atomic int64_t restores;  /* of the platform's store, since the start */
 };
 
 /* Creates a store without a view.  */
@@ -126,3 +127,18 @@
 {
   return atomic_load (&store->proved_us);
 }
+
+/* Counts a restore of the platform's store from an older copy.  */
+void
+fvw_count_restore (struct fvw_store *store)
+{
+  atomic_fetch_add (&store->restores, 1);
+}
+
+/* Returns how often the platform's store was restored from an older copy since
+   the start of this daemon.  */
+int64_t
+fvw_restores (struct fvw_store *store)
+{
+  return atomic_load (&store->restores);
+}
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -34,5 +34,7 @@
 void fvw_release (struct fvw_view *view);
 void fvw_set_proved (struct fvw_store *store, int64_t proved_us);
 int64_t fvw_proved_us (struct fvw_store *store);
+void fvw_count_restore (struct fvw_store *store);
+int64_t fvw_restores (struct fvw_store *store);
 
 #endif
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "core/era.h"
 #include "net/server.h"
 #include "proto/relay.pb-c.h"
 
@@ -44,6 +45,8 @@
 struct mirror
 {
   char *topic;
+  uint64_t era;        /* of the store, to which the offsets belong */
+  bool restored;       /* the store was restored since this daemon's start */
   GHashTable *changes; /* key to struct change */
   uint64_t floor;      /* removals at lower offsets aren't known */
   uint64_t end;        /* the topic was read up to this offset */
@@ -61,6 +64,7 @@
   struct rly_relay *relay;
   struct mirror *mirror;
   struct nsv_connection *connection;
+  uint64_t era;       /* to which `from' belongs */
   uint64_t from;      /* first offset that it asks for */
   int64_t arrived_us; /* monotonic */
   uv_timer_t timer;
@@ -116,18 +120,13 @@
 }
 
 /* Answers CONNECTION, whose request arrived at ARRIVED_US, with the changes of
-   MIRROR in RELAY from the offset FROM on.  Answers 410 if removals after FROM
-   may be unknown; the reader then asks another relay or the store.  */
+   MIRROR in RELAY from the offset FROM on; with all that MIRROR holds if
+   WHOLE.  */
 static void
-send_answer (const struct rly_relay *relay, const struct mirror *mirror,
-             struct nsv_connection *connection, uint64_t from,
-             int64_t arrived_us)
+send_page (const struct rly_relay *relay, const struct mirror *mirror,
+           struct nsv_connection *connection, bool whole, uint64_t from,
+           int64_t arrived_us)
 {
-  if (from < mirror->floor)
-    {
-      nsv_respond (connection, HTTP_STATUS_GONE, "", "", 0);
-      return;
-    }
   GArray *records = g_array_new (FALSE, FALSE, sizeof (RelayRecord));
   GHashTableIter iter;
   gpointer value;
@@ -135,7 +134,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct change *change = value;
-      if (change->offset < from)
+      if (!whole && change->offset < from)
         {
           continue;
         }
@@ -160,6 +159,8 @@
   RelayPage page = RELAY_PAGE__INIT;
   page.n_records = records->len;
   page.records = pointers;
+  page.era = mirror->era;
+  page.whole = whole;
   page.end = mirror->end;
   page.proof_lead_us = mirror->proved_us - arrived_us;
   page.partitions = relay->partitions;
@@ -174,6 +175,44 @@
   g_array_free (records, TRUE);
 }
 
+/* True when the offsets of a reader of ERA mean other records than those of
+   MIRROR.  A reader that states no era may have its offsets from before a
+   restore.  */
+static bool
+is_other_era (const struct mirror *mirror, uint64_t era)
+{
+  return era != mirror->era && (era != ERA_UNKNOWN || mirror->restored);
+}
+
+/* Answers CONNECTION, whose request for the changes from the offset FROM of
+   ERA on arrived at ARRIVED_US.  A reader of an earlier era gets all that
+   MIRROR holds.  Otherwise, the reader asks another relay or the store: at 503
+   since MIRROR doesn't show a state of the topic that the reader can use, at
+   410 since removals after FROM may be unknown.  */
+static void
+send_answer (const struct rly_relay *relay, const struct mirror *mirror,
+             struct nsv_connection *connection, uint64_t era, uint64_t from,
+             int64_t arrived_us)
+{
+  bool other_era = is_other_era (mirror, era);
+  if (mirror->proved_us == 0 || (other_era && era > mirror->era))
+    {
+      nsv_respond (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, "", "", 0);
+    }
+  else if (other_era && era != ERA_UNKNOWN && mirror->complete)
+    {
+      send_page (relay, mirror, connection, true, 0, arrived_us);
+    }
+  else if (other_era || from < mirror->floor)
+    {
+      nsv_respond (connection, HTTP_STATUS_GONE, "", "", 0);
+    }
+  else
+    {
+      send_page (relay, mirror, connection, false, from, arrived_us);
+    }
+}
+
 static void
 on_reader_closed (uv_handle_t *handle)
 {
@@ -194,7 +233,7 @@
   if (respond)
     {
       send_answer (reader->relay, reader->mirror, reader->connection,
-                   reader->from, reader->arrived_us);
+                   reader->era, reader->from, reader->arrived_us);
     }
   uv_close ((uv_handle_t *)&reader->timer, on_reader_closed);
 }
@@ -206,15 +245,17 @@
 }
 
 /* Makes CONNECTION wait up to WAIT_MS for changes of MIRROR from the offset
-   FROM on.  */
+   FROM of ERA on.  */
 static void
 add_reader (struct rly_relay *relay, struct mirror *mirror,
-            struct nsv_connection *connection, uint64_t from, uint64_t wait_ms)
+            struct nsv_connection *connection, uint64_t era, uint64_t from,
+            uint64_t wait_ms)
 {
   struct reader *reader = g_new0 (struct reader, 1);
   reader->relay = relay;
   reader->mirror = mirror;
   reader->connection = connection;
+  reader->era = era;
   reader->from = from;
   reader->arrived_us = clk_monotonic_us ();
   uv_timer_init (relay->loop, &reader->timer);
@@ -225,8 +266,9 @@
 }
 
 /* Handles a request of another daemon: answers 503 without a proof that is as
-   recent as the daemon asks for, at once if there are changes, or else when
-   there are some or the wait expires.  */
+   recent as the daemon asks for, at once if there are changes or if the daemon
+   has its offset from another era, or else when there are changes or the wait
+   expires.  */
 static void
 on_request (void *context, struct nsv_connection *connection,
             const struct msg_message *request, const char *method)
@@ -244,23 +286,29 @@
   struct mirror *mirror = g_hash_table_lookup (relay->mirrors, topic);
   g_free (topic);
   uint64_t from = msg_query_number (url, "&from=");
+  uint64_t era = msg_query_number (url, "&era=");
   int64_t age_max_us = (int64_t)msg_query_number (url, "&age=") * CLK_MS_US;
   int64_t now_us = clk_monotonic_us ();
-  if (mirror == NULL || mirror->proved_us == 0
-      || now_us - mirror->proved_us
-             > (age_max_us > 0 ? age_max_us : PROOF_AGE_MAX_US))
+  if (mirror != NULL && msg_query_number (url, "&whole=") == 1
+      && g_hash_table_size (mirror->changes) > 0)
+    {
+      send_page (relay, mirror, connection, true, 0, now_us);
+    }
+  else if (mirror == NULL || mirror->proved_us == 0
+           || now_us - mirror->proved_us
+                  > (age_max_us > 0 ? age_max_us : PROOF_AGE_MAX_US))
     {
       nsv_respond (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, "", "", 0);
     }
-  else if (from < mirror->floor
+  else if (is_other_era (mirror, era) || from < mirror->floor
            || (g_hash_table_size (mirror->changes) > 0
                && from <= mirror->newest))
     {
-      send_answer (relay, mirror, connection, from, now_us);
+      send_answer (relay, mirror, connection, era, from, now_us);
     }
   else
     {
-      add_reader (relay, mirror, connection, from,
+      add_reader (relay, mirror, connection, era, from,
                   msg_query_number (url, "&wait="));
     }
 }
@@ -359,6 +407,36 @@
   relay->partitions = partitions;
 }
 
+/* Records that the offsets of TOPIC belong to ERA of the store from now on.
+   After a restore of the store, what was read before is forgotten: it is no
+   source for readers until rly_set_current.  */
+void
+rly_set_era (struct rly_relay *relay, const char *topic, uint64_t era)
+{
+  struct mirror *mirror = find_mirror (relay, topic);
+  mirror->restored |= mirror->complete || mirror->proved_us != 0;
+  mirror->era = era;
+  g_hash_table_remove_all (mirror->changes);
+  mirror->removals = 0;
+  mirror->floor = 0;
+  mirror->end = 0;
+  mirror->newest = 0;
+  mirror->complete = false;
+  mirror->proved_us = 0;
+}
+
+/* True when a record of KEY in TOPIC is known, also its removal.  Sets OFFSET
+   to its offset, or to 0.  */
+bool
+rly_find_key (struct rly_relay *relay, const char *topic, const char *key,
+              uint64_t *offset)
+{
+  const struct change *change
+      = g_hash_table_lookup (find_mirror (relay, topic)->changes, key);
+  *offset = change == NULL ? 0 : change->offset;
+  return change != NULL;
+}
+
 /* Makes CHANGE the newest one of its key in MIRROR, which takes it over.  */
 static void
 replace_change (struct mirror *mirror, struct change *change)
@@ -506,16 +584,15 @@
   limit_removals (mirror);
 }
 
-/* Returns the path of a request to a relay for changes of TOPIC from the
-   offset FROM on, which waits up to WAIT_MS for them and accepts a proof up to
-   AGE_MAX_MS old.  The caller frees it.  */
+/* Returns the path of REQUEST to a relay.  The caller frees it.  */
 char *
-rly_path (const char *topic, uint64_t from, uint32_t wait_ms,
-          uint32_t age_max_ms)
+rly_path (const struct rly_request *request)
 {
-  return g_strdup_printf (RELAY_PATH "%s&from=%" G_GUINT64_FORMAT
-                                     "&wait=%u&age=%u",
-                          topic, from, wait_ms, age_max_ms);
+  return g_strdup_printf (
+      RELAY_PATH "%s&era=%" G_GUINT64_FORMAT "&from=%" G_GUINT64_FORMAT
+                 "&wait=%u&age=%u&whole=%d",
+      request->topic, request->era, request->from, request->wait_ms,
+      request->age_max_ms, request->whole);
 }
 
 static gint
@@ -527,14 +604,12 @@
          - ((*left)->offset < (*right)->offset);
 }
 
-/* Decodes the answer BODY of a relay into PAGE.  Sets PROOF_LEAD_US to the
-   time from the arrival of the request at the relay to the relay's proof; it
-   is negative if the proof is older.  Sets HINT.  Returns false with
+/* Decodes the answer BODY of a relay into PAGE and HEAD.  Returns false with
    ERR_PROTOCOL when BODY can't be read.  The caller clears PAGE in both cases.
  */
 bool
 rly_decode (const void *body, size_t body_bytes, struct pfs_page *page,
-            int64_t *proof_lead_us, struct rly_hint *hint, GError **error)
+            struct rly_head *head, GError **error)
 {
   pfs_init_page (page);
   RelayPage *decoded = relay_page__unpack (NULL, body_bytes, body);
@@ -559,10 +634,14 @@
     }
   g_ptr_array_sort (page->records, compare_offsets);
   page->end = decoded->end;
-  *proof_lead_us = decoded->proof_lead_us;
-  *hint = (struct rly_hint){
-    .partitions = decoded->partitions,
-    .readers = decoded->readers,
+  *head = (struct rly_head){
+    .era = decoded->era,
+    .whole = decoded->whole,
+    .proof_lead_us = decoded->proof_lead_us,
+    .hint = {
+      .partitions = decoded->partitions,
+      .readers = decoded->readers,
+    },
   };
   relay_page__free_unpacked (decoded, NULL);
   return true;
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -8,6 +8,18 @@
 
 #include <uv.h>
 
+/* A request to a relay for a topic. */
+struct rly_request
+{
+  const char *topic;
+  uint64_t era;        /* of the store, to which `from' belongs; 0: unknown */
+  uint64_t from;       /* changes from this offset on are asked for */
+  uint32_t wait_ms;    /* for changes */
+  uint32_t age_max_ms; /* of the relay's proof */
+  bool whole;          /* asks for all that the relay holds, at once and
+                          whatever its era and its proof are */
+};
+
 struct rly_relay;
 
 /* What a relay tells its readers about the group of all daemons. */
@@ -17,12 +29,26 @@
   uint32_t readers;    /* daemons that read from it */
 };
 
+/* What a page of a relay tells beside its records. */
+struct rly_head
+{
+  uint64_t era;          /* of the store, to which the offsets belong; 0:
+                            unknown */
+  bool whole;            /* the records are all that the topic has */
+  int64_t proof_lead_us; /* from the arrival of the request at the relay to the
+                            relay's proof; negative if the proof is older */
+  struct rly_hint hint;
+};
+
 struct rly_relay *rly_create (uv_loop_t *loop, const char *address,
                               GError **error);
 void rly_destroy (struct rly_relay *relay);
 char *rly_address (const struct rly_relay *relay);
 bool rly_has_readers (const struct rly_relay *relay);
 void rly_set_partitions (struct rly_relay *relay, uint32_t partitions);
+void rly_set_era (struct rly_relay *relay, const char *topic, uint64_t era);
+bool rly_find_key (struct rly_relay *relay, const char *topic, const char *key,
+                   uint64_t *offset);
 void rly_add_record (struct rly_relay *relay, const char *topic,
                      const struct pfs_record *record);
 void rly_begin_snapshot (struct rly_relay *relay, const char *topic);
@@ -33,10 +59,8 @@
 void rly_set_current (struct rly_relay *relay, const char *topic, uint64_t end,
                       int64_t proved_us);
 
-char *rly_path (const char *topic, uint64_t from, uint32_t wait_ms,
-                uint32_t age_max_ms);
+char *rly_path (const struct rly_request *request);
 bool rly_decode (const void *body, size_t body_bytes, struct pfs_page *page,
-                 int64_t *proof_lead_us, struct rly_hint *hint,
-                 GError **error);
+                 struct rly_head *head, GError **error);
 
 #endif
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -3,8 +3,10 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "core/era.h"
 #include "entry/relay.h"
 #include "net/call.h"
+#include "platform/headers.h"
 
 #include <string.h>
 
@@ -32,8 +34,17 @@
   char *address;
   uv_timer_t timer;
   struct cal_call *call;
-  bool in_snapshot; /* reading a snapshot */
-  char *after_key;  /* last key of the previous page; NULL at first */
+  uint64_t era;               /* of the store, to which the offsets belong */
+  bool has_records;           /* of that era */
+  bool restored;              /* the snapshot in progress follows a restore */
+  uint64_t lost_offset;       /* end of what was read before that restore */
+  uint64_t answer_era;        /* stated by the newest answer */
+  bool answer_readable;       /* that era, or its absence */
+  guint relays_to_ask;        /* for what the snapshot may lack */
+  int64_t asked_since_us;     /* monotonic, when the first one was asked */
+  int64_t snapshot_proved_us; /* proof that counts once they were asked */
+  bool in_snapshot;           /* reading a snapshot */
+  char *after_key; /* last key of the previous page; NULL at first */
   uint64_t snapshot_end_offset; /* offset up to which the snapshot holds */
   int64_t snapshot_sent_us; /* monotonic, when its first page was requested */
   uint64_t next_offset;     /* offset to read from */
@@ -239,10 +250,64 @@
     }
 }
 
+/* Ends the snapshot up to the offset END, which shows the topic at PROVED_US.
+   A store that states its era may have been restored: the snapshot then
+   becomes current only when the relays have been asked.  */
+static void
+end_snapshot (struct tpc_topic *topic, uint64_t end, int64_t proved_us)
+{
+  topic->in_snapshot = false;
+  topic->needs_snapshot = false;
+  topic->next_offset = end;
+  topic->params.events->snapshot_end (topic->params.context, end);
+  if (topic->restored)
+    {
+      topic->restored = false;
+      lg_line (LOG_NOTICE, "store_read_again",
+               "topic=%s era=%lu offset=%lu offset_before=%lu",
+               topic->params.topic, (unsigned long)topic->era,
+               (unsigned long)end, (unsigned long)topic->lost_offset);
+    }
+  if (topic->era == ERA_UNKNOWN || topic->relays->len == 0)
+    {
+      report_current (topic, proved_us, end);
+      return;
+    }
+  topic->relays_to_ask = topic->relays->len;
+  topic->asked_since_us = clk_monotonic_us ();
+  topic->snapshot_proved_us = proved_us;
+}
+
+/* Begins to read the topic in ERA of the store: what was read in another era
+   is no position to continue from.  */
+static void
+begin_era (struct tpc_topic *topic, uint64_t era)
+{
+  bool restored = topic->has_records;
+  if (restored)
+    {
+      lg_line (LOG_WARNING, "store_restored",
+               "topic=%s era=%lu before=%lu offset=%lu", topic->params.topic,
+               (unsigned long)era, (unsigned long)topic->era,
+               (unsigned long)topic->next_offset);
+      topic->restored = true;
+      topic->lost_offset = topic->next_offset;
+    }
+  topic->era = era;
+  topic->has_records = false;
+  topic->relays_to_ask = 0;
+  topic->proved_us = 0;
+  topic->next_offset = 0;
+  begin_snapshot (topic);
+  topic->needs_snapshot = true;
+  topic->params.events->era (topic->params.context, era, restored);
+}
+
 /* Passes the records of PAGE to the callback.  */
 static void
 deliver_records (struct tpc_topic *topic, const struct pfs_page *page)
 {
+  topic->has_records = true;
   for (guint i = 0; i < page->records->len; i++)
     {
       topic->params.events->record (topic->params.context,
@@ -276,13 +341,8 @@
         }
       else
         {
-          topic->in_snapshot = false;
-          topic->needs_snapshot = false;
-          topic->next_offset = topic->snapshot_end_offset;
-          topic->params.events->snapshot_end (topic->params.context,
-                                              topic->snapshot_end_offset);
-          report_current (topic, topic->snapshot_sent_us,
-                          topic->snapshot_end_offset);
+          end_snapshot (topic, topic->snapshot_end_offset,
+                        topic->snapshot_sent_us);
         }
     }
   pfs_clear_page (&page);
@@ -322,17 +382,57 @@
   return valid;
 }
 
-/* Handles an answer of a relay.  Returns false when it is invalid or its proof
-   is too old.  */
+/* Takes the records of PAGE, which continue the position, with the proof of
+   PROVED_US.  */
+static void
+continue_from_relay (struct tpc_topic *topic, const struct pfs_page *page,
+                     int64_t proved_us)
+{
+  /* The relay may have been through an outage of the store that this daemon
+     hasn't noticed. */
+  if (topic->proved_us != 0
+      && proved_us - topic->proved_us > topic->params.plan.gap_max_us)
+    {
+      topic->params.events->outage (topic->params.context,
+                                    "no proof for too long");
+    }
+  deliver_records (topic, page);
+  topic->in_snapshot = false;
+  topic->next_offset = MAX (topic->next_offset, page->end);
+  report_current (topic, proved_us, topic->next_offset);
+}
+
+/* Takes PAGE, which has all records of a topic in ERA, with the proof of
+   PROVED_US.  */
+static void
+restart_from_relay (struct tpc_topic *topic, const struct pfs_page *page,
+                    uint64_t era, int64_t proved_us)
+{
+  begin_era (topic, era);
+  topic->params.events->snapshot_begin (topic->params.context);
+  deliver_records (topic, page);
+  end_snapshot (topic, page->end, proved_us);
+}
+
+/* Handles an answer of a relay.  Returns false when it is invalid, its proof
+   is too old or its era is no continuation.  */
 static bool
 handle_relay_answer (struct tpc_topic *topic, const uint8_t *body,
                      size_t body_bytes, GError **error)
 {
   struct pfs_page page;
-  int64_t lead_us = 0;
-  bool valid
-      = rly_decode (body, body_bytes, &page, &lead_us, &topic->hint, error);
-  int64_t proved_us = topic->sent_us + lead_us;
+  struct rly_head head = { 0 };
+  bool valid = rly_decode (body, body_bytes, &page, &head, error);
+  int64_t proved_us = topic->sent_us + head.proof_lead_us;
+  enum era_use use = era_use_of_page (topic->era, head.era, head.whole);
+  if (valid && use == ERA_REJECT)
+    {
+      valid = false;
+      g_set_error (error, ERR_DOMAIN, ERR_PROTOCOL,
+                   "the relay's era of the store is %" G_GUINT64_FORMAT
+                   " instead of %" G_GUINT64_FORMAT,
+                   head.era, topic->era);
+    }
   if (valid && clk_monotonic_us () - proved_us > topic->params.plan.age_max_us)
     {
       valid = false;
@@ -341,25 +441,136 @@
     }
   if (valid)
     {
-      /* The relay may have been through an outage of the store that this
-         daemon hasn't noticed. */
-      if (topic->proved_us != 0
-          && proved_us - topic->proved_us > topic->params.plan.gap_max_us)
-        {
-          topic->params.events->outage (topic->params.context,
-                                        "no proof for too long");
-        }
       record_success (topic, true);
+      topic->hint = head.hint;
       topic->has_hint = true;
-      deliver_records (topic, &page);
-      topic->in_snapshot = false;
-      topic->next_offset = MAX (topic->next_offset, page.end);
-      report_current (topic, proved_us, topic->next_offset);
+      if (use == ERA_RESTART)
+        {
+          restart_from_relay (topic, &page, head.era, proved_us);
+        }
+      else
+        {
+          continue_from_relay (topic, &page, proved_us);
+        }
     }
   pfs_clear_page (&page);
   return valid;
 }
 
+/* Handles the answer of a relay that was asked for what it holds; the next one
+   is asked, unless that takes too long.  After the last one, the snapshot is
+   current.  */
+static void
+on_held (void *context, uint32_t status, const uint8_t *body,
+         size_t body_bytes, const char *why)
+{
+  struct tpc_topic *topic = context;
+  topic->call = NULL;
+  g_autoptr (GError) error = NULL;
+  if (status == HTTP_STATUS_OK)
+    {
+      struct pfs_page page;
+      struct rly_head head = { 0 };
+      bool valid = rly_decode (body, body_bytes, &page, &head, &error);
+      for (guint i = 0; valid && i < page.records->len; i++)
+        {
+          topic->params.events->held (topic->params.context,
+                                      g_ptr_array_index (page.records, i),
+                                      head.era == topic->era);
+        }
+      pfs_clear_page (&page);
+    }
+  if (status != HTTP_STATUS_OK || error != NULL)
+    {
+      lg_line (LOG_INFO, "relay_not_asked", "topic=%s status=%u why=\"%s\"",
+               topic->params.topic, status,
+               error != NULL ? error->message : why);
+    }
+  topic->relays_to_ask--;
+  if (clk_monotonic_us () - topic->asked_since_us
+      > topic->params.plan.age_max_us)
+    {
+      topic->relays_to_ask = 0;
+    }
+  if (topic->relays_to_ask == 0)
+    {
+      report_current (topic, topic->snapshot_proved_us, topic->next_offset);
+    }
+  send_call (topic);
+}
+
+/* Asks a relay for all that it holds.  */
+static void
+ask_relay (struct tpc_topic *topic)
+{
+  const struct rly_request request
+      = { .topic = topic->params.topic, .era = topic->era, .whole = true };
+  char *path = rly_path (&request);
+  const struct cal_params params = {
+    .client = topic->params.client,
+    .loop = topic->params.loop,
+    .address = g_ptr_array_index (topic->relays, (topic->relays_to_ask - 1)
+                                                     % topic->relays->len),
+    .method = "GET",
+    .path = path,
+    .timeout_ms = RELAY_TIMEOUT_MS,
+    .done = on_held,
+    .context = topic,
+  };
+  topic->call = cal_send (&params);
+  g_free (path);
+}
+
+/* Reads the era of the store that RESPONSE states.  */
+static void
+on_headers (void *context, uint32_t status, const struct msg_message *response)
+{
+  (void)status;
+  struct tpc_topic *topic = context;
+  g_autoptr (GError) error = NULL;
+  topic->answer_readable = pfs_decode_era (msg_find (response, PFH_STORE_ERA),
+                                           &topic->answer_era, &error);
+  if (!topic->answer_readable)
+    {
+      lg_line (LOG_ERR, "store_era_refused", "topic=%s why=\"%s\"",
+               topic->params.topic, error->message);
+    }
+}
+
+/* Handles the era of an answer of the store with STATUS.  Returns false when
+   the answer can't be used beyond that; the next call is scheduled then.  */
+static bool
+handle_era (struct tpc_topic *topic, uint32_t status)
+{
+  if (!topic->answer_readable)
+    {
+      handle_failure (topic, 0, "the era can't be read");
+      return false;
+    }
+  switch (era_compare (topic->era, topic->answer_era))
+    {
+    case ERA_SAME:
+      return true;
+    case ERA_STALE:
+      lg_line (LOG_NOTICE, "store_answer_stale", "topic=%s era=%lu known=%lu",
+               topic->params.topic, (unsigned long)topic->answer_era,
+               (unsigned long)topic->era);
+      schedule_call (topic, RETRY_MIN_MS);
+      return false;
+    case ERA_RISEN:
+      break;
+    }
+  bool is_first_page = topic->in_snapshot && topic->after_key == NULL;
+  begin_era (topic, topic->answer_era);
+  if (!is_first_page
+      && (status == HTTP_STATUS_OK || status == HTTP_STATUS_GONE))
+    {
+      send_call (topic);
+      return false;
+    }
+  return true;
+}
+
 /* Handles the answer to a call and schedules the next one.  */
 static void
 on_answer (void *context, uint32_t status, const uint8_t *body,
@@ -373,6 +584,10 @@
       handle_relay_failure (topic, status, why);
       return;
     }
+  if (!relayed && !handle_era (topic, status))
+    {
+      return;
+    }
   if (status == HTTP_STATUS_GONE && !topic->in_snapshot)
     {
       lg_line (LOG_NOTICE, "history_lost", "topic=%s offset=%lu",
@@ -406,7 +621,7 @@
   int64_t interval_us = relayed ? RELAY_INTERVAL_MS * CLK_MS_US
                                 : topic->params.plan.interval_us;
   /* Relays pass changes on at once, so a reader asks one without delay. */
-  bool at_once = was_snapshot || topic->in_snapshot
+  bool at_once = was_snapshot || topic->in_snapshot || topic->relays_to_ask > 0
                  || (!relayed && reads_relays (topic));
   schedule_call (topic, at_once ? 0 : (uint64_t)(interval_us / CLK_MS_US));
 }
@@ -431,6 +646,11 @@
 static void
 send_call (struct tpc_topic *topic)
 {
+  if (topic->relays_to_ask > 0 && topic->relays->len > 0)
+    {
+      ask_relay (topic);
+      return;
+    }
   struct rfs_call call = choose_source (topic);
   uint32_t wait_ms = call.to_relay ? (uint32_t)(call.wait_us / CLK_MS_US)
                                    : store_wait_ms (topic);
@@ -438,9 +658,15 @@
   uint32_t age_max_ms
       = call.holds ? UINT32_MAX
                    : (uint32_t)(topic->params.plan.age_max_us / CLK_MS_US);
+  const struct rly_request request = {
+    .topic = topic->params.topic,
+    .era = topic->era,
+    .from = topic->next_offset,
+    .wait_ms = wait_ms,
+    .age_max_ms = age_max_ms,
+  };
   char *path
-      = call.to_relay ? rly_path (topic->params.topic, topic->next_offset,
-                                  wait_ms, age_max_ms)
+      = call.to_relay ? rly_path (&request)
         : topic->in_snapshot
             ? pfs_newest_path (topic->params.topic, topic->after_key)
             : pfs_read_path (topic->params.topic, topic->next_offset, wait_ms);
@@ -454,9 +680,12 @@
     .path = path,
     .timeout_ms = call.to_relay ? MAX (wait_ms, RELAY_TIMEOUT_MS)
                                 : wait_ms + topic->answer_timeout_ms,
+    .headers = on_headers,
     .done = on_answer,
     .context = topic,
   };
+  topic->answer_era = ERA_UNKNOWN;
+  topic->answer_readable = true;
   topic->sent_us = clk_monotonic_us ();
   topic->call = cal_send (&params);
   g_free (path);
--- a/src/entry/topic.h
+++ b/src/entry/topic.h
@@ -1,7 +1,11 @@
 /* Follows a keyed topic of the platform's store: reads a snapshot, the newest
    record of each key, and then the records that are appended.  Reads from
    relays of other daemons instead when the store fails or when they are
-   preferred. */
+   preferred.
+
+   After a restore of the store, offsets mean other records, so a new snapshot
+   is read.  It shows an older copy of the topic: before it counts as current,
+   the relays are asked for what they hold. */
 #ifndef ENTRY_TOPIC_H
 #define ENTRY_TOPIC_H
 
@@ -13,10 +17,16 @@
 /* Callbacks of a topic. */
 struct tpc_events
 {
+  /* All later records are of ERA of the store.  If RESTORED, those before were
+     of another era, which the store has lost in part; a snapshot follows. */
+  void (*era) (void *context, uint64_t era, bool restored);
   /* A snapshot begins, or ends and holds up to the offset END. */
   void (*snapshot_begin) (void *context);
   void (*snapshot_end) (void *context, uint64_t end);
   void (*record) (void *context, const struct pfs_record *record);
+  /* Another daemon's relay holds RECORD, which the store may have lost in a
+     restore.  Its offset belongs to the topic only if SAME_ERA. */
+  void (*held) (void *context, const struct pfs_record *record, bool same_era);
   /* All records that were in the topic at the monotonic time PROVED_US, up to
      the offset END, have been passed to `record'. */
   void (*current) (void *context, int64_t proved_us, uint64_t end);
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -100,6 +100,8 @@
                  config == NULL ? 0 : (int64_t)config->version);
   cnt_set_gauge (metrics->connections_opened,
                  (int64_t)ncl_counts (traffic->client)->connections);
+  cnt_add (metrics->store_restores,
+           fvw_restores (traffic->views) - cnt_get (metrics->store_restores));
   cnt_set_gauge (metrics->log_dropped, (int64_t)lg_dropped ());
   cnt_set_gauge (metrics->proof_age_ms,
                  (clk_monotonic_us () - fvw_proved_us (traffic->views))
--- a/src/net/call.c
+++ b/src/net/call.c
@@ -11,6 +11,7 @@
   struct ncl_exchange *exchange;
   uint32_t status;
   GByteArray *body;
+  cal_headers headers;
   cal_done done;
   void *context;
   bool ended;
@@ -42,9 +43,12 @@
 static bool
 on_headers (void *context, uint32_t status, const struct msg_message *response)
 {
-  (void)response;
   struct cal_call *call = context;
   call->status = status;
+  if (call->headers != NULL)
+    {
+      call->headers (call->context, status, response);
+    }
   return true;
 }
 
@@ -115,6 +119,7 @@
 {
   struct cal_call *call = g_new0 (struct cal_call, 1);
   call->body = g_byte_array_new ();
+  call->headers = params->headers;
   call->done = params->done;
   call->context = params->context;
   uv_timer_init (params->loop, &call->timer);
--- a/src/net/call.h
+++ b/src/net/call.h
@@ -11,6 +11,11 @@
 typedef void (*cal_done) (void *context, uint32_t status, const uint8_t *body,
                           size_t body_bytes, const char *reason);
 
+/* Receives the head of the response, before `done'.  STATUS is its HTTP
+   status; RESPONSE is valid during the call.  */
+typedef void (*cal_headers) (void *context, uint32_t status,
+                             const struct msg_message *response);
+
 struct cal_call;
 
 struct cal_params
@@ -22,6 +27,7 @@
   const char *path;
   const char *body; /* JSON; NULL: none */
   uint64_t timeout_ms;
+  cal_headers headers; /* NULL: not needed */
   cal_done done;
   void *context;
 };
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -563,15 +563,17 @@
   g_free (request);
 }
 
-/* Sends one booking with the API key KEY.  Returns the HTTP status.  */
+/* Sends one booking with the API key KEY to DAEMON.  Returns the HTTP status.
+ */
 static uint32_t
-send_booking (struct fixture *fixture, const char *key)
+send_booking_to (struct fixture *fixture, const struct sep_process *daemon,
+                 const char *key)
 {
   struct call call;
   char id[32];
   g_snprintf (id, sizeof id, "book-%u", fixture->next_id++);
   char *request = build_request ("POST", FLEET_HOST, "/book/a", key, id, "");
-  start_call (fixture, &call, sep_caller_address (fixture->daemon), request,
+  start_call (fixture, &call, sep_caller_address (daemon), request,
               strlen (request));
   await_call (fixture, &call);
   uint32_t status = call.status;
@@ -580,6 +582,13 @@
   return status;
 }
 
+/* Sends one booking with the API key KEY.  Returns the HTTP status.  */
+static uint32_t
+send_booking (struct fixture *fixture, const char *key)
+{
+  return send_booking_to (fixture, fixture->daemon, key);
+}
+
 /* A newer configuration takes effect at once and an older one never does.
    Keys are accepted only while the configuration is known to be fresh, and
    again after the next contact with the store.  */
@@ -794,6 +803,210 @@
     }
 }
 
+/* Time for which a restored store isn't written again by others, and age of
+   the copy that it is restored from. */
+#define NEVER_US (60 * CLK_S_US)
+#define COPY_AGE_US (1500 * CLK_MS_US)
+
+/* Requests that run while the store is restored, twice shortly after one
+   another, are answered, and none runs twice.  */
+static void
+test_restore_during_requests (void **state)
+{
+  enum
+  {
+    STREAMS = 6,
+    BOOKINGS = 40
+  };
+  struct fixture *fixture = *state;
+  struct call streams[STREAMS];
+  struct call bookings[BOOKINGS];
+  char id[32];
+  sfl_publish (fixture->fleet, 5, NULL);
+  run_for (fixture, 300 * CLK_MS_US);
+  for (uint32_t i = 0; i < STREAMS; i++)
+    {
+      start_stream (fixture, &streams[i], SFL_STREAM_EVENTS);
+    }
+  for (uint32_t i = 0; i < BOOKINGS; i++)
+    {
+      if (i == 5 || i == 15)
+        {
+          sfl_restore_store (fixture->fleet, COPY_AGE_US, 400 * CLK_MS_US);
+        }
+      g_snprintf (id, sizeof id, "restore-%u", i);
+      char *request
+          = build_request ("POST", FLEET_HOST, "/book/a", "key-1", id, "");
+      start_call (fixture, &bookings[i], sep_caller_address (fixture->daemon),
+                  request, strlen (request));
+      g_free (request);
+      run_for (fixture, 50 * CLK_MS_US);
+    }
+  for (uint32_t i = 0; i < BOOKINGS; i++)
+    {
+      await_call (fixture, &bookings[i]);
+      g_snprintf (id, sizeof id, "restore-%u", i);
+      assert_int_equal (bookings[i].status, 200);
+      assert_int_equal (sfl_run_count (fixture->fleet, id), 1);
+      clear_call (&bookings[i]);
+    }
+  for (uint32_t i = 0; i < STREAMS; i++)
+    {
+      await_call (fixture, &streams[i]);
+      assert_true (streams[i].complete);
+      clear_call (&streams[i]);
+    }
+  assert_null (sfl_violation (fixture->fleet));
+}
+
+/* A configuration that the store has lost stays in force, and so does the
+   removal of a key, until the operator writes a newer one.  */
+static void
+test_lost_configuration (void **state)
+{
+  struct fixture *fixture = *state;
+  static const struct
+  {
+    uint64_t version; /* 0: none */
+    const char *extra_key;
+    int64_t copy_age_ms; /* of the copy to restore; 0: no restore */
+    int64_t wait_ms;
+    uint32_t extra_status; /* expected with key-2 */
+  } steps[] = {
+    { 5, "key-2", 0, 1500, 200 }, { 8, NULL, 0, 200, 401 },
+    { 0, NULL, 1000, 200, 401 },  { 0, NULL, 0, REVOKE_MS, 401 },
+    { 0, NULL, 6000, 200, 401 },  { 11, "key-2", 0, 300, 200 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      if (steps[i].copy_age_ms > 0)
+        {
+          sfl_restore_store (fixture->fleet, steps[i].copy_age_ms * CLK_MS_US,
+                             NEVER_US);
+        }
+      if (steps[i].version > 0)
+        {
+          sfl_publish (fixture->fleet, steps[i].version, steps[i].extra_key);
+        }
+      run_for (fixture, steps[i].wait_ms * CLK_MS_US);
+      uint32_t status = send_booking (fixture, "key-1");
+      uint32_t extra_status = send_booking (fixture, "key-2");
+      if (status != 200 || extra_status != steps[i].extra_status)
+        {
+          fail_msg ("step %zu: %u, %u", i, status, extra_status);
+        }
+    }
+}
+
+/* Guards against a position that is continued in another era: an offset that
+   was given out again, to the record of an endpoint that leaves, was taken for
+   one that had been read.  */
+static void
+test_reused_offset (void **state)
+{
+  struct fixture *fixture = *state;
+  uint32_t lost = ENGINES;
+  uint32_t leaving = ENGINES + 1;
+  sfl_list_draining (fixture->fleet, lost);
+  run_for (fixture, DRAIN_MS * CLK_MS_US);
+  sfl_restore_store (fixture->fleet, COPY_AGE_US, NEVER_US);
+  sfl_list_draining (fixture->fleet, leaving);
+  run_for (fixture, (DRAIN_MS + 200) * CLK_MS_US);
+  uint32_t before = sfl_arrival_count (fixture->fleet, leaving);
+  uint32_t lost_before = sfl_arrival_count (fixture->fleet, lost);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      send_booking (fixture, "key-1");
+    }
+  assert_int_equal (sfl_arrival_count (fixture->fleet, leaving), before);
+  assert_int_equal (sfl_arrival_count (fixture->fleet, lost), lost_before);
+}
+
+/* Returns the value of the setting NAME of the daemon NAME, allocated.  */
+static char *
+read_setting (const struct fixture *fixture, const char *daemon,
+              const char *name)
+{
+  g_autofree char *file = g_strdup_printf ("%s.yaml", daemon);
+  g_autofree char *path = g_build_filename (fixture->folder, file, NULL);
+  g_autofree char *text = NULL;
+  g_autofree char *key = g_strdup_printf ("%s: \"", name);
+  assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  const char *value = strstr (text, key);
+  assert_non_null (value);
+  value += strlen (key);
+  return g_strndup (value, strcspn (value, "\""));
+}
+
+/* Creates a second daemon that knows the relay of the first one.  */
+static struct sep_process *
+create_second_daemon (struct fixture *fixture)
+{
+  const struct sep_params params = {
+    .name = "entry-2",
+    .folder = fixture->folder,
+    .store_address = sfl_store_address (fixture->fleet),
+    .drain_ms = DRAIN_MS,
+    .config_ms = CONFIG_MS,
+    .revoke_ms = REVOKE_MS,
+    .stop_s = STOP_S,
+    .retry_window_s = 2,
+    .retry_ratio = 0.2,
+    .retry_slack = 100,
+  };
+  struct sep_process *daemon = sep_create (&params);
+  g_autofree char *relay = read_setting (fixture, "entry-1", "relay_address");
+  g_autofree char *path
+      = g_build_filename (fixture->folder, "entry-2.yaml", NULL);
+  FILE *settings = fopen (path, "a");
+  assert_non_null (settings);
+  fprintf (settings, "relays: [\"%s\"]\n", relay);
+  fclose (settings);
+  return daemon;
+}
+
+/* A daemon that starts after the store has lost the removal of a key learns of
+   the removal from another daemon's relay, and never serves the key.  */
+static void
+test_restart_after_restore (void **state)
+{
+  struct fixture *fixture = *state;
+  struct sep_process *second = create_second_daemon (fixture);
+  sfl_publish (fixture->fleet, 5, "key-2");
+  run_for (fixture, COPY_AGE_US + 200 * CLK_MS_US);
+  sfl_publish (fixture->fleet, 6, "key-2");
+  sfl_publish (fixture->fleet, 8, NULL);
+  run_for (fixture, 500 * CLK_MS_US);
+  assert_int_equal (send_booking (fixture, "key-2"), 401);
+  sfl_restore_store (fixture->fleet, 1000 * CLK_MS_US, NEVER_US);
+  /* The operator writes the first of its lost versions again, several times,
+     but not the second one yet. */
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      sfl_publish (fixture->fleet, 6, "key-2");
+    }
+  run_for (fixture, 500 * CLK_MS_US);
+  sep_start (second);
+  uint32_t served = 0;
+  uint32_t denied = 0;
+  int64_t end_us = clk_monotonic_us () + 3 * CLK_S_US;
+  while (clk_monotonic_us () < end_us)
+    {
+      run_for (fixture, 10 * CLK_MS_US);
+      uint32_t status = send_booking_to (fixture, second, "key-2");
+      served += status == 200;
+      denied += status == 401;
+    }
+  uint32_t status = send_booking_to (fixture, second, "key-1");
+  sep_remove_files (second);
+  sep_destroy (second);
+  if (served > 0 || denied == 0 || status != 200)
+    {
+      fail_msg ("key-2 served %u times, denied %u times; key-1: %u", served,
+                denied, status);
+    }
+}
+
 int
 main (void)
 {
@@ -808,5 +1021,16 @@
     cmocka_unit_test (test_graceful_stop),
     cmocka_unit_test (test_stop_soon_after_start),
   };
-  return cmocka_run_group_tests (tests, set_up, tear_down);
+  /* Each of these changes the store in a way that outlasts the test. */
+  const struct CMUnitTest restores[] = {
+    cmocka_unit_test_setup_teardown (test_restore_during_requests, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_lost_configuration, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (test_reused_offset, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_restart_after_restore, set_up,
+                                     tear_down),
+  };
+  int failed = cmocka_run_group_tests (tests, set_up, tear_down);
+  return failed + cmocka_run_group_tests (restores, NULL, NULL);
 }
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -14,7 +14,7 @@
 
 #define TOPIC "keyed.servers"
 #define WAIT_MS 150
-#define RECORDS_MAX 5
+#define RECORDS_MAX 6
 
 /* What another daemon received from the relay. */
 struct answer
@@ -24,8 +24,7 @@
   char keys[64]; /* keys of records, each with a blank after it, a removed one
                     with a minus before it */
   uint64_t end;
-  int64_t proof_lead_us;
-  struct rly_hint hint;
+  struct rly_head head;
 };
 
 enum action
@@ -36,7 +35,8 @@
   ACT_CURRENT, /* the topic was read up to `offset' just now */
   ACT_BEGIN,   /* a snapshot of the topic begins */
   ACT_NAME,    /* it has `key', unchanged */
-  ACT_RESTART  /* it ended at `offset' */
+  ACT_RESTART, /* it ended at `offset' */
+  ACT_ERA      /* the store is in the era `offset' from now on */
 };
 
 struct event
@@ -55,89 +55,179 @@
   uint32_t status;
   const char *keys;
   uint64_t end;
+  uint64_t era;        /* to which `from' belongs */
+  bool whole;          /* all is asked for */
+  uint64_t answer_era; /* expected */
+  bool answer_whole;
 };
 
 static const struct row rows[] = {
-  { "the topic was not read yet",
-    { { ACT_NOTHING, NULL, 0 } },
-    0,
-    { { ACT_NOTHING, NULL, 0 } },
-    503,
-    "",
-    0 },
-  { "a known change is answered at once",
-    { { ACT_PUT, "a", 5 }, { ACT_PUT, "b", 6 }, { ACT_CURRENT, NULL, 7 } },
-    6,
-    { { ACT_NOTHING, NULL, 0 } },
-    200,
-    "b ",
-    7 },
-  { "a removal is relayed",
-    { { ACT_PUT, "a", 5 }, { ACT_REMOVE, "a", 6 }, { ACT_CURRENT, NULL, 7 } },
-    5,
-    { { ACT_NOTHING, NULL, 0 } },
-    200,
-    "-a ",
-    7 },
-  { "the wait expires without a change",
-    { { ACT_PUT, "a", 5 }, { ACT_CURRENT, NULL, 7 } },
-    7,
-    { { ACT_NOTHING, NULL, 0 } },
-    200,
-    "",
-    7 },
-  { "a change ends the wait",
-    { { ACT_PUT, "a", 5 }, { ACT_CURRENT, NULL, 7 } },
-    7,
-    { { ACT_PUT, "c", 8 }, { ACT_CURRENT, NULL, 9 } },
-    200,
-    "c ",
-    9 },
-  { "an older record changes nothing",
-    { { ACT_PUT, "a", 5 }, { ACT_REMOVE, "a", 4 }, { ACT_CURRENT, NULL, 7 } },
-    0,
-    { { ACT_NOTHING, NULL, 0 } },
-    200,
-    "a ",
-    7 },
-  { "a reader from before the snapshot has to use the store",
-    { { ACT_PUT, "a", 9 },
-      { ACT_RESTART, NULL, 10 },
-      { ACT_CURRENT, NULL, 10 } },
-    7,
-    { { ACT_NOTHING, NULL, 0 } },
-    410,
-    "",
-    0 },
+  { .name = "the topic was not read yet", .status = 503, .keys = "" },
+  { .name = "a known change is answered at once",
+    .before
+    = { { ACT_PUT, "a", 5 }, { ACT_PUT, "b", 6 }, { ACT_CURRENT, NULL, 7 } },
+    .from = 6,
+    .status = 200,
+    .keys = "b ",
+    .end = 7 },
+  { .name = "a removal is relayed",
+    .before = { { ACT_PUT, "a", 5 },
+                { ACT_REMOVE, "a", 6 },
+                { ACT_CURRENT, NULL, 7 } },
+    .from = 5,
+    .status = 200,
+    .keys = "-a ",
+    .end = 7 },
+  { .name = "the wait expires without a change",
+    .before = { { ACT_PUT, "a", 5 }, { ACT_CURRENT, NULL, 7 } },
+    .from = 7,
+    .status = 200,
+    .keys = "",
+    .end = 7 },
+  { .name = "a change ends the wait",
+    .before = { { ACT_PUT, "a", 5 }, { ACT_CURRENT, NULL, 7 } },
+    .from = 7,
+    .during = { { ACT_PUT, "c", 8 }, { ACT_CURRENT, NULL, 9 } },
+    .status = 200,
+    .keys = "c ",
+    .end = 9 },
+  { .name = "an older record changes nothing",
+    .before = { { ACT_PUT, "a", 5 },
+                { ACT_REMOVE, "a", 4 },
+                { ACT_CURRENT, NULL, 7 } },
+    .status = 200,
+    .keys = "a ",
+    .end = 7 },
+  { .name = "a reader from before the snapshot has to use the store",
+    .before = { { ACT_PUT, "a", 9 },
+                { ACT_RESTART, NULL, 10 },
+                { ACT_CURRENT, NULL, 10 } },
+    .from = 7,
+    .status = 410,
+    .keys = "" },
   /* Guards against lost removals: after the store had dropped its history, a
      relay that took a new snapshot answered waiting readers as if it knew of
      every removal. */
-  { "a reader that waits during the first snapshot has to use it too",
-    { { ACT_PUT, "a", 5 }, { ACT_CURRENT, NULL, 7 } },
-    7,
-    { { ACT_BEGIN, NULL, 0 },
-      { ACT_RESTART, NULL, 10 },
-      { ACT_CURRENT, NULL, 10 } },
-    410,
-    "",
-    0 },
+  { .name = "a reader that waits during the first snapshot has to use it too",
+    .before = { { ACT_PUT, "a", 5 }, { ACT_CURRENT, NULL, 7 } },
+    .from = 7,
+    .during = { { ACT_BEGIN, NULL, 0 },
+                { ACT_RESTART, NULL, 10 },
+                { ACT_CURRENT, NULL, 10 } },
+    .status = 410,
+    .keys = "" },
   /* When the store drops its history, all relays take a new snapshot at once:
      hundreds of readers would have to take it from the store too. */
-  { "a later snapshot shows which keys were removed",
-    { { ACT_BEGIN, NULL, 0 },
-      { ACT_PUT, "a", 2 },
-      { ACT_PUT, "b", 3 },
-      { ACT_RESTART, NULL, 5 },
-      { ACT_CURRENT, NULL, 7 } },
-    7,
-    { { ACT_BEGIN, NULL, 0 },
-      { ACT_NAME, "b", 0 },
-      { ACT_PUT, "c", 8 },
-      { ACT_RESTART, NULL, 10 },
-      { ACT_CURRENT, NULL, 10 } },
-    200,
-    "c -a ",
-    10 },
+  { .name = "a later snapshot shows which keys were removed",
+    .before = { { ACT_BEGIN, NULL, 0 },
+                { ACT_PUT, "a", 2 },
+                { ACT_PUT, "b", 3 },
+                { ACT_RESTART, NULL, 5 },
+                { ACT_CURRENT, NULL, 7 } },
+    .from = 7,
+    .during = { { ACT_BEGIN, NULL, 0 },
+                { ACT_NAME, "b", 0 },
+                { ACT_PUT, "c", 8 },
+                { ACT_RESTART, NULL, 10 },
+                { ACT_CURRENT, NULL, 10 } },
+    .status = 200,
+    .keys = "c -a ",
+    .end = 10 },
+  { .name = "a reader of the same era goes on",
+    .before = { { ACT_ERA, NULL, 4 },
+                { ACT_PUT, "a", 5 },
+                { ACT_PUT, "b", 6 },
+                { ACT_CURRENT, NULL, 7 } },
+    .era = 4,
+    .from = 6,
+    .status = 200,
+    .keys = "b ",
+    .end = 7,
+    .answer_era = 4 },
+  { .name = "a reader of the era before gets all there is",
+    .before = { { ACT_ERA, NULL, 4 },
+                { ACT_BEGIN, NULL, 0 },
+                { ACT_PUT, "a", 5 },
+                { ACT_RESTART, NULL, 7 },
+                { ACT_CURRENT, NULL, 7 } },
+    .era = 3,
+    .from = 9,
+    .status = 200,
+    .keys = "a ",
+    .end = 7,
+    .answer_era = 4,
+    .answer_whole = true },
+  { .name = "a relay of the era before is no source",
+    .before = { { ACT_ERA, NULL, 3 },
+                { ACT_BEGIN, NULL, 0 },
+                { ACT_PUT, "a", 5 },
+                { ACT_RESTART, NULL, 7 },
+                { ACT_CURRENT, NULL, 7 } },
+    .era = 4,
+    .from = 5,
+    .status = 503 },
+  { .name = "a relay that knows no era is no source for a reader that does",
+    .before = { { ACT_PUT, "a", 5 }, { ACT_CURRENT, NULL, 7 } },
+    .era = 4,
+    .from = 5,
+    .status = 503 },
+  { .name = "a reader that knows no era reads as before",
+    .before
+    = { { ACT_ERA, NULL, 4 }, { ACT_PUT, "a", 5 }, { ACT_CURRENT, NULL, 7 } },
+    .from = 5,
+    .status = 200,
+    .keys = "a ",
+    .end = 7,
+    .answer_era = 4 },
+  { .name = "it has to use the store after a restore",
+    .before = { { ACT_PUT, "a", 5 },
+                { ACT_CURRENT, NULL, 7 },
+                { ACT_ERA, NULL, 4 },
+                { ACT_PUT, "b", 2 },
+                { ACT_CURRENT, NULL, 3 } },
+    .from = 7,
+    .status = 410 },
+  { .name = "a relay that reads the copy is no source yet",
+    .before = { { ACT_ERA, NULL, 3 },
+                { ACT_PUT, "a", 5 },
+                { ACT_CURRENT, NULL, 7 },
+                { ACT_ERA, NULL, 4 },
+                { ACT_BEGIN, NULL, 0 },
+                { ACT_PUT, "a", 2 } },
+    .era = 3,
+    .from = 7,
+    .status = 503 },
+  { .name = "a restore during the wait: all there is, nothing from before",
+    .before = { { ACT_ERA, NULL, 3 },
+                { ACT_BEGIN, NULL, 0 },
+                { ACT_PUT, "a", 5 },
+                { ACT_RESTART, NULL, 7 },
+                { ACT_CURRENT, NULL, 7 } },
+    .era = 3,
+    .from = 7,
+    .during = { { ACT_ERA, NULL, 4 },
+                { ACT_BEGIN, NULL, 0 },
+                { ACT_PUT, "b", 2 },
+                { ACT_RESTART, NULL, 3 },
+                { ACT_CURRENT, NULL, 3 } },
+    .status = 200,
+    .keys = "b ",
+    .end = 3,
+    .answer_era = 4,
+    .answer_whole = true },
+  { .name = "what the relay holds is given without a proof of this era",
+    .before = { { ACT_ERA, NULL, 3 },
+                { ACT_PUT, "a", 5 },
+                { ACT_CURRENT, NULL, 7 },
+                { ACT_ERA, NULL, 4 },
+                { ACT_PUT, "a", 0 } },
+    .era = 5,
+    .from = 0,
+    .whole = true,
+    .status = 200,
+    .keys = "a ",
+    .answer_era = 4,
+    .answer_whole = true },
 };
 
 static void
@@ -169,6 +259,9 @@
     case ACT_RESTART:
       rly_end_snapshot (relay, TOPIC, event->offset);
       break;
+    case ACT_ERA:
+      rly_set_era (relay, TOPIC, event->offset);
+      break;
     }
 }
 
@@ -185,8 +278,7 @@
     {
       return;
     }
-  assert_true (rly_decode (body, body_bytes, &page, &answer->proof_lead_us,
-                           &answer->hint, NULL));
+  assert_true (rly_decode (body, body_bytes, &page, &answer->head, NULL));
   for (guint i = 0; i < page.records->len; i++)
     {
       const struct pfs_record *record = g_ptr_array_index (page.records, i);
@@ -216,7 +308,15 @@
     {
       apply_event (relay, &row->before[i]);
     }
-  char *path = rly_path (TOPIC, row->from, WAIT_MS, 2000);
+  const struct rly_request request = {
+    .topic = TOPIC,
+    .era = row->era,
+    .from = row->from,
+    .wait_ms = WAIT_MS,
+    .age_max_ms = 2000,
+    .whole = row->whole,
+  };
+  char *path = rly_path (&request);
   const struct cal_params params = {
     .client = client,
     .loop = &loop,
@@ -258,16 +358,22 @@
       struct answer answer = { 0 };
       run_row (&rows[i], &answer);
       if (answer.status != rows[i].status
-          || strcmp (answer.keys, rows[i].keys) != 0
-          || answer.end != rows[i].end)
+          || strcmp (answer.keys, rows[i].keys == NULL ? "" : rows[i].keys)
+                 != 0
+          || answer.end != rows[i].end || answer.head.era != rows[i].answer_era
+          || answer.head.whole != rows[i].answer_whole)
         {
-          fail_msg ("%s: status %u, keys '%s', end %lu", rows[i].name,
-                    answer.status, answer.keys, (unsigned long)answer.end);
+          fail_msg ("%s: status %u, keys '%s', end %lu, era %lu, whole %d",
+                    rows[i].name, answer.status, answer.keys,
+                    (unsigned long)answer.end, (unsigned long)answer.head.era,
+                    answer.head.whole);
         }
-      assert_int_equal (answer.hint.partitions, answer.status == 200 ? 3 : 0);
-      assert_int_equal (answer.hint.readers, answer.status == 200 ? 1 : 0);
+      assert_int_equal (answer.head.hint.partitions,
+                        answer.status == 200 ? 3 : 0);
+      assert_int_equal (answer.head.hint.readers,
+                        answer.status == 200 ? 1 : 0);
       /* The proof isn't newer than the answer. */
-      assert_true (answer.proof_lead_us < CLK_S_US);
+      assert_true (answer.head.proof_lead_us < CLK_S_US);
     }
 }
 
@@ -276,11 +382,9 @@
 {
   (void)state;
   struct pfs_page page;
-  int64_t proof_lead_us = 0;
-  struct rly_hint hint;
+  struct rly_head head = { 0 };
   g_autoptr (GError) error = NULL;
-  assert_false (
-      rly_decode ("\xff\xff\xff", 3, &page, &proof_lead_us, &hint, &error));
+  assert_false (rly_decode ("\xff\xff\xff", 3, &page, &head, &error));
   assert_non_null (error);
   pfs_clear_page (&page);
 }
