Keep fencing tokens rising and memberships apart across a restore

The fencing token of orders was the generation of the daemons' group, which a restore of the store sets back: engines that had seen a higher one would refuse the new leader's orders, or take a former leader's. A membership of before the restore counted on, while the store may give its partitions to another daemon.

The token now has the era in its high bits and the generation in the low ones, below 2^53; without an era it stays the generation. Refused tokens are compared as a whole, and a refusal of an older order doesn't end the present lead. A membership is void from the first answer of a new era on, and renewed at once. Until memberships of the era before have expired everywhere, no member leads, and none uses a larger share of the retry budget than before.

--- a/src/core/era.c
+++ b/src/core/era.c
@@ -61,3 +61,33 @@
   return limit (era, MAX_OF_BITS (ERA_BITS)) << GENERATION_BITS
          | limit (generation, MAX_OF_BITS (GENERATION_BITS));
 }
+
+/* Begins the handover of a member with SHARE that learns of a restore at
+   NOW_US.  A membership that was renewed before the restore lasts for at most
+   LIFETIME_US.  */
+struct era_handover
+era_begin_handover (double share, int64_t lifetime_us, int64_t now_us)
+{
+  return (struct era_handover){
+    .end_us = now_us + lifetime_us,
+    .share_before = share,
+  };
+}
+
+/* Returns whether a member that the store names as the leader may lead at
+   NOW_US.  */
+bool
+era_may_lead (const struct era_handover *handover, int64_t now_us)
+{
+  return now_us >= handover->end_us;
+}
+
+/* Returns the share that a member may use at NOW_US when the store gives it
+   SHARE.  */
+double
+era_share (const struct era_handover *handover, double share, int64_t now_us)
+{
+  return now_us >= handover->end_us || share < handover->share_before
+             ? share
+             : handover->share_before;
+}
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -197,7 +197,7 @@
 }
 
 /* Handles a change of the store's era: RESTORED says that it was restored from
-   an older copy.  */
+   an older copy.  The membership of the era before is void.  */
 static void
 handle_era (struct fct_control *control, const char *topic, uint64_t era,
             bool restored)
@@ -208,6 +208,7 @@
     }
   control->era = MAX (control->era, era);
   rly_set_era (control->relay, topic, era);
+  grp_set_era (control->group, era);
 }
 
 /* Handles a change of the era of the operator's topic.  The configuration in
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -2,7 +2,9 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/era.h"
 #include "net/call.h"
+#include "platform/headers.h"
 #include "platform/store.h"
 
 /* Group of all entry daemons, and the topic whose partitions it divides. */
@@ -23,15 +25,20 @@
   struct cal_call *lookup; /* of the owners of partitions; NULL: none */
   grp_found found;         /* receives the result of the lookup */
   void *found_context;
-  struct pfs_membership membership;
-  bool joined;                 /* or joining */
-  bool left;                   /* by grp_leave: for good */
-  int64_t idle_since_us;       /* since when it has owned nothing, monotonic */
-  int64_t renew_sent_us;       /* monotonic, newest renewal */
-  int64_t member_until_us;     /* the membership is certain until then,
-                                  monotonic */
-  uint64_t refused_generation; /* newest whose orders were refused */
-  bool was_leader;             /* as logged last */
+  uint64_t era;                 /* newest that is known of the store */
+  uint64_t answer_era;          /* stated by the newest answer to a renewal */
+  bool answer_readable;         /* that era, or its absence */
+  struct era_handover handover; /* after the newest restore */
+  struct pfs_membership membership; /* without a lead or partitions until the
+                                       first renewal in `era' */
+  bool joined;                      /* or joining */
+  bool left;                        /* by grp_leave: for good */
+  int64_t idle_since_us;   /* since when it has owned nothing, monotonic */
+  int64_t renew_sent_us;   /* monotonic, newest renewal */
+  int64_t member_until_us; /* the membership is certain until then,
+                              monotonic */
+  uint64_t refused_fence;  /* highest fencing token that was refused */
+  bool was_leader;         /* as logged last */
 };
 
 /* Logs that this daemon has become the leader or isn't the leader any more. */
@@ -44,7 +51,30 @@
     {
       group->was_leader = leader;
       lg_line (LOG_NOTICE, leader ? "lead_gained" : "lead_lost",
-               "generation=%lu", (unsigned long)group->membership.generation);
+               "era=%lu generation=%lu", (unsigned long)group->era,
+               (unsigned long)group->membership.generation);
+    }
+}
+
+/* Returns the fencing token of the present membership.  */
+static uint64_t
+fence_of (const struct grp_group *group)
+{
+  return era_fence (group->era, group->membership.generation);
+}
+
+static void
+on_headers (void *context, uint32_t status, const struct msg_message *response)
+{
+  (void)status;
+  struct grp_group *group = context;
+  g_autoptr (GError) error = NULL;
+  group->answer_readable = pfs_decode_era (msg_find (response, PFH_STORE_ERA),
+                                           &group->answer_era, &error);
+  if (!group->answer_readable)
+    {
+      lg_line (LOG_ERR, "store_era_refused", "group=%s why=\"%s\"", GROUP,
+               error->message);
     }
 }
 
@@ -57,8 +87,11 @@
   struct grp_group *group = context;
   group->call = NULL;
   g_autoptr (GError) error = NULL;
+  grp_set_era (group, group->answer_era);
+  bool current = group->answer_readable
+                 && era_compare (group->era, group->answer_era) == ERA_SAME;
   bool renewed
-      = status == HTTP_STATUS_OK
+      = status == HTTP_STATUS_OK && current
         && pfs_decode_join (body, body_bytes, group->params.partitions,
                             &group->membership, &error);
   if (renewed)
@@ -74,7 +107,9 @@
   else
     {
       lg_line (LOG_INFO, "group_not_renewed", "status=%u why=\"%s\"", status,
-               error != NULL ? error->message : why);
+               error != NULL ? error->message
+               : current     ? why
+                             : "the answer is from an earlier era");
     }
   log_lead (group);
   const struct rfs_membership *plan = &group->params.plan;
@@ -109,9 +144,12 @@
     .path = PFS_JOIN_PATH,
     .body = body,
     .timeout_ms = call_timeout_ms (group),
+    .headers = on_headers,
     .done = on_renewed,
     .context = group,
   };
+  group->answer_era = ERA_UNKNOWN;
+  group->answer_readable = true;
   group->renew_sent_us = clk_monotonic_us ();
   group->call = cal_send (&params);
   g_free (body);
@@ -210,31 +248,69 @@
   uv_close ((uv_handle_t *)&group->timer, on_timer_closed);
 }
 
+/* Takes note that the store is in ERA, as an answer of it states.  If it was
+   restored since, the present membership is void: it is renewed at once, and
+   counts only once the members that don't know of the restore yet can't take
+   theirs for valid any more.  */
+void
+grp_set_era (struct grp_group *group, uint64_t era)
+{
+  if (era_compare (group->era, era) != ERA_RISEN)
+    {
+      return;
+    }
+  bool was_member = group->membership.generation != 0;
+  int64_t now_us = clk_monotonic_us ();
+  if (group->era != ERA_UNKNOWN || was_member)
+    {
+      lg_line (LOG_WARNING, "membership_void",
+               "era=%lu before=%lu generation=%lu leads=%d share=%.3f",
+               (unsigned long)era, (unsigned long)group->era,
+               (unsigned long)group->membership.generation,
+               group->membership.leads, group->membership.share);
+      group->handover = era_begin_handover (
+          grp_share (group), group->params.plan.lifetime_us, now_us);
+    }
+  group->era = era;
+  group->membership.generation = 0;
+  group->membership.leads = false;
+  if (group->joined && group->call == NULL)
+    {
+      uv_timer_start (&group->timer, group->timer.timer_cb, 0, 0);
+    }
+  log_lead (group);
+}
+
 /* Returns true while this daemon is the leader.  Sets FENCE to the fencing
    token of its orders.  */
 bool
 grp_is_leader (const struct grp_group *group, uint64_t *fence)
 {
-  *fence = group->membership.generation;
-  return group->membership.leads
-         && group->membership.generation > group->refused_generation
-         && clk_monotonic_us () < group->member_until_us;
+  int64_t now_us = clk_monotonic_us ();
+  *fence = fence_of (group);
+  return group->membership.leads && *fence > group->refused_fence
+         && era_may_lead (&group->handover, now_us)
+         && now_us < group->member_until_us;
 }
 
 /* Stops leading until the next generation, since an endpoint refused the
-   fencing token of the present one.  */
+   fencing token FENCE, unless the present one is higher.  */
 void
-grp_step_down (struct grp_group *group)
+grp_step_down (struct grp_group *group, uint64_t fence)
 {
-  group->refused_generation = group->membership.generation;
-  group->membership.leads = false;
+  group->refused_fence = MAX (group->refused_fence, fence);
+  if (fence_of (group) <= group->refused_fence)
+    {
+      group->membership.leads = false;
+    }
 }
 
 /* Returns this daemon's share of shared capacity and budgets, 0 to 1.  */
 double
 grp_share (const struct grp_group *group)
 {
-  return group->membership.share;
+  return era_share (&group->handover, group->membership.share,
+                    clk_monotonic_us ());
 }
 
 /* Returns the number of partitions that this daemon owns.  */
--- a/src/entry/group.h
+++ b/src/entry/group.h
@@ -1,6 +1,10 @@
 /* This daemon's membership in the group of all entry daemons, which the
    platform's store manages.  Each member gets a share of shared budgets, and
-   one member at a time is the leader. */
+   one member at a time is the leader.
+
+   After a restore of the store, memberships of the era before are void, but
+   their owners may not know yet.  Until the last one of these has expired, no
+   member leads, and a member's share isn't more than it was before. */
 #ifndef ENTRY_GROUP_H
 #define ENTRY_GROUP_H
 
@@ -29,8 +33,9 @@
 struct grp_group *grp_create (const struct grp_params *params);
 void grp_leave (struct grp_group *group);
 void grp_destroy (struct grp_group *group);
+void grp_set_era (struct grp_group *group, uint64_t era);
 bool grp_is_leader (const struct grp_group *group, uint64_t *fence);
-void grp_step_down (struct grp_group *group);
+void grp_step_down (struct grp_group *group, uint64_t fence);
 double grp_share (const struct grp_group *group);
 uint32_t grp_partitions (const struct grp_group *group);
 bool grp_is_member (const struct grp_group *group);
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -132,7 +132,7 @@
       = now_us + (order->accepted ? CONFIRM_TIMEOUT_US : REFUSED_RETRY_US);
   if (status == HTTP_STATUS_PRECONDITION_FAILED)
     {
-      grp_step_down (order->placer->params.group);
+      grp_step_down (order->placer->params.group, order->fence);
     }
 }
 
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -40,6 +40,9 @@
   char *folder;
   struct sep_process *daemon;
   uint32_t next_id;
+  uint64_t highest_fence; /* of the orders that have reached engines */
+  bool fence_fell;        /* an order had a lower one than an earlier order */
+  uint32_t orders;
 };
 
 /* A request of a caller and its answer so far. */
@@ -170,6 +173,51 @@
   run_for (fixture, CLK_MS_US * DRAIN_MS * 2);
 }
 
+static void
+on_ordered (void *context, uint32_t endpoint, uint64_t fence, bool refused)
+{
+  (void)endpoint;
+  (void)refused;
+  struct fixture *fixture = context;
+  fixture->orders++;
+  fixture->fence_fell |= fence < fixture->highest_fence;
+  fixture->highest_fence = MAX (fixture->highest_fence, fence);
+}
+
+static void
+ignore_arrival (void *context, uint32_t endpoint, const char *request_id)
+{
+  (void)context;
+  (void)endpoint;
+  (void)request_id;
+}
+
+static void
+ignore_answer (void *context, uint32_t endpoint, const char *request_id,
+               bool leaving, const char *retry_after)
+{
+  (void)context;
+  (void)endpoint;
+  (void)request_id;
+  (void)leaving;
+  (void)retry_after;
+}
+
+static void
+ignore_end (void *context, const char *request_id)
+{
+  (void)context;
+  (void)request_id;
+}
+
+static const struct sfl_observer observer = {
+  .arrived = ignore_arrival,
+  .answered = ignore_answer,
+  .ordered = on_ordered,
+  .started = ignore_arrival,
+  .stopped = ignore_end,
+};
+
 static int
 set_up (void **state)
 {
@@ -189,6 +237,8 @@
     .engines = ENGINES,
     .services = SERVICES,
     .event_ms = EVENT_MS,
+    .observer = &observer,
+    .context = fixture,
   };
   signal (SIGPIPE, SIG_IGN);
   fixture->fleet = sfl_create (&params);
@@ -922,6 +972,50 @@
   assert_int_equal (sfl_arrival_count (fixture->fleet, lost), lost_before);
 }
 
+/* Replaces the first engine by an empty one, and waits until it is ordered to
+   hold layers.  */
+static void
+replace_engine (struct fixture *fixture)
+{
+  uint32_t before = fixture->orders;
+  sfl_kill (fixture->fleet, 0);
+  run_for (fixture, 100 * CLK_MS_US);
+  sfl_restart (fixture->fleet, 0);
+  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
+  while (fixture->orders == before && clk_monotonic_us () < end_us)
+    {
+      run_for (fixture, 50 * CLK_MS_US);
+    }
+  assert_true (fixture->orders > before);
+}
+
+/* The fencing tokens of orders never fall, although a restore sets the
+   generation of the group back.  */
+static void
+test_fence_after_restore (void **state)
+{
+  struct fixture *fixture = *state;
+  run_for (fixture, CLK_S_US);
+  int64_t start_us = clk_monotonic_us ();
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      sfl_rebalance (fixture->fleet);
+    }
+  run_for (fixture, COPY_AGE_US);
+  replace_engine (fixture);
+  uint64_t before = fixture->highest_fence;
+  sfl_restore_store (fixture->fleet,
+                     clk_monotonic_us () - start_us + 500 * CLK_MS_US,
+                     NEVER_US);
+  run_for (fixture, CLK_S_US);
+  replace_engine (fixture);
+  if (fixture->fence_fell || fixture->highest_fence <= before)
+    {
+      fail_msg ("before %lu, highest %lu, fell %d", (unsigned long)before,
+                (unsigned long)fixture->highest_fence, fixture->fence_fell);
+    }
+}
+
 /* Returns the value of the setting NAME of the daemon NAME, allocated.  */
 static char *
 read_setting (const struct fixture *fixture, const char *daemon,
@@ -1028,6 +1122,8 @@
     cmocka_unit_test_setup_teardown (test_lost_configuration, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (test_reused_offset, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (test_fence_after_restore, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_restart_after_restore, set_up,
                                      tear_down),
   };
--- a/test/era_test.c
+++ b/test/era_test.c
@@ -131,13 +131,49 @@
   assert_true (era_fence (1, UINT64_MAX) < era_fence (2, 0));
 }
 
+/* A member's lead and share from before a restore, at 0, until after the
+   memberships of the era before have expired.  */
+static void
+test_handover (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *name;
+    double before;
+    double given;
+    int64_t now_us;
+    double share;
+    bool may_lead;
+  } cases[] = {
+    { "more than before, at once", 0.25, 0.5, 1, 0.25, false },
+    { "less than before, at once", 0.5, 0.25, 1, 0.25, false },
+    { "nothing before", 0, 1, 99, 0, false },
+    { "after the handover", 0.25, 0.5, 100, 0.5, true },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct era_handover handover
+          = era_begin_handover (cases[i].before, 100, 0);
+      if (era_share (&handover, cases[i].given, cases[i].now_us)
+              != cases[i].share
+          || era_may_lead (&handover, cases[i].now_us) != cases[i].may_lead)
+        {
+          fail_msg ("%s", cases[i].name);
+        }
+    }
+  const struct era_handover none = { 0 };
+  assert_true (era_may_lead (&none, 0));
+  assert_true (era_share (&none, 0.5, 0) == 0.5);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_compare),     cmocka_unit_test (test_is_before),
     cmocka_unit_test (test_use_of_page), cmocka_unit_test (test_fence_rises),
-    cmocka_unit_test (test_fence_limit),
+    cmocka_unit_test (test_fence_limit), cmocka_unit_test (test_handover),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
