Reject records of the error budgets that are from the future

One record with a bucket far ahead, from a daemon with a wrong clock or damaged, erased the error budgets of every daemon that read it: the report showed no requests of the 28 days before.

Records that were rejected weren't logged either.

After: burn_test, burn_outbox_test and burn_report_test pass in the release and the address build. The fuzzer of the records compiles; it wasn't run.

--- a/src/core/burn.c
+++ b/src/core/burn.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define SECOND_US INT64_C (1000000)
+
 #define SERIES_MAX_DEFAULT 8192
 #define CAUSES_MAX_DEFAULT 16384
 
@@ -9,6 +11,10 @@
    daemon: two hours. */
 #define DUPLICATE_WINDOW_BUCKETS 24
 
+/* Buckets that a record may be ahead of this daemon's clock: a day.  A record
+   evicts at most a day of older counts then. */
+#define FUTURE_BUCKETS_MAX (BRN_DAY_S / BRN_BUCKET_S)
+
 /* Records of one bucket that were merged from one incarnation. */
 struct merged_bucket
 {
@@ -336,15 +342,24 @@
    with two exceptions.  A record that is two hours or more older than another
    one of the same incarnation may be rejected as too old, since duplicates are
    recognised for two hours only; and at the limits on series and causes, those
-   that came first are kept.  Returns BRN_MERGED, or why the record was not
-   merged.  */
+   that came first are kept.  A record that is more than a day ahead of
+   REAL_US, the time since 1970, is rejected, as it would evict the counts of
+   the time before it.  Returns BRN_MERGED, or why the record was not merged.
+ */
 enum brn_merge_result
-brn_merge (struct brn_state *state, const struct brn_record *record)
+brn_merge (struct brn_state *state, const struct brn_record *record,
+           int64_t real_us)
 {
   if (record->sequence >= BRN_SEQUENCES_MAX)
     {
       return BRN_MALFORMED;
     }
+  if (record->bucket
+      > real_us / (BRN_BUCKET_S * SECOND_US) + FUTURE_BUCKETS_MAX)
+    {
+      state->too_new++;
+      return BRN_TOO_NEW;
+    }
   enum brn_merge_result result = brn_register_sequence (
       state, record->incarnation, record->bucket, record->sequence);
   if (result != BRN_MERGED)
@@ -362,3 +377,15 @@
     }
   return BRN_MERGED;
 }
+
+/* Returns the name of RESULT as written to log lines.  */
+const char *
+brn_merge_result_name (enum brn_merge_result result)
+{
+  static const char *const names[] = {
+    [BRN_MERGED] = "merged",       [BRN_DUPLICATE] = "duplicate",
+    [BRN_TOO_OLD] = "too_old",     [BRN_TOO_NEW] = "too_new",
+    [BRN_MALFORMED] = "malformed",
+  };
+  return names[result];
+}
--- a/src/core/burn.h
+++ b/src/core/burn.h
@@ -113,6 +113,7 @@
   BRN_MERGED,
   BRN_DUPLICATE, /* merged before */
   BRN_TOO_OLD,   /* rejected: whether it was merged is no longer known */
+  BRN_TOO_NEW,   /* rejected: from a clock that is far ahead */
   BRN_MALFORMED
 };
 
@@ -135,7 +136,9 @@
 void brn_append_result (struct brn_state *state, uint64_t token,
                         enum err_kind result, int64_t now_us);
 enum brn_merge_result brn_merge (struct brn_state *state,
-                                 const struct brn_record *record);
+                                 const struct brn_record *record,
+                                 int64_t real_us);
+const char *brn_merge_result_name (enum brn_merge_result result);
 
 GBytes *brn_pack (const struct brn_record *record);
 struct brn_record *brn_unpack (GBytes *bytes);
@@ -198,6 +201,7 @@
   uint64_t merged; /* records; this daemon counts its own requests directly */
   uint64_t duplicates;      /* records that were merged before */
   uint64_t too_old;         /* records that were rejected */
+  uint64_t too_new;         /* records that were rejected */
   uint64_t dropped_causes;  /* over causes_max */
   uint64_t dropped_series;  /* entries not counted, over series_max */
   uint64_t dropped_records; /* of this daemon, in an outage of the log */
--- a/src/core/burn_json.c
+++ b/src/core/burn_json.c
@@ -39,16 +39,18 @@
           lines, line_to_json (&g_array_index (report->lines,
                                                struct brn_report_line, i)));
     }
-  return json_pack (
-      "{s:I, s:{s:i, s:i, s:i, s:i}, s:{s:I, s:I, s:I, s:I, s:I, s:I}, s:o}",
-      "at_us", (json_int_t)report->at_us, "windows", "short_s",
-      BRN_SHORT_WINDOW_BUCKETS * BRN_BUCKET_S, "long_s",
-      BRN_LONG_WINDOW_HOURS * BRN_HOUR_S, "budget_s",
-      BRN_BUDGET_WINDOW_DAYS * BRN_DAY_S, "trend_s",
-      BRN_TREND_WINDOW_DAYS * BRN_DAY_S, "records", "merged",
-      (json_int_t)report->merged, "duplicates", (json_int_t)report->duplicates,
-      "too_old", (json_int_t)report->too_old, "dropped_causes",
-      (json_int_t)report->dropped_causes, "dropped_series",
-      (json_int_t)report->dropped_series, "dropped_records",
-      (json_int_t)report->dropped_records, "lines", lines);
+  return json_pack ("{s:I, s:{s:i, s:i, s:i, s:i}, s:{s:I, s:I, s:I, s:I, "
+                    "s:I, s:I, s:I}, s:o}",
+                    "at_us", (json_int_t)report->at_us, "windows", "short_s",
+                    BRN_SHORT_WINDOW_BUCKETS * BRN_BUCKET_S, "long_s",
+                    BRN_LONG_WINDOW_HOURS * BRN_HOUR_S, "budget_s",
+                    BRN_BUDGET_WINDOW_DAYS * BRN_DAY_S, "trend_s",
+                    BRN_TREND_WINDOW_DAYS * BRN_DAY_S, "records", "merged",
+                    (json_int_t)report->merged, "duplicates",
+                    (json_int_t)report->duplicates, "too_old",
+                    (json_int_t)report->too_old, "too_new",
+                    (json_int_t)report->too_new, "dropped_causes",
+                    (json_int_t)report->dropped_causes, "dropped_series",
+                    (json_int_t)report->dropped_series, "dropped_records",
+                    (json_int_t)report->dropped_records, "lines", lines);
 }
--- a/src/core/burn_private.h
+++ b/src/core/burn_private.h
@@ -65,6 +65,7 @@
   uint64_t merged;
   uint64_t duplicates;
   uint64_t too_old;
+  uint64_t too_new;
   uint64_t dropped_causes;
   uint64_t dropped_series;
   uint64_t dropped_records;
--- a/src/daemon/control_burn.c
+++ b/src/daemon/control_burn.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "daemon/control_private.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #define READ_PAGE_RECORDS_MAX 256
@@ -83,11 +84,16 @@
       const struct plog_record *record = &page->records[i];
       GBytes *bytes = g_bytes_new (record->bytes, record->byte_count);
       struct brn_record *burn = brn_unpack (bytes);
-      if (burn != NULL)
+      enum brn_merge_result result
+          = burn != NULL ? brn_merge (control->burn, burn, clk_real_us ())
+                         : BRN_MALFORMED;
+      if (result != BRN_MERGED && result != BRN_DUPLICATE)
         {
-          brn_merge (control->burn, burn);
-          brn_record_destroy (burn);
+          lg_line (LOG_WARNING, "burn-record-rejected",
+                   "offset=%" PRIu64 " reason=%s", record->offset,
+                   brn_merge_result_name (result));
         }
+      brn_record_destroy (burn);
       control->next_burn_offset
           = MAX (control->next_burn_offset, record->offset + 1);
       g_bytes_unref (bytes);
--- a/test/burn_fixture.h
+++ b/test/burn_fixture.h
@@ -9,7 +9,8 @@
 #define HOUR_US (3600 * SECOND_US)
 #define BUCKET_US (BRN_BUCKET_S * SECOND_US)
 #define START_US (20000 * DAY_US) /* since 1970; the start of a day */
-#define BFX_ACCOUNTS 2            /* trust, brightwell */
+#define LATER_US (START_US + 1000 * DAY_US) /* after all records */
+#define BFX_ACCOUNTS 2                      /* trust, brightwell */
 
 extern struct cfg_account bfx_accounts[BFX_ACCOUNTS];
 extern const struct cfg_config bfx_config;
--- a/test/burn_outbox_test.c
+++ b/test/burn_outbox_test.c
@@ -58,7 +58,7 @@
     {
       struct brn_record *record = brn_unpack (action->bytes);
       assert_non_null (record);
-      enum brn_merge_result merge = brn_merge (log->reader, record);
+      enum brn_merge_result merge = brn_merge (log->reader, record, now_us);
       assert_in_range (merge, BRN_MERGED, BRN_DUPLICATE);
       brn_record_destroy (record);
     }
@@ -261,7 +261,8 @@
   for (guint i = 0; i < flushed->len && merged; i++)
     {
       const struct brn_record *record = g_ptr_array_index (flushed, i);
-      merged = record != NULL && brn_merge (reader, record) == BRN_MERGED;
+      merged = record != NULL
+               && brn_merge (reader, record, LATER_US) == BRN_MERGED;
     }
   g_ptr_array_free (flushed, TRUE);
   return merged;
--- a/test/burn_test.c
+++ b/test/burn_test.c
@@ -116,7 +116,7 @@
           bfx_observe (writer, bfx_draft_outcome (0, ERR_NONE), at_us,
                        1 + (uint32_t)place);
           GPtrArray *flushed = bfx_flush_records (writer, at_us);
-          brn_merge (reader, g_ptr_array_index (flushed, 0));
+          brn_merge (reader, g_ptr_array_index (flushed, 0), LATER_US);
           g_ptr_array_free (flushed, TRUE);
           brn_destroy (writer);
         }
@@ -151,7 +151,7 @@
           GBytes *bytes = brn_pack (g_ptr_array_index (log, place));
           struct brn_record *record = brn_unpack (bytes);
           assert_non_null (record);
-          assert_int_equal (brn_merge (reader, record),
+          assert_int_equal (brn_merge (reader, record, LATER_US),
                             i < log->len ? BRN_MERGED : BRN_DUPLICATE);
           brn_record_destroy (record);
           g_bytes_unref (bytes);
@@ -180,7 +180,7 @@
   struct brn_state *reader = bfx_create (1);
   for (guint i = 0; i < log->len; i++)
     {
-      brn_merge (reader, g_ptr_array_index (log, i));
+      brn_merge (reader, g_ptr_array_index (log, i), LATER_US);
     }
   uint64_t total = 0;
   for (size_t i = 0; i < BFX_ACCOUNTS; i++)
@@ -208,7 +208,7 @@
   bfx_observe (burn, bfx_draft_outcome (0, ERR_NONE), START_US, 3);
   GPtrArray *flushed = bfx_flush_records (burn, START_US);
   assert_int_equal (flushed->len, 1);
-  assert_int_equal (brn_merge (burn, g_ptr_array_index (flushed, 0)),
+  assert_int_equal (brn_merge (burn, g_ptr_array_index (flushed, 0), LATER_US),
                     BRN_DUPLICATE);
   struct brn_report_line line
       = bfx_find_line (burn, "trust", BRN_DRAFT, BRN_AVAILABILITY, START_US);
@@ -241,8 +241,9 @@
       records += flushed->len;
       for (guint j = 0; j < flushed->len; j++)
         {
-          assert_int_equal (brn_merge (reader, g_ptr_array_index (flushed, j)),
-                            BRN_MERGED);
+          assert_int_equal (
+              brn_merge (reader, g_ptr_array_index (flushed, j), LATER_US),
+              BRN_MERGED);
         }
       g_ptr_array_free (flushed, TRUE);
     }
@@ -277,12 +278,60 @@
       struct brn_record record = { .incarnation = 9,
                                    .bucket = cases[i].bucket,
                                    .entries = g_ptr_array_new () };
-      assert_int_equal (brn_merge (reader, &record), cases[i].merge);
+      assert_int_equal (brn_merge (reader, &record, LATER_US), cases[i].merge);
       g_ptr_array_free (record.entries, TRUE);
     }
   brn_destroy (reader);
 }
 
+/* A record of another daemon, and whether it is merged. */
+struct future_case
+{
+  const char *name;
+  int64_t ahead_us; /* of the reader's clock */
+  enum brn_merge_result merge;
+};
+
+/* A record from far in the future is rejected, and the counts of the past are
+   kept.  Guards against one daemon with a wrong clock, or one damaged record,
+   that erased the error budgets of the fleet.  */
+static void
+records_of_the_future_are_rejected (void **state)
+{
+  (void)state;
+  const int64_t now_us = START_US + 20 * DAY_US;
+  static const struct future_case cases[] = {
+    { "a record of the past", -DAY_US, BRN_MERGED },
+    { "a clock ahead by an hour", HOUR_US, BRN_MERGED },
+    { "a clock ahead by a day", DAY_US, BRN_MERGED },
+    { "a clock ahead by a day and a bucket", DAY_US + BUCKET_US, BRN_TOO_NEW },
+    { "a clock ahead by a month", 31 * DAY_US, BRN_TOO_NEW },
+    { "the last bucket", UINT32_MAX * BUCKET_US - now_us, BRN_TOO_NEW },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct brn_state *reader = bfx_create (1);
+      struct brn_record record
+          = { .incarnation = 9,
+              .bucket = (uint32_t)((now_us + cases[i].ahead_us) / BUCKET_US),
+              .entries = g_ptr_array_new () };
+      bfx_observe (reader, bfx_draft_outcome (0, ERR_NONE), START_US, 7);
+      enum brn_merge_result merge = brn_merge (reader, &record, now_us);
+      struct brn_report_line line = bfx_find_line (reader, "trust", BRN_DRAFT,
+                                                   BRN_AVAILABILITY, now_us);
+      struct brn_report *report = brn_report (reader, &bfx_config, now_us);
+      if (merge != cases[i].merge || line.total != 7
+          || report->too_new != (merge == BRN_TOO_NEW))
+        {
+          fail_msg ("%s: result %d, %u of 7 requests left", cases[i].name,
+                    merge, (unsigned)line.total);
+        }
+      brn_report_destroy (report);
+      g_ptr_array_free (record.entries, TRUE);
+      brn_destroy (reader);
+    }
+}
+
 /* The numbers of series and causes are limited, and what is dropped is
    counted.  */
 static void
@@ -328,7 +377,7 @@
           bfx_draft_outcome (0, i == 0 ? ERR_NONE : ERR_ENDPOINT_FAILED),
           now_us, 1);
       GPtrArray *flushed = bfx_flush_records (writer, now_us);
-      brn_merge (reader, g_ptr_array_index (flushed, 0));
+      brn_merge (reader, g_ptr_array_index (flushed, 0), LATER_US);
       g_ptr_array_free (flushed, TRUE);
       brn_destroy (writer);
     }
@@ -409,6 +458,7 @@
     cmocka_unit_test (own_records_count_once),
     cmocka_unit_test (records_per_bucket_are_bounded),
     cmocka_unit_test (too_old_records_are_rejected),
+    cmocka_unit_test (records_of_the_future_are_rejected),
     cmocka_unit_test (series_and_causes_are_bounded),
     cmocka_unit_test (expired_causes_do_not_use_the_limit),
     cmocka_unit_test (malformed_bytes_are_rejected),
--- a/test/fuzz/burn_fuzz.c
+++ b/test/fuzz/burn_fuzz.c
@@ -22,16 +22,16 @@
       = { .accounts = &account, .account_count = 1 };
   struct brn_state *state
       = brn_create (&(struct brn_params){ .incarnation = 1 });
-  brn_merge (state, record);
-  if (brn_merge (state, record) == BRN_MERGED)
-    {
-      fz_fail ("the same record merged twice");
-    }
   int64_t now_us = NOW_US;
   if (record->bucket > 0)
     {
       now_us = (int64_t)record->bucket * BRN_BUCKET_S * 1000000;
     }
+  brn_merge (state, record, now_us);
+  if (brn_merge (state, record, now_us) == BRN_MERGED)
+    {
+      fz_fail ("the same record merged twice");
+    }
   struct brn_report *report = brn_report (state, &config, now_us);
   json_t *json = brn_report_to_json (report);
   if (json == NULL)
