--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -19,6 +19,7 @@
 {
   uint32_t index; /* in the configuration's accounts */
   char name[CFG_NAME_BYTES];
+  int64_t default_deadline_us; /* after the arrival of a request */
 };
 
 /* A draft: a completion request (chat or text), parsed from its body. */
@@ -82,7 +83,7 @@
   /* Returns true when the daemon can accept requests. */
   bool (*ready) (void *user_data);
   /* Sets ACCOUNT to the owner of the bearer token with the SHA-256 hash
-     TOKEN_SHA256, in hex. */
+     TOKEN_SHA256, in hex, and to what the configuration says of it. */
   bool (*authorize) (void *user_data, const char *token_sha256,
                      struct cal_account *account, struct err_failure *failure);
   /* Runs a completion and calls ON_TOKEN with TOKEN_DATA for each token. */
@@ -117,7 +118,6 @@
   uint32_t timeout_ms; /* of network reads and writes, and of idle
                           connections */
   uint32_t body_bytes_max;
-  int64_t default_deadline_us; /* after the request arrived */
   struct cnt_set *counters;
   const struct cal_backend *backend;
   void *user_data;
--- a/src/caller/server.c
+++ b/src/caller/server.c
@@ -35,18 +35,19 @@
 }
 
 /* Sets TERMS from the headers X-Priority (0 to 3, 1 by default) and
-   X-Deadline-Ms, and gives the request a new id.  Returns false and sets
-   FAILURE to ERR_BAD_REQUEST when a header is not valid.  */
+   X-Deadline-Ms, by default that of ACCOUNT, and gives the request a new id.
+   Returns false and sets FAILURE to ERR_BAD_REQUEST when a header is not
+   valid.  */
 static bool
 read_terms (struct cal_server *server, struct mg_connection *connection,
+            const struct cal_account *account,
             struct cal_request_options *terms, struct err_failure *failure)
 {
   const char *priority = mg_get_header (connection, "X-Priority");
   const char *deadline = mg_get_header (connection, "X-Deadline-Ms");
   guint64 value = 1;
   make_request_id (server, terms->request_id, sizeof terms->request_id);
-  terms->deadline_us
-      = clk_monotonic_us () + server->params.default_deadline_us;
+  terms->deadline_us = clk_monotonic_us () + account->default_deadline_us;
   if (deadline != NULL)
     {
       guint64 deadline_ms;
@@ -282,7 +283,7 @@
   atomic_fetch_add (&server->requests_in_progress, 1);
   int64_t start_us = clk_monotonic_us ();
   if (authorize (server, connection, &account, &failure)
-      && read_terms (server, connection, &terms, &failure))
+      && read_terms (server, connection, &account, &terms, &failure))
     {
       kind = handle_authorized (server, connection, &account, &terms);
       lg_line (LOG_INFO, "request",
--- a/src/daemon/backend.c
+++ b/src/daemon/backend.c
@@ -33,6 +33,8 @@
       g_strlcpy (account->name,
                  view->snap.config->accounts[account->index].name,
                  sizeof account->name);
+      account->default_deadline_us
+          = view->snap.config->rules.default_deadline_ms * CLK_MS_US;
     }
   vw_read_end ();
   if (kind != ERR_NONE)
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -1,6 +1,5 @@
 #include "daemon/daemon.h"
 
-#include "base/clock.h"
 #include "base/log.h"
 #include "caller/caller.h"
 #include "daemon/backend.h"
@@ -11,9 +10,6 @@
 
 #define CALLER_BODY_BYTES_MAX (1024 * 1024)
 
-/* For requests that carry no deadline. */
-#define DEFAULT_DEADLINE_US (60 * CLK_S_US)
-
 struct dmn_daemon
 {
   struct cnt_set *counters;
@@ -38,7 +34,6 @@
     .threads = settings->traffic_threads,
     .timeout_ms = settings->caller_timeout_ms,
     .body_bytes_max = CALLER_BODY_BYTES_MAX,
-    .default_deadline_us = DEFAULT_DEADLINE_US,
     .counters = daemon->counters,
     .backend = &bk_caller_backend,
     .user_data = &daemon->backend,
--- a/test/caller_test.c
+++ b/test/caller_test.c
@@ -5,6 +5,7 @@
 #include "caller/caller.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -35,6 +36,7 @@
       = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "good", -1);
   (void)user_data;
   account->index = 0;
+  account->default_deadline_us = 7 * CLK_S_US;
   g_strlcpy (account->name, "clerks", sizeof account->name);
   if (strcmp (good, token_sha256) != 0)
     {
@@ -83,7 +85,6 @@
 {
   (void)user_data;
   (void)account;
-  (void)terms;
   if (strcmp (call->service, "bookings") != 0)
     {
       err_set_failure (failure, ERR_NOT_FOUND, NULL);
@@ -93,6 +94,9 @@
   answer->body = g_string_new (NULL);
   g_string_printf (answer->body, "%s %s %s", call->method, call->path,
                    call->key != NULL ? call->key : "-");
+  int64_t left_us = terms->deadline_us - clk_monotonic_us ();
+  g_string_append_printf (answer->body, " deadline in %d s",
+                          (int)round ((double)left_us / CLK_S_US));
   return true;
 }
 
@@ -153,7 +157,6 @@
     .threads = 4,
     .timeout_ms = 500,
     .body_bytes_max = BODY_BYTES_MAX,
-    .default_deadline_us = CLK_S_US,
     .counters = fixture->counters,
     .backend = &backend,
   };
@@ -254,6 +257,10 @@
     "POST /v1/services/bookings/book?a=1",
     AUTHORIZATION "Idempotency-Key: k1\r\n", "{}", "201",
     "POST /book?a=1 k1" },
+  { "deadline of the account", "GET /v1/services/bookings/x", AUTHORIZATION,
+    "", "201", "deadline in 7 s" },
+  { "deadline of the request", "GET /v1/services/bookings/x",
+    AUTHORIZATION "X-Deadline-Ms: 3000\r\n", "", "201", "deadline in 3 s" },
   { "key that is unknown or of another account", "GET /v1/requests/other",
     AUTHORIZATION, "", "404", "not_found" },
   { "known key", "GET /v1/requests/known", AUTHORIZATION, "", "200",
