Log when the platform's host list or log can't be read, and when it can again

A daemon of the engines' fleet whose host list was malformed or refused kept the old one, and a stream of the log with a malformed record was read again and again from the same place, for ever and without a line.

Cause: the thread that reads the host list ignored the result, and the threads that read the log passed theirs on to state machines that have no use for it.

Each thread now logs a read whose outcome differs from that of the one before (host-list-read, log-read, with the kind of error, `none' when it is good again).

platform_reads_test, failed_reads_are_logged, before: "" != "protocol log_unavailable none ". After: passes in the release build, four times of four, and in the address build.

--- a/src/daemon/log_io.c
+++ b/src/daemon/log_io.c
@@ -1,6 +1,7 @@
 #include "daemon/log_io.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
@@ -64,18 +65,33 @@
   return NULL;
 }
 
+/* Logs the outcome of a read of STREAM when it differs from LAST, that of the
+   previous read.  */
+static void
+log_change (const char *stream, enum err_kind error, enum err_kind *last)
+{
+  if (error != *last)
+    {
+      lg_line (error != ERR_NONE ? LOG_WARNING : LOG_NOTICE, "log-read",
+               "stream=%s kind=%s", stream, err_info (error)->name);
+      *last = error;
+    }
+}
+
 static void *
 run_reader (void *user_data)
 {
   struct reader *reader = user_data;
   struct lio_io *io = reader->io;
   uint64_t from = 0;
+  enum err_kind last = ERR_NONE;
   while (!atomic_load (&io->stopping))
     {
       struct plog_page page;
       int64_t requested_us = clk_monotonic_us ();
       enum err_kind error = plog_read (io->client, reader->stream, from,
                                        PAGE_RECORDS_MAX, READ_WAIT_MS, &page);
+      log_change (reader->stream, error, &last);
       io->params.on_page (reader->stream, error, &page, requested_us,
                           io->params.user_data);
       if (error != ERR_NONE)
--- a/src/daemon/poller.c
+++ b/src/daemon/poller.c
@@ -1,6 +1,7 @@
 #include "daemon/poller.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
@@ -33,11 +34,36 @@
   poller->callbacks.on_load (endpoint, error, &load, poller->user_data);
 }
 
+/* Reads the host list and passes it on when its VERSION has changed.  Logs the
+   outcome when it differs from LAST, that of the previous read.  */
+static void
+read_host_list (struct pol_poller *poller, uint64_t *version,
+                enum err_kind *last)
+{
+  struct hl_list list;
+  bool changed;
+  enum err_kind error
+      = hl_get (poller->host_list_pool, *version, &list, &changed);
+  if (error != *last)
+    {
+      lg_line (error != ERR_NONE ? LOG_WARNING : LOG_NOTICE, "host-list-read",
+               "kind=%s", err_info (error)->name);
+      *last = error;
+    }
+  if (changed)
+    {
+      *version = list.version;
+      poller->callbacks.on_host_list (&list, poller->user_data);
+    }
+  hl_clear (&list);
+}
+
 static void *
 run_host_list_thread (void *user_data)
 {
   struct pol_poller *poller = user_data;
   uint64_t version = 0;
+  enum err_kind last = ERR_NONE;
   int64_t next_us = 0;
   while (!atomic_load (&poller->stopping))
     {
@@ -46,15 +72,7 @@
           g_usleep (STOP_CHECK_INTERVAL_US);
           continue;
         }
-      struct hl_list list;
-      bool changed;
-      hl_get (poller->host_list_pool, version, &list, &changed);
-      if (changed)
-        {
-          version = list.version;
-          poller->callbacks.on_host_list (&list, poller->user_data);
-        }
-      hl_clear (&list);
+      read_host_list (poller, &version, &last);
       next_us = clk_monotonic_us () + HOST_LIST_INTERVAL_US;
     }
   return NULL;
