--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -40,6 +40,7 @@
   uint64_t lost_offset;       /* end of what was read before that restore */
   uint64_t answer_era;        /* stated by the newest answer */
   bool answer_readable;       /* that era, or its absence */
+  bool relays_asked;          /* in that era */
   guint relays_to_ask;        /* for what the snapshot may lack */
   int64_t asked_since_us;     /* monotonic, when the first one was asked */
   int64_t snapshot_proved_us; /* proof that counts once they were asked */
@@ -251,8 +252,8 @@
 }
 
 /* Ends the snapshot up to the offset END, which shows the topic at PROVED_US.
-   A store that states its era may have been restored: the snapshot then
-   becomes current only when the relays have been asked.  */
+   A store that states its era may have been restored: the first snapshot of an
+   era becomes current only when the relays have been asked.  */
 static void
 end_snapshot (struct tpc_topic *topic, uint64_t end, int64_t proved_us)
 {
@@ -267,12 +268,15 @@
                "topic=%s era=%lu offset=%lu offset_before=%lu",
                topic->params.topic, (unsigned long)topic->era,
                (unsigned long)end, (unsigned long)topic->lost_offset);
+      topic->lost_offset = 0;
     }
-  if (topic->era == ERA_UNKNOWN || topic->relays->len == 0)
+  if (topic->era == ERA_UNKNOWN || topic->relays_asked
+      || topic->relays->len == 0)
     {
       report_current (topic, proved_us, end);
       return;
     }
+  topic->relays_asked = true;
   topic->relays_to_ask = topic->relays->len;
   topic->asked_since_us = clk_monotonic_us ();
   topic->snapshot_proved_us = proved_us;
@@ -283,7 +287,7 @@
 static void
 begin_era (struct tpc_topic *topic, uint64_t era)
 {
-  bool restored = topic->has_records;
+  bool restored = topic->has_records || topic->era != ERA_UNKNOWN;
   if (restored)
     {
       lg_line (LOG_WARNING, "store_restored",
@@ -291,10 +295,11 @@
                (unsigned long)era, (unsigned long)topic->era,
                (unsigned long)topic->next_offset);
       topic->restored = true;
-      topic->lost_offset = topic->next_offset;
+      topic->lost_offset = MAX (topic->lost_offset, topic->next_offset);
     }
   topic->era = era;
   topic->has_records = false;
+  topic->relays_asked = false;
   topic->relays_to_ask = 0;
   topic->proved_us = 0;
   topic->next_offset = 0;
@@ -486,7 +491,10 @@
                topic->params.topic, status,
                error != NULL ? error->message : why);
     }
-  topic->relays_to_ask--;
+  if (topic->relays_to_ask > 0)
+    {
+      topic->relays_to_ask--;
+    }
   if (clk_monotonic_us () - topic->asked_since_us
       > topic->params.plan.age_max_us)
     {
@@ -724,6 +732,7 @@
     }
   topic->relay_index = 0;
   topic->relay_known = false;
+  topic->relays_to_ask = MIN (topic->relays_to_ask, addresses->len);
 }
 
 /* Uses relays even while the store works if PREFER, or else only while the
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -948,28 +948,108 @@
     }
 }
 
+/* Returns the value of the setting NAME of the daemon NAME, allocated.  */
+static char *
+read_setting (const struct fixture *fixture, const char *daemon,
+              const char *name)
+{
+  g_autofree char *file = g_strdup_printf ("%s.yaml", daemon);
+  g_autofree char *path = g_build_filename (fixture->folder, file, NULL);
+  g_autofree char *text = NULL;
+  g_autofree char *key = g_strdup_printf ("%s: \"", name);
+  assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  const char *value = strstr (text, key);
+  assert_non_null (value);
+  value += strlen (key);
+  return g_strndup (value, strcspn (value, "\""));
+}
+
+/* Creates a second daemon that knows the relay of the first one.  */
+static struct sep_process *
+create_second_daemon (struct fixture *fixture)
+{
+  const struct sep_params params = {
+    .name = "entry-2",
+    .folder = fixture->folder,
+    .store_address = sfl_store_address (fixture->fleet),
+    .drain_ms = DRAIN_MS,
+    .config_ms = CONFIG_MS,
+    .revoke_ms = REVOKE_MS,
+    .stop_s = STOP_S,
+    .retry_window_s = 2,
+    .retry_ratio = 0.2,
+    .retry_slack = 100,
+  };
+  struct sep_process *daemon = sep_create (&params);
+  g_autofree char *relay = read_setting (fixture, "entry-1", "relay_address");
+  g_autofree char *path
+      = g_build_filename (fixture->folder, "entry-2.yaml", NULL);
+  FILE *settings = fopen (path, "a");
+  assert_non_null (settings);
+  fprintf (settings, "relays: [\"%s\"]\n", relay);
+  fclose (settings);
+  return daemon;
+}
+
+/* Starts DAEMON and waits until it serves.  */
+static void
+start_second_daemon (struct fixture *fixture, struct sep_process *daemon)
+{
+  sep_start (daemon);
+  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
+  uint32_t status = 0;
+  while (status != 200 && clk_monotonic_us () < end_us)
+    {
+      run_for (fixture, 50 * CLK_MS_US);
+      status = send_booking_to (fixture, daemon, "key-1");
+    }
+  assert_int_equal (status, 200);
+}
+
 /* Guards against a position that is continued in another era: an offset that
    was given out again, to the record of an endpoint that leaves, was taken for
-   one that had been read.  */
+   one that had been read.  The second daemon reads from the first one's
+   relay.  */
 static void
 test_reused_offset (void **state)
 {
   struct fixture *fixture = *state;
   uint32_t lost = ENGINES;
   uint32_t leaving = ENGINES + 1;
+  struct sep_process *second = create_second_daemon (fixture);
+  start_second_daemon (fixture, second);
+  /* Until the last engine has got its layers, so that no other record is
+     lost. */
+  run_for (fixture, 2 * COPY_AGE_US);
   sfl_list_draining (fixture->fleet, lost);
   run_for (fixture, DRAIN_MS * CLK_MS_US);
   sfl_restore_store (fixture->fleet, COPY_AGE_US, NEVER_US);
   sfl_list_draining (fixture->fleet, leaving);
   run_for (fixture, (DRAIN_MS + 200) * CLK_MS_US);
-  uint32_t before = sfl_arrival_count (fixture->fleet, leaving);
-  uint32_t lost_before = sfl_arrival_count (fixture->fleet, lost);
-  for (uint32_t i = 0; i < 10; i++)
+  const struct sep_process *const daemons[] = { fixture->daemon, second };
+  uint32_t arrivals[G_N_ELEMENTS (daemons)][2];
+  for (size_t i = 0; i < G_N_ELEMENTS (daemons); i++)
     {
-      send_booking (fixture, "key-1");
+      uint32_t before = sfl_arrival_count (fixture->fleet, leaving);
+      uint32_t lost_before = sfl_arrival_count (fixture->fleet, lost);
+      for (uint32_t n = 0; n < 10; n++)
+        {
+          send_booking_to (fixture, daemons[i], "key-1");
+        }
+      arrivals[i][0] = sfl_arrival_count (fixture->fleet, leaving) - before;
+      arrivals[i][1] = sfl_arrival_count (fixture->fleet, lost) - lost_before;
+    }
+  sep_remove_files (second);
+  sep_destroy (second);
+  for (size_t i = 0; i < G_N_ELEMENTS (daemons); i++)
+    {
+      if (arrivals[i][0] > 0 || arrivals[i][1] > 0)
+        {
+          fail_msg ("daemon %zu: %u arrivals at the leaving endpoint, %u at "
+                    "the one of which the store has lost that it leaves",
+                    i, arrivals[i][0], arrivals[i][1]);
+        }
     }
-  assert_int_equal (sfl_arrival_count (fixture->fleet, leaving), before);
-  assert_int_equal (sfl_arrival_count (fixture->fleet, lost), lost_before);
 }
 
 /* Replaces the first engine by an empty one, and waits until it is ordered to
@@ -1016,49 +1096,6 @@
     }
 }
 
-/* Returns the value of the setting NAME of the daemon NAME, allocated.  */
-static char *
-read_setting (const struct fixture *fixture, const char *daemon,
-              const char *name)
-{
-  g_autofree char *file = g_strdup_printf ("%s.yaml", daemon);
-  g_autofree char *path = g_build_filename (fixture->folder, file, NULL);
-  g_autofree char *text = NULL;
-  g_autofree char *key = g_strdup_printf ("%s: \"", name);
-  assert_true (g_file_get_contents (path, &text, NULL, NULL));
-  const char *value = strstr (text, key);
-  assert_non_null (value);
-  value += strlen (key);
-  return g_strndup (value, strcspn (value, "\""));
-}
-
-/* Creates a second daemon that knows the relay of the first one.  */
-static struct sep_process *
-create_second_daemon (struct fixture *fixture)
-{
-  const struct sep_params params = {
-    .name = "entry-2",
-    .folder = fixture->folder,
-    .store_address = sfl_store_address (fixture->fleet),
-    .drain_ms = DRAIN_MS,
-    .config_ms = CONFIG_MS,
-    .revoke_ms = REVOKE_MS,
-    .stop_s = STOP_S,
-    .retry_window_s = 2,
-    .retry_ratio = 0.2,
-    .retry_slack = 100,
-  };
-  struct sep_process *daemon = sep_create (&params);
-  g_autofree char *relay = read_setting (fixture, "entry-1", "relay_address");
-  g_autofree char *path
-      = g_build_filename (fixture->folder, "entry-2.yaml", NULL);
-  FILE *settings = fopen (path, "a");
-  assert_non_null (settings);
-  fprintf (settings, "relays: [\"%s\"]\n", relay);
-  fclose (settings);
-  return daemon;
-}
-
 /* A daemon that starts after the store has lost the removal of a key learns of
    the removal from another daemon's relay, and never serves the key.  */
 static void
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -49,15 +49,15 @@
 struct row
 {
   const char *name;
+  const char *keys; /* expected; NULL: none */
   struct event before[RECORDS_MAX];
-  uint64_t from;
   struct event during[RECORDS_MAX]; /* while the other daemon waits */
+  uint64_t from;
+  uint64_t era; /* to which `from' belongs */
+  uint64_t end; /* this and the next one are expected */
+  uint64_t answer_era;
   uint32_t status;
-  const char *keys;
-  uint64_t end;
-  uint64_t era;        /* to which `from' belongs */
-  bool whole;          /* all is asked for */
-  uint64_t answer_era; /* expected */
+  bool whole; /* all is asked for */
   bool answer_whole;
 };
 
--- /dev/null
+++ b/test/topic_test.c
@@ -0,0 +1,409 @@
+/* Tests of a reader of a topic against a store that is restored: which calls
+   it makes, and which records it passes on. */
+#include "base/clock.h"
+#include "entry/topic.h"
+#include "net/message.h"
+#include "net/server.h"
+#include "platform/headers.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#define TOPIC "keyed.servers"
+#define ANSWERS_MAX 8
+#define TIMEOUT_US (10 * CLK_S_US)
+
+enum kind
+{
+  KIND_END, /* no further answer */
+  KIND_NEWEST,
+  KIND_READ,
+  KIND_STATUS, /* an empty body */
+  KIND_CUT     /* the connection is closed after the head */
+};
+
+/* An answer of the store, to whichever call comes next. */
+struct answer
+{
+  enum kind kind;
+  const char *era;  /* NULL: not stated */
+  uint32_t status;  /* of KIND_STATUS */
+  const char *keys; /* of records, each of one letter */
+  uint64_t end;
+  bool more;
+};
+
+/* The calls: N: the newest records, A: further ones, R and an offset: a read.
+   The events: E and an era, with ! after a restore; [ and ]: a snapshot, with
+   the offset of its end; letters: records; a dot: the topic is current. */
+struct row
+{
+  const char *name;
+  struct answer answers[ANSWERS_MAX];
+  const char *calls;
+  const char *events;
+};
+
+static const struct row rows[] = {
+  { .name = "a store without eras",
+    .answers = { { .kind = KIND_NEWEST, .keys = "ab", .end = 5 },
+                 { .kind = KIND_READ, .keys = "c", .end = 6 },
+                 { .kind = KIND_READ, .keys = "", .end = 6 } },
+    .calls = "N R5 R6 ",
+    .events = "[ab]5.c.." },
+  { .name = "the topic was created again",
+    .answers = { { .kind = KIND_NEWEST, .keys = "ab", .end = 5 },
+                 { .kind = KIND_READ, .keys = "", .end = 2 },
+                 { .kind = KIND_NEWEST, .keys = "c", .end = 2 } },
+    .calls = "N R5 N ",
+    .events = "[ab]5.[c]2." },
+  { .name = "one era",
+    .answers = { { .kind = KIND_NEWEST, .era = "3", .keys = "ab", .end = 5 },
+                 { .kind = KIND_READ, .era = "3", .keys = "c", .end = 6 } },
+    .calls = "N R5 ",
+    .events = "E3[ab]5.c." },
+  { .name = "a restore whose records look continuous",
+    .answers = { { .kind = KIND_NEWEST, .era = "3", .keys = "ab", .end = 5 },
+                 { .kind = KIND_READ, .era = "4", .keys = "x", .end = 6 },
+                 { .kind = KIND_NEWEST, .era = "4", .keys = "ax", .end = 6 } },
+    .calls = "N R5 N ",
+    .events = "E3[ab]5.E4![ax]6." },
+  { .name = "a restore with the same end",
+    .answers = { { .kind = KIND_NEWEST, .era = "3", .keys = "ab", .end = 5 },
+                 { .kind = KIND_READ, .era = "4", .keys = "", .end = 5 },
+                 { .kind = KIND_NEWEST, .era = "4", .keys = "ax", .end = 5 } },
+    .calls = "N R5 N ",
+    .events = "E3[ab]5.E4![ax]5." },
+  { .name = "a restore to before the position",
+    .answers = { { .kind = KIND_NEWEST, .era = "3", .keys = "ab", .end = 5 },
+                 { .kind = KIND_STATUS, .era = "4", .status = 410 },
+                 { .kind = KIND_NEWEST, .era = "4", .keys = "a", .end = 2 } },
+    .calls = "N R5 N ",
+    .events = "E3[ab]5.E4![a]2." },
+  { .name = "a restore between two pages",
+    .answers = { { .kind = KIND_NEWEST,
+                   .era = "3",
+                   .keys = "ab",
+                   .end = 5,
+                   .more = true },
+                 { .kind = KIND_NEWEST, .era = "4", .keys = "cd", .end = 5 },
+                 { .kind = KIND_NEWEST,
+                   .era = "4",
+                   .keys = "a",
+                   .end = 2,
+                   .more = true },
+                 { .kind = KIND_NEWEST, .era = "4", .keys = "x", .end = 2 } },
+    .calls = "N A N A ",
+    .events = "E3[abE4![ax]2." },
+  { .name = "two restores in a row",
+    .answers = { { .kind = KIND_NEWEST, .era = "3", .keys = "ab", .end = 5 },
+                 { .kind = KIND_READ, .era = "4", .keys = "x", .end = 6 },
+                 { .kind = KIND_NEWEST, .era = "5", .keys = "a", .end = 2 } },
+    .calls = "N R5 N ",
+    .events = "E3[ab]5.E4!E5![a]2." },
+  { .name = "a restore that an error states",
+    .answers = { { .kind = KIND_NEWEST, .era = "3", .keys = "ab", .end = 5 },
+                 { .kind = KIND_STATUS, .era = "4", .status = 503 },
+                 { .kind = KIND_NEWEST, .era = "4", .keys = "a", .end = 2 } },
+    .calls = "N R5 N ",
+    .events = "E3[ab]5.E4![a]2." },
+  { .name = "a restore that an incomplete answer states",
+    .answers = { { .kind = KIND_NEWEST, .era = "3", .keys = "ab", .end = 5 },
+                 { .kind = KIND_CUT, .era = "4" },
+                 { .kind = KIND_NEWEST, .era = "4", .keys = "a", .end = 2 } },
+    .calls = "N R5 N ",
+    .events = "E3[ab]5.E4![a]2." },
+  { .name = "an answer of an earlier era is ignored",
+    .answers = { { .kind = KIND_NEWEST, .era = "4", .keys = "ab", .end = 5 },
+                 { .kind = KIND_READ, .era = "3", .keys = "x", .end = 6 },
+                 { .kind = KIND_READ, .era = "4", .keys = "c", .end = 6 } },
+    .calls = "N R5 R5 ",
+    .events = "E4[ab]5.c." },
+  { .name = "an era that can't be read",
+    .answers = { { .kind = KIND_NEWEST, .era = "4", .keys = "ab", .end = 5 },
+                 { .kind = KIND_READ, .era = "4x", .keys = "x", .end = 6 },
+                 { .kind = KIND_NEWEST, .era = "4", .keys = "c", .end = 6 } },
+    .calls = "N R5 N ",
+    .events = "E4[ab]5.[c]6." },
+  { .name = "the store states its era for the first time",
+    .answers = { { .kind = KIND_NEWEST, .keys = "ab", .end = 5 },
+                 { .kind = KIND_READ, .era = "1", .keys = "", .end = 5 },
+                 { .kind = KIND_NEWEST, .era = "1", .keys = "ab", .end = 5 } },
+    .calls = "N R5 N ",
+    .events = "[ab]5.E1![ab]5." },
+};
+
+struct run
+{
+  const struct row *row;
+  size_t answered;
+  GString *calls;
+  GString *events;
+};
+
+/* Returns the body of ANSWER, which the caller frees.  */
+static GByteArray *
+build_body (const struct answer *answer)
+{
+  GByteArray *body = g_byte_array_new ();
+  if (answer->kind == KIND_READ)
+    {
+      const uint64_t head[2] = { GUINT64_TO_BE (answer->end), 0 };
+      g_byte_array_append (body, (const guint8 *)head, sizeof head);
+      for (const char *key = answer->keys; *key != '\0'; key++)
+        {
+          const guint8 record[] = { 0, 0, 0, 3, 1, (guint8)*key, 'v' };
+          g_byte_array_append (body, record, sizeof record);
+        }
+    }
+  else if (answer->kind == KIND_NEWEST)
+    {
+      GString *text = g_string_new ("{\"Items\":[");
+      for (const char *key = answer->keys; *key != '\0'; key++)
+        {
+          g_string_append_printf (
+              text, "%s{\"Key\":\"%c\",\"Value\":\"dg==\",\"Offset\":0}",
+              key == answer->keys ? "" : ",", *key);
+        }
+      g_string_append_printf (text, "],\"HasMore\":%s,\"End\":%lu}",
+                              answer->more ? "true" : "false",
+                              (unsigned long)answer->end);
+      g_byte_array_append (body, (const guint8 *)text->str, (guint)text->len);
+      g_string_free (text, TRUE);
+    }
+  return body;
+}
+
+/* Notes the call of URL.  */
+static void
+note_call (struct run *run, const char *url)
+{
+  if (g_str_has_prefix (url, "/api/log-read"))
+    {
+      g_string_append_printf (run->calls, "R%lu ",
+                              (unsigned long)msg_query_number (url, "From="));
+    }
+  else
+    {
+      g_string_append (run->calls, strstr (url, "After=") ? "A " : "N ");
+    }
+}
+
+static void
+on_request (void *context, struct nsv_connection *connection,
+            const struct msg_message *request, const char *method)
+{
+  (void)method;
+  struct run *run = context;
+  const struct answer *answer
+      = run->answered < ANSWERS_MAX ? &run->row->answers[run->answered] : NULL;
+  if (answer == NULL || answer->kind == KIND_END)
+    {
+      nsv_respond (connection, 503, "", "", 0);
+      run->answered++;
+      return;
+    }
+  note_call (run, request->url->str);
+  g_autofree char *header
+      = answer->era == NULL
+            ? g_strdup ("")
+            : g_strdup_printf (PFH_STORE_ERA ": %s\r\n", answer->era);
+  if (answer->kind == KIND_CUT)
+    {
+      nsv_begin_response (connection, 200, header, true);
+      nsv_abort (connection);
+    }
+  else
+    {
+      GByteArray *body = build_body (answer);
+      nsv_respond (connection,
+                   answer->kind == KIND_STATUS ? answer->status : 200, header,
+                   body->data, body->len);
+      g_byte_array_free (body, TRUE);
+    }
+  run->answered++;
+}
+
+static void
+ignore_end (void *context)
+{
+  (void)context;
+}
+
+static const struct nsv_events server_events = {
+  .request = on_request,
+  .disconnected = ignore_end,
+  .drained = ignore_end,
+};
+
+static void
+on_era (void *context, uint64_t era, bool restored)
+{
+  struct run *run = context;
+  g_string_append_printf (run->events, "E%lu%s", (unsigned long)era,
+                          restored ? "!" : "");
+}
+
+static void
+on_begin (void *context)
+{
+  struct run *run = context;
+  g_string_append_c (run->events, '[');
+}
+
+static void
+on_end (void *context, uint64_t end)
+{
+  struct run *run = context;
+  g_string_append_printf (run->events, "]%lu", (unsigned long)end);
+}
+
+static void
+on_record (void *context, const struct pfs_record *record)
+{
+  struct run *run = context;
+  g_string_append (run->events, record->key);
+}
+
+static void
+on_held (void *context, const struct pfs_record *record, bool same_era)
+{
+  (void)same_era;
+  on_record (context, record);
+}
+
+static void
+on_current (void *context, int64_t proved_us, uint64_t end)
+{
+  (void)proved_us;
+  (void)end;
+  struct run *run = context;
+  g_string_append_c (run->events, '.');
+}
+
+static void
+on_outage (void *context, const char *why)
+{
+  (void)context;
+  (void)why;
+}
+
+static const struct tpc_events topic_events = {
+  .era = on_era,
+  .snapshot_begin = on_begin,
+  .snapshot_end = on_end,
+  .record = on_record,
+  .held = on_held,
+  .current = on_current,
+  .outage = on_outage,
+};
+
+static size_t
+count_answers (const struct row *row)
+{
+  size_t count = 0;
+  while (count < ANSWERS_MAX && row->answers[count].kind != KIND_END)
+    {
+      count++;
+    }
+  return count;
+}
+
+static void
+ignore_tick (uv_timer_t *timer)
+{
+  (void)timer;
+}
+
+/* Lets a topic read the answers of RUN's row.  */
+static void
+run_row (struct run *run)
+{
+  const struct nsv_limits limits = {
+    .header_bytes_max = 4096,
+    .body_bytes_max = 4096,
+    .header_timeout_us = CLK_S_US,
+    .idle_timeout_us = 10 * CLK_S_US,
+    .unsent_bytes_max = 65536,
+    .user_timeout_ms = 1000,
+    .connections_max = 16,
+  };
+  const struct ncl_params client_params
+      = { .connect_timeout_us = CLK_S_US, .user_timeout_ms = 1000 };
+  uv_loop_t loop;
+  uv_timer_t tick;
+  uv_loop_init (&loop);
+  uv_timer_init (&loop, &tick);
+  uv_timer_start (&tick, ignore_tick, 20, 20);
+  struct nsv_server *server
+      = nsv_create (&loop, "127.0.0.1:0", &limits, &server_events, run, NULL);
+  assert_non_null (server);
+  char *address = nsv_address (server);
+  struct ncl_client *client = ncl_create (&loop, &client_params);
+  const struct tpc_params params = {
+    .client = client,
+    .loop = &loop,
+    .address = address,
+    .topic = TOPIC,
+    .plan = {
+      .wait_us = CLK_MS_US,
+      .interval_us = CLK_MS_US,
+      .age_max_us = CLK_S_US,
+      .gap_max_us = CLK_S_US,
+      .answer_timeout_max_us = CLK_S_US,
+      .retry_max_us = 200 * CLK_MS_US,
+    },
+    .events = &topic_events,
+    .context = run,
+  };
+  struct tpc_topic *topic = tpc_create (&params);
+  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
+  while (run->answered <= count_answers (run->row)
+         && clk_monotonic_us () < end_us)
+    {
+      uv_run (&loop, UV_RUN_ONCE);
+    }
+  tpc_destroy (topic);
+  ncl_destroy (client);
+  nsv_destroy (server);
+  g_free (address);
+  uv_close ((uv_handle_t *)&tick, NULL);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  uv_loop_close (&loop);
+}
+
+static void
+test_rows (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct run run = {
+        .row = &rows[i],
+        .calls = g_string_new (NULL),
+        .events = g_string_new (NULL),
+      };
+      run_row (&run);
+      if (strcmp (run.calls->str, rows[i].calls) != 0
+          || strcmp (run.events->str, rows[i].events) != 0)
+        {
+          fail_msg ("%s: calls '%s', events '%s'", rows[i].name,
+                    run.calls->str, run.events->str);
+        }
+      g_string_free (run.calls, TRUE);
+      g_string_free (run.events, TRUE);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_rows),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
