--- a/test/roster_test.c
+++ b/test/roster_test.c
@@ -263,11 +263,58 @@
     }
 }
 
+/* What an older copy of the list says of an endpoint replaces what is known
+   only if it isn't known to be older.  */
+static void
+test_copied_layers (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *name;
+    int64_t started_ms; /* of the copied record; the known one has 5 */
+    uint64_t sequence;  /* the same; 7 */
+    uint32_t end;       /* of the layers afterwards: known 8, copied 3 */
+  } cases[] = {
+    { "an earlier record", 5, 6, 8 },
+    { "the same record", 5, 7, 3 },
+    { "a later record", 5, 9, 3 },
+    { "without a sequence number", 5, 0, 3 },
+    { "an earlier incarnation", 4, 9, 8 },
+    { "a later incarnation", 6, 1, 3 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct rst *roster = rst_create ();
+      struct rst_endpoint *known = new_endpoint ("a", 5, 7, false);
+      known->layers.end = 8;
+      rst_update (roster, known, 20, 0);
+      rst_restored (roster, 2, S_US);
+      rst_begin_full (roster);
+      struct rst_endpoint *copied
+          = new_endpoint ("a", cases[i].started_ms, cases[i].sequence, false);
+      copied->layers.end = 3;
+      rst_update (roster, copied, 10, S_US);
+      rst_end_full (roster, 11, S_US);
+      rst_expire (roster, 9 * S_US);
+      GPtrArray *list = rst_list (roster);
+      assert_int_equal (list->len, 1);
+      const struct rst_endpoint *only = g_ptr_array_index (list, 0);
+      if (only->layers.end != cases[i].end)
+        {
+          fail_msg ("%s: %u", cases[i].name, only->layers.end);
+        }
+      g_ptr_array_free (list, TRUE);
+      rst_destroy (roster);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_endpoint_states),
+    cmocka_unit_test (test_copied_layers),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
