Judge lower fencing tokens during restores, too

Orders with an outdated token were judged only without faults, and daemons stop after the first refusal, so tokens that go back with a restore of the store stayed unnoticed. An order with a token below one that any engine got longer than the lease before is now a violation also during faults, unless a freeze or a cut held it up.

--- a/soak/judge_endpoints.c
+++ b/soak/judge_endpoints.c
@@ -162,6 +162,58 @@
     }
 }
 
+/* Returns whether ORDER may have been held up between FROM_US and its arrival:
+   a daemon was frozen or the connections to its endpoint were disturbed.  */
+static bool
+is_held_up (const struct judge *judge, const struct srd_order *order,
+            int64_t from_us)
+{
+  const GArray *list = judge->record->interruptions;
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct srd_interruption *interruption
+          = &g_array_index (list, struct srd_interruption, i);
+      if ((interruption->endpoint == SRD_ALL
+           || interruption->endpoint == order->endpoint)
+          && interruption->begin_us <= order->at_us
+          && interruption->end_us >= from_us)
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
+/* Fencing tokens don't go back, with or without faults: no order has a lower
+   token than one that any engine got longer than the duration of the lease
+   before, unless the order was held up.  */
+void
+sjd_check_lower_fences (struct judge *judge)
+{
+  const GArray *orders = judge->record->orders;
+  for (guint i = 0; i < orders->len; i++)
+    {
+      const struct srd_order *order
+          = &g_array_index (orders, struct srd_order, i);
+      int64_t late_us = order->at_us - judge->bounds->lease_us;
+      bool is_late = false;
+      for (guint n = 0; n < i; n++)
+        {
+          const struct srd_order *before
+              = &g_array_index (orders, struct srd_order, n);
+          is_late |= before->fence > order->fence && before->at_us < late_us;
+        }
+      if (is_late
+          && !is_held_up (judge, order, late_us - judge->bounds->settle_us))
+        {
+          sjd_add_violation (judge,
+                             "an order to endpoint %u had the fencing token "
+                             "%lu after a higher one",
+                             order->endpoint, (unsigned long)order->fence);
+        }
+    }
+}
+
 /* Orders with a fencing token that was refused are repeated for the duration
    of the lease at most, with or without faults.  */
 void
--- a/test/soak_judge_test.c
+++ b/test/soak_judge_test.c
@@ -42,6 +42,7 @@
   EVENT_LEAVING_ANSWER, /* of the endpoint value */
   EVENT_TURNED_AWAY, /* by ENDPOINT; value: for this many tenths of a second */
   EVENT_PASSED_ON,   /* the last answer, to the caller */
+  EVENT_ORDER,       /* value: fencing token */
   EVENT_REFUSED_ORDER, /* value: fencing token */
   EVENT_FREEZE,        /* of the daemon; value: duration in seconds */
   EVENT_CUT,           /* of ENDPOINT; value: duration in seconds */
@@ -397,6 +398,32 @@
   { "a fencing token goes back soon after a fault",
     { { 1, EVENT_FAULT, 1, NULL }, { 4, EVENT_REFUSED_ORDER, 4, NULL } },
     NULL },
+  { "a token is given out after a higher one, during a fault",
+    { { 1, EVENT_FAULT, 9, NULL },
+      { 4, EVENT_ORDER, 4, NULL },
+      { 4.5, EVENT_ORDER, 6, NULL },
+      { 5.6, EVENT_ORDER, 5, NULL } },
+    "an order to endpoint 3 had the fencing token 5 after a higher one" },
+  { "a token that was given out before a higher one is used again",
+    { { 4, EVENT_ORDER, 4, NULL },
+      { 4.5, EVENT_ORDER, 6, NULL },
+      { 5.6, EVENT_ORDER, 4, NULL } },
+    "an order to endpoint 3 had the fencing token 4 after a higher one" },
+  { "a lower token within the lease",
+    { { 4, EVENT_ORDER, 4, NULL },
+      { 4.5, EVENT_ORDER, 6, NULL },
+      { 5.4, EVENT_ORDER, 5, NULL } },
+    NULL },
+  { "a lower token in an order that a cut held up",
+    { { 4, EVENT_ORDER, 6, NULL },
+      { 4.1, EVENT_CUT, 2, NULL },
+      { 6.2, EVENT_ORDER, 5, NULL } },
+    NULL },
+  { "a token is given out after a higher one, by a daemon that was frozen",
+    { { 4, EVENT_ORDER, 6, NULL },
+      { 4.1, EVENT_FREEZE, 2, NULL },
+      { 6.2, EVENT_ORDER, 5, NULL } },
+    NULL },
   { "orders go on with a refused token during a fault",
     { { 1, EVENT_FAULT, 9, NULL },
       { 4, EVENT_REFUSED_ORDER, 4, NULL },
@@ -552,7 +579,7 @@
       = { .endpoint = step->value, .acked_us = now_us, .ended_us = SRD_NEVER };
   struct srd_order order = { .endpoint = ENDPOINT,
                              .fence = step->value,
-                             .refused = true,
+                             .refused = step->event == EVENT_REFUSED_ORDER,
                              .at_us = now_us };
   bool freeze = step->event == EVENT_FREEZE;
   switch (step->event)
@@ -566,6 +593,7 @@
     case EVENT_DRAIN:
       g_array_append_val (record->drains, drain);
       break;
+    case EVENT_ORDER:
     case EVENT_REFUSED_ORDER:
       g_array_append_val (record->orders, order);
       break;
