Regenerate the protobuf headers

The comments of the messages had changed since the last run of protoc-c; the code is the same. The relay's messages, edited by hand for the store's era, come out as they were.

--- a/proto/burn.pb-c.h
+++ b/proto/burn.pb-c.h
@@ -26,18 +26,25 @@
 /* --- messages --- */
 
 /*
- * Bad work of one entry.  Names are places in Record.names; 0 means none.
+ * Bad requests of one entry that have the same cause.  The names are indices
+ * in Record.names; index 0 (the empty name) means that there is none.
  */
 struct  Burn__Cause
 {
   ProtobufCMessage base;
+  /*
+   * enum brn_objective
+   */
   uint32_t objective;
   /*
-   * name of an error kind; 0: late
+   * name of an error kind; 0: answered too late
    */
   uint32_t error;
   uint32_t endpoint;
   uint32_t data_centre;
+  /*
+   * number of bad requests
+   */
   uint32_t count;
 };
 #define BURN__CAUSE__INIT \
@@ -46,25 +53,32 @@
 
 
 /*
- * Counts of one account and kind of work.
+ * Counts of one account and kind of work.  The repeated counts have one element
+ * for each objective that applies to the kind of work.
  */
 struct  Burn__Entry
 {
   ProtobufCMessage base;
   /*
-   * place in Record.names
+   * index in Record.names
    */
   uint32_t account;
+  /*
+   * enum brn_work
+   */
   uint32_t work;
   /*
-   * by objective that applies to the work
+   * number of requests
    */
   size_t n_total;
   uint32_t *total;
+  /*
+   * requests that missed the objective
+   */
   size_t n_bad;
   uint32_t *bad;
   /*
-   * of log2 of microseconds, in 1024ths
+   * sum of log2 of the times in us, in 1024ths
    */
   size_t n_log_sum;
   int64_t *log_sum;
@@ -79,12 +93,24 @@
 struct  Burn__Record
 {
   ProtobufCMessage base;
+  /*
+   * version of the encoding
+   */
   uint32_t format;
+  /*
+   * of the daemon's process
+   */
   uint64_t incarnation;
+  /*
+   * number of the bucket since 1970
+   */
   uint32_t bucket;
+  /*
+   * of the record within the bucket
+   */
   uint32_t sequence;
   /*
-   * the first is empty
+   * the first one is empty
    */
   size_t n_names;
   char **names;
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -33,29 +33,38 @@
 
 typedef enum _Peer__Membership__Kind {
   /*
-   * nothing is expected back
+   * needs no answer
    */
   PEER__MEMBERSHIP__KIND__GOSSIP = 0,
+  /*
+   * probe; answered by an ACK
+   */
   PEER__MEMBERSHIP__KIND__PING = 1,
   PEER__MEMBERSHIP__KIND__ACK = 2,
   /*
-   * asks the receiver to ping target_address
+   * requests that the receiver pings target_address
    */
   PEER__MEMBERSHIP__KIND__PING_REQUEST = 3,
   /*
-   * asks for everything that the receiver knows
+   * requests a SYNC
    */
   PEER__MEMBERSHIP__KIND__JOIN = 4,
   /*
-   * everything that the sender knows
+   * contains all members and marks of the sender
    */
   PEER__MEMBERSHIP__KIND__SYNC = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MEMBERSHIP__KIND)
 } Peer__Membership__Kind;
 typedef enum _Peer__MemberState {
   PEER__MEMBER_STATE__ALIVE = 0,
+  /*
+   * did not answer a probe
+   */
   PEER__MEMBER_STATE__SUSPECT = 1,
   PEER__MEMBER_STATE__DEAD = 2,
+  /*
+   * was stopped as planned
+   */
   PEER__MEMBER_STATE__LEFT = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__MEMBER_STATE)
 } Peer__MemberState;
@@ -63,24 +72,34 @@
 /* --- messages --- */
 
 /*
- * First message in both directions of a connection.
+ * First message in each direction of a connection: the dialler's first, then
+ * the listener's answer.
  */
 struct  Peer__Hello
 {
   ProtobufCMessage base;
+  /*
+   * of the handshake
+   */
   uint32_t version;
+  /*
+   * of the sender
+   */
   char *name;
   /*
-   * where the sender listens, IP:PORT
+   * on which the sender listens, IP:PORT
    */
   char *address;
+  /*
+   * of the sender's process
+   */
   uint64_t incarnation;
   /*
-   * fresh for each connection
+   * random, new for each connection
    */
   ProtobufCBinaryData nonce;
   /*
-   * only in the listener's hello
+   * only in the listener's hello; see hsk_compute_proof
    */
   ProtobufCBinaryData proof;
 };
@@ -90,7 +109,8 @@
 
 
 /*
- * The dialler's answer to the nonce of the listener's hello.
+ * The dialler's answer to the listener's hello: proves knowledge of the fleet's
+ * secret for the nonce of that hello.
  */
 struct  Peer__Proof
 {
@@ -102,6 +122,9 @@
     , {0,NULL} }
 
 
+/*
+ * Sent on an idle connection, so that the receiver's timeout doesn't expire.
+ */
 struct  Peer__Heartbeat
 {
   ProtobufCMessage base;
@@ -112,7 +135,7 @@
 
 
 /*
- * What the sender knows of one daemon.
+ * State of one daemon as known to the sender.
  */
 struct  Peer__Member
 {
@@ -122,14 +145,20 @@
   char *data_centre;
   uint64_t incarnation;
   /*
-   * of the fields from 7 on, by the daemon itself
+   * of the fields from 7 on; increased by the daemon
    */
   uint32_t revision;
+  /*
+   * itself when one of them changes
+   */
   Peer__MemberState state;
   protobuf_c_boolean ready;
+  /*
+   * in force at the daemon
+   */
   uint64_t config_version;
   /*
-   * the platform's log answers the daemon
+   * the daemon gets answers from the platform's log
    */
   protobuf_c_boolean reaches_log;
 };
@@ -139,14 +168,23 @@
 
 
 /*
- * Whether an endpoint is leaving, by one cause.
+ * Whether an endpoint is leaving according to one source (cause).
  */
 struct  Peer__Mark
 {
   ProtobufCMessage base;
   char *host;
+  /*
+   * enum lv_cause
+   */
   uint32_t cause;
+  /*
+   * of the marks with this cause; newer marks have
+   */
   uint64_t order;
+  /*
+   * higher values
+   */
   protobuf_c_boolean leaving;
   /*
    * of the endpoint; 0: unknown
@@ -163,7 +201,7 @@
   ProtobufCMessage base;
   Peer__Membership__Kind kind;
   /*
-   * of the probe; an ACK repeats it
+   * of the probe; copied into its ACK
    */
   uint64_t sequence;
   Peer__Member *sender;
@@ -177,7 +215,7 @@
    */
   uint64_t config_version;
   /*
-   * of the members and marks known to the sender
+   * hash of the sender's members and marks; peers
    */
   uint64_t digest;
 };
@@ -186,6 +224,9 @@
     , PEER__MEMBERSHIP__KIND__GOSSIP, 0, NULL, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0 }
 
 
+/*
+ * Requests the receiver's configuration if its version is above newer_than.
+ */
 struct  Peer__ConfigRequest
 {
   ProtobufCMessage base;
@@ -200,12 +241,15 @@
 {
   ProtobufCMessage base;
   /*
-   * 0: nothing newer
+   * 0: the sender has no newer version
    */
   uint64_t version;
+  /*
+   * text of the configuration
+   */
   ProtobufCBinaryData yaml;
   /*
-   * of the record that was accepted
+   * of the log record that was accepted
    */
   uint64_t log_offset;
 };
@@ -214,6 +258,9 @@
     , 0, {0,NULL}, 0 }
 
 
+/*
+ * Demand of one account at one daemon.
+ */
 struct  Peer__AccountDemand
 {
   ProtobufCMessage base;
@@ -231,7 +278,8 @@
 
 
 /*
- * The demand of the largest accounts at one daemon, for sharing limits.
+ * Demand of the accounts with the highest demand at one daemon, for dividing
+ * the accounts' limits among the daemons.
  */
 struct  Peer__Demand
 {
@@ -248,12 +296,15 @@
 
 
 /*
- * Counts of one interval for the service-level burn report.
+ * Counts of one interval for the report of error-budget burn.
  */
 struct  Peer__BurnBucket
 {
   ProtobufCMessage base;
   char *daemon;
+  /*
+   * of the interval, since 1970
+   */
   int64_t start_s;
   ProtobufCBinaryData bucket;
 };
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -26,13 +26,22 @@
 
 /* --- messages --- */
 
+/*
+ * An entry of a claims stream: one change of the state of one key.
+ */
 struct  Record__Entry
 {
   ProtobufCMessage base;
+  /*
+   * enum rec_kind
+   */
   uint32_t kind;
   char *account;
   char *key;
   uint64_t body_hash;
+  /*
+   * 1, or 1 more than that of the released claim
+   */
   uint32_t generation;
   /*
    * of the claim's holder
@@ -42,16 +51,25 @@
    * of the claim, unique within the incarnation
    */
   uint64_t nonce;
+  /*
+   * enum rec_state
+   */
   uint32_t state;
   /*
    * HTTP status of the recorded answer
    */
   uint32_t status;
+  /*
+   * of the recorded answer
+   */
   ProtobufCBinaryData body;
   /*
    * log time of the claim
    */
   int64_t claimed_us;
+  /*
+   * the recorded answer was too large to keep
+   */
   protobuf_c_boolean body_omitted;
 };
 #define RECORD__ENTRY__INIT \
@@ -60,18 +78,21 @@
 
 
 /*
- * One record of a stream claims-N.
+ * A record of a stream `claims-N'.
  */
 struct  Record__Batch
 {
   ProtobufCMessage base;
+  /*
+   * version of the encoding
+   */
   uint32_t format;
   /*
    * of the writer
    */
   uint64_t incarnation;
   /*
-   * of the writer, rises
+   * of the writer's records, increases
    */
   uint64_t sequence;
   size_t n_entries;
@@ -83,31 +104,48 @@
 
 
 /*
- * One record of the stream config.
+ * A record of the stream `config': the publication of a configuration, or a
+ * carried record, which repeats the current configuration before the log
+ * deletes the record that published it.
  */
 struct  Record__Configuration
 {
   ProtobufCMessage base;
+  /*
+   * version of the encoding
+   */
   uint32_t format;
+  /*
+   * of the writer
+   */
   uint64_t incarnation;
+  /*
+   * of the publication, unique in the incarnation
+   */
   uint64_t nonce;
+  /*
+   * version that the publication replaces
+   */
   uint64_t base_version;
   /*
-   * of a carried record; else 0
+   * of a carried record; otherwise 0
    */
   uint64_t version;
   char *publisher;
   ProtobufCBinaryData yaml;
   /*
-   * log time of the first publication; carried only
+   * log time of the publication that a carried record
    */
   int64_t published_us;
   /*
-   * offset that a carried record has to get
+   * repeats
+   */
+  /*
+   * the carried record is valid only at this offset
    */
   uint64_t after;
   /*
-   * the publication with this nonce doesn't count
+   * cancels the publication with this nonce
    */
   protobuf_c_boolean withdrawn;
 };
@@ -117,23 +155,44 @@
 
 
 /*
- * One record of the stream lease.
+ * A record of the stream `lease': an operation on the lease.
  */
 struct  Record__Lease
 {
   ProtobufCMessage base;
+  /*
+   * version of the encoding
+   */
   uint32_t format;
+  /*
+   * of the writer
+   */
   uint64_t incarnation;
+  /*
+   * of the append
+   */
   uint64_t nonce;
   /*
-   * of the lease that is renewed or given up; else 0
+   * fencing token of the lease that is renewed or
    */
   uint64_t fence;
+  /*
+   * released; otherwise 0
+   */
+  /*
+   * name of the writer
+   */
   char *holder;
+  /*
+   * of the lease, from the log time of the record
+   */
   int64_t duration_us;
+  /*
+   * enum rec_lease_operation
+   */
   uint32_t operation;
   /*
-   * offset of the newest lease record that was read
+   * offset of the newest lease record that the writer
    */
   uint64_t after;
 };
