--- a/test/entry_leaving_test.c
+++ b/test/entry_leaving_test.c
@@ -322,7 +322,7 @@
 {
   struct efx_fixture *fixture = *state;
   struct efx_call stalled[BURST];
-  uint32_t before[EFX_ENGINES];
+  uint32_t before[EFX_ENGINES] = { 0 };
   uint32_t leaving = 0;
   bool first[EFX_ENGINES];
   find_first_engines (fixture, first);
