Keep a port that a test chose from being taken before it is used

Test programs whose process ids differ by a multiple of 100 search the same ports, so another one may take it meanwhile.

The search now keeps the port bound, without listening; another search skips it, and a server, which sets SO_REUSEADDR, can listen beside it.

The new case of standin_fleet_test failed before (test_free_port) and passes.

--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -16,6 +16,9 @@
 #define PORT_END 30000
 #define PORT_BLOCK_SIZE 200
 
+/* Number of the newest ports that stay reserved. */
+#define PORTS_RESERVED 64
+
 /* An engine with 460 MB holds half of the model (4 of 8 layers, 100 MB each)
    and has room for requests.  The %s take the quotes and the name of a
    second API key, or are empty. */
@@ -57,30 +60,41 @@
   va_end (arguments);
 }
 
-/* Returns a loopback port that is free now.  Successive calls return different
-   ports, because a caller may listen on its port only later.  */
+/* Returns a free loopback port.  Successive calls return different ports,
+   because a caller may listen on its port only later.  Until then a socket
+   that is bound to the port, but doesn't listen, keeps other processes that
+   look for a port from taking it; servers set SO_REUSEADDR and may listen
+   beside it. The newest PORTS_RESERVED ports are kept so.  */
 uint16_t
 sfl_free_port (void)
 {
   static guint next_offset = 0;
+  static int reserved[PORTS_RESERVED]; /* descriptors; 0: none yet */
   guint block = (guint)getpid () % ((PORT_END - PORT_FIRST) / PORT_BLOCK_SIZE);
   for (;;)
     {
-      guint offset
-          = (guint)g_atomic_int_add (&next_offset, 1) % PORT_BLOCK_SIZE;
+      guint number = (guint)g_atomic_int_add (&next_offset, 1);
+      guint offset = number % PORT_BLOCK_SIZE;
       uint16_t port
           = (uint16_t)(PORT_FIRST + block * PORT_BLOCK_SIZE + offset);
       struct sockaddr_in address
           = { .sin_family = AF_INET, .sin_port = htons (port) };
       address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
       int descriptor = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-      int status
-          = bind (descriptor, (struct sockaddr *)&address, sizeof address);
-      close (descriptor);
-      if (status == 0)
+      if (bind (descriptor, (struct sockaddr *)&address, sizeof address) == 0)
         {
+          int reuse = 1;
+          setsockopt (descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse,
+                      sizeof reuse);
+          int *slot = &reserved[number % PORTS_RESERVED];
+          if (*slot != 0)
+            {
+              close (*slot);
+            }
+          *slot = descriptor;
           return port;
         }
+      close (descriptor);
     }
 }
 
--- a/test/standin_fleet_test.c
+++ b/test/standin_fleet_test.c
@@ -6,11 +6,14 @@
 #include "platform/headers.h"
 #include "standin/fleet.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -583,6 +586,36 @@
   tear_down (&fixture);
 }
 
+/* Guards against two test programs that run beside each other and take the
+   same port, one of which listens there only later.  A port that was handed
+   out can't be taken by another search, but a server can listen on it.  */
+static void
+test_free_port (void **state)
+{
+  (void)state;
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      struct sockaddr_in address = { .sin_family = AF_INET };
+      address.sin_port = htons (sfl_free_port ());
+      address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+      int searcher = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      assert_int_equal (
+          bind (searcher, (struct sockaddr *)&address, sizeof address), -1);
+      assert_int_equal (errno, EADDRINUSE);
+      close (searcher);
+      for (uint32_t starts = 0; starts < 2; starts++)
+        {
+          int reuse = 1;
+          int server = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+          setsockopt (server, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+          assert_int_equal (
+              bind (server, (struct sockaddr *)&address, sizeof address), 0);
+          assert_int_equal (listen (server, 1), 0);
+          close (server);
+        }
+    }
+}
+
 int
 main (void)
 {
@@ -590,6 +623,7 @@
     cmocka_unit_test (test_store),
     cmocka_unit_test (test_endpoints),
     cmocka_unit_test (test_restart),
+    cmocka_unit_test (test_free_port),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
