Keep the list of daemons to ask for the lifetime of a topic

The linter refused the macro that cleared the list, and the padding of the struct. A flag now says whether the list is known in the present era.

make lint and make format-check pass; so do topic_test and entry_restore_test.

--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -40,11 +40,12 @@
   uint64_t lost_offset;       /* end of what was read before that restore */
   uint64_t answer_era;        /* stated by the newest answer */
   bool answer_readable;       /* that era, or its absence */
-  GPtrArray *holders;         /* addresses of the daemons to ask for what the
-                                 snapshot may lack; NULL: not known yet */
+  bool holders_known;         /* in that era */
   bool holders_asked;         /* in that era */
   bool awaits_holders;        /* to ask them */
   guint holders_to_ask;       /* number of them */
+  GPtrArray *holders;         /* addresses of the daemons to ask for what the
+                                 snapshot may lack */
   int64_t asked_since_us;     /* monotonic, when the first one was asked */
   int64_t snapshot_proved_us; /* proof that counts once they were asked */
   bool in_snapshot;           /* reading a snapshot */
@@ -294,7 +295,7 @@
     }
   topic->holders_asked = true;
   topic->snapshot_proved_us = proved_us;
-  topic->awaits_holders = topic->holders == NULL;
+  topic->awaits_holders = !topic->holders_known;
   if (!topic->awaits_holders)
     {
       begin_asking (topic);
@@ -321,7 +322,7 @@
   topic->holders_asked = false;
   topic->awaits_holders = false;
   topic->holders_to_ask = 0;
-  g_clear_pointer (&topic->holders, g_ptr_array_unref);
+  topic->holders_known = false;
   topic->proved_us = 0;
   topic->next_offset = 0;
   begin_snapshot (topic);
@@ -737,6 +738,7 @@
   topic->params = *params;
   topic->address = g_strdup (params->address);
   topic->relays = g_ptr_array_new_with_free_func (g_free);
+  topic->holders = g_ptr_array_new_with_free_func (g_free);
   topic->retry_ms = RETRY_MIN_MS;
   topic->relay_retry_ms = RETRY_MIN_MS;
   topic->answer_timeout_ms
@@ -769,11 +771,12 @@
 void
 tpc_set_holders (struct tpc_topic *topic, const GPtrArray *addresses)
 {
-  if (topic->holders != NULL)
+  if (topic->holders_known)
     {
       return;
     }
-  topic->holders = g_ptr_array_new_with_free_func (g_free);
+  topic->holders_known = true;
+  g_ptr_array_set_size (topic->holders, 0);
   for (guint i = 0; i < addresses->len; i++)
     {
       g_ptr_array_add (topic->holders,
@@ -829,7 +832,7 @@
   g_free (topic->after_key);
   g_free (topic->address);
   g_ptr_array_free (topic->relays, TRUE);
-  g_clear_pointer (&topic->holders, g_ptr_array_unref);
+  g_ptr_array_free (topic->holders, TRUE);
   g_free (topic);
 }
 
