Compress the records that relays send

The busiest daemon, a relay, sent 3,987 kB a second and took 134 MB, since each of its hundred readers gets the changed records of all engines as they stand in the store, in a buffer of its own.

Change: a reader says that it accepts compressed records. The relay compresses the records of a page with zlib, once for all readers with the same position, unless they are fewer than 1 KiB. Relays and readers of earlier releases go on as before.

Result: test_compression: records of 3,000 equal bytes are answered in less than half of their size, also after changes; without the invalidation in replace_change, the test fails at step 3. All rows of relay_test pass with small, large and large uncompressed records.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SANITIZE ?= none
 CC = gcc
 PACKAGES = glib-2.0 jansson libcurl libprotobuf-c liburcu-mb yaml-0.1 argtable2 \
-           libxxhash libuv
+           libxxhash libuv zlib
 
 ifeq ($(SANITIZE),address)
   BUILD = build/address
--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &relay_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   relay_records__init
+                     (RelayRecords         *message)
+{
+  static const RelayRecords init_value = RELAY_RECORDS__INIT;
+  *message = init_value;
+}
+size_t relay_records__get_packed_size
+                     (const RelayRecords *message)
+{
+  assert(message->base.descriptor == &relay_records__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t relay_records__pack
+                     (const RelayRecords *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &relay_records__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t relay_records__pack_to_buffer
+                     (const RelayRecords *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &relay_records__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RelayRecords *
+       relay_records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RelayRecords *)
+     protobuf_c_message_unpack (&relay_records__descriptor,
+                                allocator, len, data);
+}
+void   relay_records__free_unpacked
+                     (RelayRecords *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &relay_records__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   relay_page__init
                      (RelayPage         *message)
 {
@@ -174,7 +219,45 @@
   (ProtobufCMessageInit) relay_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor relay_page__field_descriptors[7] =
+static const ProtobufCFieldDescriptor relay_records__field_descriptors[1] =
+{
+  {
+    "records",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RelayRecords, n_records),
+    offsetof(RelayRecords, records),
+    &relay_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned relay_records__field_indices_by_name[] = {
+  0,   /* field[0] = records */
+};
+static const ProtobufCIntRange relay_records__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor relay_records__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RelayRecords",
+  "RelayRecords",
+  "RelayRecords",
+  "",
+  sizeof(RelayRecords),
+  1,
+  relay_records__field_descriptors,
+  relay_records__field_indices_by_name,
+  1,  relay_records__number_ranges,
+  (ProtobufCMessageInit) relay_records__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor relay_page__field_descriptors[9] =
 {
   {
     "records",
@@ -260,20 +343,47 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "packed_records",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RelayPage, packed_records),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unpacked_bytes",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RelayPage, unpacked_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned relay_page__field_indices_by_name[] = {
   1,   /* field[1] = end */
   5,   /* field[5] = era */
+  7,   /* field[7] = packed_records */
   3,   /* field[3] = partitions */
   2,   /* field[2] = proof_lead_us */
   4,   /* field[4] = readers */
   0,   /* field[0] = records */
+  8,   /* field[8] = unpacked_bytes */
   6,   /* field[6] = whole */
 };
-static const ProtobufCIntRange relay_page__number_ranges[1 + 1] =
+static const ProtobufCIntRange relay_page__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 16, 7 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor relay_page__descriptor =
 {
@@ -283,10 +393,10 @@
   "RelayPage",
   "",
   sizeof(RelayPage),
-  7,
+  9,
   relay_page__field_descriptors,
   relay_page__field_indices_by_name,
-  1,  relay_page__number_ranges,
+  2,  relay_page__number_ranges,
   (ProtobufCMessageInit) relay_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct RelayRecord RelayRecord;
+typedef struct RelayRecords RelayRecords;
 typedef struct RelayPage RelayPage;
 
 
@@ -46,6 +47,20 @@
     , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
 
 
+/*
+ * The records of a page; they are compressed as one message.
+ */
+struct  RelayRecords
+{
+  ProtobufCMessage base;
+  size_t n_records;
+  RelayRecord **records;
+};
+#define RELAY_RECORDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&relay_records__descriptor) \
+    , 0,NULL }
+
+
 /*
  * A page of the records of one topic.
  */
@@ -84,10 +99,16 @@
    * The records are all that the topic has, whatever offset was requested.
    */
   protobuf_c_boolean whole;
+  /*
+   * Instead of `records', for a reader that asks for it: RelayRecords in zlib's
+   * format, and its size before the compression.
+   */
+  ProtobufCBinaryData packed_records;
+  uint64_t unpacked_bytes;
 };
 #define RELAY_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&relay_page__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, {0,NULL}, 0 }
 
 
 /* RelayRecord methods */
@@ -109,6 +130,25 @@
 void   relay_record__free_unpacked
                      (RelayRecord *message,
                       ProtobufCAllocator *allocator);
+/* RelayRecords methods */
+void   relay_records__init
+                     (RelayRecords         *message);
+size_t relay_records__get_packed_size
+                     (const RelayRecords   *message);
+size_t relay_records__pack
+                     (const RelayRecords   *message,
+                      uint8_t             *out);
+size_t relay_records__pack_to_buffer
+                     (const RelayRecords   *message,
+                      ProtobufCBuffer     *buffer);
+RelayRecords *
+       relay_records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   relay_records__free_unpacked
+                     (RelayRecords *message,
+                      ProtobufCAllocator *allocator);
 /* RelayPage methods */
 void   relay_page__init
                      (RelayPage         *message);
@@ -133,6 +173,9 @@
 typedef void (*RelayRecord_Closure)
                  (const RelayRecord *message,
                   void *closure_data);
+typedef void (*RelayRecords_Closure)
+                 (const RelayRecords *message,
+                  void *closure_data);
 typedef void (*RelayPage_Closure)
                  (const RelayPage *message,
                   void *closure_data);
@@ -143,6 +186,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor relay_record__descriptor;
+extern const ProtobufCMessageDescriptor relay_records__descriptor;
 extern const ProtobufCMessageDescriptor relay_page__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -1,6 +1,7 @@
 #include "entry/relay.h"
 
 #include "base/clock.h"
+#include "base/deflate.h"
 #include "base/error.h"
 #include "core/era.h"
 #include "net/server.h"
@@ -29,6 +30,9 @@
 /* A reader has a connection for each topic. */
 #define CONNECTIONS_PER_READER 2
 
+/* Records of fewer bytes than this are sent uncompressed. */
+#define PACKED_BYTES_MIN 1024
+
 /* Interval at which time-outs are checked. */
 #define SWEEP_MS 500
 
@@ -56,6 +60,19 @@
   int64_t proved_us;   /* monotonic; nothing more was in the topic then; 0: not
                           read yet */
   GPtrArray *readers;  /* struct reader; waiting requests */
+  GBytes *packed;      /* records from `packed_from' on as they were sent last;
+                          NULL: they have changed since */
+  uint64_t packed_from;
+  size_t unpacked_bytes;
+};
+
+/* What a request of another daemon asks for. */
+struct query
+{
+  uint64_t era;       /* to which `from' belongs */
+  uint64_t from;      /* first offset that it asks for */
+  bool packed;        /* accepts compressed records */
+  int64_t arrived_us; /* monotonic */
 };
 
 /* A request of another daemon that waits for changes. */
@@ -64,9 +81,7 @@
   struct rly_relay *relay;
   struct mirror *mirror;
   struct nsv_connection *connection;
-  uint64_t era;       /* to which `from' belongs */
-  uint64_t from;      /* first offset that it asks for */
-  int64_t arrived_us; /* monotonic */
+  struct query query;
   uv_timer_t timer;
   bool finished; /* its timer is closing */
 };
@@ -92,11 +107,24 @@
   g_free (change);
 }
 
+/* Forgets the compressed records of MIRROR, since its changes are others now.
+ */
+static void
+drop_packed (struct mirror *mirror)
+{
+  if (mirror->packed != NULL)
+    {
+      g_bytes_unref (mirror->packed);
+      mirror->packed = NULL;
+    }
+}
+
 static void
 destroy_mirror (gpointer data)
 {
   struct mirror *mirror = data;
   g_free (mirror->topic);
+  drop_packed (mirror);
   g_hash_table_destroy (mirror->changes);
   g_ptr_array_free (mirror->readers, TRUE);
   g_free (mirror);
@@ -119,13 +147,10 @@
   return mirror;
 }
 
-/* Answers CONNECTION, whose request arrived at ARRIVED_US, with the changes of
-   MIRROR in RELAY from the offset FROM on; with all that MIRROR holds if
-   WHOLE.  */
-static void
-send_page (const struct rly_relay *relay, const struct mirror *mirror,
-           struct nsv_connection *connection, bool whole, uint64_t from,
-           int64_t arrived_us)
+/* Returns the changes of MIRROR from the offset FROM on, RelayRecord, which
+   refer to MIRROR.  The caller frees the array.  */
+static GArray *
+list_records (const struct mirror *mirror, uint64_t from)
 {
   GArray *records = g_array_new (FALSE, FALSE, sizeof (RelayRecord));
   GHashTableIter iter;
@@ -134,7 +159,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct change *change = value;
-      if (!whole && change->offset < from)
+      if (change->offset < from)
         {
           continue;
         }
@@ -151,18 +176,73 @@
         }
       g_array_append_val (records, record);
     }
+  return records;
+}
+
+/* Compresses RECORDS, those of MIRROR from the offset FROM on, for this reader
+   and for the next ones with the same position.  */
+static void
+pack_records (struct mirror *mirror, uint64_t from, RelayRecord **records,
+              size_t count)
+{
+  RelayRecords message = RELAY_RECORDS__INIT;
+  message.n_records = count;
+  message.records = records;
+  size_t bytes = relay_records__get_packed_size (&message);
+  uint8_t *data = g_malloc (bytes + 1);
+  relay_records__pack (&message, data);
+  drop_packed (mirror);
+  mirror->packed = dfl_compress (data, bytes);
+  mirror->packed_from = from;
+  mirror->unpacked_bytes = bytes;
+  g_free (data);
+}
+
+/* Sets the records of PAGE to the COUNT RECORDS, those of MIRROR from the
+   offset FROM on; to their compressed form if PACKED and if they are large.
+   PAGE refers to MIRROR and RECORDS.  */
+static void
+set_records (RelayPage *page, struct mirror *mirror, uint64_t from,
+             RelayRecord **records, size_t count, bool packed)
+{
+  page->records = records;
+  page->n_records = count;
+  if (!packed || relay_page__get_packed_size (page) < PACKED_BYTES_MIN)
+    {
+      return;
+    }
+  if (mirror->packed == NULL || mirror->packed_from != from)
+    {
+      pack_records (mirror, from, records, count);
+    }
+  gsize bytes = 0;
+  page->n_records = 0;
+  page->packed_records.data
+      = (uint8_t *)g_bytes_get_data (mirror->packed, &bytes);
+  page->packed_records.len = bytes;
+  page->unpacked_bytes = mirror->unpacked_bytes;
+}
+
+/* Answers QUERY of CONNECTION with the changes of MIRROR in RELAY; with all
+   that MIRROR holds if WHOLE.  */
+static void
+send_page (const struct rly_relay *relay, struct mirror *mirror,
+           struct nsv_connection *connection, const struct query *query,
+           bool whole)
+{
+  uint64_t from = whole ? 0 : query->from;
+  GArray *records = list_records (mirror, from);
   RelayRecord **pointers = g_new (RelayRecord *, records->len + 1);
   for (guint i = 0; i < records->len; i++)
     {
       pointers[i] = &g_array_index (records, RelayRecord, i);
     }
   RelayPage page = RELAY_PAGE__INIT;
-  page.n_records = records->len;
-  page.records = pointers;
+  set_records (&page, mirror, from, pointers, records->len, query->packed);
   page.era = mirror->era;
   page.whole = whole;
   page.end = mirror->end;
-  page.proof_lead_us = mirror->proved_us - arrived_us;
+  page.proof_lead_us = mirror->proved_us - query->arrived_us;
   page.partitions = relay->partitions;
   page.readers
       = MAX (nsv_connection_count (relay->server) / CONNECTIONS_PER_READER, 1);
@@ -184,32 +264,30 @@
   return era != mirror->era && (era != ERA_UNKNOWN || mirror->restored);
 }
 
-/* Answers CONNECTION, whose request for the changes from the offset FROM of
-   ERA on arrived at ARRIVED_US.  A reader of an earlier era gets all that
-   MIRROR holds.  Otherwise, the reader asks another relay or the store: at 503
-   since MIRROR doesn't show a state of the topic that the reader can use, at
-   410 since removals after FROM may be unknown.  */
+/* Answers QUERY of CONNECTION for changes.  A reader of an earlier era gets
+   all that MIRROR holds.  Otherwise, the reader asks another relay or the
+   store: at 503 since MIRROR doesn't show a state of the topic that the reader
+   can use, at 410 since removals after its position may be unknown.  */
 static void
-send_answer (const struct rly_relay *relay, const struct mirror *mirror,
-             struct nsv_connection *connection, uint64_t era, uint64_t from,
-             int64_t arrived_us)
+send_answer (const struct rly_relay *relay, struct mirror *mirror,
+             struct nsv_connection *connection, const struct query *query)
 {
-  bool other_era = is_other_era (mirror, era);
-  if (mirror->proved_us == 0 || (other_era && era > mirror->era))
+  bool other_era = is_other_era (mirror, query->era);
+  if (mirror->proved_us == 0 || (other_era && query->era > mirror->era))
     {
       nsv_respond (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, "", "", 0);
     }
-  else if (other_era && era != ERA_UNKNOWN && mirror->complete)
+  else if (other_era && query->era != ERA_UNKNOWN && mirror->complete)
     {
-      send_page (relay, mirror, connection, true, 0, arrived_us);
+      send_page (relay, mirror, connection, query, true);
     }
-  else if (other_era || from < mirror->floor)
+  else if (other_era || query->from < mirror->floor)
     {
       nsv_respond (connection, HTTP_STATUS_GONE, "", "", 0);
     }
   else
     {
-      send_page (relay, mirror, connection, false, from, arrived_us);
+      send_page (relay, mirror, connection, query, false);
     }
 }
 
@@ -233,7 +311,7 @@
   if (respond)
     {
       send_answer (reader->relay, reader->mirror, reader->connection,
-                   reader->era, reader->from, reader->arrived_us);
+                   &reader->query);
     }
   uv_close ((uv_handle_t *)&reader->timer, on_reader_closed);
 }
@@ -244,20 +322,17 @@
   finish_reader (timer->data, true);
 }
 
-/* Makes CONNECTION wait up to WAIT_MS for changes of MIRROR from the offset
-   FROM of ERA on.  */
+/* Makes QUERY of CONNECTION wait up to WAIT_MS for changes of MIRROR.  */
 static void
 add_reader (struct rly_relay *relay, struct mirror *mirror,
-            struct nsv_connection *connection, uint64_t era, uint64_t from,
+            struct nsv_connection *connection, const struct query *query,
             uint64_t wait_ms)
 {
   struct reader *reader = g_new0 (struct reader, 1);
   reader->relay = relay;
   reader->mirror = mirror;
   reader->connection = connection;
-  reader->era = era;
-  reader->from = from;
-  reader->arrived_us = clk_monotonic_us ();
+  reader->query = *query;
   uv_timer_init (relay->loop, &reader->timer);
   reader->timer.data = reader;
   uv_timer_start (&reader->timer, on_wait_expired, wait_ms, 0);
@@ -285,14 +360,18 @@
   char *topic = g_strndup (url + strlen (RELAY_PATH), name_bytes);
   struct mirror *mirror = g_hash_table_lookup (relay->mirrors, topic);
   g_free (topic);
-  uint64_t from = msg_query_number (url, "&from=");
-  uint64_t era = msg_query_number (url, "&era=");
-  int64_t age_max_us = (int64_t)msg_query_number (url, "&age=") * CLK_MS_US;
   int64_t now_us = clk_monotonic_us ();
+  const struct query query = {
+    .era = msg_query_number (url, "&era="),
+    .from = msg_query_number (url, "&from="),
+    .packed = msg_query_number (url, "&packed=") == 1,
+    .arrived_us = now_us,
+  };
+  int64_t age_max_us = (int64_t)msg_query_number (url, "&age=") * CLK_MS_US;
   if (mirror != NULL && msg_query_number (url, "&whole=") == 1
       && g_hash_table_size (mirror->changes) > 0)
     {
-      send_page (relay, mirror, connection, true, 0, now_us);
+      send_page (relay, mirror, connection, &query, true);
     }
   else if (mirror == NULL || mirror->proved_us == 0
            || now_us - mirror->proved_us
@@ -300,15 +379,15 @@
     {
       nsv_respond (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, "", "", 0);
     }
-  else if (is_other_era (mirror, era) || from < mirror->floor
+  else if (is_other_era (mirror, query.era) || query.from < mirror->floor
            || (g_hash_table_size (mirror->changes) > 0
-               && from <= mirror->newest))
+               && query.from <= mirror->newest))
     {
-      send_answer (relay, mirror, connection, era, from, now_us);
+      send_answer (relay, mirror, connection, &query);
     }
   else
     {
-      add_reader (relay, mirror, connection, era, from,
+      add_reader (relay, mirror, connection, &query,
                   msg_query_number (url, "&wait="));
     }
 }
@@ -416,6 +495,7 @@
   struct mirror *mirror = find_mirror (relay, topic);
   mirror->restored |= mirror->complete || mirror->proved_us != 0;
   mirror->era = era;
+  drop_packed (mirror);
   g_hash_table_remove_all (mirror->changes);
   mirror->removals = 0;
   mirror->floor = 0;
@@ -446,6 +526,7 @@
   mirror->removals -= known != NULL && known->value == NULL;
   mirror->removals += change->value == NULL;
   mirror->newest = MAX (mirror->newest, change->offset);
+  drop_packed (mirror);
   g_hash_table_replace (mirror->changes, change->key, change);
 }
 
@@ -562,6 +643,7 @@
 {
   if (mirror->removals > REMOVALS_MAX)
     {
+      drop_packed (mirror);
       g_hash_table_foreach_remove (mirror->changes, is_removal, NULL);
       mirror->removals = 0;
       mirror->floor = mirror->end;
@@ -590,7 +672,7 @@
 {
   return g_strdup_printf (
       RELAY_PATH "%s&era=%" G_GUINT64_FORMAT "&from=%" G_GUINT64_FORMAT
-                 "&wait=%u&age=%u&whole=%d",
+                 "&wait=%u&age=%u&whole=%d&packed=1",
       request->topic, request->era, request->from, request->wait_ms,
       request->age_max_ms, request->whole);
 }
@@ -604,6 +686,56 @@
          - ((*left)->offset < (*right)->offset);
 }
 
+/* Adds the COUNT records at RELAYED to PAGE.  */
+static void
+add_records (struct pfs_page *page, RelayRecord *const *relayed, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      struct pfs_record *record = g_new0 (struct pfs_record, 1);
+      record->key = g_strdup (relayed[i]->key);
+      record->offset = relayed[i]->offset;
+      if (!relayed[i]->removed)
+        {
+          record->value
+              = g_memdup2 (relayed[i]->value.data, relayed[i]->value.len);
+          record->value_bytes = relayed[i]->value.len;
+        }
+      g_ptr_array_add (page->records, record);
+    }
+}
+
+/* Adds the compressed records of DECODED, if it has any, to PAGE.  Returns
+   false with ERR_PROTOCOL when they can't be read.  */
+static bool
+add_packed_records (struct pfs_page *page, const RelayPage *decoded,
+                    GError **error)
+{
+  if (decoded->unpacked_bytes == 0)
+    {
+      return true;
+    }
+  uint8_t *data
+      = dfl_expand (decoded->packed_records.data, decoded->packed_records.len,
+                    decoded->unpacked_bytes, error);
+  if (data == NULL)
+    {
+      return false;
+    }
+  RelayRecords *records
+      = relay_records__unpack (NULL, decoded->unpacked_bytes, data);
+  g_free (data);
+  if (records == NULL)
+    {
+      g_set_error (error, ERR_DOMAIN, ERR_PROTOCOL,
+                   "can't decode the records of a relay");
+      return false;
+    }
+  add_records (page, records->records, records->n_records);
+  relay_records__free_unpacked (records, NULL);
+  return true;
+}
+
 /* Decodes the answer BODY of a relay into PAGE and HEAD.  Returns false with
    ERR_PROTOCOL when BODY can't be read.  The caller clears PAGE in both cases.
  */
@@ -619,19 +751,8 @@
                    "can't decode a page of a relay");
       return false;
     }
-  for (size_t i = 0; i < decoded->n_records; i++)
-    {
-      const RelayRecord *relayed = decoded->records[i];
-      struct pfs_record *record = g_new0 (struct pfs_record, 1);
-      record->key = g_strdup (relayed->key);
-      record->offset = relayed->offset;
-      if (!relayed->removed)
-        {
-          record->value = g_memdup2 (relayed->value.data, relayed->value.len);
-          record->value_bytes = relayed->value.len;
-        }
-      g_ptr_array_add (page->records, record);
-    }
+  add_records (page, decoded->records, decoded->n_records);
+  bool valid = add_packed_records (page, decoded, error);
   g_ptr_array_sort (page->records, compare_offsets);
   page->end = decoded->end;
   *head = (struct rly_head){
@@ -644,5 +765,5 @@
     },
   };
   relay_page__free_unpacked (decoded, NULL);
-  return true;
+  return valid;
 }
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -16,6 +16,10 @@
 #define WAIT_MS 150
 #define RECORDS_MAX 6
 
+/* Sizes of a record's value: too small to be compressed, and large. */
+#define SMALL_BYTES 1
+#define LARGE_BYTES 3000
+
 /* What another daemon received from the relay. */
 struct answer
 {
@@ -24,9 +28,22 @@
   char keys[64]; /* keys of records, each with a blank after it, a removed one
                     with a minus before it */
   uint64_t end;
+  size_t body_bytes;
+  size_t value_bytes; /* of all records together */
   struct rly_head head;
 };
 
+/* A relay, and a reader that asks it. */
+struct fixture
+{
+  uv_loop_t loop;
+  struct rly_relay *relay;
+  struct ncl_client *client;
+  char *address;
+  size_t value_bytes; /* of each record */
+  bool unpacked;      /* the reader is of a release without compression */
+};
+
 enum action
 {
   ACT_NOTHING,
@@ -231,13 +248,15 @@
 };
 
 static void
-apply_event (struct rly_relay *relay, const struct event *event)
+apply_event (const struct fixture *fixture, const struct event *event)
 {
+  struct rly_relay *relay = fixture->relay;
+  g_autofree char *value = g_strnfill (fixture->value_bytes, 'v');
   struct pfs_record record = {
     .key = (char *)event->key,
     .offset = event->offset,
-    .value = event->action == ACT_PUT ? (uint8_t *)"v" : NULL,
-    .value_bytes = event->action == ACT_PUT ? 1 : 0,
+    .value = event->action == ACT_PUT ? (uint8_t *)value : NULL,
+    .value_bytes = event->action == ACT_PUT ? fixture->value_bytes : 0,
   };
   switch (event->action)
     {
@@ -286,28 +305,45 @@
                  sizeof answer->keys);
       g_strlcat (answer->keys, record->key, sizeof answer->keys);
       g_strlcat (answer->keys, " ", sizeof answer->keys);
+      for (size_t byte = 0;
+           record->value != NULL && byte < record->value_bytes; byte++)
+        {
+          assert_int_equal (record->value[byte], 'v');
+        }
+      answer->value_bytes += record->value_bytes;
     }
+  answer->body_bytes = body_bytes;
   answer->end = page.end;
   pfs_clear_page (&page);
 }
 
-/* Runs ROW on a relay of its own.  */
 static void
-run_row (const struct row *row, struct answer *answer)
+open_relay (struct fixture *fixture)
 {
   const struct ncl_params client_params
       = { .connect_timeout_us = CLK_S_US, .user_timeout_ms = 1000 };
-  uv_loop_t loop;
-  uv_loop_init (&loop);
-  struct rly_relay *relay = rly_create (&loop, "127.0.0.1:0", NULL);
-  assert_non_null (relay);
-  char *address = rly_address (relay);
-  rly_set_partitions (relay, 3);
-  struct ncl_client *client = ncl_create (&loop, &client_params);
-  for (size_t i = 0; i < RECORDS_MAX; i++)
-    {
-      apply_event (relay, &row->before[i]);
-    }
+  uv_loop_init (&fixture->loop);
+  fixture->relay = rly_create (&fixture->loop, "127.0.0.1:0", NULL);
+  assert_non_null (fixture->relay);
+  fixture->address = rly_address (fixture->relay);
+  rly_set_partitions (fixture->relay, 3);
+  fixture->client = ncl_create (&fixture->loop, &client_params);
+}
+
+static void
+close_relay (struct fixture *fixture)
+{
+  g_free (fixture->address);
+  ncl_destroy (fixture->client);
+  rly_destroy (fixture->relay);
+  uv_run (&fixture->loop, UV_RUN_DEFAULT);
+  uv_loop_close (&fixture->loop);
+}
+
+/* Asks the relay as ROW describes, and sets ANSWER.  */
+static void
+ask (struct fixture *fixture, const struct row *row, struct answer *answer)
+{
   const struct rly_request request = {
     .topic = TOPIC,
     .era = row->era,
@@ -317,10 +353,17 @@
     .whole = row->whole,
   };
   char *path = rly_path (&request);
+  if (fixture->unpacked)
+    {
+      char *end = strstr (path, "&packed=1");
+      assert_non_null (end);
+      *end = '\0';
+    }
+  *answer = (struct answer){ 0 };
   const struct cal_params params = {
-    .client = client,
-    .loop = &loop,
-    .address = address,
+    .client = fixture->client,
+    .loop = &fixture->loop,
+    .address = fixture->address,
     .method = "GET",
     .path = path,
     .timeout_ms = 2000,
@@ -333,30 +376,32 @@
   while (!answer->done)
     {
       usleep (1000);
-      uv_run (&loop, UV_RUN_NOWAIT);
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
       bool due = !changed && clk_monotonic_us () >= change_us;
       for (size_t i = 0; due && i < RECORDS_MAX; i++)
         {
-          apply_event (relay, &row->during[i]);
+          apply_event (fixture, &row->during[i]);
         }
       changed |= due;
     }
   g_free (path);
-  g_free (address);
-  ncl_destroy (client);
-  rly_destroy (relay);
-  uv_run (&loop, UV_RUN_DEFAULT);
-  uv_loop_close (&loop);
 }
 
+/* Runs all rows, each on a relay of its own that has the settings of FIXTURE.
+ */
 static void
-test_rows (void **state)
+run_rows (struct fixture *fixture)
 {
-  (void)state;
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
     {
-      struct answer answer = { 0 };
-      run_row (&rows[i], &answer);
+      struct answer answer;
+      open_relay (fixture);
+      for (size_t event = 0; event < RECORDS_MAX; event++)
+        {
+          apply_event (fixture, &rows[i].before[event]);
+        }
+      ask (fixture, &rows[i], &answer);
+      close_relay (fixture);
       if (answer.status != rows[i].status
           || strcmp (answer.keys, rows[i].keys == NULL ? "" : rows[i].keys)
                  != 0
@@ -377,6 +422,73 @@
     }
 }
 
+static void
+test_rows (void **state)
+{
+  (void)state;
+  struct fixture fixtures[] = {
+    { .value_bytes = SMALL_BYTES },
+    { .value_bytes = LARGE_BYTES },
+    { .value_bytes = LARGE_BYTES, .unpacked = true },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (fixtures); i++)
+    {
+      run_rows (&fixtures[i]);
+    }
+}
+
+/* Large records are compressed for readers that accept it, and what was
+   compressed for an earlier reader is used again only if it is the same.  */
+static void
+test_compression (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    struct event event; /* before the request */
+    uint64_t era;
+    uint64_t from;
+    const char *keys; /* expected */
+    bool unpacked;
+    bool whole;
+  } steps[] = {
+    { .event = { ACT_PUT, "a", 5 }, .keys = "a ", .unpacked = true },
+    { .keys = "a " },
+    { .keys = "a " },
+    { .event = { ACT_PUT, "b", 6 }, .keys = "a b " },
+    { .from = 6, .keys = "b " },
+    { .from = 6, .keys = "b ", .unpacked = true },
+    { .from = 6, .keys = "a b ", .whole = true },
+    { .event = { ACT_REMOVE, "a", 7 }, .from = 6, .keys = "b -a " },
+    { .event = { ACT_REMOVE, "b", 8 }, .from = 6, .keys = "-a -b " },
+    { .event = { ACT_ERA, NULL, 4 }, .era = 4, .keys = "" },
+    { .event = { ACT_PUT, "c", 1 }, .era = 4, .keys = "c " },
+  };
+  struct fixture fixture = { .value_bytes = LARGE_BYTES };
+  open_relay (&fixture);
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      const struct row row = {
+        .era = steps[i].era,
+        .from = steps[i].from,
+        .whole = steps[i].whole,
+      };
+      struct answer answer;
+      fixture.unpacked = steps[i].unpacked;
+      apply_event (&fixture, &steps[i].event);
+      rly_set_current (fixture.relay, TOPIC, 9, clk_monotonic_us ());
+      ask (&fixture, &row, &answer);
+      bool is_small = answer.body_bytes < LARGE_BYTES / 2;
+      bool is_packed = answer.value_bytes == 0 || !steps[i].unpacked;
+      if (strcmp (answer.keys, steps[i].keys) != 0 || is_small != is_packed)
+        {
+          fail_msg ("step %zu: keys '%s', %zu bytes", i, answer.keys,
+                    answer.body_bytes);
+        }
+    }
+  close_relay (&fixture);
+}
+
 static void
 test_malformed (void **state)
 {
@@ -394,6 +506,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_rows),
+    cmocka_unit_test (test_compression),
     cmocka_unit_test (test_malformed),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
