--- a/src/core/stage_plan.h
+++ b/src/core/stage_plan.h
@@ -2,7 +2,10 @@
 
    In a cold start, and when engines crash, leave or join, the plan gives every
    layer a holder in each group of data centres that has the memory for the
-   model.  Layers that are held stay where they are as far as possible, and
+   model.  A data centre with ample memory for it is a group of its own; the
+   others are grouped by what memory and links between them allow, and stay in
+   their groups for as long as lost engines may come back.  Layers that
+   are held stay where they are as far as possible, and
    engines that hold none replicate the layers with the fewest holders. */
 #ifndef CORE_STAGE_PLAN_H
 #define CORE_STAGE_PLAN_H
@@ -16,9 +19,11 @@
   uint32_t data_centre;   /* index of its data centre */
   double memory_mb;       /* for layers and KV cache */
   double step_factor;     /* of its kind; lower is faster */
+  double prefill_factor;  /* likewise */
   struct rst_layers held; /* now, or after an order in progress */
   bool movable;           /* may get another order now */
   bool in_reserve;        /* fills gaps, but replicates no layers yet */
+  bool lost;              /* holds nothing, but may come back soon */
 };
 
 /* Which engines may be moved to layers that no engine holds. */
