Append all counts of the error budgets at a planned stop

A stopping daemon closed its open record at each tick, and so used up the sequences of the bucket within 13 s. The last sequence of a bucket is never closed before the bucket ends, so that what was counted from then on was not appended any more. Neither was what was counted after the last tick, up to 200 ms before the end of the process, nor what a backoff held back; none of it left a line.

When the last request has ended, the daemon now closes its open record, whatever its sequence is, and appends it and what else isn't confirmed, each bucket still with BRN_SEQUENCES_MAX records at most. It waits for at most 2 s, the time of one append in progress. What the log hasn't confirmed by then is logged as burn-records-unconfirmed, with the number of records and requests.

--- a/src/core/burn.h
+++ b/src/core/burn.h
@@ -125,6 +125,13 @@
                            default */
 };
 
+/* What a daemon has counted and the log hasn't confirmed. */
+struct brn_unconfirmed
+{
+  uint32_t records;
+  uint64_t requests; /* counted in these records */
+};
+
 struct brn_state;
 
 struct brn_state *brn_create (const struct brn_params *params);
@@ -135,6 +142,8 @@
                bool flush, struct act_list *actions);
 void brn_append_result (struct brn_state *state, uint64_t token,
                         enum err_kind result, int64_t now_us);
+void brn_finish (struct brn_state *state);
+struct brn_unconfirmed brn_unconfirmed (const struct brn_state *state);
 enum brn_merge_result brn_merge (struct brn_state *state,
                                  const struct brn_record *record,
                                  int64_t real_us);
--- a/src/core/burn_outbox.c
+++ b/src/core/burn_outbox.c
@@ -65,7 +65,8 @@
 
 /* Adds an append of the oldest closed record to ACTIONS, unless an append is
    in progress or its retry is not due yet.  The open record is closed every
-   minute, or at once when FLUSH is true, as before a planned stop.  NOW_US is
+   minute, or at once when FLUSH is true, as during a planned stop; what the
+   last sequence of a bucket holds then waits for brn_finish.  NOW_US is
    monotonic, REAL_US is the time since 1970.  The caller reports the result of
    the append with brn_append_result.  */
 void
@@ -88,6 +89,20 @@
   act_list_add (actions, &action);
 }
 
+/* Returns the number of requests that RECORD counts; the availability of each
+   is counted.  */
+static uint64_t
+count_requests (const struct brn_record *record)
+{
+  uint64_t requests = 0;
+  for (guint i = 0; i < record->entries->len; i++)
+    {
+      const struct brn_entry *entry = g_ptr_array_index (record->entries, i);
+      requests += entry->counts[BRN_AVAILABILITY].total;
+    }
+  return requests;
+}
+
 /* Handles the RESULT of append TOKEN.  A record whose append failed, or may
    have failed, is appended again after an exponential backoff of 1 to 60 s.
    The result of any other append than the current one is ignored.  NOW_US is
@@ -111,3 +126,31 @@
       = CLAMP (2 * state->retry_delay_us, RETRY_MIN_US, RETRY_MAX_US);
   state->retry_at_us = now_us + state->retry_delay_us;
 }
+
+/* Closes the open record, for a daemon whose last request has ended, and makes
+   the next append due at once.  brn_tick adds the appends as before.  */
+void
+brn_finish (struct brn_state *state)
+{
+  brn_close_record (state);
+  state->retry_at_us = 0;
+  state->retry_delay_us = 0;
+}
+
+/* Returns the number of records that the log hasn't confirmed, with the open
+   one, and of the requests counted in them.  */
+struct brn_unconfirmed
+brn_unconfirmed (const struct brn_state *state)
+{
+  struct brn_unconfirmed result = { .records = state->closed->len };
+  for (guint i = 0; i < state->closed->len; i++)
+    {
+      result.requests += count_requests (g_ptr_array_index (state->closed, i));
+    }
+  if (state->open != NULL)
+    {
+      result.records++;
+      result.requests += count_requests (state->open);
+    }
+  return result;
+}
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -359,8 +359,8 @@
   g_main_loop_quit (control->loop);
 }
 
-/* Stops the threads and frees CONTROL, which may be NULL.  No traffic thread
-   may use it any more.  */
+/* Appends what has been counted, stops the threads and frees CONTROL, which
+   may be NULL.  No traffic thread may use it any more.  */
 void
 ctl_destroy (struct ctl_control *control)
 {
@@ -368,10 +368,12 @@
     {
       return;
     }
+  ctl_burn_finish (control);
   lio_destroy (control->log_io);
   pol_destroy (control->poller);
   ctl_post (control, quit_loop, NULL);
   pthread_join (control->thread, NULL);
+  ctl_burn_log_unconfirmed (control);
   free_control (control);
 }
 
--- a/src/daemon/control_burn.c
+++ b/src/daemon/control_burn.c
@@ -12,6 +12,13 @@
 /* Limits the pages that are read from the log for one report. */
 #define READ_PAGES_MAX 4096
 
+/* Time for the last appends of a stop: that of one append that is in progress,
+   as in plog_append. */
+#define FINISH_MAX_US (2 * CLK_S_US)
+
+/* How often it is checked whether the log has confirmed an append. */
+#define FINISH_POLL_US (10 * CLK_MS_US)
+
 /* Returns the name of HOST's data centre, or "" for an unknown host.  */
 static const char *
 data_centre_of_host (const struct cfg_config *config, const char *host)
@@ -75,6 +82,53 @@
   brn_append_result (control->burn, token, result, clk_monotonic_us ());
 }
 
+static void
+finish_burn (struct ctl_control *control, void *data)
+{
+  (void)data;
+  brn_finish (control->burn);
+}
+
+/* Requests the next append, if there is one.  Sets DATA, a bool, to whether
+   the log hasn't confirmed all yet.  */
+static void
+append_rest (struct ctl_control *control, void *data)
+{
+  bool *pending = data;
+  ctl_burn_tick (control);
+  *pending = brn_unconfirmed (control->burn).records > 0;
+}
+
+/* Appends all counts that the log hasn't confirmed, for at most FINISH_MAX_US.
+   No request may be counted any more.  Must not be called on the control
+   thread.  */
+void
+ctl_burn_finish (struct ctl_control *control)
+{
+  int64_t end_us = clk_monotonic_us () + FINISH_MAX_US;
+  bool pending = true;
+  ctl_call (control, finish_burn, NULL);
+  ctl_call (control, append_rest, &pending);
+  while (pending && clk_monotonic_us () < end_us)
+    {
+      g_usleep ((gulong)FINISH_POLL_US);
+      ctl_call (control, append_rest, &pending);
+    }
+}
+
+/* Logs what the log hasn't confirmed.  Called when the control thread and the
+   appender threads have ended.  */
+void
+ctl_burn_log_unconfirmed (const struct ctl_control *control)
+{
+  struct brn_unconfirmed left = brn_unconfirmed (control->burn);
+  if (left.records > 0)
+    {
+      lg_line (LOG_WARNING, "burn-records-unconfirmed",
+               "records=%u requests=%" PRIu64, left.records, left.requests);
+    }
+}
+
 static void
 merge_records (struct ctl_control *control, void *data)
 {
--- a/src/daemon/control_burn.h
+++ b/src/daemon/control_burn.h
@@ -26,6 +26,8 @@
 void ctl_burn_tick (struct ctl_control *control);
 void ctl_burn_handle_append_result (struct ctl_control *control,
                                     uint64_t token, enum err_kind result);
+void ctl_burn_finish (struct ctl_control *control);
+void ctl_burn_log_unconfirmed (const struct ctl_control *control);
 json_t *ctl_burn_report (struct ctl_control *control);
 
 #endif
--- a/test/burn_outbox_test.c
+++ b/test/burn_outbox_test.c
@@ -315,12 +315,105 @@
     }
 }
 
+/* How a planned stop goes.  Ticks are 1 s apart, with one draft each. */
+struct stop_case
+{
+  const char *name;
+  uint32_t drafts;
+  uint32_t refused_from; /* the first draft that the log is out at */
+  uint32_t refused_to;   /* and the first at which it is back */
+  uint64_t lost;         /* drafts that no reader of the log counts */
+  uint32_t records_lost;
+};
+
+/* Ticks WRITER while the log answers each append with RESULT at once.  Records
+   that are appended are merged into READER.  */
+static void
+tick_with_result (struct brn_state *writer, struct brn_state *reader,
+                  enum err_kind result, int64_t now_us)
+{
+  struct act_list *actions = act_list_create ();
+  brn_tick (writer, now_us, now_us, true, actions);
+  while (act_list_length (actions) > 0)
+    {
+      const struct act_append *append = &act_list_get (actions, 0)->append;
+      uint64_t token = append->token;
+      if (result == ERR_NONE)
+        {
+          struct brn_record *record = brn_unpack (append->bytes);
+          assert_non_null (record);
+          assert_int_equal (brn_merge (reader, record, LATER_US), BRN_MERGED);
+          brn_record_destroy (record);
+        }
+      act_list_clear (actions);
+      brn_append_result (writer, token, result, now_us);
+      brn_tick (writer, now_us, now_us, true, actions);
+    }
+  act_list_destroy (actions);
+}
+
+/* A daemon that stops appends what it counts at once, and the rest when its
+   last request has ended, however often it has flushed before.  What it
+   couldn't append it can name.  Guards against the rest of a bucket with only
+   its last sequence left: of 300 drafts of a stopping daemon, 63 were read. */
+static void
+planned_stop_loses_nothing (void **state)
+{
+  (void)state;
+  static const struct stop_case cases[] = {
+    { "no draft", 0, 0, 0, 0, 0 },
+    { "one draft", 1, 9, 9, 0, 0 },
+    { "two sequences left", 62, 99, 99, 0, 0 },
+    { "the last sequence left", 63, 99, 99, 0, 0 },
+    { "no sequence left", 64, 99, 99, 0, 0 },
+    { "a long stop", 300, 999, 999, 0, 0 },
+    { "the log was out until the last draft", 250, 20, 250, 0, 0 },
+    { "the log is out", 250, 20, 999, 230, 2 },
+    { "the log is out at the end of a long stop", 300, 299, 999, 237, 1 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct stop_case *c = &cases[i];
+      struct brn_state *writer = bfx_create (1);
+      struct brn_state *reader = bfx_create (2);
+      int64_t now_us = START_US;
+      enum err_kind result = ERR_NONE;
+      for (uint32_t j = 0; j <= c->drafts; j++)
+        {
+          result = j >= c->refused_from && j < c->refused_to
+                       ? ERR_LOG_UNAVAILABLE
+                       : ERR_NONE;
+          if (j < c->drafts)
+            {
+              now_us = START_US + j * SECOND_US * 99 / 100;
+              bfx_observe (writer, bfx_draft_outcome (0, ERR_NONE), now_us, 1);
+              tick_with_result (writer, reader, result, now_us);
+            }
+        }
+      brn_finish (writer);
+      tick_with_result (writer, reader, result, now_us);
+      struct brn_unconfirmed left = brn_unconfirmed (writer);
+      struct brn_report_line line = bfx_find_line (
+          reader, "trust", BRN_DRAFT, BRN_AVAILABILITY, START_US + BUCKET_US);
+      if (line.total + c->lost != c->drafts || left.requests != c->lost
+          || left.records != c->records_lost)
+        {
+          fail_msg ("%s: %u drafts, %u read, %u records of %u not confirmed",
+                    c->name, c->drafts, (unsigned)line.total, left.records,
+                    (unsigned)left.requests);
+        }
+      brn_destroy (writer);
+      brn_destroy (reader);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (counts_survive_log_faults),
     cmocka_unit_test (counts_survive_clock_steps),
+    cmocka_unit_test (planned_stop_loses_nothing),
     cmocka_unit_test (one_append_at_a_time),
     cmocka_unit_test (a_pending_append_keeps_its_record),
     cmocka_unit_test (retries_back_off),
