End the control thread's appends and polls before their threads are freed

The control thread of `serve` went on for a few milliseconds after the threads that append and poll had been freed. An append that it requested then, as to get the lease, went to a freed queue: the control thread never ended, and neither did the process. Now the control thread requests nothing from these threads once they are being stopped.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -146,7 +146,10 @@
   switch (action->kind)
     {
     case ACT_APPEND:
-      lio_append (control->log_io, &action->append);
+      if (!control->io_stopped)
+        {
+          lio_append (control->log_io, &action->append);
+        }
       return;
     case ACT_ANSWER:
       answer_keyed_call (control, &action->answer);
@@ -218,6 +221,10 @@
 {
   struct ctl_control *control = data;
   int64_t now_us = clk_monotonic_us ();
+  if (control->io_stopped)
+    {
+      return G_SOURCE_REMOVE;
+    }
   clm_tick (control->claims, now_us, control->actions);
   cst_tick (control->config_state, now_us, control->actions);
   control->serving_allowed
@@ -352,6 +359,15 @@
   return control;
 }
 
+/* Keeps the control thread from using the threads that append and poll, which
+   are about to be freed.  */
+static void
+stop_io (struct ctl_control *control, void *data)
+{
+  (void)data;
+  control->io_stopped = true;
+}
+
 static void
 quit_loop (struct ctl_control *control, void *data)
 {
@@ -369,6 +385,7 @@
       return;
     }
   ctl_burn_finish (control);
+  ctl_call (control, stop_io, NULL);
   lio_destroy (control->log_io);
   pol_destroy (control->poller);
   ctl_post (control, quit_loop, NULL);
--- a/src/daemon/control_private.h
+++ b/src/daemon/control_private.h
@@ -46,6 +46,7 @@
   int64_t last_log_read_us; /* monotonic send time of the last read that
                                succeeded */
   bool leave_announced;     /* to the peers */
+  bool io_stopped;          /* no more appends and polls */
   struct ctl_orders *orders;
   bool view_outdated;         /* a new view has to be published */
   int64_t next_fleet_tick_us; /* monotonic, see FLEET_INTERVAL_US */
--- a/test/control_burn_test.c
+++ b/test/control_test.c
@@ -1,14 +1,15 @@
-/* Tests how the control thread of a daemon exchanges the counts of its error
-   budgets with a log: nothing that it has counted may be missing there when it
-   stops. */
+/* Tests the control thread of a daemon with a platform: its stop, and the
+   counts of the error budgets that it exchanges with the platform's log. */
 #include "base/clock.h"
 #include "base/log.h"
 #include "daemon/control_burn.h"
 #include "daemon/control_config.h"
 #include "platform/log_client.h"
+#include "standin/http_server.h"
 #include "standin/platform.h"
 #include "standin_client.h"
 
+#include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -17,6 +18,8 @@
 
 #include <cmocka.h>
 
+#define EMPTY_PAGE "{\"first\":0,\"next\":0,\"records\":[]}"
+#define STOPS 20
 #define DRAFTS 300
 #define PAGE_RECORDS_MAX 100
 #define HOUR_MS 3600000
@@ -28,11 +31,9 @@
       "accounts: [{name: trust, token_sha256: "
       "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef}]\n";
 
-/* The control thread of a daemon, and a platform that it uses. */
+/* The control thread of a daemon, and the settings and parts that it uses. */
 struct fixture
 {
-  struct jn_journal *journal;
-  struct fp_platform *platform;
   char *url;
   char *urls[2];
   char *seeds[1];
@@ -65,21 +66,14 @@
     }
 }
 
+/* Starts the control thread of a daemon whose platform listens on PORT.  */
 static void
-start (struct fixture *fixture)
+start (struct fixture *fixture, uint16_t port)
 {
-  *fixture = (struct fixture){ .journal = jn_create (NULL, NULL) };
-  const struct fp_options options = {
-    .connections = 32,
-    .appends_per_s = 1000,
-    .retention_ms = HOUR_MS,
-    .weights_per_min = 600,
-    .journal = fixture->journal,
+  *fixture = (struct fixture){
+    .url = g_strdup_printf ("http://127.0.0.1:%u", port),
+    .counters = cnt_set_create (),
   };
-  fixture->platform = fp_create (&options, NULL);
-  assert_non_null (fixture->platform);
-  fixture->url
-      = g_strdup_printf ("http://127.0.0.1:%u", fp_port (fixture->platform));
   fixture->urls[0] = fixture->url;
   fixture->settings = (struct set_settings){
     .name = "daemon",
@@ -91,7 +85,6 @@
     .peer_secret = "secret",
     .traffic_threads = 4,
   };
-  fixture->counters = cnt_set_create ();
   fixture->params = (struct ctl_params){
     .settings = &fixture->settings,
     .views = vw_store_create (),
@@ -100,7 +93,6 @@
   };
   fixture->control = ctl_create (&fixture->params, NULL);
   assert_non_null (fixture->control);
-  publish_config (fixture->control);
 }
 
 /* Ends what start began, apart from the control thread.  */
@@ -111,11 +103,24 @@
   vw_store_destroy (fixture->params.views);
   met_destroy (fixture->params.metrics);
   cnt_set_destroy (fixture->counters);
-  fp_destroy (fixture->platform);
-  jn_destroy (fixture->journal);
   g_free (fixture->url);
 }
 
+static struct fp_platform *
+create_platform (struct jn_journal *journal)
+{
+  const struct fp_options options = {
+    .connections = 32,
+    .appends_per_s = 1000,
+    .retention_ms = HOUR_MS,
+    .weights_per_min = 600,
+    .journal = journal,
+  };
+  struct fp_platform *platform = fp_create (&options, NULL);
+  assert_non_null (platform);
+  return platform;
+}
+
 static void
 observe_drafts (struct ctl_control *control, uint32_t count)
 {
@@ -134,9 +139,9 @@
 }
 
 static void
-inject_fault (const struct fixture *fixture, const char *fault)
+inject_fault (const struct fp_platform *platform, const char *fault)
 {
-  struct client *client = client_create (fp_port (fixture->platform));
+  struct client *client = client_create (fp_port (platform));
   GString *answer = g_string_new (NULL);
   assert_int_equal (client_call (client, "/fault", fault, answer), 200);
   g_string_free (answer, TRUE);
@@ -172,16 +177,17 @@
   return requests;
 }
 
-/* Destroys the control thread of FIXTURE.  Sets LOG to the lines that it
-   logged meanwhile, allocated.  */
+/* Runs RUN with FIXTURE.  Sets LOG to the lines that are logged meanwhile,
+   allocated.  */
 static void
-destroy_and_get_log (struct fixture *fixture, char **log)
+capture_log (void (*run) (struct fixture *fixture), struct fixture *fixture,
+             char **log)
 {
   char *path = NULL;
   int file = g_file_open_tmp (NULL, &path, NULL);
   int output = dup (STDOUT_FILENO);
   dup2 (file, STDOUT_FILENO);
-  ctl_destroy (fixture->control);
+  run (fixture);
   lg_flush ();
   dup2 (output, STDOUT_FILENO);
   assert_true (g_file_get_contents (path, log, NULL, NULL));
@@ -191,6 +197,12 @@
   g_free (path);
 }
 
+static void
+destroy (struct fixture *fixture)
+{
+  ctl_destroy (fixture->control);
+}
+
 /* A daemon that stops appends what it has counted until its last request, and
    logs what it couldn't append, within a bounded time.  Guards against counts
    of the last moments that were dropped without a line.  */
@@ -210,21 +222,24 @@
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
+      struct jn_journal *journal = jn_create (NULL, NULL);
+      struct fp_platform *platform = create_platform (journal);
       struct fixture fixture;
-      start (&fixture);
+      start (&fixture, fp_port (platform));
+      publish_config (fixture.control);
       if (cases[i].fault != NULL)
         {
-          inject_fault (&fixture, cases[i].fault);
+          inject_fault (platform, cases[i].fault);
         }
       ctl_begin_stop (fixture.control);
       observe_drafts (fixture.control, DRAFTS);
       int64_t stop_us = clk_monotonic_us ();
       char *log = NULL;
-      destroy_and_get_log (&fixture, &log);
+      capture_log (destroy, &fixture, &log);
       stop_us = clk_monotonic_us () - stop_us;
       if (cases[i].fault != NULL)
         {
-          inject_fault (&fixture, "{\"down_ms\":0}");
+          inject_fault (platform, "{\"down_ms\":0}");
         }
       uint64_t appended = count_requests_in_log (&fixture);
       const char *line = strstr (log, "event=burn-records-unconfirmed");
@@ -238,13 +253,50 @@
         }
       g_free (log);
       clean_up (&fixture);
+      fp_destroy (platform);
+      jn_destroy (journal);
+    }
+}
+
+/* Answers reads of the log with an empty page, and refuses appends.  */
+static void
+answer_without_appends (void *user, const struct hs_request *request,
+                        struct hs_answer *answer)
+{
+  (void)user;
+  bool append = strcmp (request->method, "POST") == 0;
+  answer->status = append ? 503 : 200;
+  g_string_assign (answer->body, append ? "{}" : EMPTY_PAGE);
+}
+
+/* A daemon ends while it tries to append, here to get the lease.  Guards
+   against appends that were queued after their queue had been freed, so that
+   the control thread never ended.  */
+static void
+control_thread_ends_while_it_appends (void **state)
+{
+  (void)state;
+  const struct hs_options options
+      = { .connections = 16, .handler = answer_without_appends };
+  struct hs_server *server = hs_create (&options, NULL);
+  for (uint32_t i = 0; i < STOPS; i++)
+    {
+      struct fixture fixture;
+      start (&fixture, hs_port (server));
+      g_usleep ((gulong)(i * 20 * CLK_MS_US));
+      alarm (STOP_MAX_US / CLK_S_US); /* ends the test when the stop hangs */
+      ctl_destroy (fixture.control);
+      alarm (0);
+      clean_up (&fixture);
     }
+  hs_destroy (server);
 }
 
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (control_thread_ends_while_it_appends),
     cmocka_unit_test (planned_stop_appends_all_counts),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
