Log when no descriptor is left for the connections of callers

When a process has no descriptor left, libuv accepts a caller's connection by its reserve and closes it, without a call of the server. Callers saw closed connections and the log said nothing. The check several times a second now tries to get a descriptor, and logs the beginning and the end of each lack as caller_descriptors_lacking and caller_descriptors_back with the number of lacks, which nsv_lack_count returns. A lack that begins and ends between two checks isn't seen, nor how many callers were closed.

--- a/src/net/server.c
+++ b/src/net/server.c
@@ -6,8 +6,10 @@
 #include "net/address.h"
 #include "net/stream.h"
 
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <unistd.h>
 
 #define READ_BYTES 65536 /* of one read from a socket */
 #define BACKLOG 512      /* connections not accepted yet */
@@ -60,6 +62,8 @@
   GPtrArray *connections;
   uint32_t request_count; /* requests without a complete response */
   char *read_buffer;
+  bool starved;          /* no descriptor was left at the last check */
+  uint32_t lack_count;   /* see nsv_lack_count */
   bool stopping;         /* connections are closed after their response */
   int64_t idle_until_us; /* when stopping: idle connections are closed from
                             this monotonic time on */
@@ -620,6 +624,39 @@
     }
 }
 
+/* Logs when no descriptor is left, and when there is one again.  libuv closes
+   the connections that it can't accept for lack of descriptors, and tells
+   nobody.  */
+static void
+check_descriptors (struct nsv_server *server)
+{
+  uv_os_fd_t listener;
+  if (server->listener == NULL
+      || uv_fileno ((uv_handle_t *)server->listener, &listener) != 0)
+    {
+      return;
+    }
+  int descriptor = fcntl (listener, F_DUPFD_CLOEXEC, 0);
+  bool starved = descriptor < 0;
+  if (!starved)
+    {
+      close (descriptor);
+    }
+  if (starved == server->starved)
+    {
+      return;
+    }
+  server->starved = starved;
+  server->lack_count += starved;
+  lg_line (starved ? LOG_WARNING : LOG_NOTICE,
+           starved ? "caller_descriptors_lacking" : "caller_descriptors_back",
+           "port=%u connections=%u lacks=%u message=\"%s\"",
+           ntohs (server->address.sin_port), server->connections->len,
+           server->lack_count,
+           starved ? "callers that connect are closed"
+                   : "callers are accepted again");
+}
+
 /* Closes connections that have exceeded their time-outs, and listens again if
    the server had to stop that.  NOW_US is monotonic time.  To be called
    several times a second.  */
@@ -630,6 +667,7 @@
     {
       reopen_listener (server);
     }
+  check_descriptors (server);
   for (guint i = server->connections->len; i-- > 0;)
     {
       struct nsv_connection *connection
@@ -671,6 +709,14 @@
   return server->connections->len;
 }
 
+/* Returns how often there began to be no descriptor for the connections of
+   callers, as far as nsv_expire has seen.  */
+uint32_t
+nsv_lack_count (const struct nsv_server *server)
+{
+  return server->lack_count;
+}
+
 /* Returns the number of requests without a complete response.  */
 uint32_t
 nsv_request_count (const struct nsv_server *server)
--- a/test/net_test.c
+++ b/test/net_test.c
@@ -1,5 +1,6 @@
 /* Tests of the HTTP server and client over loopback connections. */
 #include "base/clock.h"
+#include "base/log.h"
 #include "net/client.h"
 #include "net/server.h"
 
@@ -485,6 +486,56 @@
     }
 }
 
+/* Returns the number of lines in TEXT that contain NEEDLE.  */
+static uint32_t
+count_lines (const char *text, const char *needle)
+{
+  uint32_t count = 0;
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  for (size_t i = 0; lines[i] != NULL; i++)
+    {
+      count += strstr (lines[i], needle) != NULL;
+    }
+  return count;
+}
+
+/* A server logs each lack of descriptors once, and its end.  Guards against
+   callers that were closed without a line.  */
+static void
+lack_of_descriptors_is_logged (void **state)
+{
+  struct fixture *fixture = *state;
+  const uint32_t lacks = 2;
+  char *path = NULL;
+  char *log = NULL;
+  int file = g_file_open_tmp (NULL, &path, NULL);
+  int output = dup (STDOUT_FILENO);
+  dup2 (file, STDOUT_FILENO);
+  for (uint32_t i = 0; i < lacks; i++)
+    {
+      struct rlimit old = exhaust_descriptors ();
+      for (uint32_t j = 0; j < 3; j++)
+        {
+          nsv_expire (fixture->server, clk_monotonic_us ());
+        }
+      setrlimit (RLIMIT_NOFILE, &old);
+      nsv_expire (fixture->server, clk_monotonic_us ());
+      nsv_expire (fixture->server, clk_monotonic_us ());
+    }
+  lg_flush ();
+  dup2 (output, STDOUT_FILENO);
+  assert_true (g_file_get_contents (path, &log, NULL, NULL));
+  assert_int_equal (count_lines (log, "event=caller_descriptors_lacking"),
+                    lacks);
+  assert_int_equal (count_lines (log, "event=caller_descriptors_back"), lacks);
+  assert_int_equal (nsv_lack_count (fixture->server), lacks);
+  close (output);
+  close (file);
+  unlink (path);
+  g_free (path);
+  g_free (log);
+}
+
 int
 main (void)
 {
@@ -499,6 +550,8 @@
                                      destroy_fixture),
     cmocka_unit_test_setup_teardown (server_survives_lack_of_descriptors,
                                      create_fixture, destroy_fixture),
+    cmocka_unit_test_setup_teardown (lack_of_descriptors_is_logged,
+                                     create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (client_survives_lack_of_descriptors,
                                      create_fixture, destroy_fixture),
   };
