Count the ages of streams under way in the expected service time

The expected time of a stream was made from the account's streams that had ended, and from a default of 64 tokens before one had. Now each stream under way counts with the time that it has run, at least with the expected one, as long as there are many under way for those that have ended. An account in its steady state, with 16 ended streams for each one under way, is judged as before, and so are streams under way for less than is expected.

A refusal because of streams under way doesn't lower the estimate made from those that have ended.

Failed first: streams_under_way_count_as_lower_bounds, "a few short ones ended" and "none ended" (both admitted); with that mended, refusals_for_streams_under_way_keep_the_estimate (admitted at the end).

--- a/src/core/account_limit.c
+++ b/src/core/account_limit.c
@@ -17,6 +17,9 @@
 /* Number of streams that the moving average of generated per allowed tokens
    covers. */
 #define RATIO_SAMPLES_MAX 32
+/* With this many ended streams for each one under way, the latter change the
+   estimate by little, and aren't looked at. */
+#define ENDED_PER_STREAM 16
 /* Factor applied to the length estimate when a request is refused because of
    its estimated length alone.  Without the decay, an estimate that has become
    too long would refuse requests forever. */
@@ -208,6 +211,54 @@
   return MAX (tokens, 1.0);
 }
 
+/* Counts STREAM, which starts at NOW_US and may generate ALLOWED tokens, as
+   under way until acc_end_stream.  */
+void
+acc_start_stream (struct acc_account *account, struct acc_stream *stream,
+                  uint32_t allowed, int64_t now_us)
+{
+  *stream = (struct acc_stream){ .started_us = now_us, .allowed = allowed };
+  stream->link.data = stream;
+  g_queue_push_tail_link (&account->under_way, &stream->link);
+}
+
+/* Reverses acc_start_stream.  */
+void
+acc_end_stream (struct acc_account *account, struct acc_stream *stream)
+{
+  g_queue_unlink (&account->under_way, &stream->link);
+}
+
+/* Returns the expected duration, in microseconds, of a stream that may
+   generate ALLOWED tokens and starts at NOW_US, with BETWEEN_TOKENS_US between
+   tokens.  Streams under way last at least as long as they have until now.
+   That counts while there are many of them for those that have ended, since
+   the first ones to end are the short ones.  */
+double
+acc_service_time_us (const struct acc_account *account, uint32_t allowed,
+                     int64_t between_tokens_us, int64_t now_us)
+{
+  double full_us = (double)allowed * (double)between_tokens_us;
+  double ended_us
+      = acc_expected_tokens (account, allowed) * (double)between_tokens_us;
+  uint64_t under_way = account->under_way.length;
+  if (ended_us <= 0.0
+      || under_way * ENDED_PER_STREAM <= account->ended_streams)
+    {
+      return ended_us;
+    }
+  double sum_us = ended_us * (double)account->ended_streams;
+  for (const GList *link = account->under_way.head; link != NULL;
+       link = link->next)
+    {
+      const struct acc_stream *stream = link->data;
+      double age_us = (double)(now_us - stream->started_us) * allowed
+                      / MAX (stream->allowed, 1);
+      sum_us += MAX (MIN (age_us, full_us), ended_us);
+    }
+  return sum_us / (double)(account->ended_streams + under_way);
+}
+
 /* Updates the length estimate with a finished stream that generated TOKENS of
    the ALLOWED tokens.  */
 void
@@ -215,17 +266,25 @@
                     uint32_t tokens)
 {
   double ratio = MIN ((double)tokens / MAX (allowed, 1), 1.0);
+  account->ended_streams++;
   account->ratio_samples = MIN (account->ratio_samples + 1, RATIO_SAMPLES_MAX);
   account->generated_ratio
       += (ratio - account->generated_ratio) / account->ratio_samples;
 }
 
-/* Lowers the length estimate after a refusal that was based on the estimate
-   alone.  */
+/* Lowers the length estimate after the refusal of a stream that may generate
+   ALLOWED tokens, and has LEFT_US for that with BETWEEN_TOKENS_US between two,
+   if the streams that have ended were the reason.  */
 void
-acc_lower_estimate (struct acc_account *account)
+acc_lower_estimate (struct acc_account *account, uint32_t allowed,
+                    int64_t between_tokens_us, int64_t left_us)
 {
-  account->generated_ratio *= ESTIMATE_DECAY;
+  double ended_us
+      = acc_expected_tokens (account, allowed) * (double)between_tokens_us;
+  if (ended_us > (double)left_us)
+    {
+      account->generated_ratio *= ESTIMATE_DECAY;
+    }
 }
 
 /* Takes one retry from the budget.  Returns false when the budget is
--- a/src/core/account_limit.h
+++ b/src/core/account_limit.h
@@ -8,6 +8,16 @@
 #include "core/admission.h"
 #include "core/bucket.h"
 
+#include <glib.h>
+
+/* A stream that is running. */
+struct acc_stream
+{
+  GList link;         /* in `under_way' of its account */
+  int64_t started_us; /* monotonic */
+  uint32_t allowed;   /* tokens that it may generate */
+};
+
 /* State of one account. */
 struct acc_account
 {
@@ -17,6 +27,8 @@
   double share;              /* this daemon's fraction of the limits */
   uint32_t streams;          /* open on this daemon, queued or running */
   uint32_t running_streams;  /* of `streams', those that aren't queued */
+  GQueue under_way;          /* struct acc_stream, the running ones */
+  uint64_t ended_streams;    /* observed by acc_observe_length */
   double generated_ratio;    /* generated per allowed token, moving average */
   uint32_t ratio_samples;    /* streams that `generated_ratio' covers */
   uint32_t fleet_streams;    /* open on all daemons, as last reported */
@@ -44,11 +56,18 @@
 void acc_close_stream (struct acc_account *account, uint32_t charged,
                        uint32_t tokens);
 uint32_t acc_weight (const struct acc_account *account);
+void acc_start_stream (struct acc_account *account, struct acc_stream *stream,
+                       uint32_t allowed, int64_t now_us);
+void acc_end_stream (struct acc_account *account, struct acc_stream *stream);
 double acc_expected_tokens (const struct acc_account *account,
                             uint32_t allowed);
+double acc_service_time_us (const struct acc_account *account,
+                            uint32_t allowed, int64_t between_tokens_us,
+                            int64_t now_us);
 void acc_observe_length (struct acc_account *account, uint32_t allowed,
                          uint32_t tokens);
-void acc_lower_estimate (struct acc_account *account);
+void acc_lower_estimate (struct acc_account *account, uint32_t allowed,
+                         int64_t between_tokens_us, int64_t left_us);
 bool acc_take_retry (struct acc_account *account, int64_t now_us);
 bool acc_take_hedge (struct acc_account *account, int64_t now_us);
 void acc_local_demand (struct acc_account *account, int64_t now_us,
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -38,7 +38,8 @@
   struct adm_request request;
   struct acc_account *account;
   enum stage stage;
-  bool prioritized; /* counted in adm.prioritized */
+  struct acc_stream stream; /* in STAGE_STREAMING */
+  bool prioritized;         /* counted in adm.prioritized */
 };
 
 /* Refusal of a queued request, to be returned by adm_next. */
@@ -203,13 +204,14 @@
   return rate > 0.0 ? (int64_t)(tokens / rate * CLK_S_US) : 0;
 }
 
-/* Returns the expected duration of REQUEST's stream once it runs.  */
+/* Returns the expected duration of REQUEST's stream once it runs, as known at
+   NOW_US.  */
 static int64_t
 service_time_us (const struct adm *adm, const struct acc_account *account,
-                 const struct adm_request *request)
+                 const struct adm_request *request, int64_t now_us)
 {
-  return (int64_t)(acc_expected_tokens (account, request->tokens)
-                   * (double)con_upper_estimate_us (&adm->limit));
+  return (int64_t)acc_service_time_us (
+      account, request->tokens, con_upper_estimate_us (&adm->limit), now_us);
 }
 
 static bool
@@ -250,12 +252,14 @@
          && adm->prioritized + 1 <= prioritized_max;
 }
 
-/* Starts the stream of RECORD and sets its engine priority in VERDICT.  */
+/* Starts the stream of RECORD at NOW_US and sets its engine priority in
+   VERDICT.  */
 static enum adm_decision
-start_stream (struct adm *adm, struct record *record,
+start_stream (struct adm *adm, struct record *record, int64_t now_us,
               struct adm_verdict *verdict)
 {
   struct acc_account *account = record->account;
+  acc_start_stream (account, &record->stream, record->request.tokens, now_us);
   record->stage = STAGE_STREAMING;
   record->prioritized = may_be_prioritized (adm, account);
   adm->streams++;
@@ -270,9 +274,10 @@
 }
 
 static void
-end_stream (struct adm *adm, const struct record *record)
+end_stream (struct adm *adm, struct record *record)
 {
   struct acc_account *account = record->account;
+  acc_end_stream (account, &record->stream);
   adm->streams--;
   adm->prioritized -= record->prioritized ? 1 : 0;
   if (--account->running_streams == 0)
@@ -312,10 +317,12 @@
 
 /* Queues REQUEST.  If the queue is full, the newest request of the account
    with the longest backlog relative to its weight is evicted.  If that is the
-   request's own account, REQUEST is refused instead.  */
+   request's own account, REQUEST is refused instead.  SERVICE_US is the
+   expected duration of its stream.  */
 static enum adm_decision
 enqueue (struct adm *adm, const struct adm_request *request,
-         struct acc_account *account, struct adm_verdict *verdict)
+         struct acc_account *account, int64_t service_us,
+         struct adm_verdict *verdict)
 {
   int64_t drain_us = drain_time_us (adm, fq_total_cost (adm->queue));
   if (fq_length (adm->queue) >= adm->queue_length)
@@ -333,8 +340,7 @@
     .flow = account->flow,
     .priority = request->priority,
     .cost = acc_expected_tokens (account, request->tokens),
-    .latest_start_us
-    = request->deadline_us - service_time_us (adm, account, request),
+    .latest_start_us = request->deadline_us - service_us,
   };
   (void)add_record (adm, request, account, STAGE_QUEUED);
   fq_push (adm->queue, &item);
@@ -370,11 +376,13 @@
       (void)add_record (adm, request, account, STAGE_SERVICE);
       return ADM_ADMITTED;
     }
-  int64_t slack_us = request->deadline_us - now_us
-                     - service_time_us (adm, account, request);
+  int64_t service_us = service_time_us (adm, account, request, now_us);
+  int64_t slack_us = request->deadline_us - now_us - service_us;
   if (slack_us < 0)
     {
-      acc_lower_estimate (account);
+      acc_lower_estimate (account, request->tokens,
+                          con_upper_estimate_us (&adm->limit),
+                          request->deadline_us - now_us);
       verdict->error = ERR_DEADLINE_UNMEETABLE;
       return ADM_REFUSED;
     }
@@ -384,8 +392,9 @@
   if (free_slot || (ahead <= 0.0 && may_be_prioritized (adm, account)))
     {
       acc_charge (account, request->tokens);
-      return start_stream (
-          adm, add_record (adm, request, account, STAGE_QUEUED), verdict);
+      return start_stream (adm,
+                           add_record (adm, request, account, STAGE_QUEUED),
+                           now_us, verdict);
     }
   int64_t queueing_us = drain_time_us (adm, ahead);
   if (queueing_us > slack_us)
@@ -393,7 +402,8 @@
       return set_refusal (verdict, ERR_DEADLINE_UNMEETABLE,
                           queueing_us - slack_us);
     }
-  enum adm_decision decision = enqueue (adm, request, account, verdict);
+  enum adm_decision decision
+      = enqueue (adm, request, account, service_us, verdict);
   if (decision == ADM_QUEUED)
     {
       acc_charge (account, request->tokens);
@@ -431,7 +441,7 @@
     }
   *id = item.id;
   return start_stream (adm, g_hash_table_lookup (adm->records, &item.id),
-                       verdict);
+                       now_us, verdict);
 }
 
 /* Ends an admitted request that generated TOKENS.  A request that is still
--- a/test/admission_test.c
+++ b/test/admission_test.c
@@ -675,6 +675,119 @@
     }
 }
 
+/* Streams of an account, all of which start at NOW_US and may have 1000
+   tokens, one each 39 ms, and whether one more is admitted.  */
+struct survivor_case
+{
+  const char *name;
+  uint32_t ended;     /* streams, each after 20 tokens */
+  uint32_t under_way; /* streams */
+  int64_t age_us;     /* when the last one arrives */
+  int64_t left_us;    /* until its deadline */
+  enum adm_decision want;
+};
+
+/* A request isn't admitted when most streams of its account have already run
+   for longer than it may.  Guards against an estimate from the streams that
+   have ended: soon after a start these are the short ones, and when none has
+   ended, a default.  */
+static void
+streams_under_way_count_as_lower_bounds (void **state)
+{
+  (void)state;
+  static const struct survivor_case cases[] = {
+    { "a few short ones ended", 2, 18, 15 * CLK_S_US, 12 * CLK_S_US,
+      ADM_REFUSED },
+    { "none ended", 0, 20, 15 * CLK_S_US, 12 * CLK_S_US, ADM_REFUSED },
+    { "a longer deadline", 2, 18, 15 * CLK_S_US, 20 * CLK_S_US, ADM_ADMITTED },
+    { "just started", 0, 20, CLK_S_US, 12 * CLK_S_US, ADM_ADMITTED },
+    { "younger than those that ended", 2, 18, CLK_S_US / 2, 2 * CLK_S_US,
+      ADM_ADMITTED },
+    { "most ended", 18, 2, 15 * CLK_S_US, 12 * CLK_S_US, ADM_ADMITTED },
+    { "all ended", 20, 0, 15 * CLK_S_US, 2 * CLK_S_US, ADM_ADMITTED },
+    { "many ended before", 300, 20, 15 * CLK_S_US, 2 * CLK_S_US,
+      ADM_ADMITTED },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct survivor_case *c = &cases[i];
+      struct cfg_config *config = build_config (PLENTY, PLENTY, PLENTY, 1000);
+      struct adm *adm = start (config, 1, 2000.0);
+      struct adm_verdict verdict;
+      uint64_t id = 0;
+      for (int j = 0; j < 64; j++)
+        {
+          adm_observe_token_interval (adm, 39 * CLK_MS_US);
+        }
+      for (uint32_t j = 0; j < c->under_way; j++)
+        {
+          assert_int_equal (arrive (adm, ++id, 0, 1000, NOW_US, &verdict),
+                            ADM_ADMITTED);
+        }
+      for (uint32_t j = 0; j < c->ended; j++)
+        {
+          assert_int_equal (arrive (adm, ++id, 0, 1000, NOW_US, &verdict),
+                            ADM_ADMITTED);
+          adm_finish (adm, id, 20, NOW_US + CLK_S_US / 2);
+        }
+      const struct adm_request request = {
+        .id = ++id,
+        .tokens = 1000,
+        .deadline_us = NOW_US + c->age_us + c->left_us,
+      };
+      enum adm_decision decision
+          = adm_arrive (adm, &request, NOW_US + c->age_us, &verdict);
+      if (decision != c->want
+          || (decision == ADM_REFUSED
+              && verdict.error != ERR_DEADLINE_UNMEETABLE))
+        {
+          fail_msg ("%s: decision %d, error %s", c->name, decision,
+                    err_info (verdict.error)->name);
+        }
+      adm_destroy (adm);
+      cfg_config_destroy (config);
+    }
+}
+
+/* Refusals because of streams under way don't change what is known of those
+   that have ended.  */
+static void
+refusals_for_streams_under_way_keep_the_estimate (void **state)
+{
+  (void)state;
+  const uint32_t under_way = 20;
+  struct cfg_config *config = build_config (PLENTY, PLENTY, PLENTY, 1000);
+  struct adm *adm = start (config, 1, 2000.0);
+  struct adm_verdict verdict;
+  for (int j = 0; j < 64; j++)
+    {
+      adm_observe_token_interval (adm, 39 * CLK_MS_US);
+    }
+  for (uint64_t id = 0; id <= under_way; id++)
+    {
+      assert_int_equal (arrive (adm, id, 0, 1000, NOW_US, &verdict),
+                        ADM_ADMITTED);
+    }
+  adm_finish (adm, 0, 100, NOW_US);
+  int64_t later_us = NOW_US + 20 * CLK_S_US;
+  struct adm_request request = { .id = under_way + 1, .tokens = 1000 };
+  for (uint32_t j = 0; j < 200; j++)
+    {
+      request.deadline_us = later_us + 6 * CLK_S_US;
+      assert_int_equal (adm_arrive (adm, &request, later_us, &verdict),
+                        ADM_REFUSED);
+    }
+  for (uint64_t id = 1; id <= under_way; id++)
+    {
+      adm_finish (adm, id, 0, later_us);
+    }
+  request.deadline_us = later_us + 3 * CLK_S_US; /* 3.9 s are expected */
+  assert_int_equal (adm_arrive (adm, &request, later_us, &verdict),
+                    ADM_REFUSED);
+  adm_destroy (adm);
+  cfg_config_destroy (config);
+}
+
 /* Simulation of a fleet: running streams share the engines' token rate,
    prioritized streams before the others, and no stream is faster than on an
    unloaded fleet. */
@@ -989,6 +1102,8 @@
     cmocka_unit_test (fair_queue_serves_by_weight_and_priority),
     cmocka_unit_test (stream_limit_follows_real_capacity),
     cmocka_unit_test (stream_length_estimate_follows_observations),
+    cmocka_unit_test (streams_under_way_count_as_lower_bounds),
+    cmocka_unit_test (refusals_for_streams_under_way_keep_the_estimate),
     cmocka_unit_test (goodput_stays_at_peak_under_overload),
     cmocka_unit_test (large_account_does_not_slow_small_ones),
   };
