--- a/src/daemon/control_private.h
+++ b/src/daemon/control_private.h
@@ -40,12 +40,14 @@
   struct cst *config_state;
   struct brn_state *burn;
   uint64_t next_burn_offset; /* first offset of the burn stream not yet read */
+  enum err_kind last_burn_read; /* result of the last read of that stream */
   struct peer_hub *hub;
   struct mem_fleet *members;
   char **peer_candidates;   /* addresses of possible peers, NULL-terminated */
   int64_t last_log_read_us; /* monotonic send time of the last read that
                                succeeded */
   bool leave_announced;     /* to the peers */
+  bool io_stopped;          /* no more appends and polls */
   struct ctl_orders *orders;
   bool view_outdated;         /* a new view has to be published */
   int64_t next_fleet_tick_us; /* monotonic, see FLEET_INTERVAL_US */
