Decode the rate of the engines' links

Cause: the planner of layers knows memory and step times only. What it costs to pass a prompt on is in the configuration: bytes of an activation, rate of the pipe between data centres and of an engine's own link. The last wasn't decoded, and the planner wasn't given the prefill factor of a kind.

Change: the configuration holds the link's rate, and the planner's engines the prefill factor. Nothing uses them yet.

--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -48,6 +48,7 @@
   double layer_mb;              /* memory for the weights of one layer */
   double activation_bytes;      /* of one token, between two parts of a path */
   double data_centre_link_mbps; /* between two data centres */
+  double engine_link_mbps;      /* of each engine */
   double load_s;                /* time to load all layers */
   double usual_prompt_tokens;
   double usual_answer_tokens;
--- a/src/core/stage_plan.h
+++ b/src/core/stage_plan.h
@@ -16,6 +16,7 @@
   uint32_t data_centre;   /* index of its data centre */
   double memory_mb;       /* for layers and KV cache */
   double step_factor;     /* of its kind; lower is faster */
+  double prefill_factor;  /* likewise */
   struct rst_layers held; /* now, or after an order in progress */
   bool movable;           /* may get another order now */
   bool in_reserve;        /* fills gaps, but replicates no layers yet */
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -27,7 +27,9 @@
       "\"Services\":[{\"Name\":\"draft\",\"Engine\":{\"Slots\":192,"
       "\"Layers\":80,\"LayerMb\":1750,\"Kinds\":[{\"Name\":\"l4\",\"Mb\":"
       "21600,"
-      "\"pace\":16,\"ReadX\":8.2}],\"usual\":{\"prompt\":772,\"answer\":150}}}"
+      "\"pace\":16,\"ReadX\":8.2}],\"ActivationBytes\":21300,"
+      "\"LinkMbps\":480000,\"PipeMbps\":4700,\"usual\":{\"prompt\":772,"
+      "\"answer\":150}}}"
       ","
       "{\"Name\":\"book\",\"HealthPath\":\"/health\",\"MaxConns\":96}],"
       "\"Limits\":{\"MaxHeaderBytes\":100,\"IdleTimeoutMs\":9000},"
@@ -54,6 +56,9 @@
   assert_int_equal (config->limits.body_bytes_max, 4194304);
   assert_int_equal (config->services[0].engine.layers, 80);
   assert_true (config->services[0].engine.kinds[0].prefill_factor == 8.2);
+  assert_true (config->services[0].engine.activation_bytes == 21300);
+  assert_true (config->services[0].engine.engine_link_mbps == 480000);
+  assert_true (config->services[0].engine.data_centre_link_mbps == 4700);
   assert_false (config->services[1].has_engine);
   assert_string_equal (flt_find_account (config, "k2")->name, "t-1");
   assert_null (flt_find_account (config, "k3"));
