Weigh the links between data centres in placements

The planner asked for 12 requests of usual size (11,064 tokens), found no data centre large enough and made one group of all five, with memory for 192 requests on each engine. Its gaps were filled by the largest engine first, of any data centre. So all streams ran over 7 to 15 parts with 4 to 7 hops between data centres, all paths sharing parts.

Change: data centres without room for 12 requests are weighed (`grouping'). From the published formula it estimates the streams that a group finishes in a second: requests that its memory holds over the time of one, at most half of what the pipe between data centres carries. Groups are joined while that gains streams, or while they can't hold the model. In a group, each data centre gets consecutive layers in proportion to its memory, and replicates these. Data centres with ample room are planned as before.

--- a/src/core/stage_plan.c
+++ b/src/core/stage_plan.c
@@ -1,14 +1,17 @@
 #include "core/stage_plan.h"
 
+#include "core/grouping.h"
 #include "core/tiling.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define MB_BYTES 1e6
 
-/* Smallest KV cache of an engine, in requests of usual size.  With a smaller
-   one, the engine limits every path through it. */
+/* Smallest KV cache of an engine, in requests of usual size, in a data centre
+   that holds the model without being weighed against groups of several.  With
+   a smaller one, the engine limits every path through it. */
 #define CACHE_REQUESTS_MIN 12
 
 /* The KV cache for which a plan leaves memory is lowered from the largest to
@@ -32,8 +35,11 @@
   struct rst_layers *wanted; /* by engine: the plan */
   uint32_t *members;         /* indexes of engines */
   uint32_t member_count;
-  uint32_t *holders;   /* by layer: engines of the group that hold it */
-  double cache_tokens; /* KV cache for which each engine keeps memory */
+  uint32_t *holders;       /* by layer: engines of the group that hold it */
+  double cache_tokens;     /* KV cache for which each engine keeps memory */
+  double cache_tokens_min; /* down to which orders may lower it */
+  /* By data centre: layers that its engines hold, as far as possible. */
+  struct rst_layers *spans;
 };
 
 /* Returns the KV cache, in MB, of one token on an engine, for each layer that
@@ -69,14 +75,6 @@
   return MIN (layers, spec->layers);
 }
 
-/* Returns the smallest KV cache that is planned for, in tokens.  */
-static double
-cache_tokens_min (const struct flt_engine_spec *spec)
-{
-  return CACHE_REQUESTS_MIN
-         * (spec->usual_prompt_tokens + spec->usual_answer_tokens);
-}
-
 /* Returns the number of layers that the engine at index ENGINE can hold beside
    the KV cache of GROUP.  */
 static uint32_t
@@ -108,7 +106,9 @@
   const struct flt_engine_spec *spec = group->spec;
   double cache_max
       = spec->slots * (spec->usual_prompt_tokens + spec->usual_answer_tokens);
-  double cache_min = cache_tokens_min (group->spec);
+  double cache_min = CACHE_REQUESTS_MIN
+                     * (spec->usual_prompt_tokens + spec->usual_answer_tokens);
+  group->cache_tokens_min = cache_min;
   for (uint32_t step = 0; step <= CACHE_STEPS; step++)
     {
       group->cache_tokens
@@ -172,12 +172,22 @@
   return true;
 }
 
-/* Returns the index of the movable engine that is best to fill a gap, or
+/* Returns whether the engine at index ENGINE is in a data centre whose engines
+   hold LAYER in the plan.  */
+static bool
+is_in_span (const struct group *group, uint32_t engine, uint32_t layer)
+{
+  const struct rst_layers *span
+      = &group->spans[group->engines[engine].data_centre];
+  return span->first <= layer && layer < span->end;
+}
+
+/* Returns the index of the movable engine that is best to fill GAP, or
    FLT_NO_INDEX if there is none.  An engine without layers comes before one
-   whose layers all have another holder; then one that can hold more layers and
-   is faster comes first.  */
+   whose layers all have another holder; then one in a data centre that is to
+   hold the gap; then one that can hold more layers and is faster.  */
 static uint32_t
-choose_gap_filler (const struct group *group)
+choose_gap_filler (const struct group *group, const struct rst_layers *gap)
 {
   uint32_t best = FLT_NO_INDEX;
   double best_score = 0;
@@ -192,8 +202,9 @@
         {
           continue;
         }
-      double score = (empty ? 1e6 : 0) + layers_max
-                     + 100 / group->engines[engine].step_factor;
+      double score = (empty ? 1e6 : 0)
+                     + (is_in_span (group, engine, gap->first) ? 1e5 : 0)
+                     + layers_max + 100 / group->engines[engine].step_factor;
       if (best == FLT_NO_INDEX || score > best_score)
         {
           best = engine;
@@ -271,7 +282,7 @@
   struct rst_layers *division = g_malloc0 (bytes);
   struct rst_layers *best_division = g_malloc0 (bytes);
   double cache_max = group->cache_tokens;
-  double cache_min = cache_tokens_min (group->spec);
+  double cache_min = MIN (group->cache_tokens_min, cache_max);
   bool found = false;
   bool has_few_moves = false;
   for (uint32_t step = 0; step <= CACHE_STEPS && !has_few_moves; step++)
@@ -326,13 +337,20 @@
 }
 
 /* Plans as many layers as fit for the engine at index ENGINE: as much of GAP
-   as possible, and of the layers beside it those with the fewest holders.  */
+   as possible, and of the layers beside it those with the fewest holders.  The
+   layers stay within those of its data centre if the gap begins there.  */
 static void
 fill_gap (struct group *group, uint32_t engine, const struct rst_layers *gap)
 {
-  uint32_t layers_max = engine_layers_max (group, engine);
-  uint32_t lowest = gap->end > layers_max ? gap->end - layers_max : 0;
-  uint32_t highest = MIN (gap->first, group->spec->layers - layers_max);
+  struct rst_layers span
+      = is_in_span (group, engine, gap->first)
+            ? group->spans[group->engines[engine].data_centre]
+            : (struct rst_layers){ 0, group->spec->layers };
+  uint32_t layers_max
+      = MIN (engine_layers_max (group, engine), span.end - span.first);
+  uint32_t gap_end = MIN (gap->end, span.end);
+  uint32_t lowest = MAX (gap_end - MIN (gap_end, layers_max), span.first);
+  uint32_t highest = MIN (gap->first, span.end - layers_max);
   uint32_t first = lowest >= highest
                        ? highest
                        : least_held_range (group, layers_max, lowest, highest);
@@ -347,7 +365,7 @@
   struct rst_layers gap;
   uint32_t engine;
   while (find_gap (group, &gap)
-         && (engine = choose_gap_filler (group)) != FLT_NO_INDEX)
+         && (engine = choose_gap_filler (group, &gap)) != FLT_NO_INDEX)
     {
       fill_gap (group, engine, &gap);
     }
@@ -383,23 +401,23 @@
   return !find_gap (group, &gap);
 }
 
-/* Returns the first of COUNT consecutive layers to replicate.  They start at
-   the first layer with the fewest holders, so that ranges chosen one after
-   another complete one more replica of the model, which paths can use, before
-   the next one is begun.  */
+/* Returns the first of COUNT consecutive layers of SPAN to replicate.  They
+   start at the first layer with the fewest holders, so that ranges chosen one
+   after another complete one more replica, which paths can use, before the
+   next one is begun.  */
 static uint32_t
-next_replica_range (const struct group *group, uint32_t count)
+next_replica_range (const struct group *group, uint32_t count,
+                    const struct rst_layers *span)
 {
-  uint32_t layers = group->spec->layers;
-  uint32_t least_held = 0;
-  for (uint32_t layer = 1; layer < layers; layer++)
+  uint32_t least_held = span->first;
+  for (uint32_t layer = span->first + 1; layer < span->end; layer++)
     {
       if (group->holders[layer] < group->holders[least_held])
         {
           least_held = layer;
         }
     }
-  return MIN (least_held, layers - count);
+  return MIN (least_held, span->end - count);
 }
 
 /* Plans layers that have holders for the movable engines of GROUP that hold
@@ -411,11 +429,14 @@
     {
       uint32_t engine = group->members[i];
       const struct rst_layers *range = &group->wanted[engine];
-      uint32_t layers_max = engine_layers_max (group, engine);
+      const struct rst_layers *span
+          = &group->spans[group->engines[engine].data_centre];
+      uint32_t layers_max
+          = MIN (engine_layers_max (group, engine), span->end - span->first);
       if (range->first == range->end && group->engines[engine].movable
           && !group->engines[engine].in_reserve && layers_max > 0)
         {
-          uint32_t first = next_replica_range (group, layers_max);
+          uint32_t first = next_replica_range (group, layers_max, span);
           set_wanted (group, engine, first, first + layers_max);
         }
     }
@@ -447,12 +468,178 @@
   return complete;
 }
 
+/* The data centres of a fleet, as they are divided into groups. */
+struct fleet
+{
+  uint32_t engine_count;
+  uint32_t data_centre_count;
+  bool *in_group;      /* by data centre: in the group that is planned */
+  uint32_t *undecided; /* data centres that are weighed against each other */
+  uint32_t undecided_count;
+};
+
+/* Returns the sums over the engines of DATA_CENTRE.  */
+static struct gpg_data_centre
+sum_data_centre (const struct group *group, const struct fleet *fleet,
+                 uint32_t data_centre)
+{
+  struct gpg_data_centre sum = { .engine_count = 0 };
+  for (uint32_t i = 0; i < fleet->engine_count; i++)
+    {
+      const struct stp_engine *engine = &group->engines[i];
+      if (engine->data_centre != data_centre
+          || stp_layers_max (group->spec, engine->memory_mb, 0) == 0)
+        {
+          continue;
+        }
+      sum.engine_count++;
+      sum.memory_mb += engine->memory_mb;
+      sum.step_factor += engine->step_factor * engine->memory_mb;
+      sum.prefill_factor += engine->prefill_factor * engine->memory_mb;
+      for (uint32_t level = 0; level < GPG_LEVELS; level++)
+        {
+          sum.layers_max[level]
+              += stp_layers_max (group->spec, engine->memory_mb,
+                                 gpg_cache_tokens (group->spec, level));
+        }
+    }
+  return sum;
+}
+
+/* A data centre of a group, in the order in which paths run through them. */
+struct placed
+{
+  uint32_t data_centre;
+  uint32_t layers_max; /* of its engines */
+  double position;     /* middle of the layers that its engines hold */
+};
+
+/* Describes DATA_CENTRE, a member of GROUP.  One without layers comes last. */
+static struct placed
+describe_placed (const struct group *group, uint32_t data_centre)
+{
+  struct placed placed = { .data_centre = data_centre };
+  double held = 0;
+  double middles = 0;
+  for (uint32_t i = 0; i < group->member_count; i++)
+    {
+      uint32_t engine = group->members[i];
+      if (group->engines[engine].data_centre == data_centre)
+        {
+          const struct rst_layers *range = &group->engines[engine].held;
+          double layers = range->end - range->first;
+          held += layers;
+          middles += layers * (range->first + range->end) / 2;
+          placed.layers_max += engine_layers_max (group, engine);
+        }
+    }
+  placed.position = held > 0 ? middles / held : group->spec->layers;
+  return placed;
+}
+
+static int
+compare_placed (const void *left, const void *right)
+{
+  const struct placed *a = left;
+  const struct placed *b = right;
+  if (a->position != b->position)
+    {
+      return a->position < b->position ? -1 : 1;
+    }
+  return a->data_centre < b->data_centre ? -1
+                                         : a->data_centre > b->data_centre;
+}
+
+/* Divides the layers among the data centres of GROUP, consecutive ones to
+   each, in proportion to the layers that fit there, so that each data centre
+   can replicate its own as often as the others can.  */
+static void
+set_spans (struct group *group, const struct fleet *fleet)
+{
+  struct placed *placed = g_new0 (struct placed, fleet->data_centre_count);
+  uint32_t count = 0;
+  uint32_t total = 0;
+  for (uint32_t i = 0; i < fleet->data_centre_count; i++)
+    {
+      if (fleet->in_group[i])
+        {
+          placed[count] = describe_placed (group, i);
+          total += placed[count++].layers_max;
+        }
+    }
+  qsort (placed, count, sizeof *placed, compare_placed);
+  uint64_t before = 0;
+  uint32_t layers = group->spec->layers;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint64_t after = before + placed[i].layers_max;
+      struct rst_layers span = {
+        .first = (uint32_t)(layers * before / MAX (total, 1)),
+        .end = (uint32_t)(layers * after / MAX (total, 1)),
+      };
+      /* One with too little memory for a layer of its own helps any other. */
+      group->spans[placed[i].data_centre]
+          = span.first < span.end ? span : (struct rst_layers){ 0, layers };
+      before = after;
+    }
+  g_free (placed);
+}
+
+/* Makes the data centres whose index in GROUP_INDEXES, by undecided data
+   centre, is INDEX the only ones of GROUP.  */
+static void
+collect_group (struct group *group, struct fleet *fleet,
+               const uint32_t *group_indexes, uint32_t index)
+{
+  memset (fleet->in_group, 0,
+          fleet->data_centre_count * sizeof *fleet->in_group);
+  for (uint32_t i = 0; i < fleet->undecided_count; i++)
+    {
+      fleet->in_group[fleet->undecided[i]] = group_indexes[i] == index;
+    }
+  collect_members (group, fleet->engine_count, fleet->in_group);
+}
+
+/* Divides the undecided data centres of FLEET into groups and plans the layers
+   of each.  Returns whether every layer has a holder in each group.  */
+static bool
+plan_undecided (struct group *group, struct fleet *fleet,
+                enum stp_effort effort)
+{
+  uint32_t count = fleet->undecided_count;
+  struct gpg_data_centre *sums = g_new0 (struct gpg_data_centre, count + 1);
+  struct gpg_group *groups = g_new0 (struct gpg_group, count + 1);
+  uint32_t *group_indexes = g_new0 (uint32_t, count + 1);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      sums[i] = sum_data_centre (group, fleet, fleet->undecided[i]);
+    }
+  uint32_t group_count
+      = gpg_divide (group->spec, sums, count, group_indexes, groups);
+  bool complete = true;
+  for (uint32_t i = 0; i < group_count; i++)
+    {
+      collect_group (group, fleet, group_indexes, i);
+      group->cache_tokens = groups[i].cache_tokens;
+      group->cache_tokens_min = gpg_cache_tokens (group->spec, GPG_LEVELS - 1);
+      if (group->member_count > 0)
+        {
+          set_spans (group, fleet);
+          complete &= plan_group (group, effort);
+        }
+    }
+  g_free (sums);
+  g_free (groups);
+  g_free (group_indexes);
+  return complete;
+}
+
 /* Sets WANTED, by engine, to the layers that each of the ENGINE_COUNT engines
    ENGINES in DATA_CENTRE_COUNT data centres is to hold.  Each data centre with
-   enough memory forms a group that holds the complete model; the remaining
-   data centres form one more group together.  WANTED equals the layers held
-   now where nothing has to change.  Returns whether every layer has a holder
-   in each group.  */
+   ample memory forms a group that holds the complete model; the remaining
+   data centres form groups as memory and links allow.  WANTED equals the
+   layers held now where nothing has to change.  Returns whether every layer
+   has a holder in each group.  */
 bool
 stp_plan (const struct flt_engine_spec *spec, enum stp_effort effort,
           uint32_t data_centre_count, const struct stp_engine *engines,
@@ -465,37 +652,38 @@
     .wanted = wanted,
     .members = g_new (uint32_t, engine_count + 1),
     .holders = g_new0 (uint32_t, spec->layers),
+    .spans = g_new (struct rst_layers, data_centre_count),
+  };
+  struct fleet fleet = {
+    .engine_count = engine_count,
+    .data_centre_count = data_centre_count,
+    .in_group = g_new0 (bool, data_centre_count),
+    .undecided = g_new (uint32_t, data_centre_count),
   };
-  bool *in_group = g_new0 (bool, data_centre_count);
-  bool *in_remaining_group = g_new0 (bool, data_centre_count);
   for (uint32_t i = 0; i < engine_count; i++)
     {
       wanted[i] = engines[i].held;
     }
-  for (uint32_t data_centre = 0; data_centre < data_centre_count;
-       data_centre++)
+  for (uint32_t i = 0; i < data_centre_count; i++)
     {
-      in_group[data_centre] = true;
-      collect_members (&group, engine_count, in_group);
-      in_group[data_centre] = false;
+      group.spans[i] = (struct rst_layers){ 0, spec->layers };
+      fleet.in_group[i] = true;
+      collect_members (&group, engine_count, fleet.in_group);
+      fleet.in_group[i] = false;
       if (choose_cache (&group))
         {
           complete &= plan_group (&group, effort);
         }
       else
         {
-          in_remaining_group[data_centre] = true;
+          fleet.undecided[fleet.undecided_count++] = i;
         }
     }
-  collect_members (&group, engine_count, in_remaining_group);
-  if (group.member_count > 0)
-    {
-      choose_cache (&group);
-      complete &= plan_group (&group, effort);
-    }
+  complete &= plan_undecided (&group, &fleet, effort);
   g_free (group.members);
   g_free (group.holders);
-  g_free (in_group);
-  g_free (in_remaining_group);
+  g_free (group.spans);
+  g_free (fleet.in_group);
+  g_free (fleet.undecided);
   return complete;
 }
--- a/src/core/stage_plan.h
+++ b/src/core/stage_plan.h
@@ -2,7 +2,9 @@
 
    In a cold start, and when engines crash, leave or join, the plan gives every
    layer a holder in each group of data centres that has the memory for the
-   model.  Layers that are held stay where they are as far as possible, and
+   model.  A data centre with ample memory for it is a group of its own; the
+   others are grouped by what memory and links between them allow.  Layers that
+   are held stay where they are as far as possible, and
    engines that hold none replicate the layers with the fewest holders. */
 #ifndef CORE_STAGE_PLAN_H
 #define CORE_STAGE_PLAN_H
--- a/test/stages_test.c
+++ b/test/stages_test.c
@@ -32,11 +32,12 @@
 {
   double memory_mb;
   double step_factor; /* duration of a step, relative; lower is faster */
+  double prefill_factor;
 };
 
-static const struct kind a100s = { 36000, 3.1 };
-static const struct kind l4 = { 21600, 16 };
-static const struct kind t4 = { 14400, 15 };
+static const struct kind a100s = { 36000, 3.1, 3.2 };
+static const struct kind l4 = { 21600, 16, 8.2 };
+static const struct kind t4 = { 14400, 15, 15 };
 
 /* Number of engines of each kind in one data centre. */
 struct data_centre_counts
@@ -65,6 +66,7 @@
         .data_centre = data_centre,
         .memory_mb = kind->memory_mb,
         .step_factor = kind->step_factor,
+        .prefill_factor = kind->prefill_factor,
         .movable = true,
       };
     }
@@ -586,6 +588,288 @@
   g_rand_free (random);
 }
 
+/* What crossing links costs in the fleets below. */
+static struct flt_engine_spec
+spec_with_pipe (double pipe_mbps)
+{
+  struct flt_engine_spec with_pipe = spec;
+  with_pipe.step_per_stream_ms = 0.00276;
+  with_pipe.step_per_context_ms = 0.0037;
+  with_pipe.prefill_tokens_per_s = 272000;
+  with_pipe.activation_bytes = 21300;
+  with_pipe.engine_link_mbps = 100 * pipe_mbps;
+  with_pipe.data_centre_link_mbps = pipe_mbps;
+  return with_pipe;
+}
+
+/* Finds the cheapest path over the engines of FLEET that aren't USED, given
+   the layers WANTED, marks its engines as used, and sets CROSSINGS to its hops
+   between data centres.  Returns false when there is none.  */
+static bool
+take_path (const struct fleet *fleet, const struct rst_layers *wanted,
+           bool *used, uint32_t *crossings)
+{
+  const struct pth_costs costs
+      = { .layers = LAYERS, .hop_ms = 0.3, .data_centre_hop_ms = 12 };
+  struct pth_engine engines[ENGINES_MAX];
+  struct pth_path path;
+  for (uint32_t i = 0; i < fleet->count; i++)
+    {
+      engines[i] = (struct pth_engine){
+        .held = wanted[i],
+        .data_centre = fleet->engines[i].data_centre,
+        .usable = !used[i],
+        .layer_ms = spec.step_ms * fleet->engines[i].step_factor / LAYERS,
+      };
+    }
+  if (!pth_find (&costs, engines, fleet->count, &path))
+    {
+      return false;
+    }
+  *crossings = 0;
+  for (uint32_t part = 0; part < path.count; part++)
+    {
+      uint32_t engine = path.parts[part].engine;
+      used[engine] = true;
+      *crossings += part > 0
+                    && engines[engine].data_centre
+                           != engines[path.parts[part - 1].engine].data_centre;
+    }
+  return true;
+}
+
+/* A cold start of a fleet whose data centres have little memory for the
+   model.  The paths are as many as the memory allows, share no engine and
+   cross as few links between data centres as they can; every engine holds
+   layers.  With a slow pipe, data centres that can just hold the model do so
+   alone; with a fast one, they hold it together and have more memory for
+   requests.  */
+static void
+test_plan_little_memory (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *name;
+    double pipe_mbps;
+    struct data_centre_counts data_centres[8];
+    uint32_t data_centre_count;
+    uint32_t paths;     /* without common engines */
+    uint32_t crossings; /* of each, at most */
+  } rows[] = {
+    { "each data centre just holds the model, slow pipe",
+      250,
+      { { 2, 2, 2 }, { 2, 2, 2 }, { 2, 2, 2 }, { 2, 2, 2 }, { 2, 2, 2 } },
+      5,
+      5,
+      0 },
+    { "the same with a pipe of 10 Gbit/s",
+      10000,
+      { { 2, 2, 2 }, { 2, 2, 2 }, { 2, 2, 2 }, { 2, 2, 2 } },
+      4,
+      2,
+      1 },
+    { "two data centres hold the model together",
+      250,
+      { { 1, 1, 1 }, { 1, 1, 1 }, { 1, 1, 1 }, { 1, 1, 1 } },
+      4,
+      2,
+      1 },
+    { "the same, with engines of one kind in each",
+      250,
+      { { 2, 0, 0 }, { 0, 4, 0 }, { 2, 0, 0 }, { 0, 4, 0 } },
+      4,
+      2,
+      1 },
+    { "one engine in each data centre",
+      1000,
+      { { 1, 0, 0 },
+        { 1, 0, 0 },
+        { 1, 0, 0 },
+        { 1, 0, 0 },
+        { 1, 0, 0 },
+        { 0, 1, 0 },
+        { 0, 1, 0 },
+        { 0, 1, 0 } },
+      8,
+      1,
+      4 },
+    { "one data centre has room, the others don't",
+      250,
+      { { 3, 3, 5 }, { 1, 1, 1 }, { 1, 1, 1 } },
+      3,
+      2,
+      1 },
+    { "one just holds the model, two others together",
+      500,
+      { { 4, 0, 0 }, { 4, 0, 0 }, { 2, 0, 0 }, { 2, 0, 0 } },
+      4,
+      3,
+      1 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct fleet fleet;
+      struct rst_layers wanted[ENGINES_MAX];
+      bool used[ENGINES_MAX] = { false };
+      struct flt_engine_spec with_pipe = spec_with_pipe (rows[i].pipe_mbps);
+      build_fleet (&fleet, rows[i].data_centres, rows[i].data_centre_count);
+      stp_plan (&with_pipe, STP_DIVIDE_ANEW, fleet.data_centre_count,
+                fleet.engines, fleet.count, wanted);
+      assert_fits (&fleet, wanted);
+      for (uint32_t path = 0; path < rows[i].paths; path++)
+        {
+          uint32_t crossings = 0;
+          if (!take_path (&fleet, wanted, used, &crossings)
+              || crossings > rows[i].crossings)
+            {
+              fail_msg ("%s: path %u of %u, %u crossings", rows[i].name,
+                        path + 1, rows[i].paths, crossings);
+            }
+        }
+      for (uint32_t engine = 0; engine < fleet.count; engine++)
+        {
+          assert_true (wanted[engine].end > wanted[engine].first);
+        }
+    }
+}
+
+/* Returns the layers that the engines of FLEET in DATA_CENTRE can hold beside
+   the KV cache of a request of usual size; in all data centres if DATA_CENTRE
+   is UINT32_MAX.  */
+static uint32_t
+layers_max (const struct fleet *fleet, uint32_t data_centre)
+{
+  uint32_t sum = 0;
+  for (uint32_t i = 0; i < fleet->count; i++)
+    {
+      const struct stp_engine *engine = &fleet->engines[i];
+      sum += data_centre == UINT32_MAX || engine->data_centre == data_centre
+                 ? stp_layers_max (&spec, engine->memory_mb,
+                                   spec.usual_prompt_tokens
+                                       + spec.usual_answer_tokens)
+                 : 0;
+    }
+  return sum;
+}
+
+/* Returns the fewest data centres of FLEET that can hold the model.  */
+static uint32_t
+fewest_data_centres (const struct fleet *fleet)
+{
+  uint32_t fewest = fleet->data_centre_count;
+  for (uint32_t set = 1; set < 1u << fleet->data_centre_count; set++)
+    {
+      uint32_t sum = 0;
+      uint32_t count = 0;
+      for (uint32_t i = 0; i < fleet->data_centre_count; i++)
+        {
+          bool in_set = (set >> i & 1) > 0;
+          sum += in_set ? layers_max (fleet, i) : 0;
+          count += in_set;
+        }
+      fewest = sum >= LAYERS ? MIN (fewest, count) : fewest;
+    }
+  return fewest;
+}
+
+/* Builds FLEET at random: up to eight data centres with a few engines each,
+   of any memory.  */
+static void
+draw_fleet (struct fleet *fleet, GRand *random)
+{
+  *fleet = (struct fleet){
+    .data_centre_count = (uint32_t)g_rand_int_range (random, 2, 9),
+  };
+  uint32_t per_data_centre = ENGINES_MAX / fleet->data_centre_count;
+  for (uint32_t i = 0; i < fleet->data_centre_count; i++)
+    {
+      uint32_t count = (uint32_t)g_rand_int_range (
+          random, 1, (int32_t)MIN (per_data_centre, 10));
+      for (uint32_t engine = 0; engine < count; engine++)
+        {
+          const struct kind kind = {
+            .memory_mb = g_rand_double_range (random, 8000, 48000),
+            .step_factor = g_rand_double_range (random, 1, 16),
+            .prefill_factor = g_rand_double_range (random, 1, 16),
+          };
+          add_engines (fleet, i, &kind, 1);
+        }
+    }
+}
+
+/* Cold starts of random fleets.  Whenever the memory of all data centres
+   together can hold the model, every layer has a holder, no engine with memory
+   is left without layers, and planning again changes nothing.  Over slow
+   pipes, each data centre that can hold the model does, and where none can, a
+   path runs through the fewest data centres that can.  */
+static void
+test_plan_random_fleets (void **state)
+{
+  (void)state;
+  GRand *random = g_rand_new_with_seed (20261204);
+  uint32_t placed = 0;
+  uint32_t crossing = 0;
+  for (uint32_t trial = 0; trial < 600; trial++)
+    {
+      struct fleet fleet;
+      struct rst_layers wanted[ENGINES_MAX];
+      struct rst_layers again[ENGINES_MAX];
+      static const double pipes_mbps[] = { 20, 300, 5000, 100000 };
+      double pipe_mbps = pipes_mbps[trial % 4];
+      struct flt_engine_spec with_pipe = spec_with_pipe (pipe_mbps);
+      draw_fleet (&fleet, random);
+      stp_plan (&with_pipe, STP_DIVIDE_ANEW, fleet.data_centre_count,
+                fleet.engines, fleet.count, wanted);
+      assert_fits (&fleet, wanted);
+      if (layers_max (&fleet, UINT32_MAX) < LAYERS)
+        {
+          continue;
+        }
+      placed++;
+      if (fewest_holders (&fleet, wanted, UINT32_MAX) == 0)
+        {
+          fail_msg ("trial %u: a layer without a holder", trial);
+        }
+      for (uint32_t i = 0; i < fleet.count; i++)
+        {
+          if (wanted[i].end == wanted[i].first)
+            {
+              fail_msg ("trial %u: engine %u without layers", trial, i);
+            }
+        }
+      apply_plan (&fleet, wanted);
+      stp_plan (&with_pipe, STP_DIVIDE_ANEW, fleet.data_centre_count,
+                fleet.engines, fleet.count, again);
+      assert_memory_equal (wanted, again, fleet.count * sizeof wanted[0]);
+      bool used[ENGINES_MAX] = { false };
+      uint32_t crossings = UINT32_MAX;
+      assert_true (take_path (&fleet, wanted, used, &crossings));
+      if (pipe_mbps > 20)
+        {
+          continue;
+        }
+      for (uint32_t i = 0; i < fleet.data_centre_count; i++)
+        {
+          if (layers_max (&fleet, i) >= LAYERS
+              && fewest_holders (&fleet, wanted, i) == 0)
+            {
+              fail_msg ("trial %u: data centre %u lacks layers", trial, i);
+            }
+        }
+      uint32_t fewest = fewest_data_centres (&fleet);
+      crossing += fewest > 1;
+      if (crossings != fewest - 1)
+        {
+          fail_msg ("trial %u: %u crossings, %u data centres", trial,
+                    crossings, fewest);
+        }
+    }
+  assert_true (placed > 300);
+  assert_true (crossing > 10);
+  g_rand_free (random);
+}
+
 int
 main (void)
 {
@@ -596,6 +880,8 @@
     cmocka_unit_test (test_plan_new_engine),
     cmocka_unit_test (test_plan_keeps_cache),
     cmocka_unit_test (test_plan_small_gap),
+    cmocka_unit_test (test_plan_little_memory),
+    cmocka_unit_test (test_plan_random_fleets),
     cmocka_unit_test (test_tiling),
     cmocka_unit_test (test_plan_unmovable),
     cmocka_unit_test (test_paths),
