Wait for lost engines before data centres are regrouped

Data centres that just hold the model don't without one of their engines. They were joined at once, engines that looked spare in the joint group moved to its gaps, and when the lost ones were back, up to 13 engines moved again to hold the model in each data centre, without serving meanwhile.

Change: engines that were lost, by the list or by this daemon's own requests, count in the memory by which data centres are grouped, for 10 s or until one of their kind comes to their data centre (`losses'). That may be before they are missed, since the list drops an engine seconds after it died. Not so when a layer has no holder left anywhere: then engines move at once, as before. Daemons that don't lead observe losses too, once a second, since they may lead next. After an engine was found dead, new ones aren't kept in reserve; until now only after the list had dropped it.

Result: test_plan_waits_for_lost fails without the wait ("the same part in two data centres: 2 engines moved") and passes with it.

--- a/src/core/stage_plan.c
+++ b/src/core/stage_plan.c
@@ -451,7 +451,7 @@
   group->member_count = 0;
   for (uint32_t i = 0; i < engine_count; i++)
     {
-      if (in_group[group->engines[i].data_centre])
+      if (in_group[group->engines[i].data_centre] && !group->engines[i].lost)
         {
           group->members[group->member_count++] = i;
         }
@@ -476,6 +476,7 @@
   bool *in_group;      /* by data centre: in the group that is planned */
   uint32_t *undecided; /* data centres that are weighed against each other */
   uint32_t undecided_count;
+  bool count_lost; /* in the memory of data centres */
 };
 
 /* Returns the sums over the engines of DATA_CENTRE.  */
@@ -488,6 +489,7 @@
     {
       const struct stp_engine *engine = &group->engines[i];
       if (engine->data_centre != data_centre
+          || (engine->lost && !fleet->count_lost)
           || stp_layers_max (group->spec, engine->memory_mb, 0) == 0)
         {
           continue;
@@ -634,6 +636,20 @@
   return complete;
 }
 
+/* Returns whether every layer has a holder in the plan, in any data centre. */
+static bool
+is_covered (struct group *group, struct fleet *fleet)
+{
+  struct rst_layers gap;
+  for (uint32_t i = 0; i < fleet->data_centre_count; i++)
+    {
+      fleet->in_group[i] = true;
+    }
+  collect_members (group, fleet->engine_count, fleet->in_group);
+  count_holders (group);
+  return !find_gap (group, &gap);
+}
+
 /* Sets WANTED, by engine, to the layers that each of the ENGINE_COUNT engines
    ENGINES in DATA_CENTRE_COUNT data centres is to hold.  Each data centre with
    ample memory forms a group that holds the complete model; the remaining
@@ -679,6 +695,8 @@
           fleet.undecided[fleet.undecided_count++] = i;
         }
     }
+  /* As long as any path is left, it is worth waiting for lost engines. */
+  fleet.count_lost = is_covered (&group, &fleet);
   complete &= plan_undecided (&group, &fleet, effort);
   g_free (group.members);
   g_free (group.holders);
--- a/src/core/stage_plan.h
+++ b/src/core/stage_plan.h
@@ -3,7 +3,8 @@
    In a cold start, and when engines crash, leave or join, the plan gives every
    layer a holder in each group of data centres that has the memory for the
    model.  A data centre with ample memory for it is a group of its own; the
-   others are grouped by what memory and links between them allow.  Layers that
+   others are grouped by what memory and links between them allow, and stay in
+   their groups for as long as lost engines may come back.  Layers that
    are held stay where they are as far as possible, and
    engines that hold none replicate the layers with the fewest holders. */
 #ifndef CORE_STAGE_PLAN_H
@@ -22,6 +23,7 @@
   struct rst_layers held; /* now, or after an order in progress */
   bool movable;           /* may get another order now */
   bool in_reserve;        /* fills gaps, but replicates no layers yet */
+  bool lost;              /* holds nothing, but may come back soon */
 };
 
 /* Which engines may be moved to layers that no engine holds. */
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/losses.h"
 #include "core/stage_plan.h"
 #include "entry/announcement.h"
 #include "net/call.h"
@@ -35,15 +36,14 @@
    that other engines hold already. */
 #define RESERVE_TIME_US (3 * CLK_S_US)
 
-/* For this time after the loss of an engine, new engines aren't kept in
-   reserve: they most likely replace the lost one. */
-#define LOSS_TIME_US (10 * CLK_S_US)
-
 /* A layer without a holder that no spare engine can take waits this long for a
    new or returning engine.  Only afterwards are engines moved that others
    need: these serve no requests until the streams through them have ended. */
 #define GAP_WAIT_US (2500 * CLK_MS_US)
 
+/* Time between two observations of losses by a daemon that doesn't lead. */
+#define OBSERVE_US (1 * CLK_S_US)
+
 /* An order to an engine that isn't finished. */
 struct order
 {
@@ -64,10 +64,8 @@
   GHashTable *orders;   /* endpoint id to struct order */
   int64_t gap_since_us; /* since when a layer has no holder; 0: every layer has
                            one */
-  int64_t last_loss_us; /* when an engine last disappeared without having
-                           announced that it leaves */
-  GHashTable *active; /* set of the ids that were listed and not leaving at the
-                         last step */
+  struct lss_losses *losses;
+  int64_t observe_us; /* when losses are observed again, without the lead */
   GHashTable *idle_since;  /* endpoint id to when it was first seen without
                               layers, int64_t */
   guint last_count;        /* of endpoints in the list at the last step */
@@ -95,9 +93,7 @@
   placer->params = *params;
   placer->orders
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, destroy_order);
-  placer->active
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  placer->last_loss_us = -LOSS_TIME_US;
+  placer->losses = lss_create ();
   placer->idle_since
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return placer;
@@ -109,7 +105,7 @@
 {
   g_hash_table_destroy (placer->orders);
   g_hash_table_destroy (placer->idle_since);
-  g_hash_table_destroy (placer->active);
+  lss_destroy (placer->losses);
   g_free (placer);
 }
 
@@ -250,7 +246,8 @@
   return names->len - 1;
 }
 
-/* True while ENDPOINT, which holds no layers, is kept in reserve.  */
+/* True while ENDPOINT, which holds no layers, is kept in reserve.  It isn't
+   after a loss, since it most likely replaces what was lost.  */
 static bool
 is_in_reserve (struct plc_placer *placer, const struct rst_endpoint *endpoint,
                int64_t now_us)
@@ -271,7 +268,7 @@
       idle_since_us = first_idle_us;
     }
   return now_us - *idle_since_us < RESERVE_TIME_US
-         && now_us - placer->last_loss_us >= LOSS_TIME_US;
+         && !lss_is_recent (placer->losses, now_us);
 }
 
 /* Describes the engine ENDPOINT to the planner.  Layers that were ordered
@@ -329,64 +326,105 @@
 }
 
 static gboolean
-is_unlisted (gpointer id, gpointer value, gpointer listed)
+is_inactive (gpointer id, gpointer value, gpointer losses)
 {
   (void)value;
-  return !g_hash_table_contains (listed, id);
+  return !lss_is_active (losses, id);
 }
 
-/* Records the time when endpoints that hadn't been leaving are missing from
-   ENDPOINTS, and removes what was kept of these.  */
-static void
-detect_losses (struct plc_placer *placer, const GPtrArray *endpoints,
-               int64_t now_us)
+/* Returns the number of ENDPOINTS of SERVICE that aren't leaving; with
+   ONLY_DEAD, of those that were found dead.  */
+static guint
+count_endpoints (const struct plc_placer *placer, const char *service,
+                 const GPtrArray *endpoints, bool only_dead)
 {
-  GHashTable *active
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  guint count = 0;
   for (guint i = 0; i < endpoints->len; i++)
     {
       const struct rst_endpoint *endpoint = g_ptr_array_index (endpoints, i);
-      if (!endpoint->leaving)
-        {
-          g_hash_table_add (active, g_strdup (endpoint->id));
-        }
-      g_hash_table_remove (placer->active, endpoint->id);
+      count += strcmp (endpoint->service, service) == 0 && !endpoint->leaving
+               && (!only_dead
+                   || vdt_is_dead (placer->params.verdicts, endpoint->id,
+                                   endpoint->started_ms));
     }
-  if (g_hash_table_size (placer->active) > 0)
-    {
-      placer->last_loss_us = now_us;
-    }
-  g_hash_table_destroy (placer->active);
-  placer->active = active;
-  g_hash_table_foreach_remove (placer->idle_since, is_unlisted, active);
+  return count;
 }
 
-/* Returns the engines of SERVICE in ENDPOINTS that may hold layers: neither
-   leaving nor found dead.  The caller frees the list.  */
+/* Returns ENDPOINTS without the engines of the services of CONFIG that were
+   found dead.  The caller frees the list.  */
 static GPtrArray *
-find_engines (const struct plc_placer *placer,
-              const struct flt_service *service, const GPtrArray *endpoints)
+find_alive (const struct plc_placer *placer, const struct flt_config *config,
+            const GPtrArray *endpoints)
 {
-  GPtrArray *listed = g_ptr_array_new ();
-  GPtrArray *alive = g_ptr_array_new ();
+  GPtrArray *alive = g_ptr_array_sized_new (endpoints->len);
+  bool *trusted = g_new0 (bool, config->service_count + 1);
+  for (uint32_t i = 0; i < config->service_count; i++)
+    {
+      const struct flt_service *service = &config->services[i];
+      trusted[i] = service->has_engine
+                   && count_endpoints (placer, service->name, endpoints, true)
+                          <= DEAD_SHARE_MAX
+                                 * count_endpoints (placer, service->name,
+                                                    endpoints, false);
+    }
   for (guint i = 0; i < endpoints->len; i++)
     {
       struct rst_endpoint *endpoint = g_ptr_array_index (endpoints, i);
-      if (strcmp (endpoint->service, service->name) != 0 || endpoint->leaving)
+      uint32_t service = flt_find_service (config, endpoint->service);
+      if (service == FLT_NO_INDEX || !trusted[service]
+          || !vdt_is_dead (placer->params.verdicts, endpoint->id,
+                           endpoint->started_ms))
         {
-          continue;
+          g_ptr_array_add (alive, endpoint);
         }
-      g_ptr_array_add (listed, endpoint);
-      if (!vdt_is_dead (placer->params.verdicts, endpoint->id,
-                        endpoint->started_ms))
+    }
+  g_free (trusted);
+  return alive;
+}
+
+/* Returns the engines of SERVICE in ALIVE that may hold layers.  The caller
+   frees the list.  */
+static GPtrArray *
+find_engines (const struct flt_service *service, const GPtrArray *alive)
+{
+  GPtrArray *engines = g_ptr_array_new ();
+  for (guint i = 0; i < alive->len; i++)
+    {
+      struct rst_endpoint *endpoint = g_ptr_array_index (alive, i);
+      if (strcmp (endpoint->service, service->name) == 0 && !endpoint->leaving)
         {
-          g_ptr_array_add (alive, endpoint);
+          g_ptr_array_add (engines, endpoint);
+        }
+    }
+  return engines;
+}
+
+/* Adds the engines of SERVICE that were lost to PLANNER_ENGINES.  */
+static void
+add_lost_engines (const struct plc_placer *placer,
+                  const struct flt_service *service, GPtrArray *data_centres,
+                  GArray *planner_engines)
+{
+  const GPtrArray *lost = lss_engines (placer->losses);
+  for (guint i = 0; i < lost->len; i++)
+    {
+      const struct lss_engine *engine = g_ptr_array_index (lost, i);
+      const struct rst_endpoint *endpoint = engine->endpoint;
+      const struct flt_kind *kind
+          = flt_find_kind (&service->engine, endpoint->kind);
+      if (strcmp (endpoint->service, service->name) == 0 && kind != NULL)
+        {
+          struct stp_engine planner_engine = {
+            .data_centre
+            = data_centre_index (data_centres, endpoint->data_centre),
+            .memory_mb = kind->memory_mb,
+            .step_factor = kind->step_factor,
+            .prefill_factor = kind->prefill_factor,
+            .lost = true,
+          };
+          g_array_append_val (planner_engines, planner_engine);
         }
     }
-  guint dead = listed->len - alive->len;
-  bool isolated = dead > listed->len * DEAD_SHARE_MAX;
-  g_ptr_array_free (isolated ? alive : listed, TRUE);
-  return isolated ? listed : alive;
 }
 
 /* Updates the time since which a layer has no holder; COMPLETE says that every
@@ -410,10 +448,10 @@
    hold.  */
 static void
 place_service (struct plc_placer *placer, const struct flt_service *service,
-               const GPtrArray *endpoints, uint64_t fence, int64_t now_us)
+               const GPtrArray *alive, uint64_t fence, int64_t now_us)
 {
   GPtrArray *data_centres = g_ptr_array_new ();
-  GPtrArray *engines = find_engines (placer, service, endpoints);
+  GPtrArray *engines = find_engines (service, alive);
   GArray *planner_engines
       = g_array_new (FALSE, FALSE, sizeof (struct stp_engine));
   for (guint i = 0; i < engines->len; i++)
@@ -423,7 +461,9 @@
           data_centres, now_us);
       g_array_append_val (planner_engines, planner_engine);
     }
-  struct rst_layers *wanted = g_new0 (struct rst_layers, engines->len + 1);
+  add_lost_engines (placer, service, data_centres, planner_engines);
+  struct rst_layers *wanted
+      = g_new0 (struct rst_layers, planner_engines->len + 1);
   if (engines->len > 0)
     {
       bool may_wait = placer->gap_since_us == 0
@@ -467,8 +507,25 @@
   return false;
 }
 
+/* Plans the layers of all services of CONFIG and orders what differs.  ALIVE
+   are the endpoints that weren't found dead.  */
+static void
+place_services (struct plc_placer *placer, const struct flt_config *config,
+                const GPtrArray *alive, uint64_t fence, int64_t now_us)
+{
+  for (uint32_t i = 0; i < config->service_count; i++)
+    {
+      if (config->services[i].has_engine
+          && config->services[i].engine.layers > 0)
+        {
+          place_service (placer, &config->services[i], alive, fence, now_us);
+        }
+    }
+}
+
 /* Plans the layers of all services of CONFIG and orders what differs, if this
-   daemon is the leader.  Called several times a second.  */
+   daemon is the leader.  The others observe losses, since they may lead next.
+   Called several times a second.  */
 void
 plc_step (struct plc_placer *placer, const struct flt_config *config,
           const GPtrArray *endpoints, int64_t now_us)
@@ -480,25 +537,28 @@
     }
   placer->last_count = endpoints->len;
   uint64_t fence = 0;
-  if (config == NULL || !grp_is_leader (placer->params.group, &fence))
+  bool leads = config != NULL && grp_is_leader (placer->params.group, &fence);
+  if (!leads)
     {
       g_hash_table_remove_all (placer->orders);
-      return;
     }
-  remove_finished_orders (placer, endpoints, now_us);
-  detect_losses (placer, endpoints, now_us);
-  if (now_us < placer->settle_until_us)
+  if (config == NULL || (!leads && now_us < placer->observe_us))
     {
       return;
     }
-  retry_orders (placer, fence, now_us);
-  for (uint32_t i = 0; i < config->service_count; i++)
+  placer->observe_us = now_us + OBSERVE_US;
+  GPtrArray *alive = find_alive (placer, config, endpoints);
+  lss_observe (placer->losses, alive, now_us);
+  g_hash_table_foreach_remove (placer->idle_since, is_inactive,
+                               placer->losses);
+  if (leads)
     {
-      if (config->services[i].has_engine
-          && config->services[i].engine.layers > 0)
-        {
-          place_service (placer, &config->services[i], endpoints, fence,
-                         now_us);
-        }
+      remove_finished_orders (placer, endpoints, now_us);
+    }
+  if (leads && now_us >= placer->settle_until_us)
+    {
+      retry_orders (placer, fence, now_us);
+      place_services (placer, config, alive, fence, now_us);
     }
+  g_ptr_array_free (alive, TRUE);
 }
--- a/test/stages_test.c
+++ b/test/stages_test.c
@@ -1,3 +1,4 @@
+#include "core/losses.h"
 #include "core/path.h"
 #include "core/stage_plan.h"
 #include "core/tiling.h"
@@ -734,6 +735,87 @@
     }
 }
 
+/* Engines crash in data centres that can just hold the model.  While these may
+   come back, no other engine moves; those that come back get the layers of
+   the lost ones.  When they stay away, the data centres that lost engines hold
+   the model together.  When a layer has no holder left anywhere, engines move
+   at once.  */
+static void
+test_plan_waits_for_lost (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *name;
+    uint32_t lost[4]; /* indexes of engines; six in each data centre */
+    uint32_t count;
+    bool covered; /* every layer has a holder left */
+  } rows[] = {
+    { "one in each of two data centres", { 0, 8 }, 2, true },
+    { "two in one data centre", { 0, 3 }, 2, true },
+    { "the same part in two data centres", { 0, 6 }, 2, true },
+    { "two parts in two data centres", { 0, 3, 6, 9 }, 4, true },
+    { "different ones in each data centre", { 0, 8, 13 }, 3, true },
+    { "the holders of the same layers everywhere", { 0, 6, 12 }, 3, false },
+  };
+  static const struct data_centre_counts data_centres[]
+      = { { 2, 2, 2 }, { 2, 2, 2 }, { 2, 2, 2 } };
+  struct flt_engine_spec with_pipe = spec_with_pipe (250);
+  struct fleet fleet;
+  struct rst_layers wanted[ENGINES_MAX];
+  build_fleet (&fleet, data_centres, 3);
+  stp_plan (&with_pipe, STP_DIVIDE_ANEW, 3, fleet.engines, fleet.count,
+            wanted);
+  apply_plan (&fleet, wanted);
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct fleet after = fleet;
+      struct rst_layers next[ENGINES_MAX];
+      uint32_t moved = 0;
+      for (uint32_t n = 0; n < rows[i].count; n++)
+        {
+          after.engines[rows[i].lost[n]].held = (struct rst_layers){ 0, 0 };
+          after.engines[rows[i].lost[n]].lost = true;
+        }
+      stp_plan (&with_pipe, STP_DIVIDE_ANEW, 3, after.engines, after.count,
+                next);
+      for (uint32_t engine = 0; engine < after.count; engine++)
+        {
+          moved += memcmp (&next[engine], &after.engines[engine].held,
+                           sizeof next[engine])
+                   != 0;
+        }
+      if ((moved == 0) != rows[i].covered)
+        {
+          fail_msg ("%s: %u engines moved", rows[i].name, moved);
+        }
+      assert_true (fewest_holders (&after, next, UINT32_MAX) >= 1);
+      if (!rows[i].covered)
+        {
+          continue;
+        }
+      struct fleet returned = after;
+      for (uint32_t n = 0; n < rows[i].count; n++)
+        {
+          returned.engines[rows[i].lost[n]].lost = false;
+        }
+      stp_plan (&with_pipe, STP_SPARES, 3, returned.engines, returned.count,
+                next);
+      for (uint32_t data_centre = 0; data_centre < 3; data_centre++)
+        {
+          assert_true (fewest_holders (&returned, next, data_centre) >= 1);
+        }
+      for (uint32_t n = 0; n < rows[i].count; n++)
+        {
+          after.engines[rows[i].lost[n]].memory_mb = 1; /* too little */
+        }
+      stp_plan (&with_pipe, STP_DIVIDE_ANEW, 3, after.engines, after.count,
+                next);
+      assert_fits (&after, next);
+      assert_true (fewest_holders (&after, next, UINT32_MAX) >= 1);
+    }
+}
+
 /* Returns the layers that the engines of FLEET in DATA_CENTRE can hold beside
    the KV cache of a request of usual size; in all data centres if DATA_CENTRE
    is UINT32_MAX.  */
@@ -870,6 +952,106 @@
   g_rand_free (random);
 }
 
+#define LISTED_MAX 4
+
+/* One observation of the list of engines, and the number of lost engines that
+   may come back afterwards. */
+struct observation
+{
+  int64_t at_ms;
+  /* Each is an id, a data centre and a kind, one letter each, and "-" if the
+     engine is leaving. */
+  const char *listed[LISTED_MAX];
+  uint32_t lost;
+};
+
+/* An engine that disappears without having announced it counts as lost until
+   one of its kind comes to its data centre, before or after it is missed, and
+   for ten seconds at most.  */
+static void
+test_losses (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *name;
+    struct observation observations[5];
+    uint32_t count;
+  } rows[] = {
+    { "lost and expired",
+      { { 0, { "aXt", "bXt" }, 0 },
+        { 1000, { "aXt" }, 1 },
+        { 10900, { "aXt" }, 1 },
+        { 11000, { "aXt" }, 0 } },
+      4 },
+    { "announced",
+      { { 0, { "aXt", "bXt" }, 0 },
+        { 1000, { "aXt", "bXt-" }, 0 },
+        { 2000, { "aXt" }, 0 } },
+      3 },
+    { "replaced afterwards",
+      { { 0, { "aXt", "bXt" }, 0 },
+        { 1000, { "aXt" }, 1 },
+        { 2000, { "aXt", "cXt" }, 0 } },
+      3 },
+    { "replaced before it was missed",
+      { { 0, { "aXt", "bXt" }, 0 },
+        { 1000, { "aXt", "bXt", "cXt" }, 0 },
+        { 2000, { "aXt", "cXt" }, 0 },
+        { 3000, { "cXt" }, 1 } },
+      4 },
+    { "replaced at the same time",
+      { { 0, { "aXt", "bXt" }, 0 }, { 1000, { "aXt", "cXt" }, 0 } },
+      2 },
+    { "another kind or data centre doesn't replace it",
+      { { 0, { "aXt", "bXt" }, 0 },
+        { 1000, { "aXt" }, 1 },
+        { 2000, { "aXt", "cXl" }, 1 },
+        { 3000, { "aXt", "cXl", "dYt" }, 1 },
+        { 4000, { "aXt", "bXt", "cXl", "dYt" }, 0 } },
+      5 },
+    { "a new engine long before replaces nothing",
+      { { 0, { "aXt" }, 0 },
+        { 1000, { "aXt", "bXt" }, 0 },
+        { 12000, { "aXt", "bXt" }, 0 },
+        { 13000, { "bXt" }, 1 } },
+      4 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct lss_losses *losses = lss_create ();
+      assert_false (lss_is_recent (losses, 0));
+      for (uint32_t n = 0; n < rows[i].count; n++)
+        {
+          const struct observation *now = &rows[i].observations[n];
+          GPtrArray *endpoints = g_ptr_array_new_with_free_func (
+              (GDestroyNotify)rst_endpoint_destroy);
+          for (uint32_t k = 0; k < LISTED_MAX && now->listed[k] != NULL; k++)
+            {
+              const char *text = now->listed[k];
+              struct rst_endpoint *endpoint = g_new0 (struct rst_endpoint, 1);
+              endpoint->id = g_strndup (text, 1);
+              endpoint->service = g_strdup ("draft");
+              endpoint->address = g_strdup ("10.0.0.1:80");
+              endpoint->data_centre = g_strndup (text + 1, 1);
+              endpoint->kind = g_strndup (text + 2, 1);
+              endpoint->leaving = text[3] == '-';
+              g_ptr_array_add (endpoints, endpoint);
+            }
+          lss_observe (losses, endpoints, now->at_ms * 1000);
+          if (lss_engines (losses)->len != now->lost)
+            {
+              fail_msg ("%s: %u lost at %ld ms", rows[i].name,
+                        lss_engines (losses)->len, (long)now->at_ms);
+            }
+          assert_true (now->lost == 0
+                       || lss_is_recent (losses, now->at_ms * 1000));
+          g_ptr_array_free (endpoints, TRUE);
+        }
+      lss_destroy (losses);
+    }
+}
+
 int
 main (void)
 {
@@ -881,11 +1063,13 @@
     cmocka_unit_test (test_plan_keeps_cache),
     cmocka_unit_test (test_plan_small_gap),
     cmocka_unit_test (test_plan_little_memory),
+    cmocka_unit_test (test_plan_waits_for_lost),
     cmocka_unit_test (test_plan_random_fleets),
     cmocka_unit_test (test_tiling),
     cmocka_unit_test (test_plan_unmovable),
     cmocka_unit_test (test_paths),
     cmocka_unit_test (test_paths_random),
+    cmocka_unit_test (test_losses),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
