Fill gaps with returned engines before giving up on lost ones

Cause: seen in traces of small twins: whether every layer has a holder was asked of what engines hold now. When engines that crashed come back in the same moment in which the list drops the crashed ones, a layer may have no holder, although the returned engines are about to get it. Then the lost ones that are still away didn't count, data centres were regrouped, and returned engines got other layers than those of the lost ones, to be moved 5 s later.

Change: the question is asked of the plan that counts lost engines. Only when that leaves a layer without a holder, it is made anew without them.

Result: test_plan_waits_for_lost with a row for it failed ("one of these is back: 3 engines moved") and passes now.

--- a/src/core/stage_plan.c
+++ b/src/core/stage_plan.c
@@ -650,6 +650,21 @@
   return !find_gap (group, &gap);
 }
 
+/* Resets the plan of the undecided data centres of FLEET to the layers that
+   their engines hold now.  */
+static void
+reset_undecided (struct group *group, struct fleet *fleet)
+{
+  memset (fleet->in_group, 0,
+          fleet->data_centre_count * sizeof *fleet->in_group);
+  for (uint32_t i = 0; i < fleet->undecided_count; i++)
+    {
+      fleet->in_group[fleet->undecided[i]] = true;
+    }
+  collect_members (group, fleet->engine_count, fleet->in_group);
+  reset_plan (group);
+}
+
 /* Sets WANTED, by engine, to the layers that each of the ENGINE_COUNT engines
    ENGINES in DATA_CENTRE_COUNT data centres is to hold.  Each data centre with
    ample memory forms a group that holds the complete model; the remaining
@@ -695,9 +710,17 @@
           fleet.undecided[fleet.undecided_count++] = i;
         }
     }
-  /* As long as any path is left, it is worth waiting for lost engines. */
-  fleet.count_lost = is_covered (&group, &fleet);
-  complete &= plan_undecided (&group, &fleet, effort);
+  /* As long as every layer has a holder somewhere, it is worth waiting for
+     lost engines. */
+  fleet.count_lost = true;
+  bool undecided_complete = plan_undecided (&group, &fleet, effort);
+  if (!is_covered (&group, &fleet))
+    {
+      reset_undecided (&group, &fleet);
+      fleet.count_lost = false;
+      undecided_complete = plan_undecided (&group, &fleet, effort);
+    }
+  complete &= undecided_complete;
   g_free (group.members);
   g_free (group.holders);
   g_free (group.spans);
--- a/test/stages_test.c
+++ b/test/stages_test.c
@@ -749,14 +749,16 @@
     const char *name;
     uint32_t lost[4]; /* indexes of engines; six in each data centre */
     uint32_t count;
-    bool covered; /* every layer has a holder left */
+    uint32_t back; /* of these, the last ones that are back */
+    bool covered;  /* every layer has a holder left */
   } rows[] = {
-    { "one in each of two data centres", { 0, 8 }, 2, true },
-    { "two in one data centre", { 0, 3 }, 2, true },
-    { "the same part in two data centres", { 0, 6 }, 2, true },
-    { "two parts in two data centres", { 0, 3, 6, 9 }, 4, true },
-    { "different ones in each data centre", { 0, 8, 13 }, 3, true },
-    { "the holders of the same layers everywhere", { 0, 6, 12 }, 3, false },
+    { "one in each of two data centres", { 0, 8 }, 2, 0, true },
+    { "two in one data centre", { 0, 3 }, 2, 0, true },
+    { "the same part in two data centres", { 0, 6 }, 2, 0, true },
+    { "two parts in two data centres", { 0, 3, 6, 9 }, 4, 0, true },
+    { "different ones in each data centre", { 0, 8, 13 }, 3, 0, true },
+    { "the holders of the same layers everywhere", { 0, 6, 12 }, 3, 0, false },
+    { "one of these is back", { 0, 6, 12 }, 3, 1, true },
   };
   static const struct data_centre_counts data_centres[]
       = { { 2, 2, 2 }, { 2, 2, 2 }, { 2, 2, 2 } };
@@ -775,7 +777,8 @@
       for (uint32_t n = 0; n < rows[i].count; n++)
         {
           after.engines[rows[i].lost[n]].held = (struct rst_layers){ 0, 0 };
-          after.engines[rows[i].lost[n]].lost = true;
+          after.engines[rows[i].lost[n]].lost
+              = n < rows[i].count - rows[i].back;
         }
       stp_plan (&with_pipe, STP_DIVIDE_ANEW, 3, after.engines, after.count,
                 next);
@@ -785,7 +788,7 @@
                            sizeof next[engine])
                    != 0;
         }
-      if ((moved == 0) != rows[i].covered)
+      if ((moved == rows[i].back) != rows[i].covered)
         {
           fail_msg ("%s: %u engines moved", rows[i].name, moved);
         }
@@ -807,7 +810,9 @@
         }
       for (uint32_t n = 0; n < rows[i].count; n++)
         {
-          after.engines[rows[i].lost[n]].memory_mb = 1; /* too little */
+          bool stays_away = after.engines[rows[i].lost[n]].lost;
+          after.engines[rows[i].lost[n]].memory_mb
+              = stays_away ? 1 : after.engines[rows[i].lost[n]].memory_mb;
         }
       stp_plan (&with_pipe, STP_DIVIDE_ANEW, 3, after.engines, after.count,
                 next);
