--- a/test/admission_test.c
+++ b/test/admission_test.c
@@ -731,7 +731,7 @@
           adm_finish (adm, id, 20, NOW_US + CLK_S_US / 2);
         }
       const struct adm_request request = {
-        .id = ++id,
+        .id = id + 1,
         .tokens = 1000,
         .deadline_us = NOW_US + c->age_us + c->left_us,
       };
--- a/test/burn_outbox_test.c
+++ b/test/burn_outbox_test.c
@@ -322,7 +322,7 @@
   uint32_t drafts;
   uint32_t refused_from; /* the first draft that the log is out at */
   uint32_t refused_to;   /* and the first at which it is back */
-  uint64_t lost;         /* drafts that no reader of the log counts */
+  uint32_t lost;         /* drafts that no reader of the log counts */
   uint32_t records_lost;
 };
 
--- a/test/control_test.c
+++ b/test/control_test.c
@@ -286,7 +286,7 @@
     {
       struct fixture fixture;
       start (&fixture, hs_port (server));
-      g_usleep ((gulong)(i * 20 * CLK_MS_US));
+      g_usleep ((gulong)(i * (20 * CLK_MS_US)));
       alarm (STOP_MAX_US / CLK_S_US); /* ends the test when the stop hangs */
       ctl_destroy (fixture.control);
       alarm (0);
