Spread the appends of the error budgets over a long stop

A stopping daemon appended what it had counted at each tick, five times a second, and used up the 64 sequences of a bucket within 13 s. What it counted later was appended only at the end of the process, and lost when a long stop was ended by a kill. After the first append of a stop, the next ones now follow after a 64th of a bucket each, 4.7 s.

Failed first: long_stop_spreads_its_appends (11 records in 2 s, at most 3 expected).

--- a/src/daemon/control_burn.c
+++ b/src/daemon/control_burn.c
@@ -12,6 +12,9 @@
 /* Limits the pages that are read from the log for one report. */
 #define READ_PAGES_MAX 4096
 
+/* Between appends during a stop.  Each uses up a sequence of the bucket. */
+#define STOP_FLUSH_INTERVAL_US (BRN_BUCKET_S * CLK_S_US / BRN_SEQUENCES_MAX)
+
 /* Time for the last appends of a stop: that of one append that is in progress,
    as in plog_append. */
 #define FINISH_MAX_US (2 * CLK_S_US)
@@ -62,13 +65,18 @@
 }
 
 /* Requests an append of the new counts to the burn stream of the log, every
-   minute and, when the daemon is stopping, at once.  Called periodically on
-   the control thread.  */
+   minute and, when the daemon is stopping, at once and then every
+   STOP_FLUSH_INTERVAL_US.  Called periodically on the control thread.  */
 void
 ctl_burn_tick (struct ctl_control *control)
 {
-  brn_tick (control->burn, clk_monotonic_us (), clk_real_us (),
-            control->stopping, control->actions);
+  int64_t now_us = clk_monotonic_us ();
+  bool flush = control->stopping && now_us >= control->next_burn_flush_us;
+  if (flush)
+    {
+      control->next_burn_flush_us = now_us + STOP_FLUSH_INTERVAL_US;
+    }
+  brn_tick (control->burn, now_us, clk_real_us (), flush, control->actions);
   ctl_perform_actions (control);
 }
 
--- a/src/daemon/control_private.h
+++ b/src/daemon/control_private.h
@@ -41,6 +41,7 @@
   struct brn_state *burn;
   uint64_t next_burn_offset; /* first offset of the burn stream not yet read */
   enum err_kind last_burn_read; /* result of the last read of that stream */
+  int64_t next_burn_flush_us;   /* monotonic, of a stop */
   struct peer_hub *hub;
   struct mem_fleet *members;
   char **peer_candidates;   /* addresses of possible peers, NULL-terminated */
--- a/test/control_test.c
+++ b/test/control_test.c
@@ -27,6 +27,7 @@
 #define PAGE_RECORDS_MAX 100
 #define HOUR_MS 3600000
 #define START_MAX_US (20 * CLK_S_US)
+#define LONG_STOP_US (2 * CLK_S_US)
 #define STOP_MAX_US (8 * CLK_S_US)
 
 static const char config_yaml[]
@@ -151,9 +152,10 @@
   client_destroy (client);
 }
 
-/* Returns the number of requests in the burn stream of the log.  */
+/* Returns the number of requests in the burn stream of the log.  Sets RECORDS
+   to that of its records, unless it is NULL.  */
 static uint64_t
-count_requests_in_log (struct fixture *fixture)
+count_requests_in_log (struct fixture *fixture, size_t *records)
 {
   struct plog_client *client = plog_create (fixture->urls);
   struct plog_page page;
@@ -175,6 +177,10 @@
       brn_record_destroy (record);
       g_bytes_unref (bytes);
     }
+  if (records != NULL)
+    {
+      *records = page.record_count;
+    }
   plog_page_clear (&page);
   plog_destroy (client);
   return requests;
@@ -244,7 +250,7 @@
         {
           inject_fault (platform, "{\"down_ms\":0}");
         }
-      uint64_t appended = count_requests_in_log (&fixture);
+      uint64_t appended = count_requests_in_log (&fixture, NULL);
       const char *line = strstr (log, "event=burn-records-unconfirmed");
       if (appended != cases[i].appended || stop_us > STOP_MAX_US
           || (line != NULL) != (cases[i].line != NULL)
@@ -295,6 +301,38 @@
   hs_destroy (server);
 }
 
+/* A stop that takes long doesn't use up the sequences of a bucket in its first
+   seconds, so that what is counted later is appended too before its end.  */
+static void
+long_stop_spreads_its_appends (void **state)
+{
+  (void)state;
+  struct jn_journal *journal = jn_create (NULL, NULL);
+  struct fp_platform *platform = create_platform (journal);
+  struct fixture fixture;
+  start (&fixture, fp_port (platform));
+  publish_config (fixture.control);
+  ctl_begin_stop (fixture.control);
+  int64_t began_us = clk_monotonic_us ();
+  uint32_t drafts = 0;
+  while (clk_monotonic_us () < began_us + LONG_STOP_US)
+    {
+      observe_drafts (fixture.control, 1);
+      drafts++;
+      g_usleep ((gulong)(50 * CLK_MS_US));
+    }
+  ctl_destroy (fixture.control);
+  int64_t bucket_us = BRN_BUCKET_S * CLK_S_US;
+  int64_t stop_us = clk_monotonic_us () - began_us;
+  size_t records = 0;
+  assert_int_equal (count_requests_in_log (&fixture, &records), drafts);
+  /* one at the start and one at the end; the bucket may end meanwhile */
+  assert_in_range (records, 1, 3 + stop_us * BRN_SEQUENCES_MAX / bucket_us);
+  clean_up (&fixture);
+  fp_destroy (platform);
+  jn_destroy (journal);
+}
+
 /* A log whose burn stream has ITEMS, from offset FIRST on, unless OUT. */
 struct scripted_log
 {
@@ -529,6 +567,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (control_thread_ends_while_it_appends),
     cmocka_unit_test (planned_stop_appends_all_counts),
+    cmocka_unit_test (long_stop_spreads_its_appends),
     cmocka_unit_test (malformed_records_are_skipped_once),
     cmocka_unit_test (failed_reads_are_logged_once),
   };
