Let a stopping daemon forget a stream that stalled once

The peaks from which a stopping daemon estimates how long a request may run decayed by 1 % with each request alone: a stream that stalled once, with 1 s between its events instead of 50 ms, kept its route's estimate high for 300 streams, however long ago it was, and requests that the stop had time for were refused. Now time is divided into windows of the route's time-out, in each of which at least 20 requests have been seen, and what was seen before the last two is forgotten. A time-out, as all requests that are in progress at the start of such a window have ended at its end, so that it has seen the long ones too; the number, as routes with little traffic go on with what they know. A route without a time-out forgets nothing.

Failed first: test_stopping_forgets, "two windows later: 20.000 s" (5.1 s now).

--- a/src/core/stopping.c
+++ b/src/core/stopping.c
@@ -16,6 +16,10 @@
    endpoints alone; what is declared then counts too. */
 #define SEEN_MIN 4
 
+/* What was seen before is kept until this many requests have been seen
+   since. */
+#define WINDOW_SEEN_MIN 20
+
 /* A stream with fewer events than this doesn't count among those: its events
    may have come in one burst. */
 #define EVENTS_MIN 4
@@ -29,47 +33,83 @@
   *peak_us = run_us > decayed_us ? run_us : decayed_us;
 }
 
-/* Updates HISTORY with TIMES, those of a request that was served.  */
+/* Begins a new window when the current one is WINDOW_US old at NOW_US and has
+   seen WINDOW_SEEN_MIN requests, and forgets what was seen before that one.
+   With a window of the time-out of the requests, those in progress at its
+   start have ended at its end, so that it has seen long ones too.  A WINDOW_US
+   of 0 doesn't end.  */
 void
-spn_observe_success (struct spn_history *history,
-                     const struct spn_times *times)
+spn_advance (struct spn_history *history, int64_t now_us, int64_t window_us)
+{
+  const struct spn_peaks *recent = &history->recent;
+  if (history->window_began_us == 0)
+    {
+      history->window_began_us = now_us;
+    }
+  if (window_us > 0 && now_us - history->window_began_us >= window_us
+      && recent->streams + recent->calls >= WINDOW_SEEN_MIN)
+    {
+      history->lately = *recent;
+      history->recent = (struct spn_peaks){ 0 };
+      history->window_began_us = now_us;
+    }
+}
+
+static void
+observe_success (struct spn_peaks *peaks, const struct spn_times *times)
 {
   if (!times->is_stream)
     {
-      spn_update_peak (&history->call_us, (double)times->run_us);
-      history->calls++;
+      spn_update_peak (&peaks->call_us, (double)times->run_us);
+      peaks->calls++;
       return;
     }
-  spn_update_peak (&history->first_event_us, (double)times->first_event_us);
+  spn_update_peak (&peaks->first_event_us, (double)times->first_event_us);
   if (times->events > 1)
     {
       int64_t events_us = times->run_us - times->first_event_us;
-      spn_update_peak (&history->event_us,
+      spn_update_peak (&peaks->event_us,
                        (double)events_us / (times->events - 1));
     }
-  history->streams += times->events >= EVENTS_MIN;
+  peaks->streams += times->events >= EVENTS_MIN;
 }
 
-/* Updates HISTORY with TIMES, those of a request that is in progress or that
-   ended without success.  It takes, or would have taken, longer still.  */
-void
-spn_observe_partial (struct spn_history *history,
-                     const struct spn_times *times)
+static void
+observe_partial (struct spn_peaks *peaks, const struct spn_times *times)
 {
   if (!times->is_stream)
     {
-      history->call_us = fmax (history->call_us, (double)times->run_us);
+      peaks->call_us = fmax (peaks->call_us, (double)times->run_us);
       return;
     }
-  history->first_event_us
-      = fmax (history->first_event_us, (double)times->first_event_us);
+  peaks->first_event_us
+      = fmax (peaks->first_event_us, (double)times->first_event_us);
   if (times->events > 0)
     {
       int64_t events_us = times->run_us - times->first_event_us;
-      history->event_us
-          = fmax (history->event_us, (double)events_us / times->events);
+      peaks->event_us
+          = fmax (peaks->event_us, (double)events_us / times->events);
     }
-  history->streams += times->events >= EVENTS_MIN;
+  peaks->streams += times->events >= EVENTS_MIN;
+}
+
+/* Updates HISTORY with TIMES, those of a request that was served.  */
+void
+spn_observe_success (struct spn_history *history,
+                     const struct spn_times *times)
+{
+  observe_success (&history->lately, times);
+  observe_success (&history->recent, times);
+}
+
+/* Updates HISTORY with TIMES, those of a request that is in progress or that
+   ended without success.  It takes, or would have taken, longer still.  */
+void
+spn_observe_partial (struct spn_history *history,
+                     const struct spn_times *times)
+{
+  observe_partial (&history->lately, times);
+  observe_partial (&history->recent, times);
 }
 
 /* Returns how long REQUEST may run at most, in microseconds, as far as HISTORY
@@ -81,13 +121,14 @@
   double left_us = (double)request->left_us;
   if (!request->is_stream)
     {
-      bool known = history->calls >= SEEN_MIN;
-      return (int64_t)(known ? fmin (history->call_us, left_us) : left_us);
+      bool known = history->lately.calls >= SEEN_MIN;
+      return (int64_t)(known ? fmin (history->lately.call_us, left_us)
+                             : left_us);
     }
-  bool known = history->streams >= SEEN_MIN;
+  bool known = history->lately.streams >= SEEN_MIN;
   bool declared = request->target_latency_us > 0 && request->target_gap_us > 0;
-  double first_us = history->first_event_us;
-  double gap_us = history->event_us;
+  double first_us = history->lately.first_event_us;
+  double gap_us = history->lately.event_us;
   if (!known)
     {
       first_us = fmax (first_us, (double)request->target_latency_us);
--- a/src/core/stopping.h
+++ b/src/core/stopping.h
@@ -29,9 +29,8 @@
   int64_t run_us;         /* from the arrival */
 };
 
-/* Peaks of the times of like requests seen lately.  All zero at first: nothing
- * was seen. */
-struct spn_history
+/* Peaks of the times of like requests.  All zero: nothing was seen. */
+struct spn_peaks
 {
   double first_event_us; /* from a stream's arrival to its first event */
   double event_us;       /* a stream's mean time between two events */
@@ -40,6 +39,16 @@
   uint32_t calls;        /* seen */
 };
 
+/* What was seen lately of like requests.  All zero at first.  Time is divided
+   into windows (spn_advance); what was seen before the last two is
+   forgotten. */
+struct spn_history
+{
+  struct spn_peaks lately; /* in the current window and the one before */
+  struct spn_peaks recent; /* in the current window alone */
+  int64_t window_began_us; /* monotonic; 0: no window has begun */
+};
+
 /* What a request states of itself, and its route of it. */
 struct spn_request
 {
@@ -51,6 +60,8 @@
 };
 
 void spn_update_peak (double *peak_us, double run_us);
+void spn_advance (struct spn_history *history, int64_t now_us,
+                  int64_t window_us);
 void spn_observe_success (struct spn_history *history,
                           const struct spn_times *times);
 void spn_observe_partial (struct spn_history *history,
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -102,7 +102,8 @@
   };
 }
 
-/* Returns the times of ended requests on ROUTE to SERVICE.  Those of other
+/* Returns the times of ended requests on ROUTE to SERVICE, as far as the last
+   one or two time-outs of the route have seen enough of them.  Those of other
    requests say nothing of how long these take.  When there are more entries
    than the configuration in force has routes and services for, all are dropped
    with those of removed routes.  */
@@ -124,6 +125,7 @@
       g_hash_table_insert (traffic->run_times, g_steal_pointer (&key),
                            history);
     }
+  spn_advance (history, clk_monotonic_us (), route->timeout_us);
   return history;
 }
 
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -198,7 +198,8 @@
            id == NULL ? "-" : id, accepted, (long)(age_us / CLK_MS_US),
            (long)(traffic->settings->stop_us / CLK_MS_US),
            (long)(longest_us / CLK_MS_US), (long)(needs.left_us / CLK_MS_US),
-           needs.events_max, history.event_us, history.streams, history.calls);
+           needs.events_max, history.lately.event_us, history.lately.streams,
+           history.lately.calls);
   return accepted;
 }
 
--- a/test/limits_test.c
+++ b/test/limits_test.c
@@ -508,6 +508,89 @@
     }
 }
 
+/* Guards against a stream that stalled once: its route's estimate stayed high
+   for hundreds of streams, and a stopping daemon refused what it could have
+   served.  It is forgotten with time, once enough others have been seen, and
+   those that are slow now and then are not.  */
+static void
+test_stopping_forgets (void **state)
+{
+  (void)state;
+  static const struct spn_request stream = {
+    .is_stream = true,
+    .events_max = 100,
+    .left_us = 20 * S_US,
+    .target_latency_us = S_US / 2,
+    .target_gap_us = S_US / 10,
+  };
+  static const struct spn_times well = {
+    .is_stream = true,
+    .events = 20,
+    .first_event_us = S_US / 10,
+    .run_us = S_US / 10 + 19 * S_US / 20,
+  };
+  static const struct spn_times slow = {
+    .is_stream = true,
+    .events = 20,
+    .first_event_us = S_US / 10,
+    .run_us = S_US / 10 + 19 * S_US / 4,
+  };
+  static const struct spn_times stalled = {
+    .is_stream = true,
+    .events = 10,
+    .first_event_us = S_US / 10,
+    .run_us = 10 * S_US,
+  };
+  static const struct
+  {
+    const char *name;
+    double window_s;
+    double later_s;    /* after the stalled stream */
+    double interval_s; /* between streams that end after it; 0: none */
+    uint32_t slow;     /* one in this many takes five times as long; 0: none */
+    double want_s;
+  } rows[] = {
+    { "at once", 20, 0.5, 0.5, 0, 20 },
+    { "within the window", 20, 19, 0.5, 0, 20 },
+    { "two windows later", 20, 41, 0.5, 0, 5.1 },
+    { "some are slow", 20, 41, 0.5, 20, 20 },
+    { "a longer window", 60, 41, 0.5, 0, 20 },
+    { "few streams lately", 20, 100, 15, 0, 20 },
+    { "no stream lately", 20, 100, 0, 0, 20 },
+    { "no window", 0, 41, 0.5, 0, 20 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct spn_history history = { 0 };
+      int64_t window_us = (int64_t)(rows[i].window_s * S_US);
+      int64_t now_us = 100 * S_US;
+      int64_t end_us = now_us + (int64_t)(rows[i].later_s * S_US);
+      int64_t interval_us = rows[i].interval_s > 0
+                                ? (int64_t)(rows[i].interval_s * S_US)
+                                : INT64_MAX / 2;
+      for (uint32_t n = 0; n < 20; n++)
+        {
+          spn_advance (&history, now_us, window_us);
+          spn_observe_success (&history, &well);
+        }
+      spn_observe_partial (&history, &stalled);
+      uint32_t count = 0;
+      for (now_us += interval_us; now_us <= end_us; now_us += interval_us)
+        {
+          count++;
+          bool is_slow = rows[i].slow > 0 && count % rows[i].slow == 0;
+          spn_advance (&history, now_us, window_us);
+          spn_observe_success (&history, is_slow ? &slow : &well);
+        }
+      spn_advance (&history, end_us, window_us);
+      double longest_s = (double)spn_longest_us (&history, &stream) / S_US;
+      if (fabs (longest_s - rows[i].want_s) > 0.001)
+        {
+          fail_msg ("%s: %.3f s", rows[i].name, longest_s);
+        }
+    }
+}
+
 /* Guards against accepting requests just before the end of a short stop.  */
 static void
 test_stopping_short (void **state)
@@ -616,6 +699,7 @@
     cmocka_unit_test (test_stopping_peak),
     cmocka_unit_test (test_stopping_longest),
     cmocka_unit_test (test_stopping_few_events),
+    cmocka_unit_test (test_stopping_forgets),
     cmocka_unit_test (test_stopping_short),
     cmocka_unit_test (test_stopping_deadline),
   };
