--- a/standin/entry_process.c
+++ b/standin/entry_process.c
@@ -8,6 +8,9 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+/* Number of partitions of the group's topic, unless the caller chooses it. */
+#define STORE_PARTITIONS 6
+
 struct sep_process
 {
   char *settings_path;
@@ -51,12 +54,14 @@
       "name: %s\ndata_centre: kgn\ncaller_address: \"%s\"\n"
       "ready_address: \"%s\"\nmetrics_address: \"%s\"\n"
       "relay_address: \"%s\"\nstore_address: \"%s\"\n"
-      "store_partitions: 6\ndescriptors: 1024\n"
+      "store_partitions: %u\ndescriptors: 1024\n"
       "drain_ms: %u\nconfig_ms: %u\nrevoke_ms: %u\nstop_s: %u\n"
       "retry_window_s: %u\nretry_ratio: %g\nretry_slack: %u\n",
       params->name, process->caller_address, process->ready_address,
-      metrics_address, relay_address, params->store_address, params->drain_ms,
-      params->config_ms, params->revoke_ms, params->stop_s,
+      metrics_address, relay_address, params->store_address,
+      params->store_partitions == 0 ? STORE_PARTITIONS
+                                    : params->store_partitions,
+      params->drain_ms, params->config_ms, params->revoke_ms, params->stop_s,
       params->retry_window_s, params->retry_ratio, params->retry_slack);
   g_autoptr (GError) error = NULL;
   if (!g_file_set_contents (process->settings_path, text, -1, &error))
--- a/standin/entry_process.h
+++ b/standin/entry_process.h
@@ -15,6 +15,7 @@
   const char *name;   /* of the daemon and of its files in FOLDER */
   const char *folder; /* holds the daemon's settings file and log file */
   const char *store_address;
+  uint32_t store_partitions; /* 0: 6 */
   uint32_t drain_ms;
   uint32_t config_ms;
   uint32_t revoke_ms;
--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -4,6 +4,8 @@
 #include "platform/headers.h"
 
 #include <signal.h>
+#include <stdio.h>
+#include <string.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -290,6 +292,73 @@
   return efx_send_booking_to (fixture, fixture->daemon, key);
 }
 
+/* Returns the value of SETTING, a text, in the settings of DAEMON, allocated.
+ */
+static char *
+read_setting (const struct efx_fixture *fixture, const char *daemon,
+              const char *setting)
+{
+  g_autofree char *file = g_strdup_printf ("%s.yaml", daemon);
+  g_autofree char *path = g_build_filename (fixture->folder, file, NULL);
+  g_autofree char *text = NULL;
+  g_autofree char *key = g_strdup_printf ("%s: \"", setting);
+  assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  const char *value = strstr (text, key);
+  assert_non_null (value);
+  value += strlen (key);
+  return g_strndup (value, strcspn (value, "\""));
+}
+
+/* Creates a second daemon, whose settings name the relay of the first one if
+   KNOWS_RELAY.  With few STORE_PARTITIONS, 0 being the default, it reads from
+   that relay even while the store works.  */
+struct sep_process *
+efx_create_second (struct efx_fixture *fixture, uint32_t store_partitions,
+                   bool knows_relay)
+{
+  const struct sep_params params = {
+    .name = "entry-2",
+    .folder = fixture->folder,
+    .store_address = sfl_store_address (fixture->fleet),
+    .store_partitions = store_partitions,
+    .drain_ms = EFX_DRAIN_MS,
+    .config_ms = EFX_CONFIG_MS,
+    .revoke_ms = EFX_REVOKE_MS,
+    .stop_s = EFX_STOP_S,
+    .retry_window_s = 2,
+    .retry_ratio = 0.2,
+    .retry_slack = 100,
+  };
+  struct sep_process *second = sep_create (&params);
+  if (!knows_relay)
+    {
+      return second;
+    }
+  g_autofree char *relay = read_setting (fixture, "entry-1", "relay_address");
+  g_autofree char *path
+      = g_build_filename (fixture->folder, "entry-2.yaml", NULL);
+  FILE *settings = fopen (path, "a");
+  assert_non_null (settings);
+  fprintf (settings, "relays: [\"%s\"]\n", relay);
+  fclose (settings);
+  return second;
+}
+
+/* Starts SECOND and waits until it serves.  */
+void
+efx_start_second (struct efx_fixture *fixture, struct sep_process *second)
+{
+  sep_start (second);
+  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
+  uint32_t status = 0;
+  while (status != 200 && clk_monotonic_us () < end_us)
+    {
+      efx_run_for (fixture, 50 * CLK_MS_US);
+      status = efx_send_booking_to (fixture, second, "key-1");
+    }
+  assert_int_equal (status, 200);
+}
+
 /* Waits until the daemon, which is stopping, has ended, and checks that it
    exited normally.  */
 void
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -74,6 +74,11 @@
                               const struct sep_process *daemon,
                               const char *key);
 uint32_t efx_send_booking (struct efx_fixture *fixture, const char *key);
+struct sep_process *efx_create_second (struct efx_fixture *fixture,
+                                       uint32_t store_partitions,
+                                       bool knows_relay);
+void efx_start_second (struct efx_fixture *fixture,
+                       struct sep_process *second);
 void efx_await_exit (struct efx_fixture *fixture);
 void efx_start_stream (struct efx_fixture *fixture, struct efx_call *call,
                        uint32_t output_tokens);
--- a/test/entry_restore_test.c
+++ b/test/entry_restore_test.c
@@ -4,7 +4,6 @@
 #include "base/clock.h"
 #include "platform/headers.h"
 
-#include <stdio.h>
 #include <string.h>
 
 /* Time for which a restored store isn't written again by others, and age of
@@ -103,69 +102,6 @@
     }
 }
 
-/* Returns the value of the setting NAME of the daemon NAME, allocated.  */
-static char *
-read_setting (const struct efx_fixture *fixture, const char *daemon,
-              const char *name)
-{
-  g_autofree char *file = g_strdup_printf ("%s.yaml", daemon);
-  g_autofree char *path = g_build_filename (fixture->folder, file, NULL);
-  g_autofree char *text = NULL;
-  g_autofree char *key = g_strdup_printf ("%s: \"", name);
-  assert_true (g_file_get_contents (path, &text, NULL, NULL));
-  const char *value = strstr (text, key);
-  assert_non_null (value);
-  value += strlen (key);
-  return g_strndup (value, strcspn (value, "\""));
-}
-
-/* Creates a second daemon, whose settings name the relay of the first one if
-   KNOWS_RELAY.  */
-static struct sep_process *
-create_second_daemon (struct efx_fixture *fixture, bool knows_relay)
-{
-  const struct sep_params params = {
-    .name = "entry-2",
-    .folder = fixture->folder,
-    .store_address = sfl_store_address (fixture->fleet),
-    .drain_ms = EFX_DRAIN_MS,
-    .config_ms = EFX_CONFIG_MS,
-    .revoke_ms = EFX_REVOKE_MS,
-    .stop_s = EFX_STOP_S,
-    .retry_window_s = 2,
-    .retry_ratio = 0.2,
-    .retry_slack = 100,
-  };
-  struct sep_process *daemon = sep_create (&params);
-  if (!knows_relay)
-    {
-      return daemon;
-    }
-  g_autofree char *relay = read_setting (fixture, "entry-1", "relay_address");
-  g_autofree char *path
-      = g_build_filename (fixture->folder, "entry-2.yaml", NULL);
-  FILE *settings = fopen (path, "a");
-  assert_non_null (settings);
-  fprintf (settings, "relays: [\"%s\"]\n", relay);
-  fclose (settings);
-  return daemon;
-}
-
-/* Starts DAEMON and waits until it serves.  */
-static void
-start_second_daemon (struct efx_fixture *fixture, struct sep_process *daemon)
-{
-  sep_start (daemon);
-  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
-  uint32_t status = 0;
-  while (status != 200 && clk_monotonic_us () < end_us)
-    {
-      efx_run_for (fixture, 50 * CLK_MS_US);
-      status = efx_send_booking_to (fixture, daemon, "key-1");
-    }
-  assert_int_equal (status, 200);
-}
-
 /* Guards against a position that is continued in another era: an offset that
    was given out again, to the record of an endpoint that leaves, was taken for
    one that had been read.  The second daemon reads from the first one's
@@ -176,8 +112,8 @@
   struct efx_fixture *fixture = *state;
   uint32_t lost = EFX_ENGINES;
   uint32_t leaving = EFX_ENGINES + 1;
-  struct sep_process *second = create_second_daemon (fixture, true);
-  start_second_daemon (fixture, second);
+  struct sep_process *second = efx_create_second (fixture, 0, true);
+  efx_start_second (fixture, second);
   /* Until the last engine has got its layers, so that no other record is
      lost. */
   efx_run_for (fixture, 2 * COPY_AGE_US);
@@ -262,7 +198,7 @@
 static void
 check_restart_after_restore (struct efx_fixture *fixture, bool knows_relay)
 {
-  struct sep_process *second = create_second_daemon (fixture, knows_relay);
+  struct sep_process *second = efx_create_second (fixture, 0, knows_relay);
   sfl_publish (fixture->fleet, 5, "key-2");
   efx_run_for (fixture, COPY_AGE_US + 200 * CLK_MS_US);
   sfl_publish (fixture->fleet, 6, "key-2");
