Tell readers of a relay which endpoints said that they leave

Cause: an endpoint says in an answer to one daemon that it leaves. Only that daemon stopped sending it work; each other one found out by a request of its own, while the list named the endpoint as ready.

Change: pages of the endpoint list that a relay answers have the departures that the reader doesn't know, pairs of endpoint id and start of the incarnation, at most 512 a page. The reader states the mark of the last page that had any; a reader of an earlier release states none and gets none, a relay of an earlier release ignores the mark. A waiting reader is answered when there are new ones, at the relay's next tick. What a daemon learns so counts as if it had been told itself, and is passed on to its own readers. Garbled ids, unknown starts and those more than a minute ahead are refused with a log line.

--- a/proto/relay.pb-c.c
+++ b/proto/relay.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &relay_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   relay_departure__init
+                     (RelayDeparture         *message)
+{
+  static const RelayDeparture init_value = RELAY_DEPARTURE__INIT;
+  *message = init_value;
+}
+size_t relay_departure__get_packed_size
+                     (const RelayDeparture *message)
+{
+  assert(message->base.descriptor == &relay_departure__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t relay_departure__pack
+                     (const RelayDeparture *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &relay_departure__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t relay_departure__pack_to_buffer
+                     (const RelayDeparture *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &relay_departure__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RelayDeparture *
+       relay_departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RelayDeparture *)
+     protobuf_c_message_unpack (&relay_departure__descriptor,
+                                allocator, len, data);
+}
+void   relay_departure__free_unpacked
+                     (RelayDeparture *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &relay_departure__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   relay_page__init
                      (RelayPage         *message)
 {
@@ -174,7 +219,58 @@
   (ProtobufCMessageInit) relay_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor relay_page__field_descriptors[7] =
+static const ProtobufCFieldDescriptor relay_departure__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RelayDeparture, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RelayDeparture, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned relay_departure__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange relay_departure__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor relay_departure__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RelayDeparture",
+  "RelayDeparture",
+  "RelayDeparture",
+  "",
+  sizeof(RelayDeparture),
+  2,
+  relay_departure__field_descriptors,
+  relay_departure__field_indices_by_name,
+  1,  relay_departure__number_ranges,
+  (ProtobufCMessageInit) relay_departure__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor relay_page__field_descriptors[9] =
 {
   {
     "records",
@@ -260,8 +356,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "departures",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RelayPage, n_departures),
+    offsetof(RelayPage, departures),
+    &relay_departure__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "departures_mark",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RelayPage, departures_mark),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned relay_page__field_indices_by_name[] = {
+  7,   /* field[7] = departures */
+  8,   /* field[8] = departures_mark */
   1,   /* field[1] = end */
   5,   /* field[5] = era */
   3,   /* field[3] = partitions */
@@ -273,7 +395,7 @@
 static const ProtobufCIntRange relay_page__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor relay_page__descriptor =
 {
@@ -283,7 +405,7 @@
   "RelayPage",
   "",
   sizeof(RelayPage),
-  7,
+  9,
   relay_page__field_descriptors,
   relay_page__field_indices_by_name,
   1,  relay_page__number_ranges,
--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct RelayRecord RelayRecord;
+typedef struct RelayDeparture RelayDeparture;
 typedef struct RelayPage RelayPage;
 
 
@@ -46,6 +47,23 @@
     , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
 
 
+/*
+ * An endpoint that said in an answer that it leaves.
+ */
+struct  RelayDeparture
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * start of the incarnation that said so
+   */
+  int64_t born_ms;
+};
+#define RELAY_DEPARTURE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&relay_departure__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * A page of the records of one topic.
  */
@@ -84,10 +102,20 @@
    * The records are all that the topic has, whatever offset was requested.
    */
   protobuf_c_boolean whole;
+  /*
+   * Endpoints that leave, of those that the reader may not know yet.
+   */
+  size_t n_departures;
+  RelayDeparture **departures;
+  /*
+   * What the reader states in its next request, to get only later departures;
+   * 0: the relay knows none.
+   */
+  uint64_t departures_mark;
 };
 #define RELAY_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&relay_page__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /* RelayRecord methods */
@@ -109,6 +137,25 @@
 void   relay_record__free_unpacked
                      (RelayRecord *message,
                       ProtobufCAllocator *allocator);
+/* RelayDeparture methods */
+void   relay_departure__init
+                     (RelayDeparture         *message);
+size_t relay_departure__get_packed_size
+                     (const RelayDeparture   *message);
+size_t relay_departure__pack
+                     (const RelayDeparture   *message,
+                      uint8_t             *out);
+size_t relay_departure__pack_to_buffer
+                     (const RelayDeparture   *message,
+                      ProtobufCBuffer     *buffer);
+RelayDeparture *
+       relay_departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   relay_departure__free_unpacked
+                     (RelayDeparture *message,
+                      ProtobufCAllocator *allocator);
 /* RelayPage methods */
 void   relay_page__init
                      (RelayPage         *message);
@@ -133,6 +180,9 @@
 typedef void (*RelayRecord_Closure)
                  (const RelayRecord *message,
                   void *closure_data);
+typedef void (*RelayDeparture_Closure)
+                 (const RelayDeparture *message,
+                  void *closure_data);
 typedef void (*RelayPage_Closure)
                  (const RelayPage *message,
                   void *closure_data);
@@ -143,6 +193,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor relay_record__descriptor;
+extern const ProtobufCMessageDescriptor relay_departure__descriptor;
 extern const ProtobufCMessageDescriptor relay_page__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -71,7 +71,8 @@
   struct fvw_view *view;     /* newest that was published */
   bool view_outdated;        /* there are changes since then */
   struct vdt_verdicts *verdicts;
-  uint64_t leaving_count; /* of the verdicts that the view has */
+  uint64_t leaving_count;    /* of the verdicts that the view has */
+  uint64_t departures_count; /* of those that readers were told of */
 };
 
 /* Returns the endpoints in use.  Those that said themselves that they leave
@@ -463,6 +464,32 @@
   rst_outage (control->roster);
 }
 
+/* Handles what a relay knows: an endpoint said to another daemon that it
+   leaves.  */
+static void
+on_departure (void *context, const char *id, int64_t born_ms)
+{
+  struct fct_control *control = context;
+  if (vdt_set_leaving (control->verdicts, id, born_ms))
+    {
+      lg_line (LOG_NOTICE, "endpoint_says_leaving_elsewhere",
+               "endpoint=%s born_ms=%ld", id, (long)born_ms);
+      control->view_outdated = true;
+    }
+}
+
+/* Tells waiting readers of new departures, together if there are several.  */
+static void
+announce_departures (struct fct_control *control)
+{
+  uint64_t count = vdt_leaving_count (control->verdicts);
+  if (count != control->departures_count)
+    {
+      control->departures_count = count;
+      rly_departures_changed (control->relay);
+    }
+}
+
 static const struct tpc_events endpoint_events = {
   .era = on_list_era,
   .snapshot_begin = on_list_begin,
@@ -470,6 +497,7 @@
   .record = on_endpoint_record,
   .held = on_endpoint_held,
   .current = on_list_current,
+  .departure = on_departure,
   .outage = on_list_outage,
 };
 
@@ -585,6 +613,7 @@
       |= rst_expire (control->roster, now_us)
          || vdt_leaving_count (control->verdicts) != control->leaving_count;
   publish (control);
+  announce_departures (control);
   choose_sources (control, now_us);
   if (control->find_members_until_us != 0)
     {
@@ -712,6 +741,7 @@
     {
       return NULL; /* no clean-up: the process exits */
     }
+  rly_serve_departures (control->relay, verdicts);
   control->relayless_max_us
       = g_random_int_range (RELAYLESS_MIN_US, 2 * RELAYLESS_MIN_US);
   list_relays (control);
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -2,6 +2,8 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/log.h"
+#include "core/departures.h"
 #include "core/era.h"
 #include "net/server.h"
 #include "proto/relay.pb-c.h"
@@ -58,15 +60,22 @@
   GPtrArray *readers;  /* struct reader; waiting requests */
 };
 
+/* What another daemon asks for. */
+struct query
+{
+  uint64_t era;             /* to which `from' belongs */
+  uint64_t from;            /* first offset that it asks for */
+  uint64_t departures_mark; /* what it knows of these */
+  int64_t arrived_us;       /* monotonic */
+};
+
 /* A request of another daemon that waits for changes. */
 struct reader
 {
   struct rly_relay *relay;
   struct mirror *mirror;
   struct nsv_connection *connection;
-  uint64_t era;       /* to which `from' belongs */
-  uint64_t from;      /* first offset that it asks for */
-  int64_t arrived_us; /* monotonic */
+  struct query query;
   uv_timer_t timer;
   bool finished; /* its timer is closing */
 };
@@ -77,6 +86,9 @@
   struct nsv_server *server;
   GHashTable *mirrors; /* topic to struct mirror */
   uint32_t partitions; /* of the group's topic that this daemon owns */
+  struct vdt_verdicts *verdicts; /* which endpoints leave; NULL: unknown */
+  uint64_t mark_base; /* what a reader states that knows the first N of this
+                         relay's departures is N higher */
   uv_timer_t sweep;
 };
 
@@ -119,13 +131,73 @@
   return mirror;
 }
 
-/* Answers CONNECTION, whose request arrived at ARRIVED_US, with the changes of
-   MIRROR in RELAY from the offset FROM on; with all that MIRROR holds if
-   WHOLE.  */
+/* True when RELAY knows departures that the reader of QUERY wants and may not
+   know.  */
+static bool
+has_departures (const struct rly_relay *relay, const struct query *query)
+{
+  if (relay->verdicts == NULL || query->departures_mark == RLY_NO_DEPARTURES)
+    {
+      return false;
+    }
+  uint64_t count = vdt_leaving_count (relay->verdicts);
+  return count > 0 && query->departures_mark != relay->mark_base + count;
+}
+
+/* Returns the departures that the reader of QUERY doesn't know, struct
+   dep_departure, and sets MARK to what it knows with them.  One that has its
+   mark from another relay gets all.  The caller frees the list.  */
+static GPtrArray *
+list_departures (const struct rly_relay *relay, const struct query *query,
+                 uint64_t *mark)
+{
+  uint64_t known = 0;
+  if (query->departures_mark > relay->mark_base
+      && query->departures_mark - relay->mark_base
+             <= vdt_leaving_count (relay->verdicts))
+    {
+      known = query->departures_mark - relay->mark_base;
+    }
+  GPtrArray *list
+      = vdt_list_leaving (relay->verdicts, known, RLY_DEPARTURES_MAX, mark);
+  *mark += relay->mark_base;
+  return list;
+}
+
+/* Sets the departures of PAGE to LIST, struct dep_departure, which must
+   outlive it.  The caller clears PAGE with clear_departures.  */
+static void
+set_departures (RelayPage *page, const GPtrArray *list)
+{
+  page->departures = g_new (RelayDeparture *, list->len + 1);
+  page->n_departures = list->len;
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct dep_departure *known = g_ptr_array_index (list, i);
+      RelayDeparture *departure = g_new (RelayDeparture, 1);
+      relay_departure__init (departure);
+      departure->id = known->id;
+      departure->born_ms = known->born_ms;
+      page->departures[i] = departure;
+    }
+}
+
+static void
+clear_departures (RelayPage *page)
+{
+  for (size_t i = 0; i < page->n_departures; i++)
+    {
+      g_free (page->departures[i]);
+    }
+  g_free (page->departures);
+}
+
+/* Answers QUERY on CONNECTION with the changes of MIRROR in RELAY from its
+   offset on; with all that MIRROR holds if WHOLE.  */
 static void
 send_page (const struct rly_relay *relay, const struct mirror *mirror,
-           struct nsv_connection *connection, bool whole, uint64_t from,
-           int64_t arrived_us)
+           struct nsv_connection *connection, bool whole,
+           const struct query *query)
 {
   GArray *records = g_array_new (FALSE, FALSE, sizeof (RelayRecord));
   GHashTableIter iter;
@@ -134,7 +206,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct change *change = value;
-      if (!whole && change->offset < from)
+      if (!whole && change->offset < query->from)
         {
           continue;
         }
@@ -162,15 +234,22 @@
   page.era = mirror->era;
   page.whole = whole;
   page.end = mirror->end;
-  page.proof_lead_us = mirror->proved_us - arrived_us;
+  page.proof_lead_us = mirror->proved_us - query->arrived_us;
   page.partitions = relay->partitions;
   page.readers
       = MAX (nsv_connection_count (relay->server) / CONNECTIONS_PER_READER, 1);
+  g_autoptr (GPtrArray) departures = NULL;
+  if (has_departures (relay, query))
+    {
+      departures = list_departures (relay, query, &page.departures_mark);
+      set_departures (&page, departures);
+    }
   size_t bytes = relay_page__get_packed_size (&page);
   uint8_t *body = g_malloc (bytes + 1);
   relay_page__pack (&page, body);
   nsv_respond (connection, HTTP_STATUS_OK, "", body, bytes);
   g_free (body);
+  clear_departures (&page);
   g_free (pointers);
   g_array_free (records, TRUE);
 }
@@ -184,32 +263,30 @@
   return era != mirror->era && (era != ERA_UNKNOWN || mirror->restored);
 }
 
-/* Answers CONNECTION, whose request for the changes from the offset FROM of
-   ERA on arrived at ARRIVED_US.  A reader of an earlier era gets all that
+/* Answers QUERY on CONNECTION.  A reader of an earlier era gets all that
    MIRROR holds.  Otherwise, the reader asks another relay or the store: at 503
    since MIRROR doesn't show a state of the topic that the reader can use, at
-   410 since removals after FROM may be unknown.  */
+   410 since removals after its offset may be unknown.  */
 static void
 send_answer (const struct rly_relay *relay, const struct mirror *mirror,
-             struct nsv_connection *connection, uint64_t era, uint64_t from,
-             int64_t arrived_us)
+             struct nsv_connection *connection, const struct query *query)
 {
-  bool other_era = is_other_era (mirror, era);
-  if (mirror->proved_us == 0 || (other_era && era > mirror->era))
+  bool other_era = is_other_era (mirror, query->era);
+  if (mirror->proved_us == 0 || (other_era && query->era > mirror->era))
     {
       nsv_respond (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, "", "", 0);
     }
-  else if (other_era && era != ERA_UNKNOWN && mirror->complete)
+  else if (other_era && query->era != ERA_UNKNOWN && mirror->complete)
     {
-      send_page (relay, mirror, connection, true, 0, arrived_us);
+      send_page (relay, mirror, connection, true, query);
     }
-  else if (other_era || from < mirror->floor)
+  else if (other_era || query->from < mirror->floor)
     {
       nsv_respond (connection, HTTP_STATUS_GONE, "", "", 0);
     }
   else
     {
-      send_page (relay, mirror, connection, false, from, arrived_us);
+      send_page (relay, mirror, connection, false, query);
     }
 }
 
@@ -233,7 +310,7 @@
   if (respond)
     {
       send_answer (reader->relay, reader->mirror, reader->connection,
-                   reader->era, reader->from, reader->arrived_us);
+                   &reader->query);
     }
   uv_close ((uv_handle_t *)&reader->timer, on_reader_closed);
 }
@@ -244,20 +321,18 @@
   finish_reader (timer->data, true);
 }
 
-/* Makes CONNECTION wait up to WAIT_MS for changes of MIRROR from the offset
-   FROM of ERA on.  */
+/* Makes CONNECTION wait up to WAIT_MS for changes of MIRROR that answer
+   QUERY.  */
 static void
 add_reader (struct rly_relay *relay, struct mirror *mirror,
-            struct nsv_connection *connection, uint64_t era, uint64_t from,
+            struct nsv_connection *connection, const struct query *query,
             uint64_t wait_ms)
 {
   struct reader *reader = g_new0 (struct reader, 1);
   reader->relay = relay;
   reader->mirror = mirror;
   reader->connection = connection;
-  reader->era = era;
-  reader->from = from;
-  reader->arrived_us = clk_monotonic_us ();
+  reader->query = *query;
   uv_timer_init (relay->loop, &reader->timer);
   reader->timer.data = reader;
   uv_timer_start (&reader->timer, on_wait_expired, wait_ms, 0);
@@ -266,9 +341,9 @@
 }
 
 /* Handles a request of another daemon: answers 503 without a proof that is as
-   recent as the daemon asks for, at once if there are changes or if the daemon
-   has its offset from another era, or else when there are changes or the wait
-   expires.  */
+   recent as the daemon asks for, at once if there are changes or departures
+   that it doesn't know or if it has its offset from another era, or else when
+   there are such or the wait expires.  */
 static void
 on_request (void *context, struct nsv_connection *connection,
             const struct msg_message *request, const char *method)
@@ -285,30 +360,34 @@
   char *topic = g_strndup (url + strlen (RELAY_PATH), name_bytes);
   struct mirror *mirror = g_hash_table_lookup (relay->mirrors, topic);
   g_free (topic);
-  uint64_t from = msg_query_number (url, "&from=");
-  uint64_t era = msg_query_number (url, "&era=");
+  const struct query query = {
+    .era = msg_query_number (url, "&era="),
+    .from = msg_query_number (url, "&from="),
+    .departures_mark = msg_query_number (url, "&departures="),
+    .arrived_us = clk_monotonic_us (),
+  };
   int64_t age_max_us = (int64_t)msg_query_number (url, "&age=") * CLK_MS_US;
-  int64_t now_us = clk_monotonic_us ();
   if (mirror != NULL && msg_query_number (url, "&whole=") == 1
       && g_hash_table_size (mirror->changes) > 0)
     {
-      send_page (relay, mirror, connection, true, 0, now_us);
+      send_page (relay, mirror, connection, true, &query);
     }
   else if (mirror == NULL || mirror->proved_us == 0
-           || now_us - mirror->proved_us
+           || query.arrived_us - mirror->proved_us
                   > (age_max_us > 0 ? age_max_us : PROOF_AGE_MAX_US))
     {
       nsv_respond (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, "", "", 0);
     }
-  else if (is_other_era (mirror, era) || from < mirror->floor
+  else if (is_other_era (mirror, query.era) || query.from < mirror->floor
            || (g_hash_table_size (mirror->changes) > 0
-               && from <= mirror->newest))
+               && query.from <= mirror->newest)
+           || has_departures (relay, &query))
     {
-      send_answer (relay, mirror, connection, era, from, now_us);
+      send_answer (relay, mirror, connection, &query);
     }
   else
     {
-      add_reader (relay, mirror, connection, era, from,
+      add_reader (relay, mirror, connection, &query,
                   msg_query_number (url, "&wait="));
     }
 }
@@ -354,6 +433,9 @@
   };
   struct rly_relay *relay = g_new0 (struct rly_relay, 1);
   relay->loop = loop;
+  relay->mark_base = RLY_ALL_DEPARTURES
+                     + ((uint64_t)g_random_int_range (1, G_MAXINT32) << 31)
+                     + g_random_int ();
   relay->mirrors
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, destroy_mirror);
   relay->server = nsv_create (loop, address, &limits, &events, relay, error);
@@ -399,6 +481,35 @@
   return nsv_connection_count (relay->server) > 0;
 }
 
+/* Makes RELAY tell its readers which endpoints leave according to VERDICTS,
+   which must outlive it.  */
+void
+rly_serve_departures (struct rly_relay *relay, struct vdt_verdicts *verdicts)
+{
+  relay->verdicts = verdicts;
+}
+
+/* Answers the waiting readers of RELAY that don't know all departures.  */
+void
+rly_departures_changed (struct rly_relay *relay)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, relay->mirrors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct mirror *mirror = value;
+      for (guint i = mirror->readers->len; i-- > 0;)
+        {
+          struct reader *reader = g_ptr_array_index (mirror->readers, i);
+          if (has_departures (relay, &reader->query))
+            {
+              finish_reader (reader, true);
+            }
+        }
+    }
+}
+
 /* Makes RELAY tell its readers that this daemon owns PARTITIONS of the group's
    topic.  */
 void
@@ -590,9 +701,9 @@
 {
   return g_strdup_printf (
       RELAY_PATH "%s&era=%" G_GUINT64_FORMAT "&from=%" G_GUINT64_FORMAT
-                 "&wait=%u&age=%u&whole=%d",
+                 "&wait=%u&age=%u&whole=%d&departures=%" G_GUINT64_FORMAT,
       request->topic, request->era, request->from, request->wait_ms,
-      request->age_max_ms, request->whole);
+      request->age_max_ms, request->whole, request->departures_mark);
 }
 
 static gint
@@ -604,14 +715,45 @@
          - ((*left)->offset < (*right)->offset);
 }
 
+/* Returns the departures in PAGE that can be believed, struct dep_departure.
+   The caller frees the list.  */
+static GPtrArray *
+read_departures (const RelayPage *page)
+{
+  GPtrArray *list = dep_list_create ();
+  int64_t now_ms = clk_real_us () / CLK_MS_US;
+  if (page->n_departures > RLY_DEPARTURES_MAX)
+    {
+      lg_line (LOG_WARNING, "departures_refused", "count=%zu",
+               page->n_departures);
+      return list;
+    }
+  for (size_t i = 0; i < page->n_departures; i++)
+    {
+      const RelayDeparture *departure = page->departures[i];
+      if (dep_is_plausible (departure->id, departure->born_ms, now_ms))
+        {
+          dep_list_add (list, departure->id, departure->born_ms);
+        }
+      else
+        {
+          lg_line (LOG_WARNING, "departure_refused",
+                   "id_bytes=%zu born_ms=%ld", strlen (departure->id),
+                   (long)departure->born_ms);
+        }
+    }
+  return list;
+}
+
 /* Decodes the answer BODY of a relay into PAGE and HEAD.  Returns false with
-   ERR_PROTOCOL when BODY can't be read.  The caller clears PAGE in both cases.
- */
+   ERR_PROTOCOL when BODY can't be read.  The caller clears PAGE and HEAD in
+   both cases.  */
 bool
 rly_decode (const void *body, size_t body_bytes, struct pfs_page *page,
             struct rly_head *head, GError **error)
 {
   pfs_init_page (page);
+  *head = (struct rly_head){ 0 };
   RelayPage *decoded = relay_page__unpack (NULL, body_bytes, body);
   if (decoded == NULL)
     {
@@ -642,7 +784,16 @@
       .partitions = decoded->partitions,
       .readers = decoded->readers,
     },
+    .departures = read_departures (decoded),
+    .departures_mark = decoded->departures_mark,
   };
   relay_page__free_unpacked (decoded, NULL);
   return true;
 }
+
+/* Frees what rly_decode has put into HEAD.  */
+void
+rly_clear_head (struct rly_head *head)
+{
+  g_clear_pointer (&head->departures, g_ptr_array_unref);
+}
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "core/departures.h"
 #include "core/era.h"
 #include "entry/relay.h"
 #include "net/call.h"
@@ -64,6 +65,7 @@
   bool relay_known;           /* a relay has answered since the list was set */
   bool has_hint;              /* of a relay, which wasn't taken yet */
   struct rly_hint hint;
+  uint64_t departures_mark; /* what is known of these */
   int64_t last_success_us;
   bool failed;         /* the previous call failed */
   bool store_failed;   /* the newest call of the store failed */
@@ -440,6 +442,28 @@
   end_snapshot (topic, page->end, proved_us);
 }
 
+/* Passes on the departures that HEAD has.  They hold whatever the era and the
+   proof are.  */
+static void
+deliver_departures (struct tpc_topic *topic, const struct rly_head *head)
+{
+  if (topic->params.events->departure == NULL)
+    {
+      return;
+    }
+  for (guint i = 0; i < head->departures->len; i++)
+    {
+      const struct dep_departure *departure
+          = g_ptr_array_index (head->departures, i);
+      topic->params.events->departure (topic->params.context, departure->id,
+                                       departure->born_ms);
+    }
+  if (head->departures_mark != RLY_NO_DEPARTURES)
+    {
+      topic->departures_mark = head->departures_mark;
+    }
+}
+
 /* Handles an answer of a relay.  Returns false when it is invalid, its proof
    is too old or its era is no continuation.  */
 static bool
@@ -449,6 +473,10 @@
   struct pfs_page page;
   struct rly_head head = { 0 };
   bool valid = rly_decode (body, body_bytes, &page, &head, error);
+  if (valid)
+    {
+      deliver_departures (topic, &head);
+    }
   int64_t proved_us = topic->sent_us + head.proof_lead_us;
   enum era_use use = era_use_of_page (topic->era, head.era, head.whole);
   if (valid && use == ERA_REJECT)
@@ -480,6 +508,7 @@
         }
     }
   pfs_clear_page (&page);
+  rly_clear_head (&head);
   return valid;
 }
 
@@ -512,6 +541,7 @@
                                       head.era == topic->era);
         }
       pfs_clear_page (&page);
+      rly_clear_head (&head);
     }
   if (status != HTTP_STATUS_OK || error != NULL)
     {
@@ -702,6 +732,7 @@
     .from = topic->next_offset,
     .wait_ms = wait_ms,
     .age_max_ms = age_max_ms,
+    .departures_mark = topic->departures_mark,
   };
   char *path
       = call.to_relay ? rly_path (&request)
@@ -737,6 +768,9 @@
   topic->params = *params;
   topic->address = g_strdup (params->address);
   topic->relays = g_ptr_array_new_with_free_func (g_free);
+  topic->departures_mark = params->events->departure == NULL
+                               ? RLY_NO_DEPARTURES
+                               : RLY_ALL_DEPARTURES;
   topic->retry_ms = RETRY_MIN_MS;
   topic->relay_retry_ms = RETRY_MIN_MS;
   topic->answer_timeout_ms
--- a/src/entry/topic.h
+++ b/src/entry/topic.h
@@ -31,6 +31,9 @@
   /* All records that were in the topic at the monotonic time PROVED_US, up to
      the offset END, have been passed to `record'. */
   void (*current) (void *context, int64_t proved_us, uint64_t end);
+  /* The endpoint ID said to another daemon that it leaves, in its incarnation
+     that started at BORN_MS.  NULL: relays aren't asked for that. */
+  void (*departure) (void *context, const char *id, int64_t born_ms);
   /* The topic can't be read, for the reason WHY; `current' ends the outage. */
   void (*outage) (void *context, const char *why);
 };
--- a/src/entry/verdicts.c
+++ b/src/entry/verdicts.c
@@ -3,8 +3,6 @@
 #include "core/departures.h"
 #include "core/turned_away.h"
 
-#include <glib.h>
-
 struct vdt_verdicts
 {
   GMutex mutex;
@@ -104,6 +102,18 @@
   return count;
 }
 
+/* Returns the incarnations that were found to leave, without the first AFTER
+   ones and at most LIMIT of them, as dep_list.  The caller frees the list.  */
+GPtrArray *
+vdt_list_leaving (struct vdt_verdicts *verdicts, uint64_t after,
+                  uint32_t limit, uint64_t *up_to)
+{
+  g_mutex_lock (&verdicts->mutex);
+  GPtrArray *list = dep_list (verdicts->leaving, after, limit, up_to);
+  g_mutex_unlock (&verdicts->mutex);
+  return list;
+}
+
 /* Records that the endpoint ID, in its incarnation that started at BORN_MS,
    wants no requests for DURATION_US from NOW_US on.  Returns when it opens
    again for this daemon.  */
--- a/test/entry_leaving_test.c
+++ b/test/entry_leaving_test.c
@@ -155,6 +155,46 @@
     }
 }
 
+/* Guards against requests of a daemon to which an endpoint hasn't said that it
+   leaves: a daemon that reads another one's relay learns it there within the
+   drain bound, though the list names the endpoint as ready.  A new instance
+   gets requests of both.  */
+static void
+test_said_to_another_daemon (void **state)
+{
+  struct efx_fixture *fixture = *state;
+  const uint32_t leaving = EFX_ENGINES;
+  struct sep_process *second = efx_create_second (fixture, 1, true);
+  efx_start_second (fixture, second);
+  efx_run_for (fixture, 2 * CLK_S_US);
+  sfl_set_leaving (fixture->fleet, leaving, true);
+  bool said = reaches (fixture, "/book/a", SFL_NO_FAULT, leaving);
+  efx_run_for (fixture, EFX_DRAIN_MS * CLK_MS_US);
+  uint32_t before = sfl_arrival_count (fixture->fleet, leaving);
+  uint32_t served = 0;
+  for (uint32_t i = 0; i < 4 * BURST; i++)
+    {
+      served += efx_send_booking_to (fixture, second, "key-1") == 200;
+    }
+  uint32_t late = sfl_arrival_count (fixture->fleet, leaving) - before;
+  replace_endpoint (fixture, leaving);
+  uint32_t replaced = 0;
+  before = sfl_arrival_count (fixture->fleet, leaving);
+  for (uint32_t i = 0; i < 4 * BURST; i++)
+    {
+      efx_send_booking_to (fixture, second, "key-1");
+    }
+  replaced = sfl_arrival_count (fixture->fleet, leaving) - before;
+  sep_remove_files (second);
+  sep_destroy (second);
+  if (!said || late > 0 || served < 4 * BURST || replaced == 0)
+    {
+      fail_msg ("said %d, %u late requests, %u of %u served, %u to the new "
+                "instance",
+                said, late, served, 4 * BURST, replaced);
+    }
+}
+
 /* When every service says that it leaves, requests are refused at once.  */
 static void
 test_all_services_say_leaving (void **state)
@@ -523,6 +563,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_service_says_leaving),
+    cmocka_unit_test (test_said_to_another_daemon),
     cmocka_unit_test (test_all_services_say_leaving),
     cmocka_unit_test (test_engines_say_leaving),
     cmocka_unit_test (test_leaving_said_in_report),
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -1,8 +1,10 @@
 /* Tests of the relay: what it answers to another daemon before, during and
    after changes of a topic. */
 #include "base/clock.h"
+#include "core/departures.h"
 #include "entry/relay.h"
 #include "net/call.h"
+#include "proto/relay.pb-c.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -25,6 +27,9 @@
                     with a minus before it */
   uint64_t end;
   struct rly_head head;
+  char departures[64]; /* ids and starts, each with a blank after it */
+  uint32_t departure_count;
+  int64_t done_us; /* monotonic */
 };
 
 enum action
@@ -288,6 +293,18 @@
       g_strlcat (answer->keys, " ", sizeof answer->keys);
     }
   answer->end = page.end;
+  for (guint i = 0; i < answer->head.departures->len; i++)
+    {
+      const struct dep_departure *departure
+          = g_ptr_array_index (answer->head.departures, i);
+      char text[32];
+      g_snprintf (text, sizeof text, "%s/%ld ", departure->id,
+                  (long)departure->born_ms);
+      g_strlcat (answer->departures, text, sizeof answer->departures);
+    }
+  answer->departure_count = answer->head.departures->len;
+  answer->done_us = clk_monotonic_us ();
+  rly_clear_head (&answer->head);
   pfs_clear_page (&page);
 }
 
@@ -386,15 +403,259 @@
   g_autoptr (GError) error = NULL;
   assert_false (rly_decode ("\xff\xff\xff", 3, &page, &head, &error));
   assert_non_null (error);
+  rly_clear_head (&head);
   pfs_clear_page (&page);
 }
 
+/* A relay, and another daemon that reads from it. */
+struct pair
+{
+  uv_loop_t loop;
+  struct rly_relay *relay;
+  struct vdt_verdicts *verdicts;
+  struct ncl_client *client;
+  char *address;
+};
+
+static void
+create_pair (struct pair *pair)
+{
+  const struct ncl_params client_params
+      = { .connect_timeout_us = CLK_S_US, .user_timeout_ms = 1000 };
+  uv_loop_init (&pair->loop);
+  pair->relay = rly_create (&pair->loop, "127.0.0.1:0", NULL);
+  assert_non_null (pair->relay);
+  pair->verdicts = vdt_create ();
+  rly_serve_departures (pair->relay, pair->verdicts);
+  pair->address = rly_address (pair->relay);
+  pair->client = ncl_create (&pair->loop, &client_params);
+}
+
+static void
+destroy_pair (struct pair *pair)
+{
+  g_free (pair->address);
+  ncl_destroy (pair->client);
+  rly_destroy (pair->relay);
+  uv_run (&pair->loop, UV_RUN_DEFAULT);
+  uv_loop_close (&pair->loop);
+  vdt_destroy (pair->verdicts);
+}
+
+/* Asks the relay for changes from the offset FROM on, stating MARK.  Within
+   the wait, the endpoint JOINS, unless NULL, turns out to leave.  Returns how
+   long the answer took.  */
+static int64_t
+ask_pair (struct pair *pair, uint64_t from, uint64_t mark, const char *joins,
+          struct answer *answer)
+{
+  const struct rly_request request = {
+    .topic = TOPIC,
+    .from = from,
+    .wait_ms = WAIT_MS,
+    .age_max_ms = 20000,
+    .departures_mark = mark,
+  };
+  g_autofree char *path = rly_path (&request);
+  const struct cal_params params = {
+    .client = pair->client,
+    .loop = &pair->loop,
+    .address = pair->address,
+    .method = "GET",
+    .path = path,
+    .timeout_ms = 2000,
+    .done = on_done,
+    .context = answer,
+  };
+  int64_t sent_us = clk_monotonic_us ();
+  *answer = (struct answer){ 0 };
+  cal_send (&params);
+  while (!answer->done)
+    {
+      usleep (1000);
+      uv_run (&pair->loop, UV_RUN_NOWAIT);
+      if (joins != NULL
+          && clk_monotonic_us () - sent_us > WAIT_MS / 3 * CLK_MS_US)
+        {
+          vdt_set_leaving (pair->verdicts, joins, 2000);
+          rly_departures_changed (pair->relay);
+          joins = NULL;
+        }
+    }
+  return answer->done_us - sent_us;
+}
+
+/* A reader gets the departures that it doesn't know, and is answered at once
+   when there are any.  One that doesn't ask for them, such as a daemon of an
+   earlier release, gets none and waits.  */
+static void
+test_departures (void **state)
+{
+  (void)state;
+  enum mark
+  {
+    MARK_NONE,
+    MARK_ALL,
+    MARK_LAST, /* of the newest answer that had one */
+    MARK_OTHER /* of another relay */
+  };
+  static const struct
+  {
+    const char *name;
+    enum mark mark;
+    const char *before; /* leaves before the request */
+    const char *during; /* leaves while it waits */
+    uint64_t from;      /* "k" is at 5, and the topic ends at 7 */
+    const char *departures;
+    const char *keys;
+    bool waits; /* the whole time */
+  } steps[] = {
+    { "none is known", MARK_ALL, NULL, NULL, 7, "", "", true },
+    { "one leaves during the wait", MARK_ALL, NULL, "a", 7, "a/2000 ", "",
+      false },
+    { "it is known", MARK_LAST, NULL, NULL, 7, "", "", true },
+    { "another one left", MARK_LAST, "b", NULL, 7, "b/1000 ", "", false },
+    { "both are known", MARK_LAST, NULL, NULL, 7, "", "", true },
+    { "a new reader", MARK_ALL, NULL, NULL, 7, "a/2000 b/1000 ", "", false },
+    { "a reader of another relay", MARK_OTHER, NULL, NULL, 7, "a/2000 b/1000 ",
+      "", false },
+    { "an older daemon", MARK_NONE, NULL, NULL, 7, "", "", true },
+    { "an older daemon while one leaves", MARK_NONE, NULL, "c", 7, "", "",
+      true },
+    { "with a record", MARK_LAST, NULL, NULL, 5, "c/2000 ", "k ", false },
+    { "without its start", MARK_LAST, "", NULL, 7, "", "", false },
+    { "and none of it again", MARK_LAST, NULL, NULL, 7, "", "", true },
+  };
+  struct pair pair;
+  create_pair (&pair);
+  struct pfs_record record = {
+    .key = (char *)"k", .offset = 5, .value = (uint8_t *)"v", .value_bytes = 1
+  };
+  rly_add_record (pair.relay, TOPIC, &record);
+  rly_set_current (pair.relay, TOPIC, 7, clk_monotonic_us ());
+  uint64_t last = RLY_ALL_DEPARTURES;
+  for (size_t i = 0; i < sizeof steps / sizeof steps[0]; i++)
+    {
+      const uint64_t marks[] = {
+        [MARK_NONE] = RLY_NO_DEPARTURES,
+        [MARK_ALL] = RLY_ALL_DEPARTURES,
+        [MARK_LAST] = last,
+        [MARK_OTHER] = last ^ (UINT64_C (1) << 62),
+      };
+      struct answer answer;
+      if (steps[i].before != NULL)
+        {
+          vdt_set_leaving (pair.verdicts, steps[i].before,
+                           steps[i].before[0] == '\0' ? 0 : 1000);
+        }
+      int64_t took_us = ask_pair (&pair, steps[i].from, marks[steps[i].mark],
+                                  steps[i].during, &answer);
+      bool waited = took_us >= WAIT_MS * CLK_MS_US;
+      if (answer.head.departures_mark != RLY_NO_DEPARTURES)
+        {
+          last = answer.head.departures_mark;
+        }
+      if (answer.status != 200 || waited != steps[i].waits
+          || strcmp (answer.departures, steps[i].departures) != 0
+          || strcmp (answer.keys, steps[i].keys) != 0)
+        {
+          fail_msg ("%s: status %u after %ld ms, departures '%s', keys '%s'",
+                    steps[i].name, answer.status, (long)(took_us / CLK_MS_US),
+                    answer.departures, answer.keys);
+        }
+    }
+  destroy_pair (&pair);
+}
+
+/* More departures than fit into a page follow in the next ones.  */
+static void
+test_many_departures (void **state)
+{
+  (void)state;
+  static const uint32_t expected[]
+      = { RLY_DEPARTURES_MAX, RLY_DEPARTURES_MAX, 2, 0 };
+  struct pair pair;
+  create_pair (&pair);
+  rly_set_current (pair.relay, TOPIC, 7, clk_monotonic_us ());
+  for (uint32_t i = 0; i < 2 * RLY_DEPARTURES_MAX + 2; i++)
+    {
+      char id[16];
+      g_snprintf (id, sizeof id, "e-%u", i);
+      vdt_set_leaving (pair.verdicts, id, 1000);
+    }
+  uint64_t mark = RLY_ALL_DEPARTURES;
+  for (size_t i = 0; i < G_N_ELEMENTS (expected); i++)
+    {
+      struct answer answer;
+      ask_pair (&pair, 7, mark, NULL, &answer);
+      assert_int_equal (answer.departure_count, expected[i]);
+      mark = answer.head.departures_mark;
+    }
+  destroy_pair (&pair);
+}
+
+/* Departures that can't be believed are left out, the others are taken; a page
+   with too many has none.  */
+static void
+test_garbled_departures (void **state)
+{
+  (void)state;
+  char endless[DEP_ID_BYTES_MAX + 2];
+  memset (endless, 'x', sizeof endless - 1);
+  endless[sizeof endless - 1] = '\0';
+  RelayDeparture departures[] = {
+    { .id = (char *)"a", .born_ms = 1000 },
+    { .id = (char *)"", .born_ms = 1000 },
+    { .id = (char *)"b", .born_ms = 0 },
+    { .id = (char *)"b", .born_ms = INT64_MAX },
+    { .id = (char *)"b\n", .born_ms = 1000 },
+    { .id = endless, .born_ms = 1000 },
+    { .id = (char *)"c", .born_ms = 2000 },
+  };
+  RelayDeparture *pointers[RLY_DEPARTURES_MAX + 1];
+  for (size_t i = 0; i < G_N_ELEMENTS (departures); i++)
+    {
+      departures[i].base.descriptor = &relay_departure__descriptor;
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (pointers); i++)
+    {
+      pointers[i] = &departures[i < G_N_ELEMENTS (departures) ? i : 0];
+    }
+  static const struct
+  {
+    size_t count;
+    uint32_t taken;
+  } rows_of_pages[] = {
+    { G_N_ELEMENTS (departures), 2 },
+    { RLY_DEPARTURES_MAX, RLY_DEPARTURES_MAX - 5 },
+    { RLY_DEPARTURES_MAX + 1, 0 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows_of_pages); i++)
+    {
+      RelayPage message = RELAY_PAGE__INIT;
+      message.n_departures = rows_of_pages[i].count;
+      message.departures = pointers;
+      size_t bytes = relay_page__get_packed_size (&message);
+      g_autofree uint8_t *body = g_malloc (bytes);
+      relay_page__pack (&message, body);
+      struct pfs_page page;
+      struct rly_head head;
+      assert_true (rly_decode (body, bytes, &page, &head, NULL));
+      assert_int_equal (head.departures->len, rows_of_pages[i].taken);
+      rly_clear_head (&head);
+      pfs_clear_page (&page);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_rows),
     cmocka_unit_test (test_malformed),
+    cmocka_unit_test (test_departures),
+    cmocka_unit_test (test_many_departures),
+    cmocka_unit_test (test_garbled_departures),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
