--- a/proto/relay.pb-c.h
+++ b/proto/relay.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct RelayRecord RelayRecord;
 typedef struct RelayRecords RelayRecords;
+typedef struct RelayDeparture RelayDeparture;
 typedef struct RelayPage RelayPage;
 
 
@@ -61,6 +62,23 @@
     , 0,NULL }
 
 
+/*
+ * An endpoint that said in an answer that it leaves.
+ */
+struct  RelayDeparture
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * start of the incarnation that said so
+   */
+  int64_t born_ms;
+};
+#define RELAY_DEPARTURE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&relay_departure__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * A page of the records of one topic.
  */
@@ -105,10 +123,20 @@
    */
   ProtobufCBinaryData packed_records;
   uint64_t unpacked_bytes;
+  /*
+   * Endpoints that leave, of those that the reader may not know yet.
+   */
+  size_t n_departures;
+  RelayDeparture **departures;
+  /*
+   * What the reader states in its next request, to get only later departures;
+   * 0: the relay knows none.
+   */
+  uint64_t departures_mark;
 };
 #define RELAY_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&relay_page__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, {0,NULL}, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0,NULL, 0 }
 
 
 /* RelayRecord methods */
@@ -149,6 +177,25 @@
 void   relay_records__free_unpacked
                      (RelayRecords *message,
                       ProtobufCAllocator *allocator);
+/* RelayDeparture methods */
+void   relay_departure__init
+                     (RelayDeparture         *message);
+size_t relay_departure__get_packed_size
+                     (const RelayDeparture   *message);
+size_t relay_departure__pack
+                     (const RelayDeparture   *message,
+                      uint8_t             *out);
+size_t relay_departure__pack_to_buffer
+                     (const RelayDeparture   *message,
+                      ProtobufCBuffer     *buffer);
+RelayDeparture *
+       relay_departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   relay_departure__free_unpacked
+                     (RelayDeparture *message,
+                      ProtobufCAllocator *allocator);
 /* RelayPage methods */
 void   relay_page__init
                      (RelayPage         *message);
@@ -176,6 +223,9 @@
 typedef void (*RelayRecords_Closure)
                  (const RelayRecords *message,
                   void *closure_data);
+typedef void (*RelayDeparture_Closure)
+                 (const RelayDeparture *message,
+                  void *closure_data);
 typedef void (*RelayPage_Closure)
                  (const RelayPage *message,
                   void *closure_data);
@@ -187,6 +237,7 @@
 
 extern const ProtobufCMessageDescriptor relay_record__descriptor;
 extern const ProtobufCMessageDescriptor relay_records__descriptor;
+extern const ProtobufCMessageDescriptor relay_departure__descriptor;
 extern const ProtobufCMessageDescriptor relay_page__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -3,6 +3,8 @@
 #include "base/clock.h"
 #include "base/deflate.h"
 #include "base/error.h"
+#include "base/log.h"
+#include "core/departures.h"
 #include "core/era.h"
 #include "net/server.h"
 #include "proto/relay.pb-c.h"
@@ -69,10 +71,11 @@
 /* What a request of another daemon asks for. */
 struct query
 {
-  uint64_t era;       /* to which `from' belongs */
-  uint64_t from;      /* first offset that it asks for */
-  bool packed;        /* accepts compressed records */
-  int64_t arrived_us; /* monotonic */
+  uint64_t era;             /* to which `from' belongs */
+  uint64_t from;            /* first offset that it asks for */
+  uint64_t departures_mark; /* what it knows of these */
+  bool packed;              /* accepts compressed records */
+  int64_t arrived_us;       /* monotonic */
 };
 
 /* A request of another daemon that waits for changes. */
@@ -92,6 +95,9 @@
   struct nsv_server *server;
   GHashTable *mirrors; /* topic to struct mirror */
   uint32_t partitions; /* of the group's topic that this daemon owns */
+  struct vdt_verdicts *verdicts; /* which endpoints leave; NULL: unknown */
+  uint64_t mark_base; /* what a reader states that knows the first N of this
+                         relay's departures is N higher */
   uv_timer_t sweep;
 };
 
@@ -147,6 +153,67 @@
   return mirror;
 }
 
+/* True when RELAY knows departures that the reader of QUERY wants and may not
+   know.  */
+static bool
+has_departures (const struct rly_relay *relay, const struct query *query)
+{
+  if (relay->verdicts == NULL || query->departures_mark == RLY_NO_DEPARTURES)
+    {
+      return false;
+    }
+  uint64_t count = vdt_leaving_count (relay->verdicts);
+  return count > 0 && query->departures_mark != relay->mark_base + count;
+}
+
+/* Returns the departures that the reader of QUERY doesn't know, struct
+   dep_departure, and sets MARK to what it knows with them.  One that has its
+   mark from another relay gets all.  The caller frees the list.  */
+static GPtrArray *
+list_departures (const struct rly_relay *relay, const struct query *query,
+                 uint64_t *mark)
+{
+  uint64_t known = 0;
+  if (query->departures_mark > relay->mark_base
+      && query->departures_mark - relay->mark_base
+             <= vdt_leaving_count (relay->verdicts))
+    {
+      known = query->departures_mark - relay->mark_base;
+    }
+  GPtrArray *list
+      = vdt_list_leaving (relay->verdicts, known, RLY_DEPARTURES_MAX, mark);
+  *mark += relay->mark_base;
+  return list;
+}
+
+/* Sets the departures of PAGE to LIST, struct dep_departure, which must
+   outlive it.  The caller clears PAGE with clear_departures.  */
+static void
+set_departures (RelayPage *page, const GPtrArray *list)
+{
+  page->departures = g_new (RelayDeparture *, list->len + 1);
+  page->n_departures = list->len;
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct dep_departure *known = g_ptr_array_index (list, i);
+      RelayDeparture *departure = g_new (RelayDeparture, 1);
+      relay_departure__init (departure);
+      departure->id = known->id;
+      departure->born_ms = known->born_ms;
+      page->departures[i] = departure;
+    }
+}
+
+static void
+clear_departures (RelayPage *page)
+{
+  for (size_t i = 0; i < page->n_departures; i++)
+    {
+      g_free (page->departures[i]);
+    }
+  g_free (page->departures);
+}
+
 /* Returns the changes of MIRROR from the offset FROM on, RelayRecord, which
    refer to MIRROR.  The caller frees the array.  */
 static GArray *
@@ -246,11 +313,18 @@
   page.partitions = relay->partitions;
   page.readers
       = MAX (nsv_connection_count (relay->server) / CONNECTIONS_PER_READER, 1);
+  g_autoptr (GPtrArray) departures = NULL;
+  if (has_departures (relay, query))
+    {
+      departures = list_departures (relay, query, &page.departures_mark);
+      set_departures (&page, departures);
+    }
   size_t bytes = relay_page__get_packed_size (&page);
   uint8_t *body = g_malloc (bytes + 1);
   relay_page__pack (&page, body);
   nsv_respond (connection, HTTP_STATUS_OK, "", body, bytes);
   g_free (body);
+  clear_departures (&page);
   g_free (pointers);
   g_array_free (records, TRUE);
 }
@@ -341,9 +415,9 @@
 }
 
 /* Handles a request of another daemon: answers 503 without a proof that is as
-   recent as the daemon asks for, at once if there are changes or if the daemon
-   has its offset from another era, or else when there are changes or the wait
-   expires.  */
+   recent as the daemon asks for, at once if there are changes or departures
+   that it doesn't know or if it has its offset from another era, or else when
+   there are such or the wait expires.  */
 static void
 on_request (void *context, struct nsv_connection *connection,
             const struct msg_message *request, const char *method)
@@ -364,6 +438,7 @@
   const struct query query = {
     .era = msg_query_number (url, "&era="),
     .from = msg_query_number (url, "&from="),
+    .departures_mark = msg_query_number (url, "&departures="),
     .packed = msg_query_number (url, "&packed=") == 1,
     .arrived_us = now_us,
   };
@@ -381,7 +456,8 @@
     }
   else if (is_other_era (mirror, query.era) || query.from < mirror->floor
            || (g_hash_table_size (mirror->changes) > 0
-               && query.from <= mirror->newest))
+               && query.from <= mirror->newest)
+           || has_departures (relay, &query))
     {
       send_answer (relay, mirror, connection, &query);
     }
@@ -433,6 +509,9 @@
   };
   struct rly_relay *relay = g_new0 (struct rly_relay, 1);
   relay->loop = loop;
+  relay->mark_base = RLY_ALL_DEPARTURES
+                     + ((uint64_t)g_random_int_range (1, G_MAXINT32) << 31)
+                     + g_random_int ();
   relay->mirrors
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, destroy_mirror);
   relay->server = nsv_create (loop, address, &limits, &events, relay, error);
@@ -464,7 +543,8 @@
   uv_close ((uv_handle_t *)&relay->sweep, on_sweep_closed);
 }
 
-/* Returns the address that RELAY listens on, IP:PORT.  The caller frees it. */
+/* Returns the address that RELAY listens on, IP:PORT.  The caller frees it.
+ */
 char *
 rly_address (const struct rly_relay *relay)
 {
@@ -478,8 +558,37 @@
   return nsv_connection_count (relay->server) > 0;
 }
 
-/* Makes RELAY tell its readers that this daemon owns PARTITIONS of the group's
-   topic.  */
+/* Makes RELAY tell its readers which endpoints leave according to VERDICTS,
+   which must outlive it.  */
+void
+rly_serve_departures (struct rly_relay *relay, struct vdt_verdicts *verdicts)
+{
+  relay->verdicts = verdicts;
+}
+
+/* Answers the waiting readers of RELAY that don't know all departures.  */
+void
+rly_departures_changed (struct rly_relay *relay)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, relay->mirrors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct mirror *mirror = value;
+      for (guint i = mirror->readers->len; i-- > 0;)
+        {
+          struct reader *reader = g_ptr_array_index (mirror->readers, i);
+          if (has_departures (relay, &reader->query))
+            {
+              finish_reader (reader, true);
+            }
+        }
+    }
+}
+
+/* Makes RELAY tell its readers that this daemon owns PARTITIONS of the
+   group's topic.  */
 void
 rly_set_partitions (struct rly_relay *relay, uint32_t partitions)
 {
@@ -505,8 +614,8 @@
   mirror->proved_us = 0;
 }
 
-/* True when a record of KEY in TOPIC is known, also its removal.  Sets OFFSET
-   to its offset, or to 0.  */
+/* True when a record of KEY in TOPIC is known, also its removal.  Sets
+   OFFSET to its offset, or to 0.  */
 bool
 rly_find_key (struct rly_relay *relay, const char *topic, const char *key,
               uint64_t *offset)
@@ -530,8 +639,8 @@
   g_hash_table_replace (mirror->changes, change->key, change);
 }
 
-/* Adds RECORD of TOPIC, which changes a key.  Waiting readers are answered by
-   the next rly_set_current.  */
+/* Adds RECORD of TOPIC, which changes a key.  Waiting readers are answered
+   by the next rly_set_current.  */
 void
 rly_add_record (struct rly_relay *relay, const char *topic,
                 const struct pfs_record *record)
@@ -616,10 +725,11 @@
   return ((const struct change *)value)->value == NULL;
 }
 
-/* Records that the snapshot of TOPIC in progress has ended; it shows the topic
-   when that ended at the offset END.  After the first one, removals before END
-   aren't known here, so readers from lower offsets have to use the store.  A
-   later one differs from what was known before by the changes since then.  */
+/* Records that the snapshot of TOPIC in progress has ended; it shows the
+   topic when that ended at the offset END.  After the first one, removals
+   before END aren't known here, so readers from lower offsets have to use
+   the store.  A later one differs from what was known before by the changes
+   since then.  */
 void
 rly_end_snapshot (struct rly_relay *relay, const char *topic, uint64_t end)
 {
@@ -650,8 +760,8 @@
     }
 }
 
-/* Records that TOPIC was read up to the offset END, and that nothing more was
-   in it at PROVED_US.  Answers the waiting readers.  */
+/* Records that TOPIC was read up to the offset END, and that nothing more
+   was in it at PROVED_US.  Answers the waiting readers.  */
 void
 rly_set_current (struct rly_relay *relay, const char *topic, uint64_t end,
                  int64_t proved_us)
@@ -672,9 +782,10 @@
 {
   return g_strdup_printf (
       RELAY_PATH "%s&era=%" G_GUINT64_FORMAT "&from=%" G_GUINT64_FORMAT
-                 "&wait=%u&age=%u&whole=%d&packed=1",
+                 "&wait=%u&age=%u&whole=%d&departures=%" G_GUINT64_FORMAT
+                 "&packed=1",
       request->topic, request->era, request->from, request->wait_ms,
-      request->age_max_ms, request->whole);
+      request->age_max_ms, request->whole, request->departures_mark);
 }
 
 static gint
@@ -736,14 +847,45 @@
   return true;
 }
 
+/* Returns the departures in PAGE that can be believed, struct dep_departure.
+   The caller frees the list.  */
+static GPtrArray *
+read_departures (const RelayPage *page)
+{
+  GPtrArray *list = dep_list_create ();
+  int64_t now_ms = clk_real_us () / CLK_MS_US;
+  if (page->n_departures > RLY_DEPARTURES_MAX)
+    {
+      lg_line (LOG_WARNING, "departures_refused", "count=%zu",
+               page->n_departures);
+      return list;
+    }
+  for (size_t i = 0; i < page->n_departures; i++)
+    {
+      const RelayDeparture *departure = page->departures[i];
+      if (dep_is_plausible (departure->id, departure->born_ms, now_ms))
+        {
+          dep_list_add (list, departure->id, departure->born_ms);
+        }
+      else
+        {
+          lg_line (LOG_WARNING, "departure_refused",
+                   "id_bytes=%zu born_ms=%ld", strlen (departure->id),
+                   (long)departure->born_ms);
+        }
+    }
+  return list;
+}
+
 /* Decodes the answer BODY of a relay into PAGE and HEAD.  Returns false with
-   ERR_PROTOCOL when BODY can't be read.  The caller clears PAGE in both cases.
- */
+   ERR_PROTOCOL when BODY can't be read.  The caller clears PAGE and HEAD in
+   both cases.  */
 bool
 rly_decode (const void *body, size_t body_bytes, struct pfs_page *page,
             struct rly_head *head, GError **error)
 {
   pfs_init_page (page);
+  *head = (struct rly_head){ 0 };
   RelayPage *decoded = relay_page__unpack (NULL, body_bytes, body);
   if (decoded == NULL)
     {
@@ -763,7 +905,20 @@
       .partitions = decoded->partitions,
       .readers = decoded->readers,
     },
+    .departures = read_departures (decoded),
+    .departures_mark = decoded->departures_mark,
   };
   relay_page__free_unpacked (decoded, NULL);
   return valid;
 }
+
+/* Frees what rly_decode has put into HEAD.  */
+void
+rly_clear_head (struct rly_head *head)
+{
+  if (head->departures != NULL)
+    {
+      g_ptr_array_unref (head->departures);
+      head->departures = NULL;
+    }
+}
