--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -309,17 +309,19 @@
   return g_strndup (value, strcspn (value, "\""));
 }
 
-/* Creates a second daemon, whose settings name the relay of the first one if
+/* Creates a second daemon, which finds the store at STORE_ADDRESS, or where it
+   is if NULL, and whose settings name the relay of the first one if
    KNOWS_RELAY.  With few STORE_PARTITIONS, 0 being the default, it reads from
    that relay even while the store works.  */
 struct sep_process *
-efx_create_second (struct efx_fixture *fixture, uint32_t store_partitions,
-                   bool knows_relay)
+efx_create_second (struct efx_fixture *fixture, const char *store_address,
+                   uint32_t store_partitions, bool knows_relay)
 {
   const struct sep_params params = {
     .name = "entry-2",
     .folder = fixture->folder,
-    .store_address = sfl_store_address (fixture->fleet),
+    .store_address = store_address == NULL ? sfl_store_address (fixture->fleet)
+                                           : store_address,
     .store_partitions = store_partitions,
     .drain_ms = EFX_DRAIN_MS,
     .config_ms = EFX_CONFIG_MS,
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -75,6 +75,7 @@
                               const char *key);
 uint32_t efx_send_booking (struct efx_fixture *fixture, const char *key);
 struct sep_process *efx_create_second (struct efx_fixture *fixture,
+                                       const char *store_address,
                                        uint32_t store_partitions,
                                        bool knows_relay);
 void efx_start_second (struct efx_fixture *fixture,
--- a/test/entry_leaving_test.c
+++ b/test/entry_leaving_test.c
@@ -164,7 +164,7 @@
 {
   struct efx_fixture *fixture = *state;
   const uint32_t leaving = EFX_ENGINES;
-  struct sep_process *second = efx_create_second (fixture, 1, true);
+  struct sep_process *second = efx_create_second (fixture, NULL, 1, true);
   efx_start_second (fixture, second);
   efx_run_for (fixture, 2 * CLK_S_US);
   sfl_set_leaving (fixture->fleet, leaving, true);
