--- a/soak/daemons.c
+++ b/soak/daemons.c
@@ -75,6 +75,8 @@
   daemon->started_us = clk_monotonic_us ();
   daemon->exit_expected = false;
   daemon->restart_at_us = 0;
+  srd_begin_process (daemon->daemons->params.record, daemon->index,
+                     daemon->start_number, daemon->started_us);
   sep_start (daemon->process);
 }
 
@@ -196,6 +198,7 @@
                                daemon->index, clean ? "exit" : "status",
                                status));
         }
+      srd_end_process (daemons->params.record, daemon->index, now_us);
       daemon->restart_at_us = now_us + RESTART_DELAY_US;
     }
   if (daemon->restart_at_us != 0 && now_us >= daemon->restart_at_us)
@@ -230,6 +233,8 @@
 sdm_stop (struct sdm_daemon *daemon)
 {
   daemon->exit_expected = true;
+  srd_end_process (daemon->daemons->params.record, daemon->index,
+                   clk_monotonic_us ());
   sep_signal (daemon->process, SIGTERM);
 }
 
@@ -239,6 +244,8 @@
 {
   daemon->exit_expected = true;
   daemon->paused = false;
+  srd_end_process (daemon->daemons->params.record, daemon->index,
+                   clk_monotonic_us ());
   sep_signal (daemon->process, SIGKILL);
 }
 
--- a/soak/daemons.h
+++ b/soak/daemons.h
@@ -34,8 +34,9 @@
   const char *store_address;
   uint32_t count; /* of daemons */
   const struct sjd_bounds *bounds;
-  uint32_t stop_s;        /* how long a planned stop may take */
-  uint64_t memory_max_kb; /* for each process */
+  struct srd_record *record; /* of the processes' starts and ends */
+  uint32_t stop_s;           /* how long a planned stop may take */
+  uint64_t memory_max_kb;    /* for each process */
 };
 
 struct sdm_daemons
--- a/soak/record.c
+++ b/soak/record.c
@@ -15,6 +15,10 @@
   record->changes = g_array_new (FALSE, FALSE, sizeof (struct srd_change));
   record->drains = g_array_new (FALSE, FALSE, sizeof (struct srd_drain));
   record->faults = g_array_new (FALSE, FALSE, sizeof (struct srd_fault));
+  record->restores = g_array_new (FALSE, FALSE, sizeof (struct srd_restore));
+  record->processes = g_array_new (FALSE, FALSE, sizeof (struct srd_process));
+  record->removals = g_array_new (FALSE, FALSE, sizeof (struct srd_removal));
+  record->outages = g_array_new (FALSE, FALSE, sizeof (struct srd_outage));
   record->recovered_us = SRD_NEVER;
   record->ended_us = SRD_NEVER;
   return record;
@@ -33,6 +37,10 @@
   g_array_free (record->changes, TRUE);
   g_array_free (record->drains, TRUE);
   g_array_free (record->faults, TRUE);
+  g_array_free (record->restores, TRUE);
+  g_array_free (record->processes, TRUE);
+  g_array_free (record->removals, TRUE);
+  g_array_free (record->outages, TRUE);
   g_free (record);
 }
 
@@ -133,6 +141,53 @@
       = now_us;
 }
 
+/* Records that DAEMON, which may be SRD_ALL, couldn't rely on the store from
+   NOW_US on.  Returns the index for srd_end_outage.  */
+guint
+srd_begin_outage (struct srd_record *record, uint32_t daemon, int64_t now_us)
+{
+  struct srd_outage outage
+      = { .daemon = daemon, .begin_us = now_us, .end_us = SRD_NEVER };
+  g_array_append_val (record->outages, outage);
+  return record->outages->len - 1;
+}
+
+/* Records that the outage with the index OUTAGE ended at NOW_US.  */
+void
+srd_end_outage (struct srd_record *record, guint outage, int64_t now_us)
+{
+  g_array_index (record->outages, struct srd_outage, outage).end_us = now_us;
+}
+
+/* Records that a process of DAEMON with START_NUMBER started at NOW_US.  */
+void
+srd_begin_process (struct srd_record *record, uint32_t daemon,
+                   uint32_t start_number, int64_t now_us)
+{
+  struct srd_process process = { .daemon = daemon,
+                                 .start_number = start_number,
+                                 .started_us = now_us,
+                                 .ended_us = SRD_NEVER };
+  g_array_append_val (record->processes, process);
+}
+
+/* Records that the newest process of DAEMON ended at NOW_US, unless its end
+   was recorded before.  */
+void
+srd_end_process (struct srd_record *record, uint32_t daemon, int64_t now_us)
+{
+  for (guint i = record->processes->len; i-- > 0;)
+    {
+      struct srd_process *process
+          = &g_array_index (record->processes, struct srd_process, i);
+      if (process->daemon == daemon)
+        {
+          process->ended_us = MIN (process->ended_us, now_us);
+          return;
+        }
+    }
+}
+
 /* Records that an endpoint began to run the request ID at NOW_US.  Ignores an
    unknown ID.  */
 void
--- a/soak/record.h
+++ b/soak/record.h
@@ -1,7 +1,8 @@
 /* The record of a soak run: the requests, with what their callers and the
-   endpoints observed, orders, the published configurations, the drained
-   endpoints and the injected faults, each list in order of time.  The judge
-   checks it after the run.  All times are of the monotonic clock. */
+   endpoints observed, orders, the published configurations, the drained and
+   removed endpoints, the daemons' processes, and the injected faults, each
+   list in order of time.  The judge checks it after the run.  All times are of
+   the monotonic clock. */
 #ifndef SOAK_RECORD_H
 #define SOAK_RECORD_H
 
@@ -88,6 +89,32 @@
   int64_t acked_us;   /* when the store acknowledged the publication */
 };
 
+/* A restore of the store from an older copy. */
+struct srd_restore
+{
+  int64_t copied_us;  /* what was written later is lost */
+  int64_t at_us;      /* of the restore */
+  int64_t written_us; /* when what was lost was written again */
+};
+
+/* A process of a daemon. */
+struct srd_process
+{
+  uint32_t daemon;       /* index */
+  uint32_t start_number; /* among the daemon's processes, from 1 */
+  int64_t started_us;
+  int64_t ended_us; /* when it was told to stop, was killed or exited */
+};
+
+/* The removal of an endpoint from the list; the endpoint goes on running and
+   isn't listed again. */
+struct srd_removal
+{
+  uint32_t endpoint; /* index */
+  uint32_t instance;
+  int64_t acked_us; /* when the store acknowledged it */
+};
+
 /* The drain of an endpoint. */
 struct srd_drain
 {
@@ -117,6 +144,15 @@
   int64_t end_us;
 };
 
+/* An interval during which a daemon couldn't rely on the store: the store
+   failed, or the way to it did. */
+struct srd_outage
+{
+  uint32_t daemon; /* index, or SRD_ALL */
+  int64_t begin_us;
+  int64_t end_us;
+};
+
 struct srd_record
 {
   GPtrArray *requests;   /* struct srd_request */
@@ -128,6 +164,10 @@
   GArray *changes;       /* struct srd_change */
   GArray *drains;        /* struct srd_drain */
   GArray *faults;        /* struct srd_fault */
+  GArray *restores;      /* struct srd_restore */
+  GArray *processes;     /* struct srd_process */
+  GArray *removals;      /* struct srd_removal */
+  GArray *outages;       /* struct srd_outage */
   int64_t recovered_us;  /* requests sent from then on must all be served */
   int64_t ended_us;      /* nothing was observed from then on */
 };
@@ -146,6 +186,13 @@
                               uint32_t endpoint, int64_t now_us);
 void srd_end_interruption (struct srd_record *record, guint interruption,
                            int64_t now_us);
+guint srd_begin_outage (struct srd_record *record, uint32_t daemon,
+                        int64_t now_us);
+void srd_end_outage (struct srd_record *record, guint outage, int64_t now_us);
+void srd_begin_process (struct srd_record *record, uint32_t daemon,
+                        uint32_t start_number, int64_t now_us);
+void srd_end_process (struct srd_record *record, uint32_t daemon,
+                      int64_t now_us);
 void srd_begin_run (struct srd_record *record, const char *id, int64_t now_us);
 void srd_end_run (struct srd_record *record, const char *id, int64_t now_us);
 guint srd_begin_fault (struct srd_record *record, int64_t now_us);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -280,6 +280,7 @@
     .store_address = sfl_store_address (soak->fleet),
     .count = soak->options.daemons,
     .bounds = &bounds,
+    .record = soak->record,
     .stop_s = STOP_TIMEOUT_S,
     .memory_max_kb = MEMORY_MAX_KB,
   };
--- a/test/soak_judge_test.c
+++ b/test/soak_judge_test.c
@@ -49,6 +49,13 @@
   EVENT_RESTART,       /* of the daemon */
   EVENT_REPLACE,       /* of every endpoint by a new instance */
   EVENT_NEXT_DAEMON,   /* gets the later requests */
+  EVENT_CUT_OFF,       /* from the store; value: duration in seconds */
+  EVENT_OTHER_FREEZES, /* the next daemon; value: duration in seconds */
+  EVENT_OTHER_CUT_OFF, /* from the store; value: duration in seconds */
+  EVENT_OTHER_RESTARTS,
+  EVENT_REMOVAL,       /* of ENDPOINT from the list */
+  EVENT_RESTORE,       /* value: age of the copy in tenths of a second */
+  EVENT_WRITTEN_AGAIN, /* what the restores have lost */
   EVENT_FAULT,         /* value: duration in seconds */
   EVENT_RECOVERED,
   EVENT_END /* of the run */
@@ -65,6 +72,7 @@
 
 #define STEPS_MAX 14
 #define ENDPOINT 3
+#define DAEMONS 2
 
 /* The steps of a run, and the prefix of the only violation that the judge must
    report; NULL: none. */
@@ -466,6 +474,193 @@
       { 3.1, EVENT_RUN_BEGIN, 0, "b2" },
       { 3.2, EVENT_ANSWER, 200, "b2" } },
     NULL },
+  { "a daemon forgets a removal that the store has lost",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 8, EVENT_RESTORE, 35, NULL },
+      { 11, EVENT_REQUEST, 7, "b1" },
+      { 11, EVENT_RUN_BEGIN, 0, "b1" },
+      { 11, EVENT_ANSWER, 200, "b1" } },
+    "b1 ran with a key that was removed" },
+  { "a daemon forgets a removal that the store still has",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 8, EVENT_RESTORE, 10, NULL },
+      { 11, EVENT_REQUEST, 7, "b1" },
+      { 11, EVENT_RUN_BEGIN, 0, "b1" },
+      { 11, EVENT_ANSWER, 200, "b1" } },
+    "b1 ran with a key that was removed" },
+  { "a daemon reads on at an offset that was given out again",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 5.5, EVENT_RESTORE, 20, NULL },
+      { 5.6, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 11, EVENT_REQUEST, 7, "b1" },
+      { 11, EVENT_RUN_BEGIN, 0, "b1" },
+      { 11, EVENT_ANSWER, 200, "b1" } },
+    "b1 ran with a key that was removed" },
+  { "a daemon starts after a loss and another one knew",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 8, EVENT_RESTORE, 35, NULL },
+      { 8.1, EVENT_RESTART, 0, NULL },
+      { 11, EVENT_REQUEST, 7, "b1" },
+      { 11, EVENT_RUN_BEGIN, 0, "b1" },
+      { 11, EVENT_ANSWER, 200, "b1" } },
+    "b1 ran with a key that was removed" },
+  { "all daemons start after a loss",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 8, EVENT_RESTORE, 35, NULL },
+      { 8.1, EVENT_RESTART, 0, NULL },
+      { 8.2, EVENT_OTHER_RESTARTS, 0, NULL },
+      { 11, EVENT_REQUEST, 7, "b1" },
+      { 11, EVENT_RUN_BEGIN, 0, "b1" },
+      { 11, EVENT_ANSWER, 200, "b1" } },
+    NULL },
+  { "all daemons started, and the loss was made good long ago",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 8, EVENT_RESTORE, 35, NULL },
+      { 8.1, EVENT_RESTART, 0, NULL },
+      { 8.2, EVENT_OTHER_RESTARTS, 0, NULL },
+      { 8.5, EVENT_WRITTEN_AGAIN, 0, NULL },
+      { 14, EVENT_REQUEST, 7, "b1" },
+      { 14, EVENT_RUN_BEGIN, 0, "b1" },
+      { 14, EVENT_ANSWER, 200, "b1" } },
+    "b1 ran with a key that was removed" },
+  { "all daemons started, and the loss was made good just now",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 8, EVENT_RESTORE, 35, NULL },
+      { 8.1, EVENT_RESTART, 0, NULL },
+      { 8.2, EVENT_OTHER_RESTARTS, 0, NULL },
+      { 9, EVENT_WRITTEN_AGAIN, 0, NULL },
+      { 13, EVENT_REQUEST, 7, "b1" },
+      { 13, EVENT_RUN_BEGIN, 0, "b1" },
+      { 13, EVENT_ANSWER, 200, "b1" } },
+    NULL },
+  { "a daemon starts while the one that knew is frozen",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 7.5, EVENT_OTHER_FREEZES, 2, NULL },
+      { 8, EVENT_RESTORE, 35, NULL },
+      { 8.1, EVENT_RESTART, 0, NULL },
+      { 11, EVENT_REQUEST, 7, "b1" },
+      { 11, EVENT_RUN_BEGIN, 0, "b1" },
+      { 11, EVENT_ANSWER, 200, "b1" } },
+    NULL },
+  { "a daemon starts and the one that knew was frozen long before",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 0.2, EVENT_OTHER_FREEZES, 1, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 9, EVENT_RESTORE, 45, NULL },
+      { 9.1, EVENT_RESTART, 0, NULL },
+      { 11, EVENT_REQUEST, 7, "b1" },
+      { 11, EVENT_RUN_BEGIN, 0, "b1" },
+      { 11, EVENT_ANSWER, 200, "b1" } },
+    "b1 ran with a key that was removed" },
+  { "a daemon starts and the other one was cut off before the loss",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 4, EVENT_OTHER_CUT_OFF, 4, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 8, EVENT_RESTORE, 35, NULL },
+      { 8.1, EVENT_RESTART, 0, NULL },
+      { 11, EVENT_REQUEST, 7, "b1" },
+      { 11, EVENT_RUN_BEGIN, 0, "b1" },
+      { 11, EVENT_ANSWER, 200, "b1" } },
+    NULL },
+  { "a daemon that starts after a loss is cut off",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 8, EVENT_RESTORE, 35, NULL },
+      { 8.1, EVENT_RESTART, 0, NULL },
+      { 8.2, EVENT_CUT_OFF, 1, NULL },
+      { 11, EVENT_REQUEST, 7, "b1" },
+      { 11, EVENT_RUN_BEGIN, 0, "b1" },
+      { 11, EVENT_ANSWER, 200, "b1" } },
+    NULL },
+  { "a daemon that knew is cut off after a loss",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 8, EVENT_RESTORE, 35, NULL },
+      { 8.2, EVENT_CUT_OFF, 1, NULL },
+      { 11, EVENT_REQUEST, 7, "b1" },
+      { 11, EVENT_RUN_BEGIN, 0, "b1" },
+      { 11, EVENT_ANSWER, 200, "b1" } },
+    "b1 ran with a key that was removed" },
+  { "a daemon starts before the one that knew has joined again",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 2, EVENT_OTHER_RESTARTS, 0, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 8, EVENT_RESTORE, 35, NULL },
+      { 8.1, EVENT_RESTART, 0, NULL },
+      { 11, EVENT_REQUEST, 7, "b1" },
+      { 11, EVENT_RUN_BEGIN, 0, "b1" },
+      { 11, EVENT_ANSWER, 200, "b1" } },
+    NULL },
+  { "a daemon starts after the one that knew has joined again",
+    { { 1, EVENT_FAULT, 30, NULL },
+      { 2, EVENT_OTHER_RESTARTS, 0, NULL },
+      { 4, EVENT_CONFIG_CHANGE, 7, NULL },
+      { 5, EVENT_CONFIG_CHANGE, 0, NULL },
+      { 8, EVENT_RESTORE, 35, NULL },
+      { 10.5, EVENT_RESTART, 0, NULL },
+      { 11, EVENT_REQUEST, 7, "b1" },
+      { 11, EVENT_RUN_BEGIN, 0, "b1" },
+      { 11, EVENT_ANSWER, 200, "b1" } },
+    "b1 ran with a key that was removed" },
+  { "an endpoint that left comes back after a restore",
+    { { 4, EVENT_REMOVAL, 0, NULL },
+      { 7, EVENT_RESTORE, 35, NULL },
+      { 8, EVENT_REQUEST, 0, "d2" },
+      { 8.1, EVENT_ARRIVAL, 3, "d2" },
+      { 8.2, EVENT_ANSWER, 200, "d2" } },
+    "d2 reached endpoint 3, which had left" },
+  { "a new instance of an endpoint that left",
+    { { 4, EVENT_REMOVAL, 0, NULL },
+      { 7, EVENT_RESTORE, 35, NULL },
+      { 7.5, EVENT_REPLACE, 0, NULL },
+      { 8, EVENT_REQUEST, 0, "d2" },
+      { 8.1, EVENT_ARRIVAL, 3, "d2" },
+      { 8.2, EVENT_ANSWER, 200, "d2" } },
+    NULL },
+  { "an endpoint left before the daemon started",
+    { { 4, EVENT_REMOVAL, 0, NULL },
+      { 5, EVENT_RESTART, 0, NULL },
+      { 7, EVENT_RESTORE, 35, NULL },
+      { 8, EVENT_REQUEST, 0, "d2" },
+      { 8.1, EVENT_ARRIVAL, 3, "d2" },
+      { 8.2, EVENT_ANSWER, 200, "d2" } },
+    NULL },
+  { "an endpoint left while the daemon was cut off",
+    { { 4, EVENT_REMOVAL, 0, NULL },
+      { 5, EVENT_CUT_OFF, 2, NULL },
+      { 7, EVENT_RESTORE, 35, NULL },
+      { 8, EVENT_REQUEST, 0, "d2" },
+      { 8.1, EVENT_ARRIVAL, 3, "d2" },
+      { 8.2, EVENT_ANSWER, 200, "d2" } },
+    NULL },
+  { "an endpoint left shortly after a restore",
+    { { 4, EVENT_REMOVAL, 0, NULL },
+      { 5, EVENT_RESTORE, 5, NULL },
+      { 8, EVENT_REQUEST, 0, "d2" },
+      { 8.1, EVENT_ARRIVAL, 3, "d2" },
+      { 8.2, EVENT_ANSWER, 200, "d2" } },
+    NULL },
   { "too many retries",
     { { 1, EVENT_REQUEST, 0, "l1" },
       { 1, EVENT_ARRIVAL, 0, "l1" },
@@ -567,6 +762,68 @@
   request->deadline_us = now_us + 5 * S_US;
 }
 
+/* Records that DAEMON was frozen, or was cut off from the store, between
+   BEGIN_US and END_US.  */
+static void
+record_disturbance (struct srd_record *record, uint32_t daemon, bool frozen,
+                    int64_t begin_us, int64_t end_us)
+{
+  if (frozen)
+    {
+      srd_end_interruption (
+          record, srd_begin_interruption (record, daemon, SRD_ALL, begin_us),
+          end_us);
+      return;
+    }
+  srd_end_outage (record, srd_begin_outage (record, daemon, begin_us), end_us);
+}
+
+/* Records STEP, which concerns the store or another daemon.  */
+static void
+record_store_step (const struct run *run, const struct step *step,
+                   int64_t now_us)
+{
+  struct srd_record *record = run->record;
+  const struct srd_restore restore = {
+    .copied_us = now_us - step->value * S_US / 10,
+    .at_us = now_us,
+    .written_us = SRD_NEVER,
+  };
+  const struct srd_removal removal = { .endpoint = ENDPOINT,
+                                       .instance = run->instance,
+                                       .acked_us = now_us };
+  bool own = step->event == EVENT_CUT_OFF;
+  switch (step->event)
+    {
+    case EVENT_CUT_OFF:
+    case EVENT_OTHER_CUT_OFF:
+    case EVENT_OTHER_FREEZES:
+      record_disturbance (record, own ? run->daemon : run->daemon + 1,
+                          step->event == EVENT_OTHER_FREEZES, now_us,
+                          now_us + step->value * S_US);
+      break;
+    case EVENT_OTHER_RESTARTS:
+      srd_end_process (record, run->daemon + 1, now_us);
+      srd_begin_process (record, run->daemon + 1, 2, now_us);
+      break;
+    case EVENT_REMOVAL:
+      g_array_append_val (record->removals, removal);
+      break;
+    case EVENT_RESTORE:
+      g_array_append_val (record->restores, restore);
+      break;
+    case EVENT_WRITTEN_AGAIN:
+      for (guint i = 0; i < record->restores->len; i++)
+        {
+          g_array_index (record->restores, struct srd_restore, i).written_us
+              = now_us;
+        }
+      break;
+    default:
+      break;
+    }
+}
+
 static void
 record_step (struct run *run, const struct step *step)
 {
@@ -608,6 +865,8 @@
     case EVENT_RESTART:
       run->start_number++;
       run->started_us = now_us;
+      srd_end_process (record, run->daemon, now_us);
+      srd_begin_process (record, run->daemon, run->start_number, now_us);
       break;
     case EVENT_REPLACE:
       run->instance++;
@@ -625,6 +884,15 @@
     case EVENT_END:
       record->ended_us = now_us;
       break;
+    case EVENT_CUT_OFF:
+    case EVENT_OTHER_FREEZES:
+    case EVENT_OTHER_CUT_OFF:
+    case EVENT_OTHER_RESTARTS:
+    case EVENT_REMOVAL:
+    case EVENT_RESTORE:
+    case EVENT_WRITTEN_AGAIN:
+      record_store_step (run, step, now_us);
+      break;
     default:
       if (step->id != NULL)
         {
@@ -644,6 +912,10 @@
     {
       struct srd_record *record = srd_create ();
       struct run run = { .record = record, .start_number = 1 };
+      for (uint32_t daemon = 0; daemon < DAEMONS; daemon++)
+        {
+          srd_begin_process (record, daemon, 1, 0);
+        }
       for (size_t n = 0; n < STEPS_MAX; n++)
         {
           record_step (&run, &cases[i].steps[n]);
