Keep members in the soak's group for the time that they ask for

Cause: the soak's store dropped a member 1 s after its last join. Daemons ask for 2.5 s and renew after 0.7 to 0.9 s, so that 0.1 s of load was enough for a member to be missing from the list of owners, which a daemon asks after a restore. The platform's store keeps a member for the time that it asked for.

Change: the soak's store keeps members for 2.5 s.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -25,6 +25,10 @@
 
 #define TICK_MS 10
 
+/* For how long the daemons ask to be members of their group without a
+   renewal. */
+#define GROUP_TTL_MS 2500
+
 /* A tick that comes later than this means that this process, with the
    stand-ins and callers, was stalled; the stall is recorded as a fault. */
 #define STALL_US (150 * CLK_MS_US)
@@ -261,6 +265,7 @@
     .engines = ENGINES,
     .services = SERVICES,
     .event_ms = EVENT_MS,
+    .group_ttl_ms = GROUP_TTL_MS,
     .observer = &observer,
     .announce = create_endpoint_proxy,
     .context = soak,
