--- a/soak/soak.c
+++ b/soak/soak.c
@@ -25,6 +25,10 @@
 
 #define TICK_MS 10
 
+/* For how long the daemons ask to be members of their group without a
+   renewal. */
+#define GROUP_TTL_MS 2500
+
 /* A tick that comes later than this means that this process, with the
    stand-ins and callers, was stalled; the stall is recorded as a fault. */
 #define STALL_US (150 * CLK_MS_US)
@@ -261,6 +265,7 @@
     .engines = ENGINES,
     .services = SERVICES,
     .event_ms = EVENT_MS,
+    .group_ttl_ms = GROUP_TTL_MS,
     .observer = &observer,
     .announce = create_endpoint_proxy,
     .context = soak,
@@ -280,6 +285,7 @@
     .store_address = sfl_store_address (soak->fleet),
     .count = soak->options.daemons,
     .bounds = &bounds,
+    .record = soak->record,
     .stop_s = STOP_TIMEOUT_S,
     .memory_max_kb = MEMORY_MAX_KB,
   };
@@ -318,9 +324,20 @@
     }
 }
 
+/* Waits until the injector has ended.  */
+static void
+await_injector (struct soak *soak)
+{
+  while (!stb_has_ended (soak->injector))
+    {
+      run_for (soak, 50 * CLK_MS_US);
+    }
+}
+
 /* Sends requests and injects disruptions for the given minutes, then sends
-   requests alone until the daemons have recovered, and waits for the last
-   answers and for the work of callers that left to stop.  */
+   requests alone until the daemons have recovered, rehearses restores of the
+   store, and waits for the last answers and for the work of callers that left
+   to stop.  */
 static void
 run_workload (struct soak *soak)
 {
@@ -341,13 +358,12 @@
   soak->injector = stb_create (&injector);
   run_for (soak, (int64_t)(soak->options.minutes * 60 * CLK_S_US));
   stb_end (soak->injector, clk_monotonic_us ());
-  while (!stb_has_ended (soak->injector))
-    {
-      run_for (soak, 50 * CLK_MS_US);
-    }
+  await_injector (soak);
   run_for (soak, RECOVERY_US);
   soak->record->recovered_us = clk_monotonic_us ();
   run_for (soak, SERVE_ALL_US);
+  stb_rehearse (soak->injector);
+  await_injector (soak);
   soak->sending = false;
   while (scl_in_flight (soak->callers) > 0)
     {
