Rehearse in each soak what a restore of the store may lose

Change: two drills. In one, a key is published and read, lost in a restore, and its offset given to the configuration without the key. In the other, the removals of a key and of a service that goes on running, and generations of the group, are lost once the daemons know of them; some or all but one of the daemons start again before the removals are written again, and engines need orders before and after the restore. The other drills begin about as often as before, except that no other copy is restored during these.

--- a/soak/injector.c
+++ b/soak/injector.c
@@ -9,16 +9,12 @@
 #define MEAN_INTERVAL_MS 700
 
 /* The same for the drills. */
-#define ACTIVE_DRILLS_MAX 4
-#define MEAN_DRILL_INTERVAL_MS 800
+#define ACTIVE_DRILLS_MAX 5
+#define MEAN_DRILL_INTERVAL_MS 500
 
 /* Mixed into the seed, so that the drills don't draw the same numbers. */
 #define DRILL_SEED 0x6b756d71
 
-/* Periods of this length alternate: one in which any disruption may begin, and
-   one of planned work alone, in which the judge checks the time limits. */
-#define PERIOD_US (10 * CLK_S_US)
-
 /* How long the host list goes on naming an endpoint that has been killed. */
 #define DEAD_LISTED_US (1200 * CLK_MS_US)
 
@@ -78,23 +74,37 @@
   disruption->ended = true;
 }
 
-/* Publishes a configuration with a new extra key, or with none.  */
-static void
-step_publish_config (struct stb_injector *injector,
-                     struct disruption *disruption, int64_t now_us)
+/* Publishes a configuration whose version is higher by STEP: with a new extra
+   key if WITH_KEY, or else with none.  */
+void
+stb_publish (struct stb_injector *injector, bool with_key, uint32_t step)
 {
-  injector->has_extra_key = draw (injector, 0, 3) > 0;
-  injector->extra_key += injector->has_extra_key;
-  injector->version += draw (injector, 1, 5);
+  injector->has_extra_key = with_key;
+  injector->extra_key += with_key;
+  injector->version += step;
   g_autofree char *key = g_strdup_printf ("key-%u", injector->extra_key + 1);
   sfl_publish (injector->params.fleet, injector->version,
-               injector->has_extra_key ? key : NULL);
+               with_key ? key : NULL);
   struct srd_change change = {
     .version = injector->version,
-    .extra_key = injector->has_extra_key ? injector->extra_key : 0,
-    .acked_us = now_us,
+    .extra_key = with_key ? injector->extra_key : 0,
+    .acked_us = clk_monotonic_us (),
   };
   g_array_append_val (injector->params.record->changes, change);
+}
+
+/* Publishes a configuration with a new extra key, or with none.  While a drill
+   needs the store to stay as it is, none is published.  */
+static void
+step_publish_config (struct stb_injector *injector,
+                     struct disruption *disruption, int64_t now_us)
+{
+  bool with_key = draw (injector, 0, 3) > 0;
+  uint32_t step = draw (injector, 1, 5);
+  if (now_us >= injector->hold_until_us)
+    {
+      stb_publish (injector, with_key, step);
+    }
   disruption->ended = true;
 }
 
@@ -272,10 +282,13 @@
     {
       sfl_set_store (injector->params.fleet,
                      states[draw (injector, 0, G_N_ELEMENTS (states))]);
+      disruption->interruption
+          = srd_begin_outage (injector->params.record, SRD_ALL, now_us);
       schedule_next_phase (injector, disruption, now_us, 300, 6000);
       return;
     }
   sfl_set_store (injector->params.fleet, SFL_STORE_NO_FAULT);
+  srd_end_outage (injector->params.record, disruption->interruption, now_us);
   disruption->ended = true;
 }
 
@@ -355,8 +368,18 @@
 step_store_connection (struct stb_injector *injector,
                        struct disruption *disruption, int64_t now_us)
 {
-  disturb_connections (injector, disruption, now_us,
-                       draw_daemon (injector)->store_proxy);
+  struct srd_record *record = injector->params.record;
+  const struct sdm_daemon *daemon = draw_daemon (injector);
+  if (disruption->phase == 0)
+    {
+      disruption->interruption
+          = srd_begin_outage (record, daemon->index, now_us);
+    }
+  else
+    {
+      srd_end_outage (record, disruption->interruption, now_us);
+    }
+  disturb_connections (injector, disruption, now_us, daemon->store_proxy);
 }
 
 /* The number of planned kinds, which come first in disruption_kinds. */
@@ -464,7 +487,7 @@
 void
 stb_tick (struct stb_injector *injector, int64_t now_us)
 {
-  bool planned_only = (now_us - injector->start_us) / PERIOD_US % 2 == 1;
+  bool planned_only = (now_us - injector->start_us) / STB_PERIOD_US % 2 == 1;
   if (!injector->ending && now_us >= injector->next_us
       && injector->active->len < ACTIVE_DISRUPTIONS_MAX)
     {
@@ -489,6 +512,17 @@
           &stb_drill_kinds[stb_draw_drill (injector, 0, STB_DRILL_KINDS)],
           now_us);
     }
+  if (injector->rehearsing && injector->active_drills->len == 0)
+    {
+      injector->rehearsing = injector->rehearsed < STB_REHEARSED_KINDS;
+      if (injector->rehearsing)
+        {
+          begin_disruption (injector, injector->active_drills,
+                            &stb_rehearsed_kinds[injector->rehearsed++],
+                            now_us);
+        }
+    }
+  stb_end_restores (injector, now_us);
   step_disruptions (injector, injector->active, now_us);
   step_disruptions (injector, injector->active_drills, now_us);
 }
@@ -516,12 +550,22 @@
   end_faults (injector->active_drills, now_us);
 }
 
-/* Returns whether stb_end was called and no disruption is active.  */
+/* Begins to carry out the drills that need the store to themselves, one after
+   the other, when stb_has_ended.  Each run does so, whatever its seed, without
+   other disruptions, which would excuse much.  */
+void
+stb_rehearse (struct stb_injector *injector)
+{
+  injector->rehearsing = true;
+}
+
+/* Returns whether stb_end was called, no disruption is active and no rehearsal
+   is under way.  */
 bool
 stb_has_ended (const struct stb_injector *injector)
 {
-  return injector->ending && injector->active->len == 0
-         && injector->active_drills->len == 0;
+  return injector->ending && !injector->rehearsing
+         && injector->active->len == 0 && injector->active_drills->len == 0;
 }
 
 /* Returns the index of the newest extra key, even if it has been removed
--- a/soak/injector.h
+++ b/soak/injector.h
@@ -28,6 +28,7 @@
 void stb_destroy (struct stb_injector *injector);
 void stb_tick (struct stb_injector *injector, int64_t now_us);
 void stb_end (struct stb_injector *injector, int64_t now_us);
+void stb_rehearse (struct stb_injector *injector);
 bool stb_has_ended (const struct stb_injector *injector);
 uint32_t stb_newest_key (const struct stb_injector *injector);
 
--- a/soak/injector_private.h
+++ b/soak/injector_private.h
@@ -5,6 +5,10 @@
 #include "base/clock.h"
 #include "soak/injector.h"
 
+/* Periods of this length alternate: one in which any disruption may begin, and
+   one of planned work alone, in which the judge checks the time limits. */
+#define STB_PERIOD_US (10 * CLK_S_US)
+
 struct disruption_kind;
 
 /* An active disruption. */
@@ -12,12 +16,14 @@
 {
   const struct disruption_kind *kind;
   guint record_index; /* of the fault, or of the drain */
-  guint interruption; /* index in the record, if the kind causes one */
+  guint interruption; /* index in the record, if the kind causes one, or of
+                         the outage */
   uint32_t target; /* index of a daemon or endpoint; of an endpoint's fault: 1
                       for the engines, 0 for the services */
   uint32_t instance;       /* of the endpoint that is the target */
   struct spx_proxy *proxy; /* whose connections are disturbed */
   int64_t due_us;          /* of the next phase */
+  int64_t begun_us;        /* what the store loses was written from then on */
   int64_t rewrite_us;      /* when lost records are written again */
   uint32_t phase;
   bool ended;
@@ -37,7 +43,11 @@
   uint64_t version;      /* of the newest configuration */
   uint32_t extra_key;    /* index of the newest extra key; 0: none yet */
   bool has_extra_key;    /* the newest configuration contains the extra key */
-  bool ending;           /* no disruption begins any more */
+  int64_t hold_until_us; /* a drill has the store to itself until then */
+  int64_t written_us; /* when what the newest restore lost is written again */
+  bool ending;        /* no disruption begins any more */
+  bool rehearsing;    /* the drills of the rehearsal are carried out */
+  uint32_t rehearsed; /* number of them that have begun */
 };
 
 /* A kind of disruption: `step' carries out the next phase and sets either when
@@ -49,12 +59,20 @@
   void (*step) (struct stb_injector *, struct disruption *, int64_t now_us);
 };
 
-#define STB_DRILL_KINDS 3
+#define STB_DRILL_KINDS 9
 
 extern const struct disruption_kind stb_drill_kinds[STB_DRILL_KINDS];
 
+/* The drills that need the store to themselves, in the order in which they are
+   rehearsed. */
+#define STB_REHEARSED_KINDS 2
+
+extern const struct disruption_kind stb_rehearsed_kinds[STB_REHEARSED_KINDS];
+
 bool stb_has_disruption (const struct stb_injector *injector,
                          const struct disruption *own, uint32_t index);
+void stb_publish (struct stb_injector *injector, bool with_key, uint32_t step);
+void stb_end_restores (struct stb_injector *injector, int64_t now_us);
 uint32_t stb_draw_drill (struct stb_injector *injector, uint32_t first,
                          uint32_t end);
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -324,9 +324,20 @@
     }
 }
 
+/* Waits until the injector has ended.  */
+static void
+await_injector (struct soak *soak)
+{
+  while (!stb_has_ended (soak->injector))
+    {
+      run_for (soak, 50 * CLK_MS_US);
+    }
+}
+
 /* Sends requests and injects disruptions for the given minutes, then sends
-   requests alone until the daemons have recovered, and waits for the last
-   answers and for the work of callers that left to stop.  */
+   requests alone until the daemons have recovered, rehearses restores of the
+   store, and waits for the last answers and for the work of callers that left
+   to stop.  */
 static void
 run_workload (struct soak *soak)
 {
@@ -347,13 +358,12 @@
   soak->injector = stb_create (&injector);
   run_for (soak, (int64_t)(soak->options.minutes * 60 * CLK_S_US));
   stb_end (soak->injector, clk_monotonic_us ());
-  while (!stb_has_ended (soak->injector))
-    {
-      run_for (soak, 50 * CLK_MS_US);
-    }
+  await_injector (soak);
   run_for (soak, RECOVERY_US);
   soak->record->recovered_us = clk_monotonic_us ();
   run_for (soak, SERVE_ALL_US);
+  stb_rehearse (soak->injector);
+  await_injector (soak);
   soak->sending = false;
   while (scl_in_flight (soak->callers) > 0)
     {
