Mend what clang-tidy found in the relay and its test

It reported bugprone-sizeof-expression in rly_clear_head and the padding of the table in test_departures. No change of behaviour; relay_test passes.

--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -795,5 +795,9 @@
 void
 rly_clear_head (struct rly_head *head)
 {
-  g_clear_pointer (&head->departures, g_ptr_array_unref);
+  if (head->departures != NULL)
+    {
+      g_ptr_array_unref (head->departures);
+      head->departures = NULL;
+    }
 }
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -502,29 +502,29 @@
   static const struct
   {
     const char *name;
-    enum mark mark;
     const char *before; /* leaves before the request */
     const char *during; /* leaves while it waits */
     uint64_t from;      /* "k" is at 5, and the topic ends at 7 */
     const char *departures;
     const char *keys;
+    enum mark mark;
     bool waits; /* the whole time */
   } steps[] = {
-    { "none is known", MARK_ALL, NULL, NULL, 7, "", "", true },
-    { "one leaves during the wait", MARK_ALL, NULL, "a", 7, "a/2000 ", "",
+    { "none is known", NULL, NULL, 7, "", "", MARK_ALL, true },
+    { "one leaves during the wait", NULL, "a", 7, "a/2000 ", "", MARK_ALL,
       false },
-    { "it is known", MARK_LAST, NULL, NULL, 7, "", "", true },
-    { "another one left", MARK_LAST, "b", NULL, 7, "b/1000 ", "", false },
-    { "both are known", MARK_LAST, NULL, NULL, 7, "", "", true },
-    { "a new reader", MARK_ALL, NULL, NULL, 7, "a/2000 b/1000 ", "", false },
-    { "a reader of another relay", MARK_OTHER, NULL, NULL, 7, "a/2000 b/1000 ",
-      "", false },
-    { "an older daemon", MARK_NONE, NULL, NULL, 7, "", "", true },
-    { "an older daemon while one leaves", MARK_NONE, NULL, "c", 7, "", "",
+    { "it is known", NULL, NULL, 7, "", "", MARK_LAST, true },
+    { "another one left", "b", NULL, 7, "b/1000 ", "", MARK_LAST, false },
+    { "both are known", NULL, NULL, 7, "", "", MARK_LAST, true },
+    { "a new reader", NULL, NULL, 7, "a/2000 b/1000 ", "", MARK_ALL, false },
+    { "a reader of another relay", NULL, NULL, 7, "a/2000 b/1000 ", "",
+      MARK_OTHER, false },
+    { "an older daemon", NULL, NULL, 7, "", "", MARK_NONE, true },
+    { "an older daemon while one leaves", NULL, "c", 7, "", "", MARK_NONE,
       true },
-    { "with a record", MARK_LAST, NULL, NULL, 5, "c/2000 ", "k ", false },
-    { "without its start", MARK_LAST, "", NULL, 7, "", "", false },
-    { "and none of it again", MARK_LAST, NULL, NULL, 7, "", "", true },
+    { "with a record", NULL, NULL, 5, "c/2000 ", "k ", MARK_LAST, false },
+    { "without its start", "", NULL, 7, "", "", MARK_LAST, false },
+    { "and none of it again", NULL, NULL, 7, "", "", MARK_LAST, true },
   };
   struct pair pair;
   create_pair (&pair);
