Heed Retry-After in a 503 to an order

Cause: only answers to requests and reports were read for the time for which an endpoint wants nothing. An engine that turned an order away with a time got the order again after one second, and requests meanwhile.

Change: the head of the answer to an order is read as those of requests are, with the same bound. The endpoint is closed for requests and orders of this daemon alike, and the view is published at once, also when the answer says that the endpoint leaves.

--- a/src/entry/announcement.c
+++ b/src/entry/announcement.c
@@ -13,6 +13,29 @@
   return g_strcmp0 (msg_find (answer, PFH_LEAVING), "1") == 0;
 }
 
+/* Returns the time, at most BOUND_US, for which ANSWER with STATUS says that
+   the endpoint ID wants no requests; 0 if it isn't a 503 or states no time
+   that makes sense.  */
+int64_t
+anc_closed_us (const char *id, uint32_t status,
+               const struct msg_message *answer, int64_t bound_us)
+{
+  if (status != HTTP_STATUS_SERVICE_UNAVAILABLE)
+    {
+      return 0;
+    }
+  int64_t duration_us = 0;
+  enum tna_reading reading
+      = tna_read (msg_find (answer, PFH_RETRY_AFTER), bound_us, &duration_us);
+  if (reading == TNA_BOUNDED || reading == TNA_INVALID)
+    {
+      lg_line (LOG_WARNING, "retry_after_refused",
+               "endpoint=%s bounded=%d for_ms=%ld", id, reading == TNA_BOUNDED,
+               (long)(duration_us / CLK_MS_US));
+    }
+  return duration_us;
+}
+
 /* Closes ENDPOINT for DURATION_US.  Requests to it that aren't on their way
    yet go elsewhere.  */
 static void
@@ -27,27 +50,6 @@
     }
 }
 
-/* Returns the time for which a 503, ANSWER, says that ENDPOINT wants no
-   requests; 0 if it states none that makes sense.  */
-static int64_t
-read_retry_after (struct trf_traffic *traffic,
-                  const struct fst_endpoint *endpoint,
-                  const struct msg_message *answer)
-{
-  int64_t bound_us
-      = tna_bound_us (fst_config (traffic->fleet), traffic->settings->stop_us);
-  int64_t duration_us = 0;
-  enum tna_reading reading
-      = tna_read (msg_find (answer, PFH_RETRY_AFTER), bound_us, &duration_us);
-  if (reading == TNA_BOUNDED || reading == TNA_INVALID)
-    {
-      lg_line (LOG_WARNING, "retry_after_refused",
-               "endpoint=%s bounded=%d for_ms=%ld", endpoint->id,
-               reading == TNA_BOUNDED, (long)(duration_us / CLK_MS_US));
-    }
-  return duration_us;
-}
-
 /* Handles what the head of ANSWER, with STATUS, announces of ENDPOINT, which
    sent it.  The time of a 503 holds for the engine at fault too, if ANSWER
    names one.  Returns true when ENDPOINT wants no requests for a time.  */
@@ -64,7 +66,9 @@
     {
       return false;
     }
-  int64_t duration_us = read_retry_after (traffic, endpoint, answer);
+  int64_t bound_us
+      = tna_bound_us (fst_config (traffic->fleet), traffic->settings->stop_us);
+  int64_t duration_us = anc_closed_us (endpoint->id, status, answer, bound_us);
   if (duration_us == 0)
     {
       return false;
--- a/src/entry/announcement.h
+++ b/src/entry/announcement.h
@@ -6,6 +6,8 @@
 #include "entry/traffic.h"
 
 bool anc_is_leaving (const struct msg_message *answer);
+int64_t anc_closed_us (const char *id, uint32_t status,
+                       const struct msg_message *answer, int64_t bound_us);
 bool anc_handle (struct trf_traffic *traffic, struct fst_endpoint *endpoint,
                  uint32_t status, const struct msg_message *answer);
 
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -478,6 +478,15 @@
     }
 }
 
+/* Passes on at once what an answer to an order has shown.  */
+static void
+on_order_shown (void *context)
+{
+  struct fct_control *control = context;
+  control->view_outdated = true;
+  publish (control);
+}
+
 /* Tells waiting readers of new departures, together if there are several.  */
 static void
 announce_departures (struct fct_control *control)
@@ -751,6 +760,9 @@
     .loop = &control->loop,
     .group = control->group,
     .verdicts = verdicts,
+    .stop_us = settings->stop_us,
+    .shown = on_order_shown,
+    .context = control,
   };
   control->placer = plc_create (&placer_params);
   follow_topics (control);
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "core/stage_plan.h"
+#include "core/turned_away.h"
 #include "entry/announcement.h"
 #include "net/call.h"
 #include "platform/runner.h"
@@ -61,7 +62,8 @@
 struct plc_placer
 {
   struct plc_params params;
-  GHashTable *orders;   /* endpoint id to struct order */
+  int64_t closed_max_us; /* see tna_bound_us */
+  GHashTable *orders;    /* endpoint id to struct order */
   int64_t gap_since_us; /* since when a layer has no holder; 0: every layer has
                            one */
   int64_t last_loss_us; /* when an engine last disappeared without having
@@ -113,21 +115,53 @@
   g_free (placer);
 }
 
+/* Closes the endpoint of ORDER for DURATION_US.  Returns false when it was
+   closed already.  */
+static bool
+close_endpoint (const struct order *order, int64_t duration_us)
+{
+  struct vdt_verdicts *verdicts = order->placer->params.verdicts;
+  int64_t now_us = clk_monotonic_us ();
+  bool was_open = now_us >= vdt_opens_us (verdicts, order->id, order->born_ms);
+  int64_t opens_us = vdt_turn_away (verdicts, order->id, order->born_ms,
+                                    duration_us, now_us);
+  if (was_open)
+    {
+      lg_line (LOG_NOTICE, "endpoint_turned_away",
+               "endpoint=%s address=%s for_ms=%ld opens_in_ms=%ld order=1",
+               order->id, order->address, (long)(duration_us / CLK_MS_US),
+               (long)((opens_us - now_us) / CLK_MS_US));
+    }
+  return was_open;
+}
+
 /* Handles the head of the answer to an order.  An endpoint that says that it
-   leaves is leaving in the next view.  */
+   leaves is leaving in the next view; one that wants no requests for a time
+   gets neither requests nor orders until then.  */
 static void
 on_answer_head (void *context, uint32_t status,
                 const struct msg_message *response)
 {
-  (void)status;
   const struct order *order = context;
+  const struct plc_params *params = &order->placer->params;
+  bool shown = false;
   if (anc_is_leaving (response)
-      && vdt_set_leaving (order->placer->params.verdicts, order->id,
-                          order->born_ms))
+      && vdt_set_leaving (params->verdicts, order->id, order->born_ms))
     {
+      shown = true;
       lg_line (LOG_NOTICE, "endpoint_says_leaving", "endpoint=%s address=%s",
                order->id, order->address);
     }
+  int64_t duration_us = anc_closed_us (order->id, status, response,
+                                       order->placer->closed_max_us);
+  if (duration_us > 0 && close_endpoint (order, duration_us))
+    {
+      shown = true;
+    }
+  if (shown)
+    {
+      params->shown (params->context);
+    }
 }
 
 /* Handles the answer to an order.  A refused fencing token means that another
@@ -478,6 +512,7 @@
       placer->settle_until_us = now_us + SETTLE_US;
     }
   placer->last_count = endpoints->len;
+  placer->closed_max_us = tna_bound_us (config, placer->params.stop_us);
   uint64_t fence = 0;
   if (config == NULL || !grp_is_leader (placer->params.group, &fence))
     {
--- a/src/entry/placing.h
+++ b/src/entry/placing.h
@@ -15,7 +15,13 @@
   struct ncl_client *client;
   uv_loop_t *loop;
   struct grp_group *group;
-  struct vdt_verdicts *verdicts; /* from this daemon's own requests */
+  struct vdt_verdicts *verdicts; /* of this daemon; answers to orders add to
+                                    them */
+  int64_t stop_us;               /* see tna_bound_us */
+  /* An answer to an order has shown that an endpoint leaves or wants no
+     requests for a time. */
+  void (*shown) (void *context);
+  void *context;
 };
 
 struct plc_placer *plc_create (const struct plc_params *params);
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -177,6 +177,7 @@
       g_free (endpoint->id);
       g_free (endpoint->address);
       g_free (endpoint->retry_after);
+      g_free (endpoint->order_retry_after);
       g_free (endpoint);
     }
   g_ptr_array_free (fleet->endpoints, TRUE);
@@ -236,6 +237,7 @@
   endpoint->fencing_token = 0;
   endpoint->leaving = false;
   endpoint->turned_away = 0;
+  endpoint->orders_turned_away = 0;
   sfl_endpoint_open (endpoint);
 }
 
@@ -281,6 +283,18 @@
   endpoint->turned_away = requests;
 }
 
+/* Makes the engine INDEX answer its next ORDERS orders with status 503 and
+   with RETRY_AFTER in the header of that name, unless it is NULL.  */
+void
+sfl_turn_orders_away (struct sfl_fleet *fleet, uint32_t index,
+                      const char *retry_after, uint32_t orders)
+{
+  struct sfl_endpoint *endpoint = endpoint_at (fleet, index);
+  g_free (endpoint->order_retry_after);
+  endpoint->order_retry_after = g_strdup (retry_after);
+  endpoint->orders_turned_away = orders;
+}
+
 /* Lists the endpoint INDEX as draining.  The endpoint continues to serve
    requests.  */
 void
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -105,6 +105,8 @@
                       bool leaving);
 void sfl_turn_away (struct sfl_fleet *fleet, uint32_t endpoint,
                     const char *retry_after, uint32_t requests);
+void sfl_turn_orders_away (struct sfl_fleet *fleet, uint32_t endpoint,
+                           const char *retry_after, uint32_t orders);
 void sfl_set_fault (struct sfl_fleet *fleet, bool engines,
                     enum sfl_fault fault, uint32_t requests);
 void sfl_set_silent (struct sfl_fleet *fleet, uint32_t endpoint, bool silent);
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -305,6 +305,21 @@
     }
 }
 
+/* Answers an order on CONNECTION that ENDPOINT has no room for now.  */
+static void
+turn_order_away (struct sfl_endpoint *endpoint,
+                 struct nsv_connection *connection)
+{
+  g_autofree char *headers
+      = endpoint->order_retry_after == NULL
+            ? g_strdup (leaving_header (endpoint))
+            : g_strdup_printf ("%s" PFH_RETRY_AFTER ": %s\r\n",
+                               leaving_header (endpoint),
+                               endpoint->order_retry_after);
+  endpoint->orders_turned_away--;
+  nsv_respond (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, headers, "", 0);
+}
+
 /* Applies an order to hold the layers `From' to `Target' (exclusive) and
    publishes the endpoint.  Rejects an order whose fencing token is older than
    the last one.  A range of more than half of the layers is a violation, but
@@ -335,6 +350,11 @@
                    leaving_header (endpoint), "", 0);
       return;
     }
+  if (endpoint->orders_turned_away > 0)
+    {
+      turn_order_away (endpoint, connection);
+      return;
+    }
   if (end - first > SFL_LAYERS / 2)
     {
       sfl_record_violation (endpoint->fleet, "%s is ordered to hold %u layers",
--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -135,10 +135,10 @@
 static void
 on_ordered (void *context, uint32_t endpoint, uint64_t fence, bool refused)
 {
-  (void)endpoint;
   (void)refused;
   struct efx_fixture *fixture = context;
   fixture->orders++;
+  fixture->orders_to[endpoint]++;
   fixture->fence_fell |= fence < fixture->highest_fence;
   fixture->highest_fence = MAX (fixture->highest_fence, fence);
 }
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -39,6 +39,7 @@
   uint64_t highest_fence; /* of the orders that have reached engines */
   bool fence_fell;        /* an order had a lower one than an earlier order */
   uint32_t orders;
+  uint32_t orders_to[EFX_ENGINES];
 };
 
 /* A request of a caller and its answer so far. */
--- a/test/entry_leaving_test.c
+++ b/test/entry_leaving_test.c
@@ -558,6 +558,43 @@
   assert_true (sfl_is_placed (fixture->fleet));
 }
 
+/* Guards against orders that reach an engine within the time for which it
+   turned an order away.  A time that makes no sense has no effect: the order
+   is sent again after a second.  */
+static void
+test_engine_turns_order_away (void **state)
+{
+  struct efx_fixture *fixture = *state;
+  const uint32_t full = 0;
+  static const struct
+  {
+    const char *retry_after;
+    bool closes; /* expected, for 2.5 s */
+  } cases[] = { { "2.5", true }, { "x", false }, { NULL, false } };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      sfl_kill (fixture->fleet, full);
+      uint32_t orders = fixture->orders_to[full];
+      sfl_restart (fixture->fleet, full);
+      sfl_turn_orders_away (fixture->fleet, full, cases[i].retry_after, 1);
+      int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
+      while (fixture->orders_to[full] == orders
+             && clk_monotonic_us () < end_us)
+        {
+          efx_run_for (fixture, 10 * CLK_MS_US);
+        }
+      orders = fixture->orders_to[full];
+      efx_run_for (fixture, 2250 * CLK_MS_US);
+      bool again = fixture->orders_to[full] > orders;
+      efx_await_ready (fixture);
+      if (again == cases[i].closes || !sfl_is_placed (fixture->fleet))
+        {
+          fail_msg ("'%s': ordered again %d, placed %d", cases[i].retry_after,
+                    again, sfl_is_placed (fixture->fleet));
+        }
+    }
+}
+
 int
 main (void)
 {
@@ -571,6 +608,7 @@
     cmocka_unit_test (test_service_turns_away),
     cmocka_unit_test (test_all_turn_away),
     cmocka_unit_test (test_engine_turns_away),
+    cmocka_unit_test (test_engine_turns_order_away),
   };
   return cmocka_run_group_tests (tests, efx_set_up, efx_tear_down);
 }
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -215,6 +215,27 @@
   close_fixture (&fixture);
 }
 
+/* What the control thread learns from an answer to an order holds for requests
+   from the next view on.  */
+static void
+closure_by_an_order_counts (void **state)
+{
+  (void)state;
+  struct fixture fixture;
+  open_fixture (&fixture);
+  int64_t now_us = clk_monotonic_us ();
+  g_autofree char *before = list_used (&fixture, now_us);
+  assert_non_null (strchr (before, 'x'));
+  vdt_turn_away (fixture.verdicts, "x", find (&fixture, "x")->born_ms, 3 * S,
+                 now_us);
+  fst_set_view (fixture.fleet,
+                fvw_reference ((struct fvw_view *)fst_view (fixture.fleet)));
+  g_autofree char *after = list_used (&fixture, now_us);
+  assert_null (strchr (after, 'x'));
+  assert_true (find (&fixture, "x")->opens_us >= now_us + 3 * S);
+  close_fixture (&fixture);
+}
+
 /* The first opening is that of the first endpoint, or of the first path, all
    of whose parts are open.  */
 static void
@@ -351,6 +372,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (closed_endpoints_are_not_used),
+    cmocka_unit_test (closure_by_an_order_counts),
     cmocka_unit_test (first_opening_is_found),
     cmocka_unit_test (heads_of_answers_are_read),
   };
