--- a/standin/fleet_group.c
+++ b/standin/fleet_group.c
@@ -9,7 +9,8 @@
 #include <string.h>
 
 #define PARTITIONS 6
-#define TTL_DEFAULT_MS 1000
+/* What daemons ask for. */
+#define TTL_DEFAULT_MS 2500
 
 static void
 destroy_member (gpointer data)
--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -361,6 +361,23 @@
   assert_int_equal (status, 200);
 }
 
+/* Replaces the first engine by an empty one, and waits until it is ordered to
+   hold layers.  Returns false when it isn't.  */
+bool
+efx_replace_engine (struct efx_fixture *fixture)
+{
+  uint32_t before = fixture->orders;
+  sfl_kill (fixture->fleet, 0);
+  efx_run_for (fixture, 100 * CLK_MS_US);
+  sfl_restart (fixture->fleet, 0);
+  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
+  while (fixture->orders == before && clk_monotonic_us () < end_us)
+    {
+      efx_run_for (fixture, 50 * CLK_MS_US);
+    }
+  return fixture->orders > before;
+}
+
 /* Waits until the daemon, which is stopping, has ended, and checks that it
    exited normally.  */
 void
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -81,6 +81,7 @@
                                        bool knows_relay);
 void efx_start_second (struct efx_fixture *fixture,
                        struct sep_process *second);
+bool efx_replace_engine (struct efx_fixture *fixture);
 void efx_await_exit (struct efx_fixture *fixture);
 void efx_start_stream (struct efx_fixture *fixture, struct efx_call *call,
                        uint32_t output_tokens);
