--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -28,6 +28,7 @@
   g_hash_table_remove (exchange->traffic->exchanges, exchange);
   flt_release (exchange->config);
   g_free (exchange->service);
+  g_strfreev (exchange->shared_parts);
   g_string_free (exchange->head, TRUE);
   g_byte_array_free (exchange->body, TRUE);
   g_string_free (exchange->answer_head, TRUE);
@@ -600,6 +601,7 @@
   g_byte_array_set_size (exchange->answer, 0);
   exchange->status = 0;
   exchange->event_interval_us = 0;
+  exchange->first_written_us = 0;
   exchange->is_stream = false;
   exchange->not_executed = false;
   exchange->turned_away = false;
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -17,6 +17,10 @@
    have caused the cut. */
 #define ABRUPT_CUT_US (800 * CLK_MS_US)
 
+/* A prompt that crashes an endpoint does so as it begins to write the answer;
+   an answer that has been written for this long isn't such a one's. */
+#define SAFE_WRITING_US (1 * CLK_S_US)
+
 /* Weight of the newest sample in moving averages. */
 #define AVERAGE_WEIGHT 0.1
 
@@ -204,6 +208,10 @@
   if (events > 0)
     {
       fst_report_progress (exchange->path, exchange->last_received_us);
+      if (exchange->first_written_us == 0)
+        {
+          exchange->first_written_us = exchange->last_received_us;
+        }
       exg_end_wait (exchange, true);
       if (exchange->answer_begun)
         {
@@ -213,6 +221,35 @@
     }
 }
 
+/* True when the attempt has been written for long enough to show that its
+   prompt doesn't crash the endpoint that began to write.  */
+static bool
+is_written_safely (const struct exchange *exchange)
+{
+  return exchange->first_written_us > 0
+         && exchange->last_received_us - exchange->first_written_us
+                >= SAFE_WRITING_US;
+}
+
+/* Logs which parts the prompt of EXCHANGE has, if its answer broke off before
+   it was written safely: if one of them crashes endpoints, every such end
+   shows it.  */
+static void
+note_early_end (const struct exchange *exchange)
+{
+  if (exchange->shared_parts[0] == NULL || is_written_safely (exchange))
+    {
+      return;
+    }
+  g_autofree char *parts = g_strjoinv (",", exchange->shared_parts);
+  lg_line (LOG_INFO, "broke_off_early",
+           "request=%s endpoint=%s born_ms=%ld age_ms=%ld written=%d parts=%s",
+           exchange->id, exchange->endpoint->id,
+           (long)exchange->endpoint->born_ms,
+           (long)((clk_monotonic_us () - exchange->sent_us) / CLK_MS_US),
+           exchange->first_written_us > 0, parts);
+}
+
 /* Handles the end of a stream, which counts as complete only if it doesn't end
    within an event and the connection's end isn't its only sign.  */
 static void
@@ -222,6 +259,7 @@
       || !exchange->answer_begun
       || (exchange->ends_with_connection && exchange->answer_chunked))
     {
+      note_early_end (exchange);
       exg_report_failure (exchange, EVD_INCONCLUSIVE,
                           "the stream ended within an event");
       exg_end_attempt (exchange, ATT_INVALID_ANSWER);
@@ -301,6 +339,7 @@
       exg_end_attempt (exchange, ATT_NOT_SENT);
       break;
     case NCL_CUT_OFF:
+      note_early_end (exchange);
       exg_report_failure (exchange, classify_cut (exchange),
                           "cut off an answer");
       exg_end_attempt (exchange, ATT_CUT_OFF);
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "platform/headers.h"
+#include "platform/prompt.h"
 
 #include <math.h>
 #include <string.h>
@@ -231,6 +232,8 @@
   double output_tokens = 0;
   exchange->tokens
       = parse_tokens (msg_find (request, PFH_TOKENS), &output_tokens);
+  exchange->shared_parts
+      = pfp_decode_shared_parts (msg_find (request, PFH_PROMPT_PARTS));
   exchange->arrived_us = clk_monotonic_us ();
   exchange->deadline_us = exchange->arrived_us + time_left_us (route, request);
   exchange->answer_head = g_string_new (NULL);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -22,7 +22,9 @@
   GString *head;    /* start line and forwarded headers of the request */
   GByteArray *body; /* of the request */
   bool has_body;
-  double tokens; /* memory that the request needs in an engine */
+  char **shared_parts; /* ids of the parts of the prompt that other requests
+                          may have too */
+  double tokens;       /* memory that the request needs in an engine */
   int64_t arrived_us;
   int64_t deadline_us;
   uv_timer_t timer; /* for the next check, see exg_schedule_check */
@@ -41,6 +43,8 @@
                                 answer, so a cut one looks complete */
   int64_t sent_us;
   GList wait_link;          /* in the engine's queue; its data is `sent_us' */
+  int64_t first_written_us; /* when the first event of this attempt arrived; 0:
+                               not yet */
   double event_interval_us; /* moving average of the time between events; 0:
                                none yet */
   int64_t last_received_us; /* when the newest bytes of the answer arrived */
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -1,5 +1,6 @@
 /* Tests of the decoding of the platform's messages. */
 #include "platform/configuration.h"
+#include "platform/prompt.h"
 #include "platform/runner.h"
 #include "platform/store.h"
 
@@ -316,6 +317,33 @@
     }
 }
 
+/* The parts that other prompts may share: all but the last one.  */
+static void
+test_shared_parts (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *text;
+    const char *shared;
+  } cases[] = {
+    { "5c1e07a2:800,91BD3F06:410,e4402b7d:250", "5c1e07a2,91bd3f06" },
+    { "5c1e07a2:800", "" },
+    { " 1:2 , 3:4", "1" },
+    { "5c1e07a2,e4402b7d", "5c1e07a2" },
+    { "", "" },
+    { NULL, "" },
+    { "a/b:1,c d:2,,:3,f:4,0:5", "f" },
+    { "0123456789abcdef0123456789abcdef0:1,1:2", "" },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_auto (GStrv) parts = pfp_decode_shared_parts (cases[i].text);
+      g_autofree char *joined = g_strjoinv (",", parts);
+      assert_string_equal (joined, cases[i].shared);
+    }
+}
+
 int
 main (void)
 {
@@ -325,6 +353,7 @@
     cmocka_unit_test (test_configuration_invalid),
     cmocka_unit_test (test_endpoint_entries),
     cmocka_unit_test (test_stalls),
+    cmocka_unit_test (test_shared_parts),
     cmocka_unit_test (test_read_page),
     cmocka_unit_test (test_read_page_truncated),
     cmocka_unit_test (test_newest_page),
