--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -182,6 +182,7 @@
     }
   g_ptr_array_free (fleet->endpoints, TRUE);
   g_hash_table_destroy (fleet->runs);
+  g_free (fleet->crash_part);
   g_free (fleet->violation);
   g_free (fleet);
 }
@@ -352,6 +353,33 @@
   fleet->fault_requests[engines] = requests;
 }
 
+/* Makes each engine crash as it begins to write the answer to a request whose
+   prompt has PART before its last part.  NULL: none does.  The counts start
+   anew.  */
+void
+sfl_set_crash_part (struct sfl_fleet *fleet, const char *part)
+{
+  g_free (fleet->crash_part);
+  fleet->crash_part = g_strdup (part);
+  fleet->crashes = 0;
+  fleet->crash_runs = 0;
+}
+
+/* Returns how many engines the part of sfl_set_crash_part has crashed.  */
+uint32_t
+sfl_crash_count (const struct sfl_fleet *fleet)
+{
+  return fleet->crashes;
+}
+
+/* Returns how many times engines began to run requests with the part of
+   sfl_set_crash_part.  */
+uint32_t
+sfl_crash_run_count (const struct sfl_fleet *fleet)
+{
+  return fleet->crash_runs;
+}
+
 /* Returns how many times the request REQUEST_ID was run.  */
 uint32_t
 sfl_run_count (const struct sfl_fleet *fleet, const char *request_id)
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -112,6 +112,9 @@
 void sfl_set_silent (struct sfl_fleet *fleet, uint32_t endpoint, bool silent);
 void sfl_set_stream_events (struct sfl_fleet *fleet, uint32_t events);
 void sfl_set_call_ms (struct sfl_fleet *fleet, uint32_t call_ms);
+void sfl_set_crash_part (struct sfl_fleet *fleet, const char *part);
+uint32_t sfl_crash_count (const struct sfl_fleet *fleet);
+uint32_t sfl_crash_run_count (const struct sfl_fleet *fleet);
 uint32_t sfl_run_count (const struct sfl_fleet *fleet, const char *request_id);
 uint32_t sfl_arrival_count (const struct sfl_fleet *fleet, uint32_t endpoint);
 uint32_t sfl_cancelled_count (const struct sfl_fleet *fleet);
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -2,6 +2,7 @@
 #include "standin/fleet_private.h"
 
 #include "platform/headers.h"
+#include "platform/prompt.h"
 
 #include <jansson.h>
 #include <stdio.h>
@@ -173,10 +174,28 @@
   return false;
 }
 
+/* Returns true if the prompt of REQUEST has the part that crashes engines.  */
+static bool
+has_crash_part (const struct sfl_fleet *fleet,
+                const struct msg_message *request)
+{
+  g_auto (GStrv) parts
+      = pfp_decode_shared_parts (msg_find (request, PFH_PROMPT_PARTS));
+  return fleet->crash_part != NULL
+         && g_strv_contains ((const char *const *)parts, fleet->crash_part);
+}
+
 static void
 on_event_due (uv_timer_t *timer)
 {
   struct sfl_answer *answer = timer->data;
+  if (answer->crashes)
+    {
+      struct sfl_endpoint *endpoint = answer->endpoint;
+      endpoint->fleet->crashes++;
+      sfl_kill (endpoint->fleet, endpoint->index);
+      return;
+    }
   if (!send_event (answer))
     {
       finish_answer (answer);
@@ -286,6 +305,8 @@
   answer->timer.data = answer;
   nsv_set_request_context (connection, answer);
   count_run (endpoint, id);
+  answer->crashes = endpoint->is_engine && has_crash_part (fleet, request);
+  fleet->crash_runs += answer->crashes;
   if (fault == SFL_NEVER_ANSWERS)
     {
       return;
--- a/standin/fleet_private.h
+++ b/standin/fleet_private.h
@@ -85,6 +85,7 @@
   bool is_stream;
   enum sfl_fault fault;
   bool headers_sent;
+  bool crashes; /* its endpoint when the first event is due */
 };
 
 struct sfl_fleet
@@ -95,7 +96,8 @@
   enum sfl_store_state store_state;
   struct sfl_topic operator_topic;
   struct sfl_topic endpoint_topic;
-  uint64_t era;    /* rises with each restore, from 1 */
+  struct sfl_topic daemon_topic; /* of the daemons' own */
+  uint64_t era;                  /* rises with each restore, from 1 */
   GPtrArray *lost; /* struct sfl_lost, not written again yet, in the order
                       in which they were first written */
   uv_timer_t rewrite_timer;
@@ -110,7 +112,10 @@
   enum sfl_fault faults[2];   /* [0] of services, [1] of engines */
   uint32_t fault_requests[2]; /* that the faults still apply to */
   uint32_t cancelled;         /* answers that the daemon cancelled */
-  char *violation;            /* first violation of the protocol; NULL: none */
+  char *crash_part;    /* part of prompts that crashes engines; NULL: none */
+  uint32_t crashes;    /* of engines that began to write on that part */
+  uint32_t crash_runs; /* requests with that part that engines began to run */
+  char *violation;     /* first violation of the protocol; NULL: none */
 };
 
 void sfl_group_open (struct sfl_fleet *fleet);
--- a/standin/fleet_restore.c
+++ b/standin/fleet_restore.c
@@ -56,10 +56,11 @@
   rewrite_lost (timer->data);
 }
 
-/* Drops the records of TOPIC that were appended after COPIED_US.  */
+/* Drops the records of TOPIC that were appended after COPIED_US.  They are
+   written again later if REWRITES.  */
 static void
 restore_topic (struct sfl_fleet *fleet, struct sfl_topic *topic,
-               int64_t copied_us)
+               int64_t copied_us, bool rewrites)
 {
   guint kept = 0;
   while (kept < topic->records->len
@@ -67,7 +68,7 @@
     {
       kept++;
     }
-  for (guint i = kept; i < topic->records->len; i++)
+  for (guint i = kept; rewrites && i < topic->records->len; i++)
     {
       struct sfl_lost *lost = g_new0 (struct sfl_lost, 1);
       lost->topic = topic;
@@ -106,7 +107,8 @@
 /* Restores the store from a copy that is AGE_US old: its topics and its group
    are as they were then, and it gives out the offsets since then again.
    Waiting reads end without an answer.  REWRITE_US later (0: at once) the
-   operator and the endpoints write their lost records again, in another order.
+   operator and the endpoints write their lost records again, in another order;
+   the daemons have to write theirs again themselves.
    After a restore during that time, they write the records lost by either
    REWRITE_US after the second.  */
 void
@@ -115,8 +117,9 @@
   int64_t copied_us = clk_monotonic_us () - age_us;
   fleet->era++;
   sfl_drop_readers (fleet, true);
-  restore_topic (fleet, &fleet->operator_topic, copied_us);
-  restore_topic (fleet, &fleet->endpoint_topic, copied_us);
+  restore_topic (fleet, &fleet->operator_topic, copied_us, true);
+  restore_topic (fleet, &fleet->endpoint_topic, copied_us, true);
+  restore_topic (fleet, &fleet->daemon_topic, copied_us, false);
   sfl_group_restore (fleet, copied_us);
   uv_timer_stop (&fleet->rewrite_timer);
   if (rewrite_us == 0)
--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -8,6 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Size of the length before each record that is appended. */
+#define LENGTH_BYTES 4
+
 static void
 init_topic (struct sfl_topic *topic)
 {
@@ -170,12 +173,63 @@
   sfl_append_record (fleet, topic, g_byte_array_free_to_bytes (record));
 }
 
-/* Returns the topic that the query of URL names.  */
+/* Returns the topic that the query of URL names.  All names but those of the
+   platform's own topics mean the one topic of the daemons.  */
 static struct sfl_topic *
 find_topic (struct sfl_fleet *fleet, const char *url)
 {
-  return strstr (url, "Topic=keyed.op") != NULL ? &fleet->operator_topic
-                                                : &fleet->endpoint_topic;
+  return strstr (url, "Topic=keyed.op&") != NULL ? &fleet->operator_topic
+         : strstr (url, "Topic=keyed.servers&") != NULL
+             ? &fleet->endpoint_topic
+             : &fleet->daemon_topic;
+}
+
+/* Returns the big-endian number of BYTES bytes at DATA.  */
+static size_t
+read_number (const uint8_t *data, uint32_t bytes)
+{
+  size_t value = 0;
+  for (uint32_t i = 0; i < bytes; i++)
+    {
+      value = value << 8 | data[i];
+    }
+  return value;
+}
+
+/* Appends the records in the body of REQUEST, each of which follows its
+   length, to the daemons' topic.  Records a violation when the body can't be
+   read or the topic is one of the platform's.  */
+static void
+append_records (struct sfl_fleet *fleet, struct nsv_connection *connection,
+                const struct msg_message *request)
+{
+  struct sfl_topic *topic = find_topic (fleet, request->url->str);
+  const uint8_t *data = request->body->data;
+  size_t left = request->body->len;
+  if (topic != &fleet->daemon_topic)
+    {
+      sfl_record_violation (fleet, "a topic of the platform is written");
+      sfl_store_respond (fleet, connection, HTTP_STATUS_FORBIDDEN, "", 0);
+      return;
+    }
+  while (left >= LENGTH_BYTES)
+    {
+      size_t bytes = read_number (data, LENGTH_BYTES);
+      data += LENGTH_BYTES;
+      left -= LENGTH_BYTES;
+      if (bytes < 2 || bytes > left || data[0] >= bytes)
+        {
+          break;
+        }
+      sfl_append_record (fleet, topic, g_bytes_new (data, bytes));
+      data += bytes;
+      left -= bytes;
+    }
+  if (left > 0)
+    {
+      sfl_record_violation (fleet, "records can't be read");
+    }
+  sfl_store_respond (fleet, connection, HTTP_STATUS_OK, "{}", 2);
 }
 
 /* Answers a read at once when records are there or the read doesn't wait, else
@@ -275,6 +329,10 @@
     {
       list_newest (fleet, connection, url);
     }
+  else if (g_str_has_prefix (url, "/api/log-append"))
+    {
+      append_records (fleet, connection, request);
+    }
   else if (g_str_has_prefix (url, "/api/log-join")
            || g_str_has_prefix (url, "/api/log-leave"))
     {
@@ -315,6 +373,7 @@
 {
   init_topic (&fleet->operator_topic);
   init_topic (&fleet->endpoint_topic);
+  init_topic (&fleet->daemon_topic);
   fleet->readers = g_ptr_array_new ();
   sfl_group_open (fleet);
   sfl_restore_open (fleet);
@@ -329,6 +388,7 @@
   sfl_restore_close (fleet);
   clear_topic (&fleet->operator_topic);
   clear_topic (&fleet->endpoint_topic);
+  clear_topic (&fleet->daemon_topic);
   g_ptr_array_free (fleet->readers, TRUE);
   g_free (fleet->store_address);
   sfl_group_close (fleet);
@@ -372,4 +432,5 @@
 {
   fleet->operator_topic.first_offset = fleet->operator_topic.records->len;
   fleet->endpoint_topic.first_offset = fleet->endpoint_topic.records->len;
+  fleet->daemon_topic.first_offset = fleet->daemon_topic.records->len;
 }
