Quarantine parts of prompts that crash engines

Cause: each end was booked on the engine alone. Nothing held a request or a part of its prompt responsible, each daemon saw only some of the ends, and none told another.

Now an answer that breaks off before it has been written for a second is evidence against the parts of its prompt (core/poison). The daemons share their evidence in a keyed topic of the platform's store (entry/evidence_topic), which is followed like the others, within a bound of its own (quarantine_ms, the platform's StableMs). A part under which three engines have ended is refused everywhere at once, with a time to come back, unless an engine has written on it lately or another part explains these ends better. Evidence is withdrawn when the engine answers after all, so a cut connection doesn't count; the leader tries one request every five minutes.

--- a/src/config/entry_settings.c
+++ b/src/config/entry_settings.c
@@ -14,6 +14,7 @@
 #define RETRY_RATIO_MAX 1000
 #define RETRY_SLACK_MAX 1e9
 #define DESCRIPTORS_MIN 256
+#define QUARANTINE_MS 3000
 #define US_PER_MS 1000
 #define US_PER_S 1000000
 
@@ -22,7 +23,9 @@
         "notice", "info",  "debug", NULL };
 
 static const struct ens_settings defaults
-    = { .membership_min_us = US_PER_S, .log_level = LOG_INFO };
+    = { .membership_min_us = US_PER_S,
+        .quarantine_us = QUARANTINE_MS * US_PER_MS,
+        .log_level = LOG_INFO };
 
 /* NOLINTBEGIN(bugprone-macro-parentheses): the arguments are member names and
    units, which cannot be in parentheses. */
@@ -82,6 +85,7 @@
   DURATION ("drain_ms", drain_us, US_PER_MS, true),
   DURATION ("config_ms", config_apply_max_us, US_PER_MS, true),
   DURATION ("revoke_ms", revoke_us, US_PER_MS, true),
+  DURATION ("quarantine_ms", quarantine_us, US_PER_MS, false),
   DURATION ("stop_s", stop_us, US_PER_S, true),
   DURATION ("retry_window_s", retry_window_us, US_PER_S, true),
   DURATION ("membership_min_ms", membership_min_us, US_PER_MS, false),
--- a/src/core/refresh.c
+++ b/src/core/refresh.c
@@ -30,6 +30,11 @@
    waiting read would return at each heartbeat of an endpoint. */
 #define LIST_INTERVAL_SHARE 0.5
 
+/* Wait of a daemon's read of the quarantine for itself, as a share of its
+   bound.  It limits the time that is lost on a connection that has gone
+   silent. */
+#define QUARANTINE_WAIT_SHARE 0.4
+
 /* Limit of the time-out of the store's answers, as a share of the time in
    which a change must be in force: after an outage, calls that the store never
    answered must time out soon enough for another one. */
@@ -96,6 +101,16 @@
   topic->interval_us = share_of (bounds->drain_us, LIST_INTERVAL_SHARE);
 }
 
+/* Sets TOPIC to how the evidence of the quarantine is followed.  */
+void
+rfs_plan_quarantine (const struct rfs_bounds *bounds, struct rfs_topic *topic)
+{
+  *topic
+      = plan_topic (bounds, share_of (bounds->quarantine_us, AGE_MAX_SHARE));
+  topic->wait_us = share_of (bounds->quarantine_us, QUARANTINE_WAIT_SHARE);
+  topic->relay_wait_us = share_of (topic->age_max_us, RELAY_WAIT_SHARE);
+}
+
 /* Sets MEMBERSHIP to how a membership is kept in a store that accepts
    lifetimes from LIFETIME_MIN_US on.  */
 void
--- a/src/core/refresh.h
+++ b/src/core/refresh.h
@@ -33,9 +33,11 @@
 /* Bounds of a deployment. */
 struct rfs_bounds
 {
-  int64_t drain_us;  /* until a leaving endpoint gets no new requests */
-  int64_t config_us; /* until a new configuration is in force */
-  int64_t revoke_us; /* until a removed key is rejected */
+  int64_t drain_us;      /* until a leaving endpoint gets no new requests */
+  int64_t config_us;     /* until a new configuration is in force */
+  int64_t revoke_us;     /* until a removed key is rejected */
+  int64_t quarantine_us; /* until a part of prompts that crashes engines is
+                            kept away from them */
 };
 
 /* How a topic is followed. */
@@ -116,6 +118,8 @@
 void rfs_plan_config (const struct rfs_bounds *bounds,
                       struct rfs_topic *topic);
 void rfs_plan_list (const struct rfs_bounds *bounds, struct rfs_topic *topic);
+void rfs_plan_quarantine (const struct rfs_bounds *bounds,
+                          struct rfs_topic *topic);
 void rfs_plan_membership (int64_t lifetime_min_us,
                           struct rfs_membership *membership);
 struct rfs_call rfs_next_call (const struct rfs_topic *topic,
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -26,6 +26,7 @@
   uv_loop_t *loop;
   struct fvw_store *views;
   struct vdt_verdicts *verdicts;
+  struct qrn_quarantine *quarantine;
   struct trf_traffic *traffic;
   struct fct_control *control;
   uv_signal_t terminate; /* SIGTERM */
@@ -128,14 +129,16 @@
   start_signal_handlers (&entry);
   entry.views = fvw_store_create ();
   entry.verdicts = vdt_create ();
-  entry.traffic
-      = trf_create (entry.loop, settings, entry.views, entry.verdicts, error);
+  entry.quarantine = qrn_create (settings->name, settings->quarantine_us);
+  entry.traffic = trf_create (entry.loop, settings, entry.views,
+                              entry.verdicts, entry.quarantine, error);
   if (entry.traffic == NULL)
     {
       return false;
     }
-  entry.control = fct_create (settings, entry.views, entry.verdicts,
-                              trf_notify, entry.traffic, error);
+  entry.control
+      = fct_create (settings, entry.views, entry.verdicts, entry.quarantine,
+                    trf_notify, entry.traffic, error);
   if (entry.control == NULL)
     {
       return false;
@@ -148,6 +151,7 @@
   fct_destroy (entry.control);
   trf_destroy (entry.traffic);
   vdt_destroy (entry.verdicts);
+  qrn_destroy (entry.quarantine);
   lg_line (LOG_NOTICE, "stopped", "name=%s", settings->name);
   lg_flush ();
   rcu_unregister_thread ();
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -23,6 +23,9 @@
   struct cnt_series *leaving_said;   /* endpoints that said that they leave */
   struct cnt_series *turned_away; /* times that an endpoint was closed since it
                                      turned a request away */
+  struct cnt_series *quarantine_refused; /* requests refused for a part of
+                                            their prompt */
+  struct cnt_series *quarantined_parts;  /* of prompts, now */
   struct cnt_series *events;
   struct cnt_series *in_progress;
   struct cnt_series *config_version;
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -221,6 +221,13 @@
   bool refused = status == HTTP_STATUS_SERVICE_UNAVAILABLE;
   struct emt_metrics *metrics = exchange->traffic->metrics;
   int64_t closed_us = refused ? closed_for_us (exchange) : 0;
+  int64_t quarantined_us = 0;
+  if (refused
+      && qrn_is_quarantined (exchange->traffic->quarantine,
+                             exchange->shared_parts, &quarantined_us))
+    {
+      retry_after_s = MAX (retry_after_s, (double)quarantined_us / CLK_S_US);
+    }
   if (closed_us > 0)
     {
       retry_after_s = MAX (retry_after_s,
@@ -555,12 +562,30 @@
   return request;
 }
 
+/* Returns whether EXCHANGE's prompt has a quarantined part and it isn't the
+   one that is let through to try it.  */
+static bool
+is_quarantined (struct exchange *exchange)
+{
+  int64_t wait_us = 0;
+  bool trial = exchange->is_trial;
+  exchange->is_trial = false;
+  return !trial
+         && qrn_is_quarantined (exchange->traffic->quarantine,
+                                exchange->shared_parts, &wait_us);
+}
+
 /* Starts an attempt at an endpoint.  BEFORE is how the previous attempt ended;
    ATT_NOT_SENT at first.  Without an endpoint EXCHANGE ends, and so it does
    when nothing of it was sent and it would wait too long everywhere.  */
 void
 exg_start_attempt (struct exchange *exchange, enum att_end before)
 {
+  if (is_quarantined (exchange))
+    {
+      give_up (exchange, before);
+      return;
+    }
   double excess_us = 0;
   bool found = choose_target (exchange, &excess_us);
   if (found && excess_us > 0 && is_refusable (exchange))
@@ -655,6 +680,60 @@
   give_up (exchange, exchange->end_before_wait);
 }
 
+/* Ends EXCHANGE, whose prompt has a part that was quarantined since its
+   current attempt began.  */
+static void
+stop_quarantined (struct exchange *exchange)
+{
+  enum att_end end = ATT_NOT_SENT;
+  cnt_add (exchange->traffic->metrics->quarantine_refused, 1);
+  if (exchange->waits_for_room)
+    {
+      exg_give_up_wait (exchange);
+      return;
+    }
+  if (ncl_is_connected (exchange->attempt))
+    {
+      exchange->sent++;
+      exchange->may_have_run++;
+      end = ATT_NO_RESPONSE;
+    }
+  ncl_cancel (exchange->attempt);
+  exchange->attempt = NULL;
+  lg_line (LOG_INFO, "attempt_quarantined", "request=%s endpoint=%s",
+           exchange->id, exchange->endpoint->id);
+  give_up (exchange, end);
+}
+
+/* Ends the exchanges whose prompts have a quarantined part, unless an engine
+   has written on them: the engines that they wait for would crash.  */
+void
+exg_stop_quarantined (struct trf_traffic *traffic)
+{
+  g_autoptr (GPtrArray) found = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, traffic->exchanges);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const struct exchange *exchange = key;
+      int64_t wait_us = 0;
+      bool stops = exchange->waits_for_room
+                   || (exchange->attempt != NULL
+                       && !exg_is_written_safely (exchange));
+      if (stops && !exchange->proved_sound
+          && qrn_is_quarantined (traffic->quarantine, exchange->shared_parts,
+                                 &wait_us))
+        {
+          g_ptr_array_add (found, key);
+        }
+    }
+  for (guint i = 0; i < found->len; i++)
+    {
+      stop_quarantined (g_ptr_array_index (found, i));
+    }
+}
+
 /* Ends an exchange whose caller has disconnected.  The attempt is cancelled,
    so that the endpoint stops working on the request.  */
 void
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -11,6 +11,7 @@
                         const struct fst_endpoint *engine);
 void exg_withdraw_unsent (struct trf_traffic *traffic,
                           const struct fst_endpoint *endpoint);
+void exg_stop_quarantined (struct trf_traffic *traffic);
 void exg_caller_disconnected (void *exchange);
 void exg_caller_drained (void *exchange);
 
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -98,6 +98,69 @@
     }
 }
 
+/* True when the attempt has been written for long enough to show that its
+   prompt doesn't crash the endpoint that began to write.  */
+bool
+exg_is_written_safely (const struct exchange *exchange)
+{
+  return exchange->first_written_us > 0
+         && exchange->last_received_us - exchange->first_written_us
+                >= SAFE_WRITING_US;
+}
+
+/* Records that EXCHANGE's answer broke off, as evidence against the parts of
+   its prompt, unless it was written safely or its endpoint was to end.  */
+static void
+report_early_end (const struct exchange *exchange)
+{
+  struct fst_endpoint *endpoint = exchange->endpoint;
+  if (exchange->shared_parts[0] == NULL || !endpoint->listed
+      || exg_is_written_safely (exchange))
+    {
+      return;
+    }
+  endpoint->broke_off_us = clk_monotonic_us ();
+  qrn_report_end (exchange->traffic->quarantine, exchange->shared_parts,
+                  endpoint->id, endpoint->born_ms);
+  g_autofree char *parts = g_strjoinv (",", exchange->shared_parts);
+  lg_line (LOG_INFO, "broke_off_early",
+           "request=%s endpoint=%s born_ms=%ld age_ms=%ld written=%d parts=%s",
+           exchange->id, endpoint->id, (long)endpoint->born_ms,
+           (long)((clk_monotonic_us () - exchange->sent_us) / CLK_MS_US),
+           exchange->first_written_us > 0, parts);
+}
+
+/* Records that EXCHANGE's prompt didn't crash the endpoint that has written on
+   it.  An answer that only the end of its connection ended may have been cut
+   off by a crash.  */
+static void
+report_sound (struct exchange *exchange)
+{
+  if (exchange->proved_sound || exchange->shared_parts[0] == NULL
+      || (exchange->ends_with_connection && !exg_is_written_safely (exchange)))
+    {
+      return;
+    }
+  exchange->proved_sound = true;
+  qrn_report_sound (exchange->traffic->quarantine, exchange->shared_parts);
+}
+
+/* Withdraws the evidence that EXCHANGE's endpoint ended, if it answers a
+   request that was sent after that.  At the status 421 another incarnation may
+   have answered.  */
+static void
+report_alive (const struct exchange *exchange, uint32_t status)
+{
+  struct fst_endpoint *endpoint = exchange->endpoint;
+  if (endpoint->broke_off_us > 0 && exchange->sent_us > endpoint->broke_off_us
+      && status != HTTP_STATUS_MISDIRECTED_REQUEST)
+    {
+      endpoint->broke_off_us = 0;
+      qrn_report_alive (exchange->traffic->quarantine, endpoint->id,
+                        endpoint->born_ms);
+    }
+}
+
 /* Handles the headers of an answer.  Returns false when ANSWER can't be that
    of EXCHANGE's request: another request's id, no signature on a success, or
    no stream where one has begun.  */
@@ -116,6 +179,7 @@
   g_free (exchange->failed_address);
   exchange->failed_address
       = g_strdup (msg_find (answer, PFH_ENDPOINT_AT_FAULT));
+  report_alive (exchange, status);
   exchange->turned_away
       = anc_handle (exchange->traffic, exchange->endpoint, status, answer);
   if (id == NULL ? success : strcmp (id, exchange->id) != 0)
@@ -213,6 +277,10 @@
           exchange->first_written_us = exchange->last_received_us;
         }
       exg_end_wait (exchange, true);
+      if (exg_is_written_safely (exchange))
+        {
+          report_sound (exchange);
+        }
       if (exchange->answer_begun)
         {
           update_average (&exchange->event_interval_us, (double)interval_us);
@@ -221,35 +289,6 @@
     }
 }
 
-/* True when the attempt has been written for long enough to show that its
-   prompt doesn't crash the endpoint that began to write.  */
-static bool
-is_written_safely (const struct exchange *exchange)
-{
-  return exchange->first_written_us > 0
-         && exchange->last_received_us - exchange->first_written_us
-                >= SAFE_WRITING_US;
-}
-
-/* Logs which parts the prompt of EXCHANGE has, if its answer broke off before
-   it was written safely: if one of them crashes endpoints, every such end
-   shows it.  */
-static void
-note_early_end (const struct exchange *exchange)
-{
-  if (exchange->shared_parts[0] == NULL || is_written_safely (exchange))
-    {
-      return;
-    }
-  g_autofree char *parts = g_strjoinv (",", exchange->shared_parts);
-  lg_line (LOG_INFO, "broke_off_early",
-           "request=%s endpoint=%s born_ms=%ld age_ms=%ld written=%d parts=%s",
-           exchange->id, exchange->endpoint->id,
-           (long)exchange->endpoint->born_ms,
-           (long)((clk_monotonic_us () - exchange->sent_us) / CLK_MS_US),
-           exchange->first_written_us > 0, parts);
-}
-
 /* Handles the end of a stream, which counts as complete only if it doesn't end
    within an event and the connection's end isn't its only sign.  */
 static void
@@ -259,13 +298,14 @@
       || !exchange->answer_begun
       || (exchange->ends_with_connection && exchange->answer_chunked))
     {
-      note_early_end (exchange);
+      report_early_end (exchange);
       exg_report_failure (exchange, EVD_INCONCLUSIVE,
                           "the stream ended within an event");
       exg_end_attempt (exchange, ATT_INVALID_ANSWER);
       return;
     }
   report_success (exchange);
+  report_sound (exchange);
   emt_count_answer (exchange->traffic->metrics, exchange->status);
   nsv_end_response (exchange->caller);
   exchange->caller = NULL;
@@ -287,6 +327,7 @@
       && !exchange->answer_begun)
     {
       report_success (exchange);
+      report_sound (exchange);
       exchange->first_event_us = clk_monotonic_us ();
       cnt_observe_us (exchange->traffic->metrics->first_byte_time,
                       exchange->first_event_us - exchange->arrived_us);
@@ -339,7 +380,7 @@
       exg_end_attempt (exchange, ATT_NOT_SENT);
       break;
     case NCL_CUT_OFF:
-      note_early_end (exchange);
+      report_early_end (exchange);
       exg_report_failure (exchange, classify_cut (exchange),
                           "cut off an answer");
       exg_end_attempt (exchange, ATT_CUT_OFF);
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -68,8 +68,9 @@
 /* Why a request is refused. */
 struct refusal
 {
-  uint32_t status; /* HTTP status; 0: the request is accepted */
-  const char *why; /* for the log */
+  uint32_t status;      /* HTTP status; 0: the request is accepted */
+  const char *why;      /* for the log */
+  double retry_after_s; /* status 503: when to come back; 0: soon */
 };
 
 /* Sets ROUTE and ACCOUNT to those of REQUEST in CONFIG, which was known to be
@@ -83,8 +84,8 @@
 {
   if (config == NULL)
     {
-      return (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE,
-                               "no configuration" };
+      return (struct refusal){ .status = HTTP_STATUS_SERVICE_UNAVAILABLE,
+                               .why = "no configuration" };
     }
   int64_t now_us = clk_monotonic_us ();
   bool may_deny = frs_may_deny (&traffic->freshness, proved_us, now_us);
@@ -93,26 +94,28 @@
       = host == NULL ? NULL : flt_find_route (config, host, request->url->str);
   if (*route == NULL)
     {
-      return (struct refusal){ may_deny ? HTTP_STATUS_NOT_FOUND
-                                        : HTTP_STATUS_SERVICE_UNAVAILABLE,
-                               "no route" };
+      return (struct refusal){ .status = may_deny
+                                             ? HTTP_STATUS_NOT_FOUND
+                                             : HTTP_STATUS_SERVICE_UNAVAILABLE,
+                               .why = "no route" };
     }
   if (!config->has_accounts || (*route)->is_public)
     {
-      return (struct refusal){ 0, "" };
+      return (struct refusal){ .status = 0, .why = "" };
     }
   if (!frs_may_serve_keys (&traffic->freshness, proved_us, now_us))
     {
-      return (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE,
-                               "keys may be out of date" };
+      return (struct refusal){ .status = HTTP_STATUS_SERVICE_UNAVAILABLE,
+                               .why = "keys may be out of date" };
     }
   const char *key = msg_find (request, PFH_API_KEY);
   *account = key == NULL ? NULL : flt_find_account (config, key);
   if (*account == NULL)
     {
-      return (struct refusal){ HTTP_STATUS_UNAUTHORIZED, "unknown key" };
+      return (struct refusal){ .status = HTTP_STATUS_UNAUTHORIZED,
+                               .why = "unknown key" };
     }
-  return (struct refusal){ 0, "" };
+  return (struct refusal){ .status = 0, .why = "" };
 }
 
 /* Returns the time in microseconds that REQUEST on ROUTE has from now on: the
@@ -204,6 +207,17 @@
   return accepted;
 }
 
+/* Returns the names of the parts of REQUEST's prompt that other requests to
+   SERVICE may have too.  The caller frees them with g_strfreev.  */
+static char **
+shared_parts (const struct flt_service *service,
+              const struct msg_message *request)
+{
+  g_auto (GStrv) ids
+      = pfp_decode_shared_parts (msg_find (request, PFH_PROMPT_PARTS));
+  return qrn_name_parts (service->name, ids);
+}
+
 /* Creates the exchange of an accepted request.  */
 static struct exchange *
 create_exchange (struct trf_traffic *traffic, struct nsv_connection *caller,
@@ -232,8 +246,6 @@
   double output_tokens = 0;
   exchange->tokens
       = parse_tokens (msg_find (request, PFH_TOKENS), &output_tokens);
-  exchange->shared_parts
-      = pfp_decode_shared_parts (msg_find (request, PFH_PROMPT_PARTS));
   exchange->arrived_us = clk_monotonic_us ();
   exchange->deadline_us = exchange->arrived_us + time_left_us (route, request);
   exchange->answer_head = g_string_new (NULL);
@@ -269,21 +281,40 @@
       = check_request (traffic, config, proved_us, request, &route, &account);
   if (refusal.status == 0 && (id == NULL || strlen (id) >= EXG_ID_BYTES))
     {
-      refusal = (struct refusal){ HTTP_STATUS_BAD_REQUEST, "no request id" };
+      refusal = (struct refusal){ .status = HTTP_STATUS_BAD_REQUEST,
+                                  .why = "no request id" };
     }
   uint32_t service = refusal.status == 0
                          ? flt_choose_service (route, g_random_int ())
                          : FLT_NO_INDEX;
   if (refusal.status == 0 && service == FLT_NO_INDEX)
     {
-      refusal = (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE,
-                                  "the route has no service" };
+      refusal = (struct refusal){ .status = HTTP_STATUS_SERVICE_UNAVAILABLE,
+                                  .why = "the route has no service" };
     }
   if (refusal.status == 0
       && !can_finish (traffic, route, &config->services[service], request, id))
     {
-      refusal
-          = (struct refusal){ HTTP_STATUS_SERVICE_UNAVAILABLE, "stopping" };
+      refusal = (struct refusal){ .status = HTTP_STATUS_SERVICE_UNAVAILABLE,
+                                  .why = "stopping" };
+    }
+  g_auto (GStrv) parts = NULL;
+  struct qrn_verdict verdict = { 0 };
+  if (refusal.status == 0)
+    {
+      parts = shared_parts (&config->services[service], request);
+      qrn_report_arrival (traffic->quarantine, config->services[service].name,
+                          parts);
+      verdict = qrn_check (traffic->quarantine, parts);
+    }
+  if (verdict.refused)
+    {
+      cnt_add (traffic->metrics->quarantine_refused, 1);
+      refusal = (struct refusal){
+        .status = HTTP_STATUS_SERVICE_UNAVAILABLE,
+        .why = "a part of the prompt crashes engines",
+        .retry_after_s = (double)verdict.wait_us / CLK_S_US,
+      };
     }
   if (refusal.status != 0)
     {
@@ -296,12 +327,15 @@
                (unsigned long)(config == NULL ? 0 : config->version),
                (long)((clk_monotonic_us () - proved_us) / CLK_MS_US));
       cnt_add (traffic->metrics->refused, refused);
-      exg_answer_without_body (traffic, caller, refusal.status, id,
-                               refused ? exg_retry_after_s () : 0);
+      exg_answer_without_body (
+          traffic, caller, refusal.status, id,
+          refused ? MAX (refusal.retry_after_s, exg_retry_after_s ()) : 0);
       return;
     }
   struct exchange *exchange
       = create_exchange (traffic, caller, request, method, route, account);
+  exchange->shared_parts = g_steal_pointer (&parts);
+  exchange->is_trial = verdict.trial;
   exchange->service = g_strdup (config->services[service].name);
   rbg_request (fst_budget (traffic->fleet, service), exchange->arrived_us);
   exg_start_attempt (exchange, ATT_NOT_SENT);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -22,8 +22,8 @@
   GString *head;    /* start line and forwarded headers of the request */
   GByteArray *body; /* of the request */
   bool has_body;
-  char **shared_parts; /* ids of the parts of the prompt that other requests
-                          may have too */
+  char **shared_parts; /* names of the parts of the prompt that other requests
+                          may have too, see entry/quarantine.h */
   double tokens;       /* memory that the request needs in an engine */
   int64_t arrived_us;
   int64_t deadline_us;
@@ -68,6 +68,9 @@
   uint32_t sent;         /* ended attempts whose request arrived or may have */
   uint32_t may_have_run; /* ended attempts in which the request may have run */
   bool answer_begun;     /* the caller has the headers of a stream */
+  bool proved_sound;     /* an engine has written on the prompt */
+  bool is_trial;         /* the next attempt is made though the prompt has a
+                            quarantined         part */
   bool served;           /* the answer is complete and a success */
   bool answer_chunked;   /* sent to the caller in chunks, whose end marks a
                             complete answer */
@@ -95,6 +98,7 @@
 struct spn_history *exg_history (struct trf_traffic *traffic,
                                  const struct flt_route *route,
                                  const char *service);
+bool exg_is_written_safely (const struct exchange *exchange);
 uint32_t exg_service_index (const struct exchange *exchange);
 void exg_describe_request (const struct exchange *exchange,
                            struct att_request *request);
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "core/roster.h"
+#include "entry/evidence_topic.h"
 #include "entry/group.h"
 #include "entry/placing.h"
 #include "entry/relay.h"
@@ -52,6 +53,8 @@
   struct ncl_client *client;
   struct tpc_topic *operator_topic;
   struct tpc_topic *endpoint_topic;
+  struct evt_topic *evidence;
+  struct qrn_quarantine *quarantine;
   struct rly_relay *relay;
   bool is_relay;                 /* the settings name this daemon as a relay */
   bool runs_relay;               /* reads the store for other daemons too */
@@ -227,6 +230,7 @@
   control->find_members_until_us = 0;
   tpc_set_holders (control->operator_topic, addresses);
   tpc_set_holders (control->endpoint_topic, addresses);
+  tpc_set_holders (evt_source (control->evidence), addresses);
 }
 
 /* Handles the addresses of the group's members, or the failure to look them
@@ -523,6 +527,7 @@
   struct fct_control *control = stop->data;
   tpc_destroy (control->operator_topic);
   tpc_destroy (control->endpoint_topic);
+  evt_destroy (control->evidence);
   plc_destroy (control->placer);
   grp_destroy (control->group);
   rly_destroy (control->relay);
@@ -558,6 +563,7 @@
     }
   tpc_set_relays (control->operator_topic, all);
   tpc_set_relays (control->endpoint_topic, all);
+  tpc_set_relays (evt_source (control->evidence), all);
   g_ptr_array_free (all, TRUE);
 }
 
@@ -591,7 +597,10 @@
   bool uses_relays = control->crowded && !control->runs_relay;
   tpc_prefer_relays (control->operator_topic, uses_relays);
   tpc_prefer_relays (control->endpoint_topic, uses_relays);
-  tpc_serve_relay (control->operator_topic, rly_has_readers (control->relay));
+  tpc_prefer_relays (evt_source (control->evidence), uses_relays);
+  bool serves_relay = rly_has_readers (control->relay);
+  tpc_serve_relay (control->operator_topic, serves_relay);
+  tpc_serve_relay (evt_source (control->evidence), serves_relay);
   const struct rfs_part part = {
     .is_relay = control->runs_relay,
     .is_member = grp_is_member (control->group),
@@ -624,6 +633,8 @@
   publish (control);
   announce_departures (control);
   choose_sources (control, now_us);
+  uint64_t fence = 0;
+  evt_step (control->evidence, grp_is_leader (control->group, &fence), now_us);
   if (control->find_members_until_us != 0)
     {
       find_holders (control);
@@ -632,6 +643,20 @@
             now_us);
 }
 
+static void
+on_evidence_era (void *context, const char *topic, uint64_t era, bool restored)
+{
+  handle_era (context, topic, era, restored);
+}
+
+/* Makes the traffic thread look at the quarantine again.  */
+static void
+on_evidence_changed (void *context)
+{
+  struct fct_control *control = context;
+  control->notify (control->context);
+}
+
 /* Starts to follow the topics of the store.  */
 static void
 follow_topics (struct fct_control *control)
@@ -640,6 +665,7 @@
     .drain_us = control->settings->drain_us,
     .config_us = control->settings->config_apply_max_us,
     .revoke_us = control->settings->revoke_us,
+    .quarantine_us = control->settings->quarantine_us,
   };
   struct tpc_params params = {
     .client = control->client,
@@ -658,8 +684,22 @@
   rfs_plan_list (&bounds, &params.plan);
   params.events = &endpoint_events;
   control->endpoint_topic = tpc_create (&params);
+  struct evt_params evidence_params = {
+    .client = control->client,
+    .loop = &control->loop,
+    .store_address = control->settings->store_address,
+    .prefers_relays = params.prefers_relays,
+    .relay = control->relay,
+    .quarantine = control->quarantine,
+    .era = on_evidence_era,
+    .changed = on_evidence_changed,
+    .context = control,
+  };
+  rfs_plan_quarantine (&bounds, &evidence_params.plan);
+  control->evidence = evt_create (&evidence_params);
   tpc_set_relays (control->operator_topic, control->relays);
   tpc_set_relays (control->endpoint_topic, control->relays);
+  tpc_set_relays (evt_source (control->evidence), control->relays);
 }
 
 /* Sets `relays' to the addresses of other daemons' relays in the settings, and
@@ -712,14 +752,14 @@
 
 /* Starts the control thread, which publishes views in VIEWS and calls NOTIFY
    with CONTEXT after each.  It replaces engines that VERDICTS name as dead or
-   leaving.
-   SETTINGS, VIEWS and VERDICTS must outlive the result.  Returns NULL with
-   ERR_SETTINGS when the relay's address can't be used, or with ERR_INTERNAL
-   when the thread can't be started.  */
+   leaving, and shares the evidence of QUARANTINE with the other daemons.
+   SETTINGS, VIEWS, VERDICTS and QUARANTINE must outlive the result.  Returns
+   NULL with ERR_SETTINGS when the relay's address can't be used, or with
+   ERR_INTERNAL when the thread can't be started.  */
 struct fct_control *
 fct_create (const struct ens_settings *settings, struct fvw_store *views,
-            struct vdt_verdicts *verdicts, fct_notify notify, void *context,
-            GError **error)
+            struct vdt_verdicts *verdicts, struct qrn_quarantine *quarantine,
+            fct_notify notify, void *context, GError **error)
 {
   struct fct_control *control = g_new0 (struct fct_control, 1);
   const struct ncl_params client_params = {
@@ -732,6 +772,7 @@
   control->settings = settings;
   control->views = views;
   control->verdicts = verdicts;
+  control->quarantine = quarantine;
   control->notify = notify;
   control->context = context;
   control->roster = rst_create ();
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -33,6 +33,9 @@
   bool listed;      /* in the list and not leaving, as far as known */
   bool in_view;     /* in the view that fst_set_view is applying */
   struct evd_evidence evidence;
+  int64_t broke_off_us; /* monotonic, when an answer of it last broke off as
+                           the quarantine's evidence of its end; 0: not since
+                           it answered */
   struct fwt_estimate first_wait; /* of streams whose paths begin at it */
   GQueue waiting; /* int64_t: when each stream that waits there for its first
                      event was sent, the oldest first */
--- /dev/null
+++ b/src/entry/quarantine.c
@@ -0,0 +1,259 @@
+#include "entry/quarantine.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "core/poison.h"
+
+/* Time for which a part must be the best explanation before it is quarantined,
+   as a share of the bound. */
+#define SETTLE_SHARE 0.1
+
+struct qrn_quarantine
+{
+  GMutex mutex;
+  struct psn_set *set;
+  bool leads; /* this daemon lets requests through now and then */
+};
+
+static struct psn_time
+now (void)
+{
+  return (struct psn_time){ .monotonic_us = clk_monotonic_us (),
+                            .unix_ms = clk_real_us () / CLK_MS_US };
+}
+
+/* Creates a quarantine without evidence for DAEMON.  A part that crashes
+   engines must be quarantined at all daemons within BOUND_US.  */
+struct qrn_quarantine *
+qrn_create (const char *daemon, int64_t bound_us)
+{
+  struct qrn_quarantine *quarantine = g_new0 (struct qrn_quarantine, 1);
+  g_autofree char *reporter
+      = g_strdup_printf ("%s-%08x", daemon, g_random_int ());
+  g_mutex_init (&quarantine->mutex);
+  quarantine->set
+      = psn_create (reporter, (int64_t)((double)bound_us * SETTLE_SHARE));
+  return quarantine;
+}
+
+/* Frees QUARANTINE.  */
+void
+qrn_destroy (struct qrn_quarantine *quarantine)
+{
+  psn_destroy (quarantine->set);
+  g_mutex_clear (&quarantine->mutex);
+  g_free (quarantine);
+}
+
+/* Returns the names of the parts IDS of a prompt for SERVICE, for the other
+   functions.  The caller frees them with g_strfreev.  */
+char **
+qrn_name_parts (const char *service, char *const ids[])
+{
+  g_autoptr (GStrvBuilder) names = g_strv_builder_new ();
+  for (size_t i = 0; ids[i] != NULL; i++)
+    {
+      g_autofree char *name = psn_part_name (service, ids[i]);
+      g_strv_builder_add (names, name);
+    }
+  return g_strv_builder_end (names);
+}
+
+/* Counts a request for SERVICE whose prompt has the named PARTS.  */
+void
+qrn_report_arrival (struct qrn_quarantine *quarantine, const char *service,
+                    char *const parts[])
+{
+  g_mutex_lock (&quarantine->mutex);
+  psn_arrived (quarantine->set, service, parts, now ());
+  g_mutex_unlock (&quarantine->mutex);
+}
+
+/* Returns the text that identifies the incarnation of ENGINE that started at
+   BORN_MS.  The caller frees it.  */
+static char *
+incarnation (const char *engine, int64_t born_ms)
+{
+  return g_strdup_printf ("%s@%" G_GINT64_FORMAT, engine, born_ms);
+}
+
+/* Records that ENGINE, which started at BORN_MS, ended as it began to write on
+   a prompt with the named PARTS, or before.  */
+void
+qrn_report_end (struct qrn_quarantine *quarantine, char *const parts[],
+                const char *engine, int64_t born_ms)
+{
+  g_autofree char *end = incarnation (engine, born_ms);
+  g_mutex_lock (&quarantine->mutex);
+  psn_report_end (quarantine->set, parts, end, now ());
+  g_mutex_unlock (&quarantine->mutex);
+}
+
+/* Records that ENGINE, which started at BORN_MS, has answered a request that
+   was sent after its connections had broken off: it hadn't ended.  */
+void
+qrn_report_alive (struct qrn_quarantine *quarantine, const char *engine,
+                  int64_t born_ms)
+{
+  g_autofree char *end = incarnation (engine, born_ms);
+  g_mutex_lock (&quarantine->mutex);
+  psn_report_alive (quarantine->set, end, now ());
+  g_mutex_unlock (&quarantine->mutex);
+}
+
+/* Records that an engine has written on a prompt with the named PARTS.  */
+void
+qrn_report_sound (struct qrn_quarantine *quarantine, char *const parts[])
+{
+  g_mutex_lock (&quarantine->mutex);
+  psn_report_sound (quarantine->set, parts, now ());
+  g_mutex_unlock (&quarantine->mutex);
+}
+
+/* Decides whether a request that has arrived, with the named PARTS in its
+   prompt, may be sent to an engine.  Now and then the leader lets one with a
+   quarantined part through.  */
+struct qrn_verdict
+qrn_check (struct qrn_quarantine *quarantine, char *const parts[])
+{
+  struct qrn_verdict verdict = { 0 };
+  struct psn_time at = now ();
+  g_mutex_lock (&quarantine->mutex);
+  const char *part = psn_find (quarantine->set, parts, at);
+  verdict.trial = part != NULL && quarantine->leads
+                  && psn_take_trial (quarantine->set, part, at);
+  if (verdict.trial)
+    {
+      lg_line (LOG_NOTICE, "quarantine_trial", "part=%s", part);
+    }
+  else if (part != NULL)
+    {
+      verdict.refused = true;
+      verdict.wait_us = psn_trial_wait_us (quarantine->set, part, at);
+    }
+  g_mutex_unlock (&quarantine->mutex);
+  return verdict;
+}
+
+/* Returns true if one of the named PARTS is quarantined.  Sets WAIT_US to the
+   time until a request with it may be let through; 0 if none is.  */
+bool
+qrn_is_quarantined (struct qrn_quarantine *quarantine, char *const parts[],
+                    int64_t *wait_us)
+{
+  struct psn_time at = now ();
+  g_mutex_lock (&quarantine->mutex);
+  const char *part = psn_find (quarantine->set, parts, at);
+  *wait_us = part == NULL ? 0 : psn_trial_wait_us (quarantine->set, part, at);
+  g_mutex_unlock (&quarantine->mutex);
+  return part != NULL;
+}
+
+/* Logs which parts were quarantined or released since the last call, and sets
+   COUNT to the number of those that are quarantined.  Returns true if parts
+   were quarantined.  */
+bool
+qrn_log_changes (struct qrn_quarantine *quarantine, uint32_t *count)
+{
+  bool quarantined = false;
+  g_mutex_lock (&quarantine->mutex);
+  struct psn_transition *transition
+      = psn_next_transition (quarantine->set, now ());
+  while (transition != NULL)
+    {
+      lg_line (LOG_WARNING,
+               transition->quarantined ? "part_quarantined" : "part_released",
+               "part=%s ends=%u", transition->part, transition->ends);
+      quarantined |= transition->quarantined;
+      psn_transition_free (transition);
+      transition = psn_next_transition (quarantine->set, now ());
+    }
+  *count = psn_quarantined_count (quarantine->set);
+  g_mutex_unlock (&quarantine->mutex);
+  return quarantined;
+}
+
+/* Records whether this daemon LEADS the fleet.  */
+void
+qrn_set_leader (struct qrn_quarantine *quarantine, bool leads)
+{
+  g_mutex_lock (&quarantine->mutex);
+  quarantine->leads = leads;
+  g_mutex_unlock (&quarantine->mutex);
+}
+
+/* Returns the records to publish, struct psn_record, and takes them for
+   published.  The caller frees the array.  */
+GPtrArray *
+qrn_take_changes (struct qrn_quarantine *quarantine)
+{
+  g_mutex_lock (&quarantine->mutex);
+  GPtrArray *records = psn_take_changes (quarantine->set);
+  g_mutex_unlock (&quarantine->mutex);
+  return records;
+}
+
+/* Takes RECORDS back, which couldn't be published.  */
+void
+qrn_return_changes (struct qrn_quarantine *quarantine,
+                    const GPtrArray *records)
+{
+  g_mutex_lock (&quarantine->mutex);
+  psn_return_changes (quarantine->set, records);
+  g_mutex_unlock (&quarantine->mutex);
+}
+
+/* Makes the next qrn_take_changes return all records of this daemon; if
+   OF_OTHERS and this daemon leads, those of other daemons too.  */
+void
+qrn_publish_again (struct qrn_quarantine *quarantine, bool of_others)
+{
+  g_mutex_lock (&quarantine->mutex);
+  psn_publish_again (quarantine->set, of_others && quarantine->leads);
+  g_mutex_unlock (&quarantine->mutex);
+}
+
+/* Drops evidence that is too old; the leader removes that of others from the
+   store.  */
+void
+qrn_expire (struct qrn_quarantine *quarantine)
+{
+  g_mutex_lock (&quarantine->mutex);
+  psn_expire (quarantine->set, quarantine->leads, now ());
+  g_mutex_unlock (&quarantine->mutex);
+}
+
+/* Records that a snapshot of the published records begins.  */
+void
+qrn_begin_snapshot (struct qrn_quarantine *quarantine)
+{
+  g_mutex_lock (&quarantine->mutex);
+  psn_begin_snapshot (quarantine->set);
+  g_mutex_unlock (&quarantine->mutex);
+}
+
+/* Drops what the snapshot that has ended doesn't have.  */
+void
+qrn_end_snapshot (struct qrn_quarantine *quarantine)
+{
+  g_mutex_lock (&quarantine->mutex);
+  psn_end_snapshot (quarantine->set);
+  g_mutex_unlock (&quarantine->mutex);
+}
+
+/* Takes a published RECORD, of any daemon.  */
+void
+qrn_merge (struct qrn_quarantine *quarantine, const struct pfs_record *record)
+{
+  g_autoptr (GError) error = NULL;
+  g_mutex_lock (&quarantine->mutex);
+  bool valid = psn_merge (quarantine->set, record->key, record->value,
+                          record->value_bytes, now (), &error);
+  g_mutex_unlock (&quarantine->mutex);
+  if (!valid)
+    {
+      lg_line (LOG_WARNING, "quarantine_record_refused",
+               "offset=%lu why=\"%s\"", (unsigned long)record->offset,
+               error->message);
+    }
+}
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -30,7 +30,7 @@
 #define CONNECTIONS_MAX 1024
 
 /* A reader has a connection for each topic. */
-#define CONNECTIONS_PER_READER 2
+#define CONNECTIONS_PER_READER 3
 
 /* Records of fewer bytes than this are sent uncompressed. */
 #define PACKED_BYTES_MIN 1024
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -175,10 +175,23 @@
   return proved_us;
 }
 
+/* Stops the requests with parts that were quarantined since the last call.  */
+static void
+apply_quarantine (struct trf_traffic *traffic)
+{
+  uint32_t count = 0;
+  if (qrn_log_changes (traffic->quarantine, &count))
+    {
+      exg_stop_quarantined (traffic);
+    }
+  cnt_set_gauge (traffic->metrics->quarantined_parts, count);
+}
+
 static void
 on_view_changed (uv_async_t *async)
 {
   trf_refresh (async->data);
+  apply_quarantine (async->data);
 }
 
 /* Logs a change of the daemon's readiness.  */
@@ -213,6 +226,7 @@
   nsv_expire (traffic->probe_server, now_us);
   nsv_expire (traffic->metrics_server, now_us);
   inq_remove_expired (traffic, now_us);
+  apply_quarantine (traffic);
   log_readiness (traffic);
   lg_flush ();
 }
@@ -244,12 +258,12 @@
 }
 
 /* Opens the servers of an entry daemon on LOOP, which the calling thread runs
-   afterwards.  SETTINGS, VIEWS and VERDICTS must outlive the result.  Returns
-   NULL with ERR_SETTINGS when an address can't be used.  */
+   afterwards.  SETTINGS, VIEWS, VERDICTS and QUARANTINE must outlive the
+   result.  Returns NULL with ERR_SETTINGS when an address can't be used.  */
 struct trf_traffic *
 trf_create (uv_loop_t *loop, const struct ens_settings *settings,
             struct fvw_store *views, struct vdt_verdicts *verdicts,
-            GError **error)
+            struct qrn_quarantine *quarantine, GError **error)
 {
   struct trf_traffic *traffic = g_new0 (struct trf_traffic, 1);
   const struct ncl_params client_params = {
@@ -268,6 +282,7 @@
   traffic->loop = loop;
   traffic->settings = settings;
   traffic->views = views;
+  traffic->quarantine = quarantine;
   traffic->freshness = (struct frs_params){
     .revoke_us = settings->revoke_us,
     .change_us = settings->config_apply_max_us,
--- a/src/net/call.c
+++ b/src/net/call.c
@@ -127,18 +127,20 @@
   GString *request = g_string_sized_new (256);
   g_string_append_printf (request, "%s %s HTTP/1.1\r\nHost: %s\r\n",
                           params->method, params->path, params->address);
-  size_t body_bytes = params->body == NULL ? 0 : strlen (params->body);
-  if (params->body != NULL)
+  bool is_json = params->body != NULL;
+  const char *body = is_json ? params->body : (const char *)params->data;
+  size_t body_bytes = is_json ? strlen (params->body) : params->data_bytes;
+  if (body != NULL)
     {
-      g_string_append_printf (request,
-                              "Content-Type: application/json\r\n"
-                              "Content-Length: %zu\r\n",
-                              body_bytes);
+      g_string_append_printf (
+          request, "Content-Type: %s\r\nContent-Length: %zu\r\n",
+          is_json ? "application/json" : "application/octet-stream",
+          body_bytes);
     }
   g_string_append (request, "\r\n");
-  if (params->body != NULL)
+  if (body != NULL)
     {
-      g_string_append (request, params->body);
+      g_string_append_len (request, body, (gssize)body_bytes);
     }
   call->exchange = ncl_send (params->client, params->address, request->str,
                              request->len, false, &exchange_events, call);
--- a/src/net/call.h
+++ b/src/net/call.h
@@ -25,7 +25,10 @@
   const char *address; /* IP:PORT */
   const char *method;
   const char *path;
-  const char *body; /* JSON; NULL: none */
+  const char *body;    /* JSON; NULL: none */
+  const uint8_t *data; /* body of another type, unless `body' is set; NULL:
+                          none */
+  size_t data_bytes;
   uint64_t timeout_ms;
   cal_headers headers; /* NULL: not needed */
   cal_done done;
--- a/standin/entry_process.c
+++ b/standin/entry_process.c
@@ -11,6 +11,9 @@
 /* Number of partitions of the group's topic, unless the caller chooses it. */
 #define STORE_PARTITIONS 6
 
+/* The bound of quarantines, unless the caller chooses it. */
+#define QUARANTINE_MS 1000
+
 struct sep_process
 {
   char *settings_path;
@@ -56,12 +59,14 @@
       "relay_address: \"%s\"\nstore_address: \"%s\"\n"
       "store_partitions: %u\ndescriptors: 1024\n"
       "drain_ms: %u\nconfig_ms: %u\nrevoke_ms: %u\nstop_s: %u\n"
+      "quarantine_ms: %u\n"
       "retry_window_s: %u\nretry_ratio: %g\nretry_slack: %u\n",
       params->name, process->caller_address, process->ready_address,
       metrics_address, relay_address, params->store_address,
       params->store_partitions == 0 ? STORE_PARTITIONS
                                     : params->store_partitions,
       params->drain_ms, params->config_ms, params->revoke_ms, params->stop_s,
+      params->quarantine_ms == 0 ? QUARANTINE_MS : params->quarantine_ms,
       params->retry_window_s, params->retry_ratio, params->retry_slack);
   g_autoptr (GError) error = NULL;
   if (!g_file_set_contents (process->settings_path, text, -1, &error))
--- a/standin/entry_process.h
+++ b/standin/entry_process.h
@@ -19,6 +19,7 @@
   uint32_t drain_ms;
   uint32_t config_ms;
   uint32_t revoke_ms;
+  uint32_t quarantine_ms; /* 0: 1000 */
   uint32_t stop_s;
   uint32_t retry_window_s;
   double retry_ratio;
--- a/test/entry_poison_test.c
+++ b/test/entry_poison_test.c
@@ -5,10 +5,9 @@
 #include "base/clock.h"
 #include "platform/headers.h"
 
+#include <signal.h>
 #include <string.h>
 
-#define CRASH_PART "bad0bad0"
-
 /* Time after which a crashed engine is back. */
 #define RESTART_US (400 * CLK_MS_US)
 
@@ -78,12 +77,15 @@
   uint32_t without_delay; /* 503 that don't say when to come back */
 };
 
-/* Sends COUNT pairs of a request with the part and one that has its other
-   parts, to each of DAEMONS in turn.  */
+/* Sends COUNT pairs of a request with the part CRASH_PART and one that has its
+   other parts, to each of DAEMONS in turn.  */
 static void
 send_load (struct efx_fixture *fixture, struct sep_process *const daemons[],
-           uint32_t daemon_count, uint32_t count, struct outcome *outcome)
+           uint32_t daemon_count, const char *crash_part, uint32_t count,
+           struct outcome *outcome)
 {
+  g_autofree char *bad_parts
+      = g_strdup_printf ("a1:20,b2:30,%s:9", crash_part);
   g_autofree struct efx_call *bad = g_new0 (struct efx_call, count);
   g_autofree struct efx_call *sound = g_new0 (struct efx_call, count);
   int64_t dead_since_us[EFX_ENGINES] = { 0 };
@@ -93,7 +95,7 @@
   for (uint32_t i = 0; i < count; i++)
     {
       const struct sep_process *daemon = daemons[i % daemon_count];
-      start_stream (fixture, &bad[i], daemon, "a1:20,b2:30," CRASH_PART ":9");
+      start_stream (fixture, &bad[i], daemon, bad_parts);
       efx_run_for (fixture, REQUEST_US / 2);
       start_stream (fixture, &sound[i], daemon, "a1:20,b2:30");
       efx_run_for (fixture, REQUEST_US / 2);
@@ -160,25 +162,176 @@
     }
 }
 
+/* Sends a load of COUNT pairs to DAEMONS while CRASH_PART crashes engines, and
+   checks what it shows.  */
+static void
+check_load (struct efx_fixture *fixture, struct sep_process *const daemons[],
+            uint32_t daemon_count, const char *crash_part, uint32_t count,
+            const char *name)
+{
+  struct outcome outcome;
+  sfl_set_crash_part (fixture->fleet, crash_part);
+  send_load (fixture, daemons, daemon_count, crash_part, count, &outcome);
+  sfl_set_crash_part (fixture->fleet, NULL);
+  await_engines (fixture);
+  check_outcome (name, &outcome);
+}
+
 /* Guards against requests that crash one engine after the other: once several
    engines have ended as they began to write on prompts with a part, no more
    requests with it reach engines, while others that share their other parts
    are served.  */
 static void
 test_part_crashes_engines (void **state)
+{
+  struct efx_fixture *fixture = *state;
+  struct sep_process *const daemons[] = { fixture->daemon };
+  check_load (fixture, daemons, 1, "bad0", 80, "one daemon");
+}
+
+/* Sends COUNT requests with CRASH_PART to DAEMON.  Returns how many of them
+   reached engines; fails if one isn't refused with a time to come back.  */
+static uint32_t
+send_refused (struct efx_fixture *fixture, const struct sep_process *daemon,
+              const char *crash_part, uint32_t count)
+{
+  g_autofree char *parts = g_strdup_printf ("a1:20,%s:9", crash_part);
+  sfl_set_crash_part (fixture->fleet, crash_part);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct efx_call call;
+      start_stream (fixture, &call, daemon, parts);
+      efx_await_call (fixture, &call);
+      assert_int_equal (call.status, 503);
+      assert_true (call.has_retry_after);
+      assert_true (call.retry_after_s > 1);
+      efx_clear_call (&call);
+    }
+  uint32_t runs = sfl_crash_run_count (fixture->fleet);
+  sfl_set_crash_part (fixture->fleet, NULL);
+  return runs;
+}
+
+/* Guards against evidence that stays with the daemon that saw it: of several
+   daemons, each of which sees only some of the ends, all keep the part from
+   engines, and so does one that has seen none, one that starts later, and one
+   that starts after a restore of the store has lost the evidence.  */
+static void
+test_evidence_is_shared (void **state)
 {
   enum
   {
-    PAIRS = 100
+    REFUSED = 10
+  };
+  static const struct
+  {
+    const char *name;
+    const char *crash_part;
+    uint32_t
+        store_partitions; /* few: the second daemon reads from the first */
+    bool knows_relay;
+    bool restores_store;
+  } cases[] = {
+    { "both read the store", "bad1", 0, false, false },
+    { "the second one reads from the first", "bad2", 1, true, false },
+    { "the store is restored", "bad3", 0, false, true },
   };
   struct efx_fixture *fixture = *state;
-  struct sep_process *const daemons[] = { fixture->daemon };
-  struct outcome outcome;
-  sfl_set_crash_part (fixture->fleet, CRASH_PART);
-  send_load (fixture, daemons, 1, PAIRS, &outcome);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct sep_process *second = efx_create_second (
+          fixture, NULL, cases[i].store_partitions, cases[i].knows_relay);
+      efx_start_second (fixture, second);
+      efx_run_for (fixture, 2 * CLK_S_US);
+      struct sep_process *const daemons[] = { fixture->daemon, second };
+      check_load (fixture, daemons, 2, cases[i].crash_part, 80, cases[i].name);
+      if (cases[i].restores_store)
+        {
+          sfl_restore_store (fixture->fleet, 20 * CLK_S_US, CLK_MS_US);
+          efx_run_for (fixture, 2 * CLK_S_US);
+        }
+      int status = 0;
+      sep_signal (second, SIGKILL);
+      while (!sep_has_ended (second, &status))
+        {
+          efx_run_for (fixture, 20 * CLK_MS_US);
+        }
+      efx_start_second (fixture, second);
+      efx_run_for (fixture, QUARANTINE_US);
+      uint32_t runs
+          = send_refused (fixture, second, cases[i].crash_part, REFUSED);
+      sep_remove_files (second);
+      sep_destroy (second);
+      if (runs > 0)
+        {
+          fail_msg ("%s: %u runs after a restart", cases[i].name, runs);
+        }
+    }
+}
+
+/* Sends requests with CRASH_PART to the first daemon, one after the other,
+   until it has seen the ends of CRASHES engines.  */
+static void
+crash_engines (struct efx_fixture *fixture, const char *crash_part,
+               uint32_t crashes)
+{
+  g_autofree char *parts = g_strdup_printf ("a1:20,%s:9", crash_part);
+  int64_t dead_since_us[EFX_ENGINES] = { 0 };
+  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
+  sfl_set_crash_part (fixture->fleet, crash_part);
+  while (sfl_crash_count (fixture->fleet) < crashes
+         && clk_monotonic_us () < end_us)
+    {
+      struct efx_call call;
+      start_stream (fixture, &call, fixture->daemon, parts);
+      efx_await_call (fixture, &call);
+      efx_clear_call (&call);
+      restart_engines (fixture, dead_since_us);
+    }
+  assert_true (sfl_crash_count (fixture->fleet) >= crashes);
   sfl_set_crash_part (fixture->fleet, NULL);
-  await_engines (fixture);
-  check_outcome ("one daemon", &outcome);
+}
+
+/* Guards against evidence that is lost because the store can't be written when
+   the last engine ends: it is published once the store answers again.  */
+static void
+test_evidence_during_outage (void **state)
+{
+  enum
+  {
+    REFUSED = 10
+  };
+  static const struct
+  {
+    const char *name;
+    const char *crash_part;
+    enum sfl_store_state state;
+  } cases[] = {
+    { "refuses", "bad4", SFL_STORE_REFUSES },
+    { "is silent", "bad5", SFL_STORE_NEVER_ANSWERS },
+    { "loses answers", "bad6", SFL_STORE_LOSES_ANSWERS },
+  };
+  struct efx_fixture *fixture = *state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct sep_process *second = efx_create_second (fixture, NULL, 0, false);
+      efx_start_second (fixture, second);
+      crash_engines (fixture, cases[i].crash_part, 3);
+      sfl_set_store (fixture->fleet, cases[i].state);
+      efx_run_for (fixture, 2 * QUARANTINE_US);
+      sfl_set_store (fixture->fleet, SFL_STORE_NO_FAULT);
+      efx_run_for (fixture, QUARANTINE_US);
+      uint32_t runs
+          = send_refused (fixture, second, cases[i].crash_part, REFUSED);
+      await_engines (fixture);
+      sep_remove_files (second);
+      sep_destroy (second);
+      if (runs > 0)
+        {
+          fail_msg ("the store %s: %u runs at the second daemon",
+                    cases[i].name, runs);
+        }
+    }
 }
 
 int
@@ -186,6 +339,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_part_crashes_engines),
+    cmocka_unit_test (test_evidence_is_shared),
+    cmocka_unit_test (test_evidence_during_outage),
   };
   return cmocka_run_group_tests (tests, efx_set_up, efx_tear_down);
 }
