Wait longer for new evidence in each read of the quarantine's topic

A read returns as soon as a record is there, so its wait only limits the time that is lost on a connection that has gone silent: with 0.55 of the bound and the time-out of an answer, the next read follows within the bound.

--- a/src/core/refresh.c
+++ b/src/core/refresh.c
@@ -33,7 +33,7 @@
 /* Wait of a daemon's read of the quarantine for itself, as a share of its
    bound.  It limits the time that is lost on a connection that has gone
    silent. */
-#define QUARANTINE_WAIT_SHARE 0.4
+#define QUARANTINE_WAIT_SHARE 0.55
 
 /* Limit of the time-out of the store's answers, as a share of the time in
    which a change must be in force: after an outage, calls that the store never
