Log the rate limits that endpoints name in their answers

Server-Limit was read nowhere, so no log showed that an endpoint had a limit, since when, or which. endpoint_limits_rate is written at each change. No decision changes.

--- a/src/entry/announcement.c
+++ b/src/entry/announcement.c
@@ -6,6 +6,9 @@
 #include "entry/exchange.h"
 #include "platform/headers.h"
 
+#include <math.h>
+#include <string.h>
+
 /* True when ANSWER says that its endpoint leaves.  */
 bool
 anc_is_leaving (const struct msg_message *answer)
@@ -36,6 +39,28 @@
   return duration_us;
 }
 
+/* Returns the requests a second that ANSWER says its endpoint takes from all
+   daemons together; 0 if it names no limit.  One that can't be read counts as
+   none.  */
+double
+anc_rate_limit (const char *id, const struct msg_message *answer)
+{
+  const char *text = msg_find (answer, PFH_RATE_LIMIT);
+  if (text == NULL)
+    {
+      return 0;
+    }
+  char *end = NULL;
+  double per_s = g_ascii_strtod (text, &end);
+  bool is_number = end != text && end[strspn (end, " \t")] == '\0';
+  if (!is_number || !isfinite (per_s) || per_s <= 0)
+    {
+      lg_line (LOG_WARNING, "rate_limit_refused", "endpoint=%s", id);
+      return 0;
+    }
+  return per_s;
+}
+
 /* Closes ENDPOINT for DURATION_US.  Requests to it that aren't on their way
    yet go elsewhere.  */
 static void
@@ -50,6 +75,25 @@
     }
 }
 
+/* Records the rate limit that ANSWER, with STATUS, names for ENDPOINT, or that
+   it names none any more.  At the status 421 another incarnation may have
+   answered.  */
+static void
+handle_rate_limit (struct fst_endpoint *endpoint, uint32_t status,
+                   const struct msg_message *answer)
+{
+  double per_s = anc_rate_limit (endpoint->id, answer);
+  if (per_s == endpoint->rate_limit_per_s
+      || status == HTTP_STATUS_MISDIRECTED_REQUEST)
+    {
+      return;
+    }
+  lg_line (LOG_NOTICE, "endpoint_limits_rate",
+           "endpoint=%s address=%s per_s=%.3f before=%.3f", endpoint->id,
+           endpoint->address, per_s, endpoint->rate_limit_per_s);
+  endpoint->rate_limit_per_s = per_s;
+}
+
 /* Handles what the head of ANSWER, with STATUS, announces of ENDPOINT, which
    sent it.  The time of a 503 holds for the engine at fault too, if ANSWER
    names one.  Returns true when ENDPOINT wants no requests for a time.  */
@@ -57,6 +101,7 @@
 anc_handle (struct trf_traffic *traffic, struct fst_endpoint *endpoint,
             uint32_t status, const struct msg_message *answer)
 {
+  handle_rate_limit (endpoint, status, answer);
   if (anc_is_leaving (answer) && fst_report_leaving (traffic->fleet, endpoint))
     {
       cnt_add (traffic->metrics->leaving_said, 1);
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -28,6 +28,8 @@
                           it */
   uint32_t first_requests; /* those whose paths begin at it */
   struct rst_layers layers;
+  double rate_limit_per_s; /* requests that it takes from all daemons together,
+                              as it says in its answers; 0: no limit */
   int64_t opens_us; /* monotonic; it turned a request away and wants no others
                        until then */
   bool listed;      /* in the list and not leaving, as far as known */
