--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -1,5 +1,7 @@
 #include "standin/fleet_private.h"
 
+#include "platform/headers.h"
+
 #include <arpa/inet.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -176,6 +178,8 @@
       struct sfl_endpoint *endpoint = g_ptr_array_index (fleet->endpoints, i);
       g_free (endpoint->id);
       g_free (endpoint->address);
+      g_free (endpoint->rate_limit);
+      g_free (endpoint->headers);
       g_free (endpoint->retry_after);
       g_free (endpoint->order_retry_after);
       g_free (endpoint);
@@ -220,6 +224,44 @@
   sfl_endpoint_publish (endpoint_at (fleet, index), NULL);
 }
 
+/* Sets the headers of all answers of ENDPOINT.  */
+static void
+update_headers (struct sfl_endpoint *endpoint)
+{
+  GString *headers = g_string_new (NULL);
+  if (endpoint->leaving)
+    {
+      g_string_append (headers, PFH_LEAVING ": 1\r\n");
+    }
+  if (endpoint->rate_limit != NULL)
+    {
+      g_string_append_printf (headers, PFH_RATE_LIMIT ": %s\r\n",
+                              endpoint->rate_limit);
+    }
+  g_free (endpoint->headers);
+  endpoint->headers = g_string_free (headers, FALSE);
+}
+
+/* Makes all answers of the endpoint INDEX say that it leaves if LEAVING.  Its
+   entry in the endpoint list stays; it continues to serve requests.  */
+void
+sfl_set_leaving (struct sfl_fleet *fleet, uint32_t index, bool leaving)
+{
+  endpoint_at (fleet, index)->leaving = leaving;
+  update_headers (endpoint_at (fleet, index));
+}
+
+/* Makes all answers of the endpoint INDEX say that it takes PER_S requests a
+   second; NULL: no limit.  It serves all requests nevertheless.  */
+void
+sfl_set_rate_limit (struct sfl_fleet *fleet, uint32_t index, const char *per_s)
+{
+  struct sfl_endpoint *endpoint = endpoint_at (fleet, index);
+  g_free (endpoint->rate_limit);
+  endpoint->rate_limit = g_strdup (per_s);
+  update_headers (endpoint);
+}
+
 /* Restarts the endpoint INDEX, which was killed, with a new id and address and
    without layers.  */
 void
@@ -236,7 +278,8 @@
   endpoint->first_layer = 0;
   endpoint->end_layer = 0;
   endpoint->fencing_token = 0;
-  endpoint->leaving = false;
+  sfl_set_leaving (fleet, index, false);
+  sfl_set_rate_limit (fleet, index, NULL);
   endpoint->turned_away = 0;
   endpoint->orders_turned_away = 0;
   sfl_endpoint_open (endpoint);
@@ -263,14 +306,6 @@
   return endpoint_at (fleet, index)->restarts;
 }
 
-/* Makes all answers of the endpoint INDEX say that it leaves if LEAVING.  Its
-   entry in the endpoint list stays; it continues to serve requests.  */
-void
-sfl_set_leaving (struct sfl_fleet *fleet, uint32_t index, bool leaving)
-{
-  endpoint_at (fleet, index)->leaving = leaving;
-}
-
 /* Makes the endpoint INDEX answer its next REQUESTS requests with status 503,
    not executed, and with RETRY_AFTER in the header of that name, unless it is
    NULL.  */
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -103,6 +103,8 @@
 bool sfl_is_alive (const struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_set_leaving (struct sfl_fleet *fleet, uint32_t endpoint,
                       bool leaving);
+void sfl_set_rate_limit (struct sfl_fleet *fleet, uint32_t endpoint,
+                         const char *per_s);
 void sfl_turn_away (struct sfl_fleet *fleet, uint32_t endpoint,
                     const char *retry_after, uint32_t requests);
 void sfl_turn_orders_away (struct sfl_fleet *fleet, uint32_t endpoint,
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -33,9 +33,9 @@
 
 /* Returns the header lines that all answers of ENDPOINT have now.  */
 static const char *
-leaving_header (const struct sfl_endpoint *endpoint)
+common_headers (const struct sfl_endpoint *endpoint)
 {
-  return endpoint->leaving ? PFH_LEAVING ": 1\r\n" : "";
+  return endpoint->headers == NULL ? "" : endpoint->headers;
 }
 
 /* Notifies the observer that ENDPOINT sends the head of its answer to the
@@ -135,7 +135,7 @@
               PFH_REQUEST_ID ": %s\r\n%s%sKeep-Alive: timeout=5\r\n"
                              "Content-Type: %s\r\n",
               wrong_id ? "another" : answer->id, signature,
-              leaving_header (answer->endpoint),
+              common_headers (answer->endpoint),
               answer->is_stream ? "text/event-stream" : "text/plain");
 }
 
@@ -277,7 +277,7 @@
 {
   g_autofree char *headers = g_strdup_printf (
       PFH_NOT_EXECUTED ": 1\r\n" PFH_ENDPOINT_AT_FAULT ": %s\r\n%s%s%s%s",
-      at_fault, leaving_header (endpoint),
+      at_fault, common_headers (endpoint),
       retry_after == NULL ? "" : PFH_RETRY_AFTER ": ",
       retry_after == NULL ? "" : retry_after,
       retry_after == NULL ? "" : "\r\n");
@@ -333,9 +333,9 @@
 {
   g_autofree char *headers
       = endpoint->order_retry_after == NULL
-            ? g_strdup (leaving_header (endpoint))
+            ? g_strdup (common_headers (endpoint))
             : g_strdup_printf ("%s" PFH_RETRY_AFTER ": %s\r\n",
-                               leaving_header (endpoint),
+                               common_headers (endpoint),
                                endpoint->order_retry_after);
   endpoint->orders_turned_away--;
   nsv_respond (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, headers, "", 0);
@@ -368,7 +368,7 @@
   if (refused)
     {
       nsv_respond (connection, HTTP_STATUS_PRECONDITION_FAILED,
-                   leaving_header (endpoint), "", 0);
+                   common_headers (endpoint), "", 0);
       return;
     }
   if (endpoint->orders_turned_away > 0)
@@ -385,7 +385,7 @@
   endpoint->first_layer = first;
   endpoint->end_layer = end;
   endpoint->orders++;
-  nsv_respond (connection, HTTP_STATUS_ACCEPTED, leaving_header (endpoint), "",
+  nsv_respond (connection, HTTP_STATUS_ACCEPTED, common_headers (endpoint), "",
                0);
   sfl_endpoint_publish (endpoint, "ready");
 }
@@ -409,7 +409,7 @@
         }
     }
   g_string_append (body, "]}");
-  nsv_respond (connection, HTTP_STATUS_OK, leaving_header (endpoint),
+  nsv_respond (connection, HTTP_STATUS_OK, common_headers (endpoint),
                body->str, body->len);
   g_string_free (body, TRUE);
 }
@@ -465,7 +465,7 @@
   if (id == NULL || g_strcmp0 (expected, endpoint->id) != 0)
     {
       nsv_respond (connection, HTTP_STATUS_MISDIRECTED_REQUEST,
-                   leaving_header (endpoint), "", 0);
+                   common_headers (endpoint), "", 0);
       return;
     }
   check_request (endpoint, request);
--- a/standin/fleet_private.h
+++ b/standin/fleet_private.h
@@ -43,6 +43,8 @@
   uint64_t orders;         /* number applied */
   uint32_t arrivals;       /* number of requests received */
   bool leaving;            /* says in its answers that it leaves */
+  char *rate_limit;        /* that it names in its answers; NULL: none */
+  char *headers;           /* that all its answers have; NULL: none */
   char *retry_after;       /* of the answers to requests that are turned away;
                               NULL: none */
   uint32_t turned_away;    /* number of next requests to turn away */
