Keep to the rates that endpoints name, all daemons together

Each daemon now sends its share of a rate (core/shared_rate), in slots of a second that a random phase chooses; what it doesn't use is lost, so that a fleet of hundreds doesn't save up a burst. The share is that of the group's partitions in a small fleet, and one in the number of daemons that the relays know in a crowded one. A rate counts the requests to a path's first engine alone. A request that no endpoint takes waits for the next slot if its target allows that, or else is refused at once with the time to it. The rate ends with the first answer that names none, and outlives a gap in the endpoint list.

--- /dev/null
+++ b/src/core/shared_rate.c
@@ -0,0 +1,80 @@
+#include "core/shared_rate.h"
+
+#include <math.h>
+
+/* A slot in which this daemon may send a number of requests. */
+#define SLOT_US INT64_C (1000000)
+
+/* Share of the rate that is used.  Daemons that may send less than one request
+   in SPARSE_S send theirs in slots that happen to coincide. */
+#define USED_SHARE 0.95
+#define USED_SHARE_SPARSE 0.7
+#define SPARSE_S 4.0
+
+/* Slots in which a daemon looks for one in which it may send. */
+#define SLOTS_MAX 3600
+
+/* Sets RATE to PER_S requests a second of all daemons; 0: no limit.  PHASE,
+   random from 0 to 1, chooses the slots of this daemon.  */
+void
+shr_set (struct shr_rate *rate, double per_s, double phase)
+{
+  if (rate->per_s == 0)
+    {
+      rate->phase = phase;
+    }
+  rate->per_s = per_s;
+}
+
+/* Sets this daemon's SHARE of RATE, 0 to 1.  */
+void
+shr_set_share (struct shr_rate *rate, double share)
+{
+  rate->share = share;
+}
+
+/* Returns how many requests RATE allows in SLOT.  */
+static double
+allowed_in (const struct shr_rate *rate, int64_t slot)
+{
+  double per_s = rate->per_s * rate->share;
+  double used = per_s * SPARSE_S < 1 ? USED_SHARE_SPARSE : USED_SHARE;
+  double per_slot = per_s * used * ((double)SLOT_US / 1e6);
+  return floor ((double)(slot + 1) * per_slot + rate->phase)
+         - floor ((double)slot * per_slot + rate->phase);
+}
+
+/* Returns when, from NOW_US on, RATE allows the next request: NOW_US or a
+   moment before if it does now.  */
+int64_t
+shr_opens_us (const struct shr_rate *rate, int64_t now_us)
+{
+  int64_t slot = now_us / SLOT_US;
+  if (rate->per_s == 0)
+    {
+      return now_us;
+    }
+  if (allowed_in (rate, slot) > (rate->slot == slot ? rate->sent : 0))
+    {
+      return now_us;
+    }
+  int64_t next = slot + 1;
+  while (next < slot + SLOTS_MAX && allowed_in (rate, next) < 1)
+    {
+      next++;
+    }
+  return next * SLOT_US;
+}
+
+/* Records that a request is sent at NOW_US.  */
+void
+shr_take (struct shr_rate *rate, int64_t now_us)
+{
+  int64_t slot = now_us / SLOT_US;
+  if (rate->slot != slot)
+    {
+      rate->slot = slot;
+      rate->sent = 0;
+    }
+  rate->sent++;
+}
--- a/src/entry/announcement.c
+++ b/src/entry/announcement.c
@@ -79,19 +79,24 @@
    it names none any more.  At the status 421 another incarnation may have
    answered.  */
 static void
-handle_rate_limit (struct fst_endpoint *endpoint, uint32_t status,
-                   const struct msg_message *answer)
+handle_rate_limit (struct trf_traffic *traffic, struct fst_endpoint *endpoint,
+                   uint32_t status, const struct msg_message *answer)
 {
   double per_s = anc_rate_limit (endpoint->id, answer);
-  if (per_s == endpoint->rate_limit_per_s
-      || status == HTTP_STATUS_MISDIRECTED_REQUEST)
+  double before_per_s = endpoint->rate.per_s;
+  if (per_s == before_per_s || status == HTTP_STATUS_MISDIRECTED_REQUEST)
     {
       return;
     }
   lg_line (LOG_NOTICE, "endpoint_limits_rate",
-           "endpoint=%s address=%s per_s=%.3f before=%.3f", endpoint->id,
-           endpoint->address, per_s, endpoint->rate_limit_per_s);
-  endpoint->rate_limit_per_s = per_s;
+           "endpoint=%s address=%s per_s=%.3f before=%.3f share=%.4f",
+           endpoint->id, endpoint->address, per_s, before_per_s,
+           fst_view (traffic->fleet)->rate_share);
+  fst_report_rate (traffic->fleet, endpoint, per_s);
+  if (before_per_s == 0)
+    {
+      exg_withdraw_unsent (traffic, endpoint);
+    }
 }
 
 /* Handles what the head of ANSWER, with STATUS, announces of ENDPOINT, which
@@ -101,7 +106,7 @@
 anc_handle (struct trf_traffic *traffic, struct fst_endpoint *endpoint,
             uint32_t status, const struct msg_message *answer)
 {
-  handle_rate_limit (endpoint, status, answer);
+  handle_rate_limit (traffic, endpoint, status, answer);
   if (anc_is_leaving (answer) && fst_report_leaving (traffic->fleet, endpoint))
     {
       cnt_add (traffic->metrics->leaving_said, 1);
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -12,6 +12,7 @@
 #include "platform/configuration.h"
 #include "platform/runner.h"
 
+#include <math.h>
 #include <pthread.h>
 #include <string.h>
 
@@ -28,6 +29,10 @@
  */
 #define IDLE_MEMBER_MAX_US (6 * CLK_S_US)
 
+/* Change of the share of rates, relative to the one in force, from which a new
+   view is published. */
+#define RATE_SHARE_CHANGE 0.1
+
 /* Interval of looking for relays. */
 #define FIND_RELAYS_INTERVAL_US (5 * CLK_S_US)
 
@@ -59,6 +64,7 @@
   bool is_relay;                 /* the settings name this daemon as a relay */
   bool runs_relay;               /* reads the store for other daemons too */
   bool crowded;                  /* see rfs_is_crowded */
+  uint32_t relay_readers;        /* of the relay that was read last */
   GPtrArray *relays;             /* addresses of other daemons' relays */
   int64_t relayless_max_us;      /* see RELAYLESS_MIN_US */
   int64_t find_members_max_us;   /* how long a lookup that fails is repeated */
@@ -95,20 +101,41 @@
   return endpoints;
 }
 
+/* Returns this daemon's share of a rate of which all daemons together have
+   one. In a crowded fleet every daemon has the same; the readers of a relay
+   tell how many there are.  Otherwise all are members of the group, whose
+   SHARE counts, and a daemon that doesn't know its own yet takes the least. */
+static double
+rate_share_of (const struct fct_control *control, double share)
+{
+  uint32_t relays = control->relays->len + control->is_relay;
+  uint32_t readers
+      = MAX (control->relay_readers, rly_readers (control->relay));
+  if (control->crowded && relays > 0 && readers > 0)
+    {
+      return 1.0 / ((readers + 1) * relays);
+    }
+  return share > 0 ? share : 1.0 / control->settings->store_partitions;
+}
+
 /* Publishes a new view if its configuration, endpoints or share have
    changed.  */
 static void
 publish (struct fct_control *control)
 {
   double share = grp_share (control->group);
-  if (!control->view_outdated && share == control->view->share)
+  double rate_share = rate_share_of (control, share);
+  bool rate_changed = fabs (rate_share - control->view->rate_share)
+                      > RATE_SHARE_CHANGE * control->view->rate_share;
+  if (!control->view_outdated && share == control->view->share
+      && !rate_changed)
     {
       return;
     }
   control->view_outdated = false;
   fvw_release (control->view);
-  control->view
-      = fvw_view_create (control->config, list_endpoints (control), share);
+  control->view = fvw_view_create (control->config, list_endpoints (control),
+                                   share, rate_share);
   fvw_publish (control->views, fvw_reference (control->view));
   control->notify (control->context);
 }
@@ -575,6 +602,10 @@
 {
   struct rly_hint hint = { 0 };
   bool has_hint = tpc_take_hint (control->endpoint_topic, &hint);
+  if (has_hint)
+    {
+      control->relay_readers = hint.readers;
+    }
   const struct rfs_crowd crowd = {
     .was_crowded = control->crowded,
     .is_member = grp_is_member (control->group),
@@ -776,7 +807,7 @@
   control->notify = notify;
   control->context = context;
   control->roster = rst_create ();
-  control->view = fvw_view_create (NULL, rst_list (control->roster), 0);
+  control->view = fvw_view_create (NULL, rst_list (control->roster), 0, 0);
   uv_loop_init (&control->loop);
   control->client = ncl_create (&control->loop, &client_params);
   uv_async_init (&control->loop, &control->leave_group, on_leave);
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -47,6 +47,9 @@
 #define FULL_FILL 0.9
 #define OVERLOAD_FACTOR 10.0
 
+/* Limit on the rates that are kept of endpoints that aren't listed. */
+#define KEPT_RATES_MAX 1024
+
 /* Lower bound of this daemon's share of the fleet's capacity.  Used until the
    group reports the actual share. */
 #define SHARE_MIN 0.02
@@ -61,6 +64,13 @@
                        requests away close; 0: none will */
 };
 
+/* The rate of an endpoint that isn't listed any more. */
+struct kept_rate
+{
+  int64_t born_ms; /* start of its incarnation */
+  struct shr_rate rate;
+};
+
 /* State of the fleet; used by the traffic thread alone. */
 struct fst_fleet
 {
@@ -72,6 +82,7 @@
   GPtrArray *ordered;      /* the same endpoints, in the order of the view */
   GPtrArray *data_centres; /* names, allocated; endpoints hold the index */
   GHashTable *services;    /* name to struct service_state */
+  GHashTable *kept_rates;  /* endpoint id to struct kept_rate */
 };
 
 static void
@@ -102,6 +113,8 @@
   fleet->data_centres = g_ptr_array_new_with_free_func (g_free);
   fleet->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                            destroy_service);
+  fleet->kept_rates
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return fleet;
 }
 
@@ -111,6 +124,7 @@
 {
   fvw_release (fleet->view);
   g_hash_table_destroy (fleet->services);
+  g_hash_table_destroy (fleet->kept_rates);
   g_hash_table_destroy (fleet->endpoints);
   g_ptr_array_free (fleet->ordered, TRUE);
   g_ptr_array_free (fleet->data_centres, TRUE);
@@ -270,6 +284,38 @@
     }
 }
 
+/* Keeps the rate of ENDPOINT, which isn't listed any more: it may be listed
+   again while it still names that rate.  */
+static void
+keep_rate (struct fst_fleet *fleet, const struct fst_endpoint *endpoint)
+{
+  if (endpoint->rate.per_s == 0)
+    {
+      return;
+    }
+  if (g_hash_table_size (fleet->kept_rates) >= KEPT_RATES_MAX)
+    {
+      g_hash_table_remove_all (fleet->kept_rates);
+    }
+  struct kept_rate *kept = g_new (struct kept_rate, 1);
+  kept->born_ms = endpoint->born_ms;
+  kept->rate = endpoint->rate;
+  g_hash_table_replace (fleet->kept_rates, g_strdup (endpoint->id), kept);
+}
+
+/* Gives ENDPOINT, which is listed again, the rate that was kept of it.  */
+static void
+restore_rate (struct fst_fleet *fleet, struct fst_endpoint *endpoint)
+{
+  const struct kept_rate *kept
+      = g_hash_table_lookup (fleet->kept_rates, endpoint->id);
+  if (kept != NULL && kept->born_ms == endpoint->born_ms)
+    {
+      endpoint->rate = kept->rate;
+    }
+  g_hash_table_remove (fleet->kept_rates, endpoint->id);
+}
+
 /* Adds or updates the endpoint of ENTRY.  A new incarnation or address starts
    without evidence from before.  */
 static void
@@ -293,6 +339,7 @@
       endpoint->id = g_strdup (entry->id);
       endpoint->address = g_strdup (entry->address);
       endpoint->born_ms = entry->started_ms;
+      restore_rate (fleet, endpoint);
       g_hash_table_insert (fleet->endpoints, endpoint->id, endpoint);
     }
   update_endpoint (fleet, entry, endpoint);
@@ -301,6 +348,7 @@
         && !vdt_is_leaving (fleet->verdicts, entry->id, entry->started_ms);
   endpoint->opens_us
       = vdt_opens_us (fleet->verdicts, entry->id, entry->started_ms);
+  shr_set_share (&endpoint->rate, fleet->view->rate_share);
   endpoint->in_view = true;
   g_ptr_array_add (fleet->ordered, endpoint);
 }
@@ -319,6 +367,7 @@
       if (!endpoint->in_view)
         {
           endpoint->listed = false;
+          keep_rate (fleet, endpoint);
           vdt_clear (fleet->verdicts, endpoint->id);
           g_hash_table_iter_remove (&iter);
         }
@@ -414,6 +463,15 @@
   return false;
 }
 
+/* Returns when ENDPOINT takes the next request of this daemon: it may have
+   turned requests away or named a rate.  The result isn't after NOW_US if it
+   takes one now.  */
+static int64_t
+opens_for_requests_us (const struct fst_endpoint *endpoint, int64_t now_us)
+{
+  return MAX (endpoint->opens_us, shr_opens_us (&endpoint->rate, now_us));
+}
+
 /* Returns the relative cost of a request at ENDPOINT, of a plain service: it
    rises with the load, the share of failures and the latency, and in another
    data centre than HOME.  */
@@ -443,7 +501,8 @@
     {
       struct fst_endpoint *endpoint = g_ptr_array_index (fleet->ordered, i);
       if (endpoint->service != service || !endpoint->listed
-          || now_us < endpoint->opens_us || is_tried (tried, endpoint)
+          || now_us < opens_for_requests_us (endpoint, now_us)
+          || is_tried (tried, endpoint)
           || !(last_resort || evd_usable (&endpoint->evidence, now_us)))
         {
           continue;
@@ -767,19 +826,22 @@
 }
 
 /* Returns the times after NOW_US at which endpoints of the service INDEX that
-   turned requests away open, in order.  The caller frees them.  */
+   turned requests away open, or if RATED those that limit their rate too, in
+   order.  The caller frees them.  */
 static GArray *
-list_openings (const struct fst_fleet *fleet, uint32_t index, int64_t now_us)
+list_openings (const struct fst_fleet *fleet, uint32_t index, bool rated,
+               int64_t now_us)
 {
   GArray *openings = g_array_new (FALSE, FALSE, sizeof (int64_t));
   for (guint i = 0; i < fleet->ordered->len; i++)
     {
       const struct fst_endpoint *endpoint
           = g_ptr_array_index (fleet->ordered, i);
-      if (endpoint->service == index && endpoint->listed
-          && endpoint->opens_us > now_us)
+      int64_t opens_us = rated ? opens_for_requests_us (endpoint, now_us)
+                               : endpoint->opens_us;
+      if (endpoint->service == index && endpoint->listed && opens_us > now_us)
         {
-          g_array_append_val (openings, endpoint->opens_us);
+          g_array_append_val (openings, opens_us);
         }
     }
   g_array_sort (openings, compare_times);
@@ -791,7 +853,7 @@
 static int64_t
 first_opening_us (struct fst_fleet *fleet, uint32_t index, int64_t now_us)
 {
-  GArray *openings = list_openings (fleet, index, now_us);
+  GArray *openings = list_openings (fleet, index, false, now_us);
   /* A path that exists at one opening exists at all later ones. */
   guint first = 0;
   guint end = openings->len;
@@ -889,19 +951,23 @@
   return MAX (excess_us, 0);
 }
 
-/* True when every part of PATH may get new requests.  */
-static bool
-is_open (const struct fst_path *path, int64_t now_us)
+/* Returns when every part of PATH may get the next request, not after NOW_US
+   if they may now; INT64_MAX if a part isn't listed any more.  Only the first
+   part gets the request itself, which its rate counts.  */
+static int64_t
+path_opens_us (const struct fst_path *path, int64_t now_us)
 {
+  int64_t opens_us = opens_for_requests_us (path->parts[0], now_us);
   for (uint32_t i = 0; i < path->count; i++)
     {
       const struct fst_endpoint *part = path->parts[i];
-      if (!part->listed || now_us < part->opens_us)
+      opens_us = part->listed ? MAX (opens_us, part->opens_us) : INT64_MAX;
+      if (!part->listed)
         {
-          return false;
+          break;
         }
     }
-  return true;
+  return opens_us;
 }
 
 /* Returns the state of the service INDEX with its paths as of NOW_US.  */
@@ -935,7 +1001,7 @@
   for (guint i = 0; i < state->paths->len; i++)
     {
       struct fst_path *path = g_ptr_array_index (state->paths, i);
-      if (!is_open (path, now_us))
+      if (path_opens_us (path, now_us) > now_us)
         {
           continue;
         }
@@ -960,27 +1026,48 @@
   return best == NULL ? NULL : fst_reference_path (best);
 }
 
+/* Returns when the first path of the service INDEX takes a request, if it has
+   paths and all are closed now, or when it has a path again, as far as
+   endpoints have turned requests away or named rates; else 0.  */
+static int64_t
+first_path_opens_us (struct fst_fleet *fleet, uint32_t index, int64_t now_us)
+{
+  const struct service_state *service
+      = service_with_paths (fleet, index, now_us);
+  int64_t first_us = INT64_MAX;
+  for (guint i = 0; i < service->paths->len; i++)
+    {
+      first_us = MIN (
+          first_us,
+          path_opens_us (g_ptr_array_index (service->paths, i), now_us));
+    }
+  return service->paths->len == 0                      ? service->opens_us
+         : first_us <= now_us || first_us == INT64_MAX ? 0
+                                                       : first_us;
+}
+
 /* Returns when the first of the endpoints or paths of SERVICE opens, if all of
-   them are closed now since endpoints turned requests away; else 0.  */
+   them are closed now since endpoints turned requests away or limit their
+   rate; else 0.  */
 int64_t
 fst_opens_us (struct fst_fleet *fleet, uint32_t service, int64_t now_us)
 {
   const struct flt_service *described = &fst_config (fleet)->services[service];
   if (described->has_engine && described->engine.layers > 0)
     {
-      return service_with_paths (fleet, service, now_us)->opens_us;
+      return first_path_opens_us (fleet, service, now_us);
     }
   for (guint i = 0; i < fleet->ordered->len; i++)
     {
       const struct fst_endpoint *endpoint
           = g_ptr_array_index (fleet->ordered, i);
       if (endpoint->service == service && endpoint->listed
-          && endpoint->opens_us <= now_us)
+          && opens_for_requests_us (endpoint, now_us) <= now_us)
         {
           return 0;
         }
     }
-  GArray *openings = list_openings (fleet, service, now_us);
+  GArray *openings = list_openings (fleet, service, true, now_us);
   int64_t opens_us
       = openings->len == 0 ? 0 : g_array_index (openings, int64_t, 0);
   g_array_free (openings, TRUE);
@@ -1113,6 +1200,23 @@
   return true;
 }
 
+/* Records that ENDPOINT takes PER_S requests a second from all daemons
+   together; 0: it names no limit any more.  */
+void
+fst_report_rate (struct fst_fleet *fleet, struct fst_endpoint *endpoint,
+                 double per_s)
+{
+  shr_set (&endpoint->rate, per_s, g_random_double ());
+  shr_set_share (&endpoint->rate, fleet->view->rate_share);
+}
+
+/* Records that a request is sent to ENDPOINT at NOW_US.  */
+void
+fst_take_rate (struct fst_endpoint *endpoint, int64_t now_us)
+{
+  shr_take (&endpoint->rate, now_us);
+}
+
 /* True when the configuration is known and an endpoint of one of its services
    is listed.  */
 bool
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -8,6 +8,7 @@
 #include "core/first_wait.h"
 #include "core/path.h"
 #include "core/retry_budget.h"
+#include "core/shared_rate.h"
 #include "entry/fleet_view.h"
 #include "entry/verdicts.h"
 
@@ -28,8 +29,7 @@
                           it */
   uint32_t first_requests; /* those whose paths begin at it */
   struct rst_layers layers;
-  double rate_limit_per_s; /* requests that it takes from all daemons together,
-                              as it says in its answers; 0: no limit */
+  struct shr_rate rate; /* of requests, as it names in its answers */
   int64_t opens_us; /* monotonic; it turned a request away and wants no others
                        until then */
   bool listed;      /* in the list and not leaving, as far as known */
@@ -93,6 +93,10 @@
                              struct fst_endpoint *endpoint,
                              int64_t duration_us, int64_t now_us);
 
+void fst_report_rate (struct fst_fleet *fleet, struct fst_endpoint *endpoint,
+                      double per_s);
+void fst_take_rate (struct fst_endpoint *endpoint, int64_t now_us);
+
 struct fst_endpoint *fst_reference (struct fst_endpoint *endpoint);
 void fst_release (struct fst_endpoint *endpoint);
 struct fst_path *fst_reference_path (struct fst_path *path);
--- a/src/entry/fleet_view.c
+++ b/src/entry/fleet_view.c
@@ -21,13 +21,15 @@
 /* Creates a view with one reference.  It adds a reference to CONFIG, which may
    be NULL, and takes ownership of ENDPOINTS.  */
 struct fvw_view *
-fvw_view_create (struct flt_config *config, GPtrArray *endpoints, double share)
+fvw_view_create (struct flt_config *config, GPtrArray *endpoints, double share,
+                 double rate_share)
 {
   struct fvw_view *view = g_new0 (struct fvw_view, 1);
   view->references = 1;
   view->config = config == NULL ? NULL : flt_reference (config);
   view->endpoints = endpoints;
   view->share = share;
+  view->rate_share = rate_share;
   return view;
 }
 
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -17,6 +17,8 @@
   GPtrArray *endpoints;      /* struct rst_endpoint, sorted by id; owned */
   double
       share; /* this daemon's share of shared capacity and budgets, 0 to 1 */
+  double rate_share; /* its share of the rates that endpoints name, of which
+                        each daemon has one, 0 to 1 */
   struct rcu_head head;
 };
 
@@ -25,7 +27,8 @@
 struct fvw_store *fvw_store_create (void);
 void fvw_store_destroy (struct fvw_store *store);
 struct fvw_view *fvw_view_create (struct flt_config *config,
-                                  GPtrArray *endpoints, double share);
+                                  GPtrArray *endpoints, double share,
+                                  double rate_share);
 void fvw_publish (struct fvw_store *store, struct fvw_view *view);
 struct fvw_view *fvw_acquire_newer (struct fvw_store *store,
                                     const struct fvw_view *known,
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -246,6 +246,13 @@
   return records;
 }
 
+/* Returns the number of daemons that read from RELAY.  */
+uint32_t
+rly_readers (const struct rly_relay *relay)
+{
+  return nsv_connection_count (relay->server) / CONNECTIONS_PER_READER;
+}
+
 /* Compresses RECORDS, those of MIRROR from the offset FROM on, for this reader
    and for the next ones with the same position.  */
 static void
@@ -311,8 +318,7 @@
   page.end = mirror->end;
   page.proof_lead_us = mirror->proved_us - query->arrived_us;
   page.partitions = relay->partitions;
-  page.readers
-      = MAX (nsv_connection_count (relay->server) / CONNECTIONS_PER_READER, 1);
+  page.readers = MAX (rly_readers (relay), 1);
   g_autoptr (GPtrArray) departures = NULL;
   if (has_departures (relay, query))
     {
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -58,6 +58,7 @@
 void rly_destroy (struct rly_relay *relay);
 char *rly_address (const struct rly_relay *relay);
 bool rly_has_readers (const struct rly_relay *relay);
+uint32_t rly_readers (const struct rly_relay *relay);
 void rly_serve_departures (struct rly_relay *relay,
                            struct vdt_verdicts *verdicts);
 void rly_departures_changed (struct rly_relay *relay);
--- a/test/entry_limit_test.c
+++ b/test/entry_limit_test.c
@@ -14,7 +14,8 @@
 
 /* Time for which a load is sent; a limit holds from SETTLE_US after it was
    named first. */
-#define LOAD_US (8 * CLK_S_US)
+#define LOAD_US (6500 * CLK_MS_US)
+#define LOAD_AFTER_US (1500 * CLK_MS_US)
 #define SETTLE_US (1 * CLK_S_US)
 
 /* Requests that arrive more than the limit allows, as the platform tells. */
@@ -56,16 +57,17 @@
   g_ptr_array_add (calls, call);
 }
 
-/* Sends a load for PATH to both DAEMONS and counts what arrives at ENDPOINT.
- */
+/* Sends a load for PATH to both DAEMONS for LOAD_US and counts what arrives at
+   ENDPOINT.  */
 static void
 send_load (struct efx_fixture *fixture, struct sep_process *const daemons[2],
-           const char *path, uint32_t endpoint, struct outcome *outcome)
+           const char *path, uint32_t endpoint, int64_t load_us,
+           struct outcome *outcome)
 {
   g_autoptr (GPtrArray) calls = g_ptr_array_new_with_free_func (free_call);
   uint32_t counts[LOAD_US / COUNT_US];
   *outcome = (struct outcome){ 0 };
-  for (uint32_t i = 0; i < LOAD_US / COUNT_US; i++)
+  for (uint32_t i = 0; i < load_us / COUNT_US; i++)
     {
       for (uint32_t n = 0; n < REQUESTS; n++)
         {
@@ -135,14 +137,16 @@
                               limits ? cases[i].per_s : NULL);
         }
       struct outcome outcome;
-      send_load (fixture, daemons, cases[i].path, cases[i].endpoint, &outcome);
+      send_load (fixture, daemons, cases[i].path, cases[i].endpoint, LOAD_US,
+                 &outcome);
       for (uint32_t n = first; n < end; n++)
         {
           sfl_set_rate_limit (fixture->fleet, n, NULL);
         }
       efx_run_for (fixture, 3 * CLK_S_US);
       struct outcome after;
-      send_load (fixture, daemons, cases[i].path, cases[i].endpoint, &after);
+      send_load (fixture, daemons, cases[i].path, cases[i].endpoint,
+                 LOAD_AFTER_US, &after);
       double limit = g_ascii_strtod (cases[i].per_s, NULL);
       double window_s = (double)WINDOW_US / CLK_S_US;
       double allowed = ALLOWED_FACTOR * window_s * limit + ALLOWED_MORE;
@@ -152,7 +156,7 @@
                      outcome.sent, outcome.refused, after.served, after.sent);
       bool served
           = cases[i].limits_all
-                ? outcome.served > limit * (double)(LOAD_US / CLK_S_US) / 2
+                ? outcome.served > limit * (double)LOAD_US / CLK_S_US / 2
                 : outcome.served == outcome.sent;
       if (outcome.most > allowed || !served || outcome.others > 0
           || outcome.refused_late_us > CLK_S_US
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -58,7 +58,7 @@
       endpoint->layers = endpoints[i].layers;
       g_ptr_array_add (list, endpoint);
     }
-  fst_set_view (fixture->fleet, fvw_view_create (fixture->config, list, 1));
+  fst_set_view (fixture->fleet, fvw_view_create (fixture->config, list, 1, 1));
 }
 
 static void
--- a/test/view_test.c
+++ b/test/view_test.c
@@ -22,8 +22,8 @@
   rcu_register_thread ();
   for (int64_t number = 1; number <= VIEWS; number++)
     {
-      fvw_publish (store,
-                   fvw_view_create (NULL, g_ptr_array_new (), (double)number));
+      fvw_publish (store, fvw_view_create (NULL, g_ptr_array_new (),
+                                           (double)number, 1));
       fvw_set_proved (store, number);
     }
   rcu_unregister_thread ();
