Compute the next slot of a shared rate instead of searching it

In a large fleet a daemon may have to look thousands of slots ahead, at each path of each request. shared_rate_test takes 0.4 s instead of 35 s, and still passes.

--- a/src/core/shared_rate.c
+++ b/src/core/shared_rate.c
@@ -1,7 +1,10 @@
 #include "core/shared_rate.h"
 
+#include <float.h>
 #include <math.h>
 
+#define MAX_OF(a, b) ((a) > (b) ? (a) : (b))
+
 /* A slot in which this daemon may send a number of requests. */
 #define SLOT_US INT64_C (1000000)
 
@@ -11,7 +14,7 @@
 #define USED_SHARE_SPARSE 0.7
 #define SPARSE_S 4.0
 
-/* Slots in which a daemon looks for one in which it may send. */
+/* Slots after which a daemon that may send nothing looks again. */
 #define SLOTS_MAX 3600
 
 /* Sets RATE to PER_S requests a second of all daemons; 0: no limit.  PHASE,
@@ -33,15 +36,45 @@
   rate->share = share;
 }
 
-/* Returns how many requests RATE allows in SLOT.  */
+/* Returns how many requests RATE allows in a slot on average.  */
 static double
-allowed_in (const struct shr_rate *rate, int64_t slot)
+per_slot (const struct shr_rate *rate)
 {
   double per_s = rate->per_s * rate->share;
   double used = per_s * SPARSE_S < 1 ? USED_SHARE_SPARSE : USED_SHARE;
-  double per_slot = per_s * used * ((double)SLOT_US / 1e6);
-  return floor ((double)(slot + 1) * per_slot + rate->phase)
-         - floor ((double)slot * per_slot + rate->phase);
+  return per_s * used * ((double)SLOT_US / 1e6);
+}
+
+/* Returns how many requests RATE allows from the first slot of all up to the
+   one before SLOT.  */
+static double
+allowed_before (const struct shr_rate *rate, int64_t slot)
+{
+  return floor ((double)slot * per_slot (rate) + rate->phase);
+}
+
+/* Returns how many requests RATE allows in SLOT.  */
+static double
+allowed_in (const struct shr_rate *rate, int64_t slot)
+{
+  return allowed_before (rate, slot + 1) - allowed_before (rate, slot);
+}
+
+/* Returns the first slot after SLOT in which RATE allows a request, or one of
+   those before that if it is far away.  */
+static int64_t
+next_slot (const struct shr_rate *rate, int64_t slot)
+{
+  double slots = (allowed_before (rate, slot + 1) + 1 - rate->phase)
+                     / MAX_OF (per_slot (rate), DBL_MIN)
+                 - (double)slot;
+  if (slots > SLOTS_MAX)
+    {
+      return slot + SLOTS_MAX;
+    }
+  int64_t next = slot + MAX_OF ((int64_t)ceil (slots) - 1, 1);
+  /* The division may be off by a rounding error. */
+  return allowed_in (rate, next) < 1 ? next + 1 : next;
 }
 
 /* Returns when, from NOW_US on, RATE allows the next request: NOW_US or a
@@ -58,12 +91,7 @@
     {
       return now_us;
     }
-  int64_t next = slot + 1;
-  while (next < slot + SLOTS_MAX && allowed_in (rate, next) < 1)
-    {
-      next++;
-    }
-  return next * SLOT_US;
+  return next_slot (rate, slot) * SLOT_US;
 }
 
 /* Records that a request is sent at NOW_US.  */
