Bound the memory of answers that come without end

A head without end was refused.

All answers that are buffered whole together take 24 MiB at most now; the longest one is given up first, which is no fault of the others. An event of a stream takes 256 KiB at most. The request then goes on at another endpoint. A stream without a length that ends within an event was resumed before too; that has a test now.

--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -9,8 +9,13 @@
 
 #include <string.h>
 
-/* Limit on an answer that is buffered whole before it is delivered. */
+/* Limit on an answer that is buffered whole before it is delivered, and on all
+   of these together.  Bytes that are no answer may come without end. */
 #define ANSWER_BYTES_MAX ((size_t)16 * 1024 * 1024)
+#define ANSWERS_BYTES_MAX ((size_t)24 * 1024 * 1024)
+
+/* Limit on an event of a stream. */
+#define EVENT_BYTES_MAX ((size_t)256 * 1024)
 
 /* An answer that is cut off within this time after its newest bytes is blamed
    on its own endpoint; after a longer silence another engine of the path may
@@ -245,6 +250,41 @@
     }
 }
 
+/* Ends EXCHANGE's attempt, whose answer is no valid one, for the reason WHY.
+ */
+static void
+give_up_answer (struct exchange *exchange, const char *why)
+{
+  lg_line (LOG_NOTICE, "answer_given_up",
+           "request=%s endpoint=%s bytes=%u why=\"%s\"", exchange->id,
+           exchange->endpoint->id,
+           exchange->answer->len + exchange->scanner.pending->len, why);
+  ncl_cancel (exchange->attempt);
+  exg_report_failure (exchange, EVD_INCONCLUSIVE, why);
+  exg_end_attempt (exchange, ATT_INVALID_ANSWER);
+}
+
+/* Returns the exchange whose buffered answer is the longest so far, or NULL.
+ */
+static struct exchange *
+longest_answer (const struct trf_traffic *traffic)
+{
+  struct exchange *longest = NULL;
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, traffic->exchanges);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct exchange *exchange = key;
+      if (exchange->attempt != NULL && !exchange->is_stream
+          && (longest == NULL || exchange->answer->len > longest->answer->len))
+        {
+          longest = exchange;
+        }
+    }
+  return longest;
+}
+
 /* Handles bytes of a body: scans a stream for complete events, and buffers any
    other answer.  */
 static void
@@ -257,10 +297,25 @@
     {
       if (exchange->answer->len + count > ANSWER_BYTES_MAX)
         {
-          ncl_cancel (exchange->attempt);
-          exg_end_attempt (exchange, ATT_INVALID_ANSWER);
+          give_up_answer (exchange, "the answer is too long");
           return;
         }
+      size_t *buffered = &exchange->traffic->buffered_bytes;
+      if (*buffered + count > ANSWERS_BYTES_MAX)
+        {
+          struct exchange *longest = longest_answer (exchange->traffic);
+          bool is_own
+              = longest == NULL
+                || longest->answer->len <= exchange->answer->len + count;
+          give_up_answer (is_own ? exchange : longest,
+                          "answers take too much memory");
+          if (is_own)
+            {
+              return;
+            }
+        }
+      *buffered += count;
+      exchange->buffered_bytes += count;
       g_byte_array_append (exchange->answer, (const guint8 *)bytes,
                            (guint)count);
       return;
@@ -269,6 +324,11 @@
   g_byte_array_set_size (exchange->answer, 0);
   uint32_t events
       = evs_feed (&exchange->scanner, bytes, count, exchange->answer);
+  if (exchange->scanner.pending->len > EVENT_BYTES_MAX)
+    {
+      give_up_answer (exchange, "an event is too long");
+      return;
+    }
   if (events > 0)
     {
       fst_report_progress (exchange->path, exchange->last_received_us);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -48,10 +48,11 @@
   double event_interval_us; /* moving average of the time between events; 0:
                                none yet */
   int64_t last_received_us; /* when the newest bytes of the answer arrived */
-  char *failed_address; /* address of the failed engine as the endpoint stated
-                           it, or NULL */
-  GString *answer_head; /* headers for the caller */
-  GByteArray *answer;   /* the buffered body, or the events to deliver next */
+  char *failed_address;  /* address of the failed engine as the endpoint stated
+                            it, or NULL */
+  GString *answer_head;  /* headers for the caller */
+  GByteArray *answer;    /* the buffered body, or the events to deliver next */
+  size_t buffered_bytes; /* of that body */
 
   /* State between attempts. */
   int64_t room_wait_end_us; /* when the next attempt is made without room; 0:
@@ -87,6 +88,7 @@
                               struct nsv_connection *caller, uint32_t status,
                               const char *id, double retry_after_s);
 double exg_retry_after_s (void);
+void exg_drop_answer (struct exchange *exchange);
 void exg_end_wait (struct exchange *exchange, bool answered);
 void exg_end_room_wait (struct exchange *exchange);
 void exg_give_up_wait (struct exchange *exchange);
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -32,8 +32,12 @@
   SFL_WRONG_REQUEST_ID, /* answers with the id of another request */
   SFL_UNSIGNED,         /* answers without the signature header */
   SFL_NEVER_ANSWERS,    /* runs the request and never answers */
-  SFL_STALLS            /* engines: stalls, then closes; the engine's report
-                           names the killed engines that its work waits for */
+  SFL_ENDS_MIDWAY,  /* streams: like SFL_WITHOUT_LENGTH, but ends within the
+                       third event */
+  SFL_ENDLESS_HEAD, /* sends a head without end, until the caller closes */
+  SFL_ENDLESS_BODY, /* the same of a body; streams: of an event */
+  SFL_STALLS        /* engines: stalls, then closes; the engine's report
+                       names the killed engines that its work waits for */
 };
 
 /* How the store handles calls. */
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -9,6 +9,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Bytes that are sent at once of an answer without end. */
+#define ENDLESS_BYTES 65536
+
+/* Number of these in a head without end, which no caller reads as a whole. */
+#define ENDLESS_HEAD_PARTS 32
+
 /* Time until an endpoint closes the connection of a stalled request. */
 #define STALL_MS 1500
 
@@ -151,7 +157,8 @@
       write_headers (answer, headers, sizeof headers);
       notify_answered (answer->endpoint, answer->id, NULL);
       nsv_begin_response (answer->connection, HTTP_STATUS_OK, headers,
-                          answer->fault != SFL_WITHOUT_LENGTH);
+                          answer->fault != SFL_WITHOUT_LENGTH
+                              && answer->fault != SFL_ENDS_MIDWAY);
       answer->headers_sent = true;
     }
   answer->last_event_id++;
@@ -164,6 +171,13 @@
       nsv_abort (answer->connection);
       return false;
     }
+  if (answer->fault == SFL_ENDS_MIDWAY && answer->last_event_id == 3)
+    {
+      nsv_send_body (answer->connection, event, (size_t)length / 2);
+      nsv_set_request_context (answer->connection, NULL);
+      nsv_end_response (answer->connection);
+      return false;
+    }
   nsv_send_body (answer->connection, event, (size_t)length);
   if (answer->last_event_id < answer->endpoint->fleet->stream_events)
     {
@@ -240,6 +254,39 @@
   finish_answer (answer);
 }
 
+/* Sends the next bytes of an answer without end, as fast as the caller reads
+   them.  */
+static void
+on_endless_due (uv_timer_t *timer)
+{
+  struct sfl_answer *answer = timer->data;
+  char headers[512];
+  static char bytes[ENDLESS_BYTES];
+  memset (bytes, 'x', sizeof bytes);
+  if (!answer->headers_sent)
+    {
+      write_headers (answer, headers, sizeof headers);
+      GString *head = g_string_new (headers);
+      if (answer->fault == SFL_ENDLESS_HEAD)
+        {
+          g_string_append (head, "X-Endless: ");
+          for (uint32_t i = 0; i < ENDLESS_HEAD_PARTS; i++)
+            {
+              g_string_append_len (head, bytes, sizeof bytes);
+            }
+          g_string_append (head, "\r\n");
+        }
+      nsv_begin_response (answer->connection, HTTP_STATUS_OK, head->str,
+                          false);
+      g_string_free (head, TRUE);
+      answer->headers_sent = true;
+    }
+  if (!nsv_is_slow (answer->connection))
+    {
+      nsv_send_body (answer->connection, bytes, sizeof bytes);
+    }
+}
+
 static void
 on_stall_timeout (uv_timer_t *timer)
 {
@@ -315,6 +362,10 @@
     {
       uv_timer_start (&answer->timer, on_stall_timeout, STALL_MS, 0);
     }
+  else if (fault == SFL_ENDLESS_HEAD || fault == SFL_ENDLESS_BODY)
+    {
+      uv_timer_start (&answer->timer, on_endless_due, 0, 1);
+    }
   else if (endpoint->is_engine)
     {
       uv_timer_start (&answer->timer, on_event_due, fleet->params.event_ms,
--- /dev/null
+++ b/test/entry_unframed_test.c
@@ -0,0 +1,124 @@
+/* Tests of the entry daemon: answers of endpoints that have no length, and
+   bytes that come without end. */
+#include "test/entry_fixture.h"
+
+#include "base/clock.h"
+
+#include <string.h>
+
+/* Requests that are sent at the same time. */
+#define REQUESTS 24
+
+/* Growth of the daemon's memory that bytes without end may cause, and time
+   until the requests that get them are answered. */
+#define GROWTH_KB_MAX (64 * 1024)
+#define ANSWERED_US (4 * CLK_S_US)
+
+/* Guards against a daemon that runs out of memory or processor time on an
+   endpoint that sends without end: the answer is given up, the request is sent
+   to another endpoint, and the callers get whole answers or none.  */
+static void
+test_bytes_without_end (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *path;
+    bool engines;
+    enum sfl_fault fault;
+  } cases[] = {
+    { "service, head", "/sum/a", false, SFL_ENDLESS_HEAD },
+    { "service, body", "/sum/a", false, SFL_ENDLESS_BODY },
+    { "engine, head", "/draft/a", true, SFL_ENDLESS_HEAD },
+    { "engine, event", "/draft/a", true, SFL_ENDLESS_BODY },
+  };
+  struct efx_fixture *fixture = *state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct efx_call calls[REQUESTS];
+      uint64_t before_kb = sep_memory_kb (fixture->daemon);
+      uint64_t most_kb = before_kb;
+      sfl_set_fault (fixture->fleet, cases[i].engines, cases[i].fault,
+                     REQUESTS);
+      for (uint32_t n = 0; n < REQUESTS; n++)
+        {
+          g_autofree char *id = g_strdup_printf ("end-%u", fixture->next_id++);
+          g_autofree char *request = efx_build_request (
+              "POST", EFX_FLEET_HOST, cases[i].path, "key-1", id, "");
+          efx_start_call (fixture, &calls[n],
+                          sep_caller_address (fixture->daemon), request,
+                          strlen (request));
+        }
+      int64_t end_us = clk_monotonic_us () + ANSWERED_US;
+      uint32_t open = REQUESTS;
+      while (open > 0 && clk_monotonic_us () < end_us)
+        {
+          efx_run_for (fixture, 20 * CLK_MS_US);
+          most_kb = MAX (most_kb, sep_memory_kb (fixture->daemon));
+          open = 0;
+          for (uint32_t n = 0; n < REQUESTS; n++)
+            {
+              open += !calls[n].done;
+            }
+        }
+      sfl_set_fault (fixture->fleet, cases[i].engines, SFL_NO_FAULT, 0);
+      uint32_t wrong = 0;
+      uint32_t served = 0;
+      for (uint32_t n = 0; n < REQUESTS; n++)
+        {
+          efx_await_call (fixture, &calls[n]);
+          bool success = calls[n].status == 200 && calls[n].complete;
+          served += success;
+          wrong += success && strstr (calls[n].body->str, "xxxx") != NULL;
+          efx_clear_call (&calls[n]);
+        }
+      print_message ("%s: %u of %u served, %u open, %lu KiB more\n",
+                     cases[i].name, served, REQUESTS, open,
+                     (unsigned long)(most_kb - before_kb));
+      if (open > 0 || wrong > 0 || most_kb - before_kb > GROWTH_KB_MAX)
+        {
+          fail_msg ("%s: %u open, %u wrong answers, %lu KiB more",
+                    cases[i].name, open, wrong,
+                    (unsigned long)(most_kb - before_kb));
+        }
+      efx_run_for (fixture, CLK_S_US);
+    }
+}
+
+/* Guards against a stream that looks complete though it was broken off: one
+   without a length that ends within an event goes on at another engine, and
+   the caller gets each event once.  */
+static void
+test_stream_ends_within_event (void **state)
+{
+  enum
+  {
+    STREAMS = 8
+  };
+  struct efx_fixture *fixture = *state;
+  for (uint32_t i = 0; i < STREAMS; i++)
+    {
+      struct efx_call call;
+      g_autofree char *id = g_strdup_printf ("late-%u", fixture->next_id);
+      sfl_set_fault (fixture->fleet, true, SFL_ENDS_MIDWAY, 1);
+      efx_start_stream (fixture, &call, SFL_STREAM_EVENTS);
+      efx_await_call (fixture, &call);
+      GString *expected = efx_expected_stream (id);
+      assert_true (call.complete);
+      assert_string_equal (call.body->str, expected->str);
+      assert_int_equal (sfl_run_count (fixture->fleet, id), 2);
+      g_string_free (expected, TRUE);
+      efx_clear_call (&call);
+    }
+  sfl_set_fault (fixture->fleet, true, SFL_NO_FAULT, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_stream_ends_within_event),
+    cmocka_unit_test (test_bytes_without_end),
+  };
+  return cmocka_run_group_tests (tests, efx_set_up, efx_tear_down);
+}
