--- a/src/config/entry_settings.c
+++ b/src/config/entry_settings.c
@@ -14,7 +14,7 @@
 #define RETRY_RATIO_MAX 1000
 #define RETRY_SLACK_MAX 1e9
 #define DESCRIPTORS_MIN 256
-#define QUARANTINE_MS 3000
+#define QUARANTINE_US INT64_C (3000000)
 #define US_PER_MS 1000
 #define US_PER_S 1000000
 
@@ -22,10 +22,9 @@
     = { "emerg",  "alert", "crit",  "err", "warning",
         "notice", "info",  "debug", NULL };
 
-static const struct ens_settings defaults
-    = { .membership_min_us = US_PER_S,
-        .quarantine_us = QUARANTINE_MS * US_PER_MS,
-        .log_level = LOG_INFO };
+static const struct ens_settings defaults = { .membership_min_us = US_PER_S,
+                                              .quarantine_us = QUARANTINE_US,
+                                              .log_level = LOG_INFO };
 
 /* NOLINTBEGIN(bugprone-macro-parentheses): the arguments are member names and
    units, which cannot be in parentheses. */
--- a/src/entry/evidence_topic.c
+++ b/src/entry/evidence_topic.c
@@ -142,8 +142,8 @@
   if (evidence->call != NULL)
     {
       cal_cancel (evidence->call);
+      g_ptr_array_unref (evidence->published);
     }
-  g_clear_pointer (&evidence->published, g_ptr_array_unref);
   tpc_destroy (evidence->source);
   g_free (evidence->store_address);
   g_free (evidence);
@@ -180,7 +180,8 @@
       evidence->retry_us
           = MIN (evidence->retry_us * 2, evidence->params.plan.retry_max_us);
     }
-  g_clear_pointer (&evidence->published, g_ptr_array_unref);
+  g_ptr_array_unref (evidence->published);
+  evidence->published = NULL;
 }
 
 /* Publishes what has changed, in one call.  */
--- a/test/entry_unframed_test.c
+++ b/test/entry_unframed_test.c
@@ -11,7 +11,7 @@
 
 /* Growth of the daemon's memory that bytes without end may cause, and time
    until the requests that get them are answered. */
-#define GROWTH_KB_MAX (64 * 1024)
+#define GROWTH_KB_MAX 65536
 #define ANSWERED_US (4 * CLK_S_US)
 
 /* Guards against a daemon that runs out of memory or processor time on an
--- a/test/poison_test.c
+++ b/test/poison_test.c
@@ -139,115 +139,115 @@
 list_quarantined (struct fleet *fleet, int daemon)
 {
   GString *found = g_string_new (NULL);
-  for (char id = 'a'; id <= 'e'; id++)
+  static const char *const ids[] = { "a", "b", "c", "d", "e" };
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
     {
-      char text[2] = { id, '\0' };
-      g_autofree char *name = psn_part_name ("draft", text);
+      g_autofree char *name = psn_part_name ("draft", ids[i]);
       char *const parts[] = { name, NULL };
       if (psn_find (fleet->sets[daemon], parts, now_of (fleet)) != NULL)
         {
-          g_string_append_c (found, id);
+          g_string_append (found, ids[i]);
         }
     }
   return g_string_free (found, FALSE);
 }
 
-/* Which part is quarantined after which evidence, at all daemons alike.  The
-   part d crashes engines; a is shared by all prompts, b by some.  */
+/* Evidence, and the parts that it quarantines at all daemons alike.  The part
+   d crashes engines; a is shared by all prompts, b by some. */
+static const struct
+{
+  const char *name;
+  struct step steps[12];
+  const char *quarantined;
+} evidence_cases[] = {
+  { "ends at different daemons",
+    { { END, 0, "a b d", "e1" },
+      { END, 1, "a b d", "e2" },
+      { END, 2, "a c d", "e3" } },
+    "d" },
+  { "too few ends", { { END, 0, "a d", "e1" }, { END, 1, "a d", "e2" } }, "" },
+  { "one engine, seen by all",
+    { { END, 0, "d", "e1" }, { END, 1, "d", "e1" }, { END, 2, "d", "e1" } },
+    "" },
+  { "bystanders have ended with the same engines",
+    { { END, 0, "a b d", "e1" },
+      { END, 1, "a c", "e1" },
+      { END, 0, "a b d", "e2" },
+      { END, 1, "a c", "e2" },
+      { END, 0, "a c d", "e3" },
+      { END, 1, "a c", "e3" },
+      { END, 2, "a b d", "e4" } },
+    "d" },
+  { "an engine writes on the shared part meanwhile",
+    { { END, 0, "a d", "e1" },
+      { END, 0, "a d", "e2" },
+      { WRITE, 1, "a", "" },
+      { END, 0, "a d", "e3" } },
+    "d" },
+  { "an engine wrote on the shared part before",
+    { { WRITE, 2, "a b", "" },
+      { END, 0, "a b", "e1" },
+      { END, 0, "a b", "e2" },
+      { END, 1, "a b", "e3" } },
+    "" },
+  { "the part is written on after its ends",
+    { { END, 0, "d", "e1" },
+      { END, 1, "d", "e2" },
+      { END, 2, "d", "e3" },
+      { WRITE, 1, "d", "" } },
+    "" },
+  { "the engines answer after all",
+    { { END, 0, "d", "e1" },
+      { END, 0, "d", "e2" },
+      { END, 1, "d", "e3" },
+      { ALIVE, 0, "", "e1" } },
+    "" },
+  { "a part that fewer requests have",
+    { { ARRIVE, 0, "d a", "" },
+      { ARRIVE, 0, "a", "" },
+      { ARRIVE, 1, "d a", "" },
+      { ARRIVE, 1, "a", "" },
+      { ARRIVE, 2, "d a", "" },
+      { ARRIVE, 2, "a", "" },
+      { END, 0, "d a", "e1" },
+      { END, 0, "d a", "e2" },
+      { END, 0, "d a", "e3" },
+      { END, 1, "d a", "e4" },
+      { END, 1, "a", "e5" } },
+    "d" },
+  { "two parts",
+    { { END, 0, "a d", "e1" },
+      { END, 1, "a d", "e2" },
+      { END, 2, "a d", "e3" },
+      { WRITE, 2, "a", "" },
+      { END, 0, "a e", "e4" },
+      { END, 1, "a e", "e5" },
+      { END, 2, "a e", "e6" } },
+    "de" },
+  { "a part that most requests have",
+    { { ARRIVE, 0, "a b", "" },
+      { ARRIVE, 1, "a b", "" },
+      { ARRIVE, 2, "a b", "" },
+      { END, 0, "a b", "e1" },
+      { END, 1, "a b", "e2" },
+      { END, 2, "a b", "e3" } },
+    "" },
+};
+
+/* Which part is quarantined after which evidence.  */
 static void
 test_evidence (void **state)
 {
   (void)state;
-  static const struct
-  {
-    const char *name;
-    struct step steps[12];
-    const char *quarantined;
-  } cases[] = {
-    { "ends at different daemons",
-      { { END, 0, "a b d", "e1" },
-        { END, 1, "a b d", "e2" },
-        { END, 2, "a c d", "e3" } },
-      "d" },
-    { "too few ends",
-      { { END, 0, "a d", "e1" }, { END, 1, "a d", "e2" } },
-      "" },
-    { "one engine, seen by all",
-      { { END, 0, "d", "e1" }, { END, 1, "d", "e1" }, { END, 2, "d", "e1" } },
-      "" },
-    { "bystanders have ended with the same engines",
-      { { END, 0, "a b d", "e1" },
-        { END, 1, "a c", "e1" },
-        { END, 0, "a b d", "e2" },
-        { END, 1, "a c", "e2" },
-        { END, 0, "a c d", "e3" },
-        { END, 1, "a c", "e3" },
-        { END, 2, "a b d", "e4" } },
-      "d" },
-    { "an engine writes on the shared part meanwhile",
-      { { END, 0, "a d", "e1" },
-        { END, 0, "a d", "e2" },
-        { WRITE, 1, "a", "" },
-        { END, 0, "a d", "e3" } },
-      "d" },
-    { "an engine wrote on the shared part before",
-      { { WRITE, 2, "a b", "" },
-        { END, 0, "a b", "e1" },
-        { END, 0, "a b", "e2" },
-        { END, 1, "a b", "e3" } },
-      "" },
-    { "the part is written on after its ends",
-      { { END, 0, "d", "e1" },
-        { END, 1, "d", "e2" },
-        { END, 2, "d", "e3" },
-        { WRITE, 1, "d", "" } },
-      "" },
-    { "the engines answer after all",
-      { { END, 0, "d", "e1" },
-        { END, 0, "d", "e2" },
-        { END, 1, "d", "e3" },
-        { ALIVE, 0, "", "e1" } },
-      "" },
-    { "a part that fewer requests have",
-      { { ARRIVE, 0, "d a", "" },
-        { ARRIVE, 0, "a", "" },
-        { ARRIVE, 1, "d a", "" },
-        { ARRIVE, 1, "a", "" },
-        { ARRIVE, 2, "d a", "" },
-        { ARRIVE, 2, "a", "" },
-        { END, 0, "d a", "e1" },
-        { END, 0, "d a", "e2" },
-        { END, 0, "d a", "e3" },
-        { END, 1, "d a", "e4" },
-        { END, 1, "a", "e5" } },
-      "d" },
-    { "two parts",
-      { { END, 0, "a d", "e1" },
-        { END, 1, "a d", "e2" },
-        { END, 2, "a d", "e3" },
-        { WRITE, 2, "a", "" },
-        { END, 0, "a e", "e4" },
-        { END, 1, "a e", "e5" },
-        { END, 2, "a e", "e6" } },
-      "de" },
-    { "a part that most requests have",
-      { { ARRIVE, 0, "a b", "" },
-        { ARRIVE, 1, "a b", "" },
-        { ARRIVE, 2, "a b", "" },
-        { END, 0, "a b", "e1" },
-        { END, 1, "a b", "e2" },
-        { END, 2, "a b", "e3" } },
-      "" },
-  };
-  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (evidence_cases); i++)
     {
       struct fleet fleet;
       open_fleet (&fleet);
-      for (size_t n = 0; n < G_N_ELEMENTS (cases[i].steps)
-                         && cases[i].steps[n].parts != NULL;
+      for (size_t n = 0; n < G_N_ELEMENTS (evidence_cases[i].steps)
+                         && evidence_cases[i].steps[n].parts != NULL;
            n++)
         {
-          take_step (&fleet, &cases[i].steps[n]);
+          take_step (&fleet, &evidence_cases[i].steps[n]);
           fleet.now_us += 10000;
           share (&fleet);
         }
@@ -256,10 +256,11 @@
           for (int daemon = 0; daemon < DAEMONS; daemon++)
             {
               g_autofree char *found = list_quarantined (&fleet, daemon);
-              if (round == 2 && strcmp (found, cases[i].quarantined) != 0)
+              if (round == 2
+                  && strcmp (found, evidence_cases[i].quarantined) != 0)
                 {
                   fail_msg ("%s: daemon %d has quarantined '%s'",
-                            cases[i].name, daemon, found);
+                            evidence_cases[i].name, daemon, found);
                 }
             }
           fleet.now_us += SETTLE_US;
