--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -74,8 +74,8 @@
 }
 
 /* Returns true if ENDS has ENGINE.  */
-bool
-psn_has_end (const GPtrArray *ends, const char *engine)
+static bool
+has_end (const GPtrArray *ends, const char *engine)
 {
   return g_ptr_array_find_with_equal_func ((GPtrArray *)ends, engine,
                                            g_str_equal, NULL);
@@ -341,7 +341,7 @@
         }
       struct psn_suspect *suspect = psn_suspect_of (set, parts[i]);
       struct psn_report *report = psn_report_of (suspect, set->reporter);
-      if (psn_has_end (report->ends, engine))
+      if (has_end (report->ends, engine))
         {
           continue;
         }
@@ -400,7 +400,7 @@
                     struct psn_time now)
 {
   g_autoptr (GHashTable) ends = g_hash_table_new (g_str_hash, g_str_equal);
-  collect_ends (suspect, false, NULL, ends);
+  bool changed = collect_ends (suspect, false, NULL, ends) > 0;
   GHashTableIter iter;
   gpointer end;
   g_hash_table_iter_init (&iter, ends);
@@ -415,8 +415,9 @@
       g_ptr_array_set_size (own->ends, 0);
       own->updated_ms = now.unix_ms;
       psn_mark_changed (set, suspect, set->reporter);
+      changed = true;
     }
-  set->outdated = true;
+  set->outdated |= changed;
 }
 
 /* Records that an engine has written on a prompt with the named PARTS without
--- a/src/core/poison_private.h
+++ b/src/core/poison_private.h
@@ -60,7 +60,6 @@
                        const char *reporter);
 void psn_clear_evidence (struct psn_set *set, struct psn_suspect *suspect,
                          struct psn_time now);
-bool psn_has_end (const GPtrArray *ends, const char *engine);
 bool psn_is_empty (const struct psn_report *report);
 void psn_drop_report (struct psn_set *set, struct psn_suspect *suspect,
                       const char *reporter);
--- a/src/core/turned_away.c
+++ b/src/core/turned_away.c
@@ -1,5 +1,7 @@
 #include "core/turned_away.h"
 
+#include "core/decimal.h"
+
 #include <glib.h>
 #include <math.h>
 #include <string.h>
@@ -42,10 +44,8 @@
     {
       return TNA_NOT_STATED;
     }
-  char *end = NULL;
-  double seconds = g_ascii_strtod (text, &end);
-  bool is_number = end != text && end[strspn (end, " \t")] == '\0';
-  if (!is_number || isnan (seconds) || seconds < 0)
+  double seconds = 0;
+  if (!dcm_read (text, &seconds) || seconds < 0)
     {
       return TNA_INVALID;
     }
--- a/src/entry/announcement.c
+++ b/src/entry/announcement.c
@@ -2,12 +2,12 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/decimal.h"
 #include "core/turned_away.h"
 #include "entry/exchange.h"
 #include "platform/headers.h"
 
 #include <math.h>
-#include <string.h>
 
 /* True when ANSWER says that its endpoint leaves.  */
 bool
@@ -50,10 +50,8 @@
     {
       return 0;
     }
-  char *end = NULL;
-  double per_s = g_ascii_strtod (text, &end);
-  bool is_number = end != text && end[strspn (end, " \t")] == '\0';
-  if (!is_number || !isfinite (per_s) || per_s <= 0)
+  double per_s = 0;
+  if (!dcm_read (text, &per_s) || !isfinite (per_s) || per_s <= 0)
     {
       lg_line (LOG_WARNING, "rate_limit_refused", "endpoint=%s", id);
       return 0;
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -22,10 +22,16 @@
   g_free (handle->data);
 }
 
-/* Frees the body of EXCHANGE's answer.  */
-void
-exg_drop_answer (struct exchange *exchange)
+/* Empties EXCHANGE's answer for the next attempt, and frees a body that was
+   buffered.  */
+static void
+drop_answer (struct exchange *exchange)
 {
+  if (exchange->buffered_bytes == 0)
+    {
+      g_byte_array_set_size (exchange->answer, 0);
+      return;
+    }
   exchange->traffic->buffered_bytes -= exchange->buffered_bytes;
   exchange->buffered_bytes = 0;
   g_byte_array_free (exchange->answer, TRUE);
@@ -35,7 +41,7 @@
 static void
 destroy_exchange (struct exchange *exchange)
 {
-  exg_drop_answer (exchange);
+  exchange->traffic->buffered_bytes -= exchange->buffered_bytes;
   g_hash_table_remove (exchange->traffic->exchanges, exchange);
   flt_release (exchange->config);
   g_free (exchange->service);
@@ -634,7 +640,7 @@
   struct trf_traffic *traffic = exchange->traffic;
   GString *request = build_request (exchange);
   evs_restart (&exchange->scanner);
-  exg_drop_answer (exchange);
+  drop_answer (exchange);
   exchange->status = 0;
   exchange->event_interval_us = 0;
   exchange->first_written_us = 0;
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -264,8 +264,8 @@
   exg_end_attempt (exchange, ATT_INVALID_ANSWER);
 }
 
-/* Returns the exchange whose buffered answer is the longest so far, or NULL.
- */
+/* Returns the exchange whose buffered answer is the longest so far, or NULL if
+   no answer is buffered.  */
 static struct exchange *
 longest_answer (const struct trf_traffic *traffic)
 {
@@ -285,6 +285,22 @@
   return longest;
 }
 
+/* Gives up the longest buffered answer if another COUNT bytes for EXCHANGE's
+   are too much.  Returns false if that was EXCHANGE's own.  */
+static bool
+make_room (struct exchange *exchange, size_t count)
+{
+  if (exchange->traffic->buffered_bytes + count <= ANSWERS_BYTES_MAX)
+    {
+      return true;
+    }
+  struct exchange *longest = longest_answer (exchange->traffic);
+  bool is_own = longest == NULL
+                || longest->answer->len <= exchange->answer->len + count;
+  give_up_answer (is_own ? exchange : longest, "answers take too much memory");
+  return !is_own;
+}
+
 /* Handles bytes of a body: scans a stream for complete events, and buffers any
    other answer.  */
 static void
@@ -300,21 +316,11 @@
           give_up_answer (exchange, "the answer is too long");
           return;
         }
-      size_t *buffered = &exchange->traffic->buffered_bytes;
-      if (*buffered + count > ANSWERS_BYTES_MAX)
+      if (!make_room (exchange, count))
         {
-          struct exchange *longest = longest_answer (exchange->traffic);
-          bool is_own
-              = longest == NULL
-                || longest->answer->len <= exchange->answer->len + count;
-          give_up_answer (is_own ? exchange : longest,
-                          "answers take too much memory");
-          if (is_own)
-            {
-              return;
-            }
+          return;
         }
-      *buffered += count;
+      exchange->traffic->buffered_bytes += count;
       exchange->buffered_bytes += count;
       g_byte_array_append (exchange->answer, (const guint8 *)bytes,
                            (guint)count);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -88,7 +88,6 @@
                               struct nsv_connection *caller, uint32_t status,
                               const char *id, double retry_after_s);
 double exg_retry_after_s (void);
-void exg_drop_answer (struct exchange *exchange);
 void exg_end_wait (struct exchange *exchange, bool answered);
 void exg_end_room_wait (struct exchange *exchange);
 void exg_give_up_wait (struct exchange *exchange);
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -44,6 +44,9 @@
 #define USER_TIMEOUT_MS 1500
 #define IDLE_CONNECTIONS_MAX 2
 
+/* Topics of the store that a daemon follows. */
+#define TOPICS 3
+
 struct fct_control
 {
   pthread_t thread;
@@ -59,6 +62,7 @@
   struct tpc_topic *operator_topic;
   struct tpc_topic *endpoint_topic;
   struct evt_topic *evidence;
+  struct tpc_topic *topics[TOPICS]; /* these three */
   struct qrn_quarantine *quarantine;
   struct rly_relay *relay;
   bool is_relay;                 /* the settings name this daemon as a relay */
@@ -255,9 +259,10 @@
 set_holders (struct fct_control *control, const GPtrArray *addresses)
 {
   control->find_members_until_us = 0;
-  tpc_set_holders (control->operator_topic, addresses);
-  tpc_set_holders (control->endpoint_topic, addresses);
-  tpc_set_holders (evt_source (control->evidence), addresses);
+  for (uint32_t i = 0; i < TOPICS; i++)
+    {
+      tpc_set_holders (control->topics[i], addresses);
+    }
 }
 
 /* Handles the addresses of the group's members, or the failure to look them
@@ -564,6 +569,16 @@
   uv_close ((uv_handle_t *)&control->stop, NULL);
 }
 
+/* Makes the topics use the relays at ADDRESSES.  */
+static void
+set_relays (struct fct_control *control, const GPtrArray *addresses)
+{
+  for (uint32_t i = 0; i < TOPICS; i++)
+    {
+      tpc_set_relays (control->topics[i], addresses);
+    }
+}
+
 /* Makes the topics use the relays of the settings and those at FOUND.  */
 static void
 on_relays_found (void *context, const GPtrArray *found)
@@ -588,9 +603,7 @@
           g_ptr_array_add (all, address);
         }
     }
-  tpc_set_relays (control->operator_topic, all);
-  tpc_set_relays (control->endpoint_topic, all);
-  tpc_set_relays (evt_source (control->evidence), all);
+  set_relays (control, all);
   g_ptr_array_free (all, TRUE);
 }
 
@@ -626,9 +639,10 @@
   control->runs_relay |= control->is_relay
                          || (is_relayless && grp_runs_relay (control->group));
   bool uses_relays = control->crowded && !control->runs_relay;
-  tpc_prefer_relays (control->operator_topic, uses_relays);
-  tpc_prefer_relays (control->endpoint_topic, uses_relays);
-  tpc_prefer_relays (evt_source (control->evidence), uses_relays);
+  for (uint32_t i = 0; i < TOPICS; i++)
+    {
+      tpc_prefer_relays (control->topics[i], uses_relays);
+    }
   bool serves_relay = rly_has_readers (control->relay);
   tpc_serve_relay (control->operator_topic, serves_relay);
   tpc_serve_relay (evt_source (control->evidence), serves_relay);
@@ -728,9 +742,10 @@
   };
   rfs_plan_quarantine (&bounds, &evidence_params.plan);
   control->evidence = evt_create (&evidence_params);
-  tpc_set_relays (control->operator_topic, control->relays);
-  tpc_set_relays (control->endpoint_topic, control->relays);
-  tpc_set_relays (evt_source (control->evidence), control->relays);
+  control->topics[0] = control->operator_topic;
+  control->topics[1] = control->endpoint_topic;
+  control->topics[2] = evt_source (control->evidence);
+  set_relays (control, control->relays);
 }
 
 /* Sets `relays' to the addresses of other daemons' relays in the settings, and
