End the daemons of a test that fails together with it

Cause, from the logs: a daemon that a failing run of entry_limit_test had left an hour before looked for its store at port 16600, which the soak's store then got. It joined the soak's group at 14:30:44.7, led it and sent orders to engines 4 and 5; the soak's own daemons never led. A failed check skips the end of a test, and with it the daemons that the test itself has created.

sep_start now makes the kernel kill the daemon when its parent ends. Checked by killing entry_limit_test: both of its daemons are gone; one of them stayed before.

--- a/standin/entry_process.c
+++ b/standin/entry_process.c
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -123,6 +124,7 @@
 void
 sep_start (struct sep_process *process)
 {
+  pid_t parent = getpid ();
   process->pid = fork ();
   if (process->pid < 0)
     {
@@ -130,6 +132,12 @@
     }
   if (process->pid == 0)
     {
+      /* A daemon that outlives a failed test would join the group of a later
+         one whose store has the same port. */
+      if (prctl (PR_SET_PDEATHSIG, SIGKILL) != 0 || getppid () != parent)
+        {
+          _exit (127);
+        }
       if (freopen (process->log_path, "a", stdout) != NULL)
         {
           execl (process->executable, process->executable, "entry",
