Don't close connections unanswered that a request is on its way on

What callers saw: during a stop of a daemon, a connection that was opened after its grace for idle ones, 2.5 s, was closed without an answer if the next check of the connections, every 200 ms, came before its request had been read. A used connection whose next request had arrived but wasn't read was closed as well.

The test now also checks that the stream that keeps the daemon busy was served, which rules out the other way to that symptom.

Change: in a stop, a connection without a request so far gets a second for its first one, and no connection with unread bytes is closed as idle.

Both cases of net_test's new test and the new test of entry_stop_test failed on the code before and pass now.

--- a/src/net/server.c
+++ b/src/net/server.c
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #define READ_BYTES 65536 /* of one read from a socket */
@@ -21,6 +22,10 @@
 /* Time for a caller to close its connection after the last response. */
 #define LINGER_US (1 * CLK_S_US)
 
+/* Time for the first request of a connection to arrive while the server
+   stops. */
+#define FIRST_REQUEST_US (1 * CLK_S_US)
+
 enum phase
 {
   PHASE_IDLE,       /* between requests */
@@ -42,6 +47,7 @@
   uint32_t error_status; /* response if a limit stops the parser; 0: none */
   void *request_context;
   bool keep_alive;
+  bool used;     /* a request has begun to arrive */
   bool chunked;  /* the current response */
   bool received; /* the current request, completely */
   bool in_body;  /* the headers of the current request have been received */
@@ -144,6 +150,7 @@
   connection->error_status = 0;
   connection->received = false;
   connection->in_body = false;
+  connection->used = true;
   enter_phase (connection, PHASE_RECEIVING);
   return 0;
 }
@@ -657,6 +664,29 @@
                    : "callers are accepted again");
 }
 
+/* Returns true if bytes from the caller of CONNECTION haven't been read.  */
+static bool
+has_unread_bytes (const struct nsv_connection *connection)
+{
+  uv_os_fd_t descriptor;
+  int bytes = 0;
+  return uv_fileno ((const uv_handle_t *)&connection->tcp, &descriptor) == 0
+         && ioctl (descriptor, FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
+/* Returns true if CONNECTION, which is between requests at NOW_US, monotonic
+   time, is to be closed.  */
+static bool
+is_idle_too_long (const struct nsv_connection *connection, int64_t now_us)
+{
+  const struct nsv_server *server = connection->server;
+  int64_t age_us = now_us - connection->since_us;
+  bool stopped = server->stopping && now_us >= server->idle_until_us
+                 && (connection->used || age_us >= FIRST_REQUEST_US);
+  return (stopped || age_us >= server->limits.idle_timeout_us)
+         && !has_unread_bytes (connection);
+}
+
 /* Closes connections that have exceeded their time-outs, and listens again if
    the server had to stop that.  NOW_US is monotonic time.  To be called
    several times a second.  */
@@ -673,11 +703,10 @@
       struct nsv_connection *connection
           = g_ptr_array_index (server->connections, i);
       int64_t age_us = now_us - connection->since_us;
-      bool stop_idle = server->stopping && now_us >= server->idle_until_us;
       switch (connection->phase)
         {
         case PHASE_IDLE:
-          if (stop_idle || age_us >= server->limits.idle_timeout_us)
+          if (is_idle_too_long (connection, now_us))
             {
               linger (connection);
             }
--- a/test/entry_stop_test.c
+++ b/test/entry_stop_test.c
@@ -2,10 +2,13 @@
 #include "test/entry_fixture.h"
 
 #include "base/clock.h"
+#include "net/address.h"
 #include "platform/headers.h"
 
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* A graceful stop aborts no request: requests in progress are finished, those
    that arrive before the load balancer has noticed the stop are served, and
@@ -112,6 +115,29 @@
     }
 }
 
+/* Stops the daemon while a stream is in progress, which keeps it from exiting
+   as idle before late calls.  */
+static void
+stop_with_stream (struct efx_fixture *fixture, struct efx_call *stream)
+{
+  sfl_set_stream_events (fixture->fleet, 300);
+  efx_start_stream (fixture, stream, 400);
+  efx_run_for (fixture, 100 * CLK_MS_US);
+  sep_signal (fixture->daemon, SIGTERM);
+}
+
+/* Waits until STREAM is complete and the daemon has exited.  */
+static void
+await_stop (struct efx_fixture *fixture, struct efx_call *stream)
+{
+  efx_await_call (fixture, stream);
+  assert_true (stream->complete);
+  assert_int_equal (stream->status, 200);
+  efx_clear_call (stream);
+  sfl_set_stream_events (fixture->fleet, SFL_STREAM_EVENTS);
+  efx_await_exit (fixture);
+}
+
 /* Guards against cutting off calls of a route of which a stopping daemon has
    seen none: it took them for as short as the calls of other routes.  */
 static void
@@ -136,12 +162,8 @@
       assert_int_equal (calls[0].status, 200);
       efx_clear_call (&calls[0]);
     }
-  /* Keeps the daemon from exiting as idle before the late calls. */
   struct efx_call stream;
-  sfl_set_stream_events (fixture->fleet, 300);
-  efx_start_stream (fixture, &stream, 400);
-  efx_run_for (fixture, 100 * CLK_MS_US);
-  sep_signal (fixture->daemon, SIGTERM);
+  stop_with_stream (fixture, &stream);
   efx_run_for (fixture, 3600 * CLK_MS_US);
   for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
     {
@@ -149,11 +171,7 @@
       send_call (fixture, &calls[i], late[i].path, EFX_TIMEOUT_US);
     }
   sfl_set_call_ms (fixture->fleet, SFL_CALL_MS);
-  efx_await_call (fixture, &stream);
-  assert_true (stream.complete);
-  efx_clear_call (&stream);
-  sfl_set_stream_events (fixture->fleet, SFL_STREAM_EVENTS);
-  efx_await_exit (fixture);
+  await_stop (fixture, &stream);
   for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
     {
       bool correct = calls[i].complete
@@ -169,6 +187,35 @@
     }
 }
 
+/* Guards against closing the connections of callers that come late in a stop
+   without an answer: a connection whose first request was still on its way was
+   taken for idle.  */
+static void
+test_stop_answers_new_connection (void **state)
+{
+  static const char request[] = "GET /none HTTP/1.1\r\nHost: x\r\n\r\n";
+  struct efx_fixture *fixture = *state;
+  sep_start (fixture->daemon);
+  efx_await_ready (fixture);
+  struct efx_call stream;
+  stop_with_stream (fixture, &stream);
+  efx_run_for (fixture, 2800 * CLK_MS_US);
+  struct sockaddr_in address;
+  char answer[16] = "";
+  int caller = socket (AF_INET, SOCK_STREAM, 0);
+  assert_true (nad_parse (sep_caller_address (fixture->daemon), &address));
+  assert_int_equal (
+      connect (caller, (struct sockaddr *)&address, sizeof address), 0);
+  efx_run_for (fixture, 500 * CLK_MS_US);
+  assert_int_equal (send (caller, request, sizeof request - 1, MSG_NOSIGNAL),
+                    sizeof request - 1);
+  efx_run_for (fixture, 200 * CLK_MS_US);
+  recv (caller, answer, sizeof answer - 1, MSG_DONTWAIT);
+  close (caller);
+  await_stop (fixture, &stream);
+  assert_true (g_str_has_prefix (answer, "HTTP/1.1 404"));
+}
+
 /* Guards against sending calls on and on to an endpoint that hangs: a call
    that timed out or whose caller left said nothing about its endpoint, which
    looked idle.  */
@@ -222,6 +269,7 @@
     cmocka_unit_test (test_graceful_stop),
     cmocka_unit_test (test_stop_soon_after_start),
     cmocka_unit_test (test_stop_unseen_route),
+    cmocka_unit_test (test_stop_answers_new_connection),
     cmocka_unit_test (test_silent_endpoint),
   };
   return cmocka_run_group_tests (tests, efx_set_up, efx_tear_down);
--- a/test/net_test.c
+++ b/test/net_test.c
@@ -536,6 +536,59 @@
   g_free (log);
 }
 
+/* Sends a short request on the open connection, or on a new one if there is
+   none.  */
+static void
+send_short (struct fixture *fixture)
+{
+  static const char request[] = "GET /short HTTP/1.1\r\nHost: x\r\n\r\n";
+  fixture->exchange
+      = ncl_send (fixture->client, fixture->address, request,
+                  sizeof request - 1, false, &client_events, fixture);
+  assert_non_null (fixture->exchange);
+}
+
+/* Guards against closing connections unanswered in a stop: those that had just
+   been accepted, and those whose next request had arrived but wasn't read yet,
+   were taken for idle.  */
+static void
+stop_answers_requests_on_idle_connections (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool used; /* the connection has had a request before */
+  } connections[] = {
+    { "new", false },
+    { "used", true },
+  };
+  struct fixture *fixture = *state;
+  uint32_t completed = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (connections); i++)
+    {
+      if (connections[i].used)
+        {
+          send_short (fixture);
+          assert_true (run_until (fixture, &fixture->completed, ++completed));
+        }
+      nsv_disable_keep_alive (fixture->server, clk_monotonic_us ());
+      send_short (fixture);
+      while (nsv_connection_count (fixture->server) == 0)
+        {
+          uv_run (&fixture->loop, UV_RUN_NOWAIT);
+        }
+      nsv_expire (fixture->server, clk_monotonic_us ());
+      print_message ("%s\n", connections[i].name);
+      assert_true (run_until (fixture, &fixture->completed, ++completed));
+      assert_int_equal (fixture->failed, 0);
+      nsv_destroy (fixture->server);
+      fixture->server
+          = nsv_create (&fixture->loop, fixture->address, &fixture->limits,
+                        &server_events, fixture, NULL);
+      assert_non_null (fixture->server);
+    }
+}
+
 int
 main (void)
 {
@@ -552,6 +605,8 @@
                                      create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (lack_of_descriptors_is_logged,
                                      create_fixture, destroy_fixture),
+    cmocka_unit_test_setup_teardown (stop_answers_requests_on_idle_connections,
+                                     create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (client_survives_lack_of_descriptors,
                                      create_fixture, destroy_fixture),
   };
