Bound the attempts of a request that find no connection

Its connection is refused after half a millisecond, and att_decide, which counts only attempts that were sent, repeats the request on it at once: 2,707 times in one second at one daemon. Without a descriptor for the connection the repeat isn't even asynchronous, and the recursion ends the daemon.

Change: att_decide counts the attempts in a row that found no connection. At the eighth, a request that has no answer yet is refused, as not run if it wasn't, and a stream that has begun waits as for a path with room. attempt_ended states the count.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -56,13 +56,15 @@
                             || request->sent >= ATT_SENT_MAX;
   bool too_late = request->remaining_us < ATT_MIN_LEFT_US;
   bool may_send_again = request->may_have_run == 0 || is_repeatable (request);
-  if (end == ATT_TIMED_OUT || attempts_exhausted || too_late
-      || !may_send_again)
+  bool unreachable = request->unsent >= ATT_UNSENT_MAX;
+  if (end == ATT_TIMED_OUT || attempts_exhausted || too_late || !may_send_again
+      || (unreachable && !request->answer_begun))
     {
       set_final_action (request, end, verdict);
       return;
     }
   verdict->next = request->answer_begun ? ATT_RESUME : ATT_RETRY;
+  verdict->pauses = unreachable;
   verdict->needs_budget = request->sent > 0;
 }
 
--- a/src/core/attempt.h
+++ b/src/core/attempt.h
@@ -39,7 +39,9 @@
   bool answer_begun;      /* response headers were sent to the caller */
   uint32_t attempts_max;  /* attempts that may run the request */
   uint32_t may_have_run;  /* attempts that may have run, the latest included */
-  uint32_t sent; /* attempts that reached or may have reached an endpoint */
+  uint32_t sent;   /* attempts that reached or may have reached an endpoint */
+  uint32_t unsent; /* attempts without a connection since the last one with
+                      one, the latest included */
   int64_t remaining_us; /* time until the request's deadline */
 };
 
@@ -47,7 +49,8 @@
 {
   enum att_next next;
   bool needs_budget; /* ATT_RETRY, ATT_RESUME: only if the budget allows it */
-  uint32_t status;   /* ATT_ANSWER: HTTP status code */
+  bool pauses; /* ATT_RESUME: only after a pause, if there is time for one */
+  uint32_t status; /* ATT_ANSWER: HTTP status code */
 };
 
 /* Limit on the attempts of a request that reach an endpoint.  Attempts that an
@@ -55,6 +58,10 @@
    against the route's `attempts_max'. */
 #define ATT_SENT_MAX 5
 
+/* Limit on the attempts of a request in a row that find no connection.  Where
+   no endpoint can be connected to, the next one finds none either. */
+#define ATT_UNSENT_MAX 8
+
 /* Least remaining time for another attempt to be useful. */
 #define ATT_MIN_LEFT_US 20000
 
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -344,6 +344,7 @@
     .attempts_max = exchange->route->attempts_max,
     .may_have_run = exchange->may_have_run,
     .sent = exchange->sent,
+    .unsent = exchange->unsent,
     .remaining_us = exchange->deadline_us - clk_monotonic_us (),
   };
 }
@@ -441,6 +442,11 @@
   if (end != ATT_NOT_SENT)
     {
       exchange->sent++;
+      exchange->unsent = 0;
+    }
+  else if (!exchange->turned_away)
+    {
+      exchange->unsent++;
     }
   if (end != ATT_NOT_SENT && end != ATT_NOT_RUN)
     {
@@ -459,19 +465,21 @@
     }
   lg_line (LOG_INFO, "attempt_ended",
            "request=%s end=%s status=%u endpoint=%s at_fault=%s again=%d "
-           "sent=%u may_have_run=%u last_event=%ld age_ms=%ld",
+           "sent=%u unsent=%u may_have_run=%u last_event=%ld age_ms=%ld",
            exchange->id, attempt_end_name (end), exchange->status,
            exchange->endpoint == NULL ? "-" : exchange->endpoint->id,
            exchange->failed_address == NULL ? "-" : exchange->failed_address,
-           retry, exchange->sent, exchange->may_have_run,
+           retry, exchange->sent, exchange->unsent, exchange->may_have_run,
            (long)exchange->scanner.last_id,
            (long)((clk_monotonic_us () - exchange->sent_us) / CLK_MS_US));
-  if (denied && verdict.next == ATT_RESUME && wait_for_room (exchange, end))
+  bool waits = verdict.next == ATT_RESUME && (denied || verdict.pauses);
+  if (waits && wait_for_room (exchange, end))
     {
-      exchange->owes_repeat = true;
+      exchange->owes_repeat = denied;
       return;
     }
-  if (denied)
+  retry = retry && !waits;
+  if (denied || waits)
     {
       att_decide_without_budget (&request, end, &verdict);
     }
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -67,11 +67,12 @@
   GPtrArray *tried_endpoints; /* references to struct fst_endpoint */
   uint32_t attempts;          /* started */
   uint32_t sent;         /* ended attempts whose request arrived or may have */
+  uint32_t unsent;       /* attempts in a row that found no connection */
   uint32_t may_have_run; /* ended attempts in which the request may have run */
   bool answer_begun;     /* the caller has the headers of a stream */
   bool proved_sound;     /* an engine has written on the prompt */
   bool is_trial;         /* the next attempt is made though the prompt has a
-                            quarantined         part */
+                            quarantined part */
   bool served;           /* the answer is complete and a success */
   bool answer_chunked;   /* sent to the caller in chunks, whose end marks a
                             complete answer */
--- a/standin/entry_process.c
+++ b/standin/entry_process.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -155,6 +156,21 @@
   return process->pid > 0 && kill (process->pid, number) == 0;
 }
 
+/* Limits the descriptors of the running daemon to those below COUNT; it keeps
+   the others that it has.  Returns false when the limit can't be set.  */
+bool
+sep_limit_descriptors (const struct sep_process *process, uint32_t count)
+{
+  struct rlimit limit;
+  if (process->pid <= 0
+      || prlimit (process->pid, RLIMIT_NOFILE, NULL, &limit) != 0)
+    {
+      return false;
+    }
+  limit.rlim_cur = count;
+  return prlimit (process->pid, RLIMIT_NOFILE, &limit, NULL) == 0;
+}
+
 /* Reaps the daemon without blocking.  Returns true once after the daemon has
    exited, and sets STATUS as waitpid does; false at any other time.  */
 bool
--- a/standin/entry_process.h
+++ b/standin/entry_process.h
@@ -33,6 +33,7 @@
 void sep_remove_files (const struct sep_process *process);
 void sep_start (struct sep_process *process);
 bool sep_signal (struct sep_process *process, int number);
+bool sep_limit_descriptors (const struct sep_process *process, uint32_t count);
 bool sep_has_ended (struct sep_process *process, int *status);
 bool sep_is_running (const struct sep_process *process);
 uint64_t sep_memory_kb (const struct sep_process *process);
--- a/test/attempt_test.c
+++ b/test/attempt_test.c
@@ -29,6 +29,21 @@
     { BOOKING, .remaining_us = LEFT_US },
     ATT_NOT_SENT,
     { .next = ATT_RETRY } },
+  { "a booking that often finds no connection is refused as not run",
+    { BOOKING, .unsent = ATT_UNSENT_MAX, .remaining_us = LEFT_US },
+    ATT_NOT_SENT,
+    { .next = ATT_ANSWER, .status = 503 } },
+  { "a lookup that was cut off and then often finds no connection may have "
+    "run",
+    { LOOKUP, .sent = 1, .may_have_run = 1, .unsent = ATT_UNSENT_MAX,
+      .remaining_us = LEFT_US },
+    ATT_NOT_SENT,
+    { .next = ATT_ANSWER, .status = 502 } },
+  { "a stream that often finds no connection is resumed after a pause",
+    { STREAM, .answer_begun = true, .sent = 1, .may_have_run = 1,
+      .unsent = ATT_UNSENT_MAX, .remaining_us = LEFT_US },
+    ATT_NOT_SENT,
+    { .next = ATT_RESUME, .needs_budget = true, .pauses = true } },
   { "a booking that was refused without running is retried elsewhere",
     { BOOKING, .sent = 1, .remaining_us = LEFT_US },
     ATT_NOT_RUN,
@@ -106,10 +121,12 @@
       att_decide (&rows[i].request, rows[i].end, &got);
       if (got.next != rows[i].want.next
           || got.needs_budget != rows[i].want.needs_budget
+          || got.pauses != rows[i].want.pauses
           || got.status != rows[i].want.status)
         {
-          fail_msg ("%s: next %d, budget %d, status %u", rows[i].name,
-                    got.next, got.needs_budget, got.status);
+          fail_msg ("%s: next %d, budget %d, pauses %d, status %u",
+                    rows[i].name, got.next, got.needs_budget, got.pauses,
+                    got.status);
         }
     }
 }
