Don't renew a membership whose owner can't know what it holds

Reproduced: with the answers of the store held back from the daemon that owns partition 0, no engine is ordered for as long as that lasts; test_leader_without_answers saw none in 20,147 ms.

Cause: calls of that daemon still reach the store, and each join renews its membership there, while it stops leading itself, since it can't know that it is still the owner. The class: keeping a claim without being able to act on it.

Change: core/renewal. Once the membership isn't certain any more, a join without an answer is followed by lookups of the owners, which change nothing, until one is answered; then it joins at once. The store ends the membership one lifetime after the last join. Joins go on while the membership is certain, so that an outage shorter than that moves no partition.

--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "core/era.h"
+#include "core/renewal.h"
 #include "net/call.h"
 #include "platform/headers.h"
 #include "platform/store.h"
@@ -21,7 +22,7 @@
   char *address;
   char *member;
   uv_timer_t timer;
-  struct cal_call *call;   /* join or leave; NULL: none */
+  struct cal_call *call;   /* join, probe or leave; NULL: none */
   struct cal_call *lookup; /* of the owners of partitions; NULL: none */
   grp_found found;         /* receives the result of the lookup */
   void *found_context;
@@ -34,12 +35,11 @@
                                        first renewal in `era' */
   bool joined;                      /* or joining */
   bool left;                        /* by grp_leave: for good */
-  int64_t idle_since_us;   /* since when it has owned nothing, monotonic */
-  int64_t renew_sent_us;   /* monotonic, newest renewal */
-  int64_t member_until_us; /* the membership is certain until then,
-                              monotonic */
-  uint64_t refused_fence;  /* highest fencing token that was refused */
-  bool was_leader;         /* as logged last */
+  int64_t idle_since_us; /* since when it has owned nothing, monotonic */
+  int64_t renew_sent_us; /* monotonic, newest renewal */
+  struct rnw_renewal renewal;
+  uint64_t refused_fence; /* highest fencing token that was refused */
+  bool was_leader;        /* as logged last */
 };
 
 /* Logs that this daemon has become the leader or isn't the leader any more. */
@@ -79,6 +79,17 @@
     }
 }
 
+/* Makes the next call after PAUSE_US and a random time that keeps the daemons'
+   calls apart.  */
+static void
+schedule_call (struct grp_group *group, int64_t pause_us)
+{
+  gint32 spread_us = (gint32)group->params.plan.retry_interval_us;
+  uint64_t delay_us = (uint64_t)(pause_us + g_random_int_range (0, spread_us));
+  uv_timer_start (&group->timer, group->timer.timer_cb, delay_us / CLK_MS_US,
+                  0);
+}
+
 /* Handles the answer to a renewal, logs a change of the leader's role and
    schedules the next renewal.  */
 static void
@@ -95,11 +106,11 @@
       = status == HTTP_STATUS_OK && current
         && pfs_decode_join (body, body_bytes, group->params.partitions,
                             &group->membership, &error);
+  const struct rfs_membership *plan = &group->params.plan;
   if (renewed)
     {
-      group->member_until_us = group->renew_sent_us
-                               + group->params.plan.lifetime_us
-                               - group->params.plan.margin_us;
+      rnw_renewed (&group->renewal,
+                   group->renew_sent_us + plan->lifetime_us - plan->margin_us);
       if (grp_partitions (group) > 0)
         {
           group->idle_since_us = clk_monotonic_us ();
@@ -112,13 +123,37 @@
                : current     ? why
                              : "the answer is from an earlier era");
     }
+  if (!renewed && status != 0)
+    {
+      rnw_answered (&group->renewal);
+    }
+  else if (!renewed)
+    {
+      rnw_unanswered (&group->renewal);
+    }
   log_lead (group);
-  const struct rfs_membership *plan = &group->params.plan;
-  int64_t pause_us
-      = (renewed ? plan->renew_interval_us : plan->retry_interval_us)
-        + g_random_int_range (0, (gint32)plan->retry_interval_us);
-  uv_timer_start (&group->timer, group->timer.timer_cb,
-                  (uint64_t)(pause_us / CLK_MS_US), 0);
+  schedule_call (group,
+                 renewed ? plan->renew_interval_us : plan->retry_interval_us);
+}
+
+/* Handles the answer to a probe: if there is one, joins the group again at
+   once.  */
+static void
+on_probed (void *context, uint32_t status, const uint8_t *body,
+           size_t body_bytes, const char *why)
+{
+  (void)body;
+  (void)body_bytes;
+  struct grp_group *group = context;
+  group->call = NULL;
+  lg_line (LOG_INFO, "group_probed", "status=%u why=\"%s\"", status, why);
+  if (status == 0)
+    {
+      schedule_call (group, group->params.plan.retry_interval_us);
+      return;
+    }
+  rnw_answered (&group->renewal);
+  uv_timer_start (&group->timer, group->timer.timer_cb, 0, 0);
 }
 
 /* Returns the time-out of a call.  */
@@ -130,9 +165,8 @@
 
 /* Sends the call that joins the group or renews the membership.  */
 static void
-on_renew (uv_timer_t *timer)
+send_renewal (struct grp_group *group)
 {
-  struct grp_group *group = timer->data;
   char *body
       = pfs_join_body (GROUP, group->member, TOPIC,
                        (uint32_t)(group->params.plan.lifetime_us / CLK_MS_US),
@@ -156,6 +190,36 @@
   g_free (body);
 }
 
+/* Asks the store for what changes nothing, to find out whether its answers
+   arrive.  */
+static void
+send_probe (struct grp_group *group)
+{
+  g_autofree char *path = pfs_owners_path (GROUP);
+  const struct cal_params params = {
+    .client = group->params.client,
+    .loop = group->params.loop,
+    .address = group->address,
+    .method = "GET",
+    .path = path,
+    .timeout_ms = call_timeout_ms (group),
+    .done = on_probed,
+    .context = group,
+  };
+  group->call = cal_send (&params);
+}
+
+static void
+on_call_due (uv_timer_t *timer)
+{
+  static void (*const senders[]) (struct grp_group *) = {
+    [RNW_RENEW] = send_renewal,
+    [RNW_PROBE] = send_probe,
+  };
+  struct grp_group *group = timer->data;
+  senders[rnw_next_call (&group->renewal, clk_monotonic_us ())](group);
+}
+
 /* Creates the membership in the group of all entry daemons.  It begins with
    grp_keep_membership.  */
 struct grp_group *
@@ -291,7 +355,7 @@
   *fence = fence_of (group);
   return group->membership.leads && *fence > group->refused_fence
          && era_may_lead (&group->handover, now_us)
-         && now_us < group->member_until_us;
+         && now_us < group->renewal.certain_until_us;
 }
 
 /* Stops leading until the next generation, since an endpoint refused the
@@ -361,7 +425,7 @@
     }
   group->joined = true;
   group->idle_since_us = clk_monotonic_us ();
-  uv_timer_start (&group->timer, on_renew, 0, 0);
+  uv_timer_start (&group->timer, on_call_due, 0, 0);
 }
 
 /* True when the group's members are to run a relay on this daemon.  */
--- a/test/entry_hindered_test.c
+++ b/test/entry_hindered_test.c
@@ -271,6 +271,55 @@
   check_fences (*state, HINDER_HOLD_REPLIES);
 }
 
+/* Longest time without orders after a leader has been cut off.  Its membership
+   is renewed for the last time as it ends, and ends again; then another member
+   learns of its lead as it renews its own, and places the layers. */
+#define LIFETIME_US (2500 * CLK_MS_US)
+#define PLACE_US (2 * CLK_S_US)
+#define ORDERLESS_US (3 * LIFETIME_US + PLACE_US)
+
+/* Guards against a group without a leader for as long as the store's answers
+   don't reach the member that is to lead: it renewed its membership without
+   knowing of its lead.  */
+static void
+test_leader_without_answers (void **state)
+{
+  struct efx_fixture *fixture = *state;
+  struct spx_proxy *proxy
+      = spx_create (&fixture->loop, sfl_store_address (fixture->fleet));
+  struct sep_process *second
+      = efx_create_second (fixture, spx_address (proxy), 0, false);
+  efx_start_second (fixture, second);
+  efx_run_for (fixture, 2 * CLK_S_US);
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      sfl_rebalance (fixture->fleet);
+    }
+  efx_run_for (fixture, 2 * CLK_S_US);
+  bool ordered = efx_replace_engine (fixture);
+  efx_run_for (fixture, LOG_US);
+  g_autoptr (GArray) fences = read_fences (fixture, "entry-2");
+  hinder (second, proxy, HINDER_HOLD_REPLIES, false);
+  int64_t start_us = clk_monotonic_us ();
+  bool ordered_again = efx_replace_engine (fixture);
+  int64_t took_us = clk_monotonic_us () - start_us;
+  hinder (second, proxy, HINDER_HOLD_REPLIES, true);
+  efx_run_for (fixture, 2 * CLK_S_US);
+  uint32_t status = efx_send_booking_to (fixture, second, "key-1");
+  bool ordered_last = efx_replace_engine (fixture);
+  sep_remove_files (second);
+  sep_destroy (second);
+  spx_destroy (proxy);
+  assert_true (ordered);
+  assert_int_not_equal (fences->len, 0);
+  print_message ("no order for %ld ms\n", (long)(took_us / CLK_MS_US));
+  assert_true (ordered_again);
+  assert_in_range (took_us, 0, ORDERLESS_US);
+  assert_int_equal (status, 200);
+  assert_true (ordered_last);
+  assert_false (fixture->fence_fell);
+}
+
 /* Each test changes the store in a way that outlasts it.  */
 int
 main (void)
@@ -292,6 +341,8 @@
                                      efx_tear_down),
     cmocka_unit_test_setup_teardown (test_fences_with_late_answers, efx_set_up,
                                      efx_tear_down),
+    cmocka_unit_test_setup_teardown (test_leader_without_answers, efx_set_up,
+                                     efx_tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
