Share what the control thread and the exchanges wrote twice

The calls of the group are described in one place, the addresses of other daemons are filtered by one function (members that are named twice now count once, as relays did), and the exchanges to handle are collected by one loop. No behaviour is meant to change otherwise. entry_leaving_test, entry_restore_test, entry_hindered_test and relay_test pass.

--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -110,29 +110,53 @@
                         ABANDON_RETRIES_MIN, clk_monotonic_us ());
 }
 
-/* Checks every exchange whose path begins at ENGINE again, since a report of
-   it has arrived.  */
-void
-exg_check_streams (struct trf_traffic *traffic,
-                   const struct fst_endpoint *engine)
+/* Returns the exchanges for which MATCHES returns true with ENDPOINT: handling
+   them changes the set of all.  The caller frees the array.  */
+static GPtrArray *
+list_exchanges (struct trf_traffic *traffic,
+                bool (*matches) (const struct exchange *,
+                                 const struct fst_endpoint *),
+                const struct fst_endpoint *endpoint)
 {
-  GPtrArray *streams = g_ptr_array_new ();
+  GPtrArray *found = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer key;
   g_hash_table_iter_init (&iter, traffic->exchanges);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
-      const struct exchange *exchange = key;
-      if (exchange->path != NULL && exchange->endpoint == engine)
+      if (matches (key, endpoint))
         {
-          g_ptr_array_add (streams, key);
+          g_ptr_array_add (found, key);
         }
     }
+  return found;
+}
+
+static bool
+begins_at (const struct exchange *exchange, const struct fst_endpoint *engine)
+{
+  return exchange->path != NULL && exchange->endpoint == engine;
+}
+
+/* Checks every exchange whose path begins at ENGINE again, since a report of
+   it has arrived.  */
+void
+exg_check_streams (struct trf_traffic *traffic,
+                   const struct fst_endpoint *engine)
+{
+  g_autoptr (GPtrArray) streams = list_exchanges (traffic, begins_at, engine);
   for (guint i = 0; i < streams->len; i++)
     {
       check_exchange (g_ptr_array_index (streams, i));
     }
-  g_ptr_array_free (streams, TRUE);
+}
+
+static bool
+waits_for_connection (const struct exchange *exchange,
+                      const struct fst_endpoint *endpoint)
+{
+  return exchange->attempt != NULL && !ncl_is_connected (exchange->attempt)
+         && uses_endpoint (exchange, endpoint);
 }
 
 /* Withdraws the requests to ENDPOINT that wait for their connections, and
@@ -141,19 +165,8 @@
 exg_withdraw_unsent (struct trf_traffic *traffic,
                      const struct fst_endpoint *endpoint)
 {
-  GPtrArray *unsent = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer key;
-  g_hash_table_iter_init (&iter, traffic->exchanges);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      const struct exchange *exchange = key;
-      if (exchange->attempt != NULL && !ncl_is_connected (exchange->attempt)
-          && uses_endpoint (exchange, endpoint))
-        {
-          g_ptr_array_add (unsent, key);
-        }
-    }
+  g_autoptr (GPtrArray) unsent
+      = list_exchanges (traffic, waits_for_connection, endpoint);
   for (guint i = 0; i < unsent->len; i++)
     {
       struct exchange *exchange = g_ptr_array_index (unsent, i);
@@ -161,7 +174,6 @@
       ncl_cancel (exchange->attempt);
       exg_end_attempt (exchange, ATT_NOT_SENT);
     }
-  g_ptr_array_free (unsent, TRUE);
 }
 
 /* Cancels the current attempt as silent, so that the stream is resumed on
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -265,6 +265,24 @@
     }
 }
 
+/* Adds those of the addresses FOUND to ADDRESSES that are neither this
+   daemon's own nor among them yet.  */
+static void
+add_others (const struct fct_control *control, const GPtrArray *found,
+            GPtrArray *addresses)
+{
+  for (guint i = 0; i < found->len; i++)
+    {
+      char *address = g_ptr_array_index (found, i);
+      if (strcmp (address, control->settings->relay_address) != 0
+          && !g_ptr_array_find_with_equal_func (addresses, address,
+                                                g_str_equal, NULL))
+        {
+          g_ptr_array_add (addresses, address);
+        }
+    }
+}
+
 /* Handles the addresses of the group's members, or the failure to look them
    up.  */
 static void
@@ -276,14 +294,7 @@
       return;
     }
   GPtrArray *others = g_ptr_array_new ();
-  for (guint i = 0; i < found->len; i++)
-    {
-      char *address = g_ptr_array_index (found, i);
-      if (strcmp (address, control->settings->relay_address) != 0)
-        {
-          g_ptr_array_add (others, address);
-        }
-    }
+  add_others (control, found, others);
   set_holders (control, others);
   g_ptr_array_free (others, TRUE);
 }
@@ -593,16 +604,7 @@
     {
       g_ptr_array_add (all, g_ptr_array_index (control->relays, i));
     }
-  for (guint i = 0; i < found->len; i++)
-    {
-      char *address = g_ptr_array_index (found, i);
-      if (strcmp (address, control->settings->relay_address) != 0
-          && !g_ptr_array_find_with_equal_func (all, address, g_str_equal,
-                                                NULL))
-        {
-          g_ptr_array_add (all, address);
-        }
-    }
+  add_others (control, found, all);
   set_relays (control, all);
   g_ptr_array_free (all, TRUE);
 }
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -156,11 +156,23 @@
   uv_timer_start (&group->timer, group->timer.timer_cb, 0, 0);
 }
 
-/* Returns the time-out of a call.  */
-static uint32_t
-call_timeout_ms (const struct grp_group *group)
+/* Returns a call of the store that posts BODY to PATH, or asks for PATH if
+   BODY is NULL; DONE receives the answer.  */
+static struct cal_params
+describe_call (struct grp_group *group, const char *path, const char *body,
+               cal_done done)
 {
-  return (uint32_t)(group->params.plan.timeout_us / CLK_MS_US);
+  return (struct cal_params){
+    .client = group->params.client,
+    .loop = group->params.loop,
+    .address = group->address,
+    .method = body == NULL ? "GET" : "POST",
+    .path = path,
+    .body = body,
+    .timeout_ms = (uint32_t)(group->params.plan.timeout_us / CLK_MS_US),
+    .done = done,
+    .context = group,
+  };
 }
 
 /* Sends the call that joins the group or renews the membership.  */
@@ -171,18 +183,9 @@
       = pfs_join_body (GROUP, group->member, TOPIC,
                        (uint32_t)(group->params.plan.lifetime_us / CLK_MS_US),
                        group->membership.generation);
-  const struct cal_params params = {
-    .client = group->params.client,
-    .loop = group->params.loop,
-    .address = group->address,
-    .method = "POST",
-    .path = PFS_JOIN_PATH,
-    .body = body,
-    .timeout_ms = call_timeout_ms (group),
-    .headers = on_headers,
-    .done = on_renewed,
-    .context = group,
-  };
+  struct cal_params params
+      = describe_call (group, PFS_JOIN_PATH, body, on_renewed);
+  params.headers = on_headers;
   group->answer_era = ERA_UNKNOWN;
   group->answer_readable = true;
   group->renew_sent_us = clk_monotonic_us ();
@@ -196,16 +199,8 @@
 send_probe (struct grp_group *group)
 {
   g_autofree char *path = pfs_owners_path (GROUP);
-  const struct cal_params params = {
-    .client = group->params.client,
-    .loop = group->params.loop,
-    .address = group->address,
-    .method = "GET",
-    .path = path,
-    .timeout_ms = call_timeout_ms (group),
-    .done = on_probed,
-    .context = group,
-  };
+  const struct cal_params params
+      = describe_call (group, path, NULL, on_probed);
   group->call = cal_send (&params);
 }
 
@@ -261,17 +256,8 @@
   group->membership.leads = false;
   group->membership.first_partition = UINT32_MAX;
   char *body = pfs_leave_body (GROUP, group->member);
-  const struct cal_params params = {
-    .client = group->params.client,
-    .loop = group->params.loop,
-    .address = group->address,
-    .method = "POST",
-    .path = PFS_LEAVE_PATH,
-    .body = body,
-    .timeout_ms = call_timeout_ms (group),
-    .done = on_left,
-    .context = group,
-  };
+  const struct cal_params params
+      = describe_call (group, PFS_LEAVE_PATH, body, on_left);
   group->call = cal_send (&params);
   g_free (body);
   log_lead (group);
@@ -472,16 +458,8 @@
       return false;
     }
   char *path = pfs_owners_path (GROUP);
-  const struct cal_params params = {
-    .client = group->params.client,
-    .loop = group->params.loop,
-    .address = group->address,
-    .method = "GET",
-    .path = path,
-    .timeout_ms = call_timeout_ms (group),
-    .done = on_owners,
-    .context = group,
-  };
+  const struct cal_params params
+      = describe_call (group, path, NULL, on_owners);
   group->found = found;
   group->found_context = context;
   group->lookup_end = end;
