Divide a rate by all daemons, of whom the most that were seen count

Members of the group took their share of its partitions, which sum to one among members alone, beside daemons outside the group that took one in the number of daemons. And after a silent store and rolls, the relays counted as few as 33 of 67 daemons for a while.

Change: a member takes no more than one in the number of daemons either, and the highest number that was seen counts, half of it after a minute. Both are decided in core/shared_rate; test_share_of_daemons is new. Without relays with readers, as in small fleets, nothing changes.

--- a/src/core/shared_rate.c
+++ b/src/core/shared_rate.c
@@ -4,6 +4,11 @@
 #include <math.h>
 
 #define MAX_OF(a, b) ((a) > (b) ? (a) : (b))
+#define MIN_OF(a, b) ((a) < (b) ? (a) : (b))
+
+/* Time in which the number of daemons that counts falls by half if none are
+   seen. */
+#define DAEMONS_HALF_US 60e6
 
 /* A slot in which this daemon may send a number of requests. */
 #define SLOT_US INT64_C (1000000)
@@ -17,6 +22,28 @@
 /* Slots after which a daemon that may send nothing looks again. */
 #define SLOTS_MAX 3600
 
+/* Records in DAEMONS that COUNT of them are seen at NOW_US, monotonic time. */
+void
+shr_see_daemons (struct shr_daemons *daemons, uint32_t count, int64_t now_us)
+{
+  double left
+      = daemons->most
+        * exp2 (-(double)(now_us - daemons->seen_us) / DAEMONS_HALF_US);
+  daemons->most = MAX_OF (left, count);
+  daemons->seen_us = now_us;
+}
+
+/* Returns the share of one of DAEMONS whose share of the group's partitions is
+   GROUP_SHARE; 0: it has none.  The shares of the group's members alone make
+   up the whole, so a member in a fleet with others takes no more than its part
+   of all daemons.  */
+double
+shr_share_of (const struct shr_daemons *daemons, double group_share)
+{
+  double share = 1 / MAX_OF (daemons->most, 1);
+  return group_share > 0 ? MIN_OF (group_share, share) : share;
+}
+
 /* Sets RATE to PER_S requests a second of all daemons; 0: no limit.  PHASE,
    random from 0 to 1, chooses the slots of this daemon.  */
 void
--- a/src/core/shared_rate.h
+++ b/src/core/shared_rate.h
@@ -13,6 +13,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* How many daemons there are, as far as is known.  Too few are seen for a
+   while after daemons have restarted or the store was out, so the most that
+   were seen count, and fewer only bit by bit.  All zero: none was seen. */
+struct shr_daemons
+{
+  double most;
+  int64_t seen_us; /* monotonic, when MOST was that many */
+};
+
 /* All zero: no limit. */
 struct shr_rate
 {
@@ -23,6 +32,9 @@
   uint32_t sent; /* in that slot */
 };
 
+void shr_see_daemons (struct shr_daemons *daemons, uint32_t count,
+                      int64_t now_us);
+double shr_share_of (const struct shr_daemons *daemons, double group_share);
 void shr_set (struct shr_rate *rate, double per_s, double phase);
 void shr_set_share (struct shr_rate *rate, double share);
 int64_t shr_opens_us (const struct shr_rate *rate, int64_t now_us);
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "core/roster.h"
+#include "core/shared_rate.h"
 #include "entry/evidence_topic.h"
 #include "entry/group.h"
 #include "entry/placing.h"
@@ -65,10 +66,11 @@
   struct tpc_topic *topics[TOPICS]; /* these three */
   struct qrn_quarantine *quarantine;
   struct rly_relay *relay;
-  bool is_relay;                 /* the settings name this daemon as a relay */
-  bool runs_relay;               /* reads the store for other daemons too */
-  bool crowded;                  /* see rfs_is_crowded */
-  uint32_t relay_readers;        /* of the relay that was read last */
+  bool is_relay;          /* the settings name this daemon as a relay */
+  bool runs_relay;        /* reads the store for other daemons too */
+  bool crowded;           /* see rfs_is_crowded */
+  uint32_t relay_readers; /* of the relay that was read last */
+  struct shr_daemons daemons;
   GPtrArray *relays;             /* addresses of other daemons' relays */
   int64_t relayless_max_us;      /* see RELAYLESS_MIN_US */
   int64_t find_members_max_us;   /* how long a lookup that fails is repeated */
@@ -106,20 +108,25 @@
 }
 
 /* Returns this daemon's share of a rate of which all daemons together have
-   one. In a crowded fleet every daemon has the same; the readers of a relay
-   tell how many there are.  Otherwise all are members of the group, whose
-   SHARE counts, and a daemon that doesn't know its own yet takes the least. */
+   one.  The readers of the relays tell how many there are.  Without any, all
+   are members of the group, whose SHARE counts, and a daemon that doesn't know
+   its own yet takes the least.  */
 static double
-rate_share_of (const struct fct_control *control, double share)
+rate_share_of (struct fct_control *control, double share)
 {
   uint32_t relays = control->relays->len + control->is_relay;
   uint32_t readers
       = MAX (control->relay_readers, rly_readers (control->relay));
-  if (control->crowded && relays > 0 && readers > 0)
+  if (relays > 0 && readers > 0)
     {
-      return 1.0 / ((readers + 1) * relays);
+      shr_see_daemons (&control->daemons, (readers + 1) * relays,
+                       clk_monotonic_us ());
     }
-  return share > 0 ? share : 1.0 / control->settings->store_partitions;
+  if (control->daemons.most < 1 && share == 0)
+    {
+      return 1.0 / control->settings->store_partitions;
+    }
+  return shr_share_of (&control->daemons, control->crowded ? 0 : share);
 }
 
 /* Publishes a new view if its configuration, endpoints or share have
--- a/test/shared_rate_test.c
+++ b/test/shared_rate_test.c
@@ -109,12 +109,64 @@
     }
 }
 
+/* What a daemon sees of the others, and its share then. */
+static const struct
+{
+  const char *name;
+  uint32_t seen[3]; /* daemons, one second apart; 0: no more */
+  double group_share;
+  double least; /* bounds of its share */
+  double most;
+} share_rows[] = {
+  { "a small fleet shares by partitions", { 0 }, 0.25, 0.25, 0.25 },
+  { "a daemon outside the group has one part in all",
+    { 67 },
+    0,
+    0.0149,
+    0.015 },
+  { "a member among daemons outside the group has no more",
+    { 67 },
+    2.0 / 64,
+    0.0149,
+    0.015 },
+  { "a member with few partitions keeps to them", { 6 }, 0.05, 0.05, 0.05 },
+  { "fewer daemons are seen after a restart",
+    { 67, 32, 32 },
+    2.0 / 64,
+    0.0149,
+    0.0156 },
+};
+
+/* Guards against shares that sum to more than one after daemons have
+   restarted: members of the group took their part of its partitions beside
+   daemons that took theirs of all daemons, of whom too few were seen.  */
+static void
+test_share_of_daemons (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof share_rows / sizeof share_rows[0]; i++)
+    {
+      struct shr_daemons daemons = { 0 };
+      for (size_t n = 0; n < 3 && share_rows[i].seen[n] > 0; n++)
+        {
+          shr_see_daemons (&daemons, share_rows[i].seen[n],
+                           (int64_t)(n + 1) * 1000000);
+        }
+      double share = shr_share_of (&daemons, share_rows[i].group_share);
+      if (share < share_rows[i].least || share > share_rows[i].most)
+        {
+          fail_msg ("%s: share %g", share_rows[i].name, share);
+        }
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_all_daemons),
     cmocka_unit_test (test_opening),
+    cmocka_unit_test (test_share_of_daemons),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
