Keep the group's share of a rate while no other daemon was seen

Found on reading the commit before: a daemon that takes the fleet as crowded since it owns a single partition, but has seen no relay's readers, took a whole rate for its own. It keeps to its share of the partitions, as before that commit.

--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -122,9 +122,9 @@
       shr_see_daemons (&control->daemons, (readers + 1) * relays,
                        clk_monotonic_us ());
     }
-  if (control->daemons.most < 1 && share == 0)
+  if (control->daemons.most < 1)
     {
-      return 1.0 / control->settings->store_partitions;
+      return share > 0 ? share : 1.0 / control->settings->store_partitions;
     }
   return shr_share_of (&control->daemons, control->crowded ? 0 : share);
 }
