Tell repeats of a request apart in the log of early ends

broke_off_early was written only for requests whose prompts have parts, and said nothing by which a repeat is known. It is written for every request now, with a name that all requests with the same method, path, account and body have. No decision depends on it yet.

--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -73,6 +73,14 @@
   return g_strdup_printf ("%s%c%s", service, PSN_MARK, id);
 }
 
+/* Returns the name of the requests, for any service, whose digest is DIGEST.
+   The caller frees it.  */
+char *
+psn_request_name (const char *digest)
+{
+  return psn_part_name ("", digest);
+}
+
 /* Returns true if ENDS has ENGINE.  */
 static bool
 has_end (const GPtrArray *ends, const char *engine)
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -78,6 +78,7 @@
 struct psn_set *psn_create (const char *reporter, int64_t settle_us);
 void psn_destroy (struct psn_set *set);
 char *psn_part_name (const char *service, const char *id);
+char *psn_request_name (const char *digest);
 
 void psn_arrived (struct psn_set *set, const char *service,
                   char *const parts[], struct psn_time now);
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -45,6 +45,7 @@
   g_hash_table_remove (exchange->traffic->exchanges, exchange);
   flt_release (exchange->config);
   g_free (exchange->service);
+  g_free (exchange->name);
   g_strfreev (exchange->shared_parts);
   g_string_free (exchange->head, TRUE);
   g_byte_array_free (exchange->body, TRUE);
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -114,25 +114,29 @@
 }
 
 /* Records that EXCHANGE's answer broke off, as evidence against the parts of
-   its prompt, unless it was written safely or its endpoint was to end.  */
+   its prompt, unless it was written safely or its endpoint was to end.  The
+   log tells repeats of a request by its name.  */
 static void
 report_early_end (const struct exchange *exchange)
 {
   struct fst_endpoint *endpoint = exchange->endpoint;
-  if (exchange->shared_parts[0] == NULL || !endpoint->listed
-      || exg_is_written_safely (exchange))
+  if (!endpoint->listed || exg_is_written_safely (exchange))
     {
       return;
     }
-  endpoint->broke_off_us = clk_monotonic_us ();
-  qrn_report_end (exchange->traffic->quarantine, exchange->shared_parts,
-                  endpoint->id, endpoint->born_ms);
+  if (exchange->shared_parts[0] != NULL)
+    {
+      endpoint->broke_off_us = clk_monotonic_us ();
+      qrn_report_end (exchange->traffic->quarantine, exchange->shared_parts,
+                      endpoint->id, endpoint->born_ms);
+    }
   g_autofree char *parts = g_strjoinv (",", exchange->shared_parts);
   lg_line (LOG_INFO, "broke_off_early",
-           "request=%s endpoint=%s born_ms=%ld age_ms=%ld written=%d parts=%s",
+           "request=%s endpoint=%s born_ms=%ld age_ms=%ld written=%d name=%s "
+           "parts=%s",
            exchange->id, endpoint->id, (long)endpoint->born_ms,
            (long)((clk_monotonic_us () - exchange->sent_us) / CLK_MS_US),
-           exchange->first_written_us > 0, parts);
+           exchange->first_written_us > 0, exchange->name, parts);
 }
 
 /* Records that EXCHANGE's prompt didn't crash the endpoint that has written on
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -218,6 +218,23 @@
   return qrn_name_parts (service->name, ids);
 }
 
+/* Returns the name of REQUEST with METHOD, which its repeats by ACCOUNT on
+   ROUTE have too.  The caller frees it.  */
+static char *
+name_request (const struct msg_message *request, const char *method,
+              const struct flt_route *route, const struct flt_account *account)
+{
+  const struct qrn_request repeated = {
+    .method = method,
+    .host = route->host,
+    .target = request->url->str,
+    .account = account == NULL ? NULL : account->name,
+    .body = request->body->data,
+    .body_bytes = request->body->len,
+  };
+  return qrn_name_request (&repeated);
+}
+
 /* Creates the exchange of an accepted request.  */
 static struct exchange *
 create_exchange (struct trf_traffic *traffic, struct nsv_connection *caller,
@@ -334,6 +351,7 @@
     }
   struct exchange *exchange
       = create_exchange (traffic, caller, request, method, route, account);
+  exchange->name = name_request (request, method, route, account);
   exchange->shared_parts = g_steal_pointer (&parts);
   exchange->is_trial = verdict.trial;
   exchange->service = g_strdup (config->services[service].name);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -22,6 +22,7 @@
   GString *head;    /* start line and forwarded headers of the request */
   GByteArray *body; /* of the request */
   bool has_body;
+  char *name; /* of the request and its repeats, see entry/quarantine.h */
   char **shared_parts; /* names of the parts of the prompt that other requests
                           may have too, see entry/quarantine.h */
   double tokens;       /* memory that the request needs in an engine */
--- a/src/entry/quarantine.c
+++ b/src/entry/quarantine.c
@@ -4,6 +4,9 @@
 #include "base/log.h"
 #include "core/poison.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 /* Time for which a part must be the best explanation before it is quarantined,
    as a share of the bound. */
 #define SETTLE_SHARE 0.1
@@ -59,6 +62,33 @@
   return g_strv_builder_end (names);
 }
 
+/* Returns the name of REQUEST, which its repeats have too.  The caller frees
+   it.  */
+char *
+qrn_name_request (const struct qrn_request *request)
+{
+  const char *const texts[]
+      = { request->method, request->host, request->target,
+          request->account == NULL ? "" : request->account };
+  XXH3_state_t *state = XXH3_createState ();
+  XXH3_128bits_reset (state);
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      /* With the final null character, which separates the texts. */
+      XXH3_128bits_update (state, texts[i], strlen (texts[i]) + 1);
+    }
+  if (request->body_bytes > 0)
+    {
+      XXH3_128bits_update (state, request->body, request->body_bytes);
+    }
+  XXH128_hash_t hash = XXH3_128bits_digest (state);
+  XXH3_freeState (state);
+  g_autofree char *digest = g_strdup_printf ("%016" G_GINT64_MODIFIER
+                                             "x%016" G_GINT64_MODIFIER "x",
+                                             hash.high64, hash.low64);
+  return psn_request_name (digest);
+}
+
 /* Counts a request for SERVICE whose prompt has the named PARTS.  */
 void
 qrn_report_arrival (struct qrn_quarantine *quarantine, const char *service,
--- a/src/entry/quarantine.h
+++ b/src/entry/quarantine.h
@@ -13,6 +13,17 @@
 
 struct qrn_quarantine;
 
+/* What a request has in common with its repeats. */
+struct qrn_request
+{
+  const char *method;
+  const char *host;
+  const char *target;
+  const char *account; /* name of the client account; NULL: none */
+  const uint8_t *body;
+  size_t body_bytes;
+};
+
 /* What becomes of a request. */
 struct qrn_verdict
 {
@@ -27,6 +38,7 @@
 
 /* For the traffic thread. */
 char **qrn_name_parts (const char *service, char *const ids[]);
+char *qrn_name_request (const struct qrn_request *request);
 void qrn_report_arrival (struct qrn_quarantine *quarantine,
                          const char *service, char *const parts[]);
 void qrn_report_end (struct qrn_quarantine *quarantine, char *const parts[],
