Add tests and soak runs of a repeated request that crashes services

The soak plays both kinds at the same time; the stand-in takes any number of harms, by part or by body.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -17,9 +17,9 @@
 #define ANY_DAEMON_PERCENT 30
 #define EARLY_LEAVE_PERCENT 10
 
-/* While a part of prompts crashes engines, one request in so many has it if it
-   is a draft. */
-#define CRASH_PART_INTERVAL 4
+/* While requests crash endpoints, one in so many does so if it is a draft or a
+   look-up. */
+#define HARM_INTERVAL 4
 
 /* The longest time that a caller waits before it leaves early. */
 #define EARLY_LEAVE_MAX_MS 150
@@ -207,13 +207,12 @@
 static char *
 format_prompt (const struct srd_request *request)
 {
-  g_autofree char *crash_part
-      = request->crash_part == 0
-            ? g_strdup ("")
-            : g_strdup_printf ("bad%u:9,", request->crash_part);
+  g_autofree char *harm = request->harm == 0
+                              ? g_strdup ("")
+                              : g_strdup_printf ("bad%u:9,", request->harm);
   return g_strdup_printf (PFH_TOKENS ": 40,24\r\n" PFH_PROMPT_PARTS
                                      ": a1:20,b%u:30,%sf%s:9\r\n",
-                          request->key, crash_part, request->id);
+                          request->key, harm, request->id);
 }
 
 /* Returns REQUEST as HTTP; free it with g_free.  */
@@ -227,28 +226,31 @@
   };
   g_autofree char *prompt
       = request->kind == SRD_DRAFT ? format_prompt (request) : g_strdup ("");
+  g_autofree char *body = request->kind == SRD_LOOK && request->harm > 0
+                              ? g_strdup_printf ("bad%u", request->harm)
+                              : g_strdup ("body");
   return g_strdup_printf (
       "POST %s HTTP/1.1\r\nHost: fleet.example\r\nX-Api-Key: key-%u\r\n"
       "X-Own: 1\r\n" PFH_REQUEST_ID ": %s\r\n" PFH_TIME_LEFT_MS
-      ": %ld\r\n%sContent-Length: 4\r\n\r\nbody",
+      ": %ld\r\n%sContent-Length: %zu\r\n\r\n%s",
       paths[request->kind], request->key + 1, request->id,
-      (long)(DRAFT_DEADLINE_US / CLK_MS_US), prompt);
+      (long)(DRAFT_DEADLINE_US / CLK_MS_US), prompt, strlen (body), body);
 }
 
 /* Sends one random request.  A share of the requests has the key EXTRA_KEY,
-   unless that is 0, and one draft in CRASH_PART_INTERVAL the part CRASH_PART,
-   unless that is 0.  Adds the request to the record.  */
+   unless that is 0, and one draft or look-up in HARM_INTERVAL has the harm of
+   its kind in HARMS, unless that is 0.  Adds the request to the record.  */
 void
-scl_send (struct scl_callers *callers, uint32_t extra_key, uint32_t crash_part)
+scl_send (struct scl_callers *callers, uint32_t extra_key,
+          const uint32_t harms[SRD_KINDS])
 {
   char id[SRD_ID_BYTES];
   g_snprintf (id, sizeof id, "r%u", ++callers->next_id);
   struct sdm_daemon *daemon = choose_daemon (callers);
   struct srd_request *request = srd_add_request (callers->params.record, id);
   draw_request (callers, extra_key, request);
-  bool crashes = request->kind == SRD_DRAFT
-                 && callers->next_id % CRASH_PART_INTERVAL == 0;
-  request->crash_part = crashes ? crash_part : 0;
+  request->harm
+      = callers->next_id % HARM_INTERVAL == 0 ? harms[request->kind] : 0;
   request->daemon = daemon->index;
   request->start_number = daemon->start_number;
   request->daemon_started_us = daemon->started_us;
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -19,7 +19,7 @@
 struct scl_callers *scl_create (const struct scl_params *params);
 void scl_destroy (struct scl_callers *callers);
 void scl_send (struct scl_callers *callers, uint32_t extra_key,
-               uint32_t crash_part);
+               const uint32_t harms[SRD_KINDS]);
 void scl_expire (struct scl_callers *callers, int64_t now_us);
 guint scl_in_flight (const struct scl_callers *callers);
 
--- a/soak/injector.c
+++ b/soak/injector.c
@@ -424,7 +424,7 @@
 };
 
 static const struct disruption_kind harm
-    = { "crash_part", false, stb_crash_engines };
+    = { "harm", false, stb_crash_endpoints };
 
 /* Returns an injector whose first disruption begins after 1 s; free it with
    stb_destroy.  What PARAMS point to must outlive it.  */
@@ -623,9 +623,10 @@
   return injector->extra_key;
 }
 
-/* Returns the number of the part that crashes engines at present; 0: none.  */
+/* Returns the number of the harm that requests of KIND may have at present; 0:
+   none.  */
 uint32_t
-stb_crash_part (const struct stb_injector *injector)
+stb_harm (const struct stb_injector *injector, enum srd_kind kind)
 {
-  return injector->crash_part;
+  return injector->harmful ? injector->harms_begun * SRD_KINDS + kind : 0;
 }
--- a/soak/injector.h
+++ b/soak/injector.h
@@ -31,6 +31,6 @@
 void stb_rehearse (struct stb_injector *injector);
 bool stb_has_ended (const struct stb_injector *injector);
 uint32_t stb_newest_key (const struct stb_injector *injector);
-uint32_t stb_crash_part (const struct stb_injector *injector);
+uint32_t stb_harm (const struct stb_injector *injector, enum srd_kind kind);
 
 #endif
--- a/soak/injector_drills.c
+++ b/soak/injector_drills.c
@@ -425,7 +425,7 @@
 };
 
 const struct disruption_kind stb_rehearsed_kinds[STB_REHEARSED_KINDS] = {
-  { "crash_part", false, stb_crash_engines },
+  { "harm", false, stb_crash_endpoints },
   { "reuse_offset", false, step_reuse_offset },
   { "lose", false, step_lose },
 };
--- a/soak/injector_private.h
+++ b/soak/injector_private.h
@@ -43,8 +43,8 @@
   GPtrArray *active_harms; /* struct disruption */
   GRand *harms;
   int64_t next_harm_us;
-  uint32_t crash_part;  /* number of the part that crashes engines; 0: none */
-  uint32_t crash_parts; /* number of them so far */
+  bool harmful;         /* some requests crash endpoints at present */
+  uint32_t harms_begun; /* so far */
   int64_t start_us;
   int64_t next_us;       /* when the next disruption may begin */
   int64_t next_drill_us; /* the same for the drills */
@@ -82,8 +82,8 @@
                          const struct disruption *own, uint32_t index);
 void stb_publish (struct stb_injector *injector, bool with_key, uint32_t step);
 void stb_end_restores (struct stb_injector *injector, int64_t now_us);
-void stb_crash_engines (struct stb_injector *injector, struct disruption *harm,
-                        int64_t now_us);
+void stb_crash_endpoints (struct stb_injector *injector,
+                          struct disruption *harm, int64_t now_us);
 uint32_t stb_draw_drill (struct stb_injector *injector, uint32_t first,
                          uint32_t end);
 
--- a/soak/judge.c
+++ b/soak/judge.c
@@ -420,7 +420,7 @@
           check_drained_endpoints,  check_draft_retries,
           check_call_retries,       sjd_check_leaving_endpoints,
           sjd_check_turned_away,    sjd_check_fences,
-          sjd_check_crash_parts,    sjd_check_lower_fences,
+          sjd_check_harms,          sjd_check_lower_fences,
           sjd_check_refused_orders, sjd_check_removed_endpoints };
   struct judge judge = {
     .record = record,
--- a/soak/judge_endpoints.c
+++ b/soak/judge_endpoints.c
@@ -188,36 +188,34 @@
   return false;
 }
 
-/* Once a part of prompts has crashed several engines, no more than a few
-   requests with it reach engines, from daemons that are in touch with the
-   store.  */
+/* Once a harm has crashed several endpoints, no more than a few requests with
+   it reach endpoints, from daemons that are in touch with the store.  */
 void
-sjd_check_crash_parts (struct judge *judge)
+sjd_check_harms (struct judge *judge)
 {
-  const GArray *parts = judge->record->crash_parts;
+  const GArray *harms = judge->record->harms;
   const GArray *arrivals = judge->record->arrivals;
-  for (guint i = 0; i < parts->len; i++)
+  for (guint i = 0; i < harms->len; i++)
     {
-      const struct srd_crash_part *part
-          = &g_array_index (parts, struct srd_crash_part, i);
+      const struct srd_harm *harm = &g_array_index (harms, struct srd_harm, i);
       uint32_t late = 0;
-      for (guint n = 0; part->crashed_us != SRD_NEVER && n < arrivals->len;
+      for (guint n = 0; harm->crashed_us != SRD_NEVER && n < arrivals->len;
            n++)
         {
           const struct srd_arrival *arrival
               = &g_array_index (arrivals, struct srd_arrival, n);
-          late += arrival->request->crash_part == part->number
+          late += arrival->request->harm == harm->number
                   && arrival->at_us
-                         > part->crashed_us + judge->bounds->stable_us
+                         > harm->crashed_us + judge->bounds->stable_us
                   && !may_lack_evidence (judge, arrival->request,
-                                         part->crashed_us, arrival->at_us);
+                                         harm->crashed_us, arrival->at_us);
         }
       if (late > CRASH_REQUESTS_MAX)
         {
           sjd_add_violation (judge,
-                             "%u requests with the part %u reached engines, "
+                             "%u requests with the harm %u reached endpoints, "
                              "though it had crashed several",
-                             late, part->number);
+                             late, harm->number);
         }
     }
 }
--- a/soak/judge_private.h
+++ b/soak/judge_private.h
@@ -19,7 +19,7 @@
                         int64_t to_us);
 void sjd_check_leaving_endpoints (struct judge *judge);
 void sjd_check_turned_away (struct judge *judge);
-void sjd_check_crash_parts (struct judge *judge);
+void sjd_check_harms (struct judge *judge);
 void sjd_check_fences (struct judge *judge);
 void sjd_check_lower_fences (struct judge *judge);
 void sjd_check_refused_orders (struct judge *judge);
--- a/soak/record.c
+++ b/soak/record.c
@@ -19,8 +19,7 @@
   record->processes = g_array_new (FALSE, FALSE, sizeof (struct srd_process));
   record->removals = g_array_new (FALSE, FALSE, sizeof (struct srd_removal));
   record->outages = g_array_new (FALSE, FALSE, sizeof (struct srd_outage));
-  record->crash_parts
-      = g_array_new (FALSE, FALSE, sizeof (struct srd_crash_part));
+  record->harms = g_array_new (FALSE, FALSE, sizeof (struct srd_harm));
   record->recovered_us = SRD_NEVER;
   record->ended_us = SRD_NEVER;
   return record;
@@ -43,7 +42,7 @@
   g_array_free (record->processes, TRUE);
   g_array_free (record->removals, TRUE);
   g_array_free (record->outages, TRUE);
-  g_array_free (record->crash_parts, TRUE);
+  g_array_free (record->harms, TRUE);
   g_free (record);
 }
 
--- a/soak/record.h
+++ b/soak/record.h
@@ -28,11 +28,11 @@
 {
   char id[SRD_ID_BYTES];
   enum srd_kind kind;
-  uint32_t key; /* index of the API key; 0: the account's permanent key */
-  uint32_t crash_part;   /* number of the part of its prompt that crashes
-                            engines;   0: none */
-  uint32_t daemon;       /* index of the daemon that the request was sent to */
-  uint32_t start_number; /* of the daemon's process, from 1 */
+  uint32_t key;    /* index of the API key; 0: the account's permanent key */
+  uint32_t harm;   /* number of what crashes the endpoints that run it; 0: none
+                    */
+  uint32_t daemon; /* index of the daemon that the request was sent to */
+  uint32_t start_number;     /* of the daemon's process, from 1 */
   int64_t daemon_started_us; /* start of that process */
   uint32_t status;           /* HTTP status of the answer; 0: no answer */
   bool complete;             /* the answer is complete by its framing */
@@ -155,12 +155,13 @@
   int64_t end_us;
 };
 
-/* A part of prompts that crashes engines. */
-struct srd_crash_part
+/* What crashes the endpoints that run requests with it: a part of prompts, or
+   a repeated request. */
+struct srd_harm
 {
   uint32_t number;
   int64_t begin_us;   /* requests with it were sent from then on */
-  int64_t crashed_us; /* when it had crashed as many engines as daemons must
+  int64_t crashed_us; /* when it had crashed as many endpoints as daemons must
                          learn from */
 };
 
@@ -179,7 +180,7 @@
   GArray *processes;     /* struct srd_process */
   GArray *removals;      /* struct srd_removal */
   GArray *outages;       /* struct srd_outage */
-  GArray *crash_parts;   /* struct srd_crash_part */
+  GArray *harms;         /* struct srd_harm */
   int64_t recovered_us;  /* requests sent from then on must all be served */
   int64_t ended_us;      /* nothing was observed from then on */
 };
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -208,8 +208,13 @@
       double pause_s
           = -log (1 - g_rand_double (soak->random)) / soak->options.rate;
       soak->next_request_us += (int64_t)(pause_s * CLK_S_US) + 1;
-      scl_send (soak->callers, choose_key (soak),
-                soak->injector == NULL ? 0 : stb_crash_part (soak->injector));
+      uint32_t harms[SRD_KINDS] = { 0 };
+      if (soak->injector != NULL)
+        {
+          harms[SRD_DRAFT] = stb_harm (soak->injector, SRD_DRAFT);
+          harms[SRD_LOOK] = stb_harm (soak->injector, SRD_LOOK);
+        }
+      scl_send (soak->callers, choose_key (soak), harms);
     }
 }
 
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -139,6 +139,14 @@
   sfl_endpoint_open (endpoint);
 }
 
+static void
+destroy_harm (gpointer data)
+{
+  struct sfl_harm *harm = data;
+  g_free (harm->text);
+  g_free (harm);
+}
+
 /* Creates a fleet and publishes its configuration as version 1.  Endpoints are
    numbered from 0, engines first.  */
 struct sfl_fleet *
@@ -150,6 +158,7 @@
   fleet->call_ms = SFL_CALL_MS;
   fleet->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet->endpoints = g_ptr_array_new ();
+  fleet->harms = g_ptr_array_new_with_free_func (destroy_harm);
   sfl_store_open (fleet);
   sfl_publish (fleet, 1, NULL);
   for (uint32_t i = 0; i < params->engines + params->services; i++)
@@ -186,7 +195,7 @@
     }
   g_ptr_array_free (fleet->endpoints, TRUE);
   g_hash_table_destroy (fleet->runs);
-  g_free (fleet->crash_part);
+  g_ptr_array_free (fleet->harms, TRUE);
   g_free (fleet->violation);
   g_free (fleet);
 }
@@ -388,31 +397,65 @@
   fleet->fault_requests[engines] = requests;
 }
 
-/* Makes each engine crash as it begins to write the answer to a request whose
-   prompt has PART before its last part.  NULL: none does.  The counts start
-   anew.  */
+/* Returns the harm TEXT, or NULL.  */
+static struct sfl_harm *
+find_harm (const struct sfl_fleet *fleet, const char *text)
+{
+  for (guint i = 0; i < fleet->harms->len; i++)
+    {
+      struct sfl_harm *harm = g_ptr_array_index (fleet->harms, i);
+      if (strcmp (harm->text, text) == 0)
+        {
+          return harm;
+        }
+    }
+  return NULL;
+}
+
+/* Makes each endpoint crash as it begins to answer a request with the part or
+   body TEXT, until sfl_end_harm.  An ended harm goes on.  */
+void
+sfl_add_harm (struct sfl_fleet *fleet, enum sfl_harm_kind kind,
+              const char *text)
+{
+  struct sfl_harm *harm = find_harm (fleet, text);
+  if (harm != NULL)
+    {
+      harm->ended = false;
+      return;
+    }
+  harm = g_new0 (struct sfl_harm, 1);
+  harm->kind = kind;
+  harm->text = g_strdup (text);
+  g_ptr_array_add (fleet->harms, harm);
+}
+
+/* Ends the harm TEXT; what it has done stays known.  */
 void
-sfl_set_crash_part (struct sfl_fleet *fleet, const char *part)
+sfl_end_harm (struct sfl_fleet *fleet, const char *text)
 {
-  g_free (fleet->crash_part);
-  fleet->crash_part = g_strdup (part);
-  fleet->crashes = 0;
-  fleet->crash_runs = 0;
+  struct sfl_harm *harm = find_harm (fleet, text);
+  if (harm != NULL)
+    {
+      harm->ended = true;
+    }
 }
 
-/* Returns how many engines the part of sfl_set_crash_part has crashed.  */
+/* Returns how many endpoints the harm TEXT has crashed.  */
 uint32_t
-sfl_crash_count (const struct sfl_fleet *fleet)
+sfl_crash_count (const struct sfl_fleet *fleet, const char *text)
 {
-  return fleet->crashes;
+  const struct sfl_harm *harm = find_harm (fleet, text);
+  return harm == NULL ? 0 : harm->crashes;
 }
 
-/* Returns how many times engines began to run requests with the part of
-   sfl_set_crash_part.  */
+/* Returns how many times endpoints began to run requests with the harm TEXT.
+ */
 uint32_t
-sfl_crash_run_count (const struct sfl_fleet *fleet)
+sfl_crash_run_count (const struct sfl_fleet *fleet, const char *text)
 {
-  return fleet->crash_runs;
+  const struct sfl_harm *harm = find_harm (fleet, text);
+  return harm == NULL ? 0 : harm->runs;
 }
 
 /* Returns how many times the request REQUEST_ID was run.  */
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -40,6 +40,14 @@
                        names the killed engines that its work waits for */
 };
 
+/* Which requests crash each endpoint that begins to answer them. */
+enum sfl_harm_kind
+{
+  SFL_HARM_PART, /* at engines: those whose prompts have a part before the last
+                    one */
+  SFL_HARM_BODY  /* at any endpoint: those with a body */
+};
+
 /* How the store handles calls. */
 enum sfl_store_state
 {
@@ -118,9 +126,11 @@
 void sfl_set_silent (struct sfl_fleet *fleet, uint32_t endpoint, bool silent);
 void sfl_set_stream_events (struct sfl_fleet *fleet, uint32_t events);
 void sfl_set_call_ms (struct sfl_fleet *fleet, uint32_t call_ms);
-void sfl_set_crash_part (struct sfl_fleet *fleet, const char *part);
-uint32_t sfl_crash_count (const struct sfl_fleet *fleet);
-uint32_t sfl_crash_run_count (const struct sfl_fleet *fleet);
+void sfl_add_harm (struct sfl_fleet *fleet, enum sfl_harm_kind kind,
+                   const char *text);
+void sfl_end_harm (struct sfl_fleet *fleet, const char *text);
+uint32_t sfl_crash_count (const struct sfl_fleet *fleet, const char *text);
+uint32_t sfl_crash_run_count (const struct sfl_fleet *fleet, const char *text);
 uint32_t sfl_run_count (const struct sfl_fleet *fleet, const char *request_id);
 uint32_t sfl_arrival_count (const struct sfl_fleet *fleet, uint32_t endpoint);
 uint32_t sfl_cancelled_count (const struct sfl_fleet *fleet);
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -188,26 +188,62 @@
   return false;
 }
 
-/* Returns true if the prompt of REQUEST has the part that crashes engines.  */
+/* Returns true if the prompt of REQUEST has PART before its last part.  */
 static bool
-has_crash_part (const struct sfl_fleet *fleet,
-                const struct msg_message *request)
+has_part (const struct msg_message *request, const char *part)
 {
   g_auto (GStrv) parts
       = pfp_decode_shared_parts (msg_find (request, PFH_PROMPT_PARTS));
-  return fleet->crash_part != NULL
-         && g_strv_contains ((const char *const *)parts, fleet->crash_part);
+  return g_strv_contains ((const char *const *)parts, part);
+}
+
+static bool
+has_body (const struct msg_message *request, const char *body)
+{
+  return request->body->len == strlen (body)
+         && memcmp (request->body->data, body, request->body->len) == 0;
+}
+
+/* Returns what crashes ENDPOINT as it answers REQUEST, or NULL.  */
+static struct sfl_harm *
+find_harm (const struct sfl_endpoint *endpoint,
+           const struct msg_message *request)
+{
+  for (guint i = 0; i < endpoint->fleet->harms->len; i++)
+    {
+      struct sfl_harm *harm = g_ptr_array_index (endpoint->fleet->harms, i);
+      bool applies
+          = harm->kind == SFL_HARM_PART
+                ? endpoint->is_engine && has_part (request, harm->text)
+                : has_body (request, harm->text);
+      if (applies && !harm->ended)
+        {
+          return harm;
+        }
+    }
+  return NULL;
+}
+
+/* Crashes the endpoint of ANSWER, which ends it too.  Returns false if its
+   request is harmless.  */
+static bool
+crash (struct sfl_answer *answer)
+{
+  if (answer->harm == NULL)
+    {
+      return false;
+    }
+  answer->harm->crashes++;
+  sfl_kill (answer->endpoint->fleet, answer->endpoint->index);
+  return true;
 }
 
 static void
 on_event_due (uv_timer_t *timer)
 {
   struct sfl_answer *answer = timer->data;
-  if (answer->crashes)
+  if (crash (answer))
     {
-      struct sfl_endpoint *endpoint = answer->endpoint;
-      endpoint->fleet->crashes++;
-      sfl_kill (endpoint->fleet, endpoint->index);
       return;
     }
   if (!send_event (answer))
@@ -223,6 +259,10 @@
   struct sfl_answer *answer = timer->data;
   char headers[512];
   char body[96];
+  if (crash (answer))
+    {
+      return;
+    }
   write_headers (answer, headers, sizeof headers);
   notify_answered (answer->endpoint, answer->id, NULL);
   int length = g_snprintf (body, sizeof body, "done %s", answer->id);
@@ -352,8 +392,11 @@
   answer->timer.data = answer;
   nsv_set_request_context (connection, answer);
   count_run (endpoint, id);
-  answer->crashes = endpoint->is_engine && has_crash_part (fleet, request);
-  fleet->crash_runs += answer->crashes;
+  answer->harm = find_harm (endpoint, request);
+  if (answer->harm != NULL)
+    {
+      answer->harm->runs++;
+    }
   if (fault == SFL_NEVER_ANSWERS)
     {
       return;
--- a/standin/fleet_private.h
+++ b/standin/fleet_private.h
@@ -87,7 +87,18 @@
   bool is_stream;
   enum sfl_fault fault;
   bool headers_sent;
-  bool crashes; /* its endpoint when the first event is due */
+  struct sfl_harm *harm; /* crashes the endpoint when the answer is due; NULL:
+                            none */
+};
+
+/* What crashes endpoints, see sfl_add_harm. */
+struct sfl_harm
+{
+  enum sfl_harm_kind kind;
+  char *text; /* the part, or the body */
+  bool ended;
+  uint32_t crashes; /* of endpoints that began to answer */
+  uint32_t runs;    /* that endpoints began */
 };
 
 struct sfl_fleet
@@ -114,10 +125,8 @@
   enum sfl_fault faults[2];   /* [0] of services, [1] of engines */
   uint32_t fault_requests[2]; /* that the faults still apply to */
   uint32_t cancelled;         /* answers that the daemon cancelled */
-  char *crash_part;    /* part of prompts that crashes engines; NULL: none */
-  uint32_t crashes;    /* of engines that began to write on that part */
-  uint32_t crash_runs; /* requests with that part that engines began to run */
-  char *violation;     /* first violation of the protocol; NULL: none */
+  GPtrArray *harms;           /* struct sfl_harm */
+  char *violation;            /* first violation of the protocol; NULL: none */
 };
 
 void sfl_group_open (struct sfl_fleet *fleet);
--- a/test/entry_poison_test.c
+++ b/test/entry_poison_test.c
@@ -1,5 +1,5 @@
-/* Tests of the entry daemon: a part of prompts that crashes each engine which
-   begins to write an answer on it. */
+/* Tests of the entry daemon: requests that crash each endpoint which begins to
+   answer them, by a part of their prompts or as a whole. */
 #include "test/entry_fixture.h"
 
 #include "base/clock.h"
@@ -14,14 +14,32 @@
 /* Interval of the requests in a test. */
 #define REQUEST_US (60 * CLK_MS_US)
 
-/* Crashes after which the daemons must know the part, and the time that they
-   have for it. */
-#define CRASHES_KNOWN 5
+/* Time that the daemons have until they must know what crashes endpoints. */
 #define QUARANTINE_US (1000 * CLK_MS_US)
 
-/* Requests with the part that may reach engines later. */
+/* Such requests that may reach endpoints later. */
 #define LATE_RUNS_MAX 3
 
+/* Crashes without which a load shows nothing. */
+#define CRASHES_MIN 3
+
+/* Loads that a test sends at a time. */
+#define LOADS_MAX 3
+
+/* A load of requests that crash endpoints, and of sound ones that have as much
+   in common with them as they can. */
+struct load
+{
+  enum sfl_harm_kind harm;
+  const char *text; /* the part, or the body of a look-up */
+};
+
+/* Crashes after which the daemons must know the cause. */
+static const uint32_t crashes_known[] = {
+  [SFL_HARM_PART] = 5,
+  [SFL_HARM_BODY] = 3,
+};
+
 /* Sends a stream to DAEMON whose prompt has the shared parts PARTS, or none if
    PARTS is empty, and a last part of its own.  */
 static void
@@ -40,13 +58,44 @@
                   strlen (request));
 }
 
-/* Restarts the engines that have been dead for RESTART_US.  DEAD_SINCE_US has
-   an item for each engine, 0 while it is alive.  */
+/* Sends a look-up with BODY to DAEMON.  */
+static void
+start_lookup (struct efx_fixture *fixture, struct efx_call *call,
+              const struct sep_process *daemon, const char *body)
+{
+  g_autofree char *id = g_strdup_printf ("look-%u", fixture->next_id++);
+  g_autofree char *request = efx_build_request ("POST", EFX_FLEET_HOST,
+                                                "/look/a", "key-1", id, body);
+  efx_start_call (fixture, call, sep_caller_address (daemon), request,
+                  strlen (request));
+}
+
+/* Sends a request of LOAD to DAEMON, one that crashes endpoints if BAD.  */
+static void
+start_request (struct efx_fixture *fixture, struct efx_call *call,
+               const struct sep_process *daemon, const struct load *load,
+               bool bad)
+{
+  if (load->harm == SFL_HARM_PART)
+    {
+      g_autofree char *parts
+          = g_strdup_printf ("a1:20,b2:30%s%s%s", bad ? "," : "",
+                             bad ? load->text : "", bad ? ":9" : "");
+      start_stream (fixture, call, daemon, parts);
+      return;
+    }
+  g_autofree char *body = bad ? g_strdup (load->text)
+                              : g_strdup_printf ("job %u", fixture->next_id);
+  start_lookup (fixture, call, daemon, body);
+}
+
+/* Restarts the endpoints that have been dead for RESTART_US.  DEAD_SINCE_US
+   has an item for each endpoint, 0 while it is alive.  */
 static void
-restart_engines (struct efx_fixture *fixture, int64_t dead_since_us[])
+restart_endpoints (struct efx_fixture *fixture, int64_t dead_since_us[])
 {
   int64_t now_us = clk_monotonic_us ();
-  for (uint32_t i = 0; i < EFX_ENGINES; i++)
+  for (uint32_t i = 0; i < EFX_ENGINES + EFX_SERVICES; i++)
     {
       if (sfl_is_alive (fixture->fleet, i))
         {
@@ -68,70 +117,96 @@
 struct outcome
 {
   uint32_t crashes;
-  uint32_t late_runs;  /* with the part, from QUARANTINE_US after the crash
-                          CRASHES_KNOWN on */
-  uint32_t sound_sent; /* without the part, in the second half */
+  uint32_t late_runs;  /* that crash endpoints, from QUARANTINE_US after the
+                          crash from which the daemons must know the cause */
+  uint32_t sound_sent; /* sound requests in the second half */
   uint32_t sound_served;
-  uint32_t unanswered;    /* requests with the part that ended without a whole
-                             answer */
+  uint32_t unanswered;    /* requests that crash endpoints and ended without a
+                             whole answer */
   uint32_t without_delay; /* 503 that don't say when to come back */
+  int64_t known_us;     /* when the daemons must know the cause; 0: not yet */
+  uint32_t runs_before; /* runs until then */
 };
 
-/* Sends COUNT pairs of a request with the part CRASH_PART and one that has its
-   other parts, to each of DAEMONS in turn.  */
+/* Updates OUTCOME to what LOAD has done to endpoints until now.  */
 static void
-send_load (struct efx_fixture *fixture, struct sep_process *const daemons[],
-           uint32_t daemon_count, const char *crash_part, uint32_t count,
-           struct outcome *outcome)
+observe_crashes (struct efx_fixture *fixture, const struct load *load,
+                 struct outcome *outcome)
 {
-  g_autofree char *bad_parts
-      = g_strdup_printf ("a1:20,b2:30,%s:9", crash_part);
-  g_autofree struct efx_call *bad = g_new0 (struct efx_call, count);
-  g_autofree struct efx_call *sound = g_new0 (struct efx_call, count);
-  int64_t dead_since_us[EFX_ENGINES] = { 0 };
-  int64_t known_us = 0;
-  uint32_t runs_before = 0;
-  *outcome = (struct outcome){ 0 };
-  for (uint32_t i = 0; i < count; i++)
+  int64_t now_us = clk_monotonic_us ();
+  uint32_t runs = sfl_crash_run_count (fixture->fleet, load->text);
+  outcome->crashes = sfl_crash_count (fixture->fleet, load->text);
+  if (outcome->known_us == 0 && outcome->crashes >= crashes_known[load->harm])
     {
-      const struct sep_process *daemon = daemons[i % daemon_count];
-      start_stream (fixture, &bad[i], daemon, bad_parts);
-      efx_run_for (fixture, REQUEST_US / 2);
-      start_stream (fixture, &sound[i], daemon, "a1:20,b2:30");
-      efx_run_for (fixture, REQUEST_US / 2);
-      restart_engines (fixture, dead_since_us);
-      if (known_us == 0 && sfl_crash_count (fixture->fleet) >= CRASHES_KNOWN)
-        {
-          known_us = clk_monotonic_us () + QUARANTINE_US;
-        }
-      if (known_us == 0 || clk_monotonic_us () < known_us)
+      outcome->known_us = now_us + QUARANTINE_US;
+    }
+  if (outcome->known_us == 0 || now_us < outcome->known_us)
+    {
+      outcome->runs_before = runs;
+    }
+  outcome->late_runs = runs - outcome->runs_before;
+}
+
+/* Waits for the answers to BAD and SOUND, requests of a load, and adds them to
+   OUTCOME.  COUNTS: the sound one is in the second half.  */
+static void
+await_pair (struct efx_fixture *fixture, struct efx_call *bad,
+            struct efx_call *sound, bool counts, struct outcome *outcome)
+{
+  efx_await_call (fixture, bad);
+  efx_await_call (fixture, sound);
+  outcome->unanswered += !bad->complete;
+  outcome->without_delay += bad->status == 503 && !bad->has_retry_after;
+  outcome->sound_sent += counts;
+  outcome->sound_served += counts && sound->status == 200 && sound->complete;
+  efx_clear_call (bad);
+  efx_clear_call (sound);
+}
+
+/* Sends COUNT pairs of a request that crashes endpoints and a sound one for
+   each of the LOAD_COUNT LOADS, to each of DAEMONS in turn.  */
+static void
+send_loads (struct efx_fixture *fixture, struct sep_process *const daemons[],
+            uint32_t daemon_count, const struct load loads[],
+            uint32_t load_count, uint32_t count, struct outcome outcomes[])
+{
+  uint32_t calls = count * load_count;
+  g_autofree struct efx_call *bad = g_new0 (struct efx_call, calls);
+  g_autofree struct efx_call *sound = g_new0 (struct efx_call, calls);
+  int64_t dead_since_us[EFX_ENGINES + EFX_SERVICES] = { 0 };
+  memset (outcomes, 0, sizeof *outcomes * load_count);
+  for (uint32_t i = 0; i < calls; i++)
+    {
+      const struct load *load = &loads[i % load_count];
+      const struct sep_process *daemon
+          = daemons[i / load_count % daemon_count];
+      int64_t pause_us = REQUEST_US / 2 / load_count;
+      start_request (fixture, &bad[i], daemon, load, true);
+      efx_run_for (fixture, pause_us);
+      start_request (fixture, &sound[i], daemon, load, false);
+      efx_run_for (fixture, pause_us);
+      restart_endpoints (fixture, dead_since_us);
+      for (uint32_t n = 0; n < load_count; n++)
         {
-          runs_before = sfl_crash_run_count (fixture->fleet);
+          observe_crashes (fixture, &loads[n], &outcomes[n]);
         }
     }
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < calls; i++)
+    {
+      await_pair (fixture, &bad[i], &sound[i], i >= calls / 2,
+                  &outcomes[i % load_count]);
+    }
+  for (uint32_t n = 0; n < load_count; n++)
     {
-      efx_await_call (fixture, &bad[i]);
-      efx_await_call (fixture, &sound[i]);
-      bool counts = i >= count / 2;
-      outcome->unanswered += !bad[i].complete;
-      outcome->without_delay
-          += bad[i].status == 503 && !bad[i].has_retry_after;
-      outcome->sound_sent += counts;
-      outcome->sound_served
-          += counts && sound[i].status == 200 && sound[i].complete;
-      efx_clear_call (&bad[i]);
-      efx_clear_call (&sound[i]);
+      observe_crashes (fixture, &loads[n], &outcomes[n]);
     }
-  outcome->crashes = sfl_crash_count (fixture->fleet);
-  outcome->late_runs = sfl_crash_run_count (fixture->fleet) - runs_before;
 }
 
-/* Waits until every engine is back and the layers are placed.  */
+/* Waits until every endpoint is back and the layers are placed.  */
 static void
-await_engines (struct efx_fixture *fixture)
+await_endpoints (struct efx_fixture *fixture)
 {
-  for (uint32_t i = 0; i < EFX_ENGINES; i++)
+  for (uint32_t i = 0; i < EFX_ENGINES + EFX_SERVICES; i++)
     {
       if (!sfl_is_alive (fixture->fleet, i))
         {
@@ -142,39 +217,50 @@
   efx_await_ready (fixture);
 }
 
-/* Fails unless few requests with the part reached engines once it was to be
-   known, and requests with its other parts were served.  */
+/* Fails unless few requests that crash endpoints reached some once the cause
+   was to be known, and sound ones were served.  */
 static void
-check_outcome (const char *name, const struct outcome *outcome)
+check_outcome (const char *name, const struct load *load,
+               const struct outcome *outcome)
 {
-  print_message ("%s: %u crashes, %u late runs, %u of %u served\n", name,
-                 outcome->crashes, outcome->late_runs, outcome->sound_served,
-                 outcome->sound_sent);
-  if (outcome->late_runs > LATE_RUNS_MAX
+  print_message ("%s, %s: %u crashes, %u late runs, %u of %u served\n", name,
+                 load->text, outcome->crashes, outcome->late_runs,
+                 outcome->sound_served, outcome->sound_sent);
+  if (outcome->crashes < CRASHES_MIN || outcome->late_runs > LATE_RUNS_MAX
       || outcome->sound_served * 10 < outcome->sound_sent * 9
       || outcome->unanswered > 0 || outcome->without_delay > 0)
     {
-      fail_msg ("%s: %u late runs, %u of %u served, %u unanswered, %u refused "
-                "without a delay",
-                name, outcome->late_runs, outcome->sound_served,
-                outcome->sound_sent, outcome->unanswered,
-                outcome->without_delay);
+      fail_msg ("%s, %s: %u crashes, %u late runs, %u of %u served, %u "
+                "unanswered, %u refused without a delay",
+                name, load->text, outcome->crashes, outcome->late_runs,
+                outcome->sound_served, outcome->sound_sent,
+                outcome->unanswered, outcome->without_delay);
     }
 }
 
-/* Sends a load of COUNT pairs to DAEMONS while CRASH_PART crashes engines, and
-   checks what it shows.  */
+/* Sends COUNT pairs of each of the LOADS to DAEMONS, and checks what they
+   show.  */
 static void
-check_load (struct efx_fixture *fixture, struct sep_process *const daemons[],
-            uint32_t daemon_count, const char *crash_part, uint32_t count,
-            const char *name)
+check_loads (struct efx_fixture *fixture, struct sep_process *const daemons[],
+             uint32_t daemon_count, const struct load loads[],
+             uint32_t load_count, uint32_t count, const char *name)
 {
-  struct outcome outcome;
-  sfl_set_crash_part (fixture->fleet, crash_part);
-  send_load (fixture, daemons, daemon_count, crash_part, count, &outcome);
-  sfl_set_crash_part (fixture->fleet, NULL);
-  await_engines (fixture);
-  check_outcome (name, &outcome);
+  struct outcome outcomes[LOADS_MAX];
+  for (uint32_t i = 0; i < load_count; i++)
+    {
+      sfl_add_harm (fixture->fleet, loads[i].harm, loads[i].text);
+    }
+  send_loads (fixture, daemons, daemon_count, loads, load_count, count,
+              outcomes);
+  for (uint32_t i = 0; i < load_count; i++)
+    {
+      sfl_end_harm (fixture->fleet, loads[i].text);
+    }
+  await_endpoints (fixture);
+  for (uint32_t i = 0; i < load_count; i++)
+    {
+      check_outcome (name, &loads[i], &outcomes[i]);
+    }
 }
 
 /* Guards against requests that crash one engine after the other: once several
@@ -186,36 +272,76 @@
 {
   struct efx_fixture *fixture = *state;
   struct sep_process *const daemons[] = { fixture->daemon };
-  check_load (fixture, daemons, 1, "bad0", 80, "one daemon");
+  static const struct load load = { SFL_HARM_PART, "bad0" };
+  check_loads (fixture, daemons, 1, &load, 1, 80, "one daemon");
+}
+
+/* Guards against a request that comes again and again, at any daemon, and
+   crashes each service that runs it: no more of its repeats reach services
+   once it has crashed several, while others of its route and account are
+   served.  */
+static void
+test_repeated_request_crashes_services (void **state)
+{
+  struct efx_fixture *fixture = *state;
+  struct sep_process *second = efx_create_second (fixture, NULL, 0, false);
+  efx_start_second (fixture, second);
+  efx_run_for (fixture, 2 * CLK_S_US);
+  struct sep_process *const daemons[] = { fixture->daemon, second };
+  static const struct load load = { SFL_HARM_BODY, "look for job 17" };
+  check_loads (fixture, daemons, 2, &load, 1, 80, "two daemons");
+  sep_remove_files (second);
+  sep_destroy (second);
+}
+
+/* Guards against causes that hide one another: parts of prompts and whole
+   requests that crash endpoints at the same time are each found.  */
+static void
+test_several_causes (void **state)
+{
+  struct efx_fixture *fixture = *state;
+  struct sep_process *second = efx_create_second (fixture, NULL, 0, false);
+  efx_start_second (fixture, second);
+  efx_run_for (fixture, 2 * CLK_S_US);
+  struct sep_process *const daemons[] = { fixture->daemon, second };
+  static const struct load loads[] = {
+    { SFL_HARM_PART, "bad7" },
+    { SFL_HARM_BODY, "look for job 18" },
+    { SFL_HARM_BODY, "look for job 19" },
+  };
+  check_loads (fixture, daemons, 2, loads, G_N_ELEMENTS (loads), 120,
+               "several causes");
+  sep_remove_files (second);
+  sep_destroy (second);
 }
 
-/* Sends COUNT requests with CRASH_PART to DAEMON.  Returns how many of them
-   reached engines; fails if one isn't refused with a time to come back.  */
+/* Sends COUNT requests of LOAD that crash endpoints to DAEMON.  Returns how
+   many of them reached endpoints; fails if one isn't refused with a time to
+   come back.  */
 static uint32_t
 send_refused (struct efx_fixture *fixture, const struct sep_process *daemon,
-              const char *crash_part, uint32_t count)
+              const struct load *load, uint32_t count)
 {
-  g_autofree char *parts = g_strdup_printf ("a1:20,%s:9", crash_part);
-  sfl_set_crash_part (fixture->fleet, crash_part);
+  uint32_t before = sfl_crash_run_count (fixture->fleet, load->text);
+  sfl_add_harm (fixture->fleet, load->harm, load->text);
   for (uint32_t i = 0; i < count; i++)
     {
       struct efx_call call;
-      start_stream (fixture, &call, daemon, parts);
+      start_request (fixture, &call, daemon, load, true);
       efx_await_call (fixture, &call);
       assert_int_equal (call.status, 503);
       assert_true (call.has_retry_after);
       assert_true (call.retry_after_s > 1);
       efx_clear_call (&call);
     }
-  uint32_t runs = sfl_crash_run_count (fixture->fleet);
-  sfl_set_crash_part (fixture->fleet, NULL);
-  return runs;
+  sfl_end_harm (fixture->fleet, load->text);
+  return sfl_crash_run_count (fixture->fleet, load->text) - before;
 }
 
 /* Guards against evidence that stays with the daemon that saw it: of several
-   daemons, each of which sees only some of the ends, all keep the part from
-   engines, and so does one that has seen none, one that starts later, and one
-   that starts after a restore of the store has lost the evidence.  */
+   daemons, each of which sees only some of the ends, all keep the requests
+   from endpoints, and so does one that has seen none, one that starts later,
+   and one that starts after a restore of the store has lost the evidence.  */
 static void
 test_evidence_is_shared (void **state)
 {
@@ -226,15 +352,24 @@
   static const struct
   {
     const char *name;
-    const char *crash_part;
+    struct load load;
     uint32_t
         store_partitions; /* few: the second daemon reads from the first */
     bool knows_relay;
     bool restores_store;
   } cases[] = {
-    { "both read the store", "bad1", 0, false, false },
-    { "the second one reads from the first", "bad2", 1, true, false },
-    { "the store is restored", "bad3", 0, false, true },
+    { "both read the store", { SFL_HARM_PART, "bad1" }, 0, false, false },
+    { "the second one reads from the first",
+      { SFL_HARM_PART, "bad2" },
+      1,
+      true,
+      false },
+    { "the store is restored", { SFL_HARM_PART, "bad3" }, 0, false, true },
+    { "the store is restored",
+      { SFL_HARM_BODY, "look for job 20" },
+      0,
+      false,
+      true },
   };
   struct efx_fixture *fixture = *state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -244,7 +379,7 @@
       efx_start_second (fixture, second);
       efx_run_for (fixture, 2 * CLK_S_US);
       struct sep_process *const daemons[] = { fixture->daemon, second };
-      check_load (fixture, daemons, 2, cases[i].crash_part, 80, cases[i].name);
+      check_loads (fixture, daemons, 2, &cases[i].load, 1, 80, cases[i].name);
       if (cases[i].restores_store)
         {
           sfl_restore_store (fixture->fleet, 20 * CLK_S_US, CLK_MS_US);
@@ -258,8 +393,7 @@
         }
       efx_start_second (fixture, second);
       efx_run_for (fixture, QUARANTINE_US);
-      uint32_t runs
-          = send_refused (fixture, second, cases[i].crash_part, REFUSED);
+      uint32_t runs = send_refused (fixture, second, &cases[i].load, REFUSED);
       sep_remove_files (second);
       sep_destroy (second);
       if (runs > 0)
@@ -269,31 +403,30 @@
     }
 }
 
-/* Sends requests with CRASH_PART to the first daemon, one after the other,
-   until it has seen the ends of CRASHES engines.  */
+/* Sends requests of LOAD that crash endpoints to the first daemon, one after
+   the other, until it has seen the ends of CRASHES of them.  */
 static void
-crash_engines (struct efx_fixture *fixture, const char *crash_part,
-               uint32_t crashes)
+crash_endpoints (struct efx_fixture *fixture, const struct load *load,
+                 uint32_t crashes)
 {
-  g_autofree char *parts = g_strdup_printf ("a1:20,%s:9", crash_part);
-  int64_t dead_since_us[EFX_ENGINES] = { 0 };
+  int64_t dead_since_us[EFX_ENGINES + EFX_SERVICES] = { 0 };
   int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
-  sfl_set_crash_part (fixture->fleet, crash_part);
-  while (sfl_crash_count (fixture->fleet) < crashes
+  sfl_add_harm (fixture->fleet, load->harm, load->text);
+  while (sfl_crash_count (fixture->fleet, load->text) < crashes
          && clk_monotonic_us () < end_us)
     {
       struct efx_call call;
-      start_stream (fixture, &call, fixture->daemon, parts);
+      start_request (fixture, &call, fixture->daemon, load, true);
       efx_await_call (fixture, &call);
       efx_clear_call (&call);
-      restart_engines (fixture, dead_since_us);
+      restart_endpoints (fixture, dead_since_us);
     }
-  assert_true (sfl_crash_count (fixture->fleet) >= crashes);
-  sfl_set_crash_part (fixture->fleet, NULL);
+  assert_true (sfl_crash_count (fixture->fleet, load->text) >= crashes);
+  sfl_end_harm (fixture->fleet, load->text);
 }
 
 /* Guards against evidence that is lost because the store can't be written when
-   the last engine ends: it is published once the store answers again.  */
+   the last endpoint ends: it is published once the store answers again.  */
 static void
 test_evidence_during_outage (void **state)
 {
@@ -304,26 +437,26 @@
   static const struct
   {
     const char *name;
-    const char *crash_part;
+    struct load load;
     enum sfl_store_state state;
   } cases[] = {
-    { "refuses", "bad4", SFL_STORE_REFUSES },
-    { "is silent", "bad5", SFL_STORE_NEVER_ANSWERS },
-    { "loses answers", "bad6", SFL_STORE_LOSES_ANSWERS },
+    { "refuses", { SFL_HARM_PART, "bad4" }, SFL_STORE_REFUSES },
+    { "is silent", { SFL_HARM_PART, "bad5" }, SFL_STORE_NEVER_ANSWERS },
+    { "loses answers", { SFL_HARM_PART, "bad6" }, SFL_STORE_LOSES_ANSWERS },
+    { "refuses", { SFL_HARM_BODY, "look for job 21" }, SFL_STORE_REFUSES },
   };
   struct efx_fixture *fixture = *state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       struct sep_process *second = efx_create_second (fixture, NULL, 0, false);
       efx_start_second (fixture, second);
-      crash_engines (fixture, cases[i].crash_part, 3);
+      crash_endpoints (fixture, &cases[i].load, 3);
       sfl_set_store (fixture->fleet, cases[i].state);
       efx_run_for (fixture, 2 * QUARANTINE_US);
       sfl_set_store (fixture->fleet, SFL_STORE_NO_FAULT);
       efx_run_for (fixture, QUARANTINE_US);
-      uint32_t runs
-          = send_refused (fixture, second, cases[i].crash_part, REFUSED);
-      await_engines (fixture);
+      uint32_t runs = send_refused (fixture, second, &cases[i].load, REFUSED);
+      await_endpoints (fixture);
       sep_remove_files (second);
       sep_destroy (second);
       if (runs > 0)
@@ -339,6 +472,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_part_crashes_engines),
+    cmocka_unit_test (test_repeated_request_crashes_services),
+    cmocka_unit_test (test_several_causes),
     cmocka_unit_test (test_evidence_is_shared),
     cmocka_unit_test (test_evidence_during_outage),
   };
--- a/test/soak_judge_test.c
+++ b/test/soak_judge_test.c
@@ -807,7 +807,7 @@
                   : step->id[0] == 'l' ? SRD_LOOK
                                        : SRD_DRAFT;
   request->key = step->value;
-  request->crash_part = step->id[0] == 'p';
+  request->harm = step->id[0] == 'p';
   request->sent_us = now_us;
   request->deadline_us = now_us + 5 * S_US;
 }
@@ -839,7 +839,7 @@
     .at_us = now_us,
     .written_us = SRD_NEVER,
   };
-  const struct srd_crash_part part
+  const struct srd_harm harm
       = { .number = 1, .begin_us = now_us, .crashed_us = now_us };
   const struct srd_removal removal = { .endpoint = ENDPOINT,
                                        .instance = run->instance,
@@ -862,7 +862,7 @@
       g_array_append_val (record->removals, removal);
       break;
     case EVENT_CRASHED:
-      g_array_append_val (record->crash_parts, part);
+      g_array_append_val (record->harms, harm);
       break;
     case EVENT_RESTORE:
       g_array_append_val (record->restores, restore);
