--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -23,14 +23,15 @@
   struct psn_suspect *suspect = data;
   g_hash_table_destroy (suspect->reports);
   g_hash_table_destroy (suspect->cleared);
-  g_free (suspect->part);
+  g_free (suspect->trait);
   g_free (suspect);
 }
 
 /* Creates a set without evidence for the daemon that reports under the name
-   REPORTER, which differs for each start.  A part must be the best explanation
-   for SETTLE_US before it is quarantined, so that another daemon's evidence
-   for it arrives first.  The caller frees the set with psn_destroy.  */
+   REPORTER, which differs for each start.  A trait must be the best
+   explanation for SETTLE_US before it is quarantined, so that another daemon's
+   evidence for it arrives first.  The caller frees the set with psn_destroy.
+ */
 struct psn_set *
 psn_create (const char *reporter, int64_t settle_us)
 {
@@ -49,7 +50,7 @@
 void
 psn_transition_free (struct psn_transition *transition)
 {
-  g_free (transition->part);
+  g_free (transition->trait);
   g_free (transition);
 }
 
@@ -65,7 +66,7 @@
   g_free (set);
 }
 
-/* Returns the name of the part ID in prompts for SERVICE.  The caller frees
+/* Returns the name of the part ID of prompts for SERVICE.  The caller frees
    it.  */
 char *
 psn_part_name (const char *service, const char *id)
@@ -81,11 +82,11 @@
   return psn_part_name ("", digest);
 }
 
-/* Returns true if ENDS has ENGINE.  */
+/* Returns true if ENDS has ENDPOINT.  */
 static bool
-has_end (const GPtrArray *ends, const char *engine)
+has_end (const GPtrArray *ends, const char *endpoint)
 {
-  return g_ptr_array_find_with_equal_func ((GPtrArray *)ends, engine,
+  return g_ptr_array_find_with_equal_func ((GPtrArray *)ends, endpoint,
                                            g_str_equal, NULL);
 }
 
@@ -101,12 +102,12 @@
 psn_mark_changed (struct psn_set *set, const struct psn_suspect *suspect,
                   const char *reporter)
 {
-  g_hash_table_add (set->changed, g_strdup_printf ("%s%c%s", suspect->part,
+  g_hash_table_add (set->changed, g_strdup_printf ("%s%c%s", suspect->trait,
                                                    PSN_MARK, reporter));
 }
 
 /* Returns the number of ends that are evidence against SUSPECT; with CLEARED
-   also those from before an engine wrote on it.  Adds them to INTO unless it
+   also those from before an endpoint wrote on it.  Adds them to INTO unless it
    is NULL, and leaves out those in EXCEPT unless that is NULL.  */
 static uint32_t
 collect_ends (const struct psn_suspect *suspect, bool cleared,
@@ -149,7 +150,7 @@
   set->outdated = true;
   if (g_hash_table_size (suspect->reports) == 0 && !suspect->quarantined)
     {
-      g_hash_table_remove (set->suspects, suspect->part);
+      g_hash_table_remove (set->suspects, suspect->trait);
     }
 }
 
@@ -180,14 +181,14 @@
     {
       psn_mark_changed (set, weakest, set->reporter);
     }
-  g_hash_table_remove (set->suspects, weakest->part);
+  g_hash_table_remove (set->suspects, weakest->trait);
 }
 
-/* Returns the suspect PART of SET, created if it is new.  */
+/* Returns the suspect TRAIT of SET, created if it is new.  */
 struct psn_suspect *
-psn_suspect_of (struct psn_set *set, const char *part)
+psn_suspect_of (struct psn_set *set, const char *trait)
 {
-  struct psn_suspect *suspect = g_hash_table_lookup (set->suspects, part);
+  struct psn_suspect *suspect = g_hash_table_lookup (set->suspects, trait);
   if (suspect != NULL)
     {
       return suspect;
@@ -197,12 +198,12 @@
       remove_weakest (set);
     }
   suspect = g_new0 (struct psn_suspect, 1);
-  suspect->part = g_strdup (part);
+  suspect->trait = g_strdup (trait);
   suspect->reports = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                             destroy_report);
   suspect->cleared
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  g_hash_table_insert (set->suspects, suspect->part, suspect);
+  g_hash_table_insert (set->suspects, suspect->trait, suspect);
   return suspect;
 }
 
@@ -261,11 +262,11 @@
     }
 }
 
-/* Returns what SET has seen of PART, created if it is new.  */
+/* Returns what SET has seen of TRAIT, created if it is new.  */
 static struct psn_seen *
-seen_of (struct psn_set *set, const char *part, int64_t now_us)
+seen_of (struct psn_set *set, const char *trait, int64_t now_us)
 {
-  struct psn_seen *seen = g_hash_table_lookup (set->seen, part);
+  struct psn_seen *seen = g_hash_table_lookup (set->seen, trait);
   if (seen == NULL)
     {
       if (g_hash_table_size (set->seen) >= PSN_SEEN_MAX)
@@ -274,47 +275,47 @@
         }
       seen = g_new0 (struct psn_seen, 1);
       seen->arrived_us = now_us;
-      g_hash_table_insert (set->seen, g_strdup (part), seen);
+      g_hash_table_insert (set->seen, g_strdup (trait), seen);
     }
   return seen;
 }
 
 static void
-count_arrival (struct psn_set *set, const char *part, int64_t now_us)
+count_arrival (struct psn_set *set, const char *trait, int64_t now_us)
 {
-  struct psn_seen *seen = seen_of (set, part, now_us);
+  struct psn_seen *seen = seen_of (set, trait, now_us);
   seen->arrivals = arrivals_at (seen, now_us) + 1;
   seen->arrived_us = now_us;
 }
 
-/* Counts a request for SERVICE whose prompt has the named PARTS.  */
+/* Counts a request for SERVICE with the named TRAITS.  */
 void
-psn_arrived (struct psn_set *set, const char *service, char *const parts[],
+psn_arrived (struct psn_set *set, const char *service, char *const traits[],
              struct psn_time now)
 {
   g_autofree char *all = psn_part_name (service, "");
   count_arrival (set, all, now.monotonic_us);
-  for (size_t i = 0; parts[i] != NULL; i++)
+  for (size_t i = 0; traits[i] != NULL; i++)
     {
-      count_arrival (set, parts[i], now.monotonic_us);
+      count_arrival (set, traits[i], now.monotonic_us);
     }
 }
 
-/* Returns the number of requests with PART that have arrived lately.  */
+/* Returns the number of requests with TRAIT that have arrived lately.  */
 static double
-arrivals_of (const struct psn_set *set, const char *part, int64_t now_us)
+arrivals_of (const struct psn_set *set, const char *trait, int64_t now_us)
 {
-  const struct psn_seen *seen = g_hash_table_lookup (set->seen, part);
+  const struct psn_seen *seen = g_hash_table_lookup (set->seen, trait);
   return seen == NULL ? 0 : arrivals_at (seen, now_us);
 }
 
 /* Returns true if more than PSN_PREVALENT_SHARE of the requests of its service
-   have had PART lately: without it there would hardly be a service.  */
+   have had TRAIT lately: without it there would hardly be a service.  */
 static bool
-is_prevalent (const struct psn_set *set, const char *part, int64_t now_us)
+is_prevalent (const struct psn_set *set, const char *trait, int64_t now_us)
 {
   g_autofree char *all
-      = g_strndup (part, (gsize)(strrchr (part, PSN_MARK) - part) + 1);
+      = g_strndup (trait, (gsize)(strrchr (trait, PSN_MARK) - trait) + 1);
   const struct psn_seen *service = g_hash_table_lookup (set->seen, all);
   if (service == NULL)
     {
@@ -322,34 +323,34 @@
     }
   double arrivals = arrivals_at (service, now_us);
   return arrivals >= PSN_PREVALENT_MIN
-         && arrivals_of (set, part, now_us) > PSN_PREVALENT_SHARE * arrivals;
+         && arrivals_of (set, trait, now_us) > PSN_PREVALENT_SHARE * arrivals;
 }
 
-/* Returns true if this daemon itself has seen an engine write on PART
+/* Returns true if this daemon itself has seen an endpoint write on TRAIT
    lately.  */
 static bool
-is_proven (const struct psn_set *set, const char *part, int64_t now_us)
+is_proven (const struct psn_set *set, const char *trait, int64_t now_us)
 {
-  const struct psn_seen *seen = g_hash_table_lookup (set->seen, part);
+  const struct psn_seen *seen = g_hash_table_lookup (set->seen, trait);
   return seen != NULL && seen->sound_us > 0
          && now_us - seen->sound_us < PSN_SOUND_US;
 }
 
-/* Records that ENGINE, an incarnation, ended under a request with the named
-   PARTS before it had written much of the answer.  */
+/* Records that ENDPOINT, an incarnation, ended under a request with the named
+   TRAITS before it had written much of the answer.  */
 void
-psn_report_end (struct psn_set *set, char *const parts[], const char *engine,
-                struct psn_time now)
+psn_report_end (struct psn_set *set, char *const traits[],
+                const char *endpoint, struct psn_time now)
 {
-  for (uint32_t i = 0; parts[i] != NULL; i++)
+  for (uint32_t i = 0; traits[i] != NULL; i++)
     {
-      if (is_proven (set, parts[i], now.monotonic_us))
+      if (is_proven (set, traits[i], now.monotonic_us))
         {
           continue;
         }
-      struct psn_suspect *suspect = psn_suspect_of (set, parts[i]);
+      struct psn_suspect *suspect = psn_suspect_of (set, traits[i]);
       struct psn_report *report = psn_report_of (suspect, set->reporter);
-      if (has_end (report->ends, engine))
+      if (has_end (report->ends, endpoint))
         {
           continue;
         }
@@ -357,7 +358,7 @@
         {
           g_ptr_array_remove_index (report->ends, 0);
         }
-      g_ptr_array_add (report->ends, g_strdup (engine));
+      g_ptr_array_add (report->ends, g_strdup (endpoint));
       report->position = i;
       report->updated_ms = now.unix_ms;
       psn_mark_changed (set, suspect, set->reporter);
@@ -365,10 +366,11 @@
     }
 }
 
-/* Withdraws this daemon's evidence of the end of ENGINE, which has answered
+/* Withdraws this daemon's evidence of the end of ENDPOINT, which has answered
    since.  */
 void
-psn_report_alive (struct psn_set *set, const char *engine, struct psn_time now)
+psn_report_alive (struct psn_set *set, const char *endpoint,
+                  struct psn_time now)
 {
   g_autoptr (GPtrArray) emptied = g_ptr_array_new ();
   GHashTableIter iter;
@@ -381,7 +383,7 @@
           = g_hash_table_lookup (suspect->reports, set->reporter);
       guint index = 0;
       if (report == NULL
-          || !g_ptr_array_find_with_equal_func (report->ends, engine,
+          || !g_ptr_array_find_with_equal_func (report->ends, endpoint,
                                                 g_str_equal, &index))
         {
           continue;
@@ -401,8 +403,8 @@
     }
 }
 
-/* Makes the present evidence against SUSPECT void, since an engine has written
-   on it, and withdraws this daemon's own.  */
+/* Makes the present evidence against SUSPECT void, since an endpoint has
+   written on it, and withdraws this daemon's own.  */
 void
 psn_clear_evidence (struct psn_set *set, struct psn_suspect *suspect,
                     struct psn_time now)
@@ -428,17 +430,17 @@
   set->outdated |= changed;
 }
 
-/* Records that an engine has written on a prompt with the named PARTS without
-   ending.  */
+/* Records that an endpoint has answered a request with the named TRAITS
+   without ending.  */
 void
-psn_report_sound (struct psn_set *set, char *const parts[],
+psn_report_sound (struct psn_set *set, char *const traits[],
                   struct psn_time now)
 {
-  for (size_t i = 0; parts[i] != NULL; i++)
+  for (size_t i = 0; traits[i] != NULL; i++)
     {
-      seen_of (set, parts[i], now.monotonic_us)->sound_us = now.monotonic_us;
+      seen_of (set, traits[i], now.monotonic_us)->sound_us = now.monotonic_us;
       struct psn_suspect *suspect
-          = g_hash_table_lookup (set->suspects, parts[i]);
+          = g_hash_table_lookup (set->suspects, traits[i]);
       if (suspect != NULL)
         {
           psn_clear_evidence (set, suspect, now);
@@ -481,23 +483,24 @@
   return position;
 }
 
-/* Returns true if fewer requests have the part SUSPECT than OTHER.  Of parts
+/* Returns true if fewer requests have the trait SUSPECT than OTHER.  Of traits
    that this daemon has seen as often, those at the start of prompts are shared
    most.  The order of names makes all daemons decide alike.  */
 static bool
 is_more_special (const struct psn_set *set, const struct psn_suspect *suspect,
                  const struct psn_suspect *other, int64_t now_us)
 {
-  double arrivals = arrivals_of (set, suspect->part, now_us);
-  double other_arrivals = arrivals_of (set, other->part, now_us);
+  double arrivals = arrivals_of (set, suspect->trait, now_us);
+  double other_arrivals = arrivals_of (set, other->trait, now_us);
   if (arrivals != other_arrivals)
     {
       return arrivals < other_arrivals;
     }
   uint32_t position = position_of (suspect);
   uint32_t other_position = position_of (other);
-  return position != other_position ? position > other_position
-                                    : strcmp (suspect->part, other->part) < 0;
+  return position != other_position
+             ? position > other_position
+             : strcmp (suspect->trait, other->trait) < 0;
 }
 
 /* Returns the most special one of the CANDIDATES that explain about as many of
@@ -539,12 +542,12 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct psn_suspect *suspect = value;
-      if (is_proven (set, suspect->part, now.monotonic_us))
+      if (is_proven (set, suspect->trait, now.monotonic_us))
         {
           share_proof (set, suspect, now);
         }
       else if (suspect->sound_until_us <= now.monotonic_us
-               && !is_prevalent (set, suspect->part, now.monotonic_us))
+               && !is_prevalent (set, suspect->trait, now.monotonic_us))
         {
           g_ptr_array_add (candidates, suspect);
         }
@@ -568,13 +571,13 @@
   suspect->trial_us = now_us + PSN_TRIAL_US;
   set->quarantined += quarantined ? 1 : -1U;
   struct psn_transition *transition = g_new0 (struct psn_transition, 1);
-  transition->part = g_strdup (suspect->part);
+  transition->trait = g_strdup (suspect->trait);
   transition->quarantined = quarantined;
   transition->ends = collect_ends (suspect, false, NULL, NULL);
   g_queue_push_tail (&set->transitions, transition);
 }
 
-/* Decides which parts are quarantined, if the evidence has changed or some
+/* Decides which traits are quarantined, if the evidence has changed or some
    time has passed.  */
 static void
 decide (struct psn_set *set, struct psn_time now)
@@ -625,31 +628,31 @@
   set->outdated = false;
 }
 
-/* Returns the first of the named PARTS that is quarantined, or NULL.  It is
+/* Returns the first of the named TRAITS that is quarantined, or NULL.  It is
    valid until the next call for SET.  */
 const char *
-psn_find (struct psn_set *set, char *const parts[], struct psn_time now)
+psn_find (struct psn_set *set, char *const traits[], struct psn_time now)
 {
   decide (set, now);
-  for (size_t i = 0; set->quarantined > 0 && parts[i] != NULL; i++)
+  for (size_t i = 0; set->quarantined > 0 && traits[i] != NULL; i++)
     {
       const struct psn_suspect *suspect
-          = g_hash_table_lookup (set->suspects, parts[i]);
+          = g_hash_table_lookup (set->suspects, traits[i]);
       if (suspect != NULL && suspect->quarantined)
         {
-          return suspect->part;
+          return suspect->trait;
         }
     }
   return NULL;
 }
 
-/* Returns true if a request with the quarantined PART is let through now; the
+/* Returns true if a request with the quarantined TRAIT is let through now; the
    next one follows PSN_TRIAL_US later at the earliest.  Only one daemon of the
    fleet may call this.  */
 bool
-psn_take_trial (struct psn_set *set, const char *part, struct psn_time now)
+psn_take_trial (struct psn_set *set, const char *trait, struct psn_time now)
 {
-  struct psn_suspect *suspect = g_hash_table_lookup (set->suspects, part);
+  struct psn_suspect *suspect = g_hash_table_lookup (set->suspects, trait);
   if (suspect == NULL || now.monotonic_us < suspect->trial_us)
     {
       return false;
@@ -658,18 +661,18 @@
   return true;
 }
 
-/* Returns the time until the next request with the quarantined PART may be let
-   through.  */
+/* Returns the time until the next request with the quarantined TRAIT may be
+   let through.  */
 int64_t
-psn_trial_wait_us (const struct psn_set *set, const char *part,
+psn_trial_wait_us (const struct psn_set *set, const char *trait,
                    struct psn_time now)
 {
   const struct psn_suspect *suspect
-      = g_hash_table_lookup (set->suspects, part);
+      = g_hash_table_lookup (set->suspects, trait);
   return suspect == NULL ? 0 : MAX (suspect->trial_us - now.monotonic_us, 0);
 }
 
-/* Returns the next part that was quarantined or released since the last call,
+/* Returns the next trait that was quarantined or released since the last call,
    or NULL.  The caller frees it with psn_transition_free.  */
 struct psn_transition *
 psn_next_transition (struct psn_set *set, struct psn_time now)
@@ -678,7 +681,7 @@
   return g_queue_pop_head (&set->transitions);
 }
 
-/* Returns the number of parts that are quarantined.  */
+/* Returns the number of traits that are quarantined.  */
 uint32_t
 psn_quarantined_count (const struct psn_set *set)
 {
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -1,21 +1,23 @@
-/* Finds the part of prompts that crashes engines, and keeps requests with it
-   away from them.
-
-   The load: requests whose prompts share a part, otherwise all different,
-   arrive at every daemon, and each engine that begins to write on one of them
-   crashes.  Streams of sound requests break off with it and go on elsewhere,
-   so the next engine to crash has more of them.  Every daemon sees only a few
-   of these ends.
-
-   Each end of an engine is evidence against the parts of all prompts on which
-   it had just begun to write, or was about to.  Daemons share their evidence.
-   A part is quarantined when several engines have ended under it and no other
-   part explains these ends as well; a part on which any daemon has seen an
-   engine write lately is sound.  Where several parts explain about as many
-   ends, the one that the fewest requests have is taken: the parts that most
-   prompts share are in all of them.  Evidence is dropped when the engine turns
-   out to be alive.  From time to time one request with a quarantined part is
-   let through, to find out whether it still crashes engines. */
+/* Finds what requests have in common that crash endpoints, and keeps such
+   requests away from them.
+
+   The load: requests arrive at every daemon, and each endpoint that begins to
+   answer one of them crashes.  Either their prompts share a part and they are
+   otherwise all different, or they are repeats of one request.  What runs
+   beside them breaks off too and goes on elsewhere, so the next endpoint to
+   crash has more of it.  Every daemon sees only a few of these ends.
+
+   A trait is what requests may have in common: a part of their prompts, or all
+   that repeats of one request share.  Each end of an endpoint is evidence
+   against the traits of all requests that it had just begun to answer, or was
+   about to.  Daemons share their evidence.  A trait is quarantined when
+   several endpoints have ended under it and no other trait explains these ends
+   as well; a trait on which any daemon has seen an endpoint write lately is
+   sound. Where several parts explain about as many ends, the one that the
+   fewest requests have is taken: the parts that most prompts share are in all
+   of them.  Evidence is dropped when the endpoint turns out to be alive.  From
+   time to time one request with a quarantined trait is let through, to find
+   out whether it still crashes endpoints. */
 #ifndef CORE_POISON_H
 #define CORE_POISON_H
 
@@ -23,29 +25,29 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Engines that must have ended under a part before it is quarantined. */
+/* Engines that must have ended under a trait before it is quarantined. */
 #define PSN_ENDS_MIN 3
 
-/* Share of the ends that the best part explains from which another one
+/* Share of the ends that the best trait explains from which another one
    explains about as many. */
 #define PSN_ENDS_SHARE 0.8
 
-/* How long a part counts as sound after an engine has written on it. */
+/* How long a trait counts as sound after an endpoint has written on it. */
 #define PSN_SOUND_US INT64_C (300000000)
 
-/* Interval at which a request with a quarantined part is let through. */
+/* Interval at which a request with a quarantined trait is let through. */
 #define PSN_TRIAL_US INT64_C (300000000)
 
 /* How long evidence is kept without any more of it. */
 #define PSN_KEPT_MS INT64_C (3600000)
 
-/* Limits on the parts that are under suspicion, on the ends that a daemon
-   reports of each, and on the parts that are known otherwise. */
+/* Limits on the traits that are under suspicion, on the ends that a daemon
+   reports of each, and on the traits that are known otherwise. */
 #define PSN_SUSPECTS_MAX 256
 #define PSN_ENDS_MAX 16
 #define PSN_SEEN_MAX 4096
 
-/* A part that more than this share of the requests of its service have isn't
+/* A trait that more than this share of the requests of its service have isn't
    quarantined; the share is known after so many requests. */
 #define PSN_PREVALENT_SHARE 0.9
 #define PSN_PREVALENT_MIN 20
@@ -57,10 +59,10 @@
   int64_t unix_ms;
 };
 
-/* A part was quarantined or released. */
+/* A trait was quarantined or released. */
 struct psn_transition
 {
-  char *part;
+  char *trait;
   bool quarantined;
   uint32_t ends;
 };
@@ -81,19 +83,19 @@
 char *psn_request_name (const char *digest);
 
 void psn_arrived (struct psn_set *set, const char *service,
-                  char *const parts[], struct psn_time now);
-void psn_report_end (struct psn_set *set, char *const parts[],
-                     const char *engine, struct psn_time now);
-void psn_report_alive (struct psn_set *set, const char *engine,
+                  char *const traits[], struct psn_time now);
+void psn_report_end (struct psn_set *set, char *const traits[],
+                     const char *endpoint, struct psn_time now);
+void psn_report_alive (struct psn_set *set, const char *endpoint,
                        struct psn_time now);
-void psn_report_sound (struct psn_set *set, char *const parts[],
+void psn_report_sound (struct psn_set *set, char *const traits[],
                        struct psn_time now);
 
-const char *psn_find (struct psn_set *set, char *const parts[],
+const char *psn_find (struct psn_set *set, char *const traits[],
                       struct psn_time now);
-bool psn_take_trial (struct psn_set *set, const char *part,
+bool psn_take_trial (struct psn_set *set, const char *trait,
                      struct psn_time now);
-int64_t psn_trial_wait_us (const struct psn_set *set, const char *part,
+int64_t psn_trial_wait_us (const struct psn_set *set, const char *trait,
                            struct psn_time now);
 struct psn_transition *psn_next_transition (struct psn_set *set,
                                             struct psn_time now);
--- a/src/core/poison_private.h
+++ b/src/core/poison_private.h
@@ -4,25 +4,25 @@
 
 #include "core/poison.h"
 
-/* Separates the service, the part and the reporter in names and keys. */
+/* Separates the service, the trait and the reporter in names and keys. */
 #define PSN_MARK '/'
 
-/* What one daemon reports of one part. */
+/* What one daemon reports of one trait. */
 struct psn_report
 {
-  GPtrArray *ends; /* char *, engines that ended */
+  GPtrArray *ends; /* char *, endpoints that ended */
   uint32_t position;
   int64_t sound_ms;   /* Unix time; 0: not lately */
   int64_t updated_ms; /* Unix time */
   bool named;         /* by the snapshot in progress */
 };
 
-/* A part that is or was under suspicion. */
+/* A trait that is or was under suspicion. */
 struct psn_suspect
 {
-  char *part;             /* name */
+  char *trait;            /* name */
   GHashTable *reports;    /* reporter to struct psn_report */
-  GHashTable *cleared;    /* set of ends from before an engine wrote on it */
+  GHashTable *cleared;    /* set of ends from before an endpoint wrote on it */
   int64_t sound_ms;       /* newest proof of any daemon, Unix time; 0: none */
   int64_t sound_until_us; /* according to any daemon; monotonic */
   int64_t selected_us; /* since when it is the best explanation, monotonic; 0:
@@ -31,10 +31,10 @@
   bool quarantined;
 };
 
-/* What this daemon has seen of one part, or of all parts of a service. */
+/* What this daemon has seen of one trait, or of all traits of a service. */
 struct psn_seen
 {
-  int64_t sound_us;   /* when an engine last wrote on it, monotonic; 0: not
+  int64_t sound_us;   /* when an endpoint last wrote on it, monotonic; 0: not
                          yet */
   double arrivals;    /* of requests, halved at intervals */
   int64_t arrived_us; /* the newest one, monotonic */
@@ -44,8 +44,8 @@
 {
   char *reporter;
   int64_t settle_us;
-  GHashTable *suspects; /* part to struct psn_suspect */
-  GHashTable *seen;     /* part to struct psn_seen */
+  GHashTable *suspects; /* trait to struct psn_suspect */
+  GHashTable *seen;     /* trait to struct psn_seen */
   GHashTable *changed;  /* set of keys of records to publish */
   GQueue transitions;   /* struct psn_transition */
   bool outdated;        /* the evidence has changed since the last decision */
@@ -53,7 +53,7 @@
   uint32_t quarantined;
 };
 
-struct psn_suspect *psn_suspect_of (struct psn_set *set, const char *part);
+struct psn_suspect *psn_suspect_of (struct psn_set *set, const char *trait);
 struct psn_report *psn_report_of (struct psn_suspect *suspect,
                                   const char *reporter);
 void psn_mark_changed (struct psn_set *set, const struct psn_suspect *suspect,
--- a/src/core/poison_record.c
+++ b/src/core/poison_record.c
@@ -1,4 +1,4 @@
-/* How daemons share their evidence: each publishes one record for each part,
+/* How daemons share their evidence: each publishes one record for each trait,
    under a key of its own. */
 #include "core/poison_private.h"
 
@@ -38,10 +38,10 @@
   quarantine_report__pack (&message, record->value);
 }
 
-/* Splits KEY into the name of a part and a reporter, both allocated.  Returns
+/* Splits KEY into the name of a trait and a reporter, both allocated.  Returns
    false when it has no such form.  */
 static bool
-split_key (const char *key, char **part, char **reporter)
+split_key (const char *key, char **trait, char **reporter)
 {
   const char *mark = strrchr (key, PSN_MARK);
   if (mark == NULL || mark[1] == '\0'
@@ -49,7 +49,7 @@
     {
       return false;
     }
-  *part = g_strndup (key, (gsize)(mark - key));
+  *trait = g_strndup (key, (gsize)(mark - key));
   *reporter = g_strdup (mark + 1);
   return true;
 }
@@ -58,14 +58,14 @@
 static struct psn_report *
 find_report (const struct psn_set *set, const char *key)
 {
-  g_autofree char *part = NULL;
+  g_autofree char *trait = NULL;
   g_autofree char *reporter = NULL;
-  if (!split_key (key, &part, &reporter))
+  if (!split_key (key, &trait, &reporter))
     {
       return NULL;
     }
   const struct psn_suspect *suspect
-      = g_hash_table_lookup (set->suspects, part);
+      = g_hash_table_lookup (set->suspects, trait);
   return suspect == NULL ? NULL
                          : g_hash_table_lookup (suspect->reports, reporter);
 }
@@ -174,15 +174,15 @@
 psn_merge (struct psn_set *set, const char *key, const uint8_t *value,
            size_t value_bytes, struct psn_time now, GError **error)
 {
-  g_autofree char *part = NULL;
+  g_autofree char *trait = NULL;
   g_autofree char *reporter = NULL;
-  if (!split_key (key, &part, &reporter))
+  if (!split_key (key, &trait, &reporter))
     {
       g_set_error (error, ERR_DOMAIN, ERR_PROTOCOL,
-                   "the key of a quarantine record has no part or reporter");
+                   "the key of a quarantine record has no trait or reporter");
       return false;
     }
-  struct psn_suspect *suspect = g_hash_table_lookup (set->suspects, part);
+  struct psn_suspect *suspect = g_hash_table_lookup (set->suspects, trait);
   if (g_str_equal (reporter, set->reporter))
     {
       const struct psn_report *own = find_report (set, key);
@@ -216,7 +216,7 @@
                    "can't decode a quarantine record");
       return false;
     }
-  suspect = psn_suspect_of (set, part);
+  suspect = psn_suspect_of (set, trait);
   struct psn_report *report = psn_report_of (suspect, reporter);
   report->named = true;
   apply (set, suspect, report, message, now);
@@ -265,18 +265,18 @@
               int64_t now_ms)
 {
   guint count = 0;
-  g_autofree gpointer *parts
+  g_autofree gpointer *traits
       = g_hash_table_get_keys_as_array (set->suspects, &count);
   for (guint i = 0; i < count; i++)
     {
       struct psn_suspect *suspect
-          = g_hash_table_lookup (set->suspects, parts[i]);
+          = g_hash_table_lookup (set->suspects, traits[i]);
       drop_reports_of (set, suspect, own, publish, check, now_ms);
     }
 }
 
-/* Returns true if REPORT is too old to mean anything, or from before an engine
-   wrote on the part.  */
+/* Returns true if REPORT is too old to mean anything, or from before an
+   endpoint wrote on the trait.  */
 static bool
 is_expired (const struct psn_suspect *suspect, const struct psn_report *report,
             int64_t now_ms)
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -215,7 +215,7 @@
 {
   g_auto (GStrv) ids
       = pfp_decode_shared_parts (msg_find (request, PFH_PROMPT_PARTS));
-  return qrn_name_parts (service->name, ids);
+  return qrn_name_traits (service->name, ids);
 }
 
 /* Returns the name of REQUEST with METHOD, which its repeats by ACCOUNT on
--- a/src/entry/quarantine.c
+++ b/src/entry/quarantine.c
@@ -7,8 +7,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Time for which a part must be the best explanation before it is quarantined,
-   as a share of the bound. */
+/* Time for which a trait must be the best explanation before it is
+   quarantined, as a share of the bound. */
 #define SETTLE_SHARE 0.1
 
 struct qrn_quarantine
@@ -25,8 +25,8 @@
                             .unix_ms = clk_real_us () / CLK_MS_US };
 }
 
-/* Creates a quarantine without evidence for DAEMON.  A part that crashes
-   engines must be quarantined at all daemons within BOUND_US.  */
+/* Creates a quarantine without evidence for DAEMON.  A trait that crashes
+   endpoints must be quarantined at all daemons within BOUND_US.  */
 struct qrn_quarantine *
 qrn_create (const char *daemon, int64_t bound_us)
 {
@@ -51,7 +51,7 @@
 /* Returns the names of the parts IDS of a prompt for SERVICE, for the other
    functions.  The caller frees them with g_strfreev.  */
 char **
-qrn_name_parts (const char *service, char *const ids[])
+qrn_name_traits (const char *service, char *const ids[])
 {
   g_autoptr (GStrvBuilder) names = g_strv_builder_new ();
   for (size_t i = 0; ids[i] != NULL; i++)
@@ -89,98 +89,99 @@
   return psn_request_name (digest);
 }
 
-/* Counts a request for SERVICE whose prompt has the named PARTS.  */
+/* Counts a request for SERVICE with the named TRAITS.  */
 void
 qrn_report_arrival (struct qrn_quarantine *quarantine, const char *service,
-                    char *const parts[])
+                    char *const traits[])
 {
   g_mutex_lock (&quarantine->mutex);
-  psn_arrived (quarantine->set, service, parts, now ());
+  psn_arrived (quarantine->set, service, traits, now ());
   g_mutex_unlock (&quarantine->mutex);
 }
 
-/* Returns the text that identifies the incarnation of ENGINE that started at
+/* Returns the text that identifies the incarnation of ENDPOINT that started at
    BORN_MS.  The caller frees it.  */
 static char *
-incarnation (const char *engine, int64_t born_ms)
+incarnation (const char *endpoint, int64_t born_ms)
 {
-  return g_strdup_printf ("%s@%" G_GINT64_FORMAT, engine, born_ms);
+  return g_strdup_printf ("%s@%" G_GINT64_FORMAT, endpoint, born_ms);
 }
 
-/* Records that ENGINE, which started at BORN_MS, ended as it began to write on
-   a prompt with the named PARTS, or before.  */
+/* Records that ENDPOINT, which started at BORN_MS, ended as it began to write
+   on a prompt with the named TRAITS, or before.  */
 void
-qrn_report_end (struct qrn_quarantine *quarantine, char *const parts[],
-                const char *engine, int64_t born_ms)
+qrn_report_end (struct qrn_quarantine *quarantine, char *const traits[],
+                const char *endpoint, int64_t born_ms)
 {
-  g_autofree char *end = incarnation (engine, born_ms);
+  g_autofree char *end = incarnation (endpoint, born_ms);
   g_mutex_lock (&quarantine->mutex);
-  psn_report_end (quarantine->set, parts, end, now ());
+  psn_report_end (quarantine->set, traits, end, now ());
   g_mutex_unlock (&quarantine->mutex);
 }
 
-/* Records that ENGINE, which started at BORN_MS, has answered a request that
+/* Records that ENDPOINT, which started at BORN_MS, has answered a request that
    was sent after its connections had broken off: it hadn't ended.  */
 void
-qrn_report_alive (struct qrn_quarantine *quarantine, const char *engine,
+qrn_report_alive (struct qrn_quarantine *quarantine, const char *endpoint,
                   int64_t born_ms)
 {
-  g_autofree char *end = incarnation (engine, born_ms);
+  g_autofree char *end = incarnation (endpoint, born_ms);
   g_mutex_lock (&quarantine->mutex);
   psn_report_alive (quarantine->set, end, now ());
   g_mutex_unlock (&quarantine->mutex);
 }
 
-/* Records that an engine has written on a prompt with the named PARTS.  */
+/* Records that an endpoint has written on a request with the named TRAITS.  */
 void
-qrn_report_sound (struct qrn_quarantine *quarantine, char *const parts[])
+qrn_report_sound (struct qrn_quarantine *quarantine, char *const traits[])
 {
   g_mutex_lock (&quarantine->mutex);
-  psn_report_sound (quarantine->set, parts, now ());
+  psn_report_sound (quarantine->set, traits, now ());
   g_mutex_unlock (&quarantine->mutex);
 }
 
-/* Decides whether a request that has arrived, with the named PARTS in its
-   prompt, may be sent to an engine.  Now and then the leader lets one with a
-   quarantined part through.  */
+/* Decides whether a request that has arrived, with the named TRAITS, may be
+   sent to an endpoint.  Now and then the leader lets one with a quarantined
+   trait through.  */
 struct qrn_verdict
-qrn_check (struct qrn_quarantine *quarantine, char *const parts[])
+qrn_check (struct qrn_quarantine *quarantine, char *const traits[])
 {
   struct qrn_verdict verdict = { 0 };
   struct psn_time at = now ();
   g_mutex_lock (&quarantine->mutex);
-  const char *part = psn_find (quarantine->set, parts, at);
-  verdict.trial = part != NULL && quarantine->leads
-                  && psn_take_trial (quarantine->set, part, at);
+  const char *trait = psn_find (quarantine->set, traits, at);
+  verdict.trial = trait != NULL && quarantine->leads
+                  && psn_take_trial (quarantine->set, trait, at);
   if (verdict.trial)
     {
-      lg_line (LOG_NOTICE, "quarantine_trial", "part=%s", part);
+      lg_line (LOG_NOTICE, "quarantine_trial", "trait=%s", trait);
     }
-  else if (part != NULL)
+  else if (trait != NULL)
     {
       verdict.refused = true;
-      verdict.wait_us = psn_trial_wait_us (quarantine->set, part, at);
+      verdict.wait_us = psn_trial_wait_us (quarantine->set, trait, at);
     }
   g_mutex_unlock (&quarantine->mutex);
   return verdict;
 }
 
-/* Returns true if one of the named PARTS is quarantined.  Sets WAIT_US to the
+/* Returns true if one of the named TRAITS is quarantined.  Sets WAIT_US to the
    time until a request with it may be let through; 0 if none is.  */
 bool
-qrn_is_quarantined (struct qrn_quarantine *quarantine, char *const parts[],
+qrn_is_quarantined (struct qrn_quarantine *quarantine, char *const traits[],
                     int64_t *wait_us)
 {
   struct psn_time at = now ();
   g_mutex_lock (&quarantine->mutex);
-  const char *part = psn_find (quarantine->set, parts, at);
-  *wait_us = part == NULL ? 0 : psn_trial_wait_us (quarantine->set, part, at);
+  const char *trait = psn_find (quarantine->set, traits, at);
+  *wait_us
+      = trait == NULL ? 0 : psn_trial_wait_us (quarantine->set, trait, at);
   g_mutex_unlock (&quarantine->mutex);
-  return part != NULL;
+  return trait != NULL;
 }
 
-/* Logs which parts were quarantined or released since the last call, and sets
-   COUNT to the number of those that are quarantined.  Returns true if parts
+/* Logs which traits were quarantined or released since the last call, and sets
+   COUNT to the number of those that are quarantined.  Returns true if traits
    were quarantined.  */
 bool
 qrn_log_changes (struct qrn_quarantine *quarantine, uint32_t *count)
@@ -192,8 +193,9 @@
   while (transition != NULL)
     {
       lg_line (LOG_WARNING,
-               transition->quarantined ? "part_quarantined" : "part_released",
-               "part=%s ends=%u", transition->part, transition->ends);
+               transition->quarantined ? "trait_quarantined"
+                                       : "trait_released",
+               "trait=%s ends=%u", transition->trait, transition->ends);
       quarantined |= transition->quarantined;
       psn_transition_free (transition);
       transition = psn_next_transition (quarantine->set, now ());
--- a/src/entry/quarantine.h
+++ b/src/entry/quarantine.h
@@ -1,4 +1,4 @@
-/* The quarantine of parts of prompts that crash engines, for both of this
+/* The quarantine of requests that crash endpoints, for both of this
    daemon's threads: the traffic thread reports what happens to requests and
    asks which may run; the control thread shares the evidence with the other
    daemons.  Thread-safe.  See core/poison.h for how it is decided. */
@@ -28,28 +28,29 @@
 struct qrn_verdict
 {
   bool refused;
-  bool trial; /* let through to find out whether it crashes engines */
+  bool trial; /* let through to find out whether it crashes endpoints */
   int64_t
-      wait_us; /* until another one with the same part may be let through */
+      wait_us; /* until another one with the same trait may be let through */
 };
 
 struct qrn_quarantine *qrn_create (const char *daemon, int64_t bound_us);
 void qrn_destroy (struct qrn_quarantine *quarantine);
 
 /* For the traffic thread. */
-char **qrn_name_parts (const char *service, char *const ids[]);
+char **qrn_name_traits (const char *service, char *const ids[]);
 char *qrn_name_request (const struct qrn_request *request);
 void qrn_report_arrival (struct qrn_quarantine *quarantine,
-                         const char *service, char *const parts[]);
-void qrn_report_end (struct qrn_quarantine *quarantine, char *const parts[],
-                     const char *engine, int64_t born_ms);
-void qrn_report_alive (struct qrn_quarantine *quarantine, const char *engine,
+                         const char *service, char *const traits[]);
+void qrn_report_end (struct qrn_quarantine *quarantine, char *const traits[],
+                     const char *endpoint, int64_t born_ms);
+void qrn_report_alive (struct qrn_quarantine *quarantine, const char *endpoint,
                        int64_t born_ms);
-void qrn_report_sound (struct qrn_quarantine *quarantine, char *const parts[]);
+void qrn_report_sound (struct qrn_quarantine *quarantine,
+                       char *const traits[]);
 struct qrn_verdict qrn_check (struct qrn_quarantine *quarantine,
-                              char *const parts[]);
+                              char *const traits[]);
 bool qrn_is_quarantined (struct qrn_quarantine *quarantine,
-                         char *const parts[], int64_t *wait_us);
+                         char *const traits[], int64_t *wait_us);
 bool qrn_log_changes (struct qrn_quarantine *quarantine, uint32_t *count);
 
 /* For the control thread. */
