Keep repeats of a request that crashes endpoints away from them

Callers of bookings and look-ups saw 503 for 30 s while one look-up, repeated with new ids at any daemon, ended every service as soon as it was back: 12 and 13 ends in the incident, 6 and 7 of them after the third.

Requests were recognised only by the parts of their prompts, and those to plain services have none, so no end was ever evidence. Now what all repeats of a request share (method, path, account, body) is a trait like a part of a prompt, under the same evidence, sharing, proofs and trials. A request explains ends only if no part explains more of them, and only if one of them isn't explained by a stronger cause: what ran beside the repeats is let go. Evidence against a request that never comes again is dropped after five minutes; of many, the oldest and weakest gives way.

--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -40,7 +40,10 @@
   set->settle_us = settle_us;
   set->suspects
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, destroy_suspect);
-  set->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  set->seen_parts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  set->seen_requests
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   set->changed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&set->transitions);
   return set;
@@ -60,7 +63,8 @@
 {
   g_queue_clear_full (&set->transitions, (GDestroyNotify)psn_transition_free);
   g_hash_table_destroy (set->suspects);
-  g_hash_table_destroy (set->seen);
+  g_hash_table_destroy (set->seen_parts);
+  g_hash_table_destroy (set->seen_requests);
   g_hash_table_destroy (set->changed);
   g_free (set->reporter);
   g_free (set);
@@ -82,6 +86,13 @@
   return psn_part_name ("", digest);
 }
 
+/* Returns true if TRAIT is that of the repeats of one request.  */
+bool
+psn_is_request (const char *trait)
+{
+  return trait[0] == PSN_MARK;
+}
+
 /* Returns true if ENDS has ENDPOINT.  */
 static bool
 has_end (const GPtrArray *ends, const char *endpoint)
@@ -154,7 +165,24 @@
     }
 }
 
-/* Removes the suspect with the least evidence from SET.  */
+/* Returns how many ends the daemons have reported of SUSPECT; one that several
+   of them have seen counts for each.  */
+static uint32_t
+reported_ends (const struct psn_suspect *suspect)
+{
+  uint32_t ends = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, suspect->reports);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      ends += ((const struct psn_report *)value)->ends->len;
+    }
+  return ends;
+}
+
+/* Removes the suspect with the least evidence from SET, of several the one
+   that was first suspected.  */
 static void
 remove_weakest (struct psn_set *set)
 {
@@ -166,8 +194,10 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct psn_suspect *suspect = value;
-      uint32_t ends = collect_ends (suspect, false, NULL, NULL);
-      if (!suspect->quarantined && ends < least)
+      uint32_t ends = reported_ends (suspect);
+      bool weaker = weakest == NULL || ends < least
+                    || (ends == least && suspect->serial < weakest->serial);
+      if (!suspect->quarantined && weaker)
         {
           least = ends;
           weakest = suspect;
@@ -199,6 +229,7 @@
     }
   suspect = g_new0 (struct psn_suspect, 1);
   suspect->trait = g_strdup (trait);
+  suspect->serial = set->next_serial++;
   suspect->reports = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                             destroy_report);
   suspect->cleared
@@ -237,14 +268,21 @@
   return (*left > *right) - (*left < *right);
 }
 
-/* Forgets the half of what SET has seen that wasn't seen for longest.  */
+/* Returns where SET keeps what it has seen of TRAIT.  */
+static GHashTable *
+seen_with (const struct psn_set *set, const char *trait)
+{
+  return psn_is_request (trait) ? set->seen_requests : set->seen_parts;
+}
+
+/* Forgets the half of TABLE that wasn't seen for longest.  */
 static void
-forget_oldest_seen (struct psn_set *set)
+forget_oldest_seen (GHashTable *table)
 {
   g_autoptr (GArray) times = g_array_new (FALSE, FALSE, sizeof (int64_t));
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init (&iter, set->seen);
+  g_hash_table_iter_init (&iter, table);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct psn_seen *seen = value;
@@ -252,7 +290,7 @@
     }
   g_array_sort (times, compare_times);
   int64_t median_us = g_array_index (times, int64_t, times->len / 2);
-  g_hash_table_iter_init (&iter, set->seen);
+  g_hash_table_iter_init (&iter, table);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       if (((const struct psn_seen *)value)->arrived_us < median_us)
@@ -266,16 +304,17 @@
 static struct psn_seen *
 seen_of (struct psn_set *set, const char *trait, int64_t now_us)
 {
-  struct psn_seen *seen = g_hash_table_lookup (set->seen, trait);
+  GHashTable *table = seen_with (set, trait);
+  struct psn_seen *seen = g_hash_table_lookup (table, trait);
   if (seen == NULL)
     {
-      if (g_hash_table_size (set->seen) >= PSN_SEEN_MAX)
+      if (g_hash_table_size (table) >= PSN_SEEN_MAX)
         {
-          forget_oldest_seen (set);
+          forget_oldest_seen (table);
         }
       seen = g_new0 (struct psn_seen, 1);
       seen->arrived_us = now_us;
-      g_hash_table_insert (set->seen, g_strdup (trait), seen);
+      g_hash_table_insert (table, g_strdup (trait), seen);
     }
   return seen;
 }
@@ -305,19 +344,21 @@
 static double
 arrivals_of (const struct psn_set *set, const char *trait, int64_t now_us)
 {
-  const struct psn_seen *seen = g_hash_table_lookup (set->seen, trait);
+  const struct psn_seen *seen
+      = g_hash_table_lookup (seen_with (set, trait), trait);
   return seen == NULL ? 0 : arrivals_at (seen, now_us);
 }
 
-/* Returns true if more than PSN_PREVALENT_SHARE of the requests of its service
-   have had TRAIT lately: without it there would hardly be a service.  */
+/* Returns true if TRAIT is a part that more than PSN_PREVALENT_SHARE of the
+   requests of its service have had lately: without it there would hardly be a
+   service.  */
 static bool
 is_prevalent (const struct psn_set *set, const char *trait, int64_t now_us)
 {
   g_autofree char *all
       = g_strndup (trait, (gsize)(strrchr (trait, PSN_MARK) - trait) + 1);
-  const struct psn_seen *service = g_hash_table_lookup (set->seen, all);
-  if (service == NULL)
+  const struct psn_seen *service = g_hash_table_lookup (set->seen_parts, all);
+  if (service == NULL || psn_is_request (trait))
     {
       return false;
     }
@@ -331,7 +372,8 @@
 static bool
 is_proven (const struct psn_set *set, const char *trait, int64_t now_us)
 {
-  const struct psn_seen *seen = g_hash_table_lookup (set->seen, trait);
+  const struct psn_seen *seen
+      = g_hash_table_lookup (seen_with (set, trait), trait);
   return seen != NULL && seen->sound_us > 0
          && now_us - seen->sound_us < PSN_SOUND_US;
 }
@@ -503,25 +545,43 @@
              : strcmp (suspect->trait, other->trait) < 0;
 }
 
+/* Returns how many of the ends that aren't EXPLAINED yet SUSPECT explains; 0
+   if that are too few to tell.  Several requests can run on an endpoint as it
+   ends, so one that has ended under PSN_ENDS_MIN need not explain as many
+   alone.  */
+static uint32_t
+count_explained (const struct psn_suspect *suspect,
+                 const GHashTable *explained)
+{
+  uint32_t ends = collect_ends (suspect, false, explained, NULL);
+  uint32_t evidence = psn_is_request (suspect->trait)
+                          ? collect_ends (suspect, false, NULL, NULL)
+                          : ends;
+  return evidence >= PSN_ENDS_MIN ? ends : 0;
+}
+
 /* Returns the most special one of the CANDIDATES that explain about as many of
    the ends that aren't EXPLAINED yet as any does, or NULL if none explains
-   PSN_ENDS_MIN of them.  */
+   enough of them.  A request must explain as many as any.  Sets MOST to how
+   many that are.  */
 static struct psn_suspect *
 best_explanation (const struct psn_set *set, const GPtrArray *candidates,
-                  const GHashTable *explained, int64_t now_us)
+                  const GHashTable *explained, int64_t now_us, uint32_t *most)
 {
-  uint32_t most = 0;
+  *most = 0;
   for (guint i = 0; i < candidates->len; i++)
     {
-      most = MAX (most, collect_ends (g_ptr_array_index (candidates, i), false,
-                                      explained, NULL));
+      *most = MAX (*most, count_explained (g_ptr_array_index (candidates, i),
+                                           explained));
     }
   struct psn_suspect *best = NULL;
-  double enough = MAX (PSN_ENDS_SHARE * most, PSN_ENDS_MIN);
-  for (guint i = 0; i < candidates->len; i++)
+  for (guint i = 0; *most > 0 && i < candidates->len; i++)
     {
       struct psn_suspect *suspect = g_ptr_array_index (candidates, i);
-      if (collect_ends (suspect, false, explained, NULL) >= enough
+      double enough
+          = psn_is_request (suspect->trait) ? *most : PSN_ENDS_SHARE * *most;
+      uint32_t ends = count_explained (suspect, explained);
+      if (ends > 0 && ends >= enough
           && (best == NULL || is_more_special (set, suspect, best, now_us)))
         {
           best = suspect;
@@ -530,6 +590,39 @@
   return best;
 }
 
+/* Adds those of the CANDIDATES to SELECTED that best explain the ends that
+   aren't EXPLAINED yet, and their ends to EXPLAINED: one part of prompts, or
+   all requests that explain as many.  Returns false if there is none.  */
+static bool
+select_best (const struct psn_set *set, const GPtrArray *candidates,
+             GHashTable *selected, GHashTable *explained, int64_t now_us)
+{
+  uint32_t most = 0;
+  struct psn_suspect *best
+      = best_explanation (set, candidates, explained, now_us, &most);
+  if (best == NULL)
+    {
+      return false;
+    }
+  g_autoptr (GPtrArray) added = g_ptr_array_new ();
+  g_ptr_array_add (added, best);
+  for (guint i = 0; psn_is_request (best->trait) && i < candidates->len; i++)
+    {
+      struct psn_suspect *other = g_ptr_array_index (candidates, i);
+      if (other != best && psn_is_request (other->trait)
+          && count_explained (other, explained) == most)
+        {
+          g_ptr_array_add (added, other);
+        }
+    }
+  for (guint i = 0; i < added->len; i++)
+    {
+      g_hash_table_add (selected, added->pdata[i]);
+      collect_ends (added->pdata[i], false, NULL, explained);
+    }
+  return true;
+}
+
 /* Returns the suspects that aren't known to be sound, and shares the proofs
    for others.  The caller frees the array.  */
 static GPtrArray *
@@ -546,7 +639,8 @@
         {
           share_proof (set, suspect, now);
         }
-      else if (suspect->sound_until_us <= now.monotonic_us
+      else if (reported_ends (suspect) >= PSN_ENDS_MIN
+               && suspect->sound_until_us <= now.monotonic_us
                && !is_prevalent (set, suspect->trait, now.monotonic_us))
         {
           g_ptr_array_add (candidates, suspect);
@@ -592,13 +686,8 @@
   g_autoptr (GHashTable) explained
       = g_hash_table_new (g_str_hash, g_str_equal);
   g_autoptr (GHashTable) selected = g_hash_table_new (NULL, NULL);
-  struct psn_suspect *best
-      = best_explanation (set, candidates, explained, now.monotonic_us);
-  while (best != NULL)
+  while (select_best (set, candidates, selected, explained, now.monotonic_us))
     {
-      g_hash_table_add (selected, best);
-      collect_ends (best, false, NULL, explained);
-      best = best_explanation (set, candidates, explained, now.monotonic_us);
     }
   GHashTableIter iter;
   gpointer value;
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -15,7 +15,8 @@
    as well; a trait on which any daemon has seen an endpoint write lately is
    sound. Where several parts explain about as many ends, the one that the
    fewest requests have is taken: the parts that most prompts share are in all
-   of them.  Evidence is dropped when the endpoint turns out to be alive.  From
+   of them.  Repeats of a request explain ends only if no part explains more.
+   Evidence is dropped when the endpoint turns out to be alive.  From
    time to time one request with a quarantined trait is let through, to find
    out whether it still crashes endpoints. */
 #ifndef CORE_POISON_H
@@ -25,7 +26,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Engines that must have ended under a trait before it is quarantined. */
+/* Endpoints that must have ended under a trait before it is quarantined. */
 #define PSN_ENDS_MIN 3
 
 /* Share of the ends that the best trait explains from which another one
@@ -41,9 +42,13 @@
 /* How long evidence is kept without any more of it. */
 #define PSN_KEPT_MS INT64_C (3600000)
 
+/* How long evidence against repeats of one request is kept while they aren't
+   quarantined: most requests that break off are never repeated. */
+#define PSN_REPEATS_KEPT_MS INT64_C (300000)
+
 /* Limits on the traits that are under suspicion, on the ends that a daemon
    reports of each, and on the traits that are known otherwise. */
-#define PSN_SUSPECTS_MAX 256
+#define PSN_SUSPECTS_MAX 1024
 #define PSN_ENDS_MAX 16
 #define PSN_SEEN_MAX 4096
 
--- a/src/core/poison_private.h
+++ b/src/core/poison_private.h
@@ -21,6 +21,7 @@
 struct psn_suspect
 {
   char *trait;            /* name */
+  uint64_t serial;        /* of suspects, in the order of their creation */
   GHashTable *reports;    /* reporter to struct psn_report */
   GHashTable *cleared;    /* set of ends from before an endpoint wrote on it */
   int64_t sound_ms;       /* newest proof of any daemon, Unix time; 0: none */
@@ -44,15 +45,18 @@
 {
   char *reporter;
   int64_t settle_us;
-  GHashTable *suspects; /* trait to struct psn_suspect */
-  GHashTable *seen;     /* trait to struct psn_seen */
-  GHashTable *changed;  /* set of keys of records to publish */
-  GQueue transitions;   /* struct psn_transition */
-  bool outdated;        /* the evidence has changed since the last decision */
-  int64_t decide_us;    /* when to decide again all the same, monotonic */
+  GHashTable *suspects;      /* trait to struct psn_suspect */
+  GHashTable *seen_parts;    /* trait to struct psn_seen; the services too */
+  GHashTable *seen_requests; /* the same of whole requests */
+  GHashTable *changed;       /* set of keys of records to publish */
+  GQueue transitions;        /* struct psn_transition */
+  bool outdated;     /* the evidence has changed since the last decision */
+  int64_t decide_us; /* when to decide again all the same, monotonic */
   uint32_t quarantined;
+  uint64_t next_serial; /* of suspects */
 };
 
+bool psn_is_request (const char *trait);
 struct psn_suspect *psn_suspect_of (struct psn_set *set, const char *trait);
 struct psn_report *psn_report_of (struct psn_suspect *suspect,
                                   const char *reporter);
--- a/src/core/poison_record.c
+++ b/src/core/poison_record.c
@@ -281,8 +281,10 @@
 is_expired (const struct psn_suspect *suspect, const struct psn_report *report,
             int64_t now_ms)
 {
-  int64_t kept_ms
-      = report->ends->len > 0 ? PSN_KEPT_MS : PSN_SOUND_US / US_PER_MS;
+  bool once = psn_is_request (suspect->trait) && !suspect->quarantined;
+  int64_t kept_ms = report->ends->len == 0 ? PSN_SOUND_US / US_PER_MS
+                    : once                 ? PSN_REPEATS_KEPT_MS
+                                           : PSN_KEPT_MS;
   return now_ms - report->updated_ms > kept_ms
          || (report->sound_ms == 0 && report->updated_ms < suspect->sound_ms);
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -25,7 +25,7 @@
                                      turned a request away */
   struct cnt_series *quarantine_refused; /* requests refused for a part of
                                             their prompt */
-  struct cnt_series *quarantined_parts;  /* of prompts, now */
+  struct cnt_series *quarantined_traits; /* of prompts, now */
   struct cnt_series *events;
   struct cnt_series *in_progress;
   struct cnt_series *config_version;
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -45,8 +45,7 @@
   g_hash_table_remove (exchange->traffic->exchanges, exchange);
   flt_release (exchange->config);
   g_free (exchange->service);
-  g_free (exchange->name);
-  g_strfreev (exchange->shared_parts);
+  g_strfreev (exchange->traits);
   g_string_free (exchange->head, TRUE);
   g_byte_array_free (exchange->body, TRUE);
   g_string_free (exchange->answer_head, TRUE);
@@ -241,8 +240,8 @@
   int64_t closed_us = refused ? closed_for_us (exchange) : 0;
   int64_t quarantined_us = 0;
   if (refused
-      && qrn_is_quarantined (exchange->traffic->quarantine,
-                             exchange->shared_parts, &quarantined_us))
+      && qrn_is_quarantined (exchange->traffic->quarantine, exchange->traits,
+                             &quarantined_us))
     {
       retry_after_s = MAX (retry_after_s, (double)quarantined_us / CLK_S_US);
     }
@@ -588,8 +587,8 @@
   return request;
 }
 
-/* Returns whether EXCHANGE's prompt has a quarantined part and it isn't the
-   one that is let through to try it.  */
+/* Returns whether EXCHANGE has a quarantined trait and it isn't the one that
+   is let through to try it.  */
 static bool
 is_quarantined (struct exchange *exchange)
 {
@@ -598,7 +597,7 @@
   exchange->is_trial = false;
   return !trial
          && qrn_is_quarantined (exchange->traffic->quarantine,
-                                exchange->shared_parts, &wait_us);
+                                exchange->traits, &wait_us);
 }
 
 /* Starts an attempt at an endpoint.  BEFORE is how the previous attempt ended;
@@ -707,8 +706,8 @@
   give_up (exchange, exchange->end_before_wait);
 }
 
-/* Ends EXCHANGE, whose prompt has a part that was quarantined since its
-   current attempt began.  */
+/* Ends EXCHANGE, which has a trait that was quarantined since its current
+   attempt began.  */
 static void
 stop_quarantined (struct exchange *exchange)
 {
@@ -732,8 +731,8 @@
   give_up (exchange, end);
 }
 
-/* Ends the exchanges whose prompts have a quarantined part, unless an engine
-   has written on them: the engines that they wait for would crash.  */
+/* Ends the exchanges with a quarantined trait, unless an endpoint has written
+   on them: the endpoints that they wait for would crash.  */
 void
 exg_stop_quarantined (struct trf_traffic *traffic)
 {
@@ -749,7 +748,7 @@
                    || (exchange->attempt != NULL
                        && !exg_is_written_safely (exchange));
       if (stops && !exchange->proved_sound
-          && qrn_is_quarantined (traffic->quarantine, exchange->shared_parts,
+          && qrn_is_quarantined (traffic->quarantine, exchange->traits,
                                  &wait_us))
         {
           g_ptr_array_add (found, key);
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -113,9 +113,8 @@
                 >= SAFE_WRITING_US;
 }
 
-/* Records that EXCHANGE's answer broke off, as evidence against the parts of
-   its prompt, unless it was written safely or its endpoint was to end.  The
-   log tells repeats of a request by its name.  */
+/* Records that EXCHANGE's answer broke off, as evidence against its traits,
+   unless it was written safely or its endpoint was to end.  */
 static void
 report_early_end (const struct exchange *exchange)
 {
@@ -124,34 +123,31 @@
     {
       return;
     }
-  if (exchange->shared_parts[0] != NULL)
-    {
-      endpoint->broke_off_us = clk_monotonic_us ();
-      qrn_report_end (exchange->traffic->quarantine, exchange->shared_parts,
-                      endpoint->id, endpoint->born_ms);
-    }
-  g_autofree char *parts = g_strjoinv (",", exchange->shared_parts);
+  endpoint->broke_off_us = clk_monotonic_us ();
+  qrn_report_end (exchange->traffic->quarantine, exchange->traits,
+                  endpoint->id, endpoint->born_ms);
+  g_autofree char *traits = g_strjoinv (",", exchange->traits);
   lg_line (LOG_INFO, "broke_off_early",
-           "request=%s endpoint=%s born_ms=%ld age_ms=%ld written=%d name=%s "
-           "parts=%s",
+           "request=%s endpoint=%s born_ms=%ld age_ms=%ld written=%d "
+           "traits=%s",
            exchange->id, endpoint->id, (long)endpoint->born_ms,
            (long)((clk_monotonic_us () - exchange->sent_us) / CLK_MS_US),
-           exchange->first_written_us > 0, exchange->name, parts);
+           exchange->first_written_us > 0, traits);
 }
 
-/* Records that EXCHANGE's prompt didn't crash the endpoint that has written on
-   it.  An answer that only the end of its connection ended may have been cut
-   off by a crash.  */
+/* Records that EXCHANGE didn't crash the endpoint that has answered it.  An
+   answer that only the end of its connection ended may have been cut off by a
+   crash.  */
 static void
 report_sound (struct exchange *exchange)
 {
-  if (exchange->proved_sound || exchange->shared_parts[0] == NULL
+  if (exchange->proved_sound
       || (exchange->ends_with_connection && !exg_is_written_safely (exchange)))
     {
       return;
     }
   exchange->proved_sound = true;
-  qrn_report_sound (exchange->traffic->quarantine, exchange->shared_parts);
+  qrn_report_sound (exchange->traffic->quarantine, exchange->traits);
 }
 
 /* Withdraws the evidence that EXCHANGE's endpoint ended, if it answers a
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -207,24 +207,20 @@
   return accepted;
 }
 
-/* Returns the names of the parts of REQUEST's prompt that other requests to
-   SERVICE may have too.  The caller frees them with g_strfreev.  */
+/* Returns the names of what REQUEST with METHOD, of ACCOUNT on ROUTE to
+   SERVICE, has in common with other requests.  The caller frees them with
+   g_strfreev.
+ */
 static char **
-shared_parts (const struct flt_service *service,
-              const struct msg_message *request)
+name_traits (const struct msg_message *request, const char *method,
+             const struct flt_route *route, const struct flt_account *account,
+             const struct flt_service *service)
 {
-  g_auto (GStrv) ids
+  g_auto (GStrv) part_ids
       = pfp_decode_shared_parts (msg_find (request, PFH_PROMPT_PARTS));
-  return qrn_name_traits (service->name, ids);
-}
-
-/* Returns the name of REQUEST with METHOD, which its repeats by ACCOUNT on
-   ROUTE have too.  The caller frees it.  */
-static char *
-name_request (const struct msg_message *request, const char *method,
-              const struct flt_route *route, const struct flt_account *account)
-{
-  const struct qrn_request repeated = {
+  const struct qrn_request named = {
+    .service = service->name,
+    .part_ids = part_ids,
     .method = method,
     .host = route->host,
     .target = request->url->str,
@@ -232,7 +228,7 @@
     .body = request->body->data,
     .body_bytes = request->body->len,
   };
-  return qrn_name_request (&repeated);
+  return qrn_name_traits (&named);
 }
 
 /* Creates the exchange of an accepted request.  */
@@ -315,21 +311,22 @@
       refusal = (struct refusal){ .status = HTTP_STATUS_SERVICE_UNAVAILABLE,
                                   .why = "stopping" };
     }
-  g_auto (GStrv) parts = NULL;
+  g_auto (GStrv) traits = NULL;
   struct qrn_verdict verdict = { 0 };
   if (refusal.status == 0)
     {
-      parts = shared_parts (&config->services[service], request);
+      traits = name_traits (request, method, route, account,
+                            &config->services[service]);
       qrn_report_arrival (traffic->quarantine, config->services[service].name,
-                          parts);
-      verdict = qrn_check (traffic->quarantine, parts);
+                          traits);
+      verdict = qrn_check (traffic->quarantine, traits);
     }
   if (verdict.refused)
     {
       cnt_add (traffic->metrics->quarantine_refused, 1);
       refusal = (struct refusal){
         .status = HTTP_STATUS_SERVICE_UNAVAILABLE,
-        .why = "a part of the prompt crashes engines",
+        .why = "such requests crash endpoints",
         .retry_after_s = (double)verdict.wait_us / CLK_S_US,
       };
     }
@@ -351,8 +348,7 @@
     }
   struct exchange *exchange
       = create_exchange (traffic, caller, request, method, route, account);
-  exchange->name = name_request (request, method, route, account);
-  exchange->shared_parts = g_steal_pointer (&parts);
+  exchange->traits = g_steal_pointer (&traits);
   exchange->is_trial = verdict.trial;
   exchange->service = g_strdup (config->services[service].name);
   rbg_request (fst_budget (traffic->fleet, service), exchange->arrived_us);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -22,10 +22,10 @@
   GString *head;    /* start line and forwarded headers of the request */
   GByteArray *body; /* of the request */
   bool has_body;
-  char *name; /* of the request and its repeats, see entry/quarantine.h */
-  char **shared_parts; /* names of the parts of the prompt that other requests
-                          may have too, see entry/quarantine.h */
-  double tokens;       /* memory that the request needs in an engine */
+
+  char **traits; /* names of what the request has in common with others, see
+                    entry/quarantine.h */
+  double tokens; /* memory that the request needs in an engine */
   int64_t arrived_us;
   int64_t deadline_us;
   uv_timer_t timer; /* for the next check, see exg_schedule_check */
@@ -71,9 +71,9 @@
   uint32_t unsent;       /* attempts in a row that found no connection */
   uint32_t may_have_run; /* ended attempts in which the request may have run */
   bool answer_begun;     /* the caller has the headers of a stream */
-  bool proved_sound;     /* an engine has written on the prompt */
-  bool is_trial;         /* the next attempt is made though the prompt has a
-                            quarantined part */
+  bool proved_sound;     /* an endpoint has answered it without ending */
+  bool is_trial;         /* the next attempt is made though the request has a
+                            quarantined trait */
   bool served;           /* the answer is complete and a success */
   bool answer_chunked;   /* sent to the caller in chunks, whose end marks a
                             complete answer */
--- a/src/entry/quarantine.c
+++ b/src/entry/quarantine.c
@@ -48,24 +48,10 @@
   g_free (quarantine);
 }
 
-/* Returns the names of the parts IDS of a prompt for SERVICE, for the other
-   functions.  The caller frees them with g_strfreev.  */
-char **
-qrn_name_traits (const char *service, char *const ids[])
-{
-  g_autoptr (GStrvBuilder) names = g_strv_builder_new ();
-  for (size_t i = 0; ids[i] != NULL; i++)
-    {
-      g_autofree char *name = psn_part_name (service, ids[i]);
-      g_strv_builder_add (names, name);
-    }
-  return g_strv_builder_end (names);
-}
-
 /* Returns the name of REQUEST, which its repeats have too.  The caller frees
    it.  */
-char *
-qrn_name_request (const struct qrn_request *request)
+static char *
+name_request (const struct qrn_request *request)
 {
   const char *const texts[]
       = { request->method, request->host, request->target,
@@ -89,6 +75,23 @@
   return psn_request_name (digest);
 }
 
+/* Returns the names of the traits of REQUEST, for the other functions.  The
+   caller frees them with g_strfreev.  */
+char **
+qrn_name_traits (const struct qrn_request *request)
+{
+  g_autoptr (GStrvBuilder) names = g_strv_builder_new ();
+  for (size_t i = 0; request->part_ids[i] != NULL; i++)
+    {
+      g_autofree char *name
+          = psn_part_name (request->service, request->part_ids[i]);
+      g_strv_builder_add (names, name);
+    }
+  g_autofree char *name = name_request (request);
+  g_strv_builder_add (names, name);
+  return g_strv_builder_end (names);
+}
+
 /* Counts a request for SERVICE with the named TRAITS.  */
 void
 qrn_report_arrival (struct qrn_quarantine *quarantine, const char *service,
--- a/src/entry/quarantine.h
+++ b/src/entry/quarantine.h
@@ -13,9 +13,12 @@
 
 struct qrn_quarantine;
 
-/* What a request has in common with its repeats. */
+/* What a request may have in common with others: the parts of its prompt, or
+   with its repeats all else. */
 struct qrn_request
 {
+  const char *service;
+  char *const *part_ids; /* of the prompt */
   const char *method;
   const char *host;
   const char *target;
@@ -37,8 +40,7 @@
 void qrn_destroy (struct qrn_quarantine *quarantine);
 
 /* For the traffic thread. */
-char **qrn_name_traits (const char *service, char *const ids[]);
-char *qrn_name_request (const struct qrn_request *request);
+char **qrn_name_traits (const struct qrn_request *request);
 void qrn_report_arrival (struct qrn_quarantine *quarantine,
                          const char *service, char *const traits[]);
 void qrn_report_end (struct qrn_quarantine *quarantine, char *const traits[],
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -184,7 +184,7 @@
     {
       exg_stop_quarantined (traffic);
     }
-  cnt_set_gauge (traffic->metrics->quarantined_parts, count);
+  cnt_set_gauge (traffic->metrics->quarantined_traits, count);
 }
 
 static void
--- a/test/poison_test.c
+++ b/test/poison_test.c
@@ -1,4 +1,4 @@
-/* Tests of finding the part of prompts that crashes engines. */
+/* Tests of finding what requests have in common that crash endpoints. */
 #include "core/poison.h"
 
 #include <setjmp.h>
@@ -87,7 +87,16 @@
     }
 }
 
-/* One step of a scenario: PARTS of the prompt of a request at DAEMON. */
+/* Returns the name of the trait ID: a repeated request if ID is a capital, or
+   else a part of prompts.  The caller frees it.  */
+static char *
+name_trait (const char *id)
+{
+  return g_ascii_isupper (id[0]) ? psn_request_name (id)
+                                 : psn_part_name ("draft", id);
+}
+
+/* One step of a scenario: a request with the traits PARTS at DAEMON. */
 struct step
 {
   enum
@@ -110,7 +119,7 @@
   g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
   for (guint i = 0; ids[i] != NULL; i++)
     {
-      g_ptr_array_add (names, psn_part_name ("draft", ids[i]));
+      g_ptr_array_add (names, name_trait (ids[i]));
     }
   g_ptr_array_add (names, NULL);
   char *const *parts = (char *const *)names->pdata;
@@ -134,15 +143,16 @@
     }
 }
 
-/* Returns the ids of the parts a to e that are quarantined at DAEMON.  */
+/* Returns the ids of the parts a to e and the requests R and S that are
+   quarantined at DAEMON.  */
 static char *
 list_quarantined (struct fleet *fleet, int daemon)
 {
   GString *found = g_string_new (NULL);
-  static const char *const ids[] = { "a", "b", "c", "d", "e" };
+  static const char *const ids[] = { "a", "b", "c", "d", "e", "R", "S" };
   for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
     {
-      g_autofree char *name = psn_part_name ("draft", ids[i]);
+      g_autofree char *name = name_trait (ids[i]);
       char *const parts[] = { name, NULL };
       if (psn_find (fleet->sets[daemon], parts, now_of (fleet)) != NULL)
         {
@@ -224,6 +234,60 @@
       { END, 1, "a e", "e5" },
       { END, 2, "a e", "e6" } },
     "de" },
+  { "repeats of a request at different daemons",
+    { { END, 0, "R", "e1" }, { END, 1, "R", "e2" }, { END, 2, "R", "e3" } },
+    "R" },
+  { "repeats are most of the requests",
+    { { ARRIVE, 0, "R", "" },
+      { ARRIVE, 1, "R", "" },
+      { ARRIVE, 2, "R", "" },
+      { END, 0, "R", "e1" },
+      { END, 1, "R", "e2" },
+      { END, 2, "R", "e3" } },
+    "R" },
+  { "repeats of a request that was answered",
+    { { WRITE, 1, "R", "" },
+      { END, 1, "R", "e1" },
+      { END, 1, "R", "e2" },
+      { END, 1, "R", "e3" } },
+    "" },
+  { "another request ran beside the repeats",
+    { { END, 0, "R", "e1" },
+      { END, 1, "S", "e1" },
+      { END, 0, "R", "e2" },
+      { END, 1, "S", "e2" },
+      { END, 2, "R", "e3" },
+      { END, 1, "S", "e3" },
+      { END, 2, "R", "e4" } },
+    "R" },
+  { "two requests that ran beside each other",
+    { { END, 0, "R", "e1" },
+      { END, 1, "R S", "e2" },
+      { END, 0, "S", "e3" },
+      { END, 1, "R S", "e4" },
+      { END, 2, "S", "e5" } },
+    "RS" },
+  { "all ends under a part are one request's",
+    { { END, 0, "a d R", "e1" },
+      { END, 1, "a d R", "e2" },
+      { END, 2, "a d R", "e3" },
+      { WRITE, 0, "a", "" } },
+    "R" },
+  { "a request with the part ran more often than others",
+    { { WRITE, 0, "a", "" },
+      { END, 0, "a d R", "e1" },
+      { END, 0, "a d R", "e2" },
+      { END, 1, "a d R", "e3" },
+      { END, 2, "a d S", "e4" } },
+    "d" },
+  { "a part and a request at the same time",
+    { { END, 0, "d", "e1" },
+      { END, 1, "d", "e2" },
+      { END, 2, "d", "e3" },
+      { END, 0, "R", "e4" },
+      { END, 1, "R", "e5" },
+      { END, 2, "R", "e6" } },
+    "dR" },
   { "a part that most requests have",
     { { ARRIVE, 0, "a b", "" },
       { ARRIVE, 1, "a b", "" },
