Add a test of a daemon that is cut off from all endpoints

The stand-in's store lists the endpoints with other addresses, those of proxies, to those that read it at a second address of its own.

--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -44,7 +44,7 @@
 struct spx_proxy
 {
   uv_loop_t *loop;
-  uv_tcp_t listener;
+  uv_tcp_t *listener; /* NULL: new connections are refused */
   char *address;
   struct sockaddr_in target;
   enum spx_mode mode;
@@ -281,35 +281,62 @@
                  on_read);
 }
 
+/* Opens the listener of PROXY at its address.  Aborts if it can't listen.  */
+static void
+open_listener (struct spx_proxy *proxy)
+{
+  struct sockaddr_in own_address;
+  proxy->listener = g_new0 (uv_tcp_t, 1);
+  uv_tcp_init (proxy->loop, proxy->listener);
+  proxy->listener->data = proxy;
+  if (!nad_parse (proxy->address, &own_address)
+      || uv_tcp_bind (proxy->listener, (const struct sockaddr *)&own_address,
+                      0)
+             != 0
+      || uv_listen ((uv_stream_t *)proxy->listener, BACKLOG, on_connection)
+             != 0)
+    {
+      g_error ("can't listen on %s", proxy->address);
+    }
+}
+
 /* Returns a proxy that listens on a free loopback port and connects to TARGET,
    "IP:PORT".  Aborts if it can't listen.  Free it with spx_destroy.  */
 struct spx_proxy *
 spx_create (uv_loop_t *loop, const char *target)
 {
   struct spx_proxy *proxy = g_new0 (struct spx_proxy, 1);
-  struct sockaddr_in own_address;
-  proxy->loop = loop;
-  proxy->connections = g_ptr_array_new ();
-  proxy->address = g_strdup_printf ("127.0.0.1:%u", sfl_free_port ());
-  uv_tcp_init (loop, &proxy->listener);
-  proxy->listener.data = proxy;
-  if (!nad_parse (target, &proxy->target)
-      || !nad_parse (proxy->address, &own_address)
-      || uv_tcp_bind (&proxy->listener, (const struct sockaddr *)&own_address,
-                      0)
-             != 0
-      || uv_listen ((uv_stream_t *)&proxy->listener, BACKLOG, on_connection)
-             != 0)
+  if (!nad_parse (target, &proxy->target))
     {
       g_error ("can't open a proxy to %s", target);
     }
+  proxy->loop = loop;
+  proxy->connections = g_ptr_array_new ();
+  proxy->address = g_strdup_printf ("127.0.0.1:%u", sfl_free_port ());
+  open_listener (proxy);
   return proxy;
 }
 
 static void
 on_listener_closed (uv_handle_t *handle)
 {
-  g_free (handle->data);
+  g_free (handle);
+}
+
+/* Makes PROXY accept new connections, or refuse them if not LISTENING.  Open
+   connections stay.  */
+void
+spx_set_listening (struct spx_proxy *proxy, bool listening)
+{
+  if (listening && proxy->listener == NULL)
+    {
+      open_listener (proxy);
+    }
+  else if (!listening && proxy->listener != NULL)
+    {
+      uv_close ((uv_handle_t *)proxy->listener, on_listener_closed);
+      proxy->listener = NULL;
+    }
 }
 
 /* Resets the connections of PROXY and closes it; its memory is freed by the
@@ -321,9 +348,10 @@
     {
       close_connection (g_ptr_array_index (proxy->connections, 0), true);
     }
+  spx_set_listening (proxy, false);
   g_ptr_array_free (proxy->connections, TRUE);
   g_free (proxy->address);
-  uv_close ((uv_handle_t *)&proxy->listener, on_listener_closed);
+  g_free (proxy);
 }
 
 /* Returns the address on which PROXY listens, "IP:PORT".  */
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -4,6 +4,7 @@
 #define SOAK_PROXY_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <uv.h>
 
 enum spx_mode
@@ -21,6 +22,7 @@
 struct spx_proxy *spx_create (uv_loop_t *loop, const char *target);
 void spx_destroy (struct spx_proxy *proxy);
 const char *spx_address (const struct spx_proxy *proxy);
+void spx_set_listening (struct spx_proxy *proxy, bool listening);
 void spx_set_mode (struct spx_proxy *proxy, enum spx_mode mode,
                    int64_t delay_us);
 
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -187,6 +187,7 @@
       struct sfl_endpoint *endpoint = g_ptr_array_index (fleet->endpoints, i);
       g_free (endpoint->id);
       g_free (endpoint->address);
+      g_free (endpoint->detour);
       g_free (endpoint->rate_limit);
       g_free (endpoint->headers);
       g_free (endpoint->retry_after);
@@ -279,6 +280,7 @@
   struct sfl_endpoint *endpoint = endpoint_at (fleet, index);
   g_free (endpoint->id);
   g_free (endpoint->address);
+  g_clear_pointer (&endpoint->detour, g_free);
   endpoint->restarts++;
   endpoint->id = g_strdup_printf ("%s-%u-%u",
                                   endpoint->is_engine ? "engine" : "service",
@@ -301,6 +303,25 @@
   return !endpoint_at (fleet, index)->dead;
 }
 
+/* Lets the store listen on another address too, which the result names.  Those
+   that read it there get other addresses of the endpoints: those that
+   ANNOUNCE, with CONTEXT, returns for the listed ones, allocated.  */
+const char *
+sfl_open_detour (struct sfl_fleet *fleet,
+                 char *(*announce) (void *context, const char *address),
+                 void *context)
+{
+  fleet->announce_detour = announce;
+  fleet->detour_context = context;
+  for (guint i = 0; i < fleet->endpoints->len; i++)
+    {
+      struct sfl_endpoint *endpoint = endpoint_at (fleet, i);
+      endpoint->detour = announce (context, endpoint->address);
+    }
+  sfl_store_open_detour (fleet);
+  return fleet->detour_address;
+}
+
 /* Returns the address that the endpoint INDEX is listed with.  */
 const char *
 sfl_address (const struct sfl_fleet *fleet, uint32_t index)
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -97,6 +97,10 @@
 struct sfl_fleet *sfl_create (const struct sfl_params *params);
 void sfl_destroy (struct sfl_fleet *fleet);
 const char *sfl_store_address (const struct sfl_fleet *fleet);
+const char *sfl_open_detour (struct sfl_fleet *fleet,
+                             char *(*announce) (void *context,
+                                                const char *address),
+                             void *context);
 void sfl_publish (struct sfl_fleet *fleet, uint64_t version,
                   const char *extra_key);
 void sfl_set_store (struct sfl_fleet *fleet, enum sfl_store_state state);
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -73,14 +73,15 @@
                        GUINT_TO_POINTER (runs + 1));
 }
 
-/* Returns the endpoint whose published address is ADDRESS, or NULL.  */
+/* Returns the endpoint that was published with ADDRESS, or NULL.  */
 static struct sfl_endpoint *
 find_endpoint (struct sfl_fleet *fleet, const char *address)
 {
   for (guint i = 0; i < fleet->endpoints->len; i++)
     {
       struct sfl_endpoint *endpoint = g_ptr_array_index (fleet->endpoints, i);
-      if (strcmp (endpoint->address, address) == 0)
+      if (strcmp (endpoint->address, address) == 0
+          || g_strcmp0 (endpoint->detour, address) == 0)
         {
           return endpoint;
         }
@@ -650,5 +651,10 @@
       g_free (endpoint->address);
       endpoint->address = listed;
     }
+  if (endpoint->fleet->announce_detour != NULL)
+    {
+      endpoint->detour = endpoint->fleet->announce_detour (
+          endpoint->fleet->detour_context, endpoint->address);
+    }
   sfl_endpoint_publish (endpoint, "ready");
 }
--- a/standin/fleet_private.h
+++ b/standin/fleet_private.h
@@ -21,6 +21,7 @@
   struct nsv_connection *connection;
   struct sfl_topic *topic;
   uint64_t from; /* offset */
+  bool detours;  /* it gets the addresses of the detours */
   uv_timer_t timer;
   bool ended;
 };
@@ -32,6 +33,8 @@
   uint32_t index;
   char *id;
   char *address; /* as published */
+  char *detour;  /* as published to those that read the store at its detour;
+                    NULL: the same */
   uint32_t restarts;
   bool is_engine;
   bool dead;
@@ -106,6 +109,11 @@
   struct sfl_params params;
   struct nsv_server *store;
   char *store_address;
+  struct nsv_server *detour; /* of the store; NULL: none */
+  char *detour_address;
+  char *(*announce_detour) (void *context, const char *address);
+  void *detour_context;
+  bool detours; /* the present call gets the addresses of the detours */
   enum sfl_store_state store_state;
   struct sfl_topic operator_topic;
   struct sfl_topic endpoint_topic;
@@ -150,6 +158,7 @@
 void sfl_append_record (struct sfl_fleet *fleet, struct sfl_topic *topic,
                         GBytes *record);
 void sfl_store_open (struct sfl_fleet *fleet);
+void sfl_store_open_detour (struct sfl_fleet *fleet);
 void sfl_store_close (struct sfl_fleet *fleet);
 void sfl_append (struct sfl_fleet *fleet, struct sfl_topic *topic,
                  const char *key, const char *value);
--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -53,6 +53,29 @@
   nsv_respond (connection, status, headers, body, body_bytes);
 }
 
+/* Returns RECORD as the present call is to get it: with the addresses of the
+   detours where it uses the store's.  */
+static GBytes *
+record_for_call (const struct sfl_fleet *fleet, GBytes *record)
+{
+  if (!fleet->detours)
+    {
+      return g_bytes_ref (record);
+    }
+  gsize bytes = 0;
+  gconstpointer data = g_bytes_get_data (record, &bytes);
+  GString *text = g_string_new_len (data, (gssize)bytes);
+  for (guint i = 0; i < fleet->endpoints->len; i++)
+    {
+      const struct sfl_endpoint *endpoint
+          = g_ptr_array_index (fleet->endpoints, i);
+      g_autofree char *address = g_strdup_printf ("\"%s\"", endpoint->address);
+      g_autofree char *detour = g_strdup_printf ("\"%s\"", endpoint->detour);
+      g_string_replace (text, address, detour, 0);
+    }
+  return g_string_free_to_bytes (text);
+}
+
 /* Answers CONNECTION with the end offset and the first offset of TOPIC and the
    records from offset FROM on, each after its length.  */
 static void
@@ -65,8 +88,9 @@
   for (guint i = (guint)from; i < topic->records->len; i++)
     {
       gsize bytes = 0;
-      gconstpointer data
-          = g_bytes_get_data (g_ptr_array_index (topic->records, i), &bytes);
+      g_autoptr (GBytes) record
+          = record_for_call (fleet, g_ptr_array_index (topic->records, i));
+      gconstpointer data = g_bytes_get_data (record, &bytes);
       append_number (body, bytes, 4);
       g_byte_array_append (body, data, (guint)bytes);
     }
@@ -92,8 +116,10 @@
   g_ptr_array_remove (reader->fleet->readers, reader);
   if (answer)
     {
+      reader->fleet->detours = reader->detours;
       answer_read (reader->fleet, reader->connection, reader->topic,
                    reader->from);
+      reader->fleet->detours = false;
     }
   uv_close ((uv_handle_t *)&reader->timer, on_reader_closed);
 }
@@ -256,6 +282,7 @@
   reader->connection = connection;
   reader->topic = topic;
   reader->from = from;
+  reader->detours = fleet->detours;
   uv_timer_init (fleet->params.loop, &reader->timer);
   reader->timer.data = reader;
   uv_timer_start (&reader->timer, on_wait_timeout, wait_ms, 0);
@@ -278,8 +305,9 @@
     {
       guint offset = GPOINTER_TO_UINT (value) - 1;
       gsize bytes = 0;
-      const guint8 *record = g_bytes_get_data (
-          g_ptr_array_index (topic->records, offset), &bytes);
+      g_autoptr (GBytes) listed = record_for_call (
+          fleet, g_ptr_array_index (topic->records, offset));
+      const guint8 *record = g_bytes_get_data (listed, &bytes);
       size_t value_start = 1 + strlen (key);
       char *encoded
           = g_base64_encode (record + value_start, bytes - value_start);
@@ -367,6 +395,27 @@
   .drained = on_drained,
 };
 
+static void
+on_detour_request (void *context, struct nsv_connection *connection,
+                   const struct msg_message *request, const char *method)
+{
+  struct sfl_fleet *fleet = context;
+  fleet->detours = true;
+  on_request (fleet, connection, request, method);
+  fleet->detours = false;
+}
+
+/* Starts the detour of the store of FLEET.  */
+void
+sfl_store_open_detour (struct sfl_fleet *fleet)
+{
+  static struct nsv_events detour_events;
+  detour_events = events;
+  detour_events.request = on_detour_request;
+  fleet->detour
+      = sfl_listen (fleet, &detour_events, fleet, &fleet->detour_address);
+}
+
 /* Starts the store of FLEET with empty topics.  */
 void
 sfl_store_open (struct sfl_fleet *fleet)
@@ -385,6 +434,11 @@
 sfl_store_close (struct sfl_fleet *fleet)
 {
   nsv_destroy (fleet->store);
+  if (fleet->detour != NULL)
+    {
+      nsv_destroy (fleet->detour);
+    }
+  g_free (fleet->detour_address);
   sfl_restore_close (fleet);
   clear_topic (&fleet->operator_topic);
   clear_topic (&fleet->endpoint_topic);
--- /dev/null
+++ b/test/entry_cut_test.c
@@ -0,0 +1,188 @@
+/* Tests of an entry daemon that is cut off from all endpoints, while callers,
+   the store and another daemon still reach it. */
+#include "test/entry_fixture.h"
+
+#include "base/clock.h"
+#include "platform/headers.h"
+#include "soak/proxy.h"
+
+#include <signal.h>
+#include <string.h>
+
+/* Time that the daemon has to find out, see quarantine_ms. */
+#define NOTICE_US (1000 * CLK_MS_US)
+
+/* Requests of each kind while the daemon is cut off, and their interval. */
+#define REQUESTS 20
+#define REQUEST_US (25 * CLK_MS_US)
+
+/* How the cut shows. */
+enum cut
+{
+  CUT_SILENT, /* connections hang, new ones fail */
+  CUT_RESET,  /* connections are reset, new ones fail */
+  CUT_NEW     /* connections live on, new ones fail */
+};
+
+/* Creates a proxy to the endpoint at ADDRESS, which only the daemon under test
+   uses.  */
+static char *
+create_detour (void *context, const char *address)
+{
+  struct efx_fixture *fixture = context;
+  struct spx_proxy *proxy = spx_create (&fixture->loop, address);
+  g_ptr_array_add (fixture->proxies, proxy);
+  return g_strdup (spx_address (proxy));
+}
+
+static void
+set_cut (struct efx_fixture *fixture, bool is_cut, enum cut cut)
+{
+  static const enum spx_mode modes[] = {
+    [CUT_SILENT] = SPX_HOLD_ALL,
+    [CUT_RESET] = SPX_RESET,
+    [CUT_NEW] = SPX_PASS,
+  };
+  for (guint i = 0; i < fixture->proxies->len; i++)
+    {
+      struct spx_proxy *proxy = g_ptr_array_index (fixture->proxies, i);
+      spx_set_listening (proxy, !is_cut);
+      spx_set_mode (proxy, is_cut ? modes[cut] : SPX_PASS, 0);
+    }
+}
+
+/* Starts the daemon under test, whose ways to endpoints lead over the
+   proxies.  The neighbour is started later, or its relay would tell it the
+   direct ones.  */
+static struct sep_process *
+start_daemon (struct efx_fixture *fixture)
+{
+  int status = 0;
+  sep_signal (fixture->daemon, SIGKILL);
+  while (!sep_has_ended (fixture->daemon, &status))
+    {
+      efx_run_for (fixture, 20 * CLK_MS_US);
+    }
+  const char *store = sfl_open_detour (fixture->fleet, create_detour, fixture);
+  struct sep_process *daemon = efx_create_second (fixture, store, 0, false);
+  efx_start_second (fixture, daemon);
+  sep_start (fixture->daemon);
+  efx_run_for (fixture, CLK_S_US);
+  efx_await_ready (fixture);
+  efx_run_for (fixture, 2 * CLK_S_US);
+  return daemon;
+}
+
+/* Sends a request of the KIND, 0 to 2, to DAEMON.  Returns its id, which the
+   caller frees.  */
+static char *
+start_request (struct efx_fixture *fixture, struct efx_call *call,
+               const struct sep_process *daemon, uint32_t kind)
+{
+  static const char *const paths[] = { "/draft/a", "/book/a", "/look/a" };
+  char *id = g_strdup_printf ("cut-%u", fixture->next_id++);
+  g_autofree char *request = efx_build_request ("POST", EFX_FLEET_HOST,
+                                                paths[kind], "key-1", id, id);
+  efx_start_call (fixture, call, sep_caller_address (daemon), request,
+                  strlen (request));
+  return id;
+}
+
+/* Sends REQUESTS of each kind to DAEMON.  Returns how many are served; fails
+   if one has run more often than it may, or answers another.  */
+static uint32_t
+count_served (struct efx_fixture *fixture, const struct sep_process *daemon)
+{
+  enum
+  {
+    KINDS = 3
+  };
+  struct efx_call calls[REQUESTS * KINDS];
+  char *ids[REQUESTS * KINDS];
+  uint32_t served = 0;
+  for (uint32_t i = 0; i < REQUESTS * KINDS; i++)
+    {
+      ids[i] = start_request (fixture, &calls[i], daemon, i % KINDS);
+      efx_run_for (fixture, REQUEST_US);
+    }
+  for (uint32_t i = 0; i < REQUESTS * KINDS; i++)
+    {
+      efx_await_call (fixture, &calls[i]);
+      bool success = calls[i].status == 200 && calls[i].complete;
+      served += success;
+      if (success && i % KINDS > 0)
+        {
+          g_autofree char *expected = g_strdup_printf ("done %s", ids[i]);
+          assert_string_equal (calls[i].body->str, expected);
+        }
+      else if (success)
+        {
+          GString *expected = efx_expected_stream (ids[i]);
+          assert_string_equal (calls[i].body->str, expected->str);
+          g_string_free (expected, TRUE);
+        }
+      uint32_t runs = sfl_run_count (fixture->fleet, ids[i]);
+      assert_true (runs <= 1 || i % KINDS != 1);
+      assert_true (runs == 0 || calls[i].status != 503 || i % KINDS != 1);
+      efx_clear_call (&calls[i]);
+      g_free (ids[i]);
+    }
+  return served;
+}
+
+/* Guards against a daemon that refuses what its neighbours have room for: the
+   requests of its callers are served while it is cut off, and again by its own
+   ways afterwards.  */
+static void
+test_cut_off_from_all_endpoints (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    enum cut cut;
+  } cases[] = {
+    { "connections hang", CUT_SILENT },
+    { "connections are reset", CUT_RESET },
+    { "only new connections fail", CUT_NEW },
+  };
+  struct efx_fixture *fixture = *state;
+  fixture->proxies = g_ptr_array_new ();
+  struct sep_process *daemon = start_daemon (fixture);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      uint32_t before = count_served (fixture, daemon);
+      set_cut (fixture, true, cases[i].cut);
+      int64_t noticed_us = clk_monotonic_us () + NOTICE_US;
+      while (clk_monotonic_us () < noticed_us)
+        {
+          struct efx_call call;
+          g_free (start_request (fixture, &call, daemon, 0));
+          efx_run_for (fixture, REQUEST_US * 4);
+          efx_await_call (fixture, &call);
+          efx_clear_call (&call);
+        }
+      uint32_t during = count_served (fixture, daemon);
+      set_cut (fixture, false, cases[i].cut);
+      efx_run_for (fixture, 2 * NOTICE_US);
+      uint32_t after = count_served (fixture, daemon);
+      print_message ("%s: %u served before, %u during, %u after\n",
+                     cases[i].name, before, during, after);
+      if (before * 10 < REQUESTS * 27 || during * 10 < REQUESTS * 27
+          || after * 10 < REQUESTS * 27)
+        {
+          fail_msg ("%s: %u served before, %u during, %u after", cases[i].name,
+                    before, during, after);
+        }
+    }
+  sep_remove_files (daemon);
+  sep_destroy (daemon);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_cut_off_from_all_endpoints),
+  };
+  return cmocka_run_group_tests (tests, efx_set_up, efx_tear_down);
+}
--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -1,5 +1,7 @@
 #include "test/entry_fixture.h"
 
+#include "soak/proxy.h"
+
 #include "base/clock.h"
 #include "platform/headers.h"
 
@@ -229,6 +231,11 @@
   sep_remove_files (fixture->daemon);
   sep_destroy (fixture->daemon);
   ncl_destroy (fixture->client);
+  for (guint i = 0; fixture->proxies != NULL && i < fixture->proxies->len; i++)
+    {
+      spx_destroy (g_ptr_array_index (fixture->proxies, i));
+    }
+  g_clear_pointer (&fixture->proxies, g_ptr_array_unref);
   uv_close ((uv_handle_t *)&fixture->tick, NULL);
   sfl_destroy (fixture->fleet);
   uv_run (&fixture->loop, UV_RUN_DEFAULT);
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -40,6 +40,7 @@
   bool fence_fell;        /* an order had a lower one than an earlier order */
   uint32_t orders;
   uint32_t orders_to[EFX_ENGINES];
+  GPtrArray *proxies; /* struct spx_proxy, of a test; NULL: none */
 };
 
 /* A request of a caller and its answer so far. */
