Pass requests on to a neighbour where a daemon can't reach the endpoints

A daemon took for dead whatever it couldn't reach, and had no other way for a request. Now core/reach tells its own cut from dead endpoints: calls to several of them have failed since any was answered. While it is cut off, and where all endpoints of a service rest for it or none is known, a request goes to another daemon, at its address for callers, with its key and the time left; that one doesn't pass it on again. The neighbour's own refusals say that it hasn't run, anything else that it may have: then it isn't repeated, so it runs on no more endpoints than the neighbour tried. Streams go on there by Last-Event-Id. Twice a second one request tries the own way on a new connection, where a cut is told from a run. Endpoints that a cut daemon can't reach aren't reported as dead to its placement. The neighbours' addresses are in their names in the group, looked up when needed.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -27,6 +27,7 @@
   struct fvw_store *views;
   struct vdt_verdicts *verdicts;
   struct qrn_quarantine *quarantine;
+  struct nbr_neighbours *neighbours;
   struct trf_traffic *traffic;
   struct fct_control *control;
   uv_signal_t terminate; /* SIGTERM */
@@ -130,15 +131,17 @@
   entry.views = fvw_store_create ();
   entry.verdicts = vdt_create ();
   entry.quarantine = qrn_create (settings->name, settings->quarantine_us);
-  entry.traffic = trf_create (entry.loop, settings, entry.views,
-                              entry.verdicts, entry.quarantine, error);
+  entry.neighbours = nbr_create (settings->caller_address);
+  entry.traffic
+      = trf_create (entry.loop, settings, entry.views, entry.verdicts,
+                    entry.quarantine, entry.neighbours, error);
   if (entry.traffic == NULL)
     {
       return false;
     }
   entry.control
       = fct_create (settings, entry.views, entry.verdicts, entry.quarantine,
-                    trf_notify, entry.traffic, error);
+                    entry.neighbours, trf_notify, entry.traffic, error);
   if (entry.control == NULL)
     {
       return false;
@@ -152,6 +155,7 @@
   trf_destroy (entry.traffic);
   vdt_destroy (entry.verdicts);
   qrn_destroy (entry.quarantine);
+  nbr_destroy (entry.neighbours);
   lg_line (LOG_NOTICE, "stopped", "name=%s", settings->name);
   lg_flush ();
   rcu_unregister_thread ();
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -26,6 +26,8 @@
   struct cnt_series *quarantine_refused; /* requests refused for a part of
                                             their prompt */
   struct cnt_series *quarantined_traits; /* of prompts, now */
+  struct cnt_series *passed_on;          /* attempts at another daemon */
+  struct cnt_series *cut_off;            /* from all endpoints, now: 1 */
   struct cnt_series *events;
   struct cnt_series *in_progress;
   struct cnt_series *config_version;
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "core/turned_away.h"
+#include "entry/passing.h"
 #include "platform/headers.h"
 
 #include <string.h>
@@ -45,6 +46,7 @@
   g_hash_table_remove (exchange->traffic->exchanges, exchange);
   flt_release (exchange->config);
   g_free (exchange->service);
+  g_free (exchange->key);
   g_strfreev (exchange->traits);
   g_string_free (exchange->head, TRUE);
   g_byte_array_free (exchange->body, TRUE);
@@ -341,7 +343,9 @@
     .repeat = exchange->route->repeat,
     .resumable = exchange->route->resumable,
     .answer_begun = exchange->answer_begun,
-    .attempts_max = exchange->route->attempts_max,
+    .attempts_max = exchange->ran_elsewhere && !exchange->answer_begun
+                        ? exchange->may_have_run
+                        : exchange->route->attempts_max,
     .may_have_run = exchange->may_have_run,
     .sent = exchange->sent,
     .unsent = exchange->unsent,
@@ -378,8 +382,10 @@
 take_repeat (struct exchange *exchange, bool needed)
 {
   uint32_t service = exg_service_index (exchange);
+  bool refused_by_neighbour
+      = exchange->at_neighbour && exchange->may_have_run == 0;
   return service != FLT_NO_INDEX
-         && (!needed
+         && (!needed || refused_by_neighbour
              || rbg_take (fst_budget (exchange->traffic->fleet, service),
                           clk_monotonic_us ()));
 }
@@ -532,10 +538,12 @@
         {
           return false;
         }
+      exchange->at_neighbour = false;
       exchange->endpoint = fst_reference (exchange->path->parts[0]);
       fst_begin_request (exchange->path, exchange->tokens);
       return true;
     }
+  exchange->at_neighbour = false;
   exchange->endpoint
       = fst_choose_endpoint (fleet, index, exchange->tried_endpoints, now_us);
   if (exchange->endpoint == NULL)
@@ -546,20 +554,61 @@
   return true;
 }
 
-/* Builds the HTTP request of the next attempt.  The caller frees it.  */
-static GString *
-build_request (struct exchange *exchange)
+/* Returns whether the endpoint that was chosen for EXCHANGE, if it was FOUND,
+   is one that this daemon can reach, as far as it knows.  */
+static bool
+is_reachable (const struct exchange *exchange, bool found)
 {
-  int64_t left_us = exchange->deadline_us - clk_monotonic_us ();
-  GString *request
-      = g_string_sized_new (exchange->head->len + exchange->body->len + 512);
-  g_string_append_len (request, exchange->head->str,
-                       (gssize)exchange->head->len);
-  g_string_append_printf (request,
-                          "Host: %s\r\n" PFH_TIME_LEFT_MS
-                          ": %ld\r\n" PFH_EXPECTED_ENDPOINT ": %s\r\n",
-                          exchange->route->host,
-                          (long)MAX (left_us / CLK_MS_US, 1),
+  const struct fst_endpoint *endpoint = exchange->endpoint;
+  return found && !endpoint->evidence.dead
+         && endpoint->evidence.state != EVD_BACKOFF;
+}
+
+/* Chooses a neighbour for the next attempt of EXCHANGE in place of the target
+   that was chosen if it was FOUND, where this daemon can't reach the
+   endpoints.  Returns false when the request isn't passed on.  */
+static bool
+choose_neighbour (struct exchange *exchange, bool found)
+{
+  struct trf_traffic *traffic = exchange->traffic;
+  bool is_cut_off = psg_is_cut_off (traffic);
+  if (exchange->is_passed || (!is_cut_off && is_reachable (exchange, found))
+      || (is_cut_off && found && psg_take_probe (traffic)))
+    {
+      return false;
+    }
+  struct fst_endpoint *neighbour
+      = psg_choose (traffic, exchange->tried_endpoints);
+  if (neighbour == NULL)
+    {
+      return false;
+    }
+  release_target (exchange);
+  exchange->at_neighbour = true;
+  exchange->endpoint = neighbour;
+  evd_begin (&neighbour->evidence);
+  cnt_add (traffic->metrics->passed_on, 1);
+  lg_line (LOG_INFO, "passed_on", "request=%s to=%s cut_off=%d", exchange->id,
+           neighbour->address, is_cut_off);
+  return true;
+}
+
+/* Appends the headers that an endpoint needs, or the neighbour that EXCHANGE
+   is passed on to.  */
+static void
+append_target_headers (const struct exchange *exchange, GString *request)
+{
+  if (exchange->at_neighbour)
+    {
+      g_string_append (request, NBR_PASSED_ON ": 1\r\n");
+      if (exchange->key != NULL)
+        {
+          g_string_append_printf (request, PFH_API_KEY ": %s\r\n",
+                                  exchange->key);
+        }
+      return;
+    }
+  g_string_append_printf (request, PFH_EXPECTED_ENDPOINT ": %s\r\n",
                           exchange->endpoint->id);
   if (exchange->account != NULL)
     {
@@ -571,6 +620,21 @@
       g_string_append_printf (request, PFH_PATH ": %s\r\n",
                               exchange->path->text);
     }
+}
+
+/* Builds the HTTP request of the next attempt.  The caller frees it.  */
+static GString *
+build_request (struct exchange *exchange)
+{
+  int64_t left_us = exchange->deadline_us - clk_monotonic_us ();
+  GString *request
+      = g_string_sized_new (exchange->head->len + exchange->body->len + 512);
+  g_string_append_len (request, exchange->head->str,
+                       (gssize)exchange->head->len);
+  g_string_append_printf (request, "Host: %s\r\n" PFH_TIME_LEFT_MS ": %ld\r\n",
+                          exchange->route->host,
+                          (long)MAX (left_us / CLK_MS_US, 1));
+  append_target_headers (exchange, request);
   if (exchange->scanner.last_id >= 0)
     {
       g_string_append_printf (request, PFH_LAST_EVENT_ID ": %ld\r\n",
@@ -613,6 +677,12 @@
     }
   double excess_us = 0;
   bool found = choose_target (exchange, &excess_us);
+  bool passes = choose_neighbour (exchange, found);
+  if (passes)
+    {
+      found = true;
+      excess_us = 0;
+    }
   if (found && excess_us > 0 && is_refusable (exchange))
     {
       lg_line (LOG_INFO, "queues_full", "request=%s endpoint=%s excess_ms=%ld",
@@ -659,9 +729,9 @@
   exchange->sent_us = clk_monotonic_us ();
   exchange->last_received_us = exchange->sent_us;
   fst_take_rate (exchange->endpoint, exchange->sent_us);
-  exchange->attempt
-      = ncl_send (traffic->client, exchange->endpoint->address, request->str,
-                  request->len, false, &exg_attempt_events, exchange);
+  exchange->attempt = ncl_send (
+      traffic->client, exchange->endpoint->address, request->str, request->len,
+      !passes && psg_is_cut_off (traffic), &exg_attempt_events, exchange);
   g_string_free (request, TRUE);
   cnt_add (traffic->metrics->attempts, 1);
   exchange->attempts++;
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "entry/announcement.h"
+#include "entry/passing.h"
 #include "platform/headers.h"
 
 #include <string.h>
@@ -80,6 +81,11 @@
       fst_report_failure (exchange->traffic->fleet, exchange->endpoint,
                           EVD_INCONCLUSIVE, "did not answer",
                           clk_monotonic_us ());
+      if (!exchange->at_neighbour)
+        {
+          psg_report_failure (exchange->traffic, exchange->endpoint,
+                              exchange->sent_us);
+        }
     }
 }
 
@@ -166,6 +172,30 @@
     }
 }
 
+/* Records what the head of ANSWER, with STATUS, says of the endpoint or the
+   neighbour that sent it.  */
+static void
+report_head (struct exchange *exchange, uint32_t status,
+             const struct msg_message *answer)
+{
+  exchange->not_executed = msg_find (answer, PFH_NOT_EXECUTED) != NULL
+                           || status == HTTP_STATUS_MISDIRECTED_REQUEST;
+  exchange->failed_by_neighbour = false;
+  if (exchange->at_neighbour)
+    {
+      bool own = msg_find (answer, PFH_SIGNATURE) == NULL && status >= 400;
+      bool promises = status < HTTP_STATUS_INTERNAL_SERVER_ERROR
+                      || status == HTTP_STATUS_SERVICE_UNAVAILABLE;
+      exchange->failed_by_neighbour = own;
+      exchange->not_executed = own && promises;
+      return;
+    }
+  psg_report_answer (exchange->traffic, exchange->sent_us);
+  report_alive (exchange, status);
+  exchange->turned_away
+      = anc_handle (exchange->traffic, exchange->endpoint, status, answer);
+}
+
 /* Handles the headers of an answer.  Returns false when ANSWER can't be that
    of EXCHANGE's request: another request's id, no signature on a success, or
    no stream where one has begun.  */
@@ -179,14 +209,12 @@
   exchange->last_received_us = clk_monotonic_us ();
   exchange->ends_with_connection
       = ncl_ends_with_connection (exchange->attempt);
-  exchange->not_executed = msg_find (answer, PFH_NOT_EXECUTED) != NULL
-                           || status == HTTP_STATUS_MISDIRECTED_REQUEST;
   g_free (exchange->failed_address);
   exchange->failed_address
-      = g_strdup (msg_find (answer, PFH_ENDPOINT_AT_FAULT));
-  report_alive (exchange, status);
-  exchange->turned_away
-      = anc_handle (exchange->traffic, exchange->endpoint, status, answer);
+      = exchange->at_neighbour
+            ? NULL
+            : g_strdup (msg_find (answer, PFH_ENDPOINT_AT_FAULT));
+  report_head (exchange, status, answer);
   if (id == NULL ? success : strcmp (id, exchange->id) != 0)
     {
       return false;
@@ -415,6 +443,14 @@
       exg_end_attempt (exchange, ATT_NOT_RUN);
       return;
     }
+  if (exchange->at_neighbour)
+    {
+      exchange->ran_elsewhere = true;
+      exg_end_attempt (exchange, exchange->failed_by_neighbour
+                                     ? ATT_NO_RESPONSE
+                                     : ATT_FAILED);
+      return;
+    }
   if (!exchange->turned_away)
     {
       exg_report_failure (exchange, EVD_INCONCLUSIVE, "failed a request");
@@ -442,6 +478,11 @@
   switch (failure)
     {
     case NCL_NOT_CONNECTED:
+      if (!exchange->at_neighbour)
+        {
+          psg_report_failure (exchange->traffic, exchange->endpoint,
+                              exchange->sent_us);
+        }
       exg_report_failure (exchange, EVD_DEAD, "connection failed");
       exg_end_attempt (exchange, ATT_NOT_SENT);
       break;
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -24,8 +24,15 @@
 is_not_forwarded (const char *name)
 {
   static const char *const names[] = {
-    "Host",   PFH_API_KEY,           PFH_ACCOUNT,       PFH_TIME_LEFT_MS,
-    PFH_PATH, PFH_EXPECTED_ENDPOINT, PFH_LAST_EVENT_ID, PFH_ENGINE_PRIORITY,
+    "Host",
+    PFH_API_KEY,
+    PFH_ACCOUNT,
+    PFH_TIME_LEFT_MS,
+    PFH_PATH,
+    PFH_EXPECTED_ENDPOINT,
+    PFH_LAST_EVENT_ID,
+    PFH_ENGINE_PRIORITY,
+    NBR_PASSED_ON,
   };
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
     {
@@ -256,6 +263,8 @@
   exchange->has_body = request->body->len > 0
                        || msg_find (request, "Content-Length") != NULL
                        || msg_find (request, "Transfer-Encoding") != NULL;
+  exchange->key = g_strdup (msg_find (request, PFH_API_KEY));
+  exchange->is_passed = msg_find (request, NBR_PASSED_ON) != NULL;
   double output_tokens = 0;
   exchange->tokens
       = parse_tokens (msg_find (request, PFH_TOKENS), &output_tokens);
@@ -351,6 +360,9 @@
   exchange->traits = g_steal_pointer (&traits);
   exchange->is_trial = verdict.trial;
   exchange->service = g_strdup (config->services[service].name);
-  rbg_request (fst_budget (traffic->fleet, service), exchange->arrived_us);
+  if (!exchange->is_passed)
+    {
+      rbg_request (fst_budget (traffic->fleet, service), exchange->arrived_us);
+    }
   exg_start_attempt (exchange, ATT_NOT_SENT);
 }
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -22,6 +22,8 @@
   GString *head;    /* start line and forwarded headers of the request */
   GByteArray *body; /* of the request */
   bool has_body;
+  char *key;      /* the caller's API key; NULL: none */
+  bool is_passed; /* another daemon has passed the request on */
 
   char **traits; /* names of what the request has in common with others, see
                     entry/quarantine.h */
@@ -33,6 +35,8 @@
   /* State of the current attempt. */
   struct ncl_exchange *attempt;  /* NULL: ended */
   struct fst_endpoint *endpoint; /* reference; the request is sent to it */
+  bool at_neighbour;             /* it is another daemon */
+  bool failed_by_neighbour;      /* its answer is that daemon's own */
   struct fst_path *path;         /* NULL for plain services */
   uint32_t status;               /* of the answer; 0: none yet */
   bool is_waiting;   /* for the first event on a path: `wait_link' is in use */
@@ -74,6 +78,7 @@
   bool proved_sound;     /* an endpoint has answered it without ending */
   bool is_trial;         /* the next attempt is made though the request has a
                             quarantined trait */
+  bool ran_elsewhere;    /* a neighbour may have run it as often as it may */
   bool served;           /* the answer is complete and a success */
   bool answer_chunked;   /* sent to the caller in chunks, whose end marks a
                             complete answer */
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -65,6 +65,7 @@
   struct evt_topic *evidence;
   struct tpc_topic *topics[TOPICS]; /* these three */
   struct qrn_quarantine *quarantine;
+  struct nbr_neighbours *neighbours;
   struct rly_relay *relay;
   bool is_relay;          /* the settings name this daemon as a relay */
   bool runs_relay;        /* reads the store for other daemons too */
@@ -306,6 +307,20 @@
   g_ptr_array_free (others, TRUE);
 }
 
+/* Hands the addresses of the group's members for callers to the traffic
+   thread.  A lookup that fails is repeated while they are asked for.  */
+static void
+on_neighbours_found (void *context, const GPtrArray *found)
+{
+  struct fct_control *control = context;
+  if (found == NULL)
+    {
+      nbr_ask (control->neighbours);
+      return;
+    }
+  nbr_set (control->neighbours, found);
+}
+
 /* Finds the daemons that may hold what the store has lost in a restore: the
    relays of the settings or, without any, the members of the group.  A lookup
    that fails is repeated at each tick.  */
@@ -693,6 +708,11 @@
     {
       find_holders (control);
     }
+  if (nbr_take_question (control->neighbours, now_us)
+      && !grp_find_neighbours (control->group, on_neighbours_found, control))
+    {
+      nbr_ask (control->neighbours);
+    }
   plc_step (control->placer, control->view->config, control->view->endpoints,
             now_us);
 }
@@ -787,6 +807,7 @@
     .loop = &control->loop,
     .address = control->settings->store_address,
     .member = member,
+    .caller_address = control->settings->caller_address,
     .relay_address = control->settings->relay_address,
     .partitions = control->settings->store_partitions,
   };
@@ -814,7 +835,8 @@
 struct fct_control *
 fct_create (const struct ens_settings *settings, struct fvw_store *views,
             struct vdt_verdicts *verdicts, struct qrn_quarantine *quarantine,
-            fct_notify notify, void *context, GError **error)
+            struct nbr_neighbours *neighbours, fct_notify notify,
+            void *context, GError **error)
 {
   struct fct_control *control = g_new0 (struct fct_control, 1);
   const struct ncl_params client_params = {
@@ -828,6 +850,7 @@
   control->views = views;
   control->verdicts = verdicts;
   control->quarantine = quarantine;
+  control->neighbours = neighbours;
   control->notify = notify;
   control->context = context;
   control->roster = rst_create ();
--- a/src/entry/fleet_control.h
+++ b/src/entry/fleet_control.h
@@ -7,6 +7,7 @@
 
 #include "config/entry_settings.h"
 #include "entry/fleet_view.h"
+#include "entry/neighbours.h"
 #include "entry/quarantine.h"
 #include "entry/verdicts.h"
 
@@ -19,7 +20,8 @@
 struct fct_control *
 fct_create (const struct ens_settings *settings, struct fvw_store *views,
             struct vdt_verdicts *verdicts, struct qrn_quarantine *quarantine,
-            fct_notify notify, void *context, GError **error);
+            struct nbr_neighbours *neighbours, fct_notify notify,
+            void *context, GError **error);
 void fct_leave_group (struct fct_control *control);
 void fct_destroy (struct fct_control *control);
 
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -83,6 +83,7 @@
   GPtrArray *data_centres; /* names, allocated; endpoints hold the index */
   GHashTable *services;    /* name to struct service_state */
   GHashTable *kept_rates;  /* endpoint id to struct kept_rate */
+  bool cut_off; /* this daemon can't tell which endpoints are dead */
 };
 
 static void
@@ -132,6 +133,20 @@
   g_free (fleet);
 }
 
+/* Returns another daemon, which serves callers at ADDRESS, as an endpoint of
+   no service.  The caller releases it.  */
+struct fst_endpoint *
+fst_create_peer (const char *address)
+{
+  struct fst_endpoint *peer = g_new0 (struct fst_endpoint, 1);
+  peer->references = 1;
+  peer->id = g_strdup_printf ("daemon-%s", address);
+  peer->address = g_strdup (address);
+  peer->service = FLT_NO_INDEX;
+  g_queue_init (&peer->waiting);
+  return peer;
+}
+
 /* Adds a reference to ENDPOINT and returns it.  */
 struct fst_endpoint *
 fst_reference (struct fst_endpoint *endpoint)
@@ -1099,7 +1114,8 @@
 publish_verdict (struct fst_fleet *fleet, const struct fst_endpoint *endpoint,
                  bool was_dead)
 {
-  if (endpoint->evidence.dead == was_dead || !endpoint->listed)
+  if (endpoint->evidence.dead == was_dead || !endpoint->listed
+      || (fleet->cut_off && !was_dead))
     {
       return;
     }
@@ -1115,6 +1131,27 @@
     }
 }
 
+/* Records whether this daemon is cut off from all endpoints.  Those that it
+   can't reach aren't dead for others, so verdicts of that are taken back.  */
+void
+fst_set_cut_off (struct fst_fleet *fleet, bool is_cut_off)
+{
+  fleet->cut_off = is_cut_off;
+  for (guint i = 0; is_cut_off && i < fleet->ordered->len; i++)
+    {
+      const struct fst_endpoint *endpoint
+          = g_ptr_array_index (fleet->ordered, i);
+      vdt_clear (fleet->verdicts, endpoint->id);
+    }
+}
+
+/* Returns the number of endpoints that are known.  */
+uint32_t
+fst_endpoint_count (const struct fst_fleet *fleet)
+{
+  return fleet->ordered->len;
+}
+
 /* Discards the paths of ENDPOINT's service.  */
 static void
 invalidate_paths_over (struct fst_fleet *fleet,
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -69,6 +69,8 @@
 const struct flt_config *fst_config (const struct fst_fleet *fleet);
 struct rbg_budget *fst_budget (struct fst_fleet *fleet, uint32_t service);
 bool fst_can_serve (const struct fst_fleet *fleet);
+uint32_t fst_endpoint_count (const struct fst_fleet *fleet);
+void fst_set_cut_off (struct fst_fleet *fleet, bool is_cut_off);
 
 struct fst_endpoint *fst_choose_endpoint (struct fst_fleet *fleet,
                                           uint32_t service,
@@ -97,6 +99,7 @@
                       double per_s);
 void fst_take_rate (struct fst_endpoint *endpoint, int64_t now_us);
 
+struct fst_endpoint *fst_create_peer (const char *address);
 struct fst_endpoint *fst_reference (struct fst_endpoint *endpoint);
 void fst_release (struct fst_endpoint *endpoint);
 struct fst_path *fst_reference_path (struct fst_path *path);
--- a/src/entry/inquiry.c
+++ b/src/entry/inquiry.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "entry/announcement.h"
 #include "entry/exchange.h"
+#include "entry/passing.h"
 #include "net/call.h"
 #include "platform/runner.h"
 
@@ -100,6 +101,10 @@
     {
       inquiry->interval_us = INTERVAL_MIN_US;
     }
+  if (status != 0)
+    {
+      psg_report_answer (traffic, inquiry->sent_us);
+    }
   if (stalls != NULL)
     {
       report_stalls (traffic, inquiry->engine, stalls);
@@ -107,6 +112,7 @@
     }
   else if (status == 0)
     {
+      psg_report_failure (traffic, inquiry->engine, inquiry->sent_us);
       fst_report_failure (traffic->fleet, inquiry->engine, EVD_DEAD,
                           "did not answer a report request",
                           clk_monotonic_us ());
--- /dev/null
+++ b/src/entry/passing.h
@@ -0,0 +1,22 @@
+/* Passes requests on to another daemon while this one can't reach the
+   endpoints that would serve them.  For the traffic thread.  See core/reach.h
+   for how that is found out. */
+#ifndef ENTRY_PASSING_H
+#define ENTRY_PASSING_H
+
+#include "entry/traffic.h"
+
+struct psg_passing;
+
+struct psg_passing *psg_create (struct nbr_neighbours *neighbours);
+void psg_destroy (struct psg_passing *passing);
+void psg_report_answer (struct trf_traffic *traffic, int64_t sent_us);
+void psg_report_failure (struct trf_traffic *traffic,
+                         const struct fst_endpoint *endpoint, int64_t sent_us);
+bool psg_is_cut_off (const struct trf_traffic *traffic);
+bool psg_is_ready (const struct trf_traffic *traffic);
+bool psg_take_probe (struct trf_traffic *traffic);
+struct fst_endpoint *psg_choose (struct trf_traffic *traffic,
+                                 const GPtrArray *tried);
+
+#endif
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "entry/exchange.h"
 #include "entry/inquiry.h"
+#include "entry/passing.h"
 
 #include <string.h>
 
@@ -48,7 +49,8 @@
 static bool
 is_ready (const struct trf_traffic *traffic)
 {
-  return traffic->stopping_us == 0 && fst_can_serve (traffic->fleet);
+  return traffic->stopping_us == 0 && fst_can_serve (traffic->fleet)
+         && psg_is_ready (traffic);
 }
 
 static void
@@ -258,12 +260,14 @@
 }
 
 /* Opens the servers of an entry daemon on LOOP, which the calling thread runs
-   afterwards.  SETTINGS, VIEWS, VERDICTS and QUARANTINE must outlive the
-   result.  Returns NULL with ERR_SETTINGS when an address can't be used.  */
+   afterwards.  SETTINGS, VIEWS, VERDICTS, QUARANTINE and NEIGHBOURS must
+   outlive the result.  Returns NULL with ERR_SETTINGS when an address can't be
+   used.  */
 struct trf_traffic *
 trf_create (uv_loop_t *loop, const struct ens_settings *settings,
             struct fvw_store *views, struct vdt_verdicts *verdicts,
-            struct qrn_quarantine *quarantine, GError **error)
+            struct qrn_quarantine *quarantine,
+            struct nbr_neighbours *neighbours, GError **error)
 {
   struct trf_traffic *traffic = g_new0 (struct trf_traffic, 1);
   const struct ncl_params client_params = {
@@ -283,6 +287,7 @@
   traffic->settings = settings;
   traffic->views = views;
   traffic->quarantine = quarantine;
+  traffic->passing = psg_create (neighbours);
   traffic->freshness = (struct frs_params){
     .revoke_us = settings->revoke_us,
     .change_us = settings->config_apply_max_us,
@@ -360,6 +365,7 @@
   uv_close ((uv_handle_t *)&traffic->sweep, NULL);
   g_hash_table_destroy (traffic->exchanges);
   g_hash_table_destroy (traffic->run_times);
+  psg_destroy (traffic->passing);
   fst_destroy (traffic->fleet);
   emt_destroy (traffic->metrics);
   cnt_set_destroy (traffic->series);
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -9,6 +9,7 @@
 #include "core/stopping.h"
 #include "entry/entry_metrics.h"
 #include "entry/fleet_state.h"
+#include "entry/neighbours.h"
 #include "entry/quarantine.h"
 #include "net/client.h"
 #include "net/server.h"
@@ -21,6 +22,7 @@
   struct fvw_store *views;
   struct fst_fleet *fleet;
   struct qrn_quarantine *quarantine;
+  struct psg_passing *passing;
   struct ncl_client *client; /* connections to endpoints */
   struct nsv_server *caller_server;
   struct nsv_server *probe_server; /* readiness probes of the load balancer */
@@ -46,7 +48,8 @@
 struct trf_traffic *
 trf_create (uv_loop_t *loop, const struct ens_settings *settings,
             struct fvw_store *views, struct vdt_verdicts *verdicts,
-            struct qrn_quarantine *quarantine, GError **error);
+            struct qrn_quarantine *quarantine,
+            struct nbr_neighbours *neighbours, GError **error);
 void trf_destroy (struct trf_traffic *traffic);
 void trf_notify (void *traffic);
 int64_t trf_refresh (struct trf_traffic *traffic);
