Find neighbours in a directory of all daemons, and pass on what they lack too

Cause: the group's list names only members that own a partition; the one daemon with all ways wasn't one. Each daemon publishes its address for callers in a topic of its own now, once at each start and after a restore of the store, and withdraws it as it stops; it is read when needed.

Neighbours that can't reach the endpoints either, or too few of them for their load, say so at once with status 421, and rest; they held such requests before, or refused them as full. A daemon with too few ways for its load passes on what it would refuse.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -554,26 +554,37 @@
   return true;
 }
 
-/* Returns whether the endpoint that was chosen for EXCHANGE, if it was FOUND,
-   is one that this daemon can reach, as far as it knows.  */
+/* Returns whether this daemon can't reach the target of EXCHANGE, if one was
+   FOUND, as far as it knows.  Now and then one request finds out.  */
 static bool
-is_reachable (const struct exchange *exchange, bool found)
+is_out_of_reach (const struct exchange *exchange, bool found)
 {
-  const struct fst_endpoint *endpoint = exchange->endpoint;
-  return found && !endpoint->evidence.dead
-         && endpoint->evidence.state != EVD_BACKOFF;
+  if (psg_is_cut_off (exchange->traffic))
+    {
+      return !found || !psg_take_probe (exchange->traffic);
+    }
+  return found
+         && (exchange->endpoint->evidence.dead
+             || exchange->endpoint->evidence.state == EVD_BACKOFF);
+}
+
+/* Returns whether a neighbour may have room for EXCHANGE where this daemon has
+   none: it may reach endpoints that this one doesn't.  */
+static bool
+is_short_of_ways (const struct exchange *exchange)
+{
+  uint32_t service = exg_service_index (exchange);
+  return is_refusable (exchange) && service != FLT_NO_INDEX
+         && fst_lacks_endpoints (exchange->traffic->fleet, service);
 }
 
 /* Chooses a neighbour for the next attempt of EXCHANGE in place of the target
-   that was chosen if it was FOUND, where this daemon can't reach the
-   endpoints.  Returns false when the request isn't passed on.  */
+   that was chosen.  Returns false when the request isn't passed on.  */
 static bool
-choose_neighbour (struct exchange *exchange, bool found)
+choose_neighbour (struct exchange *exchange)
 {
   struct trf_traffic *traffic = exchange->traffic;
-  bool is_cut_off = psg_is_cut_off (traffic);
-  if (exchange->is_passed || (!is_cut_off && is_reachable (exchange, found))
-      || (is_cut_off && found && psg_take_probe (traffic)))
+  if (exchange->is_passed || exchange->neighbour_refused)
     {
       return false;
     }
@@ -589,7 +600,7 @@
   evd_begin (&neighbour->evidence);
   cnt_add (traffic->metrics->passed_on, 1);
   lg_line (LOG_INFO, "passed_on", "request=%s to=%s cut_off=%d", exchange->id,
-           neighbour->address, is_cut_off);
+           neighbour->address, psg_is_cut_off (traffic));
   return true;
 }
 
@@ -677,7 +688,15 @@
     }
   double excess_us = 0;
   bool found = choose_target (exchange, &excess_us);
-  bool passes = choose_neighbour (exchange, found);
+  bool needs_neighbour = is_out_of_reach (exchange, found)
+                         || (excess_us > 0 && is_short_of_ways (exchange));
+  if (needs_neighbour && exchange->is_passed && is_refusable (exchange))
+    {
+      answer_with_error (exchange, HTTP_STATUS_MISDIRECTED_REQUEST,
+                         "out_of_reach", 0);
+      return;
+    }
+  bool passes = needs_neighbour && choose_neighbour (exchange);
   if (passes)
     {
       found = true;
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -406,6 +406,24 @@
   exg_finish (exchange, exchange->status, "delivered");
 }
 
+/* Handles the refusal of a neighbour.  One that can't reach the endpoints
+   either says so with status 421; any other refusal means that the request is
+   to come back later.  */
+static void
+handle_refusal (struct exchange *exchange)
+{
+  if (exchange->status == HTTP_STATUS_MISDIRECTED_REQUEST)
+    {
+      exg_report_failure (exchange, EVD_UNAVAILABLE,
+                          "can't reach the endpoints");
+    }
+  else
+    {
+      exchange->neighbour_refused = true;
+    }
+  exg_end_attempt (exchange, ATT_NOT_RUN);
+}
+
 /* Handles the end of an answer.  */
 static void
 on_complete (void *context)
@@ -428,6 +446,11 @@
       exg_deliver_buffered (exchange);
       return;
     }
+  if (exchange->not_executed && exchange->at_neighbour)
+    {
+      handle_refusal (exchange);
+      return;
+    }
   if (exchange->not_executed)
     {
       /* A wrong incarnation or layers aren't a shortage of room. */
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -298,6 +298,7 @@
   const struct flt_route *route = NULL;
   const struct flt_account *account = NULL;
   const char *id = msg_find (request, PFH_REQUEST_ID);
+  bool is_stopping = false;
   cnt_add (traffic->metrics->requests, 1);
   struct refusal refusal
       = check_request (traffic, config, proved_us, request, &route, &account);
@@ -317,6 +318,7 @@
   if (refusal.status == 0
       && !can_finish (traffic, route, &config->services[service], request, id))
     {
+      is_stopping = true;
       refusal = (struct refusal){ .status = HTTP_STATUS_SERVICE_UNAVAILABLE,
                                   .why = "stopping" };
     }
@@ -350,6 +352,10 @@
                (unsigned long)(config == NULL ? 0 : config->version),
                (long)((clk_monotonic_us () - proved_us) / CLK_MS_US));
       cnt_add (traffic->metrics->refused, refused);
+      if (is_stopping && msg_find (request, NBR_PASSED_ON) != NULL)
+        {
+          refusal.status = HTTP_STATUS_MISDIRECTED_REQUEST;
+        }
       exg_answer_without_body (
           traffic, caller, refusal.status, id,
           refused ? MAX (refusal.retry_after_s, exg_retry_after_s ()) : 0);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -21,8 +21,8 @@
   char id[EXG_ID_BYTES];
   GString *head;    /* start line and forwarded headers of the request */
   GByteArray *body; /* of the request */
+  char *key;        /* the caller's API key; NULL: none */
   bool has_body;
-  char *key;      /* the caller's API key; NULL: none */
   bool is_passed; /* another daemon has passed the request on */
 
   char **traits; /* names of what the request has in common with others, see
@@ -35,14 +35,14 @@
   /* State of the current attempt. */
   struct ncl_exchange *attempt;  /* NULL: ended */
   struct fst_endpoint *endpoint; /* reference; the request is sent to it */
-  bool at_neighbour;             /* it is another daemon */
-  bool failed_by_neighbour;      /* its answer is that daemon's own */
   struct fst_path *path;         /* NULL for plain services */
   uint32_t status;               /* of the answer; 0: none yet */
   bool is_waiting;   /* for the first event on a path: `wait_link' is in use */
   bool not_executed; /* the endpoint states that it didn't run the request */
   bool turned_away;  /* the endpoint closed before or since it was sent the
                         request: that isn't a failed attempt there */
+  bool at_neighbour; /* it is another daemon */
+  bool failed_by_neighbour; /* its answer is that daemon's own */
   bool is_stream;
   bool ends_with_connection; /* neither a length nor chunks mark the end of the
                                 answer, so a cut one looks complete */
@@ -78,10 +78,11 @@
   bool proved_sound;     /* an endpoint has answered it without ending */
   bool is_trial;         /* the next attempt is made though the request has a
                             quarantined trait */
-  bool ran_elsewhere;    /* a neighbour may have run it as often as it may */
-  bool served;           /* the answer is complete and a success */
-  bool answer_chunked;   /* sent to the caller in chunks, whose end marks a
-                            complete answer */
+  bool neighbour_refused; /* one that may be able to reach the endpoints */
+  bool ran_elsewhere;     /* a neighbour may have run it as often as it may */
+  bool served;            /* the answer is complete and a success */
+  bool answer_chunked;    /* sent to the caller in chunks, whose end marks a
+                             complete answer */
   struct evs_scanner scanner;
   uint32_t events;           /* delivered to the caller */
   int64_t first_event_us;    /* when the answer began; 0: not yet */
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "core/roster.h"
 #include "core/shared_rate.h"
+#include "entry/directory.h"
 #include "entry/evidence_topic.h"
 #include "entry/group.h"
 #include "entry/placing.h"
@@ -63,6 +64,7 @@
   struct tpc_topic *operator_topic;
   struct tpc_topic *endpoint_topic;
   struct evt_topic *evidence;
+  struct dir_directory *directory;
   struct tpc_topic *topics[TOPICS]; /* these three */
   struct qrn_quarantine *quarantine;
   struct nbr_neighbours *neighbours;
@@ -307,20 +309,6 @@
   g_ptr_array_free (others, TRUE);
 }
 
-/* Hands the addresses of the group's members for callers to the traffic
-   thread.  A lookup that fails is repeated while they are asked for.  */
-static void
-on_neighbours_found (void *context, const GPtrArray *found)
-{
-  struct fct_control *control = context;
-  if (found == NULL)
-    {
-      nbr_ask (control->neighbours);
-      return;
-    }
-  nbr_set (control->neighbours, found);
-}
-
 /* Finds the daemons that may hold what the store has lost in a restore: the
    relays of the settings or, without any, the members of the group.  A lookup
    that fails is repeated at each tick.  */
@@ -347,6 +335,7 @@
   if (restored && era > control->era)
     {
       fvw_count_restore (control->views);
+      dir_publish_again (control->directory);
     }
   control->era = MAX (control->era, era);
   rly_set_era (control->relay, topic, era);
@@ -584,6 +573,7 @@
 {
   struct fct_control *control = leave->data;
   grp_leave (control->group);
+  dir_withdraw (control->directory);
 }
 
 static void
@@ -593,6 +583,7 @@
   tpc_destroy (control->operator_topic);
   tpc_destroy (control->endpoint_topic);
   evt_destroy (control->evidence);
+  dir_destroy (control->directory);
   plc_destroy (control->placer);
   grp_destroy (control->group);
   rly_destroy (control->relay);
@@ -708,11 +699,7 @@
     {
       find_holders (control);
     }
-  if (nbr_take_question (control->neighbours, now_us)
-      && !grp_find_neighbours (control->group, on_neighbours_found, control))
-    {
-      nbr_ask (control->neighbours);
-    }
+  dir_step (control->directory, now_us);
   plc_step (control->placer, control->view->config, control->view->endpoints,
             now_us);
 }
@@ -771,6 +758,15 @@
   };
   rfs_plan_quarantine (&bounds, &evidence_params.plan);
   control->evidence = evt_create (&evidence_params);
+  const struct dir_params directory_params = {
+    .client = control->client,
+    .loop = &control->loop,
+    .store_address = control->settings->store_address,
+    .name = control->settings->name,
+    .caller_address = control->settings->caller_address,
+    .neighbours = control->neighbours,
+  };
+  control->directory = dir_create (&directory_params);
   control->topics[0] = control->operator_topic;
   control->topics[1] = control->endpoint_topic;
   control->topics[2] = evt_source (control->evidence);
@@ -807,7 +803,6 @@
     .loop = &control->loop,
     .address = control->settings->store_address,
     .member = member,
-    .caller_address = control->settings->caller_address,
     .relay_address = control->settings->relay_address,
     .partitions = control->settings->store_partitions,
   };
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -1152,6 +1152,24 @@
   return fleet->ordered->len;
 }
 
+/* Returns whether this daemon can't reach some endpoints of SERVICE, which
+   others may reach.  */
+bool
+fst_lacks_endpoints (const struct fst_fleet *fleet, uint32_t service)
+{
+  for (guint i = 0; i < fleet->ordered->len; i++)
+    {
+      const struct fst_endpoint *endpoint
+          = g_ptr_array_index (fleet->ordered, i);
+      if (endpoint->service == service && endpoint->listed
+          && endpoint->evidence.dead)
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
 /* Discards the paths of ENDPOINT's service.  */
 static void
 invalidate_paths_over (struct fst_fleet *fleet,
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -70,6 +70,7 @@
 struct rbg_budget *fst_budget (struct fst_fleet *fleet, uint32_t service);
 bool fst_can_serve (const struct fst_fleet *fleet);
 uint32_t fst_endpoint_count (const struct fst_fleet *fleet);
+bool fst_lacks_endpoints (const struct fst_fleet *fleet, uint32_t service);
 void fst_set_cut_off (struct fst_fleet *fleet, bool is_cut_off);
 
 struct fst_endpoint *fst_choose_endpoint (struct fst_fleet *fleet,
--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -26,7 +26,6 @@
   struct cal_call *lookup; /* of the owners of partitions; NULL: none */
   grp_found found;         /* receives the result of the lookup */
   void *found_context;
-  enum pfs_address lookup_wanted;
   uint32_t lookup_end;          /* the partitions below it are looked up */
   uint64_t era;                 /* newest that is known of the store */
   uint64_t answer_era;          /* stated by the newest answer to a renewal */
@@ -224,8 +223,7 @@
   struct grp_group *group = g_new0 (struct grp_group, 1);
   group->params = *params;
   group->address = g_strdup (params->address);
-  group->member = pfs_member_name (params->member, params->caller_address,
-                                   params->relay_address);
+  group->member = pfs_member_name (params->member, params->relay_address);
   group->membership.first_partition = UINT32_MAX;
   uv_timer_init (params->loop, &group->timer);
   group->timer.data = group;
@@ -432,8 +430,8 @@
   GPtrArray *addresses = g_ptr_array_new_with_free_func (g_free);
   g_autoptr (GError) error = NULL;
   if (status != HTTP_STATUS_OK
-      || !pfs_decode_owners (body, body_bytes, group->lookup_end,
-                             group->lookup_wanted, addresses, &error))
+      || !pfs_decode_owners (body, body_bytes, group->lookup_end, addresses,
+                             &error))
     {
       lg_line (LOG_INFO, "relays_not_found", "status=%u why=\"%s\"", status,
                error != NULL ? error->message : why);
@@ -449,11 +447,11 @@
   g_ptr_array_free (addresses, TRUE);
 }
 
-/* Looks the WANTED addresses of the owners of the partitions below END up.
-   Returns false, without a call of FOUND, during an earlier lookup.  */
+/* Looks the owners of the partitions below END up.  Returns false, without a
+   call of FOUND, during an earlier lookup.  */
 static bool
-find_owners (struct grp_group *group, uint32_t end, enum pfs_address wanted,
-             grp_found found, void *context)
+find_owners (struct grp_group *group, uint32_t end, grp_found found,
+             void *context)
 {
   if (group->lookup != NULL)
     {
@@ -465,7 +463,6 @@
   group->found = found;
   group->found_context = context;
   group->lookup_end = end;
-  group->lookup_wanted = wanted;
   group->lookup = cal_send (&params);
   g_free (path);
   return true;
@@ -476,7 +473,7 @@
 void
 grp_find_relays (struct grp_group *group, grp_found found, void *context)
 {
-  find_owners (group, RELAY_PARTITIONS, PFS_RELAY_ADDRESS, found, context);
+  find_owners (group, RELAY_PARTITIONS, found, context);
 }
 
 /* Looks up all members that own a partition, and passes the addresses at which
@@ -485,12 +482,5 @@
 bool
 grp_find_members (struct grp_group *group, grp_found found, void *context)
 {
-  return find_owners (group, UINT32_MAX, PFS_RELAY_ADDRESS, found, context);
-}
-
-/* Does the same with the addresses at which the members serve callers.  */
-bool
-grp_find_neighbours (struct grp_group *group, grp_found found, void *context)
-{
-  return find_owners (group, UINT32_MAX, PFS_CALLER_ADDRESS, found, context);
+  return find_owners (group, UINT32_MAX, found, context);
 }
--- a/src/entry/group.h
+++ b/src/entry/group.h
@@ -19,10 +19,9 @@
 {
   struct ncl_client *client;
   uv_loop_t *loop;
-  const char *address;        /* address of the store */
-  const char *member;         /* of this daemon; unique for each start */
-  const char *caller_address; /* of this daemon, for callers */
-  const char *relay_address;  /* of this daemon, for other daemons */
+  const char *address;       /* address of the store */
+  const char *member;        /* of this daemon; unique for each start */
+  const char *relay_address; /* of this daemon, for other daemons */
   uint32_t partitions; /* number of partitions of each topic of the store */
   struct rfs_membership plan;
 };
@@ -46,7 +45,5 @@
 void grp_find_relays (struct grp_group *group, grp_found found, void *context);
 bool grp_find_members (struct grp_group *group, grp_found found,
                        void *context);
-bool grp_find_neighbours (struct grp_group *group, grp_found found,
-                          void *context);
 
 #endif
--- a/src/entry/passing.c
+++ b/src/entry/passing.c
@@ -153,18 +153,21 @@
   update_peers (passing);
   int64_t now_us = clk_monotonic_us ();
   uint32_t count = passing->peers->len;
-  g_autofree struct rch_neighbour *found
-      = g_new0 (struct rch_neighbour, count + 1);
+  g_autoptr (GArray) found
+      = g_array_new (FALSE, FALSE, sizeof (struct rch_neighbour));
   for (uint32_t i = 0; i < count; i++)
     {
       struct fst_endpoint *peer = g_ptr_array_index (passing->peers, i);
-      found[i] = (struct rch_neighbour){
+      const struct rch_neighbour neighbour = {
         .usable = evd_usable (&peer->evidence, now_us),
         .tried = g_ptr_array_find ((GPtrArray *)tried, peer, NULL),
         .in_flight = peer->evidence.in_flight,
       };
+      g_array_append_val (found, neighbour);
     }
-  int32_t best = rch_choose_neighbour (found, count, g_random_int ());
+  int32_t best = rch_choose_neighbour (
+      (const struct rch_neighbour *)(void *)found->data, count,
+      g_random_int ());
   return best < 0 ? NULL
                   : fst_reference (g_ptr_array_index (passing->peers, best));
 }
--- a/standin/fleet_private.h
+++ b/standin/fleet_private.h
@@ -117,8 +117,9 @@
   enum sfl_store_state store_state;
   struct sfl_topic operator_topic;
   struct sfl_topic endpoint_topic;
-  struct sfl_topic daemon_topic; /* of the daemons' own */
-  uint64_t era;                  /* rises with each restore, from 1 */
+  struct sfl_topic daemon_topic;    /* of the daemons' own */
+  struct sfl_topic directory_topic; /* of the daemons' own too */
+  uint64_t era;                     /* rises with each restore, from 1 */
   GPtrArray *lost; /* struct sfl_lost, not written again yet, in the order
                       in which they were first written */
   uv_timer_t rewrite_timer;
--- a/standin/fleet_restore.c
+++ b/standin/fleet_restore.c
@@ -120,6 +120,7 @@
   restore_topic (fleet, &fleet->operator_topic, copied_us, true);
   restore_topic (fleet, &fleet->endpoint_topic, copied_us, true);
   restore_topic (fleet, &fleet->daemon_topic, copied_us, false);
+  restore_topic (fleet, &fleet->directory_topic, copied_us, false);
   sfl_group_restore (fleet, copied_us);
   uv_timer_stop (&fleet->rewrite_timer);
   if (rewrite_us == 0)
--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -207,6 +207,8 @@
   return strstr (url, "Topic=keyed.op&") != NULL ? &fleet->operator_topic
          : strstr (url, "Topic=keyed.servers&") != NULL
              ? &fleet->endpoint_topic
+         : strstr (url, "Topic=keyed.daemons&") != NULL
+             ? &fleet->directory_topic
              : &fleet->daemon_topic;
 }
 
@@ -232,7 +234,7 @@
   struct sfl_topic *topic = find_topic (fleet, request->url->str);
   const uint8_t *data = request->body->data;
   size_t left = request->body->len;
-  if (topic != &fleet->daemon_topic)
+  if (topic != &fleet->daemon_topic && topic != &fleet->directory_topic)
     {
       sfl_record_violation (fleet, "a topic of the platform is written");
       sfl_store_respond (fleet, connection, HTTP_STATUS_FORBIDDEN, "", 0);
@@ -423,6 +425,7 @@
   init_topic (&fleet->operator_topic);
   init_topic (&fleet->endpoint_topic);
   init_topic (&fleet->daemon_topic);
+  init_topic (&fleet->directory_topic);
   fleet->readers = g_ptr_array_new ();
   sfl_group_open (fleet);
   sfl_restore_open (fleet);
@@ -443,6 +446,7 @@
   clear_topic (&fleet->operator_topic);
   clear_topic (&fleet->endpoint_topic);
   clear_topic (&fleet->daemon_topic);
+  clear_topic (&fleet->directory_topic);
   g_ptr_array_free (fleet->readers, TRUE);
   g_free (fleet->store_address);
   sfl_group_close (fleet);
@@ -487,4 +491,5 @@
   fleet->operator_topic.first_offset = fleet->operator_topic.records->len;
   fleet->endpoint_topic.first_offset = fleet->endpoint_topic.records->len;
   fleet->daemon_topic.first_offset = fleet->daemon_topic.records->len;
+  fleet->directory_topic.first_offset = fleet->directory_topic.records->len;
 }
--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -235,7 +235,10 @@
     {
       spx_destroy (g_ptr_array_index (fixture->proxies, i));
     }
-  g_clear_pointer (&fixture->proxies, g_ptr_array_unref);
+  if (fixture->proxies != NULL)
+    {
+      g_ptr_array_free (fixture->proxies, TRUE);
+    }
   uv_close ((uv_handle_t *)&fixture->tick, NULL);
   sfl_destroy (fixture->fleet);
   uv_run (&fixture->loop, UV_RUN_DEFAULT);
--- a/test/reach_test.c
+++ b/test/reach_test.c
@@ -22,49 +22,49 @@
 static const struct
 {
   const char *name;
-  uint32_t endpoints;
   struct call calls[8];
+  uint32_t endpoints;
   bool is_cut_off;
 } cases[] = {
-  { "nothing was called", 9, { { 0 } }, false },
+  { "nothing was called", { { 0 } }, 9, false },
   { "several fail",
-    9,
     { { 'a', false, 10, 400 },
       { 'b', false, 20, 410 },
       { 'c', false, 30, 420 } },
+    9,
     true },
   { "one falls silent",
-    9,
     { { 'a', false, 10, 400 },
       { 'a', false, 20, 410 },
       { 'a', false, 30, 420 } },
+    9,
     false },
   { "another one answers meanwhile",
-    9,
     { { 'a', false, 10, 400 },
       { 'b', false, 20, 410 },
       { 'd', true, 200, 205 },
       { 'c', false, 30, 420 } },
+    9,
     false },
   { "an answer to an earlier call arrives",
-    9,
     { { 'a', false, 10, 400 },
       { 'b', false, 20, 410 },
       { 'c', false, 30, 420 },
       { 'd', true, 5, 430 } },
+    9,
     true },
   { "an answer to a later call arrives",
-    9,
     { { 'a', false, 10, 400 },
       { 'b', false, 20, 410 },
       { 'c', false, 30, 420 },
       { 'a', true, 500, 505 } },
+    9,
     false },
   { "both of two fail",
-    2,
     { { 'a', false, 10, 400 }, { 'b', false, 20, 410 } },
+    2,
     true },
-  { "a single one fails", 1, { { 'a', false, 10, 400 } }, false },
+  { "a single one fails", { { 'a', false, 10, 400 } }, 1, false },
 };
 
 static void
