Look the neighbours up when the first endpoint fails

Requests right after a daemon found out that it was cut off were refused until the directory was read: 5 to 7 of 60 in entry_cut_test, all in the first 0.2 s.

--- a/src/entry/passing.c
+++ b/src/entry/passing.c
@@ -35,6 +35,44 @@
   g_free (passing);
 }
 
+/* Returns the peer at ADDRESS in PEERS, or NULL.  */
+static struct fst_endpoint *
+find_peer (const GPtrArray *peers, const char *address)
+{
+  for (guint i = 0; i < peers->len; i++)
+    {
+      struct fst_endpoint *peer = g_ptr_array_index (peers, i);
+      if (g_str_equal (peer->address, address))
+        {
+          return peer;
+        }
+    }
+  return NULL;
+}
+
+/* Takes the addresses that were looked up.  What is known of a peer stays.  */
+static void
+update_peers (struct psg_passing *passing)
+{
+  g_auto (GStrv) addresses = nbr_take_news (passing->neighbours);
+  if (addresses != NULL)
+    {
+      GPtrArray *peers
+          = g_ptr_array_new_with_free_func ((GDestroyNotify)fst_release);
+      for (size_t i = 0; addresses[i] != NULL; i++)
+        {
+          struct fst_endpoint *known
+              = find_peer (passing->peers, addresses[i]);
+          g_ptr_array_add (peers, known == NULL
+                                      ? fst_create_peer (addresses[i])
+                                      : fst_reference (known));
+        }
+      g_ptr_array_free (passing->peers, TRUE);
+      passing->peers = peers;
+      passing->looked_up_us = clk_monotonic_us ();
+    }
+}
+
 /* Tells the fleet's state whether the daemon is cut off, if that has changed
    from WAS_CUT_OFF.  */
 static void
@@ -64,15 +102,21 @@
   apply_change (traffic, was_cut_off);
 }
 
-/* Records that a call to ENDPOINT, sent at SENT_US, had no answer.  */
+/* Records that a call to ENDPOINT, sent at SENT_US, had no answer.  With the
+   first one the neighbours are looked up, as a cut may have begun.  */
 void
 psg_report_failure (struct trf_traffic *traffic,
                     const struct fst_endpoint *endpoint, int64_t sent_us)
 {
+  update_peers (traffic->passing);
   bool was_cut_off = psg_is_cut_off (traffic);
   rch_report_failure (&traffic->passing->reach, g_str_hash (endpoint->id),
                       sent_us, clk_monotonic_us ());
   apply_change (traffic, was_cut_off);
+  if (traffic->passing->looked_up_us == 0)
+    {
+      nbr_ask (traffic->passing->neighbours);
+    }
 }
 
 /* Returns whether this daemon is cut off from the endpoints.  */
@@ -100,50 +144,6 @@
   return rch_take_probe (&traffic->passing->reach, clk_monotonic_us ());
 }
 
-/* Returns the peer at ADDRESS in PEERS, or NULL.  */
-static struct fst_endpoint *
-find_peer (const GPtrArray *peers, const char *address)
-{
-  for (guint i = 0; i < peers->len; i++)
-    {
-      struct fst_endpoint *peer = g_ptr_array_index (peers, i);
-      if (g_str_equal (peer->address, address))
-        {
-          return peer;
-        }
-    }
-  return NULL;
-}
-
-/* Takes the addresses that were looked up, and asks for them again once they
-   are old.  What is known of a peer stays.  */
-static void
-update_peers (struct psg_passing *passing)
-{
-  int64_t now_us = clk_monotonic_us ();
-  g_auto (GStrv) addresses = nbr_take_news (passing->neighbours);
-  if (addresses != NULL)
-    {
-      GPtrArray *peers
-          = g_ptr_array_new_with_free_func ((GDestroyNotify)fst_release);
-      for (size_t i = 0; addresses[i] != NULL; i++)
-        {
-          struct fst_endpoint *known
-              = find_peer (passing->peers, addresses[i]);
-          g_ptr_array_add (peers, known == NULL
-                                      ? fst_create_peer (addresses[i])
-                                      : fst_reference (known));
-        }
-      g_ptr_array_free (passing->peers, TRUE);
-      passing->peers = peers;
-      passing->looked_up_us = now_us;
-    }
-  if (passing->looked_up_us == 0 || now_us - passing->looked_up_us > LOOKUP_US)
-    {
-      nbr_ask (passing->neighbours);
-    }
-}
-
 /* Chooses the daemon to pass a request on to that was sent to those in TRIED
    already.  Returns a reference, or NULL if there is none.  */
 struct fst_endpoint *
@@ -152,6 +152,10 @@
   struct psg_passing *passing = traffic->passing;
   update_peers (passing);
   int64_t now_us = clk_monotonic_us ();
+  if (passing->looked_up_us == 0 || now_us - passing->looked_up_us > LOOKUP_US)
+    {
+      nbr_ask (passing->neighbours);
+    }
   uint32_t count = passing->peers->len;
   g_autoptr (GArray) found
       = g_array_new (FALSE, FALSE, sizeof (struct rch_neighbour));
