Withdraw an address from the directory with a record that can be read

A daemon that stops appended its record without a value but with the value's length, which made the append unreadable: the address stayed, and the store saw a broken call.

--- a/src/entry/directory.c
+++ b/src/entry/directory.c
@@ -85,7 +85,7 @@
   g_autoptr (GByteArray) body = g_byte_array_new ();
   pfs_append_record (body, directory->params.name,
                      directory->withdrawn ? NULL : (const uint8_t *)address,
-                     strlen (address));
+                     directory->withdrawn ? 0 : strlen (address));
   g_autofree char *path = pfs_append_path (PFS_DIRECTORY_TOPIC);
   const struct cal_params params = {
     .client = directory->params.client,
