--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -546,9 +546,9 @@
 }
 
 /* Returns how many of the ends that aren't EXPLAINED yet SUSPECT explains; 0
-   if that are too few to tell.  Several requests can run on an endpoint as it
-   ends, so one that has ended under PSN_ENDS_MIN need not explain as many
-   alone.  */
+   if it has too few to tell.  A part must explain PSN_ENDS_MIN that no other
+   cause does.  A request must have as many in all: two that crash endpoints
+   run beside each other, so each explains some of the other's.  */
 static uint32_t
 count_explained (const struct psn_suspect *suspect,
                  const GHashTable *explained)
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -13,12 +13,12 @@
    about to.  Daemons share their evidence.  A trait is quarantined when
    several endpoints have ended under it and no other trait explains these ends
    as well; a trait on which any daemon has seen an endpoint write lately is
-   sound. Where several parts explain about as many ends, the one that the
+   sound.  Where several parts explain about as many ends, the one that the
    fewest requests have is taken: the parts that most prompts share are in all
    of them.  Repeats of a request explain ends only if no part explains more.
-   Evidence is dropped when the endpoint turns out to be alive.  From
-   time to time one request with a quarantined trait is let through, to find
-   out whether it still crashes endpoints. */
+   Evidence is dropped when the endpoint turns out to be alive.  From time to
+   time one request with a quarantined trait is let through, to find out
+   whether it still crashes endpoints. */
 #ifndef CORE_POISON_H
 #define CORE_POISON_H
 
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -23,8 +23,8 @@
    have caused the cut. */
 #define ABRUPT_CUT_US (800 * CLK_MS_US)
 
-/* A prompt that crashes an endpoint does so as it begins to write the answer;
-   an answer that has been written for this long isn't such a one's. */
+/* A request that crashes an endpoint does so as that begins to write the
+   answer; an answer that has been written for this long isn't such a one's. */
 #define SAFE_WRITING_US (1 * CLK_S_US)
 
 /* Weight of the newest sample in moving averages. */
@@ -110,7 +110,7 @@
 }
 
 /* True when the attempt has been written for long enough to show that its
-   prompt doesn't crash the endpoint that began to write.  */
+   request doesn't crash the endpoint that began to write.  */
 bool
 exg_is_written_safely (const struct exchange *exchange)
 {
--- a/src/entry/quarantine.c
+++ b/src/entry/quarantine.c
@@ -111,7 +111,7 @@
 }
 
 /* Records that ENDPOINT, which started at BORN_MS, ended as it began to write
-   on a prompt with the named TRAITS, or before.  */
+   on a request with the named TRAITS, or before.  */
 void
 qrn_report_end (struct qrn_quarantine *quarantine, char *const traits[],
                 const char *endpoint, int64_t born_ms)
