Heed what endpoints and neighbours say in answers that are passed on

A neighbour names the endpoint now, for the daemon alone, which then heeds the leaving and the rate limit as if it had been told itself.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -247,6 +247,7 @@
     {
       retry_after_s = MAX (retry_after_s, (double)quarantined_us / CLK_S_US);
     }
+  retry_after_s = MAX (retry_after_s, exchange->neighbour_wait_s);
   if (closed_us > 0)
     {
       retry_after_s = MAX (retry_after_s,
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -4,11 +4,14 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/decimal.h"
 #include "entry/announcement.h"
 #include "entry/passing.h"
 #include "platform/headers.h"
 
+#include <math.h>
 #include <string.h>
+#include <strings.h>
 
 /* Limit on an answer that is buffered whole before it is delivered, and on all
    of these together.  Bytes that are no answer may come without end. */
@@ -172,6 +175,33 @@
     }
 }
 
+/* Records what ANSWER, with STATUS, says that a neighbour has sent: when the
+   caller of its own refusal is to come back, or what the endpoint announces
+   that its answer is from.  */
+static void
+report_passed_head (struct exchange *exchange, uint32_t status,
+                    const struct msg_message *answer)
+{
+  bool own = msg_find (answer, PFH_SIGNATURE) == NULL && status >= 400;
+  bool promises = status < HTTP_STATUS_INTERNAL_SERVER_ERROR
+                  || status == HTTP_STATUS_SERVICE_UNAVAILABLE;
+  exchange->failed_by_neighbour = own;
+  exchange->not_executed = own && promises;
+  const char *wait = msg_find (answer, PFH_RETRY_AFTER);
+  double wait_s = 0;
+  if (own && wait != NULL && dcm_read (wait, &wait_s) && isfinite (wait_s))
+    {
+      exchange->neighbour_wait_s = MAX (exchange->neighbour_wait_s, wait_s);
+    }
+  const char *id = msg_find (answer, NBR_ENDPOINT);
+  struct fst_endpoint *endpoint
+      = id == NULL ? NULL : fst_find_id (exchange->traffic->fleet, id);
+  if (endpoint != NULL)
+    {
+      anc_handle (exchange->traffic, endpoint, status, answer);
+    }
+}
+
 /* Records what the head of ANSWER, with STATUS, says of the endpoint or the
    neighbour that sent it.  */
 static void
@@ -183,11 +213,7 @@
   exchange->failed_by_neighbour = false;
   if (exchange->at_neighbour)
     {
-      bool own = msg_find (answer, PFH_SIGNATURE) == NULL && status >= 400;
-      bool promises = status < HTTP_STATUS_INTERNAL_SERVER_ERROR
-                      || status == HTTP_STATUS_SERVICE_UNAVAILABLE;
-      exchange->failed_by_neighbour = own;
-      exchange->not_executed = own && promises;
+      report_passed_head (exchange, status, answer);
       return;
     }
   psg_report_answer (exchange->traffic, exchange->sent_us);
@@ -196,6 +222,13 @@
       = anc_handle (exchange->traffic, exchange->endpoint, status, answer);
 }
 
+/* True for headers that daemons tell each other.  */
+static bool
+is_for_neighbour (const char *name)
+{
+  return strcasecmp (name, NBR_ENDPOINT) == 0;
+}
+
 /* Handles the headers of an answer.  Returns false when ANSWER can't be that
    of EXCHANGE's request: another request's id, no signature on a success, or
    no stream where one has begun.  */
@@ -232,7 +265,13 @@
   if (!exchange->answer_begun)
     {
       g_string_truncate (exchange->answer_head, 0);
-      msg_copy_headers (answer, NULL, exchange->answer_head);
+      msg_copy_headers (answer, is_for_neighbour, exchange->answer_head);
+      if (exchange->is_passed)
+        {
+          g_string_append_printf (exchange->answer_head,
+                                  NBR_ENDPOINT ": %s\r\n",
+                                  exchange->endpoint->id);
+        }
     }
   else if (!exchange->is_stream && success)
     {
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -78,11 +78,13 @@
   bool proved_sound;     /* an endpoint has answered it without ending */
   bool is_trial;         /* the next attempt is made though the request has a
                             quarantined trait */
-  bool neighbour_refused; /* one that may be able to reach the endpoints */
-  bool ran_elsewhere;     /* a neighbour may have run it as often as it may */
-  bool served;            /* the answer is complete and a success */
-  bool answer_chunked;    /* sent to the caller in chunks, whose end marks a
-                             complete answer */
+  double neighbour_wait_s; /* after which a neighbour wants its caller back; 0:
+                              it doesn't say */
+  bool neighbour_refused;  /* one that may be able to reach the endpoints */
+  bool ran_elsewhere;      /* a neighbour may have run it as often as it may */
+  bool served;             /* the answer is complete and a success */
+  bool answer_chunked;     /* sent to the caller in chunks, whose end marks a
+                              complete answer */
   struct evs_scanner scanner;
   uint32_t events;           /* delivered to the caller */
   int64_t first_event_us;    /* when the answer began; 0: not yet */
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -1089,6 +1089,13 @@
   return opens_us;
 }
 
+/* Returns the endpoint ID, or NULL if it isn't known.  */
+struct fst_endpoint *
+fst_find_id (struct fst_fleet *fleet, const char *id)
+{
+  return g_hash_table_lookup (fleet->endpoints, id);
+}
+
 /* Returns the endpoint of SERVICE at ADDRESS in the view in force, or
    NULL.  */
 struct fst_endpoint *
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -82,6 +82,7 @@
                                   int64_t now_us, double *excess_us);
 int64_t fst_opens_us (struct fst_fleet *fleet, uint32_t service,
                       int64_t now_us);
+struct fst_endpoint *fst_find_id (struct fst_fleet *fleet, const char *id);
 struct fst_endpoint *fst_find_address (struct fst_fleet *fleet,
                                        uint32_t service, const char *address);
 void fst_report_failure (struct fst_fleet *fleet,
