--- a/soak/callers.c
+++ b/soak/callers.c
@@ -207,9 +207,9 @@
 static char *
 format_prompt (const struct srd_request *request)
 {
-  g_autofree char *harm = request->harm == 0
-                              ? g_strdup ("")
-                              : g_strdup_printf ("bad%u:9,", request->harm);
+  g_autofree char *text = srd_harm_text (request->harm);
+  g_autofree char *harm
+      = request->harm == 0 ? g_strdup ("") : g_strdup_printf ("%s:9,", text);
   return g_strdup_printf (PFH_TOKENS ": 40,24\r\n" PFH_PROMPT_PARTS
                                      ": a1:20,b%u:30,%sf%s:9\r\n",
                           request->key, harm, request->id);
@@ -227,7 +227,7 @@
   g_autofree char *prompt
       = request->kind == SRD_DRAFT ? format_prompt (request) : g_strdup ("");
   g_autofree char *body = request->kind == SRD_LOOK && request->harm > 0
-                              ? g_strdup_printf ("bad%u", request->harm)
+                              ? srd_harm_text (request->harm)
                               : g_strdup ("body");
   return g_strdup_printf (
       "POST %s HTTP/1.1\r\nHost: fleet.example\r\nX-Api-Key: key-%u\r\n"
--- a/soak/injector_harm.c
+++ b/soak/injector_harm.c
@@ -60,13 +60,6 @@
   return back;
 }
 
-/* Returns the part or body with the harm NUMBER; free it with g_free.  */
-static char *
-harm_text (uint32_t number)
-{
-  return g_strdup_printf ("bad%u", number);
-}
-
 /* Lets a new part of prompts and a new look-up crash endpoints, and records
    both.  */
 static void
@@ -86,7 +79,7 @@
           = { .number = stb_harm (injector, harms[i].request),
               .begin_us = now_us,
               .crashed_us = SRD_NEVER };
-      g_autofree char *text = harm_text (begun.number);
+      g_autofree char *text = srd_harm_text (begun.number);
       g_array_append_val (record, begun);
       sfl_add_harm (injector->params.fleet, harms[i].harm, text);
     }
@@ -108,7 +101,7 @@
     {
       struct srd_harm *begun = &g_array_index (
           injector->params.record->harms, struct srd_harm, harm->target + i);
-      g_autofree char *text = harm_text (begun->number);
+      g_autofree char *text = srd_harm_text (begun->number);
       if (ends)
         {
           sfl_end_harm (fleet, text);
--- a/soak/record.c
+++ b/soak/record.c
@@ -1,5 +1,13 @@
 #include "soak/record.h"
 
+/* Returns the part of prompts or the body with the harm NUMBER; free it with
+   g_free.  */
+char *
+srd_harm_text (uint32_t number)
+{
+  return g_strdup_printf ("bad%u", number);
+}
+
 /* Returns a new, empty record; free it with srd_destroy.  */
 struct srd_record *
 srd_create (void)
--- a/soak/record.h
+++ b/soak/record.h
@@ -185,6 +185,7 @@
   int64_t ended_us;      /* nothing was observed from then on */
 };
 
+char *srd_harm_text (uint32_t number);
 struct srd_record *srd_create (void);
 void srd_destroy (struct srd_record *record);
 struct srd_request *srd_add_request (struct srd_record *record,
--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -355,10 +355,14 @@
 static bool
 is_prevalent (const struct psn_set *set, const char *trait, int64_t now_us)
 {
+  if (psn_is_request (trait))
+    {
+      return false;
+    }
   g_autofree char *all
       = g_strndup (trait, (gsize)(strrchr (trait, PSN_MARK) - trait) + 1);
   const struct psn_seen *service = g_hash_table_lookup (set->seen_parts, all);
-  if (service == NULL || psn_is_request (trait))
+  if (service == NULL)
     {
       return false;
     }
@@ -554,73 +558,57 @@
                  const GHashTable *explained)
 {
   uint32_t ends = collect_ends (suspect, false, explained, NULL);
-  uint32_t evidence = psn_is_request (suspect->trait)
-                          ? collect_ends (suspect, false, NULL, NULL)
-                          : ends;
-  return evidence >= PSN_ENDS_MIN ? ends : 0;
+  bool tells
+      = ends >= PSN_ENDS_MIN
+        || (psn_is_request (suspect->trait)
+            && collect_ends (suspect, false, NULL, NULL) >= PSN_ENDS_MIN);
+  return tells ? ends : 0;
 }
 
-/* Returns the most special one of the CANDIDATES that explain about as many of
-   the ends that aren't EXPLAINED yet as any does, or NULL if none explains
-   enough of them.  A request must explain as many as any.  Sets MOST to how
-   many that are.  */
-static struct psn_suspect *
-best_explanation (const struct psn_set *set, const GPtrArray *candidates,
-                  const GHashTable *explained, int64_t now_us, uint32_t *most)
+/* Adds those of the CANDIDATES to SELECTED that best explain the ends that
+   aren't EXPLAINED yet, and their ends to EXPLAINED: of those that explain
+   about as many as any does the most special one, or all requests if that is
+   one.  A request must explain as many as any.  Returns false if none explains
+   enough of them.  */
+static bool
+select_best (const struct psn_set *set, const GPtrArray *candidates,
+             GHashTable *selected, GHashTable *explained, int64_t now_us)
 {
-  *most = 0;
+  g_autoptr (GArray) counts = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  uint32_t most = 0;
   for (guint i = 0; i < candidates->len; i++)
     {
-      *most = MAX (*most, count_explained (g_ptr_array_index (candidates, i),
-                                           explained));
+      uint32_t ends
+          = count_explained (g_ptr_array_index (candidates, i), explained);
+      g_array_append_val (counts, ends);
+      most = MAX (most, ends);
     }
   struct psn_suspect *best = NULL;
-  for (guint i = 0; *most > 0 && i < candidates->len; i++)
+  for (guint i = 0; most > 0 && i < candidates->len; i++)
     {
       struct psn_suspect *suspect = g_ptr_array_index (candidates, i);
       double enough
-          = psn_is_request (suspect->trait) ? *most : PSN_ENDS_SHARE * *most;
-      uint32_t ends = count_explained (suspect, explained);
+          = psn_is_request (suspect->trait) ? most : PSN_ENDS_SHARE * most;
+      uint32_t ends = g_array_index (counts, uint32_t, i);
       if (ends > 0 && ends >= enough
           && (best == NULL || is_more_special (set, suspect, best, now_us)))
         {
           best = suspect;
         }
     }
-  return best;
-}
-
-/* Adds those of the CANDIDATES to SELECTED that best explain the ends that
-   aren't EXPLAINED yet, and their ends to EXPLAINED: one part of prompts, or
-   all requests that explain as many.  Returns false if there is none.  */
-static bool
-select_best (const struct psn_set *set, const GPtrArray *candidates,
-             GHashTable *selected, GHashTable *explained, int64_t now_us)
-{
-  uint32_t most = 0;
-  struct psn_suspect *best
-      = best_explanation (set, candidates, explained, now_us, &most);
-  if (best == NULL)
+  bool all_requests = best != NULL && psn_is_request (best->trait);
+  for (guint i = 0; best != NULL && i < candidates->len; i++)
     {
-      return false;
-    }
-  g_autoptr (GPtrArray) added = g_ptr_array_new ();
-  g_ptr_array_add (added, best);
-  for (guint i = 0; psn_is_request (best->trait) && i < candidates->len; i++)
-    {
-      struct psn_suspect *other = g_ptr_array_index (candidates, i);
-      if (other != best && psn_is_request (other->trait)
-          && count_explained (other, explained) == most)
+      struct psn_suspect *suspect = g_ptr_array_index (candidates, i);
+      if (suspect == best
+          || (all_requests && psn_is_request (suspect->trait)
+              && g_array_index (counts, uint32_t, i) == most))
         {
-          g_ptr_array_add (added, other);
+          g_hash_table_add (selected, suspect);
+          collect_ends (suspect, false, NULL, explained);
         }
     }
-  for (guint i = 0; i < added->len; i++)
-    {
-      g_hash_table_add (selected, added->pdata[i]);
-      collect_ends (added->pdata[i], false, NULL, explained);
-    }
-  return true;
+  return best != NULL;
 }
 
 /* Returns the suspects that aren't known to be sound, and shares the proofs
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -383,8 +383,9 @@
 take_repeat (struct exchange *exchange, bool needed)
 {
   uint32_t service = exg_service_index (exchange);
-  bool refused_by_neighbour
-      = exchange->at_neighbour && exchange->may_have_run == 0;
+  bool refused_by_neighbour = exchange->endpoint != NULL
+                              && exchange->endpoint->is_neighbour
+                              && exchange->may_have_run == 0;
   return service != FLT_NO_INDEX
          && (!needed || refused_by_neighbour
              || rbg_take (fst_budget (exchange->traffic->fleet, service),
@@ -539,12 +540,10 @@
         {
           return false;
         }
-      exchange->at_neighbour = false;
       exchange->endpoint = fst_reference (exchange->path->parts[0]);
       fst_begin_request (exchange->path, exchange->tokens);
       return true;
     }
-  exchange->at_neighbour = false;
   exchange->endpoint
       = fst_choose_endpoint (fleet, index, exchange->tried_endpoints, now_us);
   if (exchange->endpoint == NULL)
@@ -555,18 +554,19 @@
   return true;
 }
 
-/* Returns whether this daemon can't reach the target of EXCHANGE, if one was
-   FOUND, as far as it knows.  Now and then one request finds out.  */
+/* Returns whether EXCHANGE takes this daemon's own way, to the target that was
+   chosen if one was FOUND: unless it is known to be out of reach.  While the
+   daemon is cut off, that takes the probe that is due.  */
 static bool
-is_out_of_reach (const struct exchange *exchange, bool found)
+take_own_way (struct exchange *exchange, bool found)
 {
   if (psg_is_cut_off (exchange->traffic))
     {
-      return !found || !psg_take_probe (exchange->traffic);
+      return found && psg_take_probe (exchange->traffic);
     }
-  return found
-         && (exchange->endpoint->evidence.dead
-             || exchange->endpoint->evidence.state == EVD_BACKOFF);
+  return !found
+         || (!exchange->endpoint->evidence.dead
+             && exchange->endpoint->evidence.state != EVD_BACKOFF);
 }
 
 /* Returns whether a neighbour may have room for EXCHANGE where this daemon has
@@ -596,7 +596,6 @@
       return false;
     }
   release_target (exchange);
-  exchange->at_neighbour = true;
   exchange->endpoint = neighbour;
   evd_begin (&neighbour->evidence);
   cnt_add (traffic->metrics->passed_on, 1);
@@ -610,9 +609,9 @@
 static void
 append_target_headers (const struct exchange *exchange, GString *request)
 {
-  if (exchange->at_neighbour)
+  if (exchange->endpoint->is_neighbour)
     {
-      g_string_append (request, NBR_PASSED_ON ": 1\r\n");
+      g_string_append (request, PFH_PASSED_ON ": 1\r\n");
       if (exchange->key != NULL)
         {
           g_string_append_printf (request, PFH_API_KEY ": %s\r\n",
@@ -689,7 +688,7 @@
     }
   double excess_us = 0;
   bool found = choose_target (exchange, &excess_us);
-  bool needs_neighbour = is_out_of_reach (exchange, found)
+  bool needs_neighbour = !take_own_way (exchange, found)
                          || (excess_us > 0 && is_short_of_ways (exchange));
   if (needs_neighbour && exchange->is_passed && is_refusable (exchange))
     {
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -84,11 +84,8 @@
       fst_report_failure (exchange->traffic->fleet, exchange->endpoint,
                           EVD_INCONCLUSIVE, "did not answer",
                           clk_monotonic_us ());
-      if (!exchange->at_neighbour)
-        {
-          psg_report_failure (exchange->traffic, exchange->endpoint,
-                              exchange->sent_us);
-        }
+      psg_report_failure (exchange->traffic, exchange->endpoint,
+                          exchange->sent_us);
     }
 }
 
@@ -193,7 +190,7 @@
     {
       exchange->neighbour_wait_s = MAX (exchange->neighbour_wait_s, wait_s);
     }
-  const char *id = msg_find (answer, NBR_ENDPOINT);
+  const char *id = msg_find (answer, PFH_PASSED_ENDPOINT);
   struct fst_endpoint *endpoint
       = id == NULL ? NULL : fst_find_id (exchange->traffic->fleet, id);
   if (endpoint != NULL)
@@ -208,14 +205,16 @@
 report_head (struct exchange *exchange, uint32_t status,
              const struct msg_message *answer)
 {
-  exchange->not_executed = msg_find (answer, PFH_NOT_EXECUTED) != NULL
-                           || status == HTTP_STATUS_MISDIRECTED_REQUEST;
-  exchange->failed_by_neighbour = false;
-  if (exchange->at_neighbour)
+  g_clear_pointer (&exchange->failed_address, g_free);
+  if (exchange->endpoint->is_neighbour)
     {
       report_passed_head (exchange, status, answer);
       return;
     }
+  exchange->not_executed = msg_find (answer, PFH_NOT_EXECUTED) != NULL
+                           || status == HTTP_STATUS_MISDIRECTED_REQUEST;
+  exchange->failed_address
+      = g_strdup (msg_find (answer, PFH_ENDPOINT_AT_FAULT));
   psg_report_answer (exchange->traffic, exchange->sent_us);
   report_alive (exchange, status);
   exchange->turned_away
@@ -226,7 +225,7 @@
 static bool
 is_for_neighbour (const char *name)
 {
-  return strcasecmp (name, NBR_ENDPOINT) == 0;
+  return strcasecmp (name, PFH_PASSED_ENDPOINT) == 0;
 }
 
 /* Handles the headers of an answer.  Returns false when ANSWER can't be that
@@ -242,11 +241,6 @@
   exchange->last_received_us = clk_monotonic_us ();
   exchange->ends_with_connection
       = ncl_ends_with_connection (exchange->attempt);
-  g_free (exchange->failed_address);
-  exchange->failed_address
-      = exchange->at_neighbour
-            ? NULL
-            : g_strdup (msg_find (answer, PFH_ENDPOINT_AT_FAULT));
   report_head (exchange, status, answer);
   if (id == NULL ? success : strcmp (id, exchange->id) != 0)
     {
@@ -269,7 +263,7 @@
       if (exchange->is_passed)
         {
           g_string_append_printf (exchange->answer_head,
-                                  NBR_ENDPOINT ": %s\r\n",
+                                  PFH_PASSED_ENDPOINT ": %s\r\n",
                                   exchange->endpoint->id);
         }
     }
@@ -445,12 +439,21 @@
   exg_finish (exchange, exchange->status, "delivered");
 }
 
-/* Handles the refusal of a neighbour.  One that can't reach the endpoints
-   either says so with status 421; any other refusal means that the request is
-   to come back later.  */
+/* Ends the attempt of EXCHANGE at a neighbour that has answered without a
+   success.  One that can't reach the endpoints either says so with status 421;
+   any other refusal means that the request is to come back later.  What may
+   have run there may have run as often as it may.  */
 static void
-handle_refusal (struct exchange *exchange)
+end_at_neighbour (struct exchange *exchange)
 {
+  if (!exchange->not_executed)
+    {
+      exchange->ran_elsewhere = true;
+      exg_end_attempt (exchange, exchange->failed_by_neighbour
+                                     ? ATT_NO_RESPONSE
+                                     : ATT_FAILED);
+      return;
+    }
   if (exchange->status == HTTP_STATUS_MISDIRECTED_REQUEST)
     {
       exg_report_failure (exchange, EVD_UNAVAILABLE,
@@ -485,9 +488,9 @@
       exg_deliver_buffered (exchange);
       return;
     }
-  if (exchange->not_executed && exchange->at_neighbour)
+  if (exchange->endpoint->is_neighbour)
     {
-      handle_refusal (exchange);
+      end_at_neighbour (exchange);
       return;
     }
   if (exchange->not_executed)
@@ -505,14 +508,6 @@
       exg_end_attempt (exchange, ATT_NOT_RUN);
       return;
     }
-  if (exchange->at_neighbour)
-    {
-      exchange->ran_elsewhere = true;
-      exg_end_attempt (exchange, exchange->failed_by_neighbour
-                                     ? ATT_NO_RESPONSE
-                                     : ATT_FAILED);
-      return;
-    }
   if (!exchange->turned_away)
     {
       exg_report_failure (exchange, EVD_INCONCLUSIVE, "failed a request");
@@ -540,11 +535,8 @@
   switch (failure)
     {
     case NCL_NOT_CONNECTED:
-      if (!exchange->at_neighbour)
-        {
-          psg_report_failure (exchange->traffic, exchange->endpoint,
-                              exchange->sent_us);
-        }
+      psg_report_failure (exchange->traffic, exchange->endpoint,
+                          exchange->sent_us);
       exg_report_failure (exchange, EVD_DEAD, "connection failed");
       exg_end_attempt (exchange, ATT_NOT_SENT);
       break;
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -32,7 +32,7 @@
     PFH_EXPECTED_ENDPOINT,
     PFH_LAST_EVENT_ID,
     PFH_ENGINE_PRIORITY,
-    NBR_PASSED_ON,
+    PFH_PASSED_ON,
   };
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
     {
@@ -264,7 +264,7 @@
                        || msg_find (request, "Content-Length") != NULL
                        || msg_find (request, "Transfer-Encoding") != NULL;
   exchange->key = g_strdup (msg_find (request, PFH_API_KEY));
-  exchange->is_passed = msg_find (request, NBR_PASSED_ON) != NULL;
+  exchange->is_passed = msg_find (request, PFH_PASSED_ON) != NULL;
   double output_tokens = 0;
   exchange->tokens
       = parse_tokens (msg_find (request, PFH_TOKENS), &output_tokens);
@@ -352,7 +352,7 @@
                (unsigned long)(config == NULL ? 0 : config->version),
                (long)((clk_monotonic_us () - proved_us) / CLK_MS_US));
       cnt_add (traffic->metrics->refused, refused);
-      if (is_stopping && msg_find (request, NBR_PASSED_ON) != NULL)
+      if (is_stopping && msg_find (request, PFH_PASSED_ON) != NULL)
         {
           refusal.status = HTTP_STATUS_MISDIRECTED_REQUEST;
         }
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -143,6 +143,7 @@
   peer->id = g_strdup_printf ("daemon-%s", address);
   peer->address = g_strdup (address);
   peer->service = FLT_NO_INDEX;
+  peer->is_neighbour = true;
   g_queue_init (&peer->waiting);
   return peer;
 }
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -30,10 +30,11 @@
   uint32_t first_requests; /* those whose paths begin at it */
   struct rst_layers layers;
   struct shr_rate rate; /* of requests, as it names in its answers */
-  int64_t opens_us; /* monotonic; it turned a request away and wants no others
-                       until then */
-  bool listed;      /* in the list and not leaving, as far as known */
-  bool in_view;     /* in the view that fst_set_view is applying */
+  int64_t opens_us;  /* monotonic; it turned a request away and wants no others
+                        until then */
+  bool is_neighbour; /* another daemon, see entry/passing.h */
+  bool listed;       /* in the list and not leaving, as far as known */
+  bool in_view;      /* in the view that fst_set_view is applying */
   struct evd_evidence evidence;
   int64_t broke_off_us; /* monotonic, when an answer of it last broke off as
                            the quarantine's evidence of its end; 0: not since
--- a/src/entry/neighbours.h
+++ b/src/entry/neighbours.h
@@ -14,13 +14,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Header of a request that another daemon has passed on. */
-#define NBR_PASSED_ON "X-Kumquatthread-Passed-On"
-
-/* Header of the answer to such a request: the endpoint that it is from, for
-   what the answer announces of that. */
-#define NBR_ENDPOINT "X-Kumquatthread-Passed-Endpoint"
-
 struct nbr_neighbours;
 
 struct nbr_neighbours *nbr_create (const char *own_address);
--- a/src/entry/passing.c
+++ b/src/entry/passing.c
@@ -103,11 +103,16 @@
 }
 
 /* Records that a call to ENDPOINT, sent at SENT_US, had no answer.  With the
-   first one the neighbours are looked up, as a cut may have begun.  */
+   first one the neighbours are looked up, as a cut may have begun.  A
+   neighbour that doesn't answer shows nothing of the ways to endpoints.  */
 void
 psg_report_failure (struct trf_traffic *traffic,
                     const struct fst_endpoint *endpoint, int64_t sent_us)
 {
+  if (endpoint->is_neighbour)
+    {
+      return;
+    }
   update_peers (traffic->passing);
   bool was_cut_off = psg_is_cut_off (traffic);
   rch_report_failure (&traffic->passing->reach, g_str_hash (endpoint->id),
--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -1,9 +1,8 @@
 #include "test/entry_fixture.h"
 
-#include "soak/proxy.h"
-
 #include "base/clock.h"
 #include "platform/headers.h"
+#include "soak/proxy.h"
 
 #include <signal.h>
 #include <stdio.h>
