Let requests go on that lack the part which may be the cause

All drafts of an account share path and body there and differ by the parts of their prompts. One part crashed engines under one account, so the name of that account's drafts explained as many ends; all daemons had started lately and none knew the name as sound. It was quarantined, and as nothing with it was let through, nothing could show that it is sound.

Class: a request is penalised for what it only resembles. Where a part that all of the harmful repeats had explains as many ends as they do, a request without that part is not kept away now. When one of these is answered, the name is sound at all daemons and the part alone is quarantined. Parts that not all repeats had, or that an endpoint has written on, don't count, so repeats whose prompts vary are kept away as before; nor do services without prompts change.

--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -23,6 +23,7 @@
   struct psn_suspect *suspect = data;
   g_hash_table_destroy (suspect->reports);
   g_hash_table_destroy (suspect->cleared);
+  g_clear_pointer (&suspect->common_parts, g_hash_table_destroy);
   g_free (suspect->trait);
   g_free (suspect);
 }
@@ -382,6 +383,26 @@
          && now_us - seen->sound_us < PSN_SOUND_US;
 }
 
+/* Keeps those of SUSPECT's common parts that are among TRAITS, too, those of a
+   repeat under which an endpoint has ended.  */
+static void
+restrict_common_parts (struct psn_suspect *suspect, char *const traits[])
+{
+  GHashTable *common
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (size_t i = 0; traits[i] != NULL; i++)
+    {
+      if (!psn_is_request (traits[i])
+          && (suspect->common_parts == NULL
+              || g_hash_table_contains (suspect->common_parts, traits[i])))
+        {
+          g_hash_table_add (common, g_strdup (traits[i]));
+        }
+    }
+  g_clear_pointer (&suspect->common_parts, g_hash_table_destroy);
+  suspect->common_parts = common;
+}
+
 /* Records that ENDPOINT, an incarnation, ended under a request with the named
    TRAITS before it had written much of the answer.  */
 void
@@ -405,6 +426,10 @@
           g_ptr_array_remove_index (report->ends, 0);
         }
       g_ptr_array_add (report->ends, g_strdup (endpoint));
+      if (psn_is_request (traits[i]))
+        {
+          restrict_common_parts (suspect, traits);
+        }
       report->position = i;
       report->updated_ms = now.unix_ms;
       psn_mark_changed (set, suspect, set->reporter);
@@ -705,8 +730,50 @@
   set->outdated = false;
 }
 
-/* Returns the first of the named TRAITS that is quarantined, or NULL.  It is
-   valid until the next call for SET.  */
+/* Returns whether the part of prompts PART explains all ends that the request
+   SUSPECT does.  */
+static bool
+explains_as_much (const struct psn_set *set, const char *part,
+                  const struct psn_suspect *suspect, int64_t now_us)
+{
+  const struct psn_suspect *other = g_hash_table_lookup (set->suspects, part);
+  if (other == NULL || is_proven (set, part, now_us)
+      || other->sound_until_us > now_us)
+    {
+      return false;
+    }
+  g_autoptr (GHashTable) ends = g_hash_table_new (g_str_hash, g_str_equal);
+  collect_ends (other, false, NULL, ends);
+  return collect_ends (suspect, false, ends, NULL) == 0;
+}
+
+/* Returns whether the quarantine of SUSPECT concerns a request with the named
+   TRAITS.  One that is the same as those that crash endpoints but for a part
+   which may be the cause isn't a repeat of them.  */
+static bool
+concerns (const struct psn_set *set, const struct psn_suspect *suspect,
+          char *const traits[], int64_t now_us)
+{
+  if (suspect->common_parts == NULL)
+    {
+      return true;
+    }
+  GHashTableIter iter;
+  gpointer part;
+  g_hash_table_iter_init (&iter, suspect->common_parts);
+  while (g_hash_table_iter_next (&iter, &part, NULL))
+    {
+      if (!g_strv_contains ((const char *const *)traits, part)
+          && explains_as_much (set, part, suspect, now_us))
+        {
+          return false;
+        }
+    }
+  return true;
+}
+
+/* Returns the first of the named TRAITS, all of a request, that keeps it from
+   endpoints, or NULL.  The result is valid until the next call for SET.  */
 const char *
 psn_find (struct psn_set *set, char *const traits[], struct psn_time now)
 {
@@ -715,7 +782,8 @@
     {
       const struct psn_suspect *suspect
           = g_hash_table_lookup (set->suspects, traits[i]);
-      if (suspect != NULL && suspect->quarantined)
+      if (suspect != NULL && suspect->quarantined
+          && concerns (set, suspect, traits, now.monotonic_us))
         {
           return suspect->trait;
         }
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -15,7 +15,8 @@
    as well; a trait on which any daemon has seen an endpoint write lately is
    sound.  Where several parts explain about as many ends, the one that the
    fewest requests have is taken: the parts that most prompts share are in all
-   of them.  Repeats of a request explain ends only if no part explains more.
+   of them.  Repeats of a request explain ends only if no part explains more;
+   where one explains as much, only those with that part are kept away.
    Evidence is dropped when the endpoint turns out to be alive.  From time to
    time one request with a quarantined trait is let through, to find out
    whether it still crashes endpoints. */
--- a/src/core/poison_private.h
+++ b/src/core/poison_private.h
@@ -20,10 +20,13 @@
 /* A trait that is or was under suspicion. */
 struct psn_suspect
 {
-  char *trait;            /* name */
-  uint64_t serial;        /* of suspects, in the order of their creation */
-  GHashTable *reports;    /* reporter to struct psn_report */
-  GHashTable *cleared;    /* set of ends from before an endpoint wrote on it */
+  char *trait;         /* name */
+  uint64_t serial;     /* of suspects, in the order of their creation */
+  GHashTable *reports; /* reporter to struct psn_report */
+  GHashTable *cleared; /* set of ends from before an endpoint wrote on it */
+  GHashTable *common_parts; /* of a request: set of the parts that all its
+                               repeats had under which this daemon has seen
+                               endpoints end; NULL: none yet */
   int64_t sound_ms;       /* newest proof of any daemon, Unix time; 0: none */
   int64_t sound_until_us; /* according to any daemon; monotonic */
   int64_t selected_us; /* since when it is the best explanation, monotonic; 0:
