--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -23,7 +23,10 @@
   struct psn_suspect *suspect = data;
   g_hash_table_destroy (suspect->reports);
   g_hash_table_destroy (suspect->cleared);
-  g_clear_pointer (&suspect->common_parts, g_hash_table_destroy);
+  if (suspect->common_parts != NULL)
+    {
+      g_hash_table_destroy (suspect->common_parts);
+    }
   g_free (suspect->trait);
   g_free (suspect);
 }
@@ -399,7 +402,10 @@
           g_hash_table_add (common, g_strdup (traits[i]));
         }
     }
-  g_clear_pointer (&suspect->common_parts, g_hash_table_destroy);
+  if (suspect->common_parts != NULL)
+    {
+      g_hash_table_destroy (suspect->common_parts);
+    }
   suspect->common_parts = common;
 }
 
