Share the steps of the quarantine's tests, and use GLib's MIN in core/reach

From reading the change once more; no behaviour changes. poison_test split names of traits in two places and let the daemons settle in three loops of its own; each is one function now (name_traits, settle, take_steps). The assertions are the same. core/reach had a MIN of its own. The set of a suspect's common parts is replaced without a second clean-up.

Mutations in a scratch copy: with requests never let through for a part that they lack, test_evidence and test_request_with_part fail; without the settling time seven tests do. Common parts that are never restricted were caught by none, so a row of evidence was added: it fails with that mutation and passes on the code before this commit's too. make format-check lint, poison_test and reach_test pass.

--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -391,22 +391,17 @@
 static void
 restrict_common_parts (struct psn_suspect *suspect, char *const traits[])
 {
-  GHashTable *common
+  g_autoptr (GHashTable) before = suspect->common_parts;
+  suspect->common_parts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (size_t i = 0; traits[i] != NULL; i++)
     {
       if (!psn_is_request (traits[i])
-          && (suspect->common_parts == NULL
-              || g_hash_table_contains (suspect->common_parts, traits[i])))
+          && (before == NULL || g_hash_table_contains (before, traits[i])))
         {
-          g_hash_table_add (common, g_strdup (traits[i]));
+          g_hash_table_add (suspect->common_parts, g_strdup (traits[i]));
         }
     }
-  if (suspect->common_parts != NULL)
-    {
-      g_hash_table_destroy (suspect->common_parts);
-    }
-  suspect->common_parts = common;
 }
 
 /* Records that ENDPOINT, an incarnation, ended under a request with the named
--- a/src/core/reach.c
+++ b/src/core/reach.c
@@ -1,6 +1,6 @@
 #include "core/reach.h"
 
-#define MIN(a, b) ((a) < (b) ? (a) : (b))
+#include <glib.h>
 
 /* Records that an endpoint has answered a call that was sent at SENT_US.  */
 void
--- a/test/poison_test.c
+++ b/test/poison_test.c
@@ -96,6 +96,20 @@
                                  : psn_part_name ("draft", id);
 }
 
+/* Returns the names of the traits IDS, which are separated by spaces.  The
+   caller frees them with g_strfreev.  */
+static char **
+name_traits (const char *ids)
+{
+  char **names = g_strsplit (ids, " ", 0);
+  for (guint i = 0; names[i] != NULL; i++)
+    {
+      g_autofree char *id = names[i];
+      names[i] = name_trait (id);
+    }
+  return names;
+}
+
 /* One step of a scenario: a request with the traits PARTS at DAEMON. */
 struct step
 {
@@ -115,14 +129,7 @@
 take_step (struct fleet *fleet, const struct step *step)
 {
   struct psn_set *set = fleet->sets[step->daemon];
-  g_auto (GStrv) ids = g_strsplit (step->parts, " ", 0);
-  g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
-  for (guint i = 0; ids[i] != NULL; i++)
-    {
-      g_ptr_array_add (names, name_trait (ids[i]));
-    }
-  g_ptr_array_add (names, NULL);
-  char *const *parts = (char *const *)names->pdata;
+  g_auto (GStrv) parts = name_traits (step->parts);
   switch (step->kind)
     {
     case END:
@@ -147,13 +154,7 @@
 static bool
 is_kept_away (struct fleet *fleet, int daemon, const char *ids)
 {
-  g_auto (GStrv) names = g_strsplit (ids, " ", 0);
-  for (guint i = 0; names[i] != NULL; i++)
-    {
-      char *name = name_trait (names[i]);
-      g_free (names[i]);
-      names[i] = name;
-    }
+  g_auto (GStrv) names = name_traits (ids);
   return psn_find (fleet->sets[daemon], names, now_of (fleet)) != NULL;
 }
 
@@ -176,6 +177,33 @@
   return g_string_free (found, FALSE);
 }
 
+/* Lets all daemons decide, learn of each other's decisions, and quarantine. */
+static void
+settle (struct fleet *fleet)
+{
+  for (int round = 0; round < 2; round++)
+    {
+      for (int i = 0; i < DAEMONS; i++)
+        {
+          g_free (list_quarantined (fleet, i));
+        }
+      fleet->now_us += SETTLE_US;
+      share (fleet);
+    }
+}
+
+/* Takes the COUNT STEPS, of which the daemons learn.  */
+static void
+take_steps (struct fleet *fleet, const struct step steps[], size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      take_step (fleet, &steps[i]);
+    }
+  share (fleet);
+  settle (fleet);
+}
+
 /* Evidence, and the parts that it quarantines at all daemons alike.  The part
    d crashes engines; a is shared by all prompts, b by some. */
 static const struct
@@ -287,6 +315,13 @@
       { END, 2, "a d R", "e3" },
       { WRITE, 0, "a", "" } },
     "" }, /* but with the part, see test_request_with_part */
+  { "a part of one repeat is in requests that ran beside the others",
+    { { END, 0, "R", "e1" },
+      { END, 0, "a S", "e1" },
+      { END, 0, "R", "e2" },
+      { END, 0, "a S", "e2" },
+      { END, 0, "a R", "e3" } },
+    "R" },
   { "a request with the part ran more often than others",
     { { WRITE, 0, "a", "" },
       { END, 0, "a d R", "e1" },
@@ -329,40 +364,20 @@
           fleet.now_us += 10000;
           share (&fleet);
         }
-      for (int round = 0; round < 3; round++)
+      settle (&fleet);
+      for (int daemon = 0; daemon < DAEMONS; daemon++)
         {
-          for (int daemon = 0; daemon < DAEMONS; daemon++)
+          g_autofree char *found = list_quarantined (&fleet, daemon);
+          if (strcmp (found, evidence_cases[i].quarantined) != 0)
             {
-              g_autofree char *found = list_quarantined (&fleet, daemon);
-              if (round == 2
-                  && strcmp (found, evidence_cases[i].quarantined) != 0)
-                {
-                  fail_msg ("%s: daemon %d has quarantined '%s'",
-                            evidence_cases[i].name, daemon, found);
-                }
+              fail_msg ("%s: daemon %d has quarantined '%s'",
+                        evidence_cases[i].name, daemon, found);
             }
-          fleet.now_us += SETTLE_US;
-          share (&fleet);
         }
       close_fleet (&fleet);
     }
 }
 
-/* Lets all daemons decide, and what they have learnt arrive.  */
-static void
-settle (struct fleet *fleet)
-{
-  for (int round = 0; round < 3; round++)
-    {
-      for (int i = 0; i < DAEMONS; i++)
-        {
-          g_free (list_quarantined (fleet, i));
-        }
-      fleet->now_us += SETTLE_US;
-      share (fleet);
-    }
-}
-
 /* Guards against requests that are refused for a part that they don't have: a
    part crashes engines, in requests that are all alike but for the parts, and
    no daemon knows yet that others like them are sound.  */
@@ -375,20 +390,14 @@
                                       { END, 2, "a d R", "e3" } };
   struct fleet fleet;
   open_fleet (&fleet);
-  for (size_t i = 0; i < G_N_ELEMENTS (ends); i++)
-    {
-      take_step (&fleet, &ends[i]);
-    }
-  share (&fleet);
-  settle (&fleet);
+  take_steps (&fleet, ends, G_N_ELEMENTS (ends));
   for (int i = 0; i < DAEMONS; i++)
     {
       assert_true (is_kept_away (&fleet, i, "a d R"));
       assert_false (is_kept_away (&fleet, i, "a b R"));
     }
   const struct step written = { WRITE, 1, "a b R", "" };
-  take_step (&fleet, &written);
-  settle (&fleet);
+  take_steps (&fleet, &written, 1);
   for (int i = 0; i < DAEMONS; i++)
     {
       assert_true (is_kept_away (&fleet, i, "a d R"));
@@ -410,12 +419,7 @@
                                       { END, 2, "e R", "e4" } };
   struct fleet fleet;
   open_fleet (&fleet);
-  for (size_t i = 0; i < G_N_ELEMENTS (ends); i++)
-    {
-      take_step (&fleet, &ends[i]);
-    }
-  share (&fleet);
-  settle (&fleet);
+  take_steps (&fleet, ends, G_N_ELEMENTS (ends));
   for (int i = 0; i < DAEMONS; i++)
     {
       assert_true (is_kept_away (&fleet, i, "a d R"));
@@ -428,21 +432,10 @@
 static void
 quarantine_d (struct fleet *fleet)
 {
-  static const char *const engines[] = { "e1", "e2", "e3" };
-  for (int i = 0; i < DAEMONS; i++)
-    {
-      const struct step step = { END, i, "a b d", engines[i] };
-      take_step (fleet, &step);
-    }
-  share (fleet);
-  for (int round = 0; round < 2; round++)
-    {
-      for (int i = 0; i < DAEMONS; i++)
-        {
-          g_free (list_quarantined (fleet, i));
-        }
-      fleet->now_us += SETTLE_US;
-    }
+  static const struct step ends[] = { { END, 0, "a b d", "e1" },
+                                      { END, 1, "a b d", "e2" },
+                                      { END, 2, "a b d", "e3" } };
+  take_steps (fleet, ends, G_N_ELEMENTS (ends));
 }
 
 static void
