--- a/review/lib/client.c
+++ b/review/lib/client.c
@@ -107,27 +107,17 @@
   return true;
 }
 
-/* Sends REQUEST to ADDRESS and reads the answer, for PATIENCE_S at most.  The
-   caller clears ANSWER.  */
+/* Reads the answer to a request that was sent on FD, for PATIENCE_S at most.
+   The caller clears ANSWER.  */
 void
-lab_ask (const char *address, const char *request, double patience_s,
-         struct lab_answer *answer)
+lab_read_answer (int fd, double patience_s, struct lab_answer *answer)
 {
   size_t room = 1 << 16;
   size_t used = 0;
   size_t head_bytes = 0;
   double end_s = lab_now_s () + patience_s;
-  *answer = (struct lab_answer){ .ending = LAB_RESET };
-  int fd = lab_connect (address);
-  if (fd < 0 || !lab_send (fd, request, strlen (request)))
-    {
-      if (fd >= 0)
-        {
-          close (fd);
-        }
-      return;
-    }
   char *raw = malloc (room + 1);
+  *answer = (struct lab_answer){ .ending = LAB_RESET };
   raw[0] = '\0';
   for (;;)
     {
@@ -165,6 +155,23 @@
     {
       is_complete (answer, raw + head_bytes, used - head_bytes, true);
     }
-  close (fd);
   free (raw);
 }
+
+/* Sends REQUEST to ADDRESS on a new connection and reads the answer, for
+   PATIENCE_S at most.  The caller clears ANSWER.  */
+void
+lab_ask (const char *address, const char *request, double patience_s,
+         struct lab_answer *answer)
+{
+  int fd = lab_connect (address);
+  *answer = (struct lab_answer){ .ending = LAB_RESET };
+  if (fd >= 0 && lab_send (fd, request, strlen (request)))
+    {
+      lab_read_answer (fd, patience_s, answer);
+    }
+  if (fd >= 0)
+    {
+      close (fd);
+    }
+}
--- a/review/lib/lab.h
+++ b/review/lib/lab.h
@@ -171,6 +171,7 @@
 const char *lab_ending_name (enum lab_ending ending);
 void lab_ask (const char *address, const char *request, double patience_s,
               struct lab_answer *answer);
+void lab_read_answer (int fd, double patience_s, struct lab_answer *answer);
 void lab_answer_clear (struct lab_answer *answer);
 
 #endif
