Review: order the cases by gravity

The stop and the kill of a daemon that leave a torn stream looking complete stand together; the burst of long bodies is last.

--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,74 +1,54 @@
-/* An order for an engine that has crashed is sent to the engine of another
-   service that has got its address, and makes it hold more layers than fit.
+/* A stream without a length looks complete when its daemon is killed.
 
-   Two services have a model of 16 layers of 1,750 MB.  "drafter" runs on cards
-   with 36,000 MB, "summary" on such with 14,400 MB, which hold 8 layers.  An
-   empty engine is added to "drafter"; the daemon orders it to hold all 16.  With
-   the disruption, it crashes for good as the order arrives (1 of 7 engines of
-   the service), and its address goes to a new engine of "summary" AddrReuseS
-   later.  */
+   Streams take 6 s, as the usual ones do.  One of 20 comes from its engine
+   without a length, so that only the end of the connection ends it.  The daemon
+   passes it on in the same way, and is killed while the streams are under
+   way.  */
 #include "lab.h"
 
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define DRAFTS 6 /* engines of "drafter" beside the added one */
-#define LAYERS 16
-#define LAYER_MB 1750
-#define LARGE_MB 36000
-#define SMALL_MB 14400
-#define ADDRESS_REUSE_S 2.05 /* AddrReuseS is 2 */
-#define HEARTBEAT_S 1.2
-#define START_S 4.0
-#define WATCH_S 12.0
+#define STREAMS 20
+#define UNFRAMED 10 /* index of the stream without a length */
+#define SPAN_S 2.0
+#define EVENTS 75
+#define FIRST_S 0.1
+#define INTERVAL_S 0.08
+#define KILL_AFTER_S 1.0
 
-#define MODEL                                                                 \
-  "\"Engine\":{\"Slots\":192,\"KvCapacity\":100000,\"KvTokenBytes\":42600,"   \
-  "\"LinkMbps\":480000.0,\"Stride\":2,\"Models\":[{\"Name\":\"m0\","          \
-  "\"pace\":1.0,\"LoadS\":14.0,\"WarmS\":1.0}],\"step_ms\":0.85,"             \
-  "\"per_seq_ms\":0.00276,\"context_per_k\":0.0037,\"read_per_s\":272000.0,"  \
-  "\"pairs_per_m\":0.12,\"chunk\":512,\"report_lag_ms\":200.0,"               \
-  "\"usual\":{\"prompt\":772,\"answer\":150},\"Layers\":16,"                  \
-  "\"LayerMb\":1750.0,\"ActivationBytes\":21300,\"PipeMbps\":6500.0,"         \
-  "\"Kinds\":[{\"Name\":\"a100s\",\"Mb\":36000.0,\"pace\":3.1,"               \
-  "\"ReadX\":3.2},{\"Name\":\"t4\",\"Mb\":14400.0,\"pace\":15.0,"             \
-  "\"ReadX\":15.0}]}"
-
-#define ROUTE(name, service)                                                  \
-  "{\"Name\":\"" name "\",\"Hostname\":\"" LAB_HOST                           \
-  "\",\"PathPrefix\":\"/" name                                                \
-  "/\",\"Kind\":\"stream\",\"TimeoutMs\":20000,\"TargetLatencyMs\":500,"      \
-  "\"Priority\":1,\"Service\":\"" service                                     \
-  "\",\"MaxAttempts\":2,\"Public\":false,\"Sticky\":true,"                    \
-  "\"Resumable\":true,\"TargetGapMs\":200}"
+static struct lab_runner first = { .id = "i-f" };
+static struct lab_runner second = { .id = "i-s" };
+static struct lab_daemon entry = { .name = "front-regina-1",
+                                   .zone = "regina" };
 
-#define SERVICE(name)                                                         \
-  "{\"Name\":\"" name "\",\"HealthPath\":\"/health\",\"MaxConns\":1048,"      \
-  "\"Protocol\":\"h1\",\"Tls\":false," MODEL "}"
+struct stream
+{
+  char id[32];
+  bool chunked;
+  struct lab_answer answer;
+};
 
-static const char configuration[]
-    = "{\"Version\":1,\"Routes\":[" ROUTE ("draft", "drafter") ","
-      ROUTE ("sum", "summary") "],\"Services\":[" SERVICE ("drafter") ","
-      SERVICE ("summary") "],\"Limits\":{\"MaxHeaderBytes\":16384,"
-      "\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,"
-      "\"IdleTimeoutMs\":15000},\"Tenants\":[{\"Name\":\"hule930\","
-      "\"ApiKeys\":[\"" LAB_KEY "\"],\"Priority\":1}]}";
+static struct stream streams[STREAMS];
 
-static struct lab_runner drafts[DRAFTS];
-static struct lab_runner added = { .id = "i-d7" };
-static struct lab_runner sum_first = { .id = "i-s1" };
-static struct lab_runner sum_second = { .id = "i-s2" };
-static struct lab_runner reuser = { .id = "i-s3" };
-static struct lab_daemon entry = { .name = "front-regina-1",
-                                   .zone = "regina" };
-static uint32_t broken;
-static volatile bool crashed;
+static bool
+run_first (struct lab_runner *runner, struct lab_connection *connection,
+           const struct lab_message *request, const char *id)
+{
+  (void)request;
+  bool chunked = strcmp (id, streams[UNFRAMED].id) != 0;
+  lab_record ("request %s arrives at %s%s", id, runner->id,
+              chunked ? "" : ", the answer has no length");
+  return lab_stream (runner, connection, id, EVENTS, FIRST_S, INTERVAL_S,
+                     chunked);
+}
 
 static bool
-run_nothing (struct lab_runner *runner, struct lab_connection *connection,
-             const struct lab_message *request, const char *id)
+run_second (struct lab_runner *runner, struct lab_connection *connection,
+            const struct lab_message *request, const char *id)
 {
   (void)connection;
   (void)request;
@@ -76,94 +56,113 @@
   return false;
 }
 
-/* Checks an order against the memory of RUNNER, and crashes the added engine at
-   its first order.  A runner that is ordered to hold more than its memory holds
-   crashes too.  */
-static bool
-check_order (struct lab_runner *runner, uint32_t first, uint32_t end)
+static void *
+send_stream (void *data)
 {
-  uint32_t memory_mb = strcmp (runner->kind, "t4") == 0 ? SMALL_MB : LARGE_MB;
-  if (runner == &added && lab_has_trouble () && !crashed)
-    {
-      lab_runner_end (runner);
-      crashed = true;
-      return false;
-    }
-  if ((end - first) * LAYER_MB <= memory_mb)
-    {
-      return true;
-    }
-  lab_record ("LIMIT: %s of service %s, with %u MB, is ordered to hold %u "
-              "layers, %u MB",
-              runner->id, runner->service, memory_mb, end - first,
-              (end - first) * LAYER_MB);
-  broken++;
-  lab_runner_end (runner);
-  return false;
+  struct stream *stream = data;
+  char request[1024];
+  lab_format_request (request, sizeof request, "POST", LAB_DRAFT_PATH "1",
+                      stream->id, 20000, 2 * EVENTS);
+  lab_record ("request %s is sent", stream->id);
+  lab_ask (entry.front, request, 25, &stream->answer);
+  lab_record ("request %s is answered: status %d, %s, %s, %zu bytes",
+              stream->id, stream->answer.status,
+              stream->answer.has_length ? "with a length" : "without a length",
+              lab_ending_name (stream->answer.ending),
+              stream->answer.body_bytes);
+  return NULL;
 }
 
 static void
-describe (struct lab_runner *runner, const char *service, const char *kind,
-          uint32_t first, uint32_t end)
+start_engine (struct lab_runner *runner, uint32_t first_layer,
+              uint32_t end_layer, lab_run run)
 {
-  runner->service = service;
-  runner->kind = kind;
+  runner->service = "drafter";
+  runner->kind = "t4";
   runner->slots = 192;
-  runner->first_layer = first;
-  runner->end_layer = end;
-  runner->run = run_nothing;
-  runner->ordered = check_order;
+  runner->first_layer = first_layer;
+  runner->end_layer = end_layer;
+  runner->run = run;
+  lab_runner_start (runner);
+}
+
+/* Returns the bytes of a whole stream of the request ID.  */
+static size_t
+whole_bytes (const char *id)
+{
+  char event[256];
+  size_t bytes = 0;
+  for (uint32_t i = 1; i <= EVENTS; i++)
+    {
+      bytes += lab_event (id, i, event, sizeof event);
+    }
+  return bytes;
+}
+
+/* Returns whether the answer of STREAM, a success, ends early and looks
+   complete: a client can't tell it from a whole one.  */
+static bool
+is_torn (const struct stream *stream)
+{
+  const struct lab_answer *answer = &stream->answer;
+  bool looks_complete
+      = answer->ending == LAB_COMPLETE
+        || (answer->ending == LAB_CLOSED && !answer->has_length);
+  size_t whole = whole_bytes (stream->id);
+  if (answer->status != 200 || !looks_complete || answer->body_bytes == whole)
+    {
+      return false;
+    }
+  lab_record ("MIXED: request %s has %zu of %zu bytes and looks complete",
+              stream->id, answer->body_bytes, whole);
+  return true;
 }
 
 int
 main (int argc, char **argv)
 {
+  pthread_t threads[STREAMS];
   char store[LAB_ADDRESS_BYTES];
+  uint32_t broken = 0;
+  uint32_t begun = 0;
   (void)argc;
   lab_begin (argv[1]);
   lab_record ("disruption: %s", lab_has_trouble () ? "yes" : "no");
   lab_store_start (store);
-  lab_store_put ("keyed.op", "config", configuration);
-  for (uint32_t i = 0; i < DRAFTS; i++)
-    {
-      snprintf (drafts[i].id, sizeof drafts[i].id, "i-d%u", i + 1);
-      describe (&drafts[i], "drafter", "a100s", 0, LAYERS);
-      lab_runner_start (&drafts[i]);
-    }
-  describe (&sum_first, "summary", "t4", 0, LAYERS / 2);
-  describe (&sum_second, "summary", "t4", LAYERS / 2, LAYERS);
-  describe (&added, "drafter", "a100s", 0, 0);
-  describe (&reuser, "summary", "t4", 0, 0);
-  lab_runner_start (&sum_first);
-  lab_runner_start (&sum_second);
+  lab_publish_config (1, true);
+  start_engine (&first, 0, LAB_LAYERS / 2, run_first);
+  start_engine (&second, LAB_LAYERS / 2, LAB_LAYERS, run_second);
   lab_runners_beat ();
   lab_daemon_start (&entry, store);
   lab_daemon_await_ready (&entry);
-  lab_sleep_s (START_S);
-  lab_runner_start (&added);
-  double end_s = lab_now_s () + 15;
-  while (!crashed && added.orders == 0 && lab_now_s () < end_s)
+  lab_sleep_s (2);
+  for (uint32_t i = 0; i < STREAMS; i++)
     {
-      lab_sleep_s (0.005);
+      snprintf (streams[i].id, sizeof streams[i].id, "e5%04x", i);
     }
-  if (!crashed && added.orders == 0)
+  for (uint32_t i = 0; i < STREAMS; i++)
     {
-      lab_fail ("the added engine got no order");
+      if (pthread_create (&threads[i], NULL, send_stream, &streams[i]) != 0)
+        {
+          lab_fail ("no thread can be started");
+        }
+      lab_sleep_s (SPAN_S / STREAMS);
     }
-  if (!lab_has_trouble ())
+  lab_sleep_s (KILL_AFTER_S);
+  if (lab_has_trouble ())
     {
-      lab_runner_start (&reuser);
+      lab_daemon_signal (&entry, SIGKILL);
+      lab_daemon_await_end (&entry, 1);
     }
-  else
+  for (uint32_t i = 0; i < STREAMS; i++)
     {
-      lab_sleep_s (ADDRESS_REUSE_S);
-      if (!lab_runner_start_at (&reuser, added.address))
-        {
-          lab_fail ("the address can't be used again");
-        }
-      lab_sleep_s (3 * HEARTBEAT_S - ADDRESS_REUSE_S);
-      lab_runner_unlist (&added);
+      pthread_join (threads[i], NULL);
+      begun += streams[i].answer.status == 200;
+      broken += is_torn (&streams[i]);
+    }
+  if (begun < STREAMS)
+    {
+      lab_fail ("only %u of %u streams began", begun, STREAMS);
     }
-  lab_sleep_s (WATCH_S);
   return lab_end (broken > 0 ? LAB_BROKEN : LAB_HELD);
 }
