--- a/review/1/case.c
+++ b/review/1/case.c
@@ -30,10 +30,10 @@
 static struct lab_runner first = { .id = "i-f" };
 static struct lab_runner second_p = { .id = "i-p" };
 static struct lab_runner second_q = { .id = "i-q" };
-static bool refuses;      /* P is short of memory for the next stream */
-static char refused[64];  /* id of the stream for which it was */
-static struct lab_daemon entry = { .name = "front-regina-1",
-                                   .zone = "regina" };
+static bool refuses;     /* P is short of memory for the next stream */
+static char refused[64]; /* id of the stream for which it was */
+static struct lab_daemon entry
+    = { .name = "front-regina-1", .zone = "regina" };
 
 /* What is to be sent where the next answer on a connection is expected. */
 struct late_answer
@@ -198,8 +198,8 @@
   lab_runners_beat ();
   lab_daemon_start (&entry, store);
   lab_daemon_await_ready (&entry);
-  uint32_t broken = send_streams (streams, "a1", WARM_UP_STREAMS, WARM_UP_S,
-                                  UINT32_MAX);
+  uint32_t broken
+      = send_streams (streams, "a1", WARM_UP_STREAMS, WARM_UP_S, UINT32_MAX);
   uint32_t served = 0;
   for (uint32_t i = 0; i < WARM_UP_STREAMS; i++)
     {
--- a/review/2/case.c
+++ b/review/2/case.c
@@ -23,8 +23,8 @@
 
 static struct lab_runner first = { .id = "i-f" };
 static struct lab_runner second = { .id = "i-s" };
-static struct lab_daemon entry = { .name = "front-regina-1",
-                                   .zone = "regina" };
+static struct lab_daemon entry
+    = { .name = "front-regina-1", .zone = "regina" };
 
 struct stream
 {
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,9 +1,9 @@
 /* A stream without a length looks complete when its daemon is killed.
 
    Streams take 6 s, as the usual ones do.  One of 20 comes from its engine
-   without a length, so that only the end of the connection ends it.  The daemon
-   passes it on in the same way, and is killed while the streams are under
-   way.  */
+   without a length, so that only the end of the connection ends it.  The
+   daemon passes it on in the same way, and is killed while the streams are
+   under way.  */
 #include "lab.h"
 
 #include <pthread.h>
@@ -22,8 +22,8 @@
 
 static struct lab_runner first = { .id = "i-f" };
 static struct lab_runner second = { .id = "i-s" };
-static struct lab_daemon entry = { .name = "front-regina-1",
-                                   .zone = "regina" };
+static struct lab_daemon entry
+    = { .name = "front-regina-1", .zone = "regina" };
 
 struct stream
 {
--- a/review/lib/base.c
+++ b/review/lib/base.c
@@ -317,8 +317,7 @@
   char length[32];
   size_t head_bytes = read_head (connection);
   *message = (struct lab_message){ .body_bytes = 0 };
-  char *line_end
-      = head_bytes == 0 ? NULL : strstr (connection->bytes, "\r\n");
+  char *line_end = head_bytes == 0 ? NULL : strstr (connection->bytes, "\r\n");
   if (line_end == NULL
       || sscanf (connection->bytes, "%15s %1023s", message->method,
                  message->url)
@@ -328,7 +327,8 @@
     }
   size_t line_bytes = (size_t)(line_end - connection->bytes) + 2;
   snprintf (message->head, sizeof message->head, "%.*s",
-            (int)(head_bytes - line_bytes - 2), connection->bytes + line_bytes);
+            (int)(head_bytes - line_bytes - 2),
+            connection->bytes + line_bytes);
   use_bytes (connection, head_bytes);
   if (lab_header (message, "Content-Length", length, sizeof length))
     {
@@ -456,8 +456,7 @@
 }
 
 struct lab_server *
-lab_serve (lab_handler handler, void *context,
-           char address[LAB_ADDRESS_BYTES])
+lab_serve (lab_handler handler, void *context, char address[LAB_ADDRESS_BYTES])
 {
   snprintf (address, LAB_ADDRESS_BYTES, "127.0.0.1:0");
   int fd = bind_socket (address);
--- a/review/lib/client.c
+++ b/review/lib/client.c
@@ -68,9 +68,8 @@
   struct lab_message head = { .body = NULL };
   char value[64];
   memcpy (head.head, answer->head, sizeof head.head);
-  bool chunked
-      = lab_header (&head, "Transfer-Encoding", value, sizeof value)
-        && strcasecmp (value, "chunked") == 0;
+  bool chunked = lab_header (&head, "Transfer-Encoding", value, sizeof value)
+                 && strcasecmp (value, "chunked") == 0;
   bool sized = lab_header (&head, "Content-Length", value, sizeof value);
   answer->has_length = chunked || sized;
   if (!chunked && !at_end && (!sized || count < strtoul (value, NULL, 10)))
--- a/review/lib/daemon.c
+++ b/review/lib/daemon.c
@@ -1,4 +1,4 @@
-/* Entry daemons as separate processes, with the command of the deploy file.  */
+/* Entry daemons as separate processes, with the command of the deploy file. */
 #include "lab.h"
 
 #include <fcntl.h>
--- a/review/lib/lab.h
+++ b/review/lib/lab.h
@@ -160,7 +160,7 @@
 
 struct lab_answer
 {
-  int status; /* 0: none */
+  int status;      /* 0: none */
   bool has_length; /* a length or chunks tell where the body ends */
   enum lab_ending ending;
   char head[16384];
--- a/review/lib/store.c
+++ b/review/lib/store.c
@@ -89,8 +89,7 @@
   memcpy (bytes + 1, key, key_bytes);
   memcpy (bytes + 1 + key_bytes, value == NULL ? "" : value, value_bytes);
   pthread_mutex_lock (&lock);
-  append (find_topic (topic), bytes,
-          (uint32_t)(1 + key_bytes + value_bytes));
+  append (find_topic (topic), bytes, (uint32_t)(1 + key_bytes + value_bytes));
   pthread_mutex_unlock (&lock);
   free (bytes);
 }
