--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -158,11 +158,11 @@
   struct emt_metrics *metrics = exchange->traffic->metrics;
   lg_line (LOG_INFO, "request_done",
            "request=%s route=%s account=%s outcome=%s status=%u attempts=%u "
-           "first_ms=%ld pause_ms=%ld total_ms=%ld left_ms=%ld "
+           "denials=%u first_ms=%ld pause_ms=%ld total_ms=%ld left_ms=%ld "
            "config=%lu endpoint=%s path=%s",
            exchange->id, exchange->route->name,
            exchange->account == NULL ? "-" : exchange->account->name, outcome,
-           status, exchange->attempts,
+           status, exchange->attempts, exchange->denials,
            (long)(exchange->first_event_us == 0
                       ? -1
                       : (exchange->first_event_us - exchange->arrived_us)
@@ -469,16 +469,17 @@
   if (denied)
     {
       cnt_add (exchange->traffic->metrics->retries_denied, 1);
+      exchange->denials++;
       retry = false;
     }
   lg_line (LOG_INFO, "attempt_ended",
            "request=%s end=%s status=%u endpoint=%s at_fault=%s again=%d "
-           "sent=%u unsent=%u may_have_run=%u last_event=%ld age_ms=%ld",
+           "denied=%d sent=%u unsent=%u may_have_run=%u last_event=%ld age_ms=%ld",
            exchange->id, attempt_end_name (end), exchange->status,
            exchange->endpoint == NULL ? "-" : exchange->endpoint->id,
            exchange->failed_address == NULL ? "-" : exchange->failed_address,
-           retry, exchange->sent, exchange->unsent, exchange->may_have_run,
-           (long)exchange->scanner.last_id,
+           retry, denied, exchange->sent, exchange->unsent,
+           exchange->may_have_run, (long)exchange->scanner.last_id,
            (long)((clk_monotonic_us () - exchange->sent_us) / CLK_MS_US));
   bool waits = verdict.next == ATT_RESUME && (denied || verdict.pauses);
   if (waits && wait_for_room (exchange, end))
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -73,6 +73,8 @@
   uint32_t sent;         /* ended attempts whose request arrived or may have */
   uint32_t unsent;       /* attempts in a row that found no connection */
   uint32_t may_have_run; /* ended attempts in which the request may have run */
+  uint32_t denials;      /* repeats and checks of a silent attempt that the
+                            retry budget has denied */
   bool answer_begun;     /* the caller has the headers of a stream */
   bool proved_sound;     /* an endpoint has answered it without ending */
   bool is_trial;         /* the next attempt is made though the request has a
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -105,9 +105,14 @@
   struct att_request request;
   uint32_t service = exg_service_index (exchange);
   exg_describe_request (exchange, &request);
-  return service != FLT_NO_INDEX && att_may_abandon (&request)
-         && rbg_allows (fst_budget (exchange->traffic->fleet, service),
-                        ABANDON_RETRIES_MIN, clk_monotonic_us ());
+  if (service == FLT_NO_INDEX || !att_may_abandon (&request))
+    {
+      return false;
+    }
+  bool allowed = rbg_allows (fst_budget (exchange->traffic->fleet, service),
+                             ABANDON_RETRIES_MIN, clk_monotonic_us ());
+  exchange->denials += !allowed;
+  return allowed;
 }
 
 /* Returns the exchanges for which MATCHES returns true with ENDPOINT: handling
