Find out by own probes which endpoints a daemon reaches, for each service

Cause: one state held for the endpoints of all services, and any answer ended it, be it that of another service or of the one engine that was left; and every half second a caller's request tried the way and lost 0.4 s or more for it. The class: what is known of one thing decided over others, and callers paid for finding out.

Change: core/reach keeps its state for each service and ends it only when most of a round of probes are answered, which the daemon sends itself (entry/probing), also as soon as one endpoint fails. During a cut the endpoints that answered since it began are used, others aren't. Dead endpoints are probed too, instead of by callers. A request that no neighbour can take is refused at once. Reports and health checks are the probes.

--- a/src/core/reach.c
+++ b/src/core/reach.c
@@ -7,7 +7,7 @@
 rch_report_answer (struct rch_reach *reach, int64_t sent_us)
 {
   uint32_t kept = 0;
-  if (sent_us <= reach->answered_us)
+  if (sent_us <= reach->answered_us || reach->cut_off)
     {
       return;
     }
@@ -20,21 +20,31 @@
         }
     }
   reach->failure_count = kept;
-  if (kept == 0)
-    {
-      reach->cut_us = 0;
-    }
 }
 
-/* Records that a call to ENDPOINT, sent at SENT_US, had no answer.  */
+/* Records that the daemon was found to be cut off.  Endpoints that have
+   answered calls that were sent after SINCE_US are in reach.  */
+static void
+set_cut_off (struct rch_reach *reach, int64_t since_us, int64_t now_us)
+{
+  reach->cut_off = true;
+  reach->since_us = since_us;
+  reach->cut_us = now_us;
+  reach->round_us = now_us;
+}
+
+/* Records that a call to ENDPOINT, sent at SENT_US, had no answer.  ENDPOINTS
+   is the number of endpoints that the daemon knows; a single one may just be
+   dead.  */
 void
-rch_report_failure (struct rch_reach *reach, uint64_t endpoint,
-                    int64_t sent_us, int64_t now_us)
+rch_report_failure (struct rch_reach *reach, uint32_t endpoints,
+                    uint64_t endpoint, int64_t sent_us, int64_t now_us)
 {
-  if (sent_us <= reach->answered_us)
+  if (reach->cut_off || endpoints <= 1 || sent_us <= reach->answered_us)
     {
       return;
     }
+  reach->round_wanted = true;
   uint32_t i = 0;
   while (i < reach->failure_count && reach->failures[i].endpoint != endpoint)
     {
@@ -45,44 +55,56 @@
       return;
     }
   reach->failures[i] = (struct rch_failure){ endpoint, sent_us };
-  if (i == reach->failure_count)
+  reach->failure_count = MAX (reach->failure_count, i + 1);
+  if (reach->failure_count < MIN (RCH_ENDPOINTS_MIN, endpoints))
     {
-      reach->failure_count++;
-      reach->cut_us = now_us;
-      reach->probe_us = now_us + RCH_PROBE_US;
+      return;
+    }
+  int64_t first_us = reach->failures[0].sent_us;
+  for (uint32_t j = 1; j < reach->failure_count; j++)
+    {
+      first_us = MIN (first_us, reach->failures[j].sent_us);
     }
+  set_cut_off (reach, first_us, now_us);
 }
 
-/* Returns whether the daemon, which knows so many ENDPOINTS, is cut off from
-   them.  A single one may just be dead.  */
+/* Returns whether the daemon serves new callers as well as others do.  */
 bool
-rch_is_cut_off (const struct rch_reach *reach, uint32_t endpoints)
+rch_is_ready (const struct rch_reach *reach, int64_t now_us)
 {
-  return endpoints > 1
-         && reach->failure_count >= MIN (RCH_ENDPOINTS_MIN, endpoints);
+  return !reach->cut_off || now_us - reach->cut_us < RCH_READY_DELAY_US;
 }
 
-/* Returns whether the daemon, which knows so many ENDPOINTS, serves new
-   callers as well as others do.  */
+/* Returns whether a round of probes begins at NOW_US.  */
 bool
-rch_is_ready (const struct rch_reach *reach, uint32_t endpoints,
-              int64_t now_us)
+rch_begin_round (struct rch_reach *reach, int64_t now_us)
 {
-  return !rch_is_cut_off (reach, endpoints)
-         || now_us - reach->cut_us < RCH_READY_DELAY_US;
+  if (now_us < reach->round_us || !(reach->cut_off || reach->round_wanted))
+    {
+      return false;
+    }
+  reach->round_wanted = false;
+  reach->round_us = now_us + RCH_PROBE_US;
+  return true;
 }
 
-/* Returns whether a request tries the own way at NOW_US though the daemon is
-   cut off; the next one does RCH_PROBE_US later.  */
-bool
-rch_take_probe (struct rch_reach *reach, int64_t now_us)
+/* Records that of so many PROBES, to different endpoints and begun at
+   BEGAN_US, so many got ANSWERS.  Where none did the daemon is cut off; where
+   most did it isn't.  */
+void
+rch_end_round (struct rch_reach *reach, uint32_t probes, uint32_t answers,
+               int64_t began_us, int64_t now_us)
 {
-  if (now_us < reach->probe_us)
+  if (reach->cut_off && probes > 0 && answers * 2 >= probes)
     {
-      return false;
+      reach->cut_off = false;
+      reach->failure_count = 0;
+    }
+  else if (!reach->cut_off && probes >= 2 && answers == 0
+           && began_us > reach->answered_us)
+    {
+      set_cut_off (reach, began_us, now_us);
     }
-  reach->probe_us = now_us + RCH_PROBE_US;
-  return true;
 }
 
 /* Returns the index of the neighbour to pass a request on to: of the COUNT
--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -7,9 +7,15 @@
    serve all their requests there.
 
    Endpoints don't die all at once: when calls to several of them have failed
-   since any last answered, the daemon itself is cut off.  From time to time
-   one request tries the daemon's own way; the first answer ends the state.  An
-   answer counts by when its call was sent. */
+   since any last answered, the daemon itself is cut off.  The state is kept
+   for each service, since the ways to another service's endpoints may be
+   whole.
+
+   Probes of the daemon's own find out, so that no caller waits for that: a
+   round goes to several endpoints as soon as one fails, and at intervals while
+   the daemon is cut off.  Single answers don't end the state, as a few ways
+   may be left; endpoints that have answered since it began can be used
+   meanwhile. An answer counts by when its call was sent. */
 #ifndef CORE_REACH_H
 #define CORE_REACH_H
 
@@ -20,8 +26,8 @@
    more. */
 #define RCH_ENDPOINTS_MIN 3
 
-/* Interval at which a request tries the daemon's own way while it is cut
-   off. */
+/* Probes of a round at most, and the interval of rounds. */
+#define RCH_ROUND_PROBES RCH_ENDPOINTS_MIN
 #define RCH_PROBE_US INT64_C (500000)
 
 /* A daemon isn't ready for new callers once it has been cut off for so long;
@@ -42,8 +48,12 @@
   struct rch_failure failures[RCH_ENDPOINTS_MIN]; /* of different endpoints */
   uint32_t failure_count;
   int64_t answered_us; /* when the newest call that was answered was sent */
-  int64_t cut_us;      /* since when it is cut off; 0: it isn't */
-  int64_t probe_us;    /* no request tries the own way before */
+  bool cut_off;
+  bool round_wanted; /* an endpoint has failed since the last round */
+  int64_t since_us;  /* cut off: an endpoint that has answered a call which was
+                        sent later is in reach */
+  int64_t cut_us;    /* when it was found to be cut off */
+  int64_t round_us;  /* no round begins before */
 };
 
 /* What a daemon knows of a neighbour that it may pass a request on to. */
@@ -55,12 +65,12 @@
 };
 
 void rch_report_answer (struct rch_reach *reach, int64_t sent_us);
-void rch_report_failure (struct rch_reach *reach, uint64_t endpoint,
-                         int64_t sent_us, int64_t now_us);
-bool rch_is_cut_off (const struct rch_reach *reach, uint32_t endpoints);
-bool rch_is_ready (const struct rch_reach *reach, uint32_t endpoints,
-                   int64_t now_us);
-bool rch_take_probe (struct rch_reach *reach, int64_t now_us);
+void rch_report_failure (struct rch_reach *reach, uint32_t endpoints,
+                         uint64_t endpoint, int64_t sent_us, int64_t now_us);
+bool rch_is_ready (const struct rch_reach *reach, int64_t now_us);
+bool rch_begin_round (struct rch_reach *reach, int64_t now_us);
+void rch_end_round (struct rch_reach *reach, uint32_t probes, uint32_t answers,
+                    int64_t began_us, int64_t now_us);
 int32_t rch_choose_neighbour (const struct rch_neighbour neighbours[],
                               uint32_t count, uint32_t tie);
 
--- a/src/entry/entry_metrics.c
+++ b/src/entry/entry_metrics.c
@@ -57,7 +57,7 @@
     "kumquatthread_passed_on_total", "",
     "Attempts of requests that were passed on to another daemon" },
   { offsetof (struct emt_metrics, cut_off), CNT_GAUGE, "kumquatthread_cut_off",
-    "", "1 while this daemon can't reach the endpoints" },
+    "", "Services whose endpoints this daemon can't reach now" },
   { offsetof (struct emt_metrics, events), CNT_COUNTER,
     "kumquatthread_events_total", "", "Stream events delivered" },
   { offsetof (struct emt_metrics, in_progress), CNT_GAUGE,
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -27,7 +27,8 @@
                                             their prompt */
   struct cnt_series *quarantined_traits; /* of prompts, now */
   struct cnt_series *passed_on;          /* attempts at another daemon */
-  struct cnt_series *cut_off;            /* from all endpoints, now: 1 */
+  struct cnt_series *cut_off;            /* services whose endpoints this
+                                         daemon can't reach now */
   struct cnt_series *events;
   struct cnt_series *in_progress;
   struct cnt_series *config_version;
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -472,15 +472,16 @@
       exchange->denials++;
       retry = false;
     }
-  lg_line (LOG_INFO, "attempt_ended",
-           "request=%s end=%s status=%u endpoint=%s at_fault=%s again=%d "
-           "denied=%d sent=%u unsent=%u may_have_run=%u last_event=%ld age_ms=%ld",
-           exchange->id, attempt_end_name (end), exchange->status,
-           exchange->endpoint == NULL ? "-" : exchange->endpoint->id,
-           exchange->failed_address == NULL ? "-" : exchange->failed_address,
-           retry, denied, exchange->sent, exchange->unsent,
-           exchange->may_have_run, (long)exchange->scanner.last_id,
-           (long)((clk_monotonic_us () - exchange->sent_us) / CLK_MS_US));
+  lg_line (
+      LOG_INFO, "attempt_ended",
+      "request=%s end=%s status=%u endpoint=%s at_fault=%s again=%d "
+      "denied=%d sent=%u unsent=%u may_have_run=%u last_event=%ld age_ms=%ld",
+      exchange->id, attempt_end_name (end), exchange->status,
+      exchange->endpoint == NULL ? "-" : exchange->endpoint->id,
+      exchange->failed_address == NULL ? "-" : exchange->failed_address, retry,
+      denied, exchange->sent, exchange->unsent, exchange->may_have_run,
+      (long)exchange->scanner.last_id,
+      (long)((clk_monotonic_us () - exchange->sent_us) / CLK_MS_US));
   bool waits = verdict.next == ATT_RESUME && (denied || verdict.pauses);
   if (waits && wait_for_room (exchange, end))
     {
@@ -555,19 +556,33 @@
   return true;
 }
 
+/* Returns whether this daemon is cut off from the service of EXCHANGE.  */
+static bool
+is_cut_off (const struct exchange *exchange)
+{
+  return psg_is_cut_off (exchange->traffic, exg_service_index (exchange));
+}
+
 /* Returns whether EXCHANGE takes this daemon's own way, to the target that was
-   chosen if one was FOUND: unless it is known to be out of reach.  While the
-   daemon is cut off, that takes the probe that is due.  */
+   chosen if one was FOUND: unless it is known to be out of reach.  */
 static bool
 take_own_way (struct exchange *exchange, bool found)
 {
-  if (psg_is_cut_off (exchange->traffic))
-    {
-      return found && psg_take_probe (exchange->traffic);
-    }
-  return !found
-         || (!exchange->endpoint->evidence.dead
-             && exchange->endpoint->evidence.state != EVD_BACKOFF);
+  return found ? !exchange->endpoint->evidence.dead
+                     && exchange->endpoint->evidence.state != EVD_BACKOFF
+               : !is_cut_off (exchange);
+}
+
+/* Returns whether EXCHANGE waits for a neighbour that can be used, since this
+   daemon is cut off.  A request that can be refused waits only until the
+   neighbours are known: its caller finds another daemon sooner.  */
+static bool
+awaits_neighbour (struct exchange *exchange)
+{
+  return is_cut_off (exchange) && !exchange->is_passed
+         && !exchange->neighbour_refused
+         && !(is_refusable (exchange)
+              && psg_knows_neighbours (exchange->traffic));
 }
 
 /* Returns whether a neighbour may have room for EXCHANGE where this daemon has
@@ -601,7 +616,7 @@
   evd_begin (&neighbour->evidence);
   cnt_add (traffic->metrics->passed_on, 1);
   lg_line (LOG_INFO, "passed_on", "request=%s to=%s cut_off=%d", exchange->id,
-           neighbour->address, psg_is_cut_off (traffic));
+           neighbour->address, is_cut_off (exchange));
   return true;
 }
 
@@ -716,7 +731,9 @@
           fwt_retry_after_s (refusals, excess_us, g_random_double (), now_us));
       return;
     }
-  bool lacks_room = found ? excess_us > 0 : exchange->answer_begun;
+  bool lacks_room
+      = found ? excess_us > 0
+              : exchange->answer_begun || awaits_neighbour (exchange);
   if (lacks_room && wait_for_room (exchange, before))
     {
       return;
@@ -751,7 +768,7 @@
   fst_take_rate (exchange->endpoint, exchange->sent_us);
   exchange->attempt = ncl_send (
       traffic->client, exchange->endpoint->address, request->str, request->len,
-      !passes && psg_is_cut_off (traffic), &exg_attempt_events, exchange);
+      !passes && is_cut_off (exchange), &exg_attempt_events, exchange);
   g_string_free (request, TRUE);
   cnt_add (traffic->metrics->attempts, 1);
   exchange->attempts++;
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -215,7 +215,7 @@
                            || status == HTTP_STATUS_MISDIRECTED_REQUEST;
   exchange->failed_address
       = g_strdup (msg_find (answer, PFH_ENDPOINT_AT_FAULT));
-  psg_report_answer (exchange->traffic, exchange->sent_us);
+  psg_report_answer (exchange->traffic, exchange->endpoint, exchange->sent_us);
   report_alive (exchange, status);
   exchange->turned_away
       = anc_handle (exchange->traffic, exchange->endpoint, status, answer);
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -62,6 +62,9 @@
   int64_t paths_until_us; /* when the paths expire */
   int64_t opens_us; /* when the first path opens that engines which turned
                        requests away close; 0: none will */
+  bool cut_off; /* this daemon can't tell which of its endpoints are dead */
+  int64_t cut_since_us; /* then only endpoints that have answered calls which
+                           were sent later are used */
 };
 
 /* The rate of an endpoint that isn't listed any more. */
@@ -83,7 +86,6 @@
   GPtrArray *data_centres; /* names, allocated; endpoints hold the index */
   GHashTable *services;    /* name to struct service_state */
   GHashTable *kept_rates;  /* endpoint id to struct kept_rate */
-  bool cut_off; /* this daemon can't tell which endpoints are dead */
 };
 
 static void
@@ -488,6 +490,15 @@
   return MAX (endpoint->opens_us, shr_opens_us (&endpoint->rate, now_us));
 }
 
+/* Returns whether this daemon may reach ENDPOINT of SERVICE: while it is cut
+   off, only endpoints that have answered since then.  */
+static bool
+is_in_reach (const struct service_state *service,
+             const struct fst_endpoint *endpoint)
+{
+  return !service->cut_off || endpoint->answered_us > service->cut_since_us;
+}
+
 /* Returns the relative cost of a request at ENDPOINT, of a plain service: it
    rises with the load, the share of failures and the latency, and in another
    data centre than HOME.  */
@@ -510,6 +521,7 @@
 cheapest_endpoint (struct fst_fleet *fleet, uint32_t service,
                    const GPtrArray *tried, bool last_resort, int64_t now_us)
 {
+  const struct service_state *state = service_state (fleet, service);
   uint32_t home = data_centre_index (fleet, fleet->data_centre);
   struct fst_endpoint *best = NULL;
   double best_cost = INFINITY;
@@ -517,6 +529,7 @@
     {
       struct fst_endpoint *endpoint = g_ptr_array_index (fleet->ordered, i);
       if (endpoint->service != service || !endpoint->listed
+          || !is_in_reach (state, endpoint)
           || now_us < opens_for_requests_us (endpoint, now_us)
           || is_tried (tried, endpoint)
           || !(last_resort || evd_usable (&endpoint->evidence, now_us)))
@@ -1017,7 +1030,8 @@
   for (guint i = 0; i < state->paths->len; i++)
     {
       struct fst_path *path = g_ptr_array_index (state->paths, i);
-      if (path_opens_us (path, now_us) > now_us)
+      if (path_opens_us (path, now_us) > now_us
+          || !is_in_reach (state, path->parts[0]))
         {
           continue;
         }
@@ -1115,6 +1129,15 @@
   return NULL;
 }
 
+/* Returns whether this daemon is cut off from the service of ENDPOINT.  */
+static bool
+is_cut_off (struct fst_fleet *fleet, const struct fst_endpoint *endpoint)
+{
+  const struct flt_config *config = fst_config (fleet);
+  return config != NULL && endpoint->service < config->service_count
+         && service_state (fleet, endpoint->service)->cut_off;
+}
+
 /* Records in the verdicts, for the control thread, that ENDPOINT has been
    found dead or alive again.  WAS_DEAD is its state before.  An endpoint that
    isn't listed any more is left out.  */
@@ -1123,7 +1146,7 @@
                  bool was_dead)
 {
   if (endpoint->evidence.dead == was_dead || !endpoint->listed
-      || (fleet->cut_off && !was_dead))
+      || (!was_dead && is_cut_off (fleet, endpoint)))
     {
       return;
     }
@@ -1139,25 +1162,74 @@
     }
 }
 
-/* Records whether this daemon is cut off from all endpoints.  Those that it
-   can't reach aren't dead for others, so verdicts of that are taken back.  */
+/* Records whether this daemon is cut off from the endpoints of SERVICE.  Those
+   that it can't reach aren't dead for others, so verdicts of that are taken
+   back.  Those that answer calls sent after SINCE_US, monotonic time, are in
+   reach all the same.  */
 void
-fst_set_cut_off (struct fst_fleet *fleet, bool is_cut_off)
+fst_set_cut_off (struct fst_fleet *fleet, uint32_t service, bool is_cut_off,
+                 int64_t since_us)
 {
-  fleet->cut_off = is_cut_off;
+  struct service_state *state = service_state (fleet, service);
+  state->cut_off = is_cut_off;
+  state->cut_since_us = since_us;
   for (guint i = 0; is_cut_off && i < fleet->ordered->len; i++)
     {
       const struct fst_endpoint *endpoint
           = g_ptr_array_index (fleet->ordered, i);
-      vdt_clear (fleet->verdicts, endpoint->id);
+      if (endpoint->service == service)
+        {
+          vdt_clear (fleet->verdicts, endpoint->id);
+        }
+    }
+}
+
+/* Adds the endpoints of SERVICE that may be asked whether they answer at
+   NOW_US to ENDPOINTS, without references.  */
+void
+fst_list_probed (struct fst_fleet *fleet, uint32_t service, int64_t now_us,
+                 GPtrArray *endpoints)
+{
+  for (guint i = 0; i < fleet->ordered->len; i++)
+    {
+      struct fst_endpoint *endpoint = g_ptr_array_index (fleet->ordered, i);
+      if (endpoint->service == service && endpoint->listed
+          && now_us >= endpoint->opens_us)
+        {
+          g_ptr_array_add (endpoints, endpoint);
+        }
+    }
+}
+
+/* Adds the dead endpoints whose backoff is over at NOW_US to ENDPOINTS,
+   without references.  */
+void
+fst_list_dead (struct fst_fleet *fleet, int64_t now_us, GPtrArray *endpoints)
+{
+  for (guint i = 0; i < fleet->ordered->len; i++)
+    {
+      struct fst_endpoint *endpoint = g_ptr_array_index (fleet->ordered, i);
+      if (endpoint->evidence.dead && endpoint->listed
+          && now_us >= endpoint->opens_us && !is_cut_off (fleet, endpoint)
+          && evd_usable (&endpoint->evidence, now_us))
+        {
+          g_ptr_array_add (endpoints, endpoint);
+        }
     }
 }
 
-/* Returns the number of endpoints that are known.  */
+/* Returns the number of endpoints of SERVICE that are known.  */
 uint32_t
-fst_endpoint_count (const struct fst_fleet *fleet)
+fst_endpoint_count (const struct fst_fleet *fleet, uint32_t service)
 {
-  return fleet->ordered->len;
+  uint32_t count = 0;
+  for (guint i = 0; i < fleet->ordered->len; i++)
+    {
+      const struct fst_endpoint *endpoint
+          = g_ptr_array_index (fleet->ordered, i);
+      count += endpoint->service == service;
+    }
+  return count;
 }
 
 /* Returns whether this daemon can't reach some endpoints of SERVICE, which
@@ -1190,6 +1262,15 @@
     }
 }
 
+/* Records that ENDPOINT answers, which doesn't show that it serves.  */
+void
+fst_report_alive (struct fst_fleet *fleet, struct fst_endpoint *endpoint)
+{
+  bool was_dead = endpoint->evidence.dead;
+  evd_answered (&endpoint->evidence);
+  publish_verdict (fleet, endpoint, was_dead);
+}
+
 /* Records a success of ENDPOINT, which took LATENCY_US.  */
 void
 fst_report_success (struct fst_fleet *fleet, struct fst_endpoint *endpoint,
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -36,6 +36,8 @@
   bool listed;       /* in the list and not leaving, as far as known */
   bool in_view;      /* in the view that fst_set_view is applying */
   struct evd_evidence evidence;
+  int64_t answered_us;  /* monotonic, when the newest call was sent that it has
+                           answered; 0: none */
   int64_t broke_off_us; /* monotonic, when an answer of it last broke off as
                            the quarantine's evidence of its end; 0: not since
                            it answered */
@@ -70,9 +72,14 @@
 const struct flt_config *fst_config (const struct fst_fleet *fleet);
 struct rbg_budget *fst_budget (struct fst_fleet *fleet, uint32_t service);
 bool fst_can_serve (const struct fst_fleet *fleet);
-uint32_t fst_endpoint_count (const struct fst_fleet *fleet);
+uint32_t fst_endpoint_count (const struct fst_fleet *fleet, uint32_t service);
 bool fst_lacks_endpoints (const struct fst_fleet *fleet, uint32_t service);
-void fst_set_cut_off (struct fst_fleet *fleet, bool is_cut_off);
+void fst_set_cut_off (struct fst_fleet *fleet, uint32_t service,
+                      bool is_cut_off, int64_t since_us);
+void fst_list_probed (struct fst_fleet *fleet, uint32_t service,
+                      int64_t now_us, GPtrArray *endpoints);
+void fst_list_dead (struct fst_fleet *fleet, int64_t now_us,
+                    GPtrArray *endpoints);
 
 struct fst_endpoint *fst_choose_endpoint (struct fst_fleet *fleet,
                                           uint32_t service,
@@ -92,6 +99,7 @@
                          int64_t now_us);
 void fst_report_success (struct fst_fleet *fleet,
                          struct fst_endpoint *endpoint, int64_t latency_us);
+void fst_report_alive (struct fst_fleet *fleet, struct fst_endpoint *endpoint);
 bool fst_report_leaving (struct fst_fleet *fleet,
                          struct fst_endpoint *endpoint);
 bool fst_report_turned_away (struct fst_fleet *fleet,
--- a/src/entry/inquiry.c
+++ b/src/entry/inquiry.c
@@ -103,7 +103,7 @@
     }
   if (status != 0)
     {
-      psg_report_answer (traffic, inquiry->sent_us);
+      psg_report_answer (traffic, inquiry->engine, inquiry->sent_us);
     }
   if (stalls != NULL)
     {
--- a/src/entry/passing.c
+++ b/src/entry/passing.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "core/reach.h"
+#include "entry/probing.h"
 
 /* The addresses of neighbours are looked up again after this time. */
 #define LOOKUP_US (4 * CLK_S_US)
@@ -10,7 +11,7 @@
 struct psg_passing
 {
   struct nbr_neighbours *neighbours;
-  struct rch_reach reach;
+  GHashTable *reaches;  /* name of a service to its struct rch_reach */
   GPtrArray *peers;     /* struct fst_endpoint: the daemons, by address */
   int64_t looked_up_us; /* monotonic; 0: not yet */
 };
@@ -22,6 +23,8 @@
 {
   struct psg_passing *passing = g_new0 (struct psg_passing, 1);
   passing->neighbours = neighbours;
+  passing->reaches
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   passing->peers
       = g_ptr_array_new_with_free_func ((GDestroyNotify)fst_release);
   return passing;
@@ -32,9 +35,31 @@
 psg_destroy (struct psg_passing *passing)
 {
   g_ptr_array_free (passing->peers, TRUE);
+  g_hash_table_destroy (passing->reaches);
   g_free (passing);
 }
 
+/* Returns what is known of the ways to the endpoints of SERVICE, created if it
+   is new, or NULL if the configuration in force doesn't have it.  */
+static struct rch_reach *
+find_reach (const struct trf_traffic *traffic, uint32_t service)
+{
+  const struct flt_config *config = fst_config (traffic->fleet);
+  if (config == NULL || service >= config->service_count)
+    {
+      return NULL;
+    }
+  GHashTable *reaches = traffic->passing->reaches;
+  const char *name = config->services[service].name;
+  struct rch_reach *reach = g_hash_table_lookup (reaches, name);
+  if (reach == NULL)
+    {
+      reach = g_new0 (struct rch_reach, 1);
+      g_hash_table_insert (reaches, g_strdup (name), reach);
+    }
+  return reach;
+}
+
 /* Returns the peer at ADDRESS in PEERS, or NULL.  */
 static struct fst_endpoint *
 find_peer (const GPtrArray *peers, const char *address)
@@ -73,33 +98,53 @@
     }
 }
 
-/* Tells the fleet's state whether the daemon is cut off, if that has changed
-   from WAS_CUT_OFF.  */
+/* Returns the number of services that the daemon is cut off from.  */
+static uint32_t
+count_cut_off (const struct trf_traffic *traffic)
+{
+  const struct flt_config *config = fst_config (traffic->fleet);
+  uint32_t count = 0;
+  for (uint32_t i = 0; config != NULL && i < config->service_count; i++)
+    {
+      count += psg_is_cut_off (traffic, i);
+    }
+  return count;
+}
+
+/* Tells the fleet's state whether the daemon is cut off from SERVICE, if that
+   has changed from WAS_CUT_OFF.  */
 static void
-apply_change (struct trf_traffic *traffic, bool was_cut_off)
+apply_change (struct trf_traffic *traffic, uint32_t service, bool was_cut_off)
 {
-  bool is_cut_off = psg_is_cut_off (traffic);
+  bool is_cut_off = psg_is_cut_off (traffic, service);
   if (is_cut_off == was_cut_off)
     {
       return;
     }
   lg_line (LOG_NOTICE, is_cut_off ? "cut_off" : "reaches_endpoints",
-           "neighbours=%u", traffic->passing->peers->len);
-  fst_set_cut_off (traffic->fleet, is_cut_off);
-  cnt_set_gauge (traffic->metrics->cut_off, is_cut_off);
+           "service=%s neighbours=%u",
+           fst_config (traffic->fleet)->services[service].name,
+           traffic->passing->peers->len);
+  fst_set_cut_off (traffic->fleet, service, is_cut_off,
+                   find_reach (traffic, service)->since_us);
+  cnt_set_gauge (traffic->metrics->cut_off, count_cut_off (traffic));
   if (is_cut_off)
     {
       nbr_ask (traffic->passing->neighbours);
     }
 }
 
-/* Records that an endpoint has answered a call that was sent at SENT_US.  */
+/* Records that ENDPOINT has answered a call that was sent at SENT_US.  */
 void
-psg_report_answer (struct trf_traffic *traffic, int64_t sent_us)
+psg_report_answer (struct trf_traffic *traffic, struct fst_endpoint *endpoint,
+                   int64_t sent_us)
 {
-  bool was_cut_off = psg_is_cut_off (traffic);
-  rch_report_answer (&traffic->passing->reach, sent_us);
-  apply_change (traffic, was_cut_off);
+  struct rch_reach *reach = find_reach (traffic, endpoint->service);
+  endpoint->answered_us = MAX (endpoint->answered_us, sent_us);
+  if (reach != NULL)
+    {
+      rch_report_answer (reach, sent_us);
+    }
 }
 
 /* Records that a call to ENDPOINT, sent at SENT_US, had no answer.  With the
@@ -109,44 +154,75 @@
 psg_report_failure (struct trf_traffic *traffic,
                     const struct fst_endpoint *endpoint, int64_t sent_us)
 {
-  if (endpoint->is_neighbour)
+  struct rch_reach *reach = find_reach (traffic, endpoint->service);
+  if (endpoint->is_neighbour || reach == NULL)
     {
       return;
     }
   update_peers (traffic->passing);
-  bool was_cut_off = psg_is_cut_off (traffic);
-  rch_report_failure (&traffic->passing->reach, g_str_hash (endpoint->id),
-                      sent_us, clk_monotonic_us ());
-  apply_change (traffic, was_cut_off);
+  bool was_cut_off = psg_is_cut_off (traffic, endpoint->service);
+  rch_report_failure (reach,
+                      fst_endpoint_count (traffic->fleet, endpoint->service),
+                      g_str_hash (endpoint->id), sent_us, clk_monotonic_us ());
+  apply_change (traffic, endpoint->service, was_cut_off);
   if (traffic->passing->looked_up_us == 0)
     {
       nbr_ask (traffic->passing->neighbours);
     }
+  prb_step (traffic, clk_monotonic_us ());
 }
 
-/* Returns whether this daemon is cut off from the endpoints.  */
+/* Returns whether the addresses of neighbours were looked up.  */
 bool
-psg_is_cut_off (const struct trf_traffic *traffic)
+psg_knows_neighbours (const struct trf_traffic *traffic)
 {
-  return rch_is_cut_off (&traffic->passing->reach,
-                         fst_endpoint_count (traffic->fleet));
+  return traffic->passing->looked_up_us > 0;
+}
+
+/* Returns whether this daemon is cut off from the endpoints of SERVICE.  */
+bool
+psg_is_cut_off (const struct trf_traffic *traffic, uint32_t service)
+{
+  const struct rch_reach *reach = find_reach (traffic, service);
+  return reach != NULL && reach->cut_off;
 }
 
 /* Returns whether this daemon serves new callers as well as others do.  */
 bool
 psg_is_ready (const struct trf_traffic *traffic)
 {
-  return rch_is_ready (&traffic->passing->reach,
-                       fst_endpoint_count (traffic->fleet),
-                       clk_monotonic_us ());
+  const struct flt_config *config = fst_config (traffic->fleet);
+  int64_t now_us = clk_monotonic_us ();
+  bool ready = true;
+  for (uint32_t i = 0; config != NULL && i < config->service_count; i++)
+    {
+      ready = ready && rch_is_ready (find_reach (traffic, i), now_us);
+    }
+  return ready;
 }
 
-/* Returns whether the next request tries the daemon's own way though it is cut
-   off.  */
+/* Returns whether a round of probes to endpoints of SERVICE is due.  */
 bool
-psg_take_probe (struct trf_traffic *traffic)
+psg_begin_round (struct trf_traffic *traffic, uint32_t service)
 {
-  return rch_take_probe (&traffic->passing->reach, clk_monotonic_us ());
+  struct rch_reach *reach = find_reach (traffic, service);
+  return reach != NULL && rch_begin_round (reach, clk_monotonic_us ());
+}
+
+/* Records how many of so many PROBES to endpoints of SERVICE, begun at
+   BEGAN_US, got ANSWERS.  */
+void
+psg_end_round (struct trf_traffic *traffic, uint32_t service, uint32_t probes,
+               uint32_t answers, int64_t began_us)
+{
+  struct rch_reach *reach = find_reach (traffic, service);
+  if (reach == NULL)
+    {
+      return;
+    }
+  bool was_cut_off = reach->cut_off;
+  rch_end_round (reach, probes, answers, began_us, clk_monotonic_us ());
+  apply_change (traffic, service, was_cut_off);
 }
 
 /* Chooses the daemon to pass a request on to that was sent to those in TRIED
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -5,6 +5,7 @@
 #include "entry/exchange.h"
 #include "entry/inquiry.h"
 #include "entry/passing.h"
+#include "entry/probing.h"
 
 #include <string.h>
 
@@ -210,8 +211,8 @@
 }
 
 /* Closes connections whose time-outs have expired, removes expired stall
-   inquiries, logs a change of the readiness and flushes the log.  Does nothing
-   right after a pause of the process.  */
+   inquiries, sends the probes that are due, logs a change of the readiness and
+   flushes the log.  Does nothing right after a pause of the process.  */
 static void
 on_sweep (uv_timer_t *timer)
 {
@@ -228,6 +229,7 @@
   nsv_expire (traffic->probe_server, now_us);
   nsv_expire (traffic->metrics_server, now_us);
   inq_remove_expired (traffic, now_us);
+  prb_step (traffic, now_us);
   apply_quarantine (traffic);
   log_readiness (traffic);
   lg_flush ();
@@ -296,6 +298,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   traffic->exchanges = g_hash_table_new (NULL, NULL);
   traffic->inquiries = inq_table_create ();
+  traffic->probes = prb_table_create ();
   traffic->series = cnt_set_create ();
   traffic->metrics = emt_create (traffic->series);
   traffic->fleet = fst_create (settings->data_centre, &budget, verdicts);
@@ -360,6 +363,7 @@
   nsv_destroy (traffic->probe_server);
   nsv_destroy (traffic->metrics_server);
   g_hash_table_destroy (traffic->inquiries);
+  g_hash_table_destroy (traffic->probes);
   ncl_destroy (traffic->client);
   uv_close ((uv_handle_t *)&traffic->view_changed, NULL);
   uv_close ((uv_handle_t *)&traffic->sweep, NULL);
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -43,6 +43,7 @@
   struct fwt_refusals refusals; /* for want of room */
   GHashTable *exchanges;        /* set of struct exchange in progress */
   GHashTable *inquiries;        /* engine to its stall inquiry */
+  GHashTable *probes;           /* endpoint to its probe, see probing.h */
 };
 
 struct trf_traffic *
--- a/src/net/call.c
+++ b/src/net/call.c
@@ -142,8 +142,9 @@
     {
       g_string_append_len (request, body, (gssize)body_bytes);
     }
-  call->exchange = ncl_send (params->client, params->address, request->str,
-                             request->len, false, &exchange_events, call);
+  call->exchange
+      = ncl_send (params->client, params->address, request->str, request->len,
+                  params->new_connection, &exchange_events, call);
   g_string_free (request, TRUE);
   uv_timer_start (&call->timer,
                   call->exchange == NULL ? on_unsendable : on_timeout,
--- a/src/net/call.h
+++ b/src/net/call.h
@@ -30,6 +30,7 @@
                           none */
   size_t data_bytes;
   uint64_t timeout_ms;
+  bool new_connection; /* none that was used before */
   cal_headers headers; /* NULL: not needed */
   cal_done done;
   void *context;
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -554,6 +554,15 @@
       answer_report (endpoint, connection);
       return;
     }
+  if (strcmp (url, "/health") == 0)
+    {
+      if (!endpoint->silent)
+        {
+          nsv_respond (connection, HTTP_STATUS_OK, common_headers (endpoint),
+                       "", 0);
+        }
+      return;
+    }
   const char *id = msg_find (request, PFH_REQUEST_ID);
   const char *expected = msg_find (request, PFH_EXPECTED_ENDPOINT);
   endpoint->arrivals++;
