--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -564,13 +564,16 @@
 }
 
 /* Returns whether EXCHANGE takes this daemon's own way, to the target that was
-   chosen if one was FOUND: unless it is known to be out of reach.  */
+   chosen if one was FOUND: unless it is known to be out of reach.  While the
+   daemon is cut off it doesn't: all daemons that are would meet at the few
+   endpoints that they have left.  */
 static bool
-take_own_way (struct exchange *exchange, bool found)
+take_own_way (const struct exchange *exchange, bool found)
 {
-  return found ? !exchange->endpoint->evidence.dead
-                     && exchange->endpoint->evidence.state != EVD_BACKOFF
-               : !is_cut_off (exchange);
+  return !is_cut_off (exchange)
+         && (!found
+             || (!exchange->endpoint->evidence.dead
+                 && exchange->endpoint->evidence.state != EVD_BACKOFF));
 }
 
 /* Returns whether EXCHANGE waits for a neighbour that can be used, since this
