Know neighbours' ways for each service, and don't count their refusals as attempts

Cause: a neighbour that answers 421 rested for 0.4 s for all services and was asked again like any other, one that serves wasn't preferred, and five answers 421, which cost milliseconds, used up the attempts of a request.

Change: what a neighbour has shown is kept for each service (rch_standing): pauses that grow after refusals, a preference for one that serves until it is busier than others. Answers 421 aren't attempts; a request asks 16 neighbours at most.

--- a/src/core/reach.c
+++ b/src/core/reach.c
@@ -2,6 +2,10 @@
 
 #include <glib.h>
 
+/* First and longest pause of a neighbour that refused a request. */
+#define REFUSED_FIRST_US INT64_C (400000)
+#define REFUSED_MAX_US INT64_C (6400000)
+
 /* Records that an endpoint has answered a call that was sent at SENT_US.  */
 void
 rch_report_answer (struct rch_reach *reach, int64_t sent_us)
@@ -107,9 +111,40 @@
     }
 }
 
+/* Records that a neighbour SERVES a request that was passed on to it, or has
+   refused it since it can't reach the endpoints either.  */
+void
+rch_report_neighbour (struct rch_standing *standing, bool serves,
+                      int64_t now_us)
+{
+  standing->serves = serves;
+  if (serves)
+    {
+      standing->refusals = 0;
+      standing->refused_until_us = 0;
+      return;
+    }
+  int64_t pause_us = REFUSED_FIRST_US;
+  for (uint32_t i = 0; i < standing->refusals && pause_us < REFUSED_MAX_US;
+       i++)
+    {
+      pause_us *= 2;
+    }
+  standing->refusals++;
+  standing->refused_until_us = now_us + pause_us;
+}
+
+/* Returns the relative cost of passing a request on to NEIGHBOUR: one that
+   serves is preferred until it has another request of this daemon.  */
+static uint32_t
+neighbour_cost (const struct rch_neighbour *neighbour)
+{
+  return 2 * neighbour->in_flight + (neighbour->serves ? 0 : 3);
+}
+
 /* Returns the index of the neighbour to pass a request on to: of the COUNT
-   NEIGHBOURS that can be used and weren't tried the one with the fewest
-   requests in flight, of several one by TIE, a random number.  -1: none.  */
+   NEIGHBOURS that can be used and weren't tried the one with the lowest cost,
+   of several one by TIE, a random number.  -1: none.  */
 int32_t
 rch_choose_neighbour (const struct rch_neighbour neighbours[], uint32_t count,
                       uint32_t tie)
@@ -120,7 +155,9 @@
       uint32_t index = (uint32_t)(((uint64_t)tie + i) % count);
       const struct rch_neighbour *neighbour = &neighbours[index];
       if (neighbour->usable && !neighbour->tried
-          && (best < 0 || neighbour->in_flight < neighbours[best].in_flight))
+          && (best < 0
+              || neighbour_cost (neighbour)
+                     < neighbour_cost (&neighbours[best])))
         {
           best = (int32_t)index;
         }
--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -56,11 +56,25 @@
   int64_t round_us;  /* no round begins before */
 };
 
+/* Neighbours that a request is passed on to at most.  One that can't serve it
+   says so within milliseconds. */
+#define RCH_NEIGHBOURS_MAX 16
+
+/* What a neighbour has shown of its ways to the endpoints of one service.  All
+   zero: nothing yet. */
+struct rch_standing
+{
+  bool serves;              /* it had the last request served that it took */
+  uint32_t refusals;        /* in a row, since it can't reach them either */
+  int64_t refused_until_us; /* monotonic; it isn't asked before */
+};
+
 /* What a daemon knows of a neighbour that it may pass a request on to. */
 struct rch_neighbour
 {
-  bool usable;        /* hasn't failed or refused lately */
+  bool usable;        /* answers, and may reach the endpoints */
   bool tried;         /* by this request */
+  bool serves;        /* see struct rch_standing */
   uint32_t in_flight; /* requests passed on to it */
 };
 
@@ -71,6 +85,8 @@
 bool rch_begin_round (struct rch_reach *reach, int64_t now_us);
 void rch_end_round (struct rch_reach *reach, uint32_t probes, uint32_t answers,
                     int64_t began_us, int64_t now_us);
+void rch_report_neighbour (struct rch_standing *standing, bool serves,
+                           int64_t now_us);
 int32_t rch_choose_neighbour (const struct rch_neighbour neighbours[],
                               uint32_t count, uint32_t tie);
 
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -447,7 +447,11 @@
 void
 exg_end_attempt (struct exchange *exchange, enum att_end end)
 {
-  if (end != ATT_NOT_SENT)
+  if (exchange->misdirected)
+    {
+      exchange->unsent = 0;
+    }
+  else if (end != ATT_NOT_SENT)
     {
       exchange->sent++;
       exchange->unsent = 0;
@@ -608,8 +612,8 @@
     {
       return false;
     }
-  struct fst_endpoint *neighbour
-      = psg_choose (traffic, exchange->tried_endpoints);
+  struct fst_endpoint *neighbour = psg_choose (
+      traffic, exg_service_index (exchange), exchange->tried_endpoints);
   if (neighbour == NULL)
     {
       return false;
@@ -765,6 +769,7 @@
   exchange->is_stream = false;
   exchange->not_executed = false;
   exchange->turned_away = false;
+  exchange->misdirected = false;
   g_clear_pointer (&exchange->failed_address, g_free);
   exchange->sent_us = clk_monotonic_us ();
   exchange->last_received_us = exchange->sent_us;
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -193,6 +193,11 @@
   const char *id = msg_find (answer, PFH_PASSED_ENDPOINT);
   struct fst_endpoint *endpoint
       = id == NULL ? NULL : fst_find_id (exchange->traffic->fleet, id);
+  if (id != NULL)
+    {
+      psg_report_neighbour (exchange->traffic, exg_service_index (exchange),
+                            exchange->endpoint, true);
+    }
   if (endpoint != NULL)
     {
       anc_handle (exchange->traffic, endpoint, status, answer);
@@ -456,8 +461,9 @@
     }
   if (exchange->status == HTTP_STATUS_MISDIRECTED_REQUEST)
     {
-      exg_report_failure (exchange, EVD_UNAVAILABLE,
-                          "can't reach the endpoints");
+      exchange->misdirected = true;
+      psg_report_neighbour (exchange->traffic, exg_service_index (exchange),
+                            exchange->endpoint, false);
     }
   else
     {
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -41,6 +41,8 @@
   bool not_executed; /* the endpoint states that it didn't run the request */
   bool turned_away;  /* the endpoint closed before or since it was sent the
                         request: that isn't a failed attempt there */
+  bool misdirected; /* a neighbour refused the request since it can't reach the
+                       endpoints either */
   bool failed_by_neighbour; /* its answer is that daemon's own */
   bool is_stream;
   bool ends_with_connection; /* neither a length nor chunks mark the end of the
--- a/src/entry/passing.c
+++ b/src/entry/passing.c
@@ -8,14 +8,29 @@
 /* The addresses of neighbours are looked up again after this time. */
 #define LOOKUP_US (4 * CLK_S_US)
 
+/* What is known of the ways to the endpoints of one service. */
+struct ways
+{
+  struct rch_reach reach;
+  GHashTable *standings; /* address of a neighbour to struct rch_standing */
+};
+
 struct psg_passing
 {
   struct nbr_neighbours *neighbours;
-  GHashTable *reaches;  /* name of a service to its struct rch_reach */
+  GHashTable *ways;     /* name of a service to its struct ways */
   GPtrArray *peers;     /* struct fst_endpoint: the daemons, by address */
   int64_t looked_up_us; /* monotonic; 0: not yet */
 };
 
+static void
+destroy_ways (gpointer data)
+{
+  struct ways *ways = data;
+  g_hash_table_destroy (ways->standings);
+  g_free (ways);
+}
+
 /* Creates the state of a daemon that finds others in NEIGHBOURS.  The caller
    frees it with psg_destroy.  */
 struct psg_passing *
@@ -23,8 +38,8 @@
 {
   struct psg_passing *passing = g_new0 (struct psg_passing, 1);
   passing->neighbours = neighbours;
-  passing->reaches
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  passing->ways
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, destroy_ways);
   passing->peers
       = g_ptr_array_new_with_free_func ((GDestroyNotify)fst_release);
   return passing;
@@ -35,29 +50,39 @@
 psg_destroy (struct psg_passing *passing)
 {
   g_ptr_array_free (passing->peers, TRUE);
-  g_hash_table_destroy (passing->reaches);
+  g_hash_table_destroy (passing->ways);
   g_free (passing);
 }
 
 /* Returns what is known of the ways to the endpoints of SERVICE, created if it
    is new, or NULL if the configuration in force doesn't have it.  */
-static struct rch_reach *
-find_reach (const struct trf_traffic *traffic, uint32_t service)
+static struct ways *
+find_ways (const struct trf_traffic *traffic, uint32_t service)
 {
   const struct flt_config *config = fst_config (traffic->fleet);
   if (config == NULL || service >= config->service_count)
     {
       return NULL;
     }
-  GHashTable *reaches = traffic->passing->reaches;
+  GHashTable *all = traffic->passing->ways;
   const char *name = config->services[service].name;
-  struct rch_reach *reach = g_hash_table_lookup (reaches, name);
-  if (reach == NULL)
+  struct ways *ways = g_hash_table_lookup (all, name);
+  if (ways == NULL)
     {
-      reach = g_new0 (struct rch_reach, 1);
-      g_hash_table_insert (reaches, g_strdup (name), reach);
+      ways = g_new0 (struct ways, 1);
+      ways->standings
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      g_hash_table_insert (all, g_strdup (name), ways);
     }
-  return reach;
+  return ways;
+}
+
+/* Like find_ways, for what calls to the endpoints have shown.  */
+static struct rch_reach *
+find_reach (const struct trf_traffic *traffic, uint32_t service)
+{
+  struct ways *ways = find_ways (traffic, service);
+  return ways == NULL ? NULL : &ways->reach;
 }
 
 /* Returns the peer at ADDRESS in PEERS, or NULL.  */
@@ -225,11 +250,66 @@
   apply_change (traffic, service, was_cut_off);
 }
 
-/* Chooses the daemon to pass a request on to that was sent to those in TRIED
-   already.  Returns a reference, or NULL if there is none.  */
+/* Records that NEIGHBOUR SERVES a request to SERVICE that was passed on to it,
+   or has refused it since it can't reach the endpoints either.  */
+void
+psg_report_neighbour (struct trf_traffic *traffic, uint32_t service,
+                      const struct fst_endpoint *neighbour, bool serves)
+{
+  struct ways *ways = find_ways (traffic, service);
+  if (ways == NULL)
+    {
+      return;
+    }
+  struct rch_standing *standing
+      = g_hash_table_lookup (ways->standings, neighbour->address);
+  if (standing == NULL)
+    {
+      standing = g_new0 (struct rch_standing, 1);
+      g_hash_table_insert (ways->standings, g_strdup (neighbour->address),
+                           standing);
+    }
+  rch_report_neighbour (standing, serves, clk_monotonic_us ());
+}
+
+/* Describes PEER for the choice of a neighbour, of which WAYS holds what it
+   has shown, for a request that was sent to those in TRIED.  */
+static struct rch_neighbour
+describe_neighbour (const struct ways *ways, struct fst_endpoint *peer,
+                    const GPtrArray *tried, int64_t now_us)
+{
+  const struct rch_standing *standing
+      = ways == NULL ? NULL
+                     : g_hash_table_lookup (ways->standings, peer->address);
+  return (struct rch_neighbour){
+    .usable = evd_usable (&peer->evidence, now_us)
+              && (standing == NULL || now_us >= standing->refused_until_us),
+    .tried = g_ptr_array_find ((GPtrArray *)tried, peer, NULL),
+    .serves = standing != NULL && standing->serves,
+    .in_flight = peer->evidence.in_flight,
+  };
+}
+
+/* Returns the number of neighbours in TRIED.  */
+static uint32_t
+count_neighbours (const GPtrArray *tried)
+{
+  uint32_t count = 0;
+  for (guint i = 0; i < tried->len; i++)
+    {
+      const struct fst_endpoint *endpoint = g_ptr_array_index (tried, i);
+      count += endpoint->is_neighbour;
+    }
+  return count;
+}
+
+/* Chooses the daemon to pass a request to SERVICE on to that was sent to those
+   in TRIED already.  Returns a reference, or NULL if there is none.  */
 struct fst_endpoint *
-psg_choose (struct trf_traffic *traffic, const GPtrArray *tried)
+psg_choose (struct trf_traffic *traffic, uint32_t service,
+            const GPtrArray *tried)
 {
+  const struct ways *ways = find_ways (traffic, service);
   struct psg_passing *passing = traffic->passing;
   update_peers (passing);
   int64_t now_us = clk_monotonic_us ();
@@ -237,17 +317,16 @@
     {
       nbr_ask (passing->neighbours);
     }
-  uint32_t count = passing->peers->len;
+  uint32_t count = count_neighbours (tried) < RCH_NEIGHBOURS_MAX
+                       ? passing->peers->len
+                       : 0;
   g_autoptr (GArray) found
       = g_array_new (FALSE, FALSE, sizeof (struct rch_neighbour));
   for (uint32_t i = 0; i < count; i++)
     {
       struct fst_endpoint *peer = g_ptr_array_index (passing->peers, i);
-      const struct rch_neighbour neighbour = {
-        .usable = evd_usable (&peer->evidence, now_us),
-        .tried = g_ptr_array_find ((GPtrArray *)tried, peer, NULL),
-        .in_flight = peer->evidence.in_flight,
-      };
+      const struct rch_neighbour neighbour
+          = describe_neighbour (ways, peer, tried, now_us);
       g_array_append_val (found, neighbour);
     }
   int32_t best = rch_choose_neighbour (
--- a/src/entry/passing.h
+++ b/src/entry/passing.h
@@ -20,7 +20,9 @@
 bool psg_begin_round (struct trf_traffic *traffic, uint32_t service);
 void psg_end_round (struct trf_traffic *traffic, uint32_t service,
                     uint32_t probes, uint32_t answers, int64_t began_us);
-struct fst_endpoint *psg_choose (struct trf_traffic *traffic,
+void psg_report_neighbour (struct trf_traffic *traffic, uint32_t service,
+                           const struct fst_endpoint *neighbour, bool serves);
+struct fst_endpoint *psg_choose (struct trf_traffic *traffic, uint32_t service,
                                  const GPtrArray *tried);
 
 #endif
--- a/test/entry_cut_test.c
+++ b/test/entry_cut_test.c
@@ -16,6 +16,9 @@
 #define REQUESTS 20
 #define REQUEST_US (25 * CLK_MS_US)
 
+/* Neighbours that are cut off like the daemon under test. */
+#define CUT_NEIGHBOURS 7
+
 /* How the cut shows. */
 enum cut
 {
@@ -62,10 +65,10 @@
 }
 
 /* Starts the daemon under test, whose ways to endpoints lead over the
-   proxies.  The neighbour is started later, or its relay would tell it the
-   direct ones.  */
+   proxies, as the store at DETOUR says.  The neighbour is started later, or
+   its relay would tell it the direct ones.  */
 static struct sep_process *
-start_daemon (struct efx_fixture *fixture)
+start_daemon (struct efx_fixture *fixture, const char **detour)
 {
   int status = 0;
   sep_signal (fixture->daemon, SIGKILL);
@@ -73,8 +76,8 @@
     {
       efx_run_for (fixture, 20 * CLK_MS_US);
     }
-  const char *store = sfl_open_detour (fixture->fleet, create_detour, fixture);
-  struct sep_process *daemon = efx_create_second (fixture, store, 0, false);
+  *detour = sfl_open_detour (fixture->fleet, create_detour, fixture);
+  struct sep_process *daemon = efx_create_second (fixture, *detour, 0, false);
   efx_start_second (fixture, daemon);
   sep_start (fixture->daemon);
   efx_run_for (fixture, CLK_S_US);
@@ -179,7 +182,8 @@
   };
   struct efx_fixture *fixture = *state;
   fixture->proxies = g_ptr_array_new ();
-  struct sep_process *daemon = start_daemon (fixture);
+  const char *detour = NULL;
+  struct sep_process *daemon = start_daemon (fixture, &detour);
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       uint32_t before = count_served (fixture, daemon, NULL);
@@ -211,7 +215,8 @@
 {
   struct efx_fixture *fixture = *state;
   fixture->proxies = g_ptr_array_new ();
-  struct sep_process *daemon = start_daemon (fixture);
+  const char *detour = NULL;
+  struct sep_process *daemon = start_daemon (fixture, &detour);
   uint32_t late = 0;
   count_served (fixture, daemon, NULL);
   set_cut (fixture, EFX_ENGINES_LARGE, true, CUT_MUTE);
@@ -229,6 +234,44 @@
   sep_destroy (daemon);
 }
 
+/* Guards against refusals of neighbours that are cut off too: with many of
+   them and one that isn't, all drafts are served.  */
+static void
+test_cut_off_neighbours (void **state)
+{
+  struct efx_fixture *fixture = *state;
+  struct sep_process *others[CUT_NEIGHBOURS];
+  fixture->proxies = g_ptr_array_new ();
+  const char *detour = NULL;
+  struct sep_process *daemon = start_daemon (fixture, &detour);
+  for (uint32_t i = 0; i < CUT_NEIGHBOURS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("entry-%u", i + 3);
+      others[i] = efx_create_daemon (fixture, name, detour, 0);
+      efx_start_second (fixture, others[i]);
+    }
+  efx_run_for (fixture, 4 * CLK_S_US); /* until all are in the directory */
+  set_cut (fixture, EFX_ENGINES_LARGE, true, CUT_MUTE);
+  send_drafts_for (fixture, daemon, NOTICE_US);
+  for (uint32_t i = 0; i < CUT_NEIGHBOURS; i++)
+    {
+      send_drafts_for (fixture, others[i], NOTICE_US);
+    }
+  uint32_t late = 0;
+  uint32_t served = count_served (fixture, daemon, &late);
+  print_message ("%u served beside %u that are cut off too, %u drafts late\n",
+                 served, CUT_NEIGHBOURS, late);
+  assert_int_equal (served, REQUESTS * 3);
+  assert_int_equal (late, 0);
+  for (uint32_t i = 0; i < CUT_NEIGHBOURS; i++)
+    {
+      sep_remove_files (others[i]);
+      sep_destroy (others[i]);
+    }
+  sep_remove_files (daemon);
+  sep_destroy (daemon);
+}
+
 int
 main (void)
 {
@@ -237,6 +280,8 @@
                                      efx_set_up, efx_tear_down),
     cmocka_unit_test_setup_teardown (test_cut_off_from_engines,
                                      efx_set_up_large, efx_tear_down),
+    cmocka_unit_test_setup_teardown (test_cut_off_neighbours, efx_set_up_large,
+                                     efx_tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -332,16 +332,15 @@
   return g_strndup (value, strcspn (value, "\""));
 }
 
-/* Creates a second daemon, which finds the store at STORE_ADDRESS, or where it
-   is if NULL, and whose settings name the relay of the first one if
-   KNOWS_RELAY.  With few STORE_PARTITIONS, 0 being the default, it reads from
-   that relay even while the store works.  */
+/* Creates the daemon NAME, which finds the store at STORE_ADDRESS, or where it
+   is if NULL, and which may use so many STORE_PARTITIONS, 0 being the default.
+ */
 struct sep_process *
-efx_create_second (struct efx_fixture *fixture, const char *store_address,
-                   uint32_t store_partitions, bool knows_relay)
+efx_create_daemon (struct efx_fixture *fixture, const char *name,
+                   const char *store_address, uint32_t store_partitions)
 {
   const struct sep_params params = {
-    .name = "entry-2",
+    .name = name,
     .folder = fixture->folder,
     .store_address = store_address == NULL ? sfl_store_address (fixture->fleet)
                                            : store_address,
@@ -354,7 +353,18 @@
     .retry_ratio = 0.2,
     .retry_slack = 100,
   };
-  struct sep_process *second = sep_create (&params);
+  return sep_create (&params);
+}
+
+/* Creates a second daemon like efx_create_daemon, whose settings name the
+   relay of the first one if KNOWS_RELAY.  With few STORE_PARTITIONS it reads
+   from that relay even while the store works.  */
+struct sep_process *
+efx_create_second (struct efx_fixture *fixture, const char *store_address,
+                   uint32_t store_partitions, bool knows_relay)
+{
+  struct sep_process *second = efx_create_daemon (
+      fixture, "entry-2", store_address, store_partitions);
   if (!knows_relay)
     {
       return second;
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -78,6 +78,10 @@
                               const struct sep_process *daemon,
                               const char *key);
 uint32_t efx_send_booking (struct efx_fixture *fixture, const char *key);
+struct sep_process *efx_create_daemon (struct efx_fixture *fixture,
+                                       const char *name,
+                                       const char *store_address,
+                                       uint32_t store_partitions);
 struct sep_process *efx_create_second (struct efx_fixture *fixture,
                                        const char *store_address,
                                        uint32_t store_partitions,
--- a/test/reach_test.c
+++ b/test/reach_test.c
@@ -179,12 +179,18 @@
     int32_t chosen;
   } choices[] = {
     { { { 0 } }, 0, 7, -1 },
-    { { { true, false, 3 }, { true, false, 1 } }, 2, 0, 1 },
-    { { { true, false, 1 }, { true, false, 1 } }, 2, 1, 1 },
-    { { { true, true, 0 }, { true, false, 5 } }, 2, 0, 1 },
-    { { { false, false, 0 }, { true, false, 5 } }, 2, 0, 1 },
-    { { { false, false, 0 }, { true, true, 5 } }, 2, 0, -1 },
-    { { { true, false, 2 }, { true, false, 1 } }, 2, UINT32_MAX, 1 },
+    { { { true, false, false, 3 }, { true, false, false, 1 } }, 2, 0, 1 },
+    { { { true, false, false, 1 }, { true, false, false, 1 } }, 2, 1, 1 },
+    { { { true, true, false, 0 }, { true, false, false, 5 } }, 2, 0, 1 },
+    { { { false, false, false, 0 }, { true, false, false, 5 } }, 2, 0, 1 },
+    { { { false, false, false, 0 }, { true, true, false, 5 } }, 2, 0, -1 },
+    { { { true, false, false, 2 }, { true, false, false, 1 } },
+      2,
+      UINT32_MAX,
+      1 },
+    /* One that serves is preferred, but not however busy it is. */
+    { { { true, false, false, 0 }, { true, false, true, 1 } }, 2, 0, 1 },
+    { { { true, false, false, 0 }, { true, false, true, 2 } }, 2, 0, 0 },
   };
   for (size_t i = 0; i < sizeof choices / sizeof choices[0]; i++)
     {
@@ -195,14 +201,36 @@
     }
 }
 
+/* A neighbour that refuses isn't asked for a time that grows, until it has
+   served a request.  */
+static void
+test_standing (void **state)
+{
+  (void)state;
+  struct rch_standing standing = { 0 };
+  int64_t last_us = 0;
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      rch_report_neighbour (&standing, false, 100 * MS);
+      int64_t pause_us = standing.refused_until_us - 100 * MS;
+      assert_true (pause_us > last_us || (i > 3 && pause_us == last_us));
+      last_us = pause_us;
+    }
+  assert_true (last_us < 10000 * MS);
+  rch_report_neighbour (&standing, true, 200 * MS);
+  assert_true (standing.serves && standing.refused_until_us == 0);
+  rch_report_neighbour (&standing, false, 300 * MS);
+  assert_false (standing.serves);
+  assert_true (standing.refused_until_us - 300 * MS < last_us);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_calls),
-    cmocka_unit_test (test_rounds),
-    cmocka_unit_test (test_time),
-    cmocka_unit_test (test_neighbours),
+    cmocka_unit_test (test_calls),    cmocka_unit_test (test_rounds),
+    cmocka_unit_test (test_time),     cmocka_unit_test (test_neighbours),
+    cmocka_unit_test (test_standing),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
