--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -378,7 +378,8 @@
 }
 
 /* Takes the repeat that EXCHANGE needs from the retry budget, if one is
-   NEEDED. Returns false when there is none, or no service any more.  */
+   NEEDED.  One that was taken before and hasn't reached an endpoint is kept.
+   Returns false when there is none, or no service any more.  */
 static bool
 take_repeat (struct exchange *exchange, bool needed)
 {
@@ -386,10 +387,17 @@
   bool refused_by_neighbour = exchange->endpoint != NULL
                               && exchange->endpoint->is_neighbour
                               && exchange->may_have_run == 0;
-  return service != FLT_NO_INDEX
-         && (!needed || refused_by_neighbour
-             || rbg_take (fst_budget (exchange->traffic->fleet, service),
-                          clk_monotonic_us ()));
+  if (service == FLT_NO_INDEX)
+    {
+      return false;
+    }
+  if (!needed || exchange->has_repeat || refused_by_neighbour)
+    {
+      return true;
+    }
+  exchange->has_repeat = rbg_take (
+      fst_budget (exchange->traffic->fleet, service), clk_monotonic_us ());
+  return exchange->has_repeat;
 }
 
 /* Delays the next attempt of EXCHANGE, the continuation of a broken stream,
@@ -455,6 +463,7 @@
     {
       exchange->sent++;
       exchange->unsent = 0;
+      exchange->has_repeat = false;
     }
   else if (!exchange->turned_away)
     {
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -75,6 +75,8 @@
   uint32_t sent;         /* ended attempts whose request arrived or may have */
   uint32_t unsent;       /* attempts in a row that found no connection */
   uint32_t may_have_run; /* ended attempts in which the request may have run */
+  bool has_repeat;       /* one was taken from the retry budget for an attempt
+                            that hasn't reached an endpoint */
   uint32_t denials;      /* repeats and checks of a silent attempt that the
                             retry budget has denied */
   bool answer_begun;     /* the caller has the headers of a stream */
