Let silent streams leave their engines as soon as the daemon is cut off

Cause: a silent stream was only resumed elsewhere if an engine of its own path had been found dead, although the daemon knew that it was cut off, and only while the budget allowed four repeats, since an engine may refuse the next attempt. A neighbour's refusal takes none.

Change: while the daemon is cut off, each silent stream is resumed at a neighbour, if the budget allows one repeat.

--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "entry/inquiry.h"
+#include "entry/passing.h"
 
 #include <string.h>
 
@@ -31,7 +32,8 @@
 #define SILENCE_RECHECK_US (50 * CLK_MS_US)
 
 /* Retries that the budget must still allow before a silent attempt is
-   abandoned: more than one, since the next attempt may be refused first. */
+   abandoned: more than one, since the next attempt may be refused first.  A
+   neighbour's refusal takes none. */
 #define ABANDON_RETRIES_MIN 4
 
 static void check_exchange (struct exchange *exchange);
@@ -98,9 +100,9 @@
 }
 
 /* True when the current attempt may be abandoned for another one: both the
-   request and the retry budget allow it.  */
+   request and the retry budget, which must allow so many REPEATS, allow it. */
 static bool
-may_abandon (struct exchange *exchange)
+may_abandon (struct exchange *exchange, uint32_t repeats)
 {
   struct att_request request;
   uint32_t service = exg_service_index (exchange);
@@ -110,7 +112,7 @@
       return false;
     }
   bool allowed = rbg_allows (fst_budget (exchange->traffic->fleet, service),
-                             ABANDON_RETRIES_MIN, clk_monotonic_us ());
+                             repeats, clk_monotonic_us ());
   exchange->denials += !allowed;
   return allowed;
 }
@@ -193,7 +195,8 @@
 
 /* Ends EXCHANGE at its deadline.  Makes the next attempt of one that waits for
    room.  For a silent stream, abandons the attempt if an engine of its path is
-   dead, or else asks the first engine for a report.  */
+   dead or the daemon is cut off, or else asks the first engine for a report.
+ */
 static void
 check_exchange (struct exchange *exchange)
 {
@@ -224,7 +227,11 @@
     {
       /* A slow path without a dead engine isn't abandoned: processing the
          prompt again elsewhere would add to the load that slows it down. */
-      if (path_has_dead_engine (exchange) && may_abandon (exchange))
+      bool cut_off
+          = psg_is_cut_off (exchange->traffic, exg_service_index (exchange));
+      if ((cut_off && may_abandon (exchange, 1))
+          || (!cut_off && path_has_dead_engine (exchange)
+              && may_abandon (exchange, ABANDON_RETRIES_MIN)))
         {
           abandon_attempt (exchange);
           return;
