Don't tell callers that a request which ran hasn't

Cause: an endpoint's failure was delivered with its status, also where that promises more than the endpoint had stated (it states it by a header of its own); an answer without an id counted as a refusal of the request, although it may be an earlier one that a faulty endpoint writes again; and what a neighbour passed on from an endpoint without a signature counted as the neighbour's own refusal. The class: words of others are taken for more than they state.

Change: att_decide answers 502 where a failure of a request that may not be repeated has the status 408, 421, 429 or 503. A refusal counts only with the request's id. A neighbour's answer is its own only if it names no endpoint.

That this was the reported case is only suspected: the report has no record.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -1,5 +1,8 @@
 #include "core/attempt.h"
 
+#define STATUS_REQUEST_TIMEOUT 408
+#define STATUS_MISDIRECTED 421
+#define STATUS_TOO_MANY_REQUESTS 429
 #define STATUS_BAD_GATEWAY 502
 #define STATUS_UNAVAILABLE 503
 #define STATUS_GATEWAY_TIMEOUT 504
@@ -13,7 +16,18 @@
          || (request->repeat == FLT_REPEAT_STREAM && request->resumable);
 }
 
-/* Sets VERDICT to the action that ends REQUEST when it isn't sent again.  */
+/* Returns whether callers take STATUS for a promise that the request hasn't
+   run.  */
+static bool
+promises_not_run (uint32_t status)
+{
+  return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED
+         || status == STATUS_TOO_MANY_REQUESTS || status == STATUS_UNAVAILABLE;
+}
+
+/* Sets VERDICT to the action that ends REQUEST when it isn't sent again.  An
+   endpoint's failure is delivered, unless its status would promise more than
+   the endpoint has stated.  */
 static void
 set_final_action (const struct att_request *request, enum att_end end,
                   struct att_verdict *verdict)
@@ -23,7 +37,8 @@
       verdict->next = ATT_ABORT_ANSWER;
       return;
     }
-  if (end == ATT_FAILED)
+  if (end == ATT_FAILED
+      && (is_repeatable (request) || !promises_not_run (request->status)))
     {
       verdict->next = ATT_PASS_FAILURE;
       return;
--- a/src/core/attempt.h
+++ b/src/core/attempt.h
@@ -42,6 +42,7 @@
   uint32_t sent;   /* attempts that reached or may have reached an endpoint */
   uint32_t unsent; /* attempts without a connection since the last one with
                       one, the latest included */
+  uint32_t status; /* ATT_FAILED: of the endpoint's response */
   int64_t remaining_us; /* time until the request's deadline */
 };
 
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -350,6 +350,7 @@
     .may_have_run = exchange->may_have_run,
     .sent = exchange->sent,
     .unsent = exchange->unsent,
+    .status = exchange->status,
     .remaining_us = exchange->deadline_us - clk_monotonic_us (),
   };
 }
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -179,7 +179,8 @@
 report_passed_head (struct exchange *exchange, uint32_t status,
                     const struct msg_message *answer)
 {
-  bool own = msg_find (answer, PFH_SIGNATURE) == NULL && status >= 400;
+  const char *id = msg_find (answer, PFH_PASSED_ENDPOINT);
+  bool own = id == NULL && status >= 400;
   bool promises = status < HTTP_STATUS_INTERNAL_SERVER_ERROR
                   || status == HTTP_STATUS_SERVICE_UNAVAILABLE;
   exchange->failed_by_neighbour = own;
@@ -190,7 +191,6 @@
     {
       exchange->neighbour_wait_s = MAX (exchange->neighbour_wait_s, wait_s);
     }
-  const char *id = msg_find (answer, PFH_PASSED_ENDPOINT);
   struct fst_endpoint *endpoint
       = id == NULL ? NULL : fst_find_id (exchange->traffic->fleet, id);
   if (id != NULL)
@@ -251,6 +251,8 @@
     {
       return false;
     }
+  /* Without an id it may be a late answer to an earlier request. */
+  exchange->not_executed = exchange->not_executed && id != NULL;
   if (success
       && (msg_find (answer, PFH_SIGNATURE) == NULL
           || msg_find (answer, "Content-Encoding") != NULL))
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -19,16 +19,19 @@
 /* How an endpoint handles the next requests. */
 enum sfl_fault
 {
-  SFL_NO_FAULT,       /* no fault */
-  SFL_REFUSES,        /* answers that the request wasn't executed */
-  SFL_FAILS,          /* services: runs the request, answers with status 500 */
-  SFL_CLOSES,         /* services: runs the request, closes the connection */
-  SFL_CLOSES_MIDWAY,  /* streams: closes the connection within the third event
-                       */
-  SFL_TRUNCATES,      /* services: runs the request, closes the connection
-                     within the body */
-  SFL_WITHOUT_LENGTH, /* answers with a body that only the end of the
-                         connection delimits */
+  SFL_NO_FAULT,      /* no fault */
+  SFL_REFUSES,       /* answers that the request wasn't executed */
+  SFL_FAILS,         /* services: runs the request, answers with status 500 */
+  SFL_SHEDS,         /* services: runs the request, answers with status 503 */
+  SFL_REFUSES_AGAIN, /* services: runs the request, answers with a refusal that
+                        bears no id, as if it were an earlier one */
+  SFL_CLOSES,        /* services: runs the request, closes the connection */
+  SFL_CLOSES_MIDWAY, /* streams: closes the connection within the third event
+                      */
+  SFL_TRUNCATES,     /* services: runs the request, closes the connection
+                    within the body */
+  SFL_WITHOUT_LENGTH,   /* answers with a body that only the end of the
+                           connection delimits */
   SFL_WRONG_REQUEST_ID, /* answers with the id of another request */
   SFL_UNSIGNED,         /* answers without the signature header */
   SFL_NEVER_ANSWERS,    /* runs the request and never answers */
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -274,6 +274,14 @@
       nsv_respond (answer->connection, HTTP_STATUS_INTERNAL_SERVER_ERROR,
                    headers, "failed", strlen ("failed"));
       break;
+    case SFL_SHEDS:
+      nsv_respond (answer->connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                   headers, "", 0);
+      break;
+    case SFL_REFUSES_AGAIN:
+      nsv_respond (answer->connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                   PFH_NOT_EXECUTED ": 1\r\n", "", 0);
+      break;
     case SFL_CLOSES:
       nsv_abort (answer->connection);
       break;
@@ -364,8 +372,9 @@
         const char *id, const char *at_fault, const char *retry_after)
 {
   g_autofree char *headers = g_strdup_printf (
-      PFH_NOT_EXECUTED ": 1\r\n" PFH_ENDPOINT_AT_FAULT ": %s\r\n%s%s%s%s",
-      at_fault, common_headers (endpoint),
+      PFH_REQUEST_ID ": %s\r\n" PFH_NOT_EXECUTED
+                     ": 1\r\n" PFH_ENDPOINT_AT_FAULT ": %s\r\n%s%s%s%s",
+      id, at_fault, common_headers (endpoint),
       retry_after == NULL ? "" : PFH_RETRY_AFTER ": ",
       retry_after == NULL ? "" : retry_after,
       retry_after == NULL ? "" : "\r\n");
@@ -568,8 +577,11 @@
   endpoint->arrivals++;
   if (id == NULL || g_strcmp0 (expected, endpoint->id) != 0)
     {
-      nsv_respond (connection, HTTP_STATUS_MISDIRECTED_REQUEST,
-                   common_headers (endpoint), "", 0);
+      g_autofree char *headers
+          = g_strdup_printf (PFH_REQUEST_ID ": %s\r\n%s",
+                             id == NULL ? "-" : id, common_headers (endpoint));
+      nsv_respond (connection, HTTP_STATUS_MISDIRECTED_REQUEST, headers, "",
+                   0);
       return;
     }
   check_request (endpoint, request);
