Tell a neighbour how often a request may have run

Cause: the neighbour counted from 0.

Change: the header of a request that is passed on has one more than the attempts that may have run it.

Result: built and covered by the cut tests only; no test counts runs over two daemons yet.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -334,6 +334,18 @@
     }
 }
 
+/* Returns how many attempts of this daemon may run EXCHANGE.  */
+static uint32_t
+attempts_max (const struct exchange *exchange)
+{
+  uint32_t most = exchange->route->attempts_max;
+  if (exchange->ran_elsewhere && !exchange->answer_begun)
+    {
+      return exchange->may_have_run;
+    }
+  return most > exchange->ran_before ? most - exchange->ran_before : 1;
+}
+
 /* Fills REQUEST with what att_decide has to know of EXCHANGE and its attempts
    so far.  */
 void
@@ -344,9 +356,7 @@
     .repeat = exchange->route->repeat,
     .resumable = exchange->route->resumable,
     .answer_begun = exchange->answer_begun,
-    .attempts_max = exchange->ran_elsewhere && !exchange->answer_begun
-                        ? exchange->may_have_run
-                        : exchange->route->attempts_max,
+    .attempts_max = attempts_max (exchange),
     .may_have_run = exchange->may_have_run,
     .sent = exchange->sent,
     .unsent = exchange->unsent,
@@ -644,7 +654,8 @@
 {
   if (exchange->endpoint->is_neighbour)
     {
-      g_string_append (request, PFH_PASSED_ON ": 1\r\n");
+      g_string_append_printf (request, PFH_PASSED_ON ": %u\r\n",
+                              1 + exchange->may_have_run);
       if (exchange->key != NULL)
         {
           g_string_append_printf (request, PFH_API_KEY ": %s\r\n",
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -264,7 +264,13 @@
                        || msg_find (request, "Content-Length") != NULL
                        || msg_find (request, "Transfer-Encoding") != NULL;
   exchange->key = g_strdup (msg_find (request, PFH_API_KEY));
-  exchange->is_passed = msg_find (request, PFH_PASSED_ON) != NULL;
+  const char *passed_on = msg_find (request, PFH_PASSED_ON);
+  exchange->is_passed = passed_on != NULL;
+  exchange->ran_before
+      = passed_on == NULL
+            ? 0
+            : (uint32_t)CLAMP (g_ascii_strtoll (passed_on, NULL, 10) - 1, 0,
+                               ATT_SENT_MAX);
   double output_tokens = 0;
   exchange->tokens
       = parse_tokens (msg_find (request, PFH_TOKENS), &output_tokens);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -23,7 +23,8 @@
   GByteArray *body; /* of the request */
   char *key;        /* the caller's API key; NULL: none */
   bool has_body;
-  bool is_passed; /* another daemon has passed the request on */
+  bool is_passed;      /* another daemon has passed the request on */
+  uint32_t ran_before; /* attempts in which it may have run there */
 
   char **traits; /* names of what the request has in common with others, see
                     entry/quarantine.h */
