Repeat a request on a new connection

Cause: a repeat could use the connection of an earlier attempt. All attempts bear the same id, so a second copy of the earlier refusal was taken for the repeat's answer.

Change: an attempt at an endpoint after one that was sent opens a connection.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -719,6 +719,15 @@
                                 exchange->traits, &wait_us);
 }
 
+/* Returns whether the next attempt of EXCHANGE, at an endpoint, is made on a
+   new connection.  All attempts bear the same id, so what still comes on a
+   connection of an earlier one would be taken for the answer to this one.  */
+static bool
+needs_new_connection (const struct exchange *exchange)
+{
+  return exchange->sent > 0 || is_cut_off (exchange);
+}
+
 /* Starts an attempt at an endpoint.  BEFORE is how the previous attempt ended;
    ATT_NOT_SENT at first.  Without an endpoint EXCHANGE ends, and so it does
    when nothing of it was sent and it would wait too long everywhere.  */
@@ -795,9 +804,10 @@
   exchange->sent_us = clk_monotonic_us ();
   exchange->last_received_us = exchange->sent_us;
   fst_take_rate (exchange->endpoint, exchange->sent_us);
-  exchange->attempt = ncl_send (
-      traffic->client, exchange->endpoint->address, request->str, request->len,
-      !passes && is_cut_off (exchange), &exg_attempt_events, exchange);
+  exchange->attempt
+      = ncl_send (traffic->client, exchange->endpoint->address, request->str,
+                  request->len, !passes && needs_new_connection (exchange),
+                  &exg_attempt_events, exchange);
   g_string_free (request, TRUE);
   cnt_add (traffic->metrics->attempts, 1);
   exchange->attempts++;
