Plan for engines that state layers which the model doesn't have

Cause: the planner took an engine's stated layers as they came: with an end beyond the model it read past its table of holders and planned orders for such layers.

Change: stp_plan takes such an engine for one that holds none.

Result: stages_test test_plan_absurd_layers failed before (a plan with layers beyond the model), passes now.

--- a/src/core/stage_plan.c
+++ b/src/core/stage_plan.c
@@ -665,18 +665,38 @@
   reset_plan (group);
 }
 
+/* Returns a copy of the COUNT ENGINES, in which those that hold layers which a
+   model with LAYERS layers doesn't have hold none.  The caller frees it.  */
+static struct stp_engine *
+copy_engines (const struct stp_engine *engines, uint32_t count,
+              uint32_t layers)
+{
+  struct stp_engine *copies = g_new (struct stp_engine, count + 1);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      copies[i] = engines[i];
+      if (copies[i].held.end > layers)
+        {
+          copies[i].held = (struct rst_layers){ 0, 0 };
+        }
+    }
+  return copies;
+}
+
 /* Sets WANTED, by engine, to the layers that each of the ENGINE_COUNT engines
-   ENGINES in DATA_CENTRE_COUNT data centres is to hold.  Each data centre with
+   STATED in DATA_CENTRE_COUNT data centres is to hold.  Each data centre with
    ample memory forms a group that holds the complete model; the remaining
    data centres form groups as memory and links allow.  WANTED equals the
    layers held now where nothing has to change.  Returns whether every layer
    has a holder in each group.  */
 bool
 stp_plan (const struct flt_engine_spec *spec, enum stp_effort effort,
-          uint32_t data_centre_count, const struct stp_engine *engines,
+          uint32_t data_centre_count, const struct stp_engine *stated,
           uint32_t engine_count, struct rst_layers *wanted)
 {
   bool complete = true;
+  struct stp_engine *engines
+      = copy_engines (stated, engine_count, spec->layers);
   struct group group = {
     .spec = spec,
     .engines = engines,
@@ -721,6 +741,7 @@
       undecided_complete = plan_undecided (&group, &fleet, effort);
     }
   complete &= undecided_complete;
+  g_free (engines);
   g_free (group.members);
   g_free (group.holders);
   g_free (group.spans);
--- a/src/core/stage_plan.h
+++ b/src/core/stage_plan.h
@@ -34,7 +34,7 @@
 };
 
 bool stp_plan (const struct flt_engine_spec *spec, enum stp_effort effort,
-               uint32_t data_centre_count, const struct stp_engine *engines,
+               uint32_t data_centre_count, const struct stp_engine *stated,
                uint32_t engine_count, struct rst_layers *wanted);
 uint32_t stp_layers_max (const struct flt_engine_spec *spec, double memory_mb,
                          double cache_tokens);
--- a/test/stages_test.c
+++ b/test/stages_test.c
@@ -161,6 +161,31 @@
     }
 }
 
+/* Guards against an entry of the list that states layers which the model
+   doesn't have: the planner read past its table of holders.  */
+static void
+test_plan_absurd_layers (void **state)
+{
+  (void)state;
+  static const struct rst_layers ranges[] = {
+    { 0, LAYERS + 1 },
+    { 0, INT32_MAX },
+    { LAYERS, LAYERS + 7 },
+    { INT32_MAX - 1, INT32_MAX },
+  };
+  static const struct data_centre_counts counts[] = { { 3, 3, 5 } };
+  for (size_t i = 0; i < sizeof ranges / sizeof ranges[0]; i++)
+    {
+      struct fleet fleet;
+      struct rst_layers wanted[ENGINES_MAX];
+      build_fleet (&fleet, counts, 1);
+      fleet.engines[0].held = ranges[i];
+      assert_true (stp_plan (&spec, STP_DIVIDE_ANEW, fleet.data_centre_count,
+                             fleet.engines, fleet.count, wanted));
+      assert_fits (&fleet, wanted);
+    }
+}
+
 /* Makes the engines of FLEET hold the layers in WANTED.  */
 static void
 apply_plan (struct fleet *fleet, const struct rst_layers *wanted)
@@ -1062,6 +1087,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_plan_cold_start),
+    cmocka_unit_test (test_plan_absurd_layers),
     cmocka_unit_test (test_plan_is_stable),
     cmocka_unit_test (test_plan_engine_loss),
     cmocka_unit_test (test_plan_new_engine),
