--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -165,6 +165,27 @@
     { "{\"Service\":7,\"Address\":\"10.0.0.1:80\",\"Zone\":\"kgn\","
       "\"Slots\":6,\"State\":\"ready\"}",
       false, false, 0, 0, false },
+    { "{\"Service\":\"draft\",\"Zone\":\"kgn\",\"Slots\":6,"
+      "\"State\":\"ready\",\"Address\":\"10.0.0.1:70000\"}",
+      false, false, 0, 0, false },
+    { "{" ENTRY ",\"Slots\":1e300,\"State\":\"ready\"}", false, false, 0, 0,
+      false },
+    { "{" ENTRY ",\"Slots\":1e999,\"State\":\"ready\"}", false, false, 0, 0,
+      false },
+    { "{" ENTRY ",\"Slots\":-1,\"State\":\"ready\"}", false, false, 0, 0,
+      false },
+    { "{" ENTRY ",\"Slots\":6,\"State\":\"ready\","
+      "\"born\":99999999999999999999}",
+      false, false, 0, 0, false },
+    { "{" ENTRY ",\"Slots\":6,\"State\":\"ready\","
+      "\"Layers\":{\"From\":0,\"Target\":1e300}}",
+      false, false, 0, 0, false },
+    { "{" ENTRY ",\"Slots\":6,\"State\":\"ready\","
+      "\"Layers\":{\"From\":-5,\"Target\":3}}",
+      false, false, 0, 0, false },
+    { "{" ENTRY ",\"Slots\":6,\"State\":\"ready\","
+      "\"Layers\":{\"From\":9,\"Target\":3}}",
+      false, false, 0, 0, false },
     { "not json", false, false, 0, 0, false },
     { "[1]", false, false, 0, 0, false },
   };
@@ -189,6 +210,27 @@
     }
 }
 
+/* Guards against entries that are nested deeply, or whose ids can't stand in a
+   header.  */
+static void
+test_odd_entries (void **state)
+{
+  (void)state;
+  enum
+  {
+    DEPTH = 1000000
+  };
+  static const char valid[] = "{" ENTRY ",\"Slots\":6,\"State\":\"ready\"}";
+  static const char *const ids[] = { "", "i 1", "i-1\r\nHost: x", "i-\x7f" };
+  g_autofree char *nested = g_malloc (DEPTH);
+  memset (nested, '[', DEPTH);
+  assert_null (pfr_decode_entry ("i-1", nested, DEPTH, NULL));
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    {
+      assert_null (pfr_decode_entry (ids[i], valid, strlen (valid), NULL));
+    }
+}
+
 static void
 test_stalls (void **state)
 {
@@ -352,6 +394,7 @@
     cmocka_unit_test (test_routes),
     cmocka_unit_test (test_configuration_invalid),
     cmocka_unit_test (test_endpoint_entries),
+    cmocka_unit_test (test_odd_entries),
     cmocka_unit_test (test_stalls),
     cmocka_unit_test (test_shared_parts),
     cmocka_unit_test (test_read_page),
