Reset unfinished answers when a daemon ends

Cause: at the end of the grace period the connections were closed in order, and the end of a connection completes an answer without a length.

Change: connections with an unfinished answer are reset.

--- a/src/net/server.c
+++ b/src/net/server.c
@@ -566,8 +566,9 @@
   return server;
 }
 
-/* Closes the connections of SERVER, which may be NULL, and frees it.  The loop
-   must run once more.  */
+/* Closes the connections of SERVER, which may be NULL, and frees it.  Those
+   with an unfinished response are reset, since the end of a connection may
+   complete a response.  The loop must run once more.  */
 void
 nsv_destroy (struct nsv_server *server)
 {
@@ -577,7 +578,9 @@
     }
   while (server->connections->len > 0)
     {
-      close_connection (g_ptr_array_index (server->connections, 0), false,
+      struct nsv_connection *connection
+          = g_ptr_array_index (server->connections, 0);
+      close_connection (connection, connection->phase == PHASE_RESPONDING,
                         true);
     }
   close_listener (server);
