Name the endpoint that an order or a probe is for

Cause: orders, and the probes that are new, went to an address, without the header by which another endpoint there answers 421.

Change: calls can have more headers; orders and probes name their endpoint, and a probe that is answered 421 finds another endpoint at the address.

--- a/review/lib/runner.c
+++ b/review/lib/runner.c
@@ -164,6 +164,14 @@
     {
       return send_report (runner, fd);
     }
+  bool misdirected = lab_header (request, "X-Kumquatthread-Expect-Instance",
+                                 expected, sizeof expected)
+                     && strcmp (expected, runner->id) != 0;
+  if (strcmp (request->url, "/api/order") == 0 && misdirected)
+    {
+      return lab_send_text (fd, "HTTP/1.1 421 Misdirected Request\r\n"
+                                "Content-Length: 0\r\n\r\n");
+    }
   if (strcmp (request->url, "/api/order") == 0)
     {
       return take_order (runner, fd, request);
@@ -181,10 +189,7 @@
                                 "X-Kumquatthread-Not-Executed: 1\r\n"
                                 "Content-Length: 0\r\n\r\n");
     }
-  if ((lab_header (request, "X-Kumquatthread-Expect-Instance", expected,
-                   sizeof expected)
-       && strcmp (expected, runner->id) != 0)
-      || !lab_check_path (runner, request))
+  if (misdirected || !lab_check_path (runner, request))
     {
       return lab_send_text (fd,
                             "HTTP/1.1 421 Misdirected Request\r\n"
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -7,6 +7,7 @@
 #include "core/turned_away.h"
 #include "entry/announcement.h"
 #include "net/call.h"
+#include "platform/headers.h"
 #include "platform/runner.h"
 
 #include <string.h>
@@ -198,12 +199,15 @@
     }
   char *body
       = pfr_place_order_body (order->layers.first, order->layers.end, fence);
+  g_autofree char *expected
+      = g_strdup_printf (PFH_EXPECTED_ENDPOINT ": %s\r\n", order->id);
   const struct cal_params params = {
     .client = order->placer->params.client,
     .loop = order->placer->params.loop,
     .address = order->address,
     .method = "POST",
     .path = PFR_ORDER_PATH,
+    .header_lines = expected,
     .body = body,
     .timeout_ms = ORDER_TIMEOUT_MS,
     .headers = on_answer_head,
--- a/src/entry/probing.c
+++ b/src/entry/probing.c
@@ -6,6 +6,7 @@
 #include "entry/announcement.h"
 #include "entry/passing.h"
 #include "net/call.h"
+#include "platform/headers.h"
 #include "platform/runner.h"
 
 /* Time-out of a probe. */
@@ -105,7 +106,14 @@
   struct fst_endpoint *endpoint = probe->endpoint;
   int64_t sent_us = probe->sent_us;
   probe->call = NULL;
-  if (status != 0)
+  if (status == HTTP_STATUS_MISDIRECTED_REQUEST)
+    {
+      psg_report_answer (traffic, endpoint, sent_us);
+      fst_report_failure (traffic->fleet, endpoint, EVD_MISDIRECTED,
+                          "another endpoint has its address",
+                          clk_monotonic_us ());
+    }
+  else if (status != 0)
     {
       psg_report_answer (traffic, endpoint, sent_us);
       fst_report_alive (traffic->fleet, endpoint);
@@ -136,12 +144,15 @@
     }
   const struct flt_service *service = &config->services[endpoint->service];
   struct probe *probe = g_new0 (struct probe, 1);
+  g_autofree char *expected
+      = g_strdup_printf (PFH_EXPECTED_ENDPOINT ": %s\r\n", endpoint->id);
   const struct cal_params params = {
     .client = traffic->client,
     .loop = traffic->loop,
     .address = endpoint->address,
     .method = "GET",
     .path = service->has_engine ? PFR_REPORT_PATH : service->health_path,
+    .header_lines = expected,
     .timeout_ms = TIMEOUT_MS,
     .new_connection = true,
     .headers = on_head,
--- a/src/net/call.c
+++ b/src/net/call.c
@@ -127,6 +127,10 @@
   GString *request = g_string_sized_new (256);
   g_string_append_printf (request, "%s %s HTTP/1.1\r\nHost: %s\r\n",
                           params->method, params->path, params->address);
+  if (params->header_lines != NULL)
+    {
+      g_string_append (request, params->header_lines);
+    }
   bool is_json = params->body != NULL;
   const char *body = is_json ? params->body : (const char *)params->data;
   size_t body_bytes = is_json ? strlen (params->body) : params->data_bytes;
--- a/src/net/call.h
+++ b/src/net/call.h
@@ -25,7 +25,9 @@
   const char *address; /* IP:PORT */
   const char *method;
   const char *path;
-  const char *body;    /* JSON; NULL: none */
+  const char *header_lines; /* more headers, each with its line break; NULL:
+                               none */
+  const char *body;         /* JSON; NULL: none */
   const uint8_t *data; /* body of another type, unless `body' is set; NULL:
                           none */
   size_t data_bytes;
