Stay ready where no neighbour reaches the endpoints either

Change: a daemon that is cut off stays ready where neighbours refuse requests and none serves them.

Result: reach_test has both sides (the new check fails without the change).

--- a/src/core/reach.c
+++ b/src/core/reach.c
@@ -35,6 +35,8 @@
   reach->since_us = since_us;
   reach->cut_us = now_us;
   reach->round_us = now_us;
+  reach->neighbour_serves = false;
+  reach->neighbour_refuses = false;
 }
 
 /* Records that a call to ENDPOINT, sent at SENT_US, had no answer.  ENDPOINTS
@@ -72,11 +74,14 @@
   set_cut_off (reach, first_us, now_us);
 }
 
-/* Returns whether the daemon serves new callers as well as others do.  */
+/* Returns whether the daemon serves new callers as well as others do.  Where
+   neighbours refuse requests and none serves them, the endpoints are dead or
+   out of reach for all.  */
 bool
 rch_is_ready (const struct rch_reach *reach, int64_t now_us)
 {
-  return !reach->cut_off || now_us - reach->cut_us < RCH_READY_DELAY_US;
+  return !reach->cut_off || now_us - reach->cut_us < RCH_READY_DELAY_US
+         || (reach->neighbour_refuses && !reach->neighbour_serves);
 }
 
 /* Returns whether a round of probes begins at NOW_US.  */
@@ -114,9 +119,11 @@
 /* Records that a neighbour SERVES a request that was passed on to it, or has
    refused it since it can't reach the endpoints either.  */
 void
-rch_report_neighbour (struct rch_standing *standing, bool serves,
-                      int64_t now_us)
+rch_report_neighbour (struct rch_reach *reach, struct rch_standing *standing,
+                      bool serves, int64_t now_us)
 {
+  reach->neighbour_serves |= serves;
+  reach->neighbour_refuses |= !serves;
   standing->serves = serves;
   if (serves)
     {
--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -53,7 +53,9 @@
   int64_t since_us;  /* cut off: an endpoint that has answered a call which was
                         sent later is in reach */
   int64_t cut_us;    /* when it was found to be cut off */
-  int64_t round_us;  /* no round begins before */
+  bool neighbour_serves;  /* one has had a request served since then */
+  bool neighbour_refuses; /* one can't reach the endpoints either */
+  int64_t round_us;       /* no round begins before */
 };
 
 /* Neighbours that a request is passed on to at most.  One that can't serve it
@@ -85,7 +87,8 @@
 bool rch_begin_round (struct rch_reach *reach, int64_t now_us);
 void rch_end_round (struct rch_reach *reach, uint32_t probes, uint32_t answers,
                     int64_t began_us, int64_t now_us);
-void rch_report_neighbour (struct rch_standing *standing, bool serves,
+void rch_report_neighbour (struct rch_reach *reach,
+                           struct rch_standing *standing, bool serves,
                            int64_t now_us);
 int32_t rch_choose_neighbour (const struct rch_neighbour neighbours[],
                               uint32_t count, uint32_t tie);
--- a/src/entry/passing.c
+++ b/src/entry/passing.c
@@ -269,7 +269,7 @@
       g_hash_table_insert (ways->standings, g_strdup (neighbour->address),
                            standing);
     }
-  rch_report_neighbour (standing, serves, clk_monotonic_us ());
+  rch_report_neighbour (&ways->reach, standing, serves, clk_monotonic_us ());
 }
 
 /* Describes PEER for the choice of a neighbour, of which WAYS holds what it
--- a/test/reach_test.c
+++ b/test/reach_test.c
@@ -162,6 +162,12 @@
   assert_true (rch_is_ready (&reach, now_us));
   now_us += RCH_READY_DELAY_US;
   assert_false (rch_is_ready (&reach, now_us));
+  /* Endpoints that no neighbour reaches either may be dead. */
+  struct rch_standing standing = { 0 };
+  rch_report_neighbour (&reach, &standing, false, now_us);
+  assert_true (rch_is_ready (&reach, now_us));
+  rch_report_neighbour (&reach, &standing, true, now_us);
+  assert_false (rch_is_ready (&reach, now_us));
   rch_end_round (&reach, 3, 3, now_us, now_us);
   assert_true (rch_is_ready (&reach, now_us));
   assert_false (rch_begin_round (&reach, now_us + RCH_PROBE_US));
@@ -207,19 +213,20 @@
 test_standing (void **state)
 {
   (void)state;
+  struct rch_reach reach = { 0 };
   struct rch_standing standing = { 0 };
   int64_t last_us = 0;
   for (uint32_t i = 0; i < 8; i++)
     {
-      rch_report_neighbour (&standing, false, 100 * MS);
+      rch_report_neighbour (&reach, &standing, false, 100 * MS);
       int64_t pause_us = standing.refused_until_us - 100 * MS;
       assert_true (pause_us > last_us || (i > 3 && pause_us == last_us));
       last_us = pause_us;
     }
   assert_true (last_us < 10000 * MS);
-  rch_report_neighbour (&standing, true, 200 * MS);
+  rch_report_neighbour (&reach, &standing, true, 200 * MS);
   assert_true (standing.serves && standing.refused_until_us == 0);
-  rch_report_neighbour (&standing, false, 300 * MS);
+  rch_report_neighbour (&reach, &standing, false, 300 * MS);
   assert_false (standing.serves);
   assert_true (standing.refused_until_us - 300 * MS < last_us);
 }
