Don't probe dead endpoints of services that were removed

Cause: a dead endpoint of a service that a new configuration doesn't have has no index of a service, and the new probes read the list of services beyond its end with it. Found on reading the change once more.

Change: such endpoints aren't listed for probes.

--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -1210,7 +1210,8 @@
     {
       struct fst_endpoint *endpoint = g_ptr_array_index (fleet->ordered, i);
       if (endpoint->evidence.dead && endpoint->listed
-          && now_us >= endpoint->opens_us && !is_cut_off (fleet, endpoint)
+          && endpoint->service != FLT_NO_INDEX && now_us >= endpoint->opens_us
+          && !is_cut_off (fleet, endpoint)
           && evd_usable (&endpoint->evidence, now_us))
         {
           g_ptr_array_add (endpoints, endpoint);
