Test that a server resets its unfinished answers when it ends

Change: net_test, unfinished_response_is_reset: an answer that only the end of its connection ends is begun, and the server is destroyed. The stop test and this one share a function that replaces the server.

--- a/test/net_test.c
+++ b/test/net_test.c
@@ -9,6 +9,7 @@
 #include <stddef.h>
 
 #include <cmocka.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
@@ -53,8 +54,9 @@
       nsv_respond (connection, 200, "", "body", 4);
       return;
     }
+  bool has_length = strcmp (request->url->str, "/open") != 0;
   nsv_set_request_context (connection, fixture);
-  nsv_begin_response (connection, 200, "", true);
+  nsv_begin_response (connection, 200, "", has_length);
 }
 
 static void
@@ -548,6 +550,17 @@
   assert_non_null (fixture->exchange);
 }
 
+/* Replaces the server, as at the end of its process.  */
+static void
+restart_server (struct fixture *fixture)
+{
+  nsv_destroy (fixture->server);
+  fixture->server
+      = nsv_create (&fixture->loop, fixture->address, &fixture->limits,
+                    &server_events, fixture, NULL);
+  assert_non_null (fixture->server);
+}
+
 /* Guards against closing connections unanswered in a stop: those that had just
    been accepted, and those whose next request had arrived but wasn't read yet,
    were taken for idle.  */
@@ -581,11 +594,101 @@
       print_message ("%s\n", connections[i].name);
       assert_true (run_until (fixture, &fixture->completed, ++completed));
       assert_int_equal (fixture->failed, 0);
-      nsv_destroy (fixture->server);
-      fixture->server
-          = nsv_create (&fixture->loop, fixture->address, &fixture->limits,
-                        &server_events, fixture, NULL);
-      assert_non_null (fixture->server);
+      restart_server (fixture);
+    }
+}
+
+/* How the answer to a caller ended. */
+enum ending
+{
+  END_NONE,  /* not at all in time */
+  END_CLOSE, /* its connection was closed in order */
+  END_RESET  /* its connection was reset */
+};
+
+/* Connects a caller that asks for an answer that only the end of the
+   connection ends, and returns its socket when the server has begun to answer.
+ */
+static int
+begin_open_response (struct fixture *fixture)
+{
+  static const char request[] = "GET /open HTTP/1.1\r\nHost: a\r\n\r\n";
+  struct sockaddr_in address;
+  const char *port = strchr (fixture->address, ':') + 1;
+  uv_ip4_addr ("127.0.0.1", atoi (port), &address);
+  int caller = socket (AF_INET, SOCK_STREAM, 0);
+  assert_int_equal (
+      connect (caller, (struct sockaddr *)&address, sizeof address), 0);
+  assert_int_equal (send (caller, request, sizeof request - 1, 0),
+                    sizeof request - 1);
+  fixture->connection = NULL;
+  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
+  while (fixture->connection == NULL && clk_monotonic_us () < end_us)
+    {
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+    }
+  assert_non_null (fixture->connection);
+  return caller;
+}
+
+/* Reads from CALLER while the server runs, until its connection ends, and sets
+   BYTES to the number of bytes.  */
+static enum ending
+await_ending (struct fixture *fixture, int caller, size_t *bytes)
+{
+  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
+  *bytes = 0;
+  while (clk_monotonic_us () < end_us)
+    {
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+      ssize_t count
+          = recv (caller, fixture->read_buffer, READ_BYTES, MSG_DONTWAIT);
+      if (count == 0)
+        {
+          return END_CLOSE;
+        }
+      if (count < 0 && errno != EAGAIN)
+        {
+          return END_RESET;
+        }
+      *bytes += count > 0 ? (size_t)count : 0;
+    }
+  return END_NONE;
+}
+
+static void
+end_server (struct fixture *fixture, int caller)
+{
+  (void)caller;
+  nsv_send_body (fixture->connection, "body", 4);
+  restart_server (fixture);
+}
+
+/* Guards against a part of an answer that looks whole: the end of its
+   connection completes an answer without a length, so that of an unfinished
+   one must be a reset.  */
+static void
+unfinished_response_is_reset (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    void (*disturb) (struct fixture *fixture, int caller);
+  } cases[] = {
+    { "the server ends", end_server },
+  };
+  struct fixture *fixture = *state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      size_t bytes = 0;
+      int caller = begin_open_response (fixture);
+      cases[i].disturb (fixture, caller);
+      enum ending ending = await_ending (fixture, caller, &bytes);
+      if (ending != END_RESET)
+        {
+          fail_msg ("%s: ending %d", cases[i].name, ending);
+        }
+      close (caller);
     }
 }
 
@@ -593,6 +696,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (unfinished_response_is_reset,
+                                     create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (pause_ends_with_its_exchange,
                                      create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (slow_caller_drains, create_fixture,
