Deliver an answer that waits for a slow caller, or reset it

What callers saw: a slow caller got a part of an answer that was complete: its connection was closed one second after the answer, or when the daemon had stopped, with the rest still queued. Without a length the part looked whole.

Cause: an answer counted as finished once all of it was queued. What the socket hadn't accepted was dropped by the time-out of connections that linger (1 s), and by a stop, which ended as no request was in progress. uv_tcp_close_reset refuses a connection that is being shut down, so not even a reset followed.

Change: a connection lingers for as long as its caller reads, up to the idle time-out without a byte, and a stop waits for queued bytes within its grace period. What is cut all the same is reset, by a socket option of our own.

--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -337,11 +337,12 @@
   log_readiness (traffic);
 }
 
-/* True when no request is in progress.  */
+/* True when no request is in progress, and no caller still reads an answer.
+ */
 bool
 trf_is_idle (const struct trf_traffic *traffic)
 {
-  return nsv_request_count (traffic->caller_server) == 0;
+  return nsv_is_idle (traffic->caller_server);
 }
 
 /* Logs the number of requests in progress and of open connections.  */
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -52,8 +52,9 @@
   bool received; /* the current request, completely */
   bool in_body;  /* the headers of the current request have been received */
   bool closing;
-  bool slow;    /* more than `unsent_bytes_max' bytes are queued */
-  bool parsing; /* parse is on the call stack */
+  size_t lingering_bytes; /* unsent when the last byte was seen to be read */
+  bool slow;              /* more than `unsent_bytes_max' bytes are queued */
+  bool parsing;           /* parse is on the call stack */
   uv_shutdown_t shutdown;
 };
 
@@ -104,6 +105,36 @@
   g_free (connection);
 }
 
+/* Returns the number of bytes that wait for the socket of CONNECTION.  */
+static size_t
+unsent_bytes (const struct nsv_connection *connection)
+{
+  return uv_stream_get_write_queue_size (
+      (const uv_stream_t *)&connection->tcp);
+}
+
+/* Returns true while the caller of CONNECTION lacks a part of a response: one
+   that isn't complete, or bytes that the socket hasn't accepted.  */
+static bool
+is_unfinished (const struct nsv_connection *connection)
+{
+  return connection->phase == PHASE_RESPONDING
+         || unsent_bytes (connection) > 0;
+}
+
+/* Makes closing CONNECTION reset it.  uv_tcp_close_reset refuses to after
+   uv_shutdown.  */
+static void
+set_reset (const struct nsv_connection *connection)
+{
+  static const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+  uv_os_fd_t descriptor;
+  if (uv_fileno ((const uv_handle_t *)&connection->tcp, &descriptor) == 0)
+    {
+      setsockopt (descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    }
+}
+
 /* Closes CONNECTION, with a TCP reset when RESET is true.  Calls
    `disconnected' for the current request, if any, when NOTIFY is true.  */
 static void
@@ -121,13 +152,11 @@
     }
   void *request_context = connection->request_context;
   connection->request_context = NULL;
-  if (!reset || uv_tcp_close_reset (&connection->tcp, on_closed) != 0)
+  if (reset)
     {
-      if (!uv_is_closing ((uv_handle_t *)&connection->tcp))
-        {
-          uv_close ((uv_handle_t *)&connection->tcp, on_closed);
-        }
+      set_reset (connection);
     }
+  uv_close ((uv_handle_t *)&connection->tcp, on_closed);
   if (notify && request_context != NULL)
     {
       connection->server->events->disconnected (request_context);
@@ -257,8 +286,7 @@
       close_connection (connection, true, true);
       return;
     }
-  if (connection->slow
-      && uv_stream_get_write_queue_size ((uv_stream_t *)&connection->tcp) == 0)
+  if (connection->slow && unsent_bytes (connection) == 0)
     {
       connection->slow = false;
       if (connection->request_context != NULL)
@@ -282,7 +310,7 @@
       total += buffers[i].len;
     }
   int written = 0;
-  if (uv_stream_get_write_queue_size (stream) == 0)
+  if (unsent_bytes (connection) == 0)
     {
       written = uv_try_write (stream, buffers, count);
     }
@@ -314,16 +342,17 @@
       return;
     }
   /* Stays set until all bytes have been sent, when `drained' is called. */
-  connection->slow |= uv_stream_get_write_queue_size (stream)
+  connection->slow |= unsent_bytes (connection)
                       > connection->server->limits.unsent_bytes_max;
 }
 
 /* Shuts CONNECTION down for writing once the response has been sent, and waits
-   for the caller to close, at most for LINGER_US.  */
+   for the caller to close.  */
 static void
 linger (struct nsv_connection *connection)
 {
   enter_phase (connection, PHASE_LINGERING);
+  connection->lingering_bytes = unsent_bytes (connection);
   uv_shutdown (&connection->shutdown, (uv_stream_t *)&connection->tcp, NULL);
 }
 
@@ -567,8 +596,8 @@
 }
 
 /* Closes the connections of SERVER, which may be NULL, and frees it.  Those
-   with an unfinished response are reset, since the end of a connection may
-   complete a response.  The loop must run once more.  */
+   with an unfinished response are reset: the end of a connection may complete
+   a response.  The loop must run once more.  */
 void
 nsv_destroy (struct nsv_server *server)
 {
@@ -580,8 +609,7 @@
     {
       struct nsv_connection *connection
           = g_ptr_array_index (server->connections, 0);
-      close_connection (connection, connection->phase == PHASE_RESPONDING,
-                        true);
+      close_connection (connection, is_unfinished (connection), true);
     }
   close_listener (server);
   g_ptr_array_free (server->connections, TRUE);
@@ -690,6 +718,23 @@
          && !has_unread_bytes (connection);
 }
 
+/* Returns true if CONNECTION, which lingers at NOW_US, monotonic time, is to
+   be closed: LINGER_US after its response was sent, or when the caller has
+   read no byte of it for the idle time-out.  */
+static bool
+has_lingered (struct nsv_connection *connection, int64_t now_us)
+{
+  size_t bytes = unsent_bytes (connection);
+  if (bytes != connection->lingering_bytes)
+    {
+      connection->lingering_bytes = bytes;
+      connection->since_us = now_us;
+    }
+  return now_us - connection->since_us
+         >= (bytes > 0 ? connection->server->limits.idle_timeout_us
+                       : LINGER_US);
+}
+
 /* Closes connections that have exceeded their time-outs, and listens again if
    the server had to stop that.  NOW_US is monotonic time.  To be called
    several times a second.  */
@@ -723,9 +768,9 @@
             }
           break;
         case PHASE_LINGERING:
-          if (age_us >= LINGER_US)
+          if (has_lingered (connection, now_us))
             {
-              close_connection (connection, false, false);
+              close_connection (connection, is_unfinished (connection), false);
             }
           break;
         case PHASE_RESPONDING:
@@ -756,6 +801,19 @@
   return server->request_count;
 }
 
+/* Returns true when no request is without a complete response, and no byte of
+   a response waits for its caller.  */
+bool
+nsv_is_idle (const struct nsv_server *server)
+{
+  bool idle = server->request_count == 0;
+  for (guint i = 0; idle && i < server->connections->len; i++)
+    {
+      idle = !is_unfinished (g_ptr_array_index (server->connections, i));
+    }
+  return idle;
+}
+
 /* Sets the context of `disconnected' and `drained' for the current request. */
 void
 nsv_set_request_context (struct nsv_connection *connection,
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -52,6 +52,7 @@
 uint32_t nsv_connection_count (const struct nsv_server *server);
 uint32_t nsv_lack_count (const struct nsv_server *server);
 uint32_t nsv_request_count (const struct nsv_server *server);
+bool nsv_is_idle (const struct nsv_server *server);
 
 void nsv_set_request_context (struct nsv_connection *connection,
                               void *request_context);
--- a/test/net_test.c
+++ b/test/net_test.c
@@ -656,6 +656,21 @@
   return END_NONE;
 }
 
+/* Sends chunks of a response, without its end, until its caller is slow.
+   Returns the number of bytes.  */
+static size_t
+fill_connection (struct fixture *fixture)
+{
+  size_t bytes = 0;
+  g_autofree char *chunk = g_strnfill (CHUNK_BYTES, 'x');
+  while (!nsv_is_slow (fixture->connection))
+    {
+      nsv_send_body (fixture->connection, chunk, CHUNK_BYTES);
+      bytes += CHUNK_BYTES;
+    }
+  return bytes;
+}
+
 static void
 end_server (struct fixture *fixture, int caller)
 {
@@ -664,6 +679,15 @@
   restart_server (fixture);
 }
 
+static void
+end_server_with_queue (struct fixture *fixture, int caller)
+{
+  (void)caller;
+  fill_connection (fixture);
+  nsv_end_response (fixture->connection);
+  restart_server (fixture);
+}
+
 /* Guards against a part of an answer that looks whole: the end of its
    connection completes an answer without a length, so that of an unfinished
    one must be a reset.  */
@@ -676,6 +700,7 @@
     void (*disturb) (struct fixture *fixture, int caller);
   } cases[] = {
     { "the server ends", end_server },
+    { "the server ends with bytes in its queue", end_server_with_queue },
   };
   struct fixture *fixture = *state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -692,12 +717,60 @@
     }
 }
 
+/* Guards against a complete answer of which a slow caller got a part: its
+   connection was closed a second after the answer, whatever was still queued.
+ */
+static void
+queued_response_is_delivered (void **state)
+{
+  struct fixture *fixture = *state;
+  size_t bytes = 0;
+  int caller = begin_open_response (fixture);
+  size_t sent = fill_connection (fixture);
+  nsv_end_response (fixture->connection);
+  assert_int_equal (nsv_request_count (fixture->server), 0);
+  assert_false (nsv_is_idle (fixture->server));
+  int64_t end_us = clk_monotonic_us () + 3 * CLK_S_US / 2;
+  while (clk_monotonic_us () < end_us)
+    {
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+      nsv_expire (fixture->server, clk_monotonic_us ());
+      usleep (10000);
+    }
+  assert_int_equal (await_ending (fixture, caller, &bytes), END_CLOSE);
+  assert_true (bytes > sent);
+  assert_true (nsv_is_idle (fixture->server));
+  close (caller);
+}
+
+/* Guards against callers that hold a queued answer for ever: one that reads
+   nothing for the idle time-out is closed.  */
+static void
+unread_response_expires (void **state)
+{
+  struct fixture *fixture = *state;
+  int caller = begin_open_response (fixture);
+  fill_connection (fixture);
+  nsv_end_response (fixture->connection);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+      nsv_expire (fixture->server, clk_monotonic_us () + i * TIMEOUT_US);
+    }
+  assert_int_equal (nsv_connection_count (fixture->server), 0);
+  close (caller);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (unfinished_response_is_reset,
                                      create_fixture, destroy_fixture),
+    cmocka_unit_test_setup_teardown (queued_response_is_delivered,
+                                     create_fixture, destroy_fixture),
+    cmocka_unit_test_setup_teardown (unread_response_expires, create_fixture,
+                                     destroy_fixture),
     cmocka_unit_test_setup_teardown (pause_ends_with_its_exchange,
                                      create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (slow_caller_drains, create_fixture,
