Reset the answer of a caller that ends its side of the connection

What callers saw: one that shuts its connection down for writing while it reads an answer without a length got a part of it and an orderly end.

Cause: the end of the caller's side counts as its leaving, and the connection was closed in order. Found on reading against the other ways in which a connection closes.

Change: it is reset while an answer is unfinished.

Result: net_test, unfinished_response_is_reset: "the caller ends its side: ending 1" before, passes now.

--- a/src/net/server.c
+++ b/src/net/server.c
@@ -464,7 +464,7 @@
     }
   if (count < 0)
     {
-      close_connection (connection, false, true);
+      close_connection (connection, is_unfinished (connection), true);
       return;
     }
   parse (connection, buffer->base, (size_t)count);
--- a/test/net_test.c
+++ b/test/net_test.c
@@ -688,6 +688,13 @@
   restart_server (fixture);
 }
 
+static void
+end_sending (struct fixture *fixture, int caller)
+{
+  nsv_send_body (fixture->connection, "body", 4);
+  shutdown (caller, SHUT_WR);
+}
+
 /* Guards against a part of an answer that looks whole: the end of its
    connection completes an answer without a length, so that of an unfinished
    one must be a reset.  */
@@ -701,6 +708,7 @@
   } cases[] = {
     { "the server ends", end_server },
     { "the server ends with bytes in its queue", end_server_with_queue },
+    { "the caller ends its side", end_sending },
   };
   struct fixture *fixture = *state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
