Reset an unfinished answer without a length when its daemon is killed

Cause: the kernel closes the connections of a killed process in order, and an orderly end completes an answer without a length.

Ruled out: chunks or a length of the daemon's own for such answers.

Change: while such an answer is unfinished, SO_LINGER with a time of 0 makes the end of the caller's connection a reset, whoever closes it. It is taken back when the last byte is in the socket.

--- a/src/net/server.c
+++ b/src/net/server.c
@@ -6,6 +6,7 @@
 #include "net/address.h"
 #include "net/stream.h"
 
+#include <errno.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -52,6 +53,7 @@
   bool received; /* the current request, completely */
   bool in_body;  /* the headers of the current request have been received */
   bool closing;
+  bool resets_at_end;     /* see set_reset_at_end */
   size_t lingering_bytes; /* unsent when the last byte was seen to be read */
   bool slow;              /* more than `unsent_bytes_max' bytes are queued */
   bool parsing;           /* parse is on the call stack */
@@ -122,16 +124,31 @@
          || unsent_bytes (connection) > 0;
 }
 
-/* Makes closing CONNECTION reset it.  uv_tcp_close_reset refuses to after
-   uv_shutdown.  */
+/* Sets whether the end of CONNECTION resets it, also when the kernel closes it
+   since this process was killed.  */
 static void
-set_reset (const struct nsv_connection *connection)
+set_reset_at_end (struct nsv_connection *connection, bool resets)
 {
-  static const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+  const struct linger linger = { .l_onoff = resets, .l_linger = 0 };
   uv_os_fd_t descriptor;
-  if (uv_fileno ((const uv_handle_t *)&connection->tcp, &descriptor) == 0)
+  connection->resets_at_end = resets;
+  if (uv_fileno ((const uv_handle_t *)&connection->tcp, &descriptor) == 0
+      && setsockopt (descriptor, SOL_SOCKET, SO_LINGER, &linger, sizeof linger)
+             != 0)
     {
-      setsockopt (descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+      lg_line (LOG_WARNING, "caller_linger_failed", "resets=%d reason=\"%s\"",
+               resets, g_strerror (errno));
+    }
+}
+
+/* Lets CONNECTION, which lingers, end in order once all bytes of its response
+   are in the socket, from where the kernel sends them in any case.  */
+static void
+allow_orderly_end (struct nsv_connection *connection)
+{
+  if (connection->resets_at_end && unsent_bytes (connection) == 0)
+    {
+      set_reset_at_end (connection, false);
     }
 }
 
@@ -152,9 +169,10 @@
     }
   void *request_context = connection->request_context;
   connection->request_context = NULL;
-  if (reset)
+  if (reset != connection->resets_at_end)
     {
-      set_reset (connection);
+      /* uv_tcp_close_reset refuses to after uv_shutdown. */
+      set_reset_at_end (connection, reset);
     }
   uv_close ((uv_handle_t *)&connection->tcp, on_closed);
   if (notify && request_context != NULL)
@@ -286,6 +304,10 @@
       close_connection (connection, true, true);
       return;
     }
+  if (connection->phase == PHASE_LINGERING)
+    {
+      allow_orderly_end (connection);
+    }
   if (connection->slow && unsent_bytes (connection) == 0)
     {
       connection->slow = false;
@@ -353,6 +375,7 @@
 {
   enter_phase (connection, PHASE_LINGERING);
   connection->lingering_bytes = unsent_bytes (connection);
+  allow_orderly_end (connection);
   uv_shutdown (&connection->shutdown, (uv_stream_t *)&connection->tcp, NULL);
 }
 
@@ -858,18 +881,23 @@
 }
 
 /* Begins a response whose body is sent with nsv_send_body.  Unless CHUNKED,
-   only the end of the connection ends the body, so that the caller can't tell
-   whether the response is complete.  */
+   the end of the connection ends the body.  The connection is then reset if
+   the response isn't complete, even if this process is killed.  */
 void
 nsv_begin_response (struct nsv_connection *connection, uint32_t status,
                     const char *headers, bool chunked)
 {
   GString *head = g_string_sized_new (512);
   connection->chunked = chunked;
-  connection->keep_alive &= chunked;
+  connection->keep_alive &= connection->chunked;
+  if (!connection->chunked)
+    {
+      set_reset_at_end (connection, true);
+    }
   append_head (connection, head, status, headers);
-  g_string_append (head,
-                   chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+  g_string_append (head, connection->chunked
+                             ? "Transfer-Encoding: chunked\r\n\r\n"
+                             : "\r\n");
   uv_buf_t buffer = uv_buf_init (head->str, (unsigned)head->len);
   write_bytes (connection, &buffer, 1);
   g_string_free (head, TRUE);
--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -427,17 +427,25 @@
   assert_int_equal (WEXITSTATUS (status), 0);
 }
 
-/* Sends a stream that may have OUTPUT_TOKENS tokens.  */
+/* Sends a stream that may have OUTPUT_TOKENS tokens, in VERSION of HTTP.  */
 void
-efx_start_stream (struct efx_fixture *fixture, struct efx_call *call,
-                  uint32_t output_tokens)
+efx_start_stream_as (struct efx_fixture *fixture, struct efx_call *call,
+                     uint32_t output_tokens, const char *version)
 {
   g_autofree char *request = g_strdup_printf (
-      "POST /draft/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST
+      "POST /draft/a %s\r\nHost: " EFX_FLEET_HOST
       "\r\nX-Api-Key: key-1\r\nX-Own: 1\r\n" PFH_REQUEST_ID
       ": late-%u\r\n" PFH_TIME_LEFT_MS ": 9000\r\n" PFH_TOKENS
       ": 40,%u\r\nContent-Length: 0\r\n\r\n",
-      fixture->next_id++, output_tokens);
+      version, fixture->next_id++, output_tokens);
   efx_start_call (fixture, call, sep_caller_address (fixture->daemon), request,
                   strlen (request));
 }
+
+/* Sends a stream that may have OUTPUT_TOKENS tokens.  */
+void
+efx_start_stream (struct efx_fixture *fixture, struct efx_call *call,
+                  uint32_t output_tokens)
+{
+  efx_start_stream_as (fixture, call, output_tokens, "HTTP/1.1");
+}
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -92,5 +92,7 @@
 void efx_await_exit (struct efx_fixture *fixture);
 void efx_start_stream (struct efx_fixture *fixture, struct efx_call *call,
                        uint32_t output_tokens);
+void efx_start_stream_as (struct efx_fixture *fixture, struct efx_call *call,
+                          uint32_t output_tokens, const char *version);
 
 #endif
--- a/test/entry_unframed_test.c
+++ b/test/entry_unframed_test.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -114,10 +115,64 @@
   sfl_set_fault (fixture->fleet, true, SFL_NO_FAULT, 0);
 }
 
+/* Waits until CALL has had the head of its answer and a part of the body.  */
+static void
+await_begun (struct efx_fixture *fixture, const struct efx_call *call)
+{
+  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
+  while (call->body->len == 0 && clk_monotonic_us () < end_us)
+    {
+      efx_run_for (fixture, EFX_EVENT_MS * CLK_MS_US);
+    }
+  assert_true (call->body->len > 0);
+}
+
+/* Guards against a part of a stream that looks complete since its daemon was
+   killed: the kernel closes the connections of a process in order, and an
+   orderly end completes an answer without a length.  */
+static void
+test_daemon_is_killed (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *version; /* of HTTP that the caller speaks */
+    enum sfl_fault fault;
+  } cases[] = {
+    { "the engine's answer has chunks", "HTTP/1.1", SFL_NO_FAULT },
+    { "the engine's answer has no length", "HTTP/1.1", SFL_WITHOUT_LENGTH },
+  };
+  struct efx_fixture *fixture = *state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct efx_call call;
+      int status = 0;
+      sfl_set_fault (fixture->fleet, true, cases[i].fault, 1);
+      efx_start_stream_as (fixture, &call, SFL_STREAM_EVENTS,
+                           cases[i].version);
+      await_begun (fixture, &call);
+      sep_signal (fixture->daemon, SIGKILL);
+      efx_await_call (fixture, &call);
+      if (call.status != 200 || call.complete)
+        {
+          fail_msg ("%s: status %u, complete %d, %zu bytes", cases[i].name,
+                    call.status, call.complete, call.body->len);
+        }
+      efx_clear_call (&call);
+      while (!sep_has_ended (fixture->daemon, &status))
+        {
+          efx_run_for (fixture, 20 * CLK_MS_US);
+        }
+      sep_start (fixture->daemon);
+      efx_await_ready (fixture);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_daemon_is_killed),
     cmocka_unit_test (test_stream_ends_within_event),
     cmocka_unit_test (test_bytes_without_end),
   };
