Don't send chunks to callers of HTTP/1.0

What callers saw: one that speaks HTTP/1.0 got its stream in chunks, which that version doesn't have.

Cause: the server didn't look at the version of the request.

Change: such a caller's stream has no length and is reset if it breaks off.

Result: entry_unframed_test, test_caller_without_chunks, failed before (ends_with_connection); passes now, as does the killed daemon's third case.

--- a/src/net/server.c
+++ b/src/net/server.c
@@ -48,10 +48,11 @@
   uint32_t error_status; /* response if a limit stops the parser; 0: none */
   void *request_context;
   bool keep_alive;
-  bool used;     /* a request has begun to arrive */
-  bool chunked;  /* the current response */
-  bool received; /* the current request, completely */
-  bool in_body;  /* the headers of the current request have been received */
+  bool used;         /* a request has begun to arrive */
+  bool knows_chunks; /* the caller of the current request, by its version */
+  bool chunked;      /* the current response */
+  bool received;     /* the current request, completely */
+  bool in_body; /* the headers of the current request have been received */
   bool closing;
   bool resets_at_end;     /* see set_reset_at_end */
   size_t lingering_bytes; /* unsent when the last byte was seen to be read */
@@ -420,6 +421,8 @@
   struct nsv_server *server = connection->server;
   connection->keep_alive
       = !server->stopping && http_should_keep_alive (&connection->parser);
+  connection->knows_chunks = connection->parser.http_major == 1
+                             && connection->parser.http_minor >= 1;
   enter_phase (connection, PHASE_RESPONDING);
   server->request_count++;
   server->events->request (server->context, connection, &connection->request,
@@ -881,14 +884,15 @@
 }
 
 /* Begins a response whose body is sent with nsv_send_body.  Unless CHUNKED,
-   the end of the connection ends the body.  The connection is then reset if
-   the response isn't complete, even if this process is killed.  */
+   and to callers of HTTP/1.0, which know no chunks, the end of the connection
+   ends the body.  The connection is then reset if the response isn't complete,
+   even if this process is killed.  */
 void
 nsv_begin_response (struct nsv_connection *connection, uint32_t status,
                     const char *headers, bool chunked)
 {
   GString *head = g_string_sized_new (512);
-  connection->chunked = chunked;
+  connection->chunked = chunked && connection->knows_chunks;
   connection->keep_alive &= connection->chunked;
   if (!connection->chunked)
     {
--- a/test/entry_unframed_test.c
+++ b/test/entry_unframed_test.c
@@ -141,6 +141,7 @@
   } cases[] = {
     { "the engine's answer has chunks", "HTTP/1.1", SFL_NO_FAULT },
     { "the engine's answer has no length", "HTTP/1.1", SFL_WITHOUT_LENGTH },
+    { "the caller knows no chunks", "HTTP/1.0", SFL_NO_FAULT },
   };
   struct efx_fixture *fixture = *state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -168,10 +169,29 @@
     }
 }
 
+/* Guards against chunks for a caller that speaks HTTP/1.0 and knows none: the
+   end of its connection ends the stream.  */
+static void
+test_caller_without_chunks (void **state)
+{
+  struct efx_fixture *fixture = *state;
+  struct efx_call call;
+  g_autofree char *id = g_strdup_printf ("late-%u", fixture->next_id);
+  GString *expected = efx_expected_stream (id);
+  efx_start_stream_as (fixture, &call, SFL_STREAM_EVENTS, "HTTP/1.0");
+  efx_await_call (fixture, &call);
+  assert_true (call.complete);
+  assert_true (call.ends_with_connection);
+  assert_string_equal (call.body->str, expected->str);
+  g_string_free (expected, TRUE);
+  efx_clear_call (&call);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_caller_without_chunks),
     cmocka_unit_test (test_daemon_is_killed),
     cmocka_unit_test (test_stream_ends_within_event),
     cmocka_unit_test (test_bytes_without_end),
