--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -192,6 +192,7 @@
       g_free (endpoint->headers);
       g_free (endpoint->retry_after);
       g_free (endpoint->order_retry_after);
+      g_free (endpoint->refused_id);
       g_free (endpoint);
     }
   g_ptr_array_free (fleet->endpoints, TRUE);
@@ -349,6 +350,15 @@
   endpoint->turned_away = requests;
 }
 
+/* Makes the endpoint INDEX write each refusal of sfl_turn_away a second time,
+   where the answer to the next request on its connection is expected.  It runs
+   that request.  */
+void
+sfl_repeat_refusals (struct sfl_fleet *fleet, uint32_t index)
+{
+  endpoint_at (fleet, index)->repeats_refusals = true;
+}
+
 /* Makes the engine INDEX answer its next ORDERS orders with status 503 and
    with RETRY_AFTER in the header of that name, unless it is NULL.  */
 void
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -126,6 +126,7 @@
                          const char *per_s);
 void sfl_turn_away (struct sfl_fleet *fleet, uint32_t endpoint,
                     const char *retry_after, uint32_t requests);
+void sfl_repeat_refusals (struct sfl_fleet *fleet, uint32_t endpoint);
 void sfl_turn_orders_away (struct sfl_fleet *fleet, uint32_t endpoint,
                            const char *retry_after, uint32_t orders);
 void sfl_set_fault (struct sfl_fleet *fleet, bool engines,
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -590,9 +590,23 @@
     {
       params->observer->arrived (params->context, endpoint->index, id);
     }
+  if (connection == endpoint->refused_on)
+    {
+      endpoint->refused_on = NULL;
+      count_run (endpoint, id);
+      refuse (endpoint, connection, endpoint->refused_id, endpoint->address,
+              endpoint->retry_after);
+      return;
+    }
   if (endpoint->turned_away > 0)
     {
       endpoint->turned_away--;
+      if (endpoint->repeats_refusals)
+        {
+          endpoint->refused_on = connection;
+          g_free (endpoint->refused_id);
+          endpoint->refused_id = g_strdup (id);
+        }
       refuse (endpoint, connection, id, endpoint->address,
               endpoint->retry_after);
       return;
--- a/test/entry_refused_test.c
+++ b/test/entry_refused_test.c
@@ -31,10 +31,37 @@
   assert_int_equal (efx_send_booking (fixture, "key-1"), 200);
 }
 
+/* Guards against a request that runs twice: a second copy of the refusal of
+   its first attempt, which has its id, was taken for the answer to the next
+   attempt on the same connection.  */
+static void
+test_refusal_comes_again (void **state)
+{
+  struct efx_fixture *fixture = *state;
+  struct efx_call call;
+  g_autofree char *id = g_strdup_printf ("late-%u", fixture->next_id);
+  GString *expected = efx_expected_stream (id);
+  for (uint32_t i = 0; i < EFX_ENGINES; i++)
+    {
+      sfl_turn_away (fixture->fleet, i, "0.1", 1);
+      sfl_repeat_refusals (fixture->fleet, i);
+    }
+  efx_start_stream (fixture, &call, SFL_STREAM_EVENTS);
+  efx_await_call (fixture, &call);
+  uint32_t runs = sfl_run_count (fixture->fleet, id);
+  print_message ("status %u, %u runs\n", call.status, runs);
+  assert_int_equal (runs, 1);
+  assert_int_equal (call.status, 200);
+  assert_string_equal (call.body->str, expected->str);
+  g_string_free (expected, TRUE);
+  efx_clear_call (&call);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_refusal_comes_again),
     cmocka_unit_test (test_bookings_that_ran),
   };
   return cmocka_run_group_tests (tests, efx_set_up, efx_tear_down);
