Don't pass an error's text on in the middle of a stream

Cause: the scanner orders events by their ids, and passed one without an id on wherever it came. Any text that ends with an empty line is such an event.

Change: after an event with an id, one without is out of order, unless it is a comment.

--- a/src/net/event_scan.c
+++ b/src/net/event_scan.c
@@ -74,11 +74,28 @@
   return -1;
 }
 
+/* Returns true if all lines of the event BYTES are comments, which keep a
+   connection alive.  */
+static bool
+is_comment (const uint8_t *bytes, size_t count)
+{
+  bool comment = true;
+  size_t line = 0;
+  while (comment && line < count)
+    {
+      const uint8_t *end = memchr (bytes + line, '\n', count - line);
+      comment = strchr (":\r\n", bytes[line]) != NULL;
+      line = end == NULL ? count : (size_t)(end - bytes) + 1;
+    }
+  return comment;
+}
+
 /* Adds COUNT bytes to the stream and appends the events that are now complete
    to COMPLETE.  Discards events whose id is not above the last one, which a
    resumed stream may repeat.  An id that skips a number sets `out_of_order',
-   after which no more events are passed on.  Returns the number of events
-   appended.  */
+   and so does an event without one after one that has an id: it may be the
+   text of an error.  No more events are passed on then.  Returns the number of
+   events appended.  */
 uint32_t
 evs_feed (struct evs_scanner *scanner, const void *bytes, size_t count,
           GByteArray *complete)
@@ -96,8 +113,9 @@
         }
       int64_t id = event_id (start, length);
       bool repeated = id >= 0 && id <= scanner->last_id;
-      scanner->out_of_order = id >= 0 && !repeated && scanner->last_id >= 0
-                              && id != scanner->last_id + 1;
+      bool follows
+          = id < 0 ? is_comment (start, length) : id == scanner->last_id + 1;
+      scanner->out_of_order = !repeated && !follows && scanner->last_id >= 0;
       if (!repeated && !scanner->out_of_order)
         {
           g_byte_array_append (complete, start, (guint)length);
--- a/src/net/event_scan.h
+++ b/src/net/event_scan.h
@@ -12,7 +12,7 @@
 {
   GByteArray *pending; /* bytes after the last complete event */
   int64_t last_id;     /* of the last event passed on; -1: none */
-  bool out_of_order;   /* an id skipped at least one number */
+  bool out_of_order;   /* an id skipped a number, or an event lacks one */
 };
 
 void evs_init (struct evs_scanner *scanner);
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -39,6 +39,8 @@
                        third event */
   SFL_ENDLESS_HEAD, /* sends a head without end, until the caller closes */
   SFL_ENDLESS_BODY, /* the same of a body; streams: of an event */
+  SFL_ERROR_TEXT,   /* streams: the head and text of an error as the body */
+  SFL_NO_EVENTS,    /* streams: a complete body without an event */
   SFL_STALLS        /* engines: stalls, then closes; the engine's report
                        names the killed engines that its work waits for */
 };
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -162,6 +162,18 @@
                               && answer->fault != SFL_ENDS_MIDWAY);
       answer->headers_sent = true;
     }
+  if (answer->fault == SFL_ERROR_TEXT || answer->fault == SFL_NO_EVENTS)
+    {
+      static const char text[]
+          = "HTTP/1.1 500 Internal Server Error\r\n\r\nfailed\n\n";
+      if (answer->fault == SFL_ERROR_TEXT)
+        {
+          nsv_send_body (answer->connection, text, sizeof text - 1);
+        }
+      nsv_set_request_context (answer->connection, NULL);
+      nsv_end_response (answer->connection);
+      return false;
+    }
   answer->last_event_id++;
   int length
       = g_snprintf (event, sizeof event, "id: %u\ndata: %s-%u\n\n",
--- a/test/entry_unframed_test.c
+++ b/test/entry_unframed_test.c
@@ -169,6 +169,69 @@
     }
 }
 
+/* Waits until a stream is served, after those that failed: engines rest for a
+   time then.  */
+static void
+await_served (struct efx_fixture *fixture)
+{
+  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
+  bool served = false;
+  while (!served && clk_monotonic_us () < end_us)
+    {
+      struct efx_call call;
+      efx_start_stream (fixture, &call, SFL_STREAM_EVENTS);
+      efx_await_call (fixture, &call);
+      served = call.status == 200 && call.complete;
+      efx_clear_call (&call);
+      efx_run_for (fixture, 100 * CLK_MS_US);
+    }
+  assert_true (served);
+}
+
+/* Guards against an error in the middle of a stream, and against one that
+   looks complete: an engine breaks a stream off, and the answer of the next is
+   no continuation.  */
+static void
+test_next_engine_fails (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    enum sfl_fault fault; /* of the next engine */
+  } cases[] = {
+    { "a refusal", SFL_REFUSES },
+    { "the text of an error", SFL_ERROR_TEXT },
+    { "no end", SFL_ENDLESS_BODY },
+    { "another break", SFL_CLOSES_MIDWAY },
+    { "an answer to another request", SFL_WRONG_REQUEST_ID },
+  };
+  struct efx_fixture *fixture = *state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct efx_call call;
+      g_autofree char *id = g_strdup_printf ("late-%u", fixture->next_id);
+      GString *expected = efx_expected_stream (id);
+      sfl_set_fault (fixture->fleet, true, SFL_CLOSES_MIDWAY, 1);
+      efx_start_stream (fixture, &call, SFL_STREAM_EVENTS);
+      await_begun (fixture, &call);
+      sfl_set_fault (fixture->fleet, true, cases[i].fault, 1);
+      efx_await_call (fixture, &call);
+      bool whole = g_string_equal (call.body, expected);
+      bool is_part = g_str_has_prefix (expected->str, call.body->str);
+      print_message ("%s: %zu of %zu bytes, complete %d\n", cases[i].name,
+                     call.body->len, expected->len, call.complete);
+      if (!is_part || call.complete != whole)
+        {
+          fail_msg ("%s: complete %d: %s", cases[i].name, call.complete,
+                    call.body->str);
+        }
+      g_string_free (expected, TRUE);
+      efx_clear_call (&call);
+      sfl_set_fault (fixture->fleet, true, SFL_NO_FAULT, 0);
+      await_served (fixture);
+    }
+}
+
 /* Guards against chunks for a caller that speaks HTTP/1.0 and knows none: the
    end of its connection ends the stream.  */
 static void
@@ -192,6 +255,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_caller_without_chunks),
+    cmocka_unit_test (test_next_engine_fails),
     cmocka_unit_test (test_daemon_is_killed),
     cmocka_unit_test (test_stream_ends_within_event),
     cmocka_unit_test (test_bytes_without_end),
