Don't take a run without an event for the end of a stream

Cause: a run that ended within no event ended the stream, also if it had no event.

Change: a run ends a stream only if it has written an event, be it a repeated one. Each reason why an end is early has its own words in the log.

--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -423,18 +423,39 @@
     }
 }
 
-/* Handles the end of a stream, which counts as complete only if it doesn't end
-   within an event and the connection's end isn't its only sign.  */
+/* Returns why the stream of EXCHANGE, whose answer has ended, isn't complete,
+   or NULL if it is.  A run without an event shows nothing of how the stream
+   ends.  */
+static const char *
+find_early_end (const struct exchange *exchange)
+{
+  const struct evs_scanner *scanner = &exchange->scanner;
+  if (scanner->out_of_order)
+    {
+      return "the events were out of order";
+    }
+  if (scanner->pending->len > 0)
+    {
+      return "the stream ended within an event";
+    }
+  if (exchange->first_written_us == 0 && scanner->repeated == 0)
+    {
+      return "the stream ended without an event";
+    }
+  return exchange->ends_with_connection && exchange->answer_chunked
+             ? "the stream ended with its connection"
+             : NULL;
+}
+
+/* Handles the end of a stream's answer.  */
 static void
 end_stream (struct exchange *exchange)
 {
-  if (exchange->scanner.pending->len > 0 || exchange->scanner.out_of_order
-      || !exchange->answer_begun
-      || (exchange->ends_with_connection && exchange->answer_chunked))
+  const char *why = find_early_end (exchange);
+  if (why != NULL)
     {
       report_early_end (exchange);
-      exg_report_failure (exchange, EVD_INCONCLUSIVE,
-                          "the stream ended within an event");
+      exg_report_failure (exchange, EVD_INCONCLUSIVE, why);
       exg_end_attempt (exchange, ATT_INVALID_ANSWER);
       return;
     }
--- a/src/net/event_scan.c
+++ b/src/net/event_scan.c
@@ -26,6 +26,7 @@
 evs_restart (struct evs_scanner *scanner)
 {
   g_byte_array_set_size (scanner->pending, 0);
+  scanner->repeated = 0;
 }
 
 /* Returns the number of bytes of the first complete event in BYTES, including
@@ -113,6 +114,7 @@
         }
       int64_t id = event_id (start, length);
       bool repeated = id >= 0 && id <= scanner->last_id;
+      scanner->repeated += repeated;
       bool follows
           = id < 0 ? is_comment (start, length) : id == scanner->last_id + 1;
       scanner->out_of_order = !repeated && !follows && scanner->last_id >= 0;
--- a/src/net/event_scan.h
+++ b/src/net/event_scan.h
@@ -12,6 +12,7 @@
 {
   GByteArray *pending; /* bytes after the last complete event */
   int64_t last_id;     /* of the last event passed on; -1: none */
+  uint32_t repeated;   /* events discarded since evs_restart */
   bool out_of_order;   /* an id skipped a number, or an event lacks one */
 };
 
--- a/test/entry_unframed_test.c
+++ b/test/entry_unframed_test.c
@@ -201,6 +201,7 @@
   } cases[] = {
     { "a refusal", SFL_REFUSES },
     { "the text of an error", SFL_ERROR_TEXT },
+    { "no events", SFL_NO_EVENTS },
     { "no end", SFL_ENDLESS_BODY },
     { "another break", SFL_CLOSES_MIDWAY },
     { "an answer to another request", SFL_WRONG_REQUEST_ID },
