Answer what is unfinished at the end of a stop

Cause: the daemon closed its connections whatever was under way. The admission of late requests is an estimate, and endpoints hang.

Change: each request that is left gets its final answer before the process ends: 503 if it wasn't sent, 502 if it may have run, a reset if its answer has begun. The function that stopped quarantined requests serves both.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -38,7 +38,8 @@
 };
 
 /* Ends the main loop when no request is in progress any more, or when the
-   grace period is nearly over.  */
+   grace period is nearly over; those that are left get their final answers.
+ */
 static void
 on_stop_check (uv_timer_t *timer)
 {
@@ -48,6 +49,7 @@
   if (expired || (elapsed_us >= STOP_MIN_US && trf_is_idle (entry->traffic)))
     {
       trf_log_in_progress (entry->traffic);
+      trf_end_requests (entry->traffic);
       uv_stop (entry->loop);
     }
 }
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -852,13 +852,12 @@
   give_up (exchange, exchange->end_before_wait);
 }
 
-/* Ends EXCHANGE, which has a trait that was quarantined since its current
-   attempt began.  */
+/* Ends EXCHANGE before its time, with a final answer unless a part of one was
+   sent.  EVENT names the reason in the log.  */
 static void
-stop_quarantined (struct exchange *exchange)
+stop_exchange (struct exchange *exchange, const char *event)
 {
   enum att_end end = ATT_NOT_SENT;
-  cnt_add (exchange->traffic->metrics->quarantine_refused, 1);
   if (exchange->waits_for_room)
     {
       exg_give_up_wait (exchange);
@@ -872,11 +871,30 @@
     }
   ncl_cancel (exchange->attempt);
   exchange->attempt = NULL;
-  lg_line (LOG_INFO, "attempt_quarantined", "request=%s endpoint=%s",
-           exchange->id, exchange->endpoint->id);
+  lg_line (LOG_INFO, event, "request=%s endpoint=%s", exchange->id,
+           exchange->endpoint->id);
   give_up (exchange, end);
 }
 
+/* Ends all exchanges, as the process ends: their callers are told at once
+   whether the requests may have run.  */
+void
+exg_stop_all (struct trf_traffic *traffic)
+{
+  g_autoptr (GPtrArray) found = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+  g_hash_table_iter_init (&iter, traffic->exchanges);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      g_ptr_array_add (found, key);
+    }
+  for (guint i = 0; i < found->len; i++)
+    {
+      stop_exchange (g_ptr_array_index (found, i), "attempt_stopped");
+    }
+}
+
 /* Ends the exchanges with a quarantined trait, unless an endpoint has written
    on them: the endpoints that they wait for would crash.  */
 void
@@ -902,7 +920,8 @@
     }
   for (guint i = 0; i < found->len; i++)
     {
-      stop_quarantined (g_ptr_array_index (found, i));
+      cnt_add (traffic->metrics->quarantine_refused, 1);
+      stop_exchange (g_ptr_array_index (found, i), "attempt_quarantined");
     }
 }
 
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -12,6 +12,7 @@
 void exg_withdraw_unsent (struct trf_traffic *traffic,
                           const struct fst_endpoint *endpoint);
 void exg_stop_quarantined (struct trf_traffic *traffic);
+void exg_stop_all (struct trf_traffic *traffic);
 void exg_caller_disconnected (void *exchange);
 void exg_caller_drained (void *exchange);
 
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -337,6 +337,13 @@
   log_readiness (traffic);
 }
 
+/* Ends the requests in progress, at the end of the stop.  */
+void
+trf_end_requests (struct trf_traffic *traffic)
+{
+  exg_stop_all (traffic);
+}
+
 /* True when no request is in progress, and no caller still reads an answer.
  */
 bool
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -55,6 +55,7 @@
 void trf_notify (void *traffic);
 int64_t trf_refresh (struct trf_traffic *traffic);
 void trf_stop (struct trf_traffic *traffic);
+void trf_end_requests (struct trf_traffic *traffic);
 bool trf_is_idle (const struct trf_traffic *traffic);
 void trf_log_in_progress (const struct trf_traffic *traffic);
 
--- a/test/entry_stop_test.c
+++ b/test/entry_stop_test.c
@@ -216,6 +216,35 @@
   assert_true (g_str_has_prefix (answer, "HTTP/1.1 404"));
 }
 
+/* Guards against connections that are closed without an answer at the end of a
+   stop: a request that isn't finished by then gets its final answer, which
+   doesn't promise that it hasn't run.  */
+static void
+test_stop_answers_unfinished (void **state)
+{
+  struct efx_fixture *fixture = *state;
+  struct efx_call call;
+  sep_start (fixture->daemon);
+  efx_await_ready (fixture);
+  sfl_set_call_ms (fixture->fleet, 9000);
+  g_autofree char *request = g_strdup_printf (
+      "POST /sum/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST
+      "\r\nX-Api-Key: key-1\r\nX-Own: 1\r\n" PFH_REQUEST_ID
+      ": call-%u\r\n" PFH_TIME_LEFT_MS ": 9500\r\nContent-Length: 0\r\n\r\n",
+      fixture->next_id++);
+  efx_start_call (fixture, &call, sep_caller_address (fixture->daemon),
+                  request, strlen (request));
+  efx_run_for (fixture, 200 * CLK_MS_US);
+  sep_signal (fixture->daemon, SIGTERM);
+  efx_await_exit (fixture);
+  efx_await_call (fixture, &call);
+  sfl_set_call_ms (fixture->fleet, SFL_CALL_MS);
+  print_message ("status %u, complete %d\n", call.status, call.complete);
+  assert_int_equal (call.status, 502);
+  assert_true (call.complete);
+  efx_clear_call (&call);
+}
+
 /* Guards against sending calls on and on to an endpoint that hangs: a call
    that timed out or whose caller left said nothing about its endpoint, which
    looked idle.  */
@@ -270,6 +299,7 @@
     cmocka_unit_test (test_stop_soon_after_start),
     cmocka_unit_test (test_stop_unseen_route),
     cmocka_unit_test (test_stop_answers_new_connection),
+    cmocka_unit_test (test_stop_answers_unfinished),
     cmocka_unit_test (test_silent_endpoint),
   };
   return cmocka_run_group_tests (tests, efx_set_up, efx_tear_down);
