Bound the answers to orders, reports and health checks

Answers to requests were bounded here; an answer to a daemon's own call was kept up to 8 MiB, the limit meant for the store's pages, from each endpoint.

--- a/src/entry/inquiry.c
+++ b/src/entry/inquiry.c
@@ -130,6 +130,7 @@
     .method = "GET",
     .path = PFR_REPORT_PATH,
     .timeout_ms = REPORT_TIMEOUT_MS,
+    .answer_bytes_max = PFR_ANSWER_BYTES_MAX,
     .headers = on_report_head,
     .done = on_report,
     .context = inquiry,
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -210,6 +210,7 @@
     .header_lines = expected,
     .body = body,
     .timeout_ms = ORDER_TIMEOUT_MS,
+    .answer_bytes_max = PFR_ANSWER_BYTES_MAX,
     .headers = on_answer_head,
     .done = on_answer,
     .context = order,
--- a/src/net/call.c
+++ b/src/net/call.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-/* Limit on the body of a response. */
+/* Limit on the body of a response, unless the call has its own. */
 #define BODY_BYTES_MAX ((size_t)8 * 1024 * 1024)
 
 struct cal_call
@@ -11,6 +11,7 @@
   struct ncl_exchange *exchange;
   uint32_t status;
   GByteArray *body;
+  size_t body_bytes_max;
   cal_headers headers;
   cal_done done;
   void *context;
@@ -56,7 +57,7 @@
 on_body (void *context, const char *bytes, size_t count)
 {
   struct cal_call *call = context;
-  if (call->body->len + count > BODY_BYTES_MAX)
+  if (call->body->len + count > call->body_bytes_max)
     {
       ncl_cancel (call->exchange);
       finish (call, 0, "the response is too long");
@@ -119,6 +120,9 @@
 {
   struct cal_call *call = g_new0 (struct cal_call, 1);
   call->body = g_byte_array_new ();
+  call->body_bytes_max = params->answer_bytes_max > 0
+                             ? params->answer_bytes_max
+                             : BODY_BYTES_MAX;
   call->headers = params->headers;
   call->done = params->done;
   call->context = params->context;
--- a/src/net/call.h
+++ b/src/net/call.h
@@ -32,8 +32,9 @@
                           none */
   size_t data_bytes;
   uint64_t timeout_ms;
-  bool new_connection; /* none that was used before */
-  cal_headers headers; /* NULL: not needed */
+  size_t answer_bytes_max; /* limit on the response's body; 0: 8 MiB */
+  bool new_connection;     /* none that was used before */
+  cal_headers headers;     /* NULL: not needed */
   cal_done done;
   void *context;
 };
--- a/test/entry_unframed_test.c
+++ b/test/entry_unframed_test.c
@@ -31,6 +31,10 @@
   } cases[] = {
     { "service, head", "/sum/a", false, SFL_ENDLESS_HEAD },
     { "service, body", "/sum/a", false, SFL_ENDLESS_BODY },
+    { "service, head, not to be repeated", "/book/a", false,
+      SFL_ENDLESS_HEAD },
+    { "service, body, not to be repeated", "/book/a", false,
+      SFL_ENDLESS_BODY },
     { "engine, head", "/draft/a", true, SFL_ENDLESS_HEAD },
     { "engine, event", "/draft/a", true, SFL_ENDLESS_BODY },
   };
--- a/test/net_test.c
+++ b/test/net_test.c
@@ -1,6 +1,7 @@
 /* Tests of the HTTP server and client over loopback connections. */
 #include "base/clock.h"
 #include "base/log.h"
+#include "net/call.h"
 #include "net/client.h"
 #include "net/server.h"
 
@@ -11,6 +12,7 @@
 #include <cmocka.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
@@ -769,10 +771,70 @@
   close (caller);
 }
 
+/* What a call ended with. */
+struct call_end
+{
+  uint32_t count; /* calls of `done' */
+  uint32_t status;
+  size_t bytes;
+};
+
+static void
+on_call_done (void *context, uint32_t status, const uint8_t *body,
+              size_t body_bytes, const char *reason)
+{
+  (void)body;
+  (void)reason;
+  struct call_end *end = context;
+  end->count++;
+  end->status = status;
+  end->bytes = body_bytes;
+}
+
+/* Guards against an endpoint that answers an order, a report or a probe
+   without end, at many endpoints 8 MiB each: a call keeps no more than its own
+   limit.  */
+static void
+call_limits_its_answer (void **state)
+{
+  struct fixture *fixture = *state;
+  struct call_end end = { 0 };
+  const struct cal_params params = {
+    .client = fixture->client,
+    .loop = &fixture->loop,
+    .address = fixture->address,
+    .method = "GET",
+    .path = "/long",
+    .timeout_ms = 10000,
+    .answer_bytes_max = 3 * CHUNK_BYTES,
+    .done = on_call_done,
+    .context = &end,
+  };
+  g_autofree char *chunk = g_strnfill (CHUNK_BYTES, 'x');
+  cal_send (&params);
+  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
+  uint32_t chunks = 0;
+  while (end.count == 0 && clk_monotonic_us () < end_us)
+    {
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+      if (fixture->connection != NULL && chunks < 64
+          && !nsv_is_slow (fixture->connection))
+        {
+          nsv_send_body (fixture->connection, chunk, CHUNK_BYTES);
+          chunks++;
+        }
+    }
+  assert_int_equal (end.count, 1);
+  assert_int_equal (end.status, 0);
+  assert_true (end.bytes <= params.answer_bytes_max);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (call_limits_its_answer, create_fixture,
+                                     destroy_fixture),
     cmocka_unit_test_setup_teardown (unfinished_response_is_reset,
                                      create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (queued_response_is_delivered,
@@ -796,5 +858,6 @@
     cmocka_unit_test_setup_teardown (client_survives_lack_of_descriptors,
                                      create_fixture, destroy_fixture),
   };
+  signal (SIGPIPE, SIG_IGN);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
