Test that a killed neighbour leaves no stream that looks complete

Change: entry_cut_test, test_neighbour_is_killed: a daemon that is cut off from the engines passes a stream on, whose engine's answer has no length, and the neighbour is killed.

--- a/test/entry_cut_test.c
+++ b/test/entry_cut_test.c
@@ -206,6 +206,41 @@
   sep_destroy (daemon);
 }
 
+/* Guards against a part of a stream that looks complete since the neighbour
+   that it was passed on to was killed: the engine's answer has no length, and
+   neither has the neighbour's.  */
+static void
+test_neighbour_is_killed (void **state)
+{
+  struct efx_fixture *fixture = *state;
+  struct efx_call call;
+  fixture->proxies = g_ptr_array_new ();
+  const char *detour = NULL;
+  struct sep_process *daemon = start_daemon (fixture, &detour);
+  set_cut (fixture, UINT32_MAX, true, CUT_RESET);
+  send_drafts_for (fixture, daemon, NOTICE_US);
+  sfl_set_fault (fixture->fleet, true, SFL_WITHOUT_LENGTH, 1);
+  g_autofree char *id = start_request (fixture, &call, daemon, 0);
+  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
+  while (call.body->len == 0 && clk_monotonic_us () < end_us)
+    {
+      efx_run_for (fixture, EFX_EVENT_MS * CLK_MS_US);
+    }
+  sep_signal (fixture->daemon, SIGKILL);
+  efx_await_call (fixture, &call);
+  GString *expected = efx_expected_stream (id);
+  print_message ("%zu of %zu bytes, complete %d\n", call.body->len,
+                 expected->len, call.complete);
+  assert_int_equal (call.status, 200);
+  assert_in_range (call.body->len, 1, expected->len - 1);
+  assert_true (call.ends_with_connection);
+  assert_false (call.complete);
+  g_string_free (expected, TRUE);
+  efx_clear_call (&call);
+  sep_remove_files (daemon);
+  sep_destroy (daemon);
+}
+
 /* Guards against answers of one service that hide a cut from another, and
    against requests of callers that find out whether a cut has ended: drafts
    are in time while the engines are out of reach and the plain service isn't.
@@ -278,6 +313,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_cut_off_from_all_endpoints,
                                      efx_set_up, efx_tear_down),
+    cmocka_unit_test_setup_teardown (test_neighbour_is_killed, efx_set_up,
+                                     efx_tear_down),
     cmocka_unit_test_setup_teardown (test_cut_off_from_engines,
                                      efx_set_up_large, efx_tear_down),
     cmocka_unit_test_setup_teardown (test_cut_off_neighbours, efx_set_up_large,
