--- a/test/net_test.c
+++ b/test/net_test.c
@@ -806,7 +806,7 @@
     .method = "GET",
     .path = "/long",
     .timeout_ms = 10000,
-    .answer_bytes_max = 3 * CHUNK_BYTES,
+    .answer_bytes_max = (size_t)3 * CHUNK_BYTES,
     .done = on_call_done,
     .context = &end,
   };
