Count the memory of buffered answers, not their bytes

What was seen: entry_unframed_test, test_bytes_without_end, failed in 1 of 3 runs on the row "service, body, not to be repeated" that added: 69,664 KiB more, limit 65,536.

Cause: the limit of 24 MiB on all buffered answers counted their bytes, while the arrays grow to powers of two. Ruled out: the limit being passed over (the bytes stay under it).

Change: the memory that an array takes is counted, in the function that makes room for it. So fewer long answers at a time are held: each takes up to twice its length.

--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -353,20 +353,43 @@
   return longest;
 }
 
-/* Gives up the longest buffered answer if another COUNT bytes for EXCHANGE's
-   are too much.  Returns false if that was EXCHANGE's own.  */
+/* Returns the memory that GLib allocates for an array of COUNT bytes: the next
+   power of two.  */
+static size_t
+allocated_bytes (size_t count)
+{
+  size_t bytes = count > 0;
+  while (bytes < count)
+    {
+      bytes *= 2;
+    }
+  return bytes;
+}
+
+/* Counts the memory for another COUNT bytes of EXCHANGE's answer.  Gives up
+   the longest buffered answer if it is too much.  Returns false if that was
+   EXCHANGE's own.  */
 static bool
 make_room (struct exchange *exchange, size_t count)
 {
-  if (exchange->traffic->buffered_bytes + count <= ANSWERS_BYTES_MAX)
-    {
-      return true;
+  struct trf_traffic *traffic = exchange->traffic;
+  size_t growth = allocated_bytes (exchange->answer->len + count)
+                  - exchange->buffered_bytes;
+  if (traffic->buffered_bytes + growth > ANSWERS_BYTES_MAX)
+    {
+      struct exchange *longest = longest_answer (traffic);
+      bool is_own = longest == NULL
+                    || longest->answer->len <= exchange->answer->len + count;
+      give_up_answer (is_own ? exchange : longest,
+                      "answers take too much memory");
+      if (is_own)
+        {
+          return false;
+        }
     }
-  struct exchange *longest = longest_answer (exchange->traffic);
-  bool is_own = longest == NULL
-                || longest->answer->len <= exchange->answer->len + count;
-  give_up_answer (is_own ? exchange : longest, "answers take too much memory");
-  return !is_own;
+  traffic->buffered_bytes += growth;
+  exchange->buffered_bytes += growth;
+  return true;
 }
 
 /* Handles bytes of a body: scans a stream for complete events, and buffers any
@@ -388,8 +411,6 @@
         {
           return;
         }
-      exchange->traffic->buffered_bytes += count;
-      exchange->buffered_bytes += count;
       g_byte_array_append (exchange->answer, (const guint8 *)bytes,
                            (guint)count);
       return;
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -59,7 +59,7 @@
                             it, or NULL */
   GString *answer_head;  /* headers for the caller */
   GByteArray *answer;    /* the buffered body, or the events to deliver next */
-  size_t buffered_bytes; /* of that body */
+  size_t buffered_bytes; /* of memory that a buffered body takes */
 
   /* State between attempts. */
   int64_t room_wait_end_us; /* when the next attempt is made without room; 0:
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -39,7 +39,7 @@
                             ended requests; see exg_history */
   double first_event_us; /* moving average of the time from an attempt's start
                             to the first event; 0: none yet */
-  size_t buffered_bytes; /* of answers that are delivered whole */
+  size_t buffered_bytes; /* of memory, for answers that are delivered whole */
   struct fwt_refusals refusals; /* for want of room */
   GHashTable *exchanges;        /* set of struct exchange in progress */
   GHashTable *inquiries;        /* engine to its stall inquiry */
