List exchanges, kill daemons and await answers in one place each

Found on reading the change once more; no behaviour changes. exg_stop_all and exg_stop_quarantined collected exchanges by the loop that list_exchanges has: it is exg_list now and serves them. The waits for a begun answer and for a killed daemon's end, which three tests had each, and net_test's way to connect a socket and to await a request, are one function each.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -881,43 +881,35 @@
 void
 exg_stop_all (struct trf_traffic *traffic)
 {
-  g_autoptr (GPtrArray) found = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer key;
-  g_hash_table_iter_init (&iter, traffic->exchanges);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      g_ptr_array_add (found, key);
-    }
+  g_autoptr (GPtrArray) found = exg_list (traffic, NULL, NULL);
   for (guint i = 0; i < found->len; i++)
     {
       stop_exchange (g_ptr_array_index (found, i), "attempt_stopped");
     }
 }
 
+/* Returns whether EXCHANGE has a quarantined trait, and no endpoint has
+   written on it: the one that it waits for would crash.  */
+static bool
+may_crash_endpoint (const struct exchange *exchange,
+                    const struct fst_endpoint *endpoint)
+{
+  (void)endpoint;
+  int64_t wait_us = 0;
+  bool stops
+      = exchange->waits_for_room
+        || (exchange->attempt != NULL && !exg_is_written_safely (exchange));
+  return stops && !exchange->proved_sound
+         && qrn_is_quarantined (exchange->traffic->quarantine,
+                                exchange->traits, &wait_us);
+}
+
 /* Ends the exchanges with a quarantined trait, unless an endpoint has written
-   on them: the endpoints that they wait for would crash.  */
+   on them.  */
 void
 exg_stop_quarantined (struct trf_traffic *traffic)
 {
-  g_autoptr (GPtrArray) found = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer key;
-  g_hash_table_iter_init (&iter, traffic->exchanges);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      const struct exchange *exchange = key;
-      int64_t wait_us = 0;
-      bool stops = exchange->waits_for_room
-                   || (exchange->attempt != NULL
-                       && !exg_is_written_safely (exchange));
-      if (stops && !exchange->proved_sound
-          && qrn_is_quarantined (traffic->quarantine, exchange->traits,
-                                 &wait_us))
-        {
-          g_ptr_array_add (found, key);
-        }
-    }
+  g_autoptr (GPtrArray) found = exg_list (traffic, may_crash_endpoint, NULL);
   for (guint i = 0; i < found->len; i++)
     {
       cnt_add (traffic->metrics->quarantine_refused, 1);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -100,6 +100,10 @@
 
 extern const struct ncl_events exg_attempt_events;
 
+GPtrArray *exg_list (struct trf_traffic *traffic,
+                     bool (*matches) (const struct exchange *,
+                                      const struct fst_endpoint *),
+                     const struct fst_endpoint *endpoint);
 void exg_answer_without_body (struct trf_traffic *traffic,
                               struct nsv_connection *caller, uint32_t status,
                               const char *id, double retry_after_s);
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -117,13 +117,14 @@
   return allowed;
 }
 
-/* Returns the exchanges for which MATCHES returns true with ENDPOINT: handling
-   them changes the set of all.  The caller frees the array.  */
-static GPtrArray *
-list_exchanges (struct trf_traffic *traffic,
-                bool (*matches) (const struct exchange *,
-                                 const struct fst_endpoint *),
-                const struct fst_endpoint *endpoint)
+/* Returns the exchanges for which MATCHES, unless NULL, returns true with
+   ENDPOINT: handling them changes the set of all.  The caller frees the array.
+ */
+GPtrArray *
+exg_list (struct trf_traffic *traffic,
+          bool (*matches) (const struct exchange *,
+                           const struct fst_endpoint *),
+          const struct fst_endpoint *endpoint)
 {
   GPtrArray *found = g_ptr_array_new ();
   GHashTableIter iter;
@@ -131,7 +132,7 @@
   g_hash_table_iter_init (&iter, traffic->exchanges);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
-      if (matches (key, endpoint))
+      if (matches == NULL || matches (key, endpoint))
         {
           g_ptr_array_add (found, key);
         }
@@ -151,7 +152,7 @@
 exg_check_streams (struct trf_traffic *traffic,
                    const struct fst_endpoint *engine)
 {
-  g_autoptr (GPtrArray) streams = list_exchanges (traffic, begins_at, engine);
+  g_autoptr (GPtrArray) streams = exg_list (traffic, begins_at, engine);
   for (guint i = 0; i < streams->len; i++)
     {
       check_exchange (g_ptr_array_index (streams, i));
@@ -173,7 +174,7 @@
                      const struct fst_endpoint *endpoint)
 {
   g_autoptr (GPtrArray) unsent
-      = list_exchanges (traffic, waits_for_connection, endpoint);
+      = exg_list (traffic, waits_for_connection, endpoint);
   for (guint i = 0; i < unsent->len; i++)
     {
       struct exchange *exchange = g_ptr_array_index (unsent, i);
--- a/test/entry_cut_test.c
+++ b/test/entry_cut_test.c
@@ -6,7 +6,6 @@
 #include "platform/headers.h"
 #include "soak/proxy.h"
 
-#include <signal.h>
 #include <string.h>
 
 /* Time that the daemon has to find out, see quarantine_ms. */
@@ -70,12 +69,7 @@
 static struct sep_process *
 start_daemon (struct efx_fixture *fixture, const char **detour)
 {
-  int status = 0;
-  sep_signal (fixture->daemon, SIGKILL);
-  while (!sep_has_ended (fixture->daemon, &status))
-    {
-      efx_run_for (fixture, 20 * CLK_MS_US);
-    }
+  efx_kill_daemon (fixture);
   *detour = sfl_open_detour (fixture->fleet, create_detour, fixture);
   struct sep_process *daemon = efx_create_second (fixture, *detour, 0, false);
   efx_start_second (fixture, daemon);
@@ -221,12 +215,8 @@
   send_drafts_for (fixture, daemon, NOTICE_US);
   sfl_set_fault (fixture->fleet, true, SFL_WITHOUT_LENGTH, 1);
   g_autofree char *id = start_request (fixture, &call, daemon, 0);
-  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
-  while (call.body->len == 0 && clk_monotonic_us () < end_us)
-    {
-      efx_run_for (fixture, EFX_EVENT_MS * CLK_MS_US);
-    }
-  sep_signal (fixture->daemon, SIGKILL);
+  efx_await_begun (fixture, &call);
+  efx_kill_daemon (fixture);
   efx_await_call (fixture, &call);
   GString *expected = efx_expected_stream (id);
   print_message ("%zu of %zu bytes, complete %d\n", call.body->len,
--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -86,6 +86,30 @@
   assert_non_null (call->exchange);
 }
 
+/* Waits until CALL has had the head of its answer and a part of the body.  */
+void
+efx_await_begun (struct efx_fixture *fixture, const struct efx_call *call)
+{
+  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
+  while (call->body->len == 0 && clk_monotonic_us () < end_us)
+    {
+      efx_run_for (fixture, EFX_EVENT_MS * CLK_MS_US);
+    }
+  assert_true (call->body->len > 0);
+}
+
+/* Kills the daemon and waits until it is gone.  */
+void
+efx_kill_daemon (struct efx_fixture *fixture)
+{
+  int status = 0;
+  sep_signal (fixture->daemon, SIGKILL);
+  while (!sep_has_ended (fixture->daemon, &status))
+    {
+      efx_run_for (fixture, 20 * CLK_MS_US);
+    }
+}
+
 void
 efx_await_call (struct efx_fixture *fixture, struct efx_call *call)
 {
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -63,6 +63,9 @@
 void efx_start_call (struct efx_fixture *fixture, struct efx_call *call,
                      const char *address, const char *request,
                      size_t request_bytes);
+void efx_await_begun (struct efx_fixture *fixture,
+                      const struct efx_call *call);
+void efx_kill_daemon (struct efx_fixture *fixture);
 void efx_await_call (struct efx_fixture *fixture, struct efx_call *call);
 void efx_clear_call (struct efx_call *call);
 uint32_t efx_probe (struct efx_fixture *fixture);
--- a/test/entry_refused_test.c
+++ b/test/entry_refused_test.c
@@ -31,9 +31,9 @@
   assert_int_equal (efx_send_booking (fixture, "key-1"), 200);
 }
 
-/* Guards against a request that runs twice: a second copy of the refusal of
-   its first attempt, which has its id, was taken for the answer to the next
-   attempt on the same connection.  */
+/* Guards against a request that is refused although it runs, or runs twice: a
+   second copy of the refusal of its first attempt, which has its id, was taken
+   for the answer to the next attempt on the same connection.  */
 static void
 test_refusal_comes_again (void **state)
 {
--- a/test/entry_unframed_test.c
+++ b/test/entry_unframed_test.c
@@ -1,11 +1,11 @@
-/* Tests of the entry daemon: answers of endpoints that have no length, and
+/* Tests of the entry daemon: answers without a length, whose ends look alike
+   whether they are whole or not, streams that go on at another engine, and
    bytes that come without end. */
 #include "test/entry_fixture.h"
 
 #include "base/clock.h"
 #include "platform/headers.h"
 
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -120,18 +120,6 @@
   sfl_set_fault (fixture->fleet, true, SFL_NO_FAULT, 0);
 }
 
-/* Waits until CALL has had the head of its answer and a part of the body.  */
-static void
-await_begun (struct efx_fixture *fixture, const struct efx_call *call)
-{
-  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
-  while (call->body->len == 0 && clk_monotonic_us () < end_us)
-    {
-      efx_run_for (fixture, EFX_EVENT_MS * CLK_MS_US);
-    }
-  assert_true (call->body->len > 0);
-}
-
 /* Guards against a part of a stream that looks complete since its daemon was
    killed: the kernel closes the connections of a process in order, and an
    orderly end completes an answer without a length.  */
@@ -152,12 +140,11 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       struct efx_call call;
-      int status = 0;
       sfl_set_fault (fixture->fleet, true, cases[i].fault, 1);
       efx_start_stream_as (fixture, &call, SFL_STREAM_EVENTS,
                            cases[i].version);
-      await_begun (fixture, &call);
-      sep_signal (fixture->daemon, SIGKILL);
+      efx_await_begun (fixture, &call);
+      efx_kill_daemon (fixture);
       efx_await_call (fixture, &call);
       if (call.status != 200 || call.complete)
         {
@@ -165,10 +152,6 @@
                     call.status, call.complete, call.body->len);
         }
       efx_clear_call (&call);
-      while (!sep_has_ended (fixture->daemon, &status))
-        {
-          efx_run_for (fixture, 20 * CLK_MS_US);
-        }
       sep_start (fixture->daemon);
       efx_await_ready (fixture);
     }
@@ -219,7 +202,7 @@
       GString *expected = efx_expected_stream (id);
       sfl_set_fault (fixture->fleet, true, SFL_CLOSES_MIDWAY, 1);
       efx_start_stream (fixture, &call, SFL_STREAM_EVENTS);
-      await_begun (fixture, &call);
+      efx_await_begun (fixture, &call);
       sfl_set_fault (fixture->fleet, true, cases[i].fault, 1);
       efx_await_call (fixture, &call);
       bool whole = g_string_equal (call.body, expected);
--- a/test/net_test.c
+++ b/test/net_test.c
@@ -223,6 +223,31 @@
                     sizeof request - 1);
 }
 
+/* Connects a socket to the server and returns it.  */
+static int
+connect_socket (const struct fixture *fixture)
+{
+  struct sockaddr_in address;
+  const char *port = strchr (fixture->address, ':') + 1;
+  uv_ip4_addr ("127.0.0.1", atoi (port), &address);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  assert_int_equal (connect (fd, (struct sockaddr *)&address, sizeof address),
+                    0);
+  return fd;
+}
+
+/* Waits until the server has a request.  */
+static void
+await_request (struct fixture *fixture)
+{
+  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
+  while (fixture->connection == NULL && clk_monotonic_us () < end_us)
+    {
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+    }
+  assert_non_null (fixture->connection);
+}
+
 /* Connects the caller of FIXTURE, which sends a request to /long, and returns
    when the server has begun to respond.  */
 static void
@@ -235,12 +260,7 @@
   fixture->caller.data = fixture;
   uv_tcp_connect (&fixture->connecting, &fixture->caller,
                   (const struct sockaddr *)&address, on_connected);
-  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
-  while (fixture->connection == NULL && clk_monotonic_us () < end_us)
-    {
-      uv_run (&fixture->loop, UV_RUN_NOWAIT);
-    }
-  assert_non_null (fixture->connection);
+  await_request (fixture);
 }
 
 /* A caller that is slow stays so until it has read everything, whatever is
@@ -447,12 +467,7 @@
   };
   for (uint32_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
-      struct sockaddr_in address;
-      const char *port = strchr (fixture->address, ':') + 1;
-      uv_ip4_addr ("127.0.0.1", atoi (port), &address);
-      int fd = socket (AF_INET, SOCK_STREAM, 0);
-      assert_int_equal (
-          connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+      int fd = connect_socket (fixture);
       struct rlimit old = exhaust_descriptors ();
       int taken = -1;
       if (!cases[i].reserve)
@@ -615,21 +630,11 @@
 begin_open_response (struct fixture *fixture)
 {
   static const char request[] = "GET /open HTTP/1.1\r\nHost: a\r\n\r\n";
-  struct sockaddr_in address;
-  const char *port = strchr (fixture->address, ':') + 1;
-  uv_ip4_addr ("127.0.0.1", atoi (port), &address);
-  int caller = socket (AF_INET, SOCK_STREAM, 0);
-  assert_int_equal (
-      connect (caller, (struct sockaddr *)&address, sizeof address), 0);
+  int caller = connect_socket (fixture);
   assert_int_equal (send (caller, request, sizeof request - 1, 0),
                     sizeof request - 1);
   fixture->connection = NULL;
-  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
-  while (fixture->connection == NULL && clk_monotonic_us () < end_us)
-    {
-      uv_run (&fixture->loop, UV_RUN_NOWAIT);
-    }
-  assert_non_null (fixture->connection);
+  await_request (fixture);
   return caller;
 }
 
