Resume streams early over engines that have failed, in crowded fleets

In a fleet with more daemons than partitions of the group's topic, most daemons own no partition and so had no share of the retry budget's slack. Such daemons now take the share of rates, one part for each daemon, and the reserve is a part of what the budget allows.

A stream over an engine that has failed a request, and over which no stream went on since, counts as silent after its average interval and four mean deviations.

--- a/src/core/evidence.c
+++ b/src/core/evidence.c
@@ -94,6 +94,10 @@
              int64_t now_us)
 {
   bool conclusive = kind != EVD_INCONCLUSIVE;
+  if (conclusive && kind != EVD_MISDIRECTED)
+    {
+      evidence->failed_us = now_us;
+    }
   if ((kind == EVD_REFUSING || kind == EVD_UNAVAILABLE)
       && evidence->progressed_us != 0
       && now_us - evidence->progressed_us < PROGRESS_US)
--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -47,6 +47,8 @@
   uint32_t in_flight;       /* requests without a result yet */
   int64_t progressed_us; /* monotonic, when a stream on it last went on; 0: not
                             yet */
+  int64_t failed_us;     /* monotonic, newest failure other than
+                            EVD_INCONCLUSIVE and EVD_MISDIRECTED; 0: none */
   int64_t full_until_us; /* monotonic; it is short of room until then */
 };
 
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -77,9 +77,10 @@
   budget->requests[budget->slot % RBG_SLOTS]++;
 }
 
-/* Returns whether BUDGET allows COUNT more repeats.  */
-bool
-rbg_allows (struct rbg_budget *budget, uint32_t count, int64_t now_us)
+/* Returns how many repeats BUDGET allows in its window, and sets TAKEN to
+   those that were taken.  */
+static double
+count_allowed (struct rbg_budget *budget, int64_t now_us, uint32_t *taken)
 {
   advance_window (budget, now_us);
   uint32_t requests = 0;
@@ -94,8 +95,26 @@
   double slack = now_us < budget->params.slack_from_us
                      ? 0
                      : budget->params.slack * share;
-  double allowed = budget->params.ratio * requests + slack;
-  return repeats + count <= allowed * USABLE_FRACTION;
+  *taken = repeats;
+  return (budget->params.ratio * requests + slack) * USABLE_FRACTION;
+}
+
+/* Returns how many repeats BUDGET allows in its window, whether or not they
+   were taken.  */
+double
+rbg_allowed (struct rbg_budget *budget, int64_t now_us)
+{
+  uint32_t taken = 0;
+  return count_allowed (budget, now_us, &taken);
+}
+
+/* Returns whether BUDGET allows COUNT more repeats.  */
+bool
+rbg_allows (struct rbg_budget *budget, uint32_t count, int64_t now_us)
+{
+  uint32_t taken = 0;
+  double allowed = count_allowed (budget, now_us, &taken);
+  return taken + count <= allowed;
 }
 
 /* Takes one repeat from BUDGET.  Returns false when the budget is
--- a/src/core/retry_budget.h
+++ b/src/core/retry_budget.h
@@ -33,6 +33,7 @@
 void rbg_start (struct rbg_budget *budget, const struct rbg_params *params);
 void rbg_set_share (struct rbg_budget *budget, double share, int64_t now_us);
 void rbg_request (struct rbg_budget *budget, int64_t now_us);
+double rbg_allowed (struct rbg_budget *budget, int64_t now_us);
 bool rbg_allows (struct rbg_budget *budget, uint32_t count, int64_t now_us);
 bool rbg_take (struct rbg_budget *budget, int64_t now_us);
 
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -795,6 +795,7 @@
   drop_answer (exchange);
   exchange->status = 0;
   exchange->event_interval_us = 0;
+  exchange->event_deviation_us = 0;
   exchange->first_written_us = 0;
   exchange->is_stream = false;
   exchange->not_executed = false;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -9,6 +9,8 @@
                 const struct msg_message *request, const char *method);
 void exg_check_streams (struct trf_traffic *traffic,
                         const struct fst_endpoint *engine);
+void exg_expedite_checks (struct trf_traffic *traffic,
+                          const struct fst_endpoint *engine);
 void exg_withdraw_unsent (struct trf_traffic *traffic,
                           const struct fst_endpoint *endpoint);
 void exg_stop_quarantined (struct trf_traffic *traffic);
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -42,6 +42,19 @@
                      : *mean * (1 - AVERAGE_WEIGHT) + value * AVERAGE_WEIGHT;
 }
 
+/* Adds INTERVAL_US, between two events of EXCHANGE's stream, to their average
+   and its deviation.  */
+static void
+update_interval (struct exchange *exchange, double interval_us)
+{
+  if (exchange->event_interval_us > 0)
+    {
+      update_average (&exchange->event_deviation_us,
+                      fabs (interval_us - exchange->event_interval_us));
+    }
+  update_average (&exchange->event_interval_us, interval_us);
+}
+
 /* Records a failure of the given KIND, of the engine that the endpoint named
    as failed, or else of the endpoint itself.  REASON goes into the log.  A
    refusal of another engine counts as EVD_UNAVAILABLE, since it doesn't show
@@ -68,6 +81,7 @@
     {
       fst_report_failure (fleet, failed_endpoint, kind, reason,
                           clk_monotonic_us ());
+      exg_expedite_checks (exchange->traffic, failed_endpoint);
     }
 }
 
@@ -438,7 +452,7 @@
         }
       if (exchange->answer_begun)
         {
-          update_average (&exchange->event_interval_us, (double)interval_us);
+          update_interval (exchange, (double)interval_us);
         }
       deliver_events (exchange, events);
     }
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -54,7 +54,8 @@
                                not yet */
   double event_interval_us; /* moving average of the time between events; 0:
                                none yet */
-  int64_t last_received_us; /* when the newest bytes of the answer arrived */
+  double event_deviation_us; /* moving mean absolute deviation from it */
+  int64_t last_received_us;  /* when the newest bytes of the answer arrived */
   char *failed_address;  /* address of the failed engine as the endpoint stated
                             it, or NULL */
   GString *answer_head;  /* headers for the caller */
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -6,38 +6,47 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/continuity.h"
 #include "entry/inquiry.h"
 #include "entry/passing.h"
 
 #include <string.h>
 
-/* A stream counts as silent when no event has come for this many times its
-   average interval between events, plus the margin; the result is kept between
-   the two bounds. */
-#define SILENCE_INTERVALS 4.0
-#define SILENCE_MARGIN_US (60 * CLK_MS_US)
-#define SILENCE_MIN_US (100 * CLK_MS_US)
-#define SILENCE_MAX_US (700 * CLK_MS_US)
-
-/* Before its first event a stream counts as silent after this many times the
-   average time to a first event, plus the same margin, with a lower bound of
-   its own. */
-#define FIRST_EVENT_FACTOR 3.0
-#define FIRST_EVENT_MIN_US (160 * CLK_MS_US)
-
 /* Interval at which a stream that waits for a path with room looks for one. */
 #define ROOM_RECHECK_US (60 * CLK_MS_US)
 
 /* A stream that stays silent is checked again at this interval. */
 #define SILENCE_RECHECK_US (50 * CLK_MS_US)
 
-/* Retries that the budget must still allow before a silent attempt is
-   abandoned: more than one, since the next attempt may be refused first.  A
-   neighbour's refusal takes none. */
-#define ABANDON_RETRIES_MIN 4
-
 static void check_exchange (struct exchange *exchange);
 
+/* Returns whether an engine on EXCHANGE's path may have stopped.  Only a
+   daemon that sees a small part of the load needs that: others soon learn it
+   from reports, which take no retry.  */
+static bool
+path_is_suspected (const struct exchange *exchange)
+{
+  if (!fst_view (exchange->traffic->fleet)->crowded)
+    {
+      return false;
+    }
+  for (uint32_t i = 0; i < exchange->path->count; i++)
+    {
+      const struct evd_evidence *evidence
+          = &exchange->path->parts[i]->evidence;
+      const struct ctn_engine engine = {
+        .dead = evidence->dead,
+        .failed_us = evidence->failed_us,
+        .progressed_us = evidence->progressed_us,
+      };
+      if (ctn_is_suspected (&engine))
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
 /* Returns how long EXCHANGE's answer may be silent before its engine is asked
    for a report, or 0 for no limit: only requests with a path through engines
    have one.  */
@@ -48,14 +57,14 @@
     {
       return 0;
     }
-  double expected_us
-      = exchange->answer_begun
-            ? exchange->event_interval_us * SILENCE_INTERVALS
-            : exchange->traffic->first_event_us * FIRST_EVENT_FACTOR;
-  int64_t limit_us = (int64_t)expected_us + SILENCE_MARGIN_US;
-  int64_t min_us
-      = exchange->answer_begun ? SILENCE_MIN_US : FIRST_EVENT_MIN_US;
-  return CLAMP (limit_us, min_us, SILENCE_MAX_US);
+  const struct ctn_stream stream = {
+    .begun = exchange->answer_begun,
+    .path_suspected = path_is_suspected (exchange),
+    .interval_us = exchange->event_interval_us,
+    .deviation_us = exchange->event_deviation_us,
+    .first_event_us = exchange->traffic->first_event_us,
+  };
+  return ctn_silence_limit_us (&stream);
 }
 
 /* Returns how long EXCHANGE's endpoint has sent nothing.  A slow caller pauses
@@ -100,9 +109,10 @@
 }
 
 /* True when the current attempt may be abandoned for another one: both the
-   request and the retry budget, which must allow so many REPEATS, allow it. */
+   request and the retry budget allow it.  If it KEEPS_RESERVE, the budget must
+   allow more than the one retry, unless a neighbour takes the request.  */
 static bool
-may_abandon (struct exchange *exchange, uint32_t repeats)
+may_abandon (struct exchange *exchange, bool keeps_reserve)
 {
   struct att_request request;
   uint32_t service = exg_service_index (exchange);
@@ -111,8 +121,11 @@
     {
       return false;
     }
-  bool allowed = rbg_allows (fst_budget (exchange->traffic->fleet, service),
-                             repeats, clk_monotonic_us ());
+  struct rbg_budget *budget = fst_budget (exchange->traffic->fleet, service);
+  int64_t now_us = clk_monotonic_us ();
+  uint32_t repeats
+      = keeps_reserve ? ctn_retry_reserve (rbg_allowed (budget, now_us)) : 1;
+  bool allowed = rbg_allows (budget, repeats, now_us);
   exchange->denials += !allowed;
   return allowed;
 }
@@ -159,6 +172,23 @@
     }
 }
 
+/* Sets the next checks of the exchanges over ENGINE anew, since it has failed
+   a request.  */
+void
+exg_expedite_checks (struct trf_traffic *traffic,
+                     const struct fst_endpoint *engine)
+{
+  g_autoptr (GPtrArray) streams = exg_list (traffic, uses_endpoint, engine);
+  for (guint i = 0; i < streams->len; i++)
+    {
+      struct exchange *exchange = g_ptr_array_index (streams, i);
+      if (exchange->path != NULL && exchange->attempt != NULL)
+        {
+          exg_schedule_check (exchange);
+        }
+    }
+}
+
 static bool
 waits_for_connection (const struct exchange *exchange,
                       const struct fst_endpoint *endpoint)
@@ -230,9 +260,10 @@
          prompt again elsewhere would add to the load that slows it down. */
       bool cut_off
           = psg_is_cut_off (exchange->traffic, exg_service_index (exchange));
-      if ((cut_off && may_abandon (exchange, 1))
-          || (!cut_off && path_has_dead_engine (exchange)
-              && may_abandon (exchange, ABANDON_RETRIES_MIN)))
+      bool failed
+          = path_has_dead_engine (exchange) || path_is_suspected (exchange);
+      if ((cut_off && may_abandon (exchange, false))
+          || (!cut_off && failed && may_abandon (exchange, true)))
         {
           abandon_attempt (exchange);
           return;
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -404,7 +404,11 @@
       rbg_start (&service->budget, &fleet->budget_params);
       g_hash_table_insert (fleet->services, g_strdup (name), service);
     }
-  rbg_set_share (&service->budget, fleet->view->share, clk_monotonic_us ());
+  /* In a crowded fleet only some daemons own a part of the group. */
+  rbg_set_share (&service->budget,
+                 fleet->view->crowded ? fleet->view->rate_share
+                                      : fleet->view->share,
+                 clk_monotonic_us ());
   return service;
 }
 
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -19,6 +19,8 @@
       share; /* this daemon's share of shared capacity and budgets, 0 to 1 */
   double rate_share; /* its share of the rates that endpoints name, of which
                         each daemon has one, 0 to 1 */
+  bool crowded; /* more daemons than the group has partitions, so that each one
+                   sees a small part of the load; see rfs_is_crowded */
   struct rcu_head head;
 };
 
--- a/src/entry/inquiry.c
+++ b/src/entry/inquiry.c
@@ -65,6 +65,7 @@
           fst_report_failure (traffic->fleet, stalled, EVD_DEAD,
                               "does not answer another engine",
                               clk_monotonic_us ());
+          exg_expedite_checks (traffic, stalled);
         }
     }
 }
