Don't take dead endpoints that stay dead for a cut from the network

A daemon probes endpoints that it found dead as their backoff ends. Only probes of a round, to endpoints drawn at random, count now.

--- a/src/entry/probing.c
+++ b/src/entry/probing.c
@@ -120,7 +120,12 @@
     }
   else
     {
-      psg_report_failure (traffic, endpoint, sent_us);
+      /* An endpoint that was dead before says nothing of the network: the
+         probes to several that crashed together would look like a cut. */
+      if (probe->round != NULL)
+        {
+          psg_report_failure (traffic, endpoint, sent_us);
+        }
       fst_report_failure (traffic->fleet, endpoint, EVD_DEAD,
                           "did not answer a probe", clk_monotonic_us ());
     }
