Tell engines the rank of each request

Nothing read the priorities of routes and accounts, so an engine admitted the waiting streams in the order of their arrival. core/precedence computes the ranks of each service once for a configuration; requests to endpoints of a service with several ranks name theirs in X-Kumquatthread-Request-Priority.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -1,5 +1,7 @@
 #include "core/fleet.h"
 
+#include "core/precedence.h"
+
 #include <string.h>
 
 /* Returns a configuration with one reference and the given numbers of routes,
@@ -93,8 +95,8 @@
   g_array_free (data, TRUE);
 }
 
-/* Builds the index of routes by host for flt_find_route.  Must be called once,
-   when all routes are filled.  */
+/* Builds the index of routes by host for flt_find_route and the ranks of the
+   services.  Must be called once, when all routes are filled.  */
 void
 flt_index (struct flt_config *config)
 {
@@ -111,6 +113,7 @@
         }
       g_array_append_val (list, i);
     }
+  prc_compute (config);
 }
 
 /* Returns the route of HOST with the longest prefix that PATH begins with, or
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -13,6 +13,7 @@
 #define FLT_NO_INDEX UINT32_MAX /* stands for a missing index or value */
 #define FLT_KINDS_MAX 16        /* kinds of accelerators in a service */
 #define FLT_SPLIT_MAX 8         /* services that share a route */
+#define FLT_RANKS_MAX 5         /* rank indexes, see core/precedence.h */
 
 /* Whether a request that an endpoint may have run may be sent to another. */
 enum flt_repeat
@@ -63,6 +64,9 @@
   uint32_t connections_max; /* to one endpoint, from all daemons together */
   bool has_engine;          /* `engine' is set */
   struct flt_engine_spec engine;
+  uint32_t ranks[FLT_RANKS_MAX]; /* lowest priorities of its requests in
+                                    ascending order; computed by flt_index */
+  uint32_t rank_count;
 };
 
 /* The part of a route's requests that goes to one service. */
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/precedence.h"
 #include "core/turned_away.h"
 #include "entry/passing.h"
 #include "platform/headers.h"
@@ -670,6 +671,13 @@
       g_string_append_printf (request, PFH_ACCOUNT ": %s\r\n",
                               exchange->account->name);
     }
+  if (exchange->is_ranked)
+    {
+      g_string_append_printf (
+          request, PFH_ENGINE_PRIORITY ": %u\r\n",
+          prc_engine_priority (exchange->rank,
+                               exchange->scanner.last_id >= 0));
+    }
   if (exchange->path != NULL)
     {
       g_string_append_printf (request, PFH_PATH ": %s\r\n",
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/precedence.h"
 #include "platform/headers.h"
 #include "platform/prompt.h"
 
@@ -372,6 +373,8 @@
   exchange->traits = g_steal_pointer (&traits);
   exchange->is_trial = verdict.trial;
   exchange->service = g_strdup (config->services[service].name);
+  exchange->rank = prc_index (config, service, route, account);
+  exchange->is_ranked = prc_count (config, service) > 1;
   if (!exchange->is_passed)
     {
       rbg_request (fst_budget (traffic->fleet, service), exchange->arrived_us);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -26,9 +26,11 @@
   bool is_passed;      /* another daemon has passed the request on */
   uint32_t ran_before; /* attempts in which it may have run there */
 
-  char **traits; /* names of what the request has in common with others, see
-                    entry/quarantine.h */
-  double tokens; /* memory that the request needs in an engine */
+  char **traits;  /* names of what the request has in common with others, see
+                     entry/quarantine.h */
+  double tokens;  /* memory that the request needs in an engine */
+  uint32_t rank;  /* rank index in its service, see core/precedence.h */
+  bool is_ranked; /* the service has more than one rank */
   int64_t arrived_us;
   int64_t deadline_us;
   uv_timer_t timer; /* for the next check, see exg_schedule_check */
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -45,7 +45,11 @@
   "\"usual\":{\"prompt\":50,\"answer\":50}}},{\"Name\":\"book\"}],"           \
   "\"Limits\":{\"MaxHeaderBytes\":4096,\"MaxBodyBytes\":65536,"               \
   "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"                        \
-  "\"Tenants\":[{\"Name\":\"account-1\",\"ApiKeys\":[\"key-1\"%s%s%s]}]}"
+  "\"Tenants\":[{\"Name\":\"account-1\",\"ApiKeys\":[\"key-1\"%s%s%s]}%s]}"
+
+/* A further account, with another priority than that of the routes. */
+#define RANKED_ACCOUNT                                                        \
+  ",{\"Name\":\"account-2\",\"ApiKeys\":[\"key-ranked\"],\"Priority\":4}"
 
 /* Records a violation of the protocol by the daemon.  Only the first one is
    kept.  */
@@ -216,11 +220,30 @@
 {
   bool extra = extra_key != NULL;
   char *text = g_strdup_printf (CONFIGURATION, version, extra ? ",\"" : "",
-                                extra ? extra_key : "", extra ? "\"" : "");
+                                extra ? extra_key : "", extra ? "\"" : "", "");
   sfl_append (fleet, &fleet->operator_topic, "config", text);
   g_free (text);
 }
 
+/* Publishes the configuration as VERSION with a second account, which has the
+   key `key-ranked' and the priority 4.  */
+void
+sfl_publish_ranked (struct sfl_fleet *fleet, uint64_t version)
+{
+  char *text
+      = g_strdup_printf (CONFIGURATION, version, "", "", "", RANKED_ACCOUNT);
+  sfl_append (fleet, &fleet->operator_topic, "config", text);
+  g_free (text);
+}
+
+/* Returns the engine priority that the newest request to an engine named, or
+   an empty string if it named none.  */
+const char *
+sfl_engine_priority (const struct sfl_fleet *fleet)
+{
+  return fleet->engine_priority;
+}
+
 static struct sfl_endpoint *
 endpoint_at (const struct sfl_fleet *fleet, uint32_t index)
 {
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -110,6 +110,8 @@
                              void *context);
 void sfl_publish (struct sfl_fleet *fleet, uint64_t version,
                   const char *extra_key);
+void sfl_publish_ranked (struct sfl_fleet *fleet, uint64_t version);
+const char *sfl_engine_priority (const struct sfl_fleet *fleet);
 void sfl_set_store (struct sfl_fleet *fleet, enum sfl_store_state state);
 void sfl_truncate_history (struct sfl_fleet *fleet);
 void sfl_restore_store (struct sfl_fleet *fleet, int64_t age_us,
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -403,6 +403,12 @@
 {
   struct sfl_fleet *fleet = endpoint->fleet;
   const char *last_event = msg_find (request, PFH_LAST_EVENT_ID);
+  if (endpoint->is_engine)
+    {
+      const char *priority = msg_find (request, PFH_ENGINE_PRIORITY);
+      g_strlcpy (fleet->engine_priority, priority == NULL ? "" : priority,
+                 sizeof fleet->engine_priority);
+    }
   struct sfl_answer *answer = g_new0 (struct sfl_answer, 1);
   answer->endpoint = endpoint;
   answer->connection = connection;
--- a/standin/fleet_private.h
+++ b/standin/fleet_private.h
@@ -133,6 +133,8 @@
   GPtrArray *group_history;   /* struct sfl_group_state, in order of time */
   GPtrArray *endpoints;       /* struct sfl_endpoint; engines first */
   GHashTable *runs;           /* request id to number of runs */
+  char engine_priority[8];    /* that the newest request to an engine named;
+                                 empty: none */
   uint32_t stream_events;     /* in a complete stream */
   uint32_t call_ms;           /* time of a call to a service */
   enum sfl_fault faults[2];   /* [0] of services, [1] of engines */
