--- a/standin/fleet_private.h
+++ b/standin/fleet_private.h
@@ -133,6 +133,7 @@
   GPtrArray *group_history;   /* struct sfl_group_state, in order of time */
   GPtrArray *endpoints;       /* struct sfl_endpoint; engines first */
   GHashTable *runs;           /* request id to number of runs */
+  bool has_ranked_account;    /* it was published, see sfl_publish_ranked */
   char engine_priority[8];    /* that the newest request to an engine named;
                                  empty: none */
   uint32_t stream_events;     /* in a complete stream */
