--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -230,6 +230,7 @@
 void
 sfl_publish_ranked (struct sfl_fleet *fleet, uint64_t version)
 {
+  fleet->has_ranked_account = true;
   char *text
       = g_strdup_printf (CONFIGURATION, version, "", "", "", RANKED_ACCOUNT);
   sfl_append (fleet, &fleet->operator_topic, "config", text);
