Choose paths in crowded fleets by the load of all daemons

Moves the choice by a daemon's own streams from entry/fleet_state into entry/path_own, unchanged. entry/path_choosing takes over in a crowded fleet once a source states the others' load: it keeps the times that own streams show, counts the streams without an event by rank, and refuses with the rank, the free slots and the expected wait in the log.

--- a/src/core/path_choice.h
+++ b/src/core/path_choice.h
@@ -32,6 +32,7 @@
 struct pch_path
 {
   uint32_t engine; /* names the engine: equal for paths that begin there */
+  bool is_home;    /* begins in the daemon's own data centre */
   double slots;    /* requests that the engine runs at once, bounded by the
                       capacity of its paths */
   double part;     /* share of these slots that is for this path, 0 to 1 */
@@ -44,7 +45,6 @@
   double interval_us;    /* expected between two events */
   double closed_us; /* for which an engine of the path still counts as full; 0
                        or less: it doesn't */
-  bool is_home;     /* begins in the daemon's own data centre */
 };
 
 struct pch_request
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -3,6 +3,7 @@
 #define ENTRY_ENTRY_METRICS_H
 
 #include "base/counter.h"
+#include "core/fleet.h"
 
 struct emt_metrics
 {
@@ -26,9 +27,13 @@
   struct cnt_series *quarantine_refused; /* requests refused for a part of
                                             their prompt */
   struct cnt_series *quarantined_traits; /* of prompts, now */
-  struct cnt_series *passed_on;          /* attempts at another daemon */
-  struct cnt_series *cut_off;            /* services whose endpoints this
-                                         daemon can't reach now */
+  struct cnt_series *queue_refused[FLT_RANKS_MAX]; /* since queues are full,
+                                                      by rank index */
+  struct cnt_series *free_slots;  /* of all first engines, as far as known */
+  struct cnt_series *load_age_ms; /* age of that knowledge */
+  struct cnt_series *passed_on;   /* attempts at another daemon */
+  struct cnt_series *cut_off;     /* services whose endpoints this
+                                  daemon can't reach now */
   struct cnt_series *events;
   struct cnt_series *in_progress;
   struct cnt_series *config_version;
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -74,6 +74,7 @@
   int64_t wait_us = now_us - exchange->sent_us;
   exchange->is_waiting = false;
   fst_end_wait (exchange->endpoint, &exchange->wait_link);
+  exg_observe_wait (exchange, wait_us, answered);
   if (answered)
     {
       fwt_observe (estimate, wait_us, now_us);
@@ -91,6 +92,7 @@
 {
   exchange->attempt = NULL;
   exg_end_wait (exchange, false);
+  exg_observe_end (exchange);
   if (exchange->path != NULL)
     {
       fst_end_request (exchange->path, exchange->tokens);
@@ -543,13 +545,12 @@
 }
 
 /* Chooses the endpoint, and for services with layers the path, of the next
-   attempt, and counts the request on them.  Sets EXCESS_US to the time, in
-   microseconds, by which the wait for the first event will be too long.
-   Returns false when there is no endpoint.  */
+   attempt, and counts the request on them.  RESULT is that of the choice of a
+   path.  Returns false when there is no endpoint.  */
 static bool
-choose_target (struct exchange *exchange, double *excess_us)
+choose_target (struct exchange *exchange, struct pcs_result *result)
 {
-  *excess_us = 0;
+  *result = (struct pcs_result){ 0 };
   struct fst_fleet *fleet = exchange->traffic->fleet;
   int64_t now_us = clk_monotonic_us ();
   uint32_t index = exg_service_index (exchange);
@@ -560,10 +561,7 @@
   const struct flt_service *service = &fst_config (fleet)->services[index];
   if (service->has_engine && service->engine.layers > 0)
     {
-      exchange->path = fst_choose_path (fleet, index, exchange->tokens,
-                                        exchange->route->target_latency_us,
-                                        now_us, excess_us);
-      if (exchange->path == NULL)
+      if (!exg_choose_path (exchange, result))
         {
           return false;
         }
@@ -747,8 +745,9 @@
       give_up (exchange, before);
       return;
     }
-  double excess_us = 0;
-  bool found = choose_target (exchange, &excess_us);
+  struct pcs_result result;
+  bool found = choose_target (exchange, &result);
+  double excess_us = result.excess_us;
   bool needs_neighbour = !take_own_way (exchange, found)
                          || (excess_us > 0 && is_short_of_ways (exchange));
   if (needs_neighbour && exchange->is_passed && is_refusable (exchange))
@@ -765,15 +764,9 @@
     }
   if (found && excess_us > 0 && is_refusable (exchange))
     {
-      lg_line (LOG_INFO, "queues_full", "request=%s endpoint=%s excess_ms=%ld",
-               exchange->id, exchange->endpoint->id,
-               (long)(excess_us / CLK_MS_US));
-      struct fwt_refusals *refusals = &exchange->traffic->refusals;
-      int64_t now_us = clk_monotonic_us ();
-      fwt_count_refusal (refusals, now_us);
-      answer_with_error (
-          exchange, HTTP_STATUS_SERVICE_UNAVAILABLE, "queues_full",
-          fwt_retry_after_s (refusals, excess_us, g_random_double (), now_us));
+      answer_with_error (exchange, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                         "queues_full",
+                         exg_refuse_for_room (exchange, &result));
       return;
     }
   bool lacks_room
@@ -829,6 +822,7 @@
       exchange->wait_link.data = &exchange->sent_us;
       exchange->is_waiting = true;
       fst_begin_wait (exchange->endpoint, &exchange->wait_link);
+      pcs_begin_wait (exchange->endpoint, exchange->rank);
     }
   exg_schedule_check (exchange);
 }
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -440,6 +440,7 @@
         {
           update_average (&exchange->event_interval_us, (double)interval_us);
         }
+      exg_observe_interval (exchange);
       deliver_events (exchange, events);
     }
 }
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -16,6 +16,10 @@
    counts. */
 #define DEFAULT_TOKENS 1000
 
+/* A request with this much less time left than its route gives was probably
+   refused before: callers return after 500 ms or more. */
+#define RETURNED_US (400 * CLK_MS_US)
+
 /* Limit on the stated number of output tokens. */
 #define OUTPUT_TOKENS_MAX 1e9
 
@@ -277,6 +281,8 @@
       = parse_tokens (msg_find (request, PFH_TOKENS), &output_tokens);
   exchange->arrived_us = clk_monotonic_us ();
   exchange->deadline_us = exchange->arrived_us + time_left_us (route, request);
+  exchange->came_back = exchange->deadline_us - exchange->arrived_us
+                        < route->timeout_us - RETURNED_US;
   exchange->answer_head = g_string_new (NULL);
   exchange->answer = g_byte_array_new ();
   exchange->tried_endpoints
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -4,6 +4,7 @@
 
 #include "core/attempt.h"
 #include "entry/exchange.h"
+#include "entry/path_choosing.h"
 #include "net/event_scan.h"
 
 /* Size of the buffer of a request id, with the final null character. */
@@ -30,6 +31,7 @@
                      entry/quarantine.h */
   double tokens;  /* memory that the request needs in an engine */
   uint32_t rank;  /* rank index in its service, see core/precedence.h */
+  bool came_back; /* less of its time is left than of a new request */
   bool is_ranked; /* the service has more than one rank */
   int64_t arrived_us;
   int64_t deadline_us;
@@ -40,6 +42,8 @@
   struct fst_endpoint *endpoint; /* reference; the request is sent to it */
   struct fst_path *path;         /* NULL for plain services */
   uint32_t status;               /* of the answer; 0: none yet */
+  bool is_resumed;       /* the attempt goes on with a stream that was begun */
+  bool expects_no_queue; /* by the load of the fleet */
   bool is_waiting;   /* for the first event on a path: `wait_link' is in use */
   bool not_executed; /* the endpoint states that it didn't run the request */
   bool turned_away;  /* the endpoint closed before or since it was sent the
@@ -111,6 +115,13 @@
                               const char *id, double retry_after_s);
 double exg_retry_after_s (void);
 void exg_end_wait (struct exchange *exchange, bool answered);
+bool exg_choose_path (struct exchange *exchange, struct pcs_result *result);
+double exg_refuse_for_room (struct exchange *exchange,
+                            const struct pcs_result *result);
+void exg_observe_wait (struct exchange *exchange, int64_t wait_us,
+                       bool answered);
+void exg_observe_interval (struct exchange *exchange);
+void exg_observe_end (struct exchange *exchange);
 void exg_end_room_wait (struct exchange *exchange);
 void exg_give_up_wait (struct exchange *exchange);
 void exg_deliver_buffered (struct exchange *exchange);
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -1,4 +1,4 @@
-#include "entry/fleet_state.h"
+#include "entry/fleet_state_private.h"
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -27,46 +27,9 @@
 #define PATHS_PER_DATA_CENTRE 5
 #define REUSE_FACTOR 3.0
 
-/* Weight of paths that begin in the daemon's own data centre, relative to 1
-   for others. */
-#define HOME_WEIGHT 1.15
-
-/* Lower bound of the random number whose logarithm is taken in path_load. */
-#define RANDOM_MIN 1e-6
-
-/* One of this many streams that wait at an engine may be stuck for reasons of
-   its own, and says nothing of new ones. */
-#define STUCK_DIVISOR 8
-
-/* Multiplies the cost of a path whose expected first wait is over its limit,
-   so that such a path is chosen only if there is no other. */
-#define CLOSED_FACTOR 1e6
-
-/* Fill of a path above which others are preferred, and the factor by which the
-   excess over it raises the path's cost. */
-#define FULL_FILL 0.9
-#define OVERLOAD_FACTOR 10.0
-
 /* Limit on the rates that are kept of endpoints that aren't listed. */
 #define KEPT_RATES_MAX 1024
 
-/* Lower bound of this daemon's share of the fleet's capacity.  Used until the
-   group reports the actual share. */
-#define SHARE_MIN 0.02
-
-/* What is kept for one service. */
-struct service_state
-{
-  struct rbg_budget budget;
-  GPtrArray *paths;       /* struct fst_path; NULL: to be computed */
-  int64_t paths_until_us; /* when the paths expire */
-  int64_t opens_us; /* when the first path opens that engines which turned
-                       requests away close; 0: none will */
-  bool cut_off; /* this daemon can't tell which of its endpoints are dead */
-  int64_t cut_since_us; /* then only endpoints that have answered calls which
-                           were sent later are used */
-};
-
 /* The rate of an endpoint that isn't listed any more. */
 struct kept_rate
 {
@@ -74,20 +37,6 @@
   struct shr_rate rate;
 };
 
-/* State of the fleet; used by the traffic thread alone. */
-struct fst_fleet
-{
-  char *data_centre;
-  struct rbg_params budget_params;
-  struct vdt_verdicts *verdicts; /* read by the control thread */
-  struct fvw_view *view;         /* in force; NULL before the first */
-  GHashTable *endpoints;         /* id to struct fst_endpoint */
-  GPtrArray *ordered;      /* the same endpoints, in the order of the view */
-  GPtrArray *data_centres; /* names, allocated; endpoints hold the index */
-  GHashTable *services;    /* name to struct service_state */
-  GHashTable *kept_rates;  /* endpoint id to struct kept_rate */
-};
-
 static void
 destroy_service (gpointer data)
 {
@@ -247,19 +196,9 @@
   g_queue_unlink (&engine->waiting, link);
 }
 
-/* Returns for how long the streams that wait at ENGINE have done so: all but
-   the few that may be stuck for reasons of their own.  */
-static int64_t
-oldest_wait_us (const struct fst_endpoint *engine, int64_t now_us)
-{
-  const int64_t *sent_us = g_queue_peek_nth (
-      (GQueue *)&engine->waiting, engine->waiting.length / STUCK_DIVISOR);
-  return sent_us == NULL ? 0 : now_us - *sent_us;
-}
-
 /* Returns the index of the data centre NAME, which is added if it is new.  */
-static uint32_t
-data_centre_index (struct fst_fleet *fleet, const char *name)
+uint32_t
+fst_data_centre_index (struct fst_fleet *fleet, const char *name)
 {
   for (guint i = 0; i < fleet->data_centres->len; i++)
     {
@@ -282,7 +221,7 @@
   endpoint->service = config == NULL
                           ? FLT_NO_INDEX
                           : flt_find_service (config, entry->service);
-  endpoint->data_centre = data_centre_index (fleet, entry->data_centre);
+  endpoint->data_centre = fst_data_centre_index (fleet, entry->data_centre);
   endpoint->slots = entry->slots;
   endpoint->layers = entry->layers;
   endpoint->step_factor = 1;
@@ -393,8 +332,8 @@
 }
 
 /* Returns the state of the service INDEX, created if it is new.  */
-static struct service_state *
-service_state (struct fst_fleet *fleet, uint32_t index)
+struct service_state *
+fst_service_state (struct fst_fleet *fleet, uint32_t index)
 {
   const char *name = fleet->view->config->services[index].name;
   struct service_state *service = g_hash_table_lookup (fleet->services, name);
@@ -465,7 +404,7 @@
 struct rbg_budget *
 fst_budget (struct fst_fleet *fleet, uint32_t service)
 {
-  return &service_state (fleet, service)->budget;
+  return &fst_service_state (fleet, service)->budget;
 }
 
 static bool
@@ -492,9 +431,9 @@
 
 /* Returns whether this daemon may reach ENDPOINT of SERVICE: while it is cut
    off, only endpoints that have answered since then.  */
-static bool
-is_in_reach (const struct service_state *service,
-             const struct fst_endpoint *endpoint)
+bool
+fst_is_in_reach (const struct service_state *service,
+                 const struct fst_endpoint *endpoint)
 {
   return !service->cut_off || endpoint->answered_us > service->cut_since_us;
 }
@@ -521,15 +460,15 @@
 cheapest_endpoint (struct fst_fleet *fleet, uint32_t service,
                    const GPtrArray *tried, bool last_resort, int64_t now_us)
 {
-  const struct service_state *state = service_state (fleet, service);
-  uint32_t home = data_centre_index (fleet, fleet->data_centre);
+  const struct service_state *state = fst_service_state (fleet, service);
+  uint32_t home = fst_data_centre_index (fleet, fleet->data_centre);
   struct fst_endpoint *best = NULL;
   double best_cost = INFINITY;
   for (guint i = 0; i < fleet->ordered->len; i++)
     {
       struct fst_endpoint *endpoint = g_ptr_array_index (fleet->ordered, i);
       if (endpoint->service != service || !endpoint->listed
-          || !is_in_reach (state, endpoint)
+          || !fst_is_in_reach (state, endpoint)
           || now_us < opens_for_requests_us (endpoint, now_us)
           || is_tried (tried, endpoint)
           || !(last_resort || evd_usable (&endpoint->evidence, now_us)))
@@ -928,63 +867,11 @@
     }
 }
 
-/* Returns how full PATH would be with a request of TOKENS more, as a share of
-   the part of its capacity that is this daemon's: the greater of the fill of
-   its fullest engine's memory and that of the first engine's slots.  */
-static double
-path_fill (const struct fst_fleet *fleet, const struct fst_path *path,
-           double tokens)
-{
-  double share = MAX (fleet->view->share, SHARE_MIN);
-  const struct fst_endpoint *first = path->parts[0];
-  double fill = (first->first_requests + 1) / MAX (first->slots * share, 1);
-  for (uint32_t i = 0; i < path->count; i++)
-    {
-      const struct fst_endpoint *part = path->parts[i];
-      double room = MAX (part->cache_tokens * share, 1);
-      fill = MAX (fill, (part->used_tokens + tokens) / room);
-    }
-  return fill;
-}
-
-/* Returns this daemon's load on PATH: the tokens on its fullest engine, and a
-   random part for the request to be placed, which needs TOKENS.  The random
-   part makes daemons with few or no requests in progress choose paths in
-   proportion to their capacities, rather than all the same one.  */
-static double
-path_load (const struct fst_path *path, double tokens)
-{
-  double used = 0;
-  for (uint32_t i = 0; i < path->count; i++)
-    {
-      used = MAX (used, path->parts[i]->used_tokens);
-    }
-  return used - tokens * log (g_random_double_range (RANDOM_MIN, 1));
-}
-
-/* Returns by how much the wait for a first event on PATH is expected to exceed
-   the limit for a request that targets TARGET_US, in microseconds, or for how
-   long one of its engines still counts as full; 0 if neither.  */
-static double
-wait_excess_us (const struct fst_path *path, int64_t target_us, int64_t now_us)
-{
-  const struct fst_endpoint *first = path->parts[0];
-  double excess_us = fwt_expected_us (&first->first_wait,
-                                      oldest_wait_us (first, now_us), now_us)
-                     - fwt_limit_us (&first->first_wait, target_us, now_us);
-  for (uint32_t i = 0; i < path->count; i++)
-    {
-      excess_us
-          = MAX (excess_us, path->parts[i]->evidence.full_until_us - now_us);
-    }
-  return MAX (excess_us, 0);
-}
-
 /* Returns when every part of PATH may get the next request, not after NOW_US
    if they may now; INT64_MAX if a part isn't listed any more.  Only the first
    part gets the request itself, which its rate counts.  */
-static int64_t
-path_opens_us (const struct fst_path *path, int64_t now_us)
+int64_t
+fst_path_opens_us (const struct fst_path *path, int64_t now_us)
 {
   int64_t opens_us = opens_for_requests_us (path->parts[0], now_us);
   for (uint32_t i = 0; i < path->count; i++)
@@ -1000,10 +887,11 @@
 }
 
 /* Returns the state of the service INDEX with its paths as of NOW_US.  */
-static struct service_state *
-service_with_paths (struct fst_fleet *fleet, uint32_t index, int64_t now_us)
+struct service_state *
+fst_service_with_paths (struct fst_fleet *fleet, uint32_t index,
+                        int64_t now_us)
 {
-  struct service_state *service = service_state (fleet, index);
+  struct service_state *service = fst_service_state (fleet, index);
   if (service->paths == NULL || now_us >= service->paths_until_us)
     {
       find_paths (fleet, index, service, now_us);
@@ -1011,51 +899,6 @@
   return service;
 }
 
-/* Chooses a path of SERVICE for a request that needs memory for TOKENS and
-   targets a first event within TARGET_US: of the open paths with room and
-   without a queue that is too long for this, the one with the least load for
-   its capacity and speed, with a preference for the daemon's own data centre.
-   Sets EXCESS_US to the time, in microseconds, by which the expected wait on
-   that path is too long; 0 if it isn't.  Returns a reference, or NULL when
-   there is no path.  */
-struct fst_path *
-fst_choose_path (struct fst_fleet *fleet, uint32_t service, double tokens,
-                 int64_t target_us, int64_t now_us, double *excess_us)
-{
-  struct service_state *state = service_with_paths (fleet, service, now_us);
-  uint32_t home = data_centre_index (fleet, fleet->data_centre);
-  struct fst_path *best = NULL;
-  double best_cost = INFINITY;
-  *excess_us = 0;
-  for (guint i = 0; i < state->paths->len; i++)
-    {
-      struct fst_path *path = g_ptr_array_index (state->paths, i);
-      if (path_opens_us (path, now_us) > now_us
-          || !is_in_reach (state, path->parts[0]))
-        {
-          continue;
-        }
-      double excess = wait_excess_us (path, target_us, now_us);
-      double fill = path_fill (fleet, path, tokens);
-      double overload = MAX (fill - FULL_FILL, 0);
-      double weight = (path->parts[0]->data_centre == home ? HOME_WEIGHT : 1)
-                      * path->capacity_tokens / path->token_ms;
-      double cost = path_load (path, tokens) * (1 + OVERLOAD_FACTOR * overload)
-                    / weight;
-      if (excess > 0)
-        {
-          cost *= CLOSED_FACTOR * (1 + excess);
-        }
-      if (cost < best_cost)
-        {
-          best = path;
-          best_cost = cost;
-          *excess_us = excess;
-        }
-    }
-  return best == NULL ? NULL : fst_reference_path (best);
-}
-
 /* Returns when the first path of the service INDEX takes a request, if it has
    paths and all are closed now, or when it has a path again, as far as
    endpoints have turned requests away or named rates; else 0.  */
@@ -1063,13 +906,13 @@
 first_path_opens_us (struct fst_fleet *fleet, uint32_t index, int64_t now_us)
 {
   const struct service_state *service
-      = service_with_paths (fleet, index, now_us);
+      = fst_service_with_paths (fleet, index, now_us);
   int64_t first_us = INT64_MAX;
   for (guint i = 0; i < service->paths->len; i++)
     {
       first_us = MIN (
           first_us,
-          path_opens_us (g_ptr_array_index (service->paths, i), now_us));
+          fst_path_opens_us (g_ptr_array_index (service->paths, i), now_us));
     }
   return service->paths->len == 0                      ? service->opens_us
          : first_us <= now_us || first_us == INT64_MAX ? 0
@@ -1135,7 +978,7 @@
 {
   const struct flt_config *config = fst_config (fleet);
   return config != NULL && endpoint->service < config->service_count
-         && service_state (fleet, endpoint->service)->cut_off;
+         && fst_service_state (fleet, endpoint->service)->cut_off;
 }
 
 /* Records in the verdicts, for the control thread, that ENDPOINT has been
@@ -1170,7 +1013,7 @@
 fst_set_cut_off (struct fst_fleet *fleet, uint32_t service, bool is_cut_off,
                  int64_t since_us)
 {
-  struct service_state *state = service_state (fleet, service);
+  struct service_state *state = fst_service_state (fleet, service);
   state->cut_off = is_cut_off;
   state->cut_since_us = since_us;
   for (guint i = 0; is_cut_off && i < fleet->ordered->len; i++)
@@ -1259,7 +1102,7 @@
   const struct flt_config *config = fst_config (fleet);
   if (config != NULL && endpoint->service < config->service_count)
     {
-      invalidate_paths (service_state (fleet, endpoint->service));
+      invalidate_paths (fst_service_state (fleet, endpoint->service));
     }
 }
 
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -10,6 +10,7 @@
 #include "core/retry_budget.h"
 #include "core/shared_rate.h"
 #include "entry/fleet_view.h"
+#include "entry/path_observed.h"
 #include "entry/verdicts.h"
 
 /* An endpoint.  Exists while the endpoint list names it or a request uses
@@ -44,6 +45,7 @@
   struct fwt_estimate first_wait; /* of streams whose paths begin at it */
   GQueue waiting; /* int64_t: when each stream that waits there for its first
                      event was sent, the oldest first */
+  struct pob_observed observed; /* of streams whose paths begin at it */
 };
 
 /* A path through the engines of a service.  Exists while the list of paths or
--- a/test/path_choice_test.c
+++ b/test/path_choice_test.c
@@ -249,7 +249,7 @@
   pch_observe (&average, NAN, 1000);
   pch_observe (&average, -1, 1000);
   assert_true (pch_value (&average, 7, 1000) == 100);
-  assert_true (pch_value (&average, 7, 60 * 1000 * 1000) < 8);
+  assert_true (pch_value (&average, 7, 60000000) < 8);
   assert_true (pch_value (&average, 7, 0) == 100);
 }
 
--- a/test/path_model.c
+++ b/test/path_model.c
@@ -184,7 +184,7 @@
                 double *retry_after_s)
 {
   struct pch_path paths[PMD_ENGINES];
-  uint32_t indexes[PMD_ENGINES];
+  uint32_t indexes[PMD_ENGINES] = { 0 };
   uint32_t count = 0;
   for (uint32_t i = 0; i < PMD_ENGINES; i++)
     {
