Fill queues evenly with what was sent since the load was counted

Requests that found one engine below the limit all chose it. What is expected to have been sent fills the free slots in proportion and then raises the shortest queues evenly.

--- a/src/core/path_choice.c
+++ b/src/core/path_choice.c
@@ -24,10 +24,6 @@
 /* Slots are reserved for the more urgent requests of this time. */
 #define RESERVED_S 0.5
 
-/* Engines are filled with the requests of this time beyond the age of the
-   knowledge. */
-#define HORIZON_S 0.2
-
 /* Bound of the load of engines, in requests a slot, and the number of steps in
    which it is found. */
 #define LEVEL_MAX 16.0
@@ -110,6 +106,7 @@
   double queue;    /* of ranks that are served before the request */
   double reserved; /* slots for more urgent requests */
   double room;     /* places for more requests, see find_level */
+  double places;   /* for requests of this rank, by which paths are drawn */
   double first_event_us; /* expected, without a queue */
   double wait_us;        /* expected in a queue */
   double limit_us;       /* of wait_us */
@@ -169,23 +166,23 @@
   return room;
 }
 
-/* Returns the load, in requests a slot, up to which engines are filled: 1, or
-   what it takes for NEEDED requests to find room.  Daemons get to know of each
-   other's requests late.  If they all chose the few engines with free slots
-   until then, these would have long queues.  */
+/* Returns the load, in requests a slot, up to which engines are filled when
+   PLACED requests have come: 1 while there are free slots for these.  Daemons
+   get to know of each other's requests late.  If they all chose the few
+   engines with free slots until then, these would have long queues.  */
 static double
-find_level (const struct outlook *outlooks, uint32_t count, double needed)
+find_level (const struct outlook *outlooks, uint32_t count, double placed)
 {
   double low = 1;
   double high = LEVEL_MAX;
-  if (count_room (outlooks, count, low) >= needed)
+  if (count_room (outlooks, count, low) >= placed)
     {
       return low;
     }
   for (uint32_t i = 0; i < LEVEL_STEPS; i++)
     {
       double middle = (low + high) / 2;
-      if (count_room (outlooks, count, middle) < needed)
+      if (count_room (outlooks, count, middle) < placed)
         {
           low = middle;
         }
@@ -262,8 +259,7 @@
 weigh (const struct pch_path *path, const struct pch_request *request,
        struct outlook *outlook)
 {
-  outlook->weight = fmax (outlook->room - outlook->reserved, FACTOR_MIN)
-                    * outlook->part
+  outlook->weight = fmax (outlook->places, FACTOR_MIN) * outlook->part
                     * slack (outlook->first_event_us + outlook->wait_us,
                              request->target_us)
                     * slack (bounded (path->interval_us, 0, TIME_MAX_US),
@@ -273,16 +269,15 @@
 
 /* Fills OUTLOOKS with what follows for REQUEST at each of the COUNT PATHS.
    All daemons choose by the same knowledge as this one, so that what they have
-   sent since it was taken is in proportion to the room.  PLACE is the random
-   place of REQUEST among those of its rank that come until then.  So just the
-   part of them is refused that is too much, rather than all in turn with
-   none.  */
+   sent since it was taken has filled the free slots in proportion, and then
+   raised the shortest queues evenly.  PLACE is the random place of REQUEST
+   among those of its rank that come until then.  So just the part of them is
+   refused that is too much, rather than all in turn with none.  */
 static void
 look_ahead (const struct pch_path *paths, uint32_t count,
             const struct pch_request *request, double place,
             struct outlook *outlooks)
 {
-  double arrivals_per_s = count_arrivals (request, FLT_RANKS_MAX);
   double age = 0;
   double slots = 0;
   for (uint32_t i = 0; i < count; i++)
@@ -291,10 +286,9 @@
       slots += outlooks[i].slots * outlooks[i].part;
       age = fmax (age, age_s (&paths[i]));
     }
-  double level
-      = find_level (outlooks, count, arrivals_per_s * (age + HORIZON_S));
+  double placed = count_earlier (request, place) * age;
+  double level = find_level (outlooks, count, placed);
   double room = fmax (count_room (outlooks, count, level), FACTOR_MIN);
-  double earlier_per_s = count_earlier (request, place);
   double reserved_per_slot
       = request->is_resumed || request->came_back
             ? 0
@@ -303,12 +297,14 @@
     {
       struct outlook *outlook = &outlooks[i];
       outlook->room = fmax (level * outlook->slots - outlook->left, 0);
-      double arrived
-          = earlier_per_s * age_s (&paths[i]) * outlook->room / room;
+      double arrived = placed * outlook->room / room;
       outlook->requests = outlook->left + arrived;
       outlook->reserved = reserved_per_slot * outlook->slots;
       outlook->queue = count_queue (&paths[i], request, outlook, arrived);
       judge_wait (&paths[i], request, outlook);
+      outlook->places = level > 1 && outlook->room > 0
+                            ? outlook->slots
+                            : outlook->room - outlook->reserved;
       weigh (&paths[i], request, outlook);
     }
 }
@@ -395,7 +391,7 @@
     .free_slots = free_slots,
     .age_us = paths[chosen].age_us,
     .retry_after_s = bounded (drain_us / 1e6, RETURN_MIN_S, RETURN_MAX_S)
-                     * (1 + bounded (place, 0, 1)),
+                     * (1 + bounded (draw, 0, 1)),
   };
   g_free (outlooks);
   return true;
