--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -454,6 +454,7 @@
         {
           update_interval (exchange, (double)interval_us);
         }
+      exg_observe_interval (exchange);
       deliver_events (exchange, events);
     }
 }
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/precedence.h"
 #include "platform/headers.h"
 #include "platform/prompt.h"
 
@@ -15,6 +16,10 @@
    counts. */
 #define DEFAULT_TOKENS 1000
 
+/* A request with this much less time left than its route gives was probably
+   refused before: callers return after 500 ms or more. */
+#define RETURNED_US (400 * CLK_MS_US)
+
 /* Limit on the stated number of output tokens. */
 #define OUTPUT_TOKENS_MAX 1e9
 
@@ -276,6 +281,8 @@
       = parse_tokens (msg_find (request, PFH_TOKENS), &output_tokens);
   exchange->arrived_us = clk_monotonic_us ();
   exchange->deadline_us = exchange->arrived_us + time_left_us (route, request);
+  exchange->came_back = exchange->deadline_us - exchange->arrived_us
+                        < route->timeout_us - RETURNED_US;
   exchange->answer_head = g_string_new (NULL);
   exchange->answer = g_byte_array_new ();
   exchange->tried_endpoints
@@ -372,6 +379,8 @@
   exchange->traits = g_steal_pointer (&traits);
   exchange->is_trial = verdict.trial;
   exchange->service = g_strdup (config->services[service].name);
+  exchange->rank = prc_index (config, service, route, account);
+  exchange->is_ranked = prc_count (config, service) > 1;
   if (!exchange->is_passed)
     {
       rbg_request (fst_budget (traffic->fleet, service), exchange->arrived_us);
