Exchange the load of first engines and dead engines between daemons

Each daemon of a crowded fleet saw only its own streams, a few a second over a dozen first engines, and ran into each dead engine by itself. It now states its streams to the first relay that answers (POST /load, a long poll of 400 ms) and learns the sums, the rates of arrivals and the deaths that others have found. The relay takes bodies of up to 32 KiB and 1,536 connections, one more for each daemon; these don't count as readers.

--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -29,6 +29,15 @@
   struct cnt_series *passed_on;          /* attempts at another daemon */
   struct cnt_series *cut_off;            /* services whose endpoints this
                                          daemon can't reach now */
+  struct cnt_series *load_age_ms;     /* of the other daemons' load; -1: never
+                                         known */
+  struct cnt_series *load_daemons;    /* that state theirs */
+  struct cnt_series *load_elsewhere;  /* other daemons' requests */
+  struct cnt_series *exchange_losses; /* times that no relay answered */
+  struct cnt_series *aggregator_changes;
+  struct cnt_series *deaths_told;      /* engines found dead first here */
+  struct cnt_series *deaths_suspected; /* engines that others found dead */
+  struct cnt_series *deaths_confirmed; /* by several of them */
   struct cnt_series *events;
   struct cnt_series *in_progress;
   struct cnt_series *config_version;
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "entry/load_exchange.h"
 #include "platform/headers.h"
 #include "platform/prompt.h"
 
@@ -375,6 +376,7 @@
   if (!exchange->is_passed)
     {
       rbg_request (fst_budget (traffic->fleet, service), exchange->arrived_us);
+      lex_count_arrival (traffic->load, route, service, exchange->arrived_us);
     }
   exg_start_attempt (exchange, ATT_NOT_SENT);
 }
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -86,6 +86,8 @@
   GPtrArray *data_centres; /* names, allocated; endpoints hold the index */
   GHashTable *services;    /* name to struct service_state */
   GHashTable *kept_rates;  /* endpoint id to struct kept_rate */
+  fst_failed failed;       /* NULL: failures aren't watched */
+  void *failed_context;
 };
 
 static void
@@ -135,6 +137,14 @@
   g_free (fleet);
 }
 
+/* Makes FLEET call FAILED with CONTEXT at each failure.  */
+void
+fst_watch_failures (struct fst_fleet *fleet, fst_failed failed, void *context)
+{
+  fleet->failed = failed;
+  fleet->failed_context = context;
+}
+
 /* Returns another daemon, which serves callers at ADDRESS, as an endpoint of
    no service.  The caller releases it.  */
 struct fst_endpoint *
@@ -1219,6 +1229,37 @@
     }
 }
 
+/* Adds references to the engines at which paths of requests in progress begin
+   to ENGINES.  */
+void
+fst_list_first (const struct fst_fleet *fleet, GPtrArray *engines)
+{
+  for (guint i = 0; i < fleet->ordered->len; i++)
+    {
+      struct fst_endpoint *endpoint = g_ptr_array_index (fleet->ordered, i);
+      if (endpoint->first_requests > 0)
+        {
+          g_ptr_array_add (engines, fst_reference (endpoint));
+        }
+    }
+}
+
+/* Returns whether requests over paths are in progress.  */
+bool
+fst_has_streams (const struct fst_fleet *fleet)
+{
+  for (guint i = 0; i < fleet->ordered->len; i++)
+    {
+      const struct fst_endpoint *endpoint
+          = g_ptr_array_index (fleet->ordered, i);
+      if (endpoint->first_requests > 0)
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
 /* Returns the number of endpoints of SERVICE that are known.  */
 uint32_t
 fst_endpoint_count (const struct fst_fleet *fleet, uint32_t service)
@@ -1292,6 +1333,11 @@
   bool was_dead = endpoint->evidence.dead;
   bool in_backoff = evd_failure (&endpoint->evidence, kind, now_us);
   publish_verdict (fleet, endpoint, was_dead);
+  if (fleet->failed != NULL)
+    {
+      fleet->failed (fleet->failed_context, endpoint, kind, in_backoff,
+                     now_us);
+    }
   if (!in_backoff)
     {
       return;
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -63,10 +63,18 @@
 
 struct fst_fleet;
 
+/* Called with each failure that fst_report_failure records; IN_BACKOFF if it
+   begins a backoff.  */
+typedef void (*fst_failed) (void *context, const struct fst_endpoint *endpoint,
+                            enum evd_failure_kind kind, bool in_backoff,
+                            int64_t now_us);
+
 struct fst_fleet *fst_create (const char *data_centre,
                               const struct rbg_params *budget,
                               struct vdt_verdicts *verdicts);
 void fst_destroy (struct fst_fleet *fleet);
+void fst_watch_failures (struct fst_fleet *fleet, fst_failed failed,
+                         void *context);
 void fst_set_view (struct fst_fleet *fleet, struct fvw_view *view);
 const struct fvw_view *fst_view (const struct fst_fleet *fleet);
 const struct flt_config *fst_config (const struct fst_fleet *fleet);
@@ -81,6 +89,9 @@
 void fst_list_dead (struct fst_fleet *fleet, int64_t now_us,
                     GPtrArray *endpoints);
 
+void fst_list_first (const struct fst_fleet *fleet, GPtrArray *engines);
+bool fst_has_streams (const struct fst_fleet *fleet);
+
 struct fst_endpoint *fst_choose_endpoint (struct fst_fleet *fleet,
                                           uint32_t service,
                                           const GPtrArray *tried,
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "core/departures.h"
 #include "core/era.h"
+#include "entry/load_aggregator.h"
 #include "net/server.h"
 #include "proto/relay.pb-c.h"
 
@@ -21,13 +22,13 @@
 #define REMOVALS_MAX 4096
 
 /* Limits on the connections of other daemons. */
-#define BODY_BYTES_MAX 1024
+#define BODY_BYTES_MAX 32768 /* of a statement of load, with 256 engines */
 #define HEADER_BYTES_MAX 4096
 #define HEADER_TIMEOUT_US (3 * CLK_S_US)
 #define IDLE_TIMEOUT_US (15 * CLK_S_US)
 #define UNSENT_BYTES_MAX 1048576
 #define USER_TIMEOUT_MS 3000
-#define CONNECTIONS_MAX 1024
+#define CONNECTIONS_MAX 1536
 
 /* A reader has a connection for each topic. */
 #define CONNECTIONS_PER_READER 3
@@ -81,6 +82,7 @@
 /* A request of another daemon that waits for changes. */
 struct reader
 {
+  struct lag_waiter waiter;
   struct rly_relay *relay;
   struct mirror *mirror;
   struct nsv_connection *connection;
@@ -98,6 +100,7 @@
   struct vdt_verdicts *verdicts; /* which endpoints leave; NULL: unknown */
   uint64_t mark_base; /* what a reader states that knows the first N of this
                          relay's departures is N higher */
+  struct lag_aggregator *load;
   uv_timer_t sweep;
 };
 
@@ -246,11 +249,20 @@
   return records;
 }
 
+/* Returns the number of connections to RELAY without those on which daemons
+   exchange their load.  */
+static uint32_t
+reader_connections (const struct rly_relay *relay)
+{
+  uint32_t connections = nsv_connection_count (relay->server);
+  return connections - MIN (connections, lag_waiting (relay->load));
+}
+
 /* Returns the number of daemons that read from RELAY.  */
 uint32_t
 rly_readers (const struct rly_relay *relay)
 {
-  return nsv_connection_count (relay->server) / CONNECTIONS_PER_READER;
+  return reader_connections (relay) / CONNECTIONS_PER_READER;
 }
 
 /* Compresses RECORDS, those of MIRROR from the offset FROM on, for this reader
@@ -396,6 +408,12 @@
   uv_close ((uv_handle_t *)&reader->timer, on_reader_closed);
 }
 
+static void
+on_reader_gone (struct lag_waiter *waiter)
+{
+  finish_reader ((struct reader *)waiter, false);
+}
+
 static void
 on_wait_expired (uv_timer_t *timer)
 {
@@ -409,6 +427,7 @@
             uint64_t wait_ms)
 {
   struct reader *reader = g_new0 (struct reader, 1);
+  reader->waiter.gone = on_reader_gone;
   reader->relay = relay;
   reader->mirror = mirror;
   reader->connection = connection;
@@ -428,9 +447,12 @@
 on_request (void *context, struct nsv_connection *connection,
             const struct msg_message *request, const char *method)
 {
-  (void)method;
   struct rly_relay *relay = context;
   const char *url = request->url->str;
+  if (lag_handle (relay->load, connection, request, method))
+    {
+      return;
+    }
   if (!g_str_has_prefix (url, RELAY_PATH))
     {
       nsv_respond (connection, HTTP_STATUS_NOT_FOUND, "", "", 0);
@@ -475,9 +497,10 @@
 }
 
 static void
-on_reader_gone (void *reader)
+on_waiter_gone (void *context)
 {
-  finish_reader (reader, false);
+  struct lag_waiter *waiter = context;
+  waiter->gone (waiter);
 }
 
 static void
@@ -488,7 +511,7 @@
 
 static const struct nsv_events events = {
   .request = on_request,
-  .disconnected = on_reader_gone,
+  .disconnected = on_waiter_gone,
   .drained = ignore_drained,
 };
 
@@ -527,6 +550,7 @@
       g_free (relay);
       return NULL;
     }
+  relay->load = lag_create (loop);
   uv_timer_init (loop, &relay->sweep);
   relay->sweep.data = relay;
   uv_timer_start (&relay->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
@@ -546,6 +570,7 @@
 rly_destroy (struct rly_relay *relay)
 {
   nsv_destroy (relay->server);
+  lag_destroy (relay->load);
   uv_close ((uv_handle_t *)&relay->sweep, on_sweep_closed);
 }
 
@@ -561,7 +586,7 @@
 bool
 rly_has_readers (const struct rly_relay *relay)
 {
-  return nsv_connection_count (relay->server) > 0;
+  return reader_connections (relay) > 0;
 }
 
 /* Makes RELAY tell its readers which endpoints leave according to VERDICTS,
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -2,8 +2,10 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "core/fleet_known.h"
 #include "entry/exchange.h"
 #include "entry/inquiry.h"
+#include "entry/load_exchange.h"
 #include "entry/passing.h"
 #include "entry/probing.h"
 
@@ -109,6 +111,7 @@
   cnt_set_gauge (metrics->proof_age_ms,
                  (clk_monotonic_us () - fvw_proved_us (traffic->views))
                      / CLK_MS_US);
+  lex_update_gauges (traffic->load, clk_monotonic_us ());
 }
 
 static void
@@ -230,11 +233,47 @@
   nsv_expire (traffic->metrics_server, now_us);
   inq_remove_expired (traffic, now_us);
   prb_step (traffic, now_us);
+  const struct fvw_view *view = fst_view (traffic->fleet);
+  lex_step (traffic->load, view != NULL && view->crowded, now_us);
   apply_quarantine (traffic);
   log_readiness (traffic);
   lg_flush ();
 }
 
+/* Handles that other daemons report the engine ID dead, in its incarnation
+   that started at BORN_MS: as this daemon's own finding if CONFIRMED, or else
+   by avoiding the engine for a while.  */
+static void
+on_engine_dead (void *context, const char *id, int64_t born_ms, bool confirmed)
+{
+  struct trf_traffic *traffic = context;
+  struct fst_endpoint *engine = fst_find_id (traffic->fleet, id);
+  int64_t now_us = clk_monotonic_us ();
+  if (engine == NULL || engine->born_ms != born_ms)
+    {
+      return;
+    }
+  if (confirmed)
+    {
+      fst_report_failure (traffic->fleet, engine, EVD_DEAD,
+                          "reported dead by other daemons", now_us);
+    }
+  else
+    {
+      engine->evidence.full_until_us
+          = MAX (engine->evidence.full_until_us, now_us + FKN_SUSPECT_US);
+    }
+}
+
+/* Passes a failure of ENDPOINT on to the exchange of load.  */
+static void
+on_failure (void *context, const struct fst_endpoint *endpoint,
+            enum evd_failure_kind kind, bool in_backoff, int64_t now_us)
+{
+  struct trf_traffic *traffic = context;
+  lex_report_failure (traffic->load, endpoint, kind, in_backoff, now_us);
+}
+
 /* Opens the servers for probes, metrics and callers.  Returns false with
    ERR_SETTINGS when an address can't be used.  */
 static bool
@@ -303,6 +342,8 @@
   traffic->metrics = emt_create (traffic->series);
   traffic->fleet = fst_create (settings->data_centre, &budget, verdicts);
   traffic->client = ncl_create (loop, &client_params);
+  traffic->load = lex_create (traffic, on_engine_dead, traffic);
+  fst_watch_failures (traffic->fleet, on_failure, traffic);
   if (!open_servers (traffic, error))
     {
       return NULL; /* no clean-up: the process exits */
@@ -373,6 +414,7 @@
   g_hash_table_destroy (traffic->inquiries);
   g_hash_table_destroy (traffic->probes);
   ncl_destroy (traffic->client);
+  lex_destroy (traffic->load);
   uv_close ((uv_handle_t *)&traffic->view_changed, NULL);
   uv_close ((uv_handle_t *)&traffic->sweep, NULL);
   g_hash_table_destroy (traffic->exchanges);
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -23,6 +23,7 @@
   struct fst_fleet *fleet;
   struct qrn_quarantine *quarantine;
   struct psg_passing *passing;
+  struct lex_exchange *load; /* of the other daemons */
   struct ncl_client *client; /* connections to endpoints */
   struct nsv_server *caller_server;
   struct nsv_server *probe_server; /* readiness probes of the load balancer */
--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -341,9 +341,9 @@
 
 /* Returns the value of SETTING, a text, in the settings of DAEMON, allocated.
  */
-static char *
-read_setting (const struct efx_fixture *fixture, const char *daemon,
-              const char *setting)
+char *
+efx_read_setting (const struct efx_fixture *fixture, const char *daemon,
+                  const char *setting)
 {
   g_autofree char *file = g_strdup_printf ("%s.yaml", daemon);
   g_autofree char *path = g_build_filename (fixture->folder, file, NULL);
@@ -393,7 +393,8 @@
     {
       return second;
     }
-  g_autofree char *relay = read_setting (fixture, "entry-1", "relay_address");
+  g_autofree char *relay
+      = efx_read_setting (fixture, "entry-1", "relay_address");
   g_autofree char *path
       = g_build_filename (fixture->folder, "entry-2.yaml", NULL);
   FILE *settings = fopen (path, "a");
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -81,6 +81,8 @@
                               const struct sep_process *daemon,
                               const char *key);
 uint32_t efx_send_booking (struct efx_fixture *fixture, const char *key);
+char *efx_read_setting (const struct efx_fixture *fixture, const char *daemon,
+                        const char *setting);
 struct sep_process *efx_create_daemon (struct efx_fixture *fixture,
                                        const char *name,
                                        const char *store_address,
