--- a/src/entry/fleet_state_private.h
+++ b/src/entry/fleet_state_private.h
@@ -36,6 +36,8 @@
   GHashTable *services;     /* name to struct service_state */
   GHashTable *kept_rates;   /* endpoint id to struct kept_rate */
   struct pcs_source source; /* of the others' load; `load' is NULL: none */
+  fst_failed failed;        /* NULL: failures aren't watched */
+  void *failed_context;
 };
 
 uint32_t fst_data_centre_index (struct fst_fleet *fleet, const char *name);
--- a/src/entry/path_choosing.c
+++ b/src/entry/path_choosing.c
@@ -275,7 +275,6 @@
                const struct fst_path *path, const struct pch_choice *choice)
 {
   cnt_set_gauge (metrics->free_slots, (int64_t)choice->free_slots);
-  cnt_set_gauge (metrics->load_age_ms, choice->age_us / CLK_MS_US);
   lg_line (LOG_DEBUG, "path_chosen",
            "request=%s endpoint=%s rank=%u free=%.0f age_ms=%ld first_ms=%.0f "
            "wait_ms=%.0f limit_ms=%.0f",
