Claim memory by the expected length of answers

In a crowded fleet a request claims memory for its prompt and the 0.9 quantile of its answer instead of the most that it may need, and more when the answer exceeds that. Plain endpoints are chosen by the expected remaining time of the daemon's calls where the calls of a service differ by a quarter; the choice moves from entry/fleet_state.c to entry/endpoint_choosing.c, unchanged for other services. A token count that isn't finite, negative or over 1e9 counts as none: infinity made the memory in use of an engine NaN for good.

--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -30,6 +30,11 @@
   struct cnt_series *cut_off;            /* services whose endpoints this
                                          daemon can't reach now */
   struct cnt_series *events;
+  struct cnt_series *output_expected; /* tokens of complete answers, as
+                                         expected on arrival */
+  struct cnt_series *output_real;     /* tokens of the same answers */
+  struct cnt_series *outputs_over;    /* answers that exceeded their claim */
+  struct cnt_series *bad_counts;      /* requests with ignored token counts */
   struct cnt_series *in_progress;
   struct cnt_series *config_version;
   struct cnt_series *endpoints; /* in the view in force */
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -44,6 +44,10 @@
 {
   exchange->traffic->buffered_bytes -= exchange->buffered_bytes;
   g_hash_table_remove (exchange->traffic->exchanges, exchange);
+  if (exchange->call_class != NULL)
+    {
+      clt_release (exchange->call_class);
+    }
   flt_release (exchange->config);
   g_free (exchange->service);
   g_free (exchange->key);
@@ -98,6 +102,7 @@
     }
   else if (exchange->endpoint != NULL)
     {
+      exg_end_call (exchange, EPC_NO_TIME);
       evd_end (&exchange->endpoint->evidence);
     }
   if (exchange->endpoint != NULL)
@@ -159,7 +164,7 @@
   lg_line (LOG_INFO, "request_done",
            "request=%s route=%s account=%s outcome=%s status=%u attempts=%u "
            "denials=%u first_ms=%ld pause_ms=%ld total_ms=%ld left_ms=%ld "
-           "config=%lu endpoint=%s path=%s",
+           "config=%lu endpoint=%s hint=%.0f expected=%.0f path=%s",
            exchange->id, exchange->route->name,
            exchange->account == NULL ? "-" : exchange->account->name, outcome,
            status, exchange->attempts, exchange->denials,
@@ -172,8 +177,10 @@
            (long)((exchange->deadline_us - now_us) / CLK_MS_US),
            (unsigned long)exchange->config->version,
            exchange->endpoint == NULL ? "-" : exchange->endpoint->id,
+           exchange->cost.stated.hint, exchange->cost.expected,
            exchange->path == NULL ? "-" : exchange->path->text);
   cnt_observe_us (metrics->total_time, now_us - exchange->arrived_us);
+  exg_learn_cost (exchange);
   struct spn_times times;
   exg_describe_times (exchange, &times);
   (exchange->served ? spn_observe_success : spn_observe_partial) (
@@ -570,13 +577,15 @@
       fst_begin_request (exchange->path, exchange->tokens);
       return true;
     }
-  exchange->endpoint
-      = fst_choose_endpoint (fleet, index, exchange->tried_endpoints, now_us);
+  exchange->endpoint = epc_choose (fleet, index, exchange->tried_endpoints,
+                                   exchange->traffic->call_times,
+                                   exchange->call_class, now_us);
   if (exchange->endpoint == NULL)
     {
       return false;
     }
   evd_begin (&exchange->endpoint->evidence);
+  exg_begin_call (exchange);
   return true;
 }
 
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -77,6 +77,10 @@
 void
 exg_report_unanswered (struct exchange *exchange)
 {
+  if (exchange->attempt != NULL && exchange->path == NULL)
+    {
+      exg_end_call (exchange, EPC_LEFT);
+    }
   if (exchange->attempt != NULL && exchange->path == NULL
       && evd_is_overdue (&exchange->endpoint->evidence,
                          clk_monotonic_us () - exchange->sent_us))
@@ -99,6 +103,7 @@
   exchange->served = true;
   if (exchange->path == NULL)
     {
+      exg_end_call (exchange, EPC_ANSWERED);
       fst_report_success (traffic->fleet, exchange->endpoint, latency_us);
       return;
     }
@@ -310,6 +315,7 @@
     }
   exchange->events += events;
   cnt_add (metrics->events, events);
+  exg_update_claim (exchange);
   nsv_send_body (exchange->caller, exchange->answer->data,
                  exchange->answer->len);
   if (nsv_is_slow (exchange->caller))
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -11,13 +11,6 @@
 #include <string.h>
 #include <strings.h>
 
-/* Memory, in tokens, assumed for a request that doesn't state its token
-   counts. */
-#define DEFAULT_TOKENS 1000
-
-/* Limit on the stated number of output tokens. */
-#define OUTPUT_TOKENS_MAX 1e9
-
 /* True for headers that aren't forwarded from callers, since this daemon sets
    them itself or they are meant for it alone.  */
 static bool
@@ -55,23 +48,6 @@
   msg_copy_headers (request, is_not_forwarded, head);
 }
 
-/* Returns the memory, in tokens, that a request needs at most.  TEXT is
-   "prompt,output", its token counts, or NULL.  Sets OUTPUT to the number of
-   tokens that it may generate; 0 if TEXT states none.  */
-static double
-parse_tokens (const char *text, double *output)
-{
-  *output = 0;
-  if (text == NULL)
-    {
-      return DEFAULT_TOKENS;
-    }
-  char *end = NULL;
-  double prompt = g_ascii_strtod (text, &end);
-  *output = *end == ',' ? g_ascii_strtod (end + 1, NULL) : 0;
-  return MAX (prompt + *output, 1);
-}
-
 /* Why a request is refused. */
 struct refusal
 {
@@ -172,11 +148,12 @@
 events_max (const struct flt_service *service,
             const struct msg_message *request)
 {
+  double prompt = 0;
   double output = 0;
-  parse_tokens (msg_find (request, PFH_TOKENS), &output);
+  cos_parse_counts (msg_find (request, PFH_TOKENS), &prompt, &output);
   uint32_t event_tokens
       = service->has_engine ? service->engine.event_tokens : 1;
-  return (uint32_t)ceil (CLAMP (output, 0, OUTPUT_TOKENS_MAX) / event_tokens);
+  return (uint32_t)ceil (output / event_tokens);
 }
 
 /* True unless the daemon is stopping and REQUEST on ROUTE, to be served by
@@ -271,9 +248,6 @@
             ? 0
             : (uint32_t)CLAMP (g_ascii_strtoll (passed_on, NULL, 10) - 1, 0,
                                ATT_SENT_MAX);
-  double output_tokens = 0;
-  exchange->tokens
-      = parse_tokens (msg_find (request, PFH_TOKENS), &output_tokens);
   exchange->arrived_us = clk_monotonic_us ();
   exchange->deadline_us = exchange->arrived_us + time_left_us (route, request);
   exchange->answer_head = g_string_new (NULL);
@@ -372,6 +346,7 @@
   exchange->traits = g_steal_pointer (&traits);
   exchange->is_trial = verdict.trial;
   exchange->service = g_strdup (config->services[service].name);
+  exg_start_cost (exchange, request, method, &config->services[service]);
   if (!exchange->is_passed)
     {
       rbg_request (fst_budget (traffic->fleet, service), exchange->arrived_us);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -3,12 +3,27 @@
 #define ENTRY_EXCHANGE_PRIVATE_H
 
 #include "core/attempt.h"
+#include "entry/endpoint_choosing.h"
 #include "entry/exchange.h"
 #include "net/event_scan.h"
 
 /* Size of the buffer of a request id, with the final null character. */
 #define EXG_ID_BYTES 64
 
+/* What the answer to a stream is expected to be.  All zero: the request isn't
+   for engines. */
+struct exg_cost
+{
+  struct cos_request stated; /* by the caller */
+  struct cos_request used;   /* the part of it that is believed */
+  uint32_t event_tokens;
+  double prompt;         /* tokens */
+  double expected;       /* tokens of the answer, on arrival */
+  double claimed_output; /* tokens of the answer that a claim covers */
+  bool is_claimed;       /* `tokens' holds that claim */
+  bool is_over;          /* the answer has exceeded its first claim */
+};
+
 /* Points in time are monotonic. */
 struct exchange
 {
@@ -28,7 +43,9 @@
 
   char **traits; /* names of what the request has in common with others, see
                     entry/quarantine.h */
-  double tokens; /* memory that the request needs in an engine */
+  double tokens; /* memory that the request claims in an engine */
+  struct exg_cost cost;
+  struct clt_class *call_class; /* reference; NULL: not for a plain service */
   int64_t arrived_us;
   int64_t deadline_us;
   uv_timer_t timer; /* for the next check, see exg_schedule_check */
@@ -38,6 +55,7 @@
   struct fst_endpoint *endpoint; /* reference; the request is sent to it */
   struct fst_path *path;         /* NULL for plain services */
   uint32_t status;               /* of the answer; 0: none yet */
+  struct epc_call call;          /* at the endpoint of a plain service */
   bool is_waiting;   /* for the first event on a path: `wait_link' is in use */
   bool not_executed; /* the endpoint states that it didn't run the request */
   bool turned_away;  /* the endpoint closed before or since it was sent the
@@ -129,5 +147,12 @@
 void exg_report_failure (struct exchange *exchange, enum evd_failure_kind kind,
                          const char *reason);
 void exg_schedule_check (struct exchange *exchange);
+void exg_start_cost (struct exchange *exchange,
+                     const struct msg_message *request, const char *method,
+                     const struct flt_service *service);
+void exg_update_claim (struct exchange *exchange);
+void exg_learn_cost (struct exchange *exchange);
+void exg_begin_call (struct exchange *exchange);
+void exg_end_call (struct exchange *exchange, enum epc_end end);
 
 #endif
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -142,7 +142,7 @@
   bool rate_changed = fabs (rate_share - control->view->rate_share)
                       > RATE_SHARE_CHANGE * control->view->rate_share;
   if (!control->view_outdated && share == control->view->share
-      && !rate_changed)
+      && control->crowded == control->view->crowded && !rate_changed)
     {
       return;
     }
@@ -150,6 +150,7 @@
   fvw_release (control->view);
   control->view = fvw_view_create (control->config, list_endpoints (control),
                                    share, rate_share);
+  control->view->crowded = control->crowded;
   fvw_publish (control->views, fvw_reference (control->view));
   control->notify (control->context);
 }
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -1,4 +1,4 @@
-#include "entry/fleet_state.h"
+#include "entry/fleet_state_private.h"
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -50,23 +50,6 @@
 /* Limit on the rates that are kept of endpoints that aren't listed. */
 #define KEPT_RATES_MAX 1024
 
-/* Lower bound of this daemon's share of the fleet's capacity.  Used until the
-   group reports the actual share. */
-#define SHARE_MIN 0.02
-
-/* What is kept for one service. */
-struct service_state
-{
-  struct rbg_budget budget;
-  GPtrArray *paths;       /* struct fst_path; NULL: to be computed */
-  int64_t paths_until_us; /* when the paths expire */
-  int64_t opens_us; /* when the first path opens that engines which turned
-                       requests away close; 0: none will */
-  bool cut_off; /* this daemon can't tell which of its endpoints are dead */
-  int64_t cut_since_us; /* then only endpoints that have answered calls which
-                           were sent later are used */
-};
-
 /* The rate of an endpoint that isn't listed any more. */
 struct kept_rate
 {
@@ -74,20 +57,6 @@
   struct shr_rate rate;
 };
 
-/* State of the fleet; used by the traffic thread alone. */
-struct fst_fleet
-{
-  char *data_centre;
-  struct rbg_params budget_params;
-  struct vdt_verdicts *verdicts; /* read by the control thread */
-  struct fvw_view *view;         /* in force; NULL before the first */
-  GHashTable *endpoints;         /* id to struct fst_endpoint */
-  GPtrArray *ordered;      /* the same endpoints, in the order of the view */
-  GPtrArray *data_centres; /* names, allocated; endpoints hold the index */
-  GHashTable *services;    /* name to struct service_state */
-  GHashTable *kept_rates;  /* endpoint id to struct kept_rate */
-};
-
 static void
 destroy_service (gpointer data)
 {
@@ -221,6 +190,17 @@
     }
 }
 
+/* Changes the memory of a request that fst_begin_request counted on PATH by
+   TOKENS.  */
+void
+fst_change_request (struct fst_path *path, double tokens)
+{
+  for (uint32_t i = 0; i < path->count; i++)
+    {
+      path->parts[i]->used_tokens += tokens;
+    }
+}
+
 /* Records that a stream on PATH went on at NOW_US.  PATH may be NULL.  */
 void
 fst_report_progress (struct fst_path *path, int64_t now_us)
@@ -357,6 +337,7 @@
       endpoint->id = g_strdup (entry->id);
       endpoint->address = g_strdup (entry->address);
       endpoint->born_ms = entry->started_ms;
+      endpoint->slowness = 1;
       restore_rate (fleet, endpoint);
       g_hash_table_insert (fleet->endpoints, endpoint->id, endpoint);
     }
@@ -468,100 +449,6 @@
   return &service_state (fleet, service)->budget;
 }
 
-static bool
-is_tried (const GPtrArray *tried, const struct fst_endpoint *endpoint)
-{
-  for (guint i = 0; tried != NULL && i < tried->len; i++)
-    {
-      if (g_ptr_array_index (tried, i) == endpoint)
-        {
-          return true;
-        }
-    }
-  return false;
-}
-
-/* Returns when ENDPOINT takes the next request of this daemon: it may have
-   turned requests away or named a rate.  The result isn't after NOW_US if it
-   takes one now.  */
-static int64_t
-opens_for_requests_us (const struct fst_endpoint *endpoint, int64_t now_us)
-{
-  return MAX (endpoint->opens_us, shr_opens_us (&endpoint->rate, now_us));
-}
-
-/* Returns whether this daemon may reach ENDPOINT of SERVICE: while it is cut
-   off, only endpoints that have answered since then.  */
-static bool
-is_in_reach (const struct service_state *service,
-             const struct fst_endpoint *endpoint)
-{
-  return !service->cut_off || endpoint->answered_us > service->cut_since_us;
-}
-
-/* Returns the relative cost of a request at ENDPOINT, of a plain service: it
-   rises with the load, the share of failures and the latency, and in another
-   data centre than HOME.  */
-static double
-endpoint_cost (const struct fst_fleet *fleet, uint32_t home,
-               const struct fst_endpoint *endpoint)
-{
-  double share = MAX (fleet->view->share, SHARE_MIN);
-  double slots = MAX (endpoint->slots, 1) * share;
-  double load = (endpoint->evidence.in_flight + 1) / MAX (slots, 1);
-  double remote = endpoint->data_centre == home ? 0 : 0.15;
-  return (load + remote) * (1 + 8 * endpoint->evidence.failure_rate)
-         * (1 + endpoint->evidence.latency_us / CLK_S_US);
-}
-
-/* Returns the endpoint of the plain service SERVICE with the lowest cost that
-   is open and isn't among TRIED, or NULL.  One that is in backoff is used as a
-   LAST_RESORT only.  */
-static struct fst_endpoint *
-cheapest_endpoint (struct fst_fleet *fleet, uint32_t service,
-                   const GPtrArray *tried, bool last_resort, int64_t now_us)
-{
-  const struct service_state *state = service_state (fleet, service);
-  uint32_t home = data_centre_index (fleet, fleet->data_centre);
-  struct fst_endpoint *best = NULL;
-  double best_cost = INFINITY;
-  for (guint i = 0; i < fleet->ordered->len; i++)
-    {
-      struct fst_endpoint *endpoint = g_ptr_array_index (fleet->ordered, i);
-      if (endpoint->service != service || !endpoint->listed
-          || !is_in_reach (state, endpoint)
-          || now_us < opens_for_requests_us (endpoint, now_us)
-          || is_tried (tried, endpoint)
-          || !(last_resort || evd_usable (&endpoint->evidence, now_us)))
-        {
-          continue;
-        }
-      double cost = endpoint_cost (fleet, home, endpoint)
-                    * g_random_double_range (0.95, 1.05);
-      if (cost < best_cost)
-        {
-          best = endpoint;
-          best_cost = cost;
-        }
-    }
-  return best;
-}
-
-/* Chooses an endpoint of the plain service SERVICE that isn't among TRIED.
-   Returns a reference, or NULL when there is none.  */
-struct fst_endpoint *
-fst_choose_endpoint (struct fst_fleet *fleet, uint32_t service,
-                     const GPtrArray *tried, int64_t now_us)
-{
-  struct fst_endpoint *best
-      = cheapest_endpoint (fleet, service, tried, false, now_us);
-  if (best == NULL)
-    {
-      best = cheapest_endpoint (fleet, service, tried, true, now_us);
-    }
-  return best == NULL ? NULL : fst_reference (best);
-}
-
 /* Returns the time, in milliseconds, that PART takes for one layer of one
    token, raised if it failed lately.  */
 static double
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -1,6 +1,6 @@
 /* The traffic thread's state of the fleet: the view in force, and for each
-   endpoint what this daemon's own requests have shown.  Chooses endpoints and
-   paths for requests. */
+   endpoint what this daemon's own requests have shown.  Chooses paths for
+   requests; entry/endpoint_choosing.h chooses endpoints of plain services. */
 #ifndef ENTRY_FLEET_STATE_H
 #define ENTRY_FLEET_STATE_H
 
@@ -44,6 +44,10 @@
   struct fwt_estimate first_wait; /* of streams whose paths begin at it */
   GQueue waiting; /* int64_t: when each stream that waits there for its first
                      event was sent, the oldest first */
+  GQueue calls;   /* struct epc_call: this daemon's calls of a plain service in
+                     progress, see entry/endpoint_choosing.h */
+  double slowness; /* its times of calls relative to those expected, moving
+                      average */
 };
 
 /* A path through the engines of a service.  Exists while the list of paths or
@@ -81,10 +85,6 @@
 void fst_list_dead (struct fst_fleet *fleet, int64_t now_us,
                     GPtrArray *endpoints);
 
-struct fst_endpoint *fst_choose_endpoint (struct fst_fleet *fleet,
-                                          uint32_t service,
-                                          const GPtrArray *tried,
-                                          int64_t now_us);
 struct fst_path *fst_choose_path (struct fst_fleet *fleet, uint32_t service,
                                   double tokens, int64_t target_us,
                                   int64_t now_us, double *excess_us);
@@ -117,6 +117,7 @@
 void fst_release_path (struct fst_path *path);
 void fst_begin_request (struct fst_path *path, double tokens);
 void fst_end_request (struct fst_path *path, double tokens);
+void fst_change_request (struct fst_path *path, double tokens);
 void fst_report_progress (struct fst_path *path, int64_t now_us);
 void fst_begin_wait (struct fst_endpoint *engine, GList *link);
 void fst_end_wait (struct fst_endpoint *engine, GList *link);
--- /dev/null
+++ b/src/entry/fleet_state_private.h
@@ -0,0 +1,57 @@
+/* The state of the fleet, for the source files that choose endpoints and
+   paths in it. */
+#ifndef ENTRY_FLEET_STATE_PRIVATE_H
+#define ENTRY_FLEET_STATE_PRIVATE_H
+
+#include "entry/fleet_state.h"
+
+/* Lower bound of this daemon's share of the fleet's capacity.  Used until the
+   group reports the actual share. */
+#define SHARE_MIN 0.02
+
+/* What is kept for one service. */
+struct service_state
+{
+  struct rbg_budget budget;
+  GPtrArray *paths;       /* struct fst_path; NULL: to be computed */
+  int64_t paths_until_us; /* when the paths expire */
+  int64_t opens_us; /* when the first path opens that engines which turned
+                       requests away close; 0: none will */
+  bool cut_off; /* this daemon can't tell which of its endpoints are dead */
+  int64_t cut_since_us; /* then only endpoints that have answered calls which
+                           were sent later are used */
+};
+
+/* State of the fleet; used by the traffic thread alone. */
+struct fst_fleet
+{
+  char *data_centre;
+  struct rbg_params budget_params;
+  struct vdt_verdicts *verdicts; /* read by the control thread */
+  struct fvw_view *view;         /* in force; NULL before the first */
+  GHashTable *endpoints;         /* id to struct fst_endpoint */
+  GPtrArray *ordered;      /* the same endpoints, in the order of the view */
+  GPtrArray *data_centres; /* names, allocated; endpoints hold the index */
+  GHashTable *services;    /* name to struct service_state */
+  GHashTable *kept_rates;  /* endpoint id to struct kept_rate */
+};
+
+/* Returns when ENDPOINT takes the next request of this daemon: it may have
+   turned requests away or named a rate.  The result isn't after NOW_US if it
+   takes one now.  */
+static inline int64_t
+opens_for_requests_us (const struct fst_endpoint *endpoint, int64_t now_us)
+{
+  return MAX (endpoint->opens_us, shr_opens_us (&endpoint->rate, now_us));
+}
+
+/* Returns whether this daemon may reach ENDPOINT of SERVICE: while it is cut
+   off, only endpoints that have answered since then.  */
+static inline bool
+is_in_reach (const struct service_state *service,
+             const struct fst_endpoint *endpoint)
+{
+  return !service->cut_off || endpoint->answered_us > service->cut_since_us;
+}
+
+#endif
--- a/src/entry/fleet_view.h
+++ b/src/entry/fleet_view.h
@@ -19,6 +19,8 @@
       share; /* this daemon's share of shared capacity and budgets, 0 to 1 */
   double rate_share; /* its share of the rates that endpoints name, of which
                         each daemon has one, 0 to 1 */
+  bool crowded;      /* the fleet has more daemons than partitions, see
+                        rfs_is_crowded */
   struct rcu_head head;
 };
 
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -296,6 +296,8 @@
   };
   traffic->run_times
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  traffic->costs = cos_create ();
+  traffic->call_times = clt_create ();
   traffic->exchanges = g_hash_table_new (NULL, NULL);
   traffic->inquiries = inq_table_create ();
   traffic->probes = prb_table_create ();
@@ -377,6 +379,8 @@
   uv_close ((uv_handle_t *)&traffic->sweep, NULL);
   g_hash_table_destroy (traffic->exchanges);
   g_hash_table_destroy (traffic->run_times);
+  cos_destroy (traffic->costs);
+  clt_destroy (traffic->call_times);
   psg_destroy (traffic->passing);
   fst_destroy (traffic->fleet);
   emt_destroy (traffic->metrics);
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -5,6 +5,8 @@
 #define ENTRY_TRAFFIC_H
 
 #include "config/entry_settings.h"
+#include "core/call_time.h"
+#include "core/cost.h"
 #include "core/freshness.h"
 #include "core/stopping.h"
 #include "entry/entry_metrics.h"
@@ -39,6 +41,8 @@
                             ended requests; see exg_history */
   double first_event_us; /* moving average of the time from an attempt's start
                             to the first event; 0: none yet */
+  struct cos_costs *costs;      /* expected lengths of answers */
+  struct clt_times *call_times; /* expected times of plain calls */
   size_t buffered_bytes; /* of memory, for answers that are delivered whole */
   struct fwt_refusals refusals; /* for want of room */
   GHashTable *exchanges;        /* set of struct exchange in progress */
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -2,6 +2,7 @@
    no requests.  */
 #include "base/clock.h"
 #include "entry/announcement.h"
+#include "entry/endpoint_choosing.h"
 #include "entry/fleet_state.h"
 #include "platform/headers.h"
 
@@ -116,7 +117,7 @@
       struct fst_path *path
           = fst_choose_path (fixture->fleet, 0, 100, S, now_us, &excess_us);
       struct fst_endpoint *plain
-          = fst_choose_endpoint (fixture->fleet, 1, NULL, now_us);
+          = epc_choose (fixture->fleet, 1, NULL, NULL, NULL, now_us);
       for (size_t i = 0; i < G_N_ELEMENTS (endpoints); i++)
         {
           const char *id = endpoints[i].id;
