--- a/src/core/cost.c
+++ b/src/core/cost.c
@@ -6,7 +6,7 @@
 #include <math.h>
 #include <string.h>
 
-/* Limit on the kinds of requests that are told apart; one takes 0.7 KB. */
+/* Limit on the kinds of requests that are told apart; one takes 1.1 KB. */
 #define KINDS_MAX 512
 
 /* Limit on the accounts whose bad input has been reported. */
@@ -25,9 +25,12 @@
 #define DEFAULT_LENGTH 256.0
 
 /* Samples from which an account's own distribution is used, and from which the
-   spreads of hints and lengths are compared. */
+   mean length of a route is known. */
 #define ACCOUNT_SAMPLES 50.0
-#define COMPARED_SAMPLES 20.0
+#define KNOWN_SAMPLES 20.0
+
+/* Limit on the exponent of hints, see struct hint_fit. */
+#define EXPONENT_MAX 2.0
 
 /* A stated number over this multiple of the mean length is no estimate. */
 #define ABSURD_FACTOR 1000.0
@@ -50,10 +53,26 @@
    and what is added would not be what is taken off again. */
 #define NUMBER_MAX 1e9
 
+/* How lengths follow hints.  Where hints scatter about the real length, a
+   large hint is too large more often than too small, and the expected length
+   grows with less than its first power; the fit is a regression of the
+   logarithms.  Sums decay as the histograms do. */
+struct hint_fit
+{
+  double weight;
+  double hints;    /* sum of the logarithms */
+  double lengths;  /* likewise */
+  double squares;  /* of the logarithms of hints */
+  double products; /* of both logarithms */
+  int64_t updated_us;
+};
+
 /* What is learned of the requests of a route, or of one account on it. */
 struct kind
 {
-  struct lhg_histogram ratios;  /* real to hinted length */
+  struct hint_fit fit;
+  struct lhg_histogram ratios;  /* real to hinted length; of accounts only */
+  struct lhg_histogram fitted;  /* real length to that by `fit' */
   struct lhg_histogram lengths; /* in LENGTH_UNIT */
   uint32_t over_limit; /* answers that were longer than their stated limit */
   uint64_t used;       /* number of the newest use */
@@ -191,6 +210,39 @@
                     request->account == NULL ? "" : request->account);
 }
 
+/* Adds the sample of a HINT and a LENGTH to FIT at NOW_US.  */
+static void
+add_to_fit (struct hint_fit *fit, double hint, double length, int64_t now_us)
+{
+  double factor = lhg_decay (fit->updated_us, now_us);
+  double x = log (hint);
+  double y = log (length);
+  fit->weight = fit->weight * factor + 1;
+  fit->hints = fit->hints * factor + x;
+  fit->lengths = fit->lengths * factor + y;
+  fit->squares = fit->squares * factor + x * x;
+  fit->products = fit->products * factor + x * y;
+  fit->updated_us = MAX (now_us, fit->updated_us);
+}
+
+/* Returns the length that FIT gives for HINT, but for a constant factor.  The
+   exponent is 1 without samples, which the prior keeps it near for the
+   first.  */
+static double
+fit_length (const struct hint_fit *fit, double hint)
+{
+  const double prior = PRIOR_WEIGHT * PRIOR_SPREAD * PRIOR_SPREAD;
+  if (fit->weight < 1)
+    {
+      return hint;
+    }
+  double mean = fit->hints / fit->weight;
+  double variance = MAX (fit->squares - fit->hints * mean, 0);
+  double covariance = fit->products - fit->lengths * mean;
+  double exponent = (covariance + prior) / (variance + prior);
+  return exp (mean + CLAMP (exponent, 0, EXPONENT_MAX) * (log (hint) - mean));
+}
+
 /* Returns whether the hints of the account whose requests are OWN say
    nothing.  */
 static bool
@@ -217,7 +269,7 @@
            int64_t now_us)
 {
   const struct kind *all = find_kind (costs, request->route, NULL);
-  double mean = lhg_weight (&all->lengths, now_us) >= COMPARED_SAMPLES
+  double mean = lhg_weight (&all->lengths, now_us) >= KNOWN_SAMPLES
                     ? lhg_mean (&all->lengths, 0, INFINITY) * LENGTH_UNIT
                     : MAX (request->usual, DEFAULT_LENGTH);
   const struct kind *own = find_own_kind (costs, request);
@@ -246,8 +298,7 @@
 }
 
 /* Sets HISTOGRAM to the distribution of the length of the answer to REQUEST,
-   in a unit that it returns.  IS_LEARNED: there are samples.  The ratio to the
-   hint is used unless the lengths themselves differ less.  */
+   in a unit that it returns.  IS_LEARNED: there are samples.  */
 static double
 find_distribution (struct cos_costs *costs, const struct cos_request *request,
                    int64_t now_us, struct lhg_histogram *histogram,
@@ -255,26 +306,22 @@
 {
   const struct kind *all = find_kind (costs, request->route, NULL);
   const struct kind *own = find_own_kind (costs, request);
-  bool own_ratios = lhg_weight (&own->ratios, now_us) >= ACCOUNT_SAMPLES;
-  bool own_lengths = lhg_weight (&own->lengths, now_us) >= ACCOUNT_SAMPLES;
-  const struct lhg_histogram *ratios
-      = own_ratios ? &own->ratios : &all->ratios;
-  const struct lhg_histogram *lengths
-      = own_lengths ? &own->lengths : &all->lengths;
-  bool by_hint = request->hint > 0
-                 && (lhg_weight (lengths, now_us) < COMPARED_SAMPLES
-                     || lhg_weight (ratios, now_us) < COMPARED_SAMPLES
-                     || lhg_spread (ratios) <= lhg_spread (lengths));
-  *histogram = by_hint ? *ratios : *lengths;
-  double unit = by_hint ? request->hint : LENGTH_UNIT;
+  bool by_hint = request->hint > 0;
+  const struct lhg_histogram *known = by_hint ? &own->fitted : &own->lengths;
+  const struct kind *kind
+      = lhg_weight (known, now_us) >= ACCOUNT_SAMPLES ? own : all;
+  *histogram = by_hint ? kind->fitted : kind->lengths;
+  double unit = by_hint ? fit_length (&kind->fit, request->hint) : LENGTH_UNIT;
   double weight = lhg_weight (histogram, now_us);
   *is_learned = weight >= 1;
   /* The usual length is a mean, a hint a median. */
   double median = by_hint ? 1
                           : usual_length (request) / LENGTH_UNIT
                                 * exp (-PRIOR_SPREAD * PRIOR_SPREAD / 2);
-  double prior
-      = weight > 0 ? PRIOR_WEIGHT * histogram->weight / weight : PRIOR_WEIGHT;
+  /* The prior fades with the samples, so that it doesn't hold back a shift.
+     The histogram's weights are those of its newest sample's time. */
+  double prior = PRIOR_WEIGHT * PRIOR_WEIGHT / (PRIOR_WEIGHT + weight);
+  prior *= weight > 0 ? histogram->weight / weight : 1;
   lhg_add_log_normal (histogram, median, PRIOR_SPREAD, prior);
   return unit;
 }
@@ -332,6 +379,20 @@
   (is_complete ? lhg_add : lhg_add_lower_bound) (histogram, value, now_us);
 }
 
+/* Records for KIND that the answer with HINT had TOKENS, or at least these if
+   it isn't complete.  */
+static void
+learn_hint (struct kind *kind, double hint, double tokens, bool is_complete,
+            int64_t now_us)
+{
+  add_sample (&kind->fitted, tokens / fit_length (&kind->fit, hint),
+              is_complete, now_us);
+  if (is_complete)
+    {
+      add_to_fit (&kind->fit, hint, tokens, now_us);
+    }
+}
+
 /* Records that the answer to REQUEST, as its caller stated it, had TOKENS, or
    at least these if it isn't complete.  */
 void
@@ -352,10 +413,12 @@
       return;
     }
   double ratio = tokens / request->hint;
+  bool is_wild
+      = ratio > WILD_FACTOR || (is_complete && ratio < 1 / WILD_FACTOR);
   add_sample (&own->ratios, ratio, is_complete, now_us);
-  if (ratio <= WILD_FACTOR && (ratio >= 1 / WILD_FACTOR || !is_complete)
-      && !is_unreliable (own, now_us))
+  learn_hint (own, request->hint, tokens, is_complete, now_us);
+  if (!is_wild && !is_unreliable (own, now_us))
     {
-      add_sample (&all->ratios, ratio, is_complete, now_us);
+      learn_hint (all, request->hint, tokens, is_complete, now_us);
     }
 }
--- a/src/core/log_histogram.c
+++ b/src/core/log_histogram.c
@@ -21,20 +21,27 @@
   return exp2 ((double)index / LHG_PER_DOUBLING - LHG_DOUBLINGS);
 }
 
-/* Returns the part of a sample's weight that is left at NOW_US.  */
+/* Returns the part of the weight of a sample of SINCE_US that is left at
+   NOW_US.  */
 static double
-remaining_part (const struct lhg_histogram *histogram, int64_t now_us)
+remaining_part (int64_t since_us, int64_t now_us)
 {
-  double age_us = (double)MAX (now_us - histogram->updated_us, 0);
-  return exp2 (-age_us / HALF_LIFE_US);
+  return exp2 (-(double)MAX (now_us - since_us, 0) / HALF_LIFE_US);
+}
+
+/* Returns the factor by which the weights of samples decay from SINCE_US, when
+   the newest was added, until another one is added at NOW_US.  */
+double
+lhg_decay (int64_t since_us, int64_t now_us)
+{
+  return remaining_part (since_us, now_us) * exp2 (-1 / HALF_LIFE_SAMPLES);
 }
 
 /* Decays the samples of HISTOGRAM up to NOW_US, before a new one is added.  */
 static void
 decay (struct lhg_histogram *histogram, int64_t now_us)
 {
-  double factor
-      = remaining_part (histogram, now_us) * exp2 (-1 / HALF_LIFE_SAMPLES);
+  double factor = lhg_decay (histogram->updated_us, now_us);
   histogram->weight = 0;
   for (uint32_t i = 0; i < LHG_CLASSES; i++)
     {
@@ -84,7 +91,7 @@
 double
 lhg_weight (const struct lhg_histogram *histogram, int64_t now_us)
 {
-  return histogram->weight * remaining_part (histogram, now_us);
+  return histogram->weight * remaining_part (histogram->updated_us, now_us);
 }
 
 /* Returns the part of the class INDEX that lies above FROM, in logarithmic
@@ -143,27 +150,6 @@
   return weight > 0 ? lower_bound (LHG_CLASSES) : from;
 }
 
-/* Returns the standard deviation of the natural logarithm of the samples; 0
-   without any.  */
-double
-lhg_spread (const struct lhg_histogram *histogram)
-{
-  double sum = 0;
-  double squares = 0;
-  for (uint32_t i = 0; i < LHG_CLASSES; i++)
-    {
-      sum += histogram->counts[i] * (double)i;
-      squares += histogram->counts[i] * (double)i * i;
-    }
-  if (histogram->weight <= 0)
-    {
-      return 0;
-    }
-  double mean = sum / histogram->weight;
-  double variance = MAX (squares / histogram->weight - mean * mean, 0);
-  return sqrt (variance) * G_LN2 / LHG_PER_DOUBLING;
-}
-
 /* Adds WEIGHT samples in the proportions of a log-normal distribution with
    MEDIAN and SPREAD, the standard deviation of the natural logarithm.  */
 void
--- a/src/core/log_histogram.h
+++ b/src/core/log_histogram.h
@@ -34,7 +34,7 @@
                  double most);
 double lhg_quantile (const struct lhg_histogram *histogram, double from,
                      double quantile);
-double lhg_spread (const struct lhg_histogram *histogram);
+double lhg_decay (int64_t since_us, int64_t now_us);
 void lhg_add_log_normal (struct lhg_histogram *histogram, double median,
                          double spread, double weight);
 
