--- a/src/core/log_histogram.c
+++ b/src/core/log_histogram.c
@@ -108,7 +108,6 @@
 double
 lhg_mean (const struct lhg_histogram *histogram, double from, double most)
 {
-  const double middle = exp2 (0.5 / LHG_PER_DOUBLING);
   double weight = 0;
   double sum = 0;
   for (uint32_t i = 0; i < LHG_CLASSES; i++)
@@ -116,9 +115,12 @@
       double count = histogram->counts[i];
       if (count > 0)
         {
-          count *= part_above (i, from);
-          weight += count;
-          sum += count * MIN (MAX (lower_bound (i) * middle, from), most);
+          /* A class that FROM divides counts with its upper part. */
+          double part = part_above (i, from);
+          double middle
+              = lower_bound (i) * exp2 ((1 - part / 2) / LHG_PER_DOUBLING);
+          weight += count * part;
+          sum += count * part * MIN (MAX (middle, from), most);
         }
     }
   return weight > 0 ? sum / weight : from;
--- a/src/entry/endpoint_choosing.c
+++ b/src/entry/endpoint_choosing.c
@@ -73,8 +73,9 @@
        link = link->next)
     {
       const struct epc_call *call = link->data;
-      rest_us += clt_remaining_us (
-          call->call_class, choice->now_us - call->sent_us, choice->now_us);
+      int64_t run_us
+          = call->began_us == 0 ? 0 : choice->now_us - call->began_us;
+      rest_us += clt_remaining_us (call->call_class, run_us, choice->now_us);
     }
   double own_us = clt_remaining_us (choice->call_class, 0, choice->now_us);
   return (rest_us / slot_share (choice->fleet, endpoint) + own_us)
@@ -171,11 +172,28 @@
   call->found_slot = endpoint->calls.length < slot_share (fleet, endpoint);
   call->call_class = call_class;
   call->sent_us = now_us;
+  call->began_us = call->found_slot ? now_us : 0;
   call->link.data = call;
   call->is_counted = true;
   g_queue_push_tail_link (&endpoint->calls, &call->link);
 }
 
+/* Records that the call which waits longest for a slot of ENDPOINT gets
+   one.  */
+static void
+begin_next (struct fst_endpoint *endpoint, int64_t now_us)
+{
+  for (GList *link = endpoint->calls.head; link != NULL; link = link->next)
+    {
+      struct epc_call *call = link->data;
+      if (call->began_us == 0)
+        {
+          call->began_us = now_us;
+          return;
+        }
+    }
+}
+
 /* Records how CALL, which epc_begin_call counted at ENDPOINT, has ended; one
    that isn't counted is left alone.  Calls that waited for a slot say nothing
    of how long others take.  */
@@ -189,6 +207,10 @@
     }
   call->is_counted = false;
   g_queue_unlink (&endpoint->calls, &call->link);
+  if (call->began_us > 0)
+    {
+      begin_next (endpoint, now_us);
+    }
   if (end == EPC_NO_TIME || !call->found_slot)
     {
       return;
--- a/src/entry/endpoint_choosing.h
+++ b/src/entry/endpoint_choosing.h
@@ -21,9 +21,10 @@
   GList link; /* in the endpoint's queue; its data is the call */
   struct clt_class *call_class;
   int64_t sent_us;
+  int64_t began_us; /* when it took a slot of the daemon's share; 0: it waits
+                       for one */
   bool is_counted;
-  bool found_slot; /* it was sent while the daemon's share of the endpoint's
-                      slots wasn't used up */
+  bool found_slot; /* it didn't wait for that */
 };
 
 struct fst_endpoint *epc_choose (struct fst_fleet *fleet, uint32_t service,
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -368,6 +368,39 @@
     }
 }
 
+/* The memory in use of the engines of a path returns to nothing as claims are
+   raised and end, and is never negative: a rest, or a claim that isn't a
+   number, would keep requests off the path for good.  */
+static void
+claims_return_to_nothing (void **state)
+{
+  (void)state;
+  static const double claims[][2] = {
+    { 1000, 0 },  { 1, 4096 },   { 1e9, 1e9 },
+    { 777, 333 }, { 123457, 1 }, { 4611, 3e8 },
+  };
+  struct fixture fixture;
+  double excess_us = 0;
+  open_fixture (&fixture);
+  struct fst_path *path = fst_choose_path (fixture.fleet, 0, 100, S,
+                                           clk_monotonic_us (), &excess_us);
+  for (size_t i = 0; i < G_N_ELEMENTS (claims); i++)
+    {
+      fst_begin_request (path, claims[i][0]);
+      fst_change_request (path, claims[i][1]);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (claims); i++)
+    {
+      assert_true (path->parts[0]->used_tokens > 0);
+      assert_true (path->parts[1]->used_tokens > 0);
+      fst_end_request (path, claims[i][0] + claims[i][1]);
+    }
+  assert_true (path->parts[0]->used_tokens == 0);
+  assert_true (path->parts[1]->used_tokens == 0);
+  fst_release_path (path);
+  close_fixture (&fixture);
+}
+
 int
 main (void)
 {
@@ -376,6 +409,7 @@
     cmocka_unit_test (closure_by_an_order_counts),
     cmocka_unit_test (first_opening_is_found),
     cmocka_unit_test (heads_of_answers_are_read),
+    cmocka_unit_test (claims_return_to_nothing),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
