--- a/src/core/cost.c
+++ b/src/core/cost.c
@@ -262,8 +262,7 @@
 }
 
 /* Takes what is absurd, or what its account has been wrong with, out of
-   REQUEST.  Returns false when something was absurd or its account's hints are
-   ignored.  */
+   REQUEST.  Returns false when there was such a thing.  */
 bool
 cos_clean (struct cos_costs *costs, struct cos_request *request,
            int64_t now_us)
@@ -280,11 +279,12 @@
     {
       request->hint = 0;
     }
-  if (absurd_most || own->over_limit >= OVER_LIMIT_MAX)
+  bool exceeded = request->most > 0 && own->over_limit >= OVER_LIMIT_MAX;
+  if (absurd_most || exceeded)
     {
       request->most = 0;
     }
-  return !absurd_hint && !absurd_most && !unreliable;
+  return !absurd_hint && !absurd_most && !unreliable && !exceeded;
 }
 
 /* Returns whether bad input of ACCOUNT, NULL for none, is reported for the
--- a/src/entry/exchange_cost.c
+++ b/src/entry/exchange_cost.c
@@ -18,8 +18,9 @@
 /* A prompt over this multiple of the usual one is no count of tokens. */
 #define ABSURD_FACTOR 1000
 
-/* Limit on the length of an answer; ids of events may be absurd. */
-#define TOKENS_MAX 1e9
+/* Limit on what a caller says that it has of an answer begun elsewhere, as a
+   multiple of the usual answer if it states no limit. */
+#define BEFORE_FACTOR 16
 
 /* Logs, once for each account, that the numbers that EXCHANGE's caller states
    are ignored.  */
@@ -95,9 +96,13 @@
                          : DEFAULT_TOKENS;
     }
   cost->event_tokens = MAX (engine->event_tokens, 1);
-  cost->expected = cos_expected_tokens (traffic->costs, &cost->used, 0,
-                                        exchange->arrived_us);
-  double claimed = claimed_tokens (exchange, 0);
+  cost->before = MIN (
+      ((double)exchange->scanner.last_id + 1) * cost->event_tokens,
+      cost->used.most > 0 ? cost->used.most
+                          : BEFORE_FACTOR * engine->usual_answer_tokens);
+  cost->expected = cos_expected_tokens (traffic->costs, &cost->used,
+                                        cost->before, exchange->arrived_us);
+  double claimed = claimed_tokens (exchange, cost->before);
   cost->claimed_output = claimed - cost->prompt;
   if (fst_view (traffic->fleet)->crowded)
     {
@@ -123,14 +128,12 @@
                   exchange->route->name, method, request->body->len);
 }
 
-/* Returns how many tokens of the answer to EXCHANGE the caller has.  Ids of
-   events count from 0, also of a stream that was begun elsewhere.  */
+/* Returns how many tokens of the answer to EXCHANGE the caller has.  */
 static double
 written_tokens (const struct exchange *exchange)
 {
-  double events
-      = MAX ((double)exchange->events, (double)exchange->scanner.last_id + 1);
-  return CLAMP (events * exchange->cost.event_tokens, 0, TOKENS_MAX);
+  return exchange->cost.before
+         + (double)exchange->events * exchange->cost.event_tokens;
 }
 
 /* Raises the memory claimed for EXCHANGE once its answer has exceeded what was
@@ -159,14 +162,15 @@
     }
 }
 
-/* Records how much EXCHANGE, whose answer has ended or broken off, has
-   cost.  */
+/* Records how much EXCHANGE, whose answer has ended or broken off, has cost.
+   What was written elsewhere is only known from the caller, so such answers
+   teach nothing.  */
 void
 exg_learn_cost (struct exchange *exchange)
 {
   struct exg_cost *cost = &exchange->cost;
   struct trf_traffic *traffic = exchange->traffic;
-  if (cost->event_tokens == 0 || exchange->events == 0)
+  if (cost->event_tokens == 0 || exchange->events == 0 || cost->before > 0)
     {
       return;
     }
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -18,6 +18,7 @@
   struct cos_request used;   /* the part of it that is believed */
   uint32_t event_tokens;
   double prompt;         /* tokens */
+  double before;         /* tokens of the answer that the caller had before */
   double expected;       /* tokens of the answer, on arrival */
   double claimed_output; /* tokens of the answer that a claim covers */
   bool is_claimed;       /* `tokens' holds that claim */
--- a/test/cost_test.c
+++ b/test/cost_test.c
@@ -395,7 +395,8 @@
       own.request.account = "liar";
       lie (&own, rows[i].about_hint, rows[i].factor);
       bool is_clean = cos_clean (replay.costs, &own.request, replay.now_us);
-      if ((own.request.hint == 0) != rows[i].hint_is_ignored
+      if (is_clean == (rows[i].hint_is_ignored || rows[i].most_is_ignored)
+          || (own.request.hint == 0) != rows[i].hint_is_ignored
           || (own.request.most == 0) != rows[i].most_is_ignored)
         {
           fail_msg ("%s: hint %g, most %g, clean %d", rows[i].name,
--- a/test/fleet_state_test.c
+++ b/test/fleet_state_test.c
@@ -2,8 +2,7 @@
    no requests.  */
 #include "base/clock.h"
 #include "entry/announcement.h"
-#include "entry/endpoint_choosing.h"
-#include "entry/fleet_state.h"
+#include "entry/exchange_private.h"
 #include "platform/headers.h"
 
 #include <setjmp.h>
@@ -401,6 +400,88 @@
   close_fixture (&fixture);
 }
 
+/* What a request claims in a crowded fleet follows from what its caller states
+   and is raised when the answer exceeds that; elsewhere it is all that the
+   request may need.  What isn't a number of tokens counts as none, so that it
+   doesn't take the memory of others in this daemon's account.  */
+static void
+claims_follow_the_expected_output (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *counts;
+    const char *hint;
+    bool crowded;
+    bool bad;
+    double least; /* claimed */
+    double most;
+  } rows[] = {
+    { "1000,4000", "300", false, false, 5000, 5000 },
+    { NULL, "300", false, false, 1000, 1000 },
+    { "nan,nan", NULL, false, true, 1000, 1000 },
+    { "1000,4000", "300", true, false, 1900, 2000 },
+    { "1000,4000", NULL, true, false, 1800, 1900 },
+    { "1000,100", "300", true, false, 1100, 1100 },
+    { NULL, NULL, true, false, 1600, 1700 },
+    { "-5,100", NULL, true, true, 900, 900 },
+    { "1e8,100", NULL, true, true, 900, 900 },
+    { "1000,inf", NULL, true, true, 1800, 1900 },
+    { "1000,1e9", NULL, true, true, 1800, 1900 },
+    { "1000,4000", "1e6", true, true, 1800, 1900 },
+    { "1000,4000", "-300", true, true, 1800, 1900 },
+    { "1000,4000", "many", true, true, 1800, 1900 },
+  };
+  struct flt_route route = { .name = (char *)"letters" };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct fixture fixture;
+      struct msg_message request;
+      double excess_us = 0;
+      open_fixture (&fixture);
+      struct flt_service *service = &fixture.config->services[0];
+      service->engine.usual_prompt_tokens = 800;
+      service->engine.usual_answer_tokens = 400;
+      service->engine.event_tokens = 5;
+      struct fvw_view *view = (struct fvw_view *)fst_view (fixture.fleet);
+      view->crowded = rows[i].crowded;
+      struct cnt_set *series = cnt_set_create ();
+      struct trf_traffic traffic = { .fleet = fixture.fleet,
+                                     .metrics = emt_create (series),
+                                     .costs = cos_create () };
+      struct exchange exchange = { .traffic = &traffic,
+                                   .route = &route,
+                                   .arrived_us = S,
+                                   .scanner.last_id = -1 };
+      msg_init (&request);
+      add_header (&request, PFH_TOKENS, rows[i].counts);
+      add_header (&request, PFH_OUTPUT_HINT, rows[i].hint);
+      msg_end_headers (&request);
+      exg_start_cost (&exchange, &request, "POST", service);
+      bool bad = !cos_report_first (traffic.costs, NULL);
+      if (exchange.tokens < rows[i].least || exchange.tokens > rows[i].most
+          || bad != rows[i].bad)
+        {
+          fail_msg ("row %zu: %g tokens, bad %d", i, exchange.tokens, bad);
+        }
+      exchange.path = fst_choose_path (fixture.fleet, 0, 100, S,
+                                       clk_monotonic_us (), &excess_us);
+      fst_begin_request (exchange.path, exchange.tokens);
+      exchange.events = 700;
+      exg_update_claim (&exchange);
+      assert_true (!rows[i].crowded || exchange.tokens >= 800 + 3500);
+      assert_true (exchange.path->parts[1]->used_tokens == exchange.tokens);
+      fst_end_request (exchange.path, exchange.tokens);
+      assert_true (exchange.path->parts[1]->used_tokens == 0);
+      fst_release_path (exchange.path);
+      msg_clear (&request);
+      cos_destroy (traffic.costs);
+      emt_destroy (traffic.metrics);
+      cnt_set_destroy (series);
+      close_fixture (&fixture);
+    }
+}
+
 int
 main (void)
 {
@@ -410,6 +491,7 @@
     cmocka_unit_test (first_opening_is_found),
     cmocka_unit_test (heads_of_answers_are_read),
     cmocka_unit_test (claims_return_to_nothing),
+    cmocka_unit_test (claims_follow_the_expected_output),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
