Let the slowness of a plain endpoint fade

Only calls there changed it, so that an endpoint which had been slow stayed idle at low load. Its half-life is 10 s without calls.

--- a/src/core/call_time.c
+++ b/src/core/call_time.c
@@ -188,8 +188,10 @@
     }
 }
 
-static bool
-is_known (const struct clt_class *call_class, int64_t now_us)
+/* Returns whether CALL_CLASS has enough samples at NOW_US for its mean to
+   count.  */
+bool
+clt_is_known (const struct clt_class *call_class, int64_t now_us)
 {
   return lhg_weight (&call_class->histogram, now_us) >= KNOWN_SAMPLES;
 }
@@ -209,7 +211,7 @@
     {
       const struct clt_class *other = value;
       if (strcmp (other->service, call_class->service) == 0
-          && is_known (other, now_us))
+          && clt_is_known (other, now_us))
         {
           least_us = MIN (least_us, other->mean_us);
           most_us = MAX (most_us, other->mean_us);
@@ -226,7 +228,7 @@
                   int64_t now_us)
 {
   const struct clt_class *known = call_class;
-  if (!is_known (known, now_us) && known->route != NULL)
+  if (!clt_is_known (known, now_us) && known->route != NULL)
     {
       known = known->route;
     }
--- a/src/core/call_time.h
+++ b/src/core/call_time.h
@@ -22,6 +22,7 @@
 void clt_release (struct clt_class *call_class);
 void clt_learn (struct clt_class *call_class, int64_t time_us,
                 bool is_complete, int64_t now_us);
+bool clt_is_known (const struct clt_class *call_class, int64_t now_us);
 bool clt_differs (const struct clt_times *times,
                   const struct clt_class *call_class, int64_t now_us);
 double clt_remaining_us (const struct clt_class *call_class,
--- a/src/entry/endpoint_choosing.c
+++ b/src/entry/endpoint_choosing.c
@@ -20,6 +20,10 @@
 #define SLOWNESS_MIN 0.2
 #define SLOWNESS_MAX 5.0
 
+/* Half-life of an endpoint's slowness without further calls: one that was slow
+   is tried again when the others are as loaded as that counts. */
+#define SLOWNESS_HALF_LIFE_US (10.0 * CLK_S_US)
+
 /* What a choice depends on. */
 struct choice
 {
@@ -63,6 +67,16 @@
          / slot_share (choice->fleet, endpoint);
 }
 
+/* Returns the factor by which calls are expected to take longer at
+   ENDPOINT.  */
+static double
+slowness (const struct fst_endpoint *endpoint, int64_t now_us)
+{
+  double age_us = (double)(now_us - endpoint->slowness_us);
+  return pow (endpoint->slowness,
+              exp2 (-MAX (age_us, 0) / SLOWNESS_HALF_LIFE_US));
+}
+
 /* Returns the load of ENDPOINT with the request to be sent: the time until its
    answer, relative to a mean call.  */
 static double
@@ -79,7 +93,7 @@
     }
   double own_us = clt_remaining_us (choice->call_class, 0, choice->now_us);
   return (rest_us / slot_share (choice->fleet, endpoint) + own_us)
-         * endpoint->slowness / choice->mean_us;
+         * slowness (endpoint, choice->now_us) / choice->mean_us;
 }
 
 /* Returns the relative cost of the request at ENDPOINT: it rises with the
@@ -216,13 +230,14 @@
       return;
     }
   int64_t time_us = now_us - call->sent_us;
-  if (end == EPC_ANSWERED)
+  if (end == EPC_ANSWERED && clt_is_known (call->call_class, now_us))
     {
       double relative
           = (double)time_us / clt_remaining_us (call->call_class, 0, now_us);
-      endpoint->slowness += SLOWNESS_WEIGHT
-                            * (CLAMP (relative, SLOWNESS_MIN, SLOWNESS_MAX)
-                               - endpoint->slowness);
+      double before = slowness (endpoint, now_us);
+      relative = CLAMP (relative, SLOWNESS_MIN, SLOWNESS_MAX);
+      endpoint->slowness = before + SLOWNESS_WEIGHT * (relative - before);
+      endpoint->slowness_us = now_us;
     }
   clt_learn (call->call_class, time_us, end == EPC_ANSWERED, now_us);
 }
--- a/src/entry/exchange_cost.c
+++ b/src/entry/exchange_cost.c
@@ -129,8 +129,8 @@
 }
 
 /* Returns how many tokens of the answer to EXCHANGE the caller has.  */
-static double
-written_tokens (const struct exchange *exchange)
+double
+exg_written_tokens (const struct exchange *exchange)
 {
   return exchange->cost.before
          + (double)exchange->events * exchange->cost.event_tokens;
@@ -143,7 +143,7 @@
 exg_update_claim (struct exchange *exchange)
 {
   struct exg_cost *cost = &exchange->cost;
-  double written = written_tokens (exchange);
+  double written = exg_written_tokens (exchange);
   if (cost->event_tokens == 0 || written <= cost->claimed_output)
     {
       return;
@@ -174,7 +174,7 @@
     {
       return;
     }
-  double real = written_tokens (exchange);
+  double real = exg_written_tokens (exchange);
   if (exchange->served)
     {
       cnt_add (traffic->metrics->output_expected, (int64_t)cost->expected);
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -151,6 +151,7 @@
 void exg_start_cost (struct exchange *exchange,
                      const struct msg_message *request, const char *method,
                      const struct flt_service *service);
+double exg_written_tokens (const struct exchange *exchange);
 void exg_update_claim (struct exchange *exchange);
 void exg_learn_cost (struct exchange *exchange);
 void exg_begin_call (struct exchange *exchange);
--- a/src/entry/fleet_state.h
+++ b/src/entry/fleet_state.h
@@ -46,8 +46,9 @@
                      event was sent, the oldest first */
   GQueue calls;   /* struct epc_call: this daemon's calls of a plain service in
                      progress, see entry/endpoint_choosing.h */
-  double slowness; /* its times of calls relative to those expected, moving
-                      average */
+  double slowness;     /* its times of calls relative to those expected, moving
+                          average */
+  int64_t slowness_us; /* monotonic, when the newest call counted in it */
 };
 
 /* A path through the engines of a service.  Exists while the list of paths or
--- a/test/endpoint_choosing_test.c
+++ b/test/endpoint_choosing_test.c
@@ -23,6 +23,24 @@
   int64_t ends_us;
 };
 
+/* The calls of a play. */
+struct calls
+{
+  int64_t first_us;   /* time on the first route */
+  int64_t second_us;  /* on the second */
+  double load;        /* part of the time that the endpoints are busy */
+  bool knows_class;   /* when an endpoint is chosen */
+  bool slow_at_first; /* the first endpoint is three times as slow during the
+                         first half */
+};
+
+/* What a play has shown. */
+struct result
+{
+  double wait_ms;  /* mean */
+  double share[2]; /* of the calls of each half that the first endpoint got */
+};
+
 struct model
 {
   GRand *random;
@@ -87,38 +105,40 @@
     }
 }
 
-/* Sends a call of CALL_CLASS that takes TIME_US to the chosen endpoint.
-   Returns how long it waits for that.  */
-static int64_t
-send_call (struct model *model, struct clt_class *call_class, bool knows_class,
-           int64_t time_us, int64_t now_us)
+/* Sends call N, of CALL_CLASS and taking TIME_US, to the chosen endpoint.
+   Counts its wait and the endpoint in RESULT.  */
+static void
+send_call (struct model *model, const struct calls *calls, uint32_t n,
+           struct clt_class *call_class, int64_t time_us, int64_t now_us,
+           struct result *result)
 {
   struct fst_endpoint *endpoint
       = epc_choose (model->fleet, 0, NULL, model->times,
-                    knows_class ? call_class : NULL, now_us);
+                    calls->knows_class ? call_class : NULL, now_us);
   int index = endpoint == model->endpoints[0] ? 0 : 1;
   const struct served *last = g_queue_peek_tail (&model->queues[index]);
   int64_t wait_us = last == NULL ? 0 : last->ends_us - now_us;
+  bool is_slow = calls->slow_at_first && index == 0 && n < CALLS / 2;
   struct served *served = g_new0 (struct served, 1);
   served->sent_us = now_us;
-  served->ends_us = now_us + wait_us + time_us;
+  served->ends_us = now_us + wait_us + time_us * (is_slow ? 3 : 1);
   evd_begin (&endpoint->evidence);
   epc_begin_call (model->fleet, endpoint, &served->call, call_class, now_us);
   g_queue_push_tail (&model->queues[index], served);
   fst_release (endpoint);
-  return wait_us;
+  result->wait_ms += (double)wait_us / MS / CALLS;
+  result->share[n < CALLS / 2 ? 0 : 1] += index == 0 ? 2.0 / CALLS : 0;
 }
 
-/* Plays Poisson arrivals of calls on two routes, which take FIRST_US and
-   SECOND_US, so that the endpoints are busy for the part LOAD of the time.
-   Returns the mean wait in milliseconds.  */
-static double
-play (int64_t first_us, int64_t second_us, double load, bool knows_class)
+/* Plays Poisson arrivals of CALLS on two routes.  */
+static struct result
+play (const struct calls *calls)
 {
   struct model model;
-  int64_t waits_us = 0;
+  struct result result = { 0 };
   double next_us = S;
-  double interval_us = (double)(first_us + second_us) / 2 / load / ENDPOINTS;
+  double interval_us = (double)(calls->first_us + calls->second_us) / 2
+                       / calls->load / ENDPOINTS;
   open_model (&model);
   struct clt_class *classes[2]
       = { clt_find (model.times, "book", "look", "GET", 0),
@@ -132,8 +152,9 @@
           end_calls (&model, i, now_us);
         }
       bool is_first = g_rand_boolean (model.random);
-      waits_us += send_call (&model, classes[is_first ? 0 : 1], knows_class,
-                             is_first ? first_us : second_us, now_us);
+      send_call (&model, calls, n, classes[is_first ? 0 : 1],
+                 is_first ? calls->first_us : calls->second_us, now_us,
+                 &result);
     }
   for (int i = 0; i < ENDPOINTS; i++)
     {
@@ -145,7 +166,7 @@
   fst_destroy (model.fleet);
   vdt_destroy (model.verdicts);
   g_rand_free (model.random);
-  return (double)waits_us / CALLS / MS;
+  return result;
 }
 
 /* Calls that look alike but for the route, and take 20 ms or 400 ms, wait less
@@ -171,10 +192,12 @@
   };
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     {
-      double by_count
-          = play (rows[i].first_us, rows[i].second_us, rows[i].load, false);
-      double by_time
-          = play (rows[i].first_us, rows[i].second_us, rows[i].load, true);
+      struct calls calls = { .first_us = rows[i].first_us,
+                             .second_us = rows[i].second_us,
+                             .load = rows[i].load };
+      double by_count = play (&calls).wait_ms;
+      calls.knows_class = true;
+      double by_time = play (&calls).wait_ms;
       print_message ("%ld and %ld ms, load %g: wait %.1f ms, by count %.1f\n",
                      (long)(rows[i].first_us / MS),
                      (long)(rows[i].second_us / MS), rows[i].load, by_time,
@@ -187,11 +210,31 @@
     }
 }
 
+/* An endpoint that is slow gets fewer calls, and as many as the other again
+   once it isn't: a factor that only calls there can change would keep it
+   idle.  */
+static void
+slow_endpoint_is_used_again (void **state)
+{
+  (void)state;
+  const struct calls calls = { .first_us = 20 * MS,
+                               .second_us = 400 * MS,
+                               .load = 0.3,
+                               .knows_class = true,
+                               .slow_at_first = true };
+  struct result result = play (&calls);
+  print_message ("share while slow %.2f, afterwards %.2f\n", result.share[0],
+                 result.share[1]);
+  assert_true (result.share[0] < 0.35);
+  assert_true (result.share[1] > 0.4 && result.share[1] < 0.6);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (unlike_calls_wait_less),
+    cmocka_unit_test (slow_endpoint_is_used_again),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
