--- a/src/core/cost.c
+++ b/src/core/cost.c
@@ -108,12 +108,13 @@
 }
 
 /* Sets NUMBER to the one in TEXT that END follows at.  Returns false unless it
-   is a count of tokens: finite, not negative and at most NUMBER_MAX.  */
+   is a count of tokens: 0, or from 1 to NUMBER_MAX.  */
 static bool
 parse_part (const char *text, char **end, double *number)
 {
   *number = g_ascii_strtod (text, end);
-  bool valid = *end != text && *number >= 0 && *number <= NUMBER_MAX;
+  bool valid = *end != text
+               && (*number == 0 || (*number >= 1 && *number <= NUMBER_MAX));
   *number = valid ? *number : 0;
   return valid;
 }
@@ -331,7 +332,7 @@
 static double
 limit_length (const struct cos_request *request, double length, double written)
 {
-  double most = request->most > 0 ? request->most : INFINITY;
+  double most = request->most > 0 ? request->most : NUMBER_MAX;
   return MAX (MIN (length, most), MAX (written, 1));
 }
 
--- a/src/entry/endpoint_choosing.c
+++ b/src/entry/endpoint_choosing.c
@@ -152,14 +152,15 @@
 }
 
 /* Chooses an endpoint of the plain service SERVICE that isn't among TRIED, for
-   a call of CALL_CLASS, of TIMES, or NULL if its class isn't known.  Returns a
-   reference, or NULL when there is none.  */
+   a call of CALL_CLASS, of TIMES; both are NULL if its class isn't known.
+   Returns a reference, or NULL when there is none.  */
 struct fst_endpoint *
 epc_choose (struct fst_fleet *fleet, uint32_t service, const GPtrArray *tried,
             const struct clt_times *times, const struct clt_class *call_class,
             int64_t now_us)
 {
-  bool by_time = call_class != NULL && clt_differs (times, call_class, now_us);
+  bool by_time = times != NULL && call_class != NULL
+                 && clt_differs (times, call_class, now_us);
   const struct choice choice = {
     .fleet = fleet,
     .service = service,
--- a/src/entry/exchange_cost.c
+++ b/src/entry/exchange_cost.c
@@ -97,7 +97,7 @@
     }
   cost->event_tokens = MAX (engine->event_tokens, 1);
   cost->before = MIN (
-      ((double)exchange->scanner.last_id + 1) * cost->event_tokens,
+      MAX ((double)exchange->scanner.last_id + 1, 0) * cost->event_tokens,
       cost->used.most > 0 ? cost->used.most
                           : BEFORE_FACTOR * engine->usual_answer_tokens);
   cost->expected = cos_expected_tokens (traffic->costs, &cost->used,
--- a/test/cost_test.c
+++ b/test/cost_test.c
@@ -142,7 +142,8 @@
     { "nan,40", false, 0, 40 },   { "120,inf", false, 120, 0 },
     { "1e400,40", false, 0, 40 }, { "120,2e9", false, 120, 0 },
     { "120,4x", false, 120, 0 },  { "", false, 0, 0 },
-    { "many", false, 0, 0 },      { "120;40", false, 120, 0 },
+    { "many", false, 0, 0 },      { "1e-300,0.5", false, 0, 0 },
+    { "120;40", false, 120, 0 },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     {
@@ -353,16 +354,16 @@
   static const struct
   {
     const char *name;
-    bool about_hint;
     double factor;
+    bool about_hint;
     bool hint_is_ignored;
     bool most_is_ignored;
   } rows[] = {
-    { "honest", true, 1, false, false },
-    { "hints too high", true, 100, true, false },
-    { "hints too low", true, 0.01, true, false },
-    { "most too low", false, 0.01, false, true },
-    { "most too high", false, 100, false, true },
+    { "honest", 1, true, false, false },
+    { "hints too high", 100, true, true, false },
+    { "hints too low", 0.01, true, true, false },
+    { "most too low", 0.01, false, false, true },
+    { "most too high", 100, false, false, true },
   };
   const struct cos_request others = { .route = "letters",
                                       .account = "new",
@@ -465,8 +466,9 @@
   const struct cos_request request
       = { .route = "letters", .account = "a", .hint = 200, .most = 2000 };
   double claim = 0;
-  for (double written = 0; written <= 2100; written += 50)
+  for (int step = 0; step <= 42; step++)
     {
+      double written = step * 50;
       double expected = cos_expected_tokens (replay.costs, &request, written,
                                              replay.now_us);
       double next = cos_quantile_tokens (replay.costs, &request, written, 0.9,
