--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -3,6 +3,7 @@
 #define ENTRY_EXCHANGE_PRIVATE_H
 
 #include "core/attempt.h"
+#include "entry/endpoint_choosing.h"
 #include "entry/exchange.h"
 #include "entry/path_choosing.h"
 #include "net/event_scan.h"
@@ -10,6 +11,21 @@
 /* Size of the buffer of a request id, with the final null character. */
 #define EXG_ID_BYTES 64
 
+/* What the answer to a stream is expected to be.  All zero: the request isn't
+   for engines. */
+struct exg_cost
+{
+  struct cos_request stated; /* by the caller */
+  struct cos_request used;   /* the part of it that is believed */
+  uint32_t event_tokens;
+  double prompt;         /* tokens */
+  double before;         /* tokens of the answer that the caller had before */
+  double expected;       /* tokens of the answer, on arrival */
+  double claimed_output; /* tokens of the answer that a claim covers */
+  bool is_claimed;       /* `tokens' holds that claim */
+  bool is_over;          /* the answer has exceeded its first claim */
+};
+
 /* Points in time are monotonic. */
 struct exchange
 {
@@ -29,10 +45,12 @@
 
   char **traits;  /* names of what the request has in common with others, see
                      entry/quarantine.h */
-  double tokens;  /* memory that the request needs in an engine */
+  double tokens;  /* memory that the request claims in an engine */
   uint32_t rank;  /* rank index in its service, see core/precedence.h */
   bool came_back; /* less of its time is left than of a new request */
   bool is_ranked; /* the service has more than one rank */
+  struct exg_cost cost;
+  struct clt_class *call_class; /* reference; NULL: not for a plain service */
   int64_t arrived_us;
   int64_t deadline_us;
   uv_timer_t timer; /* for the next check, see exg_schedule_check */
@@ -44,6 +62,7 @@
   uint32_t status;               /* of the answer; 0: none yet */
   bool is_resumed;       /* the attempt goes on with a stream that was begun */
   bool expects_no_queue; /* by the load of the fleet */
+  struct epc_call call;  /* at the endpoint of a plain service */
   bool is_waiting;   /* for the first event on a path: `wait_link' is in use */
   bool not_executed; /* the endpoint states that it didn't run the request */
   bool turned_away;  /* the endpoint closed before or since it was sent the
@@ -143,5 +162,13 @@
 void exg_report_failure (struct exchange *exchange, enum evd_failure_kind kind,
                          const char *reason);
 void exg_schedule_check (struct exchange *exchange);
+void exg_start_cost (struct exchange *exchange,
+                     const struct msg_message *request, const char *method,
+                     const struct flt_service *service);
+double exg_written_tokens (const struct exchange *exchange);
+void exg_update_claim (struct exchange *exchange);
+void exg_learn_cost (struct exchange *exchange);
+void exg_begin_call (struct exchange *exchange);
+void exg_end_call (struct exchange *exchange, enum epc_end end);
 
 #endif
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -178,6 +178,17 @@
     }
 }
 
+/* Changes the memory of a request that fst_begin_request counted on PATH by
+   TOKENS.  */
+void
+fst_change_request (struct fst_path *path, double tokens)
+{
+  for (uint32_t i = 0; i < path->count; i++)
+    {
+      path->parts[i]->used_tokens += tokens;
+    }
+}
+
 /* Records that a stream on PATH went on at NOW_US.  PATH may be NULL.  */
 void
 fst_report_progress (struct fst_path *path, int64_t now_us)
@@ -304,6 +315,7 @@
       endpoint->id = g_strdup (entry->id);
       endpoint->address = g_strdup (entry->address);
       endpoint->born_ms = entry->started_ms;
+      endpoint->slowness = 1;
       restore_rate (fleet, endpoint);
       g_hash_table_insert (fleet->endpoints, endpoint->id, endpoint);
     }
@@ -419,28 +431,6 @@
   return &fst_service_state (fleet, service)->budget;
 }
 
-static bool
-is_tried (const GPtrArray *tried, const struct fst_endpoint *endpoint)
-{
-  for (guint i = 0; tried != NULL && i < tried->len; i++)
-    {
-      if (g_ptr_array_index (tried, i) == endpoint)
-        {
-          return true;
-        }
-    }
-  return false;
-}
-
-/* Returns when ENDPOINT takes the next request of this daemon: it may have
-   turned requests away or named a rate.  The result isn't after NOW_US if it
-   takes one now.  */
-static int64_t
-opens_for_requests_us (const struct fst_endpoint *endpoint, int64_t now_us)
-{
-  return MAX (endpoint->opens_us, shr_opens_us (&endpoint->rate, now_us));
-}
-
 /* Returns whether this daemon may reach ENDPOINT of SERVICE: while it is cut
    off, only endpoints that have answered since then.  */
 bool
@@ -450,69 +440,6 @@
   return !service->cut_off || endpoint->answered_us > service->cut_since_us;
 }
 
-/* Returns the relative cost of a request at ENDPOINT, of a plain service: it
-   rises with the load, the share of failures and the latency, and in another
-   data centre than HOME.  */
-static double
-endpoint_cost (const struct fst_fleet *fleet, uint32_t home,
-               const struct fst_endpoint *endpoint)
-{
-  double share = MAX (fleet->view->share, SHARE_MIN);
-  double slots = MAX (endpoint->slots, 1) * share;
-  double load = (endpoint->evidence.in_flight + 1) / MAX (slots, 1);
-  double remote = endpoint->data_centre == home ? 0 : 0.15;
-  return (load + remote) * (1 + 8 * endpoint->evidence.failure_rate)
-         * (1 + endpoint->evidence.latency_us / CLK_S_US);
-}
-
-/* Returns the endpoint of the plain service SERVICE with the lowest cost that
-   is open and isn't among TRIED, or NULL.  One that is in backoff is used as a
-   LAST_RESORT only.  */
-static struct fst_endpoint *
-cheapest_endpoint (struct fst_fleet *fleet, uint32_t service,
-                   const GPtrArray *tried, bool last_resort, int64_t now_us)
-{
-  const struct service_state *state = fst_service_state (fleet, service);
-  uint32_t home = fst_data_centre_index (fleet, fleet->data_centre);
-  struct fst_endpoint *best = NULL;
-  double best_cost = INFINITY;
-  for (guint i = 0; i < fleet->ordered->len; i++)
-    {
-      struct fst_endpoint *endpoint = g_ptr_array_index (fleet->ordered, i);
-      if (endpoint->service != service || !endpoint->listed
-          || !fst_is_in_reach (state, endpoint)
-          || now_us < opens_for_requests_us (endpoint, now_us)
-          || is_tried (tried, endpoint)
-          || !(last_resort || evd_usable (&endpoint->evidence, now_us)))
-        {
-          continue;
-        }
-      double cost = endpoint_cost (fleet, home, endpoint)
-                    * g_random_double_range (0.95, 1.05);
-      if (cost < best_cost)
-        {
-          best = endpoint;
-          best_cost = cost;
-        }
-    }
-  return best;
-}
-
-/* Chooses an endpoint of the plain service SERVICE that isn't among TRIED.
-   Returns a reference, or NULL when there is none.  */
-struct fst_endpoint *
-fst_choose_endpoint (struct fst_fleet *fleet, uint32_t service,
-                     const GPtrArray *tried, int64_t now_us)
-{
-  struct fst_endpoint *best
-      = cheapest_endpoint (fleet, service, tried, false, now_us);
-  if (best == NULL)
-    {
-      best = cheapest_endpoint (fleet, service, tried, true, now_us);
-    }
-  return best == NULL ? NULL : fst_reference (best);
-}
-
 /* Returns the time, in milliseconds, that PART takes for one layer of one
    token, raised if it failed lately.  */
 static double
--- a/src/entry/fleet_state_private.h
+++ b/src/entry/fleet_state_private.h
@@ -49,4 +49,13 @@
                       const struct fst_endpoint *endpoint);
 int64_t fst_path_opens_us (const struct fst_path *path, int64_t now_us);
 
+/* Returns when ENDPOINT takes the next request of this daemon: it may have
+   turned requests away or named a rate.  The result isn't after NOW_US if it
+   takes one now.  */
+static inline int64_t
+opens_for_requests_us (const struct fst_endpoint *endpoint, int64_t now_us)
+{
+  return MAX (endpoint->opens_us, shr_opens_us (&endpoint->rate, now_us));
+}
+
 #endif
