Refuse responses with invalid status codes

http_parser accepts any number of digits below 1000 as a status, and the client took each status under 200 for an interim response. A response with the status 000 held its request until the deadline or the next response; 600, 999 and 0200 reached callers; 101 and interim responses without end were accepted. The head is checked now: three digits, 100 to 599, no 101, no body of an interim response, at most 16 interim responses. Anything else fails the exchange as malformed, so what ran may have run (502).

--- a/src/net/client.c
+++ b/src/net/client.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "net/address.h"
+#include "net/response_head.h"
 #include "net/stream.h"
 
 #include <netinet/tcp.h>
@@ -10,6 +11,10 @@
 
 #define READ_BYTES 65536 /* of one read from a socket */
 
+/* Interim responses before a response.  A server that only sends these would
+   otherwise hold a request until its deadline. */
+#define INTERIM_MAX 16
+
 /* One connection and the exchange that it carries, if any.  Since a connection
    carries at most one exchange at a time, the same struct is the exchange in
    the public interface and is called the connection in this file. */
@@ -20,13 +25,15 @@
   struct ncl_client *client;
   char *address;
   http_parser parser;
+  struct rsh_status_line status_line;
   struct msg_message response;
   GByteArray *unsent; /* the request, until the connection is established */
   bool connected;
   bool in_use; /* carries an exchange */
   bool headers_seen;
-  bool finished; /* the response has been parsed to its end */
-  bool foreign;  /* the response belongs to another request */
+  uint32_t interim; /* interim responses of the exchange */
+  bool finished;    /* the response has been parsed to its end */
+  bool foreign;     /* the response belongs to another request */
   bool closing;
   bool paused;
   int64_t idle_since_us;
@@ -171,15 +178,26 @@
     }
 }
 
+static bool
+is_interim (const http_parser *parser)
+{
+  return parser->status_code < HTTP_STATUS_OK;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
   struct ncl_exchange *connection = parser->data;
   msg_end_headers (&connection->response);
-  if (parser->status_code < 200)
+  if (!rsh_is_valid (&connection->status_line, parser, &connection->response))
+    {
+      return -1;
+    }
+  if (is_interim (parser))
     {
       msg_reset (&connection->response);
-      return 0;
+      connection->interim++;
+      return connection->interim > INTERIM_MAX ? -1 : 0;
     }
   connection->headers_seen = true;
   read_keep_alive (connection);
@@ -200,15 +218,13 @@
   return connection->in_use ? 0 : -1;
 }
 
+/* Pauses the parser also after an interim response, since the next status line
+   begins there.  */
 static int
 on_message_complete (http_parser *parser)
 {
   struct ncl_exchange *connection = parser->data;
-  if (parser->status_code < 200)
-    {
-      return 0;
-    }
-  connection->finished = true;
+  connection->finished = !is_interim (parser);
   http_parser_pause (parser, 1);
   return 0;
 }
@@ -249,6 +265,31 @@
   events->complete (context);
 }
 
+/* Parses COUNT bytes of the current exchange, at most to the end of its
+   response.  Returns the number of bytes parsed.  */
+static size_t
+parse_response (struct ncl_exchange *connection, const char *bytes,
+                size_t count)
+{
+  http_parser *parser = &connection->parser;
+  size_t parsed = 0;
+  bool goes_on = true;
+  while (goes_on)
+    {
+      rsh_scan (&connection->status_line, bytes + parsed, count - parsed);
+      parsed += http_parser_execute (parser, &parser_settings, bytes + parsed,
+                                     count - parsed);
+      goes_on = HTTP_PARSER_ERRNO (parser) == HPE_PAUSED
+                && !connection->finished && parsed < count;
+      if (HTTP_PARSER_ERRNO (parser) == HPE_PAUSED)
+        {
+          http_parser_pause (parser, 0);
+          connection->status_line = (struct rsh_status_line){ 0 };
+        }
+    }
+  return parsed;
+}
+
 /* Handles COUNT bytes from the server.  */
 static void
 handle_bytes (struct ncl_exchange *connection, const char *bytes, size_t count)
@@ -258,8 +299,7 @@
       close_connection (connection); /* bytes that no request asked for */
       return;
     }
-  size_t parsed = http_parser_execute (&connection->parser, &parser_settings,
-                                       bytes, count);
+  size_t parsed = parse_response (connection, bytes, count);
   if (connection->foreign)
     {
       fail (connection, NCL_WRONG_RESPONSE);
@@ -270,7 +310,6 @@
     }
   else if (connection->finished)
     {
-      http_parser_pause (&connection->parser, 0);
       finish (connection,
               parsed >= count && http_should_keep_alive (&connection->parser));
     }
@@ -499,6 +538,8 @@
   connection->context = context;
   connection->in_use = true;
   connection->headers_seen = false;
+  connection->interim = 0;
+  connection->status_line = (struct rsh_status_line){ 0 };
   connection->finished = false;
   connection->foreign = false;
   msg_reset (&connection->response);
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -853,7 +853,7 @@
 append_head (struct nsv_connection *connection, GString *head, uint32_t status,
              const char *headers)
 {
-  g_string_append_printf (head, "HTTP/1.1 %u %s\r\n%s", status,
+  g_string_append_printf (head, "HTTP/1.1 %03u %s\r\n%s", status,
                           msg_reason (status), headers);
   if (!connection->keep_alive)
     {
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -43,6 +43,7 @@
   SFL_NO_EVENTS,    /* streams: a complete body without an event */
   SFL_REPEATS,      /* streams: begins with the first event, whatever event it
                        is to resume after */
+  SFL_STATUS_000,   /* runs the request, answers with the status 000 */
   SFL_STALLS        /* engines: stalls, then closes; the engine's report
                        names the killed engines that its work waits for */
 };
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -157,7 +157,9 @@
     {
       write_headers (answer, headers, sizeof headers);
       notify_answered (answer->endpoint, answer->id, NULL);
-      nsv_begin_response (answer->connection, HTTP_STATUS_OK, headers,
+      nsv_begin_response (answer->connection,
+                          answer->fault == SFL_STATUS_000 ? 0 : HTTP_STATUS_OK,
+                          headers,
                           answer->fault != SFL_WITHOUT_LENGTH
                               && answer->fault != SFL_ENDS_MIDWAY);
       answer->headers_sent = true;
@@ -290,6 +292,9 @@
       nsv_respond (answer->connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
                    headers, "", 0);
       break;
+    case SFL_STATUS_000:
+      nsv_respond (answer->connection, 0, headers, body, (size_t)length);
+      break;
     case SFL_REFUSES_AGAIN:
       nsv_respond (answer->connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
                    PFH_NOT_EXECUTED ": 1\r\n", "", 0);
--- /dev/null
+++ b/test/client_response_test.c
@@ -0,0 +1,390 @@
+/* Tests of what the HTTP client takes for a response: invalid status codes,
+   responses that break off, contradictory framing, and bytes of an earlier
+   response.  The server is a socket that sends the bytes of each case. */
+#include "base/clock.h"
+#include "net/call.h"
+#include "net/client.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <arpa/inet.h>
+#include <cmocka.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define TIMEOUT_US (10 * CLK_S_US)
+#define REQUEST "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+#define CHUNKED_HEAD OK_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+#define SOUND OK_HEAD "Content-Length: 4\r\n\r\nbody"
+#define CONTINUE "HTTP/1.1 100 Continue\r\n\r\n"
+#define CONTINUE_10                                                           \
+  CONTINUE CONTINUE CONTINUE CONTINUE CONTINUE CONTINUE CONTINUE CONTINUE     \
+      CONTINUE CONTINUE
+
+/* How an exchange ended. */
+enum end
+{
+  END_NONE,
+  END_COMPLETE,
+  END_CUT_OFF,
+  END_MALFORMED,
+  END_OTHER
+};
+
+struct fixture
+{
+  uv_loop_t loop;
+  struct ncl_client *client;
+  int listener;
+  char *address;
+  enum end end;
+  uint32_t status; /* of the response; 0: none */
+  GString *body;
+};
+
+static bool
+on_headers (void *context, uint32_t status, const struct msg_message *response)
+{
+  (void)response;
+  struct fixture *fixture = context;
+  fixture->status = status;
+  return true;
+}
+
+static void
+on_body (void *context, const char *bytes, size_t count)
+{
+  struct fixture *fixture = context;
+  g_string_append_len (fixture->body, bytes, (gssize)count);
+}
+
+static void
+on_complete (void *context)
+{
+  struct fixture *fixture = context;
+  fixture->end = END_COMPLETE;
+}
+
+static void
+on_failed (void *context, enum ncl_failure failure)
+{
+  struct fixture *fixture = context;
+  fixture->end = failure == NCL_CUT_OFF     ? END_CUT_OFF
+                 : failure == NCL_MALFORMED ? END_MALFORMED
+                                            : END_OTHER;
+}
+
+static const struct ncl_events events = {
+  .headers = on_headers,
+  .body = on_body,
+  .complete = on_complete,
+  .failed = on_failed,
+};
+
+static void
+on_call_done (void *context, uint32_t status, const uint8_t *body,
+              size_t body_bytes, const char *reason)
+{
+  (void)reason;
+  struct fixture *fixture = context;
+  fixture->end = END_COMPLETE;
+  fixture->status = status;
+  g_string_append_len (fixture->body, (const char *)body, (gssize)body_bytes);
+}
+
+static int
+create_fixture (void **state)
+{
+  const struct ncl_params params = {
+    .idle_max_us = 8 * CLK_S_US,
+    .connect_timeout_us = CLK_S_US,
+    .user_timeout_ms = 1000,
+    .idle_connections_max = 4,
+  };
+  struct fixture *fixture = g_new0 (struct fixture, 1);
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t address_bytes = sizeof address;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  fixture->listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  assert_int_equal (
+      bind (fixture->listener, (struct sockaddr *)&address, sizeof address),
+      0);
+  assert_int_equal (listen (fixture->listener, 8), 0);
+  assert_int_equal (getsockname (fixture->listener,
+                                 (struct sockaddr *)&address, &address_bytes),
+                    0);
+  fixture->address
+      = g_strdup_printf ("127.0.0.1:%u", ntohs (address.sin_port));
+  uv_loop_init (&fixture->loop);
+  fixture->client = ncl_create (&fixture->loop, &params);
+  fixture->body = g_string_new (NULL);
+  *state = fixture;
+  return 0;
+}
+
+static int
+destroy_fixture (void **state)
+{
+  struct fixture *fixture = *state;
+  ncl_destroy (fixture->client);
+  uv_run (&fixture->loop, UV_RUN_DEFAULT);
+  uv_loop_close (&fixture->loop);
+  close (fixture->listener);
+  g_string_free (fixture->body, TRUE);
+  g_free (fixture->address);
+  g_free (fixture);
+  return 0;
+}
+
+static void
+forget_response (struct fixture *fixture)
+{
+  fixture->end = END_NONE;
+  fixture->status = 0;
+  g_string_truncate (fixture->body, 0);
+}
+
+/* Sends a request, on an idle connection if there is one.  */
+static void
+send_request (struct fixture *fixture)
+{
+  forget_response (fixture);
+  assert_non_null (ncl_send (fixture->client, fixture->address, REQUEST,
+                             strlen (REQUEST), false, &events, fixture));
+}
+
+/* Accepts the next connection of the client.  */
+static int
+accept_connection (struct fixture *fixture)
+{
+  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
+  int server = -1;
+  while (server < 0 && clk_monotonic_us () < end_us)
+    {
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+      server = accept (fixture->listener, NULL, NULL);
+    }
+  assert_true (server >= 0);
+  return server;
+}
+
+/* Reads a request from SERVER to its end.  */
+static void
+read_request (struct fixture *fixture, int server)
+{
+  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
+  char request[512] = "";
+  size_t used = 0;
+  while (strstr (request, "\r\n\r\n") == NULL && clk_monotonic_us () < end_us)
+    {
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+      ssize_t count = recv (server, request + used, sizeof request - 1 - used,
+                            MSG_DONTWAIT);
+      used += count > 0 ? (size_t)count : 0;
+    }
+  assert_non_null (strstr (request, "\r\n\r\n"));
+}
+
+/* Sends BYTES over SERVER, in steps of STEP bytes.  The client handles each
+   step before the next one, as far as it still reads.  */
+static void
+send_bytes (struct fixture *fixture, int server, const char *bytes,
+            size_t step)
+{
+  size_t count = strlen (bytes);
+  for (size_t i = 0; i < count; i += step)
+    {
+      if (send (server, bytes + i, MIN (step, count - i), MSG_NOSIGNAL) < 0)
+        {
+          return;
+        }
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+    }
+}
+
+/* Runs the loop until the exchange has ended.  */
+static void
+await_end (struct fixture *fixture)
+{
+  int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
+  while (fixture->end == END_NONE && clk_monotonic_us () < end_us)
+    {
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+    }
+}
+
+/* The bytes of a server, which closes its side after them, and what the client
+   is to make of them. */
+struct response_case
+{
+  const char *name;
+  const char *bytes;
+  enum end end;
+  uint32_t status; /* if END_COMPLETE */
+  const char *body;
+};
+
+static const struct response_case status_cases[] = {
+  { "200", SOUND, END_COMPLETE, 200, "body" },
+  { "599", "HTTP/1.1 599 X\r\nContent-Length: 0\r\n\r\n", END_COMPLETE, 599,
+    "" },
+  { "no reason phrase", "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n",
+    END_COMPLETE, 200, "" },
+  { "000", "HTTP/1.1 000 Unknown\r\nContent-Length: 4\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "000, then a response", "HTTP/1.1 000 Unknown\r\n\r\n" SOUND,
+    END_MALFORMED, 0, "" },
+  { "000 without a length", "HTTP/1.1 000 Unknown\r\n\r\nbody", END_MALFORMED,
+    0, "" },
+  { "099, then a response", "HTTP/1.1 099 Unknown\r\n\r\n" SOUND,
+    END_MALFORMED, 0, "" },
+  { "600", "HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\nbody", END_MALFORMED, 0,
+    "" },
+  { "999", "HTTP/1.1 999 X\r\nContent-Length: 4\r\n\r\nbody", END_MALFORMED, 0,
+    "" },
+  { "two digits, then a response", "HTTP/1.1 20 OK\r\n\r\n" SOUND,
+    END_MALFORMED, 0, "" },
+  { "one digit, then a response", "HTTP/1.1 2 OK\r\n\r\n" SOUND, END_MALFORMED,
+    0, "" },
+  { "no digit", "HTTP/1.1 OK\r\nContent-Length: 4\r\n\r\nbody", END_MALFORMED,
+    0, "" },
+  { "four digits", "HTTP/1.1 2000 OK\r\nContent-Length: 4\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "four digits that begin with 0",
+    "HTTP/1.1 0200 OK\r\nContent-Length: 4\r\n\r\nbody", END_MALFORMED, 0,
+    "" },
+  { "a sign", "HTTP/1.1 +20 OK\r\nContent-Length: 4\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "100, then a response", CONTINUE SOUND, END_COMPLETE, 200, "body" },
+  { "103, then a response",
+    "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" SOUND, END_COMPLETE, 200,
+    "body" },
+  { "ten interim responses, then a response", CONTINUE_10 SOUND, END_COMPLETE,
+    200, "body" },
+  { "a hundred interim responses, then a response",
+    CONTINUE_10 CONTINUE_10 CONTINUE_10 CONTINUE_10 CONTINUE_10 CONTINUE_10
+        CONTINUE_10 CONTINUE_10 CONTINUE_10 CONTINUE_10 SOUND,
+    END_MALFORMED, 0, "" },
+  { "100, then 000", CONTINUE "HTTP/1.1 000 X\r\n\r\n" SOUND, END_MALFORMED, 0,
+    "" },
+  { "100, then four digits",
+    CONTINUE "HTTP/1.1 0200 X\r\nContent-Length: 4\r\n\r\nbody", END_MALFORMED,
+    0, "" },
+  { "100 alone", CONTINUE, END_CUT_OFF, 0, "" },
+  { "101 that wasn't asked for",
+    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+    "Connection: Upgrade\r\n\r\n" SOUND,
+    END_MALFORMED, 0, "" },
+  { "101 without an upgrade", "HTTP/1.1 101 X\r\n\r\n" SOUND, END_MALFORMED, 0,
+    "" },
+  { "100 with a length",
+    "HTTP/1.1 100 Continue\r\nContent-Length: 90\r\n\r\n" SOUND, END_MALFORMED,
+    0, "" },
+};
+
+/* Sends the response of CASE in steps of STEP bytes and closes the connection.
+ */
+static void
+run_case (struct fixture *fixture, const struct response_case *row,
+          size_t step)
+{
+  int server = accept_connection (fixture);
+  read_request (fixture, server);
+  send_bytes (fixture, server, row->bytes, step);
+  shutdown (server, SHUT_WR);
+  await_end (fixture);
+  close (server);
+  ncl_close_idle (fixture->client, fixture->address);
+}
+
+/* Checks that an exchange for each of COUNT CASES ends as it is to, however
+   the bytes are split.  */
+static void
+check_exchanges (struct fixture *fixture, const struct response_case *cases,
+                 size_t count)
+{
+  static const size_t steps[] = { SIZE_MAX, 1, 7 };
+  uint32_t wrong = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      for (size_t n = 0; n < G_N_ELEMENTS (steps); n++)
+        {
+          const struct response_case *row = &cases[i];
+          send_request (fixture);
+          run_case (fixture, row, MIN (steps[n], strlen (row->bytes)));
+          bool differs
+              = fixture->end != row->end
+                || (row->end == END_COMPLETE
+                    && (fixture->status != row->status
+                        || strcmp (fixture->body->str, row->body) != 0));
+          if (differs)
+            {
+              print_error ("%s, steps of %zd: end %d, status %u, body '%s'\n",
+                           row->name, (ssize_t)steps[n], fixture->end,
+                           fixture->status, fixture->body->str);
+              wrong++;
+            }
+        }
+    }
+  assert_int_equal (wrong, 0);
+}
+
+/* Checks that a call, as for orders, reports and the store, has a status only
+   where the exchange is complete.  */
+static void
+check_calls (struct fixture *fixture, const struct response_case *cases,
+             size_t count)
+{
+  uint32_t wrong = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct cal_params params = {
+        .client = fixture->client,
+        .loop = &fixture->loop,
+        .address = fixture->address,
+        .method = "GET",
+        .path = "/a",
+        .timeout_ms = TIMEOUT_US / CLK_MS_US,
+        .done = on_call_done,
+        .context = fixture,
+      };
+      uint32_t status = cases[i].end == END_COMPLETE ? cases[i].status : 0;
+      forget_response (fixture);
+      cal_send (&params);
+      run_case (fixture, &cases[i], strlen (cases[i].bytes));
+      if (fixture->end != END_COMPLETE || fixture->status != status)
+        {
+          print_error ("%s: end %d, status %u\n", cases[i].name, fixture->end,
+                       fixture->status);
+          wrong++;
+        }
+    }
+  assert_int_equal (wrong, 0);
+}
+
+/* Guards against an invalid status code, an upgrade or interim responses
+   without end that reach a caller as a response, or that hide a response of
+   which it isn't known whose it is.  */
+static void
+test_status (void **state)
+{
+  check_exchanges (*state, status_cases, G_N_ELEMENTS (status_cases));
+  check_calls (*state, status_cases, G_N_ELEMENTS (status_cases));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_status, create_fixture,
+                                     destroy_fixture),
+  };
+  signal (SIGPIPE, SIG_IGN);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
