Refuse invalid responses of plain services in serve

libcurl took an unasked 101 for the response, and the last of two lengths. service_response_test fails in both rows without the fix: 101 that wasn't asked for: result 0, status 101 two lengths: result 0, status 200

--- a/src/endpoint/connection.c
+++ b/src/endpoint/connection.c
@@ -10,6 +10,10 @@
 #define BODY_BYTES_MAX ((size_t)16 * 1024 * 1024)
 #define CONNECT_TIMEOUT_US INT64_C (250000) /* default */
 
+/* Status codes of final responses. */
+#define STATUS_MIN 200
+#define STATUS_MAX 599
+
 struct con_pool
 {
   char *base_url;
@@ -96,28 +100,47 @@
   return bytes;
 }
 
-/* Callback of libcurl for each header line: looks for X-Not-Run.  */
+/* Returns whether the header line DATA of COUNT bytes begins with START, in
+   any letter case.  */
+static bool
+begins_with (const char *data, size_t count, const char *start)
+{
+  size_t start_bytes = strlen (start);
+  return count >= start_bytes
+         && g_ascii_strncasecmp (data, start, start_bytes) == 0;
+}
+
+/* Callback of libcurl for each header line: looks for X-Not-Run.  Returns 0,
+   which aborts the call, at a second Content-Length, since libcurl takes the
+   last one.  */
 static size_t
 on_header (char *data, size_t size, size_t count, void *user_data)
 {
-  static const char not_run[] = "x-not-run: true";
   struct con_answer *answer = user_data;
   size_t bytes = size * count;
-  if (bytes >= sizeof not_run - 1
-      && g_ascii_strncasecmp (data, not_run, sizeof not_run - 1) == 0)
+  if (begins_with (data, bytes, "HTTP/"))
+    {
+      answer->lengths = 0;
+    }
+  answer->lengths += begins_with (data, bytes, "content-length:");
+  if (begins_with (data, bytes, "x-not-run: true"))
     {
       answer->not_run = true;
     }
-  return bytes;
+  return answer->lengths > 1 ? 0 : bytes;
 }
 
+/* Returns the error of a call that ended with RESULT and STATUS.  libcurl
+   takes a switch of protocols that wasn't asked for as a response.  */
 static enum err_kind
-result_to_error (CURLcode result)
+result_to_error (CURLcode result, uint16_t status)
 {
   switch (result)
     {
     case CURLE_OK:
-      return ERR_NONE;
+      return status >= STATUS_MIN && status <= STATUS_MAX
+                 ? ERR_NONE
+                 : ERR_ENDPOINT_FAILED;
     case CURLE_OPERATION_TIMEDOUT:
       return ERR_ENDPOINT_SILENT;
     default:
@@ -209,10 +232,11 @@
 /* Sends CALL and stores the response in ANSWER, which the caller clears with
    con_answer_clear whatever the result.  Blocks for at most the timeout of
    CALL.  With new_connection, the request is sent at most once.  Returns
-   ERR_NONE for a response of any status, ERR_ENDPOINT_SILENT on a timeout, and
-   ERR_ENDPOINT_FAILED on any other failure.  The connection is closed after a
-   failure.  It is also closed if CALL asked for a new one, because callers
-   that always do so would fill the pool with connections that nobody uses.  */
+   ERR_NONE for a response of any valid status, ERR_ENDPOINT_SILENT on a
+   timeout, and ERR_ENDPOINT_FAILED on any other failure.  The connection is
+   closed after a failure.  It is also closed if CALL asked for a new one,
+   because callers that always do so would fill the pool with connections that
+   nobody uses.  */
 enum err_kind
 con_call_run (struct con_pool *pool, const struct con_call *call,
               struct con_answer *answer)
@@ -231,7 +255,8 @@
   read_status_and_type (curl, answer);
   curl_easy_setopt (curl, CURLOPT_HTTPHEADER, NULL);
   curl_slist_free_all (headers);
-  if (result == CURLE_OK && !call->new_connection)
+  enum err_kind error = result_to_error (result, answer->status);
+  if (error == ERR_NONE && !call->new_connection)
     {
       release_connection (pool, curl);
     }
@@ -239,7 +264,7 @@
     {
       curl_easy_cleanup (curl);
     }
-  return result_to_error (result);
+  return error;
 }
 
 /* Frees the body and the content type of ANSWER; may be called again.  */
