Refuse responses whose framing or headers are ambiguous

http_parser read the body that a 204 or 304 announced, so a 304 with a length waited for bytes that never come and a 204 passed a body on.

--- a/src/net/client.c
+++ b/src/net/client.c
@@ -207,7 +207,12 @@
       connection->foreign = true;
       return -1;
     }
-  return connection->in_use ? 0 : -1;
+  if (!connection->in_use)
+    {
+      return -1;
+    }
+  /* 1 lets the parser skip the body that the headers may announce. */
+  return rsh_has_body (parser->status_code) ? 0 : 1;
 }
 
 static int
@@ -600,10 +605,8 @@
 bool
 ncl_ends_with_connection (const struct ncl_exchange *exchange)
 {
-  uint32_t status = exchange->parser.status_code;
-  bool has_body
-      = status != HTTP_STATUS_NO_CONTENT && status != HTTP_STATUS_NOT_MODIFIED;
-  return has_body && (exchange->parser.flags & F_CHUNKED) == 0
+  return rsh_has_body (exchange->parser.status_code)
+         && (exchange->parser.flags & F_CHUNKED) == 0
          && (exchange->parser.flags & F_CONTENTLENGTH) == 0;
 }
 
--- a/src/net/response_head.h
+++ b/src/net/response_head.h
@@ -22,5 +22,6 @@
 bool rsh_is_valid (const struct rsh_status_line *line,
                    const http_parser *parser,
                    const struct msg_message *response);
+bool rsh_has_body (uint32_t status);
 
 #endif
--- a/test/client_response_test.c
+++ b/test/client_response_test.c
@@ -378,12 +378,133 @@
   check_calls (*state, status_cases, G_N_ELEMENTS (status_cases));
 }
 
+static const struct response_case ending_cases[] = {
+  { "no byte", "", END_CUT_OFF, 0, "" },
+  { "within the status line", "HTTP/1.1 200", END_CUT_OFF, 0, "" },
+  { "within the headers", OK_HEAD "Content-Length: 4\r\n", END_CUT_OFF, 0,
+    "" },
+  { "within a header", OK_HEAD "Content-Le", END_CUT_OFF, 0, "" },
+  { "before the body", OK_HEAD "Content-Length: 4\r\n\r\n", END_CUT_OFF, 0,
+    "" },
+  { "within the body", OK_HEAD "Content-Length: 4\r\n\r\nbod", END_CUT_OFF, 0,
+    "" },
+  { "length too short", OK_HEAD "Content-Length: 3\r\n\r\nbody", END_COMPLETE,
+    200, "bod" },
+  { "no length, closed", OK_HEAD "\r\nbody", END_COMPLETE, 200, "body" },
+  { "chunks", CHUNKED_HEAD "4\r\nbody\r\n0\r\n\r\n", END_COMPLETE, 200,
+    "body" },
+  { "within a chunk size", CHUNKED_HEAD "4", END_CUT_OFF, 0, "" },
+  { "within a chunk", CHUNKED_HEAD "4\r\nbo", END_CUT_OFF, 0, "" },
+  { "after a chunk", CHUNKED_HEAD "4\r\nbody\r\n", END_CUT_OFF, 0, "" },
+  { "within the last chunk's size", CHUNKED_HEAD "4\r\nbody\r\n0", END_CUT_OFF,
+    0, "" },
+  { "after the last chunk's line", CHUNKED_HEAD "4\r\nbody\r\n0\r\n",
+    END_CUT_OFF, 0, "" },
+  { "within the trailer", CHUNKED_HEAD "4\r\nbody\r\n0\r\nX-A: 1\r\n",
+    END_CUT_OFF, 0, "" },
+  { "a trailer", CHUNKED_HEAD "4\r\nbody\r\n0\r\nX-A: 1\r\n\r\n", END_COMPLETE,
+    200, "body" },
+  { "a chunk longer than its size", CHUNKED_HEAD "3\r\nbody\r\n0\r\n\r\n",
+    END_MALFORMED, 0, "" },
+  { "a chunk shorter than its size", CHUNKED_HEAD "5\r\nbody\r\n0\r\n\r\n",
+    END_MALFORMED, 0, "" },
+  { "a chunk size that overflows",
+    CHUNKED_HEAD "fffffffffffffffff\r\nbody\r\n0\r\n\r\n", END_MALFORMED, 0,
+    "" },
+  { "a negative chunk size", CHUNKED_HEAD "-4\r\nbody\r\n0\r\n\r\n",
+    END_MALFORMED, 0, "" },
+  { "no chunk size", CHUNKED_HEAD "\r\nbody\r\n0\r\n\r\n", END_MALFORMED, 0,
+    "" },
+  { "a length and chunks",
+    OK_HEAD "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "4\r\nbody\r\n0\r\n\r\n",
+    END_MALFORMED, 0, "" },
+  { "chunks and a length",
+    OK_HEAD "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n"
+            "4\r\nbody\r\n0\r\n\r\n",
+    END_MALFORMED, 0, "" },
+  { "two lengths",
+    OK_HEAD "Content-Length: 3\r\nContent-Length: 4\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "the same length twice",
+    OK_HEAD "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "a list of lengths", OK_HEAD "Content-Length: 4, 4\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "a length with a sign", OK_HEAD "Content-Length: +4\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "a negative length", OK_HEAD "Content-Length: -4\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "an empty length", OK_HEAD "Content-Length:\r\n\r\nbody", END_MALFORMED, 0,
+    "" },
+  { "a length that is no number", OK_HEAD "Content-Length: 4x\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "a length with a blank", OK_HEAD "Content-Length: 4 2\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "a length that overflows",
+    OK_HEAD "Content-Length: 99999999999999999999\r\n\r\nbody", END_MALFORMED,
+    0, "" },
+  { "a space before the colon of a length",
+    OK_HEAD "Content-Length : 4\r\n\r\nbodymore", END_MALFORMED, 0, "" },
+  { "a folded length", OK_HEAD "Content-Length:\r\n 4\r\n\r\nbodymore",
+    END_COMPLETE, 200, "body" },
+  { "a coding that isn't known", OK_HEAD "Transfer-Encoding: x\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "a coding that isn't known, and a length",
+    OK_HEAD "Transfer-Encoding: x\r\nContent-Length: 4\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "chunks within another coding",
+    OK_HEAD "Transfer-Encoding: chunked, x\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    END_MALFORMED, 0, "" },
+  { "another coding within chunks",
+    OK_HEAD "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    END_MALFORMED, 0, "" },
+  { "chunks in HTTP/1.0",
+    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "4\r\nbody\r\n0\r\n\r\n",
+    END_COMPLETE, 200, "body" },
+  { "204 with a body",
+    "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\nbody", END_COMPLETE,
+    204, "" },
+  { "304 with a length, and more",
+    "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\nbody", END_COMPLETE,
+    304, "" },
+  { "204 with chunks",
+    "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+    END_COMPLETE, 204, "" },
+  { "a space before the colon of another header",
+    OK_HEAD "X-A : 1\r\nContent-Length: 4\r\n\r\nbody", END_MALFORMED, 0, "" },
+  { "two codings",
+    OK_HEAD "Transfer-Encoding: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "4\r\nbody\r\n0\r\n\r\n",
+    END_MALFORMED, 0, "" },
+  { "304 with a length",
+    "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", END_COMPLETE,
+    304, "" },
+  { "no HTTP", "body\r\n\r\n", END_MALFORMED, 0, "" },
+  { "HTTP/2", "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+  { "a bare CR in a header", OK_HEAD "X-A: a\rContent-Length: 4\r\n\r\nbody",
+    END_MALFORMED, 0, "" },
+};
+
+/* Guards against a part of a response that reaches the caller as a complete
+   success, and against framing that two readers understand differently.  */
+static void
+test_ending (void **state)
+{
+  check_exchanges (*state, ending_cases, G_N_ELEMENTS (ending_cases));
+  check_calls (*state, ending_cases, G_N_ELEMENTS (ending_cases));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_status, create_fixture,
                                      destroy_fixture),
+    cmocka_unit_test_setup_teardown (test_ending, create_fixture,
+                                     destroy_fixture),
   };
   signal (SIGPIPE, SIG_IGN);
   return cmocka_run_group_tests (tests, NULL, NULL);
