--- a/src/net/client.c
+++ b/src/net/client.c
@@ -6,8 +6,10 @@
 #include "net/response_head.h"
 #include "net/stream.h"
 
+#include <errno.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define READ_BYTES 65536 /* of one read from a socket */
 
@@ -498,9 +500,22 @@
   return connection;
 }
 
+/* Returns whether the server of CONNECTION, which is idle, has neither sent
+   bytes nor closed since the last read.  Such bytes may be a second copy of
+   the last response, which would be taken for that of the next request.  */
+static bool
+is_quiet (const struct ncl_exchange *connection)
+{
+  uv_os_fd_t descriptor;
+  char byte;
+  return uv_fileno ((const uv_handle_t *)&connection->tcp, &descriptor) == 0
+         && recv (descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && errno == EAGAIN;
+}
+
 /* Removes the idle connection to ADDRESS that was used last from the pool and
-   returns it, or NULL when there is none.  Closes the expired connections that
-   it meets on the way; ncl_expire closes the others.  */
+   returns it, or NULL when there is none.  Closes those that it meets on the
+   way and that are expired or not quiet; ncl_expire closes the others.  */
 static struct ncl_exchange *
 take_idle (struct ncl_client *client, const char *address)
 {
@@ -510,7 +525,8 @@
     {
       struct ncl_exchange *connection
           = g_ptr_array_steal_index (list, list->len - 1);
-      if (now_us - connection->idle_since_us < connection->idle_timeout_us)
+      if (now_us - connection->idle_since_us < connection->idle_timeout_us
+          && is_quiet (connection))
         {
           return connection;
         }
--- a/test/client_response_test.c
+++ b/test/client_response_test.c
@@ -497,6 +497,48 @@
   check_calls (*state, ending_cases, G_N_ELEMENTS (ending_cases));
 }
 
+#define OTHER OK_HEAD "Content-Length: 5\r\n\r\nother"
+
+/* Guards against a second copy of a response, late, on a connection that is in
+   use again: the next request, whose response has no id to tell it by, got the
+   copy.  The two copies are split at each byte, and the next request is sent
+   before the client has read the rest.  */
+static void
+test_second_copy (void **state)
+{
+  static const char copies[] = SOUND SOUND;
+  struct fixture *fixture = *state;
+  for (size_t split = 1; split < sizeof copies - 1; split++)
+    {
+      send_request (fixture);
+      int first = accept_connection (fixture);
+      read_request (fixture, first);
+      send (first, copies, split, MSG_NOSIGNAL);
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+      send (first, copies + split, sizeof copies - 1 - split, MSG_NOSIGNAL);
+      await_end (fixture);
+      assert_int_equal (fixture->end, END_COMPLETE);
+      send_request (fixture);
+      int second = -1;
+      while (fixture->end == END_NONE && second < 0)
+        {
+          uv_run (&fixture->loop, UV_RUN_NOWAIT);
+          second = accept (fixture->listener, NULL, NULL);
+        }
+      if (second < 0)
+        {
+          fail_msg ("split at %zu: '%s'", split, fixture->body->str);
+        }
+      read_request (fixture, second);
+      send_bytes (fixture, second, OTHER, strlen (OTHER));
+      await_end (fixture);
+      assert_string_equal (fixture->body->str, "other");
+      close (first);
+      close (second);
+      ncl_close_idle (fixture->client, fixture->address);
+    }
+}
+
 int
 main (void)
 {
@@ -505,6 +547,8 @@
                                      destroy_fixture),
     cmocka_unit_test_setup_teardown (test_ending, create_fixture,
                                      destroy_fixture),
+    cmocka_unit_test_setup_teardown (test_second_copy, create_fixture,
+                                     destroy_fixture),
   };
   signal (SIGPIPE, SIG_IGN);
   return cmocka_run_group_tests (tests, NULL, NULL);
