Make calls without an id on new connections

A second copy of the answer to an order, a report, a renewal or a published record that came while the next call was under way on the same connection was taken for that call's answer: nothing in the two tells them apart. Only probes had connections of their own. A call uses a new connection now unless it sets reuses_connection, as the polls of topics do.

client_response_test, test_second_copy_of_call, before the fix: the second call completes (end 1) with the copy.

--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -748,6 +748,7 @@
                    : topic->address,
     .method = "GET",
     .path = path,
+    .reuses_connection = true,
     .timeout_ms = call.to_relay ? MAX (wait_ms, RELAY_TIMEOUT_MS)
                                 : wait_ms + topic->answer_timeout_ms,
     .headers = on_headers,
--- a/src/net/call.c
+++ b/src/net/call.c
@@ -152,7 +152,7 @@
     }
   call->exchange
       = ncl_send (params->client, params->address, request->str, request->len,
-                  params->new_connection, &exchange_events, call);
+                  !params->reuses_connection, &exchange_events, call);
   g_string_free (request, TRUE);
   uv_timer_start (&call->timer,
                   call->exchange == NULL ? on_unsendable : on_timeout,
--- a/src/net/call.h
+++ b/src/net/call.h
@@ -33,8 +33,11 @@
   size_t data_bytes;
   uint64_t timeout_ms;
   size_t answer_bytes_max; /* limit on the response's body; 0: 8 MiB */
-  bool new_connection;     /* none that was used before */
-  cal_headers headers;     /* NULL: not needed */
+  /* May use a connection that was used before, on which a second copy of an
+     earlier response would be taken for this one.  Only for calls that are
+     made so often that new connections cost too much. */
+  bool reuses_connection;
+  cal_headers headers; /* NULL: not needed */
   cal_done done;
   void *context;
 };
--- a/test/client_response_test.c
+++ b/test/client_response_test.c
@@ -539,6 +539,47 @@
     }
 }
 
+/* Guards against a second copy of the answer to an order or a report that
+   comes while the next call is under way, and is taken for its answer: without
+   an id the two can't be told apart, so that the connections differ.  */
+static void
+test_second_copy_of_call (void **state)
+{
+  struct fixture *fixture = *state;
+  const struct cal_params params = {
+    .client = fixture->client,
+    .loop = &fixture->loop,
+    .address = fixture->address,
+    .method = "GET",
+    .path = "/a",
+    .timeout_ms = TIMEOUT_US / CLK_MS_US,
+    .done = on_call_done,
+    .context = fixture,
+  };
+  int servers[2] = { -1, -1 };
+  for (size_t i = 0; i < G_N_ELEMENTS (servers); i++)
+    {
+      forget_response (fixture);
+      cal_send (&params);
+      int64_t end_us = clk_monotonic_us () + CLK_S_US;
+      while (servers[i] < 0 && clk_monotonic_us () < end_us)
+        {
+          uv_run (&fixture->loop, UV_RUN_NOWAIT);
+          servers[i] = accept (fixture->listener, NULL, NULL);
+        }
+      send_bytes (fixture, servers[0], SOUND, strlen (SOUND));
+      if (i == 1)
+        {
+          assert_int_equal (fixture->end, END_NONE);
+          send_bytes (fixture, servers[i], OTHER, strlen (OTHER));
+        }
+      await_end (fixture);
+    }
+  assert_string_equal (fixture->body->str, "other");
+  close (servers[0]);
+  close (servers[1]);
+}
+
 int
 main (void)
 {
@@ -549,6 +590,8 @@
                                      destroy_fixture),
     cmocka_unit_test_setup_teardown (test_second_copy, create_fixture,
                                      destroy_fixture),
+    cmocka_unit_test_setup_teardown (test_second_copy_of_call, create_fixture,
+                                     destroy_fixture),
   };
   signal (SIGPIPE, SIG_IGN);
   return cmocka_run_group_tests (tests, NULL, NULL);
