Measure the silence of a stream from its newest event

Any byte renewed the time of a stream, and a block of comments counted as an event. A stream that waits for a dead engine and sends a byte of a comment now and then was not found silent and went on to its deadline. Events alone are progress now, for the silence and for the average interval; comments are still passed on once an answer has begun. When a slow caller has drained, the silence begins anew: it used to contain the caller's pause.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -803,6 +803,7 @@
   g_clear_pointer (&exchange->failed_address, g_free);
   exchange->sent_us = clk_monotonic_us ();
   exchange->last_received_us = exchange->sent_us;
+  exchange->progress_us = exchange->sent_us;
   fst_take_rate (exchange->endpoint, exchange->sent_us);
   exchange->attempt
       = ncl_send (traffic->client, exchange->endpoint->address, request->str,
@@ -941,6 +942,7 @@
   struct exchange *exchange = context;
   if (exchange->attempt != NULL)
     {
+      exchange->progress_us = clk_monotonic_us ();
       ncl_resume (exchange->attempt);
     }
 }
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -244,6 +244,7 @@
   bool success = status >= 200 && status < 300;
   exchange->status = status;
   exchange->last_received_us = clk_monotonic_us ();
+  exchange->progress_us = exchange->last_received_us;
   exchange->ends_with_connection
       = ncl_ends_with_connection (exchange->attempt);
   report_head (exchange, status, answer);
@@ -281,9 +282,24 @@
   return true;
 }
 
+/* Sends the bytes in `answer' to the caller.  Pauses the reading of the
+   endpoint's answer while the caller is slow.  */
+static void
+send_bytes (struct exchange *exchange)
+{
+  if (exchange->answer->len > 0)
+    {
+      nsv_send_body (exchange->caller, exchange->answer->data,
+                     exchange->answer->len);
+    }
+  if (nsv_is_slow (exchange->caller))
+    {
+      ncl_pause (exchange->attempt);
+    }
+}
+
 /* Sends the complete events in `answer' to the caller, after the headers if
-   they are the first.  Pauses the reading of the endpoint's answer while the
-   caller is slow.  */
+   they are the first.  */
 static void
 deliver_events (struct exchange *exchange, uint32_t events)
 {
@@ -310,12 +326,7 @@
     }
   exchange->events += events;
   cnt_add (metrics->events, events);
-  nsv_send_body (exchange->caller, exchange->answer->data,
-                 exchange->answer->len);
-  if (nsv_is_slow (exchange->caller))
-    {
-      ncl_pause (exchange->attempt);
-    }
+  send_bytes (exchange);
 }
 
 /* Ends EXCHANGE's attempt, whose answer is no valid one, for the reason WHY.
@@ -398,7 +409,6 @@
 on_body (void *context, const char *bytes, size_t count)
 {
   struct exchange *exchange = context;
-  int64_t before_us = exchange->last_received_us;
   exchange->last_received_us = clk_monotonic_us ();
   if (!exchange->is_stream)
     {
@@ -415,7 +425,7 @@
                            (guint)count);
       return;
     }
-  int64_t interval_us = exchange->last_received_us - before_us;
+  int64_t interval_us = exchange->last_received_us - exchange->progress_us;
   g_byte_array_set_size (exchange->answer, 0);
   uint32_t events
       = evs_feed (&exchange->scanner, bytes, count, exchange->answer);
@@ -424,8 +434,13 @@
       give_up_answer (exchange, "an event is too long");
       return;
     }
+  if (events == 0 && exchange->answer_begun)
+    {
+      send_bytes (exchange);
+    }
   if (events > 0)
     {
+      exchange->progress_us = exchange->last_received_us;
       fst_report_progress (exchange->path, exchange->last_received_us);
       if (exchange->first_written_us == 0)
         {
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -55,6 +55,8 @@
   double event_interval_us; /* moving average of the time between events; 0:
                                none yet */
   int64_t last_received_us; /* when the newest bytes of the answer arrived */
+  int64_t progress_us;   /* when the newest events or the head arrived, or the
+                            reading went on after a slow caller's pause */
   char *failed_address;  /* address of the failed engine as the endpoint stated
                             it, or NULL */
   GString *answer_head;  /* headers for the caller */
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -58,14 +58,15 @@
   return CLAMP (limit_us, min_us, SILENCE_MAX_US);
 }
 
-/* Returns how long EXCHANGE's endpoint has sent nothing.  A slow caller pauses
-   the reading of its answer, so its time doesn't count.  */
+/* Returns how long EXCHANGE's endpoint has sent no event.  Other bytes don't
+   count: a stalled engine may send comments.  A slow caller pauses the reading
+   of its answer, so its time doesn't count.  */
 static int64_t
 silence_us (const struct exchange *exchange, int64_t now_us)
 {
   bool caller_slow
       = exchange->caller != NULL && nsv_is_slow (exchange->caller);
-  return caller_slow ? 0 : now_us - exchange->last_received_us;
+  return caller_slow ? 0 : now_us - exchange->progress_us;
 }
 
 /* True when the current attempt of EXCHANGE is made at ENDPOINT or over
@@ -266,7 +267,7 @@
     }
   else if (limit_us > 0)
     {
-      int64_t silent_at_us = exchange->last_received_us + limit_us;
+      int64_t silent_at_us = exchange->progress_us + limit_us;
       due_us
           = MIN (due_us, silent_at_us > now_us ? silent_at_us
                                                : now_us + SILENCE_RECHECK_US);
--- a/src/net/event_scan.c
+++ b/src/net/event_scan.c
@@ -96,7 +96,7 @@
    resumed stream may repeat.  An id that skips a number sets `out_of_order',
    and so does an event without one after one that has an id: it may be the
    text of an error.  No more events are passed on then.  Returns the number of
-   events appended.  */
+   events appended, without blocks of comments, which are appended too.  */
 uint32_t
 evs_feed (struct evs_scanner *scanner, const void *bytes, size_t count,
           GByteArray *complete)
@@ -115,14 +115,14 @@
       int64_t id = event_id (start, length);
       bool repeated = id >= 0 && id <= scanner->last_id;
       scanner->repeated += repeated;
-      bool follows
-          = id < 0 ? is_comment (start, length) : id == scanner->last_id + 1;
+      bool comment = id < 0 && is_comment (start, length);
+      bool follows = comment || (id >= 0 && id == scanner->last_id + 1);
       scanner->out_of_order = !repeated && !follows && scanner->last_id >= 0;
       if (!repeated && !scanner->out_of_order)
         {
           g_byte_array_append (complete, start, (guint)length);
           scanner->last_id = id >= 0 ? id : scanner->last_id;
-          events++;
+          events += !comment;
         }
       at += length;
     }
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -396,6 +396,20 @@
   endpoint->server = NULL;
 }
 
+/* Returns the index of an engine that doesn't begin paths.  There must be one.
+ */
+uint32_t
+sfl_find_later_engine (const struct sfl_fleet *fleet)
+{
+  uint32_t index = 0;
+  const struct sfl_endpoint *endpoint = endpoint_at (fleet, index);
+  while (!endpoint->is_engine || endpoint->dead || endpoint->first_layer == 0)
+    {
+      endpoint = endpoint_at (fleet, ++index);
+    }
+  return index;
+}
+
 /* Ends streams that are in progress or start later after EVENTS events.  */
 void
 sfl_set_stream_events (struct sfl_fleet *fleet, uint32_t events)
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -43,9 +43,11 @@
   SFL_NO_EVENTS,    /* streams: a complete body without an event */
   SFL_REPEATS,      /* streams: begins with the first event, whatever event it
                        is to resume after */
-  SFL_STATUS_000,   /* runs the request, answers with the status 000 */
-  SFL_STALLS        /* engines: stalls, then closes; the engine's report
-                       names the killed engines that its work waits for */
+  SFL_KEEPS_ALIVE, /* streams: while an engine of the path is dead, sends parts
+                      of comments instead of events */
+  SFL_STATUS_000,  /* runs the request, answers with the status 000 */
+  SFL_STALLS       /* engines: stalls, then closes; the engine's report
+                      names the killed engines that its work waits for */
 };
 
 /* Which requests crash each endpoint that begins to answer them. */
@@ -146,6 +148,7 @@
 uint32_t sfl_crash_run_count (const struct sfl_fleet *fleet, const char *text);
 uint32_t sfl_run_count (const struct sfl_fleet *fleet, const char *request_id);
 uint32_t sfl_arrival_count (const struct sfl_fleet *fleet, uint32_t endpoint);
+uint32_t sfl_find_later_engine (const struct sfl_fleet *fleet);
 uint32_t sfl_cancelled_count (const struct sfl_fleet *fleet);
 bool sfl_is_placed (const struct sfl_fleet *fleet);
 const char *sfl_violation (const struct sfl_fleet *fleet);
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -23,6 +23,7 @@
 {
   struct sfl_answer *answer = handle->data;
   g_free (answer->id);
+  g_free (answer->path);
   g_free (answer);
 }
 
@@ -253,6 +254,31 @@
   return true;
 }
 
+/* Returns whether the stream of ANSWER waits for a dead engine of its path. */
+static bool
+waits_for_dead (const struct sfl_answer *answer)
+{
+  const GPtrArray *endpoints = answer->endpoint->fleet->endpoints;
+  for (guint i = 0; answer->path != NULL && i < endpoints->len; i++)
+    {
+      const struct sfl_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+      if (endpoint->dead && strstr (answer->path, endpoint->address) != NULL)
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
+/* Sends the next byte of a series of comments.  */
+static void
+keep_alive (struct sfl_answer *answer)
+{
+  static const char comment[] = ": a\n\n";
+  size_t at = answer->kept_alive++ % (sizeof comment - 1);
+  nsv_send_body (answer->connection, comment + at, 1);
+}
+
 static void
 on_event_due (uv_timer_t *timer)
 {
@@ -261,6 +287,12 @@
     {
       return;
     }
+  if (answer->fault == SFL_KEEPS_ALIVE && answer->headers_sent
+      && waits_for_dead (answer))
+    {
+      keep_alive (answer);
+      return;
+    }
   if (!send_event (answer))
     {
       finish_answer (answer);
@@ -412,6 +444,7 @@
   answer->endpoint = endpoint;
   answer->connection = connection;
   answer->id = g_strdup (id);
+  answer->path = g_strdup (msg_find (request, PFH_PATH));
   answer->is_stream = endpoint->is_engine;
   answer->fault = fault;
   answer->last_event_id = last_event == NULL || fault == SFL_REPEATS
--- a/standin/fleet_private.h
+++ b/standin/fleet_private.h
@@ -90,6 +90,8 @@
   struct nsv_connection *connection;
   uv_timer_t timer;
   char *id;               /* of the request */
+  char *path;             /* through engines; NULL: none */
+  uint32_t kept_alive;    /* bytes of comments sent */
   uint32_t last_event_id; /* of the last event sent; 0: none */
   bool is_stream;
   enum sfl_fault fault;
--- a/test/event_scan_test.c
+++ b/test/event_scan_test.c
@@ -158,12 +158,48 @@
     }
 }
 
+/* Guards against comments that count as events: a stalled stream that sends
+   them would look as if it made progress.  */
+static void
+test_comments_are_no_events (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *text;
+    uint32_t events;
+  } cases[] = {
+    { ": alive\n\n", 0 },
+    { ":\n:\n\n", 0 },
+    { "\n", 0 },
+    { "id: 1\ndata: a\n\n: alive\n\n", 1 },
+    { ": alive\nid: 1\ndata: a\n\n", 1 },
+    { "data: a\n\n", 1 },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct evs_scanner scanner;
+      GByteArray *complete = g_byte_array_new ();
+      evs_init (&scanner);
+      uint32_t events = evs_feed (&scanner, cases[i].text,
+                                  strlen (cases[i].text), complete);
+      if (events != cases[i].events || complete->len != strlen (cases[i].text))
+        {
+          fail_msg ("'%s': %u events, %u bytes", cases[i].text, events,
+                    complete->len);
+        }
+      g_byte_array_free (complete, TRUE);
+      evs_clear (&scanner);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_scan),
     cmocka_unit_test (test_every_split),
+    cmocka_unit_test (test_comments_are_no_events),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
