Answer every request that was accepted before the end of a stop

A daemon counted as idle while requests were still arriving, so it ended 3.5 s after SIGTERM and closed their connections without an answer; so did the end of the grace period. Requests behind a response whose head was sent before the stop were dropped too, though that head hadn't announced the close. Partly received requests keep the daemon running now, and get 503 at the end, for which the loop goes on for one more check; a connection is only closed after a response that announces it.

Before the fix: net_test, stop_answers_pipelined_requests: 'before the stop' has one answer of two; stop_refuses_incomplete_requests: 'a part of the start line: idle 1'; entry_stop_test, test_stop_refuses_incomplete: no answer.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -8,7 +8,7 @@
 #include <signal.h>
 
 /* Interval at which a stop checks whether the last request has ended. */
-#define STOP_CHECK_MS 100
+#define STOP_CHECK_MS 50
 
 /* The load balancer probes once a second and keeps sending new callers until
    two probes have failed, so requests are served for at least this long after
@@ -35,22 +35,31 @@
   uv_signal_t reload;    /* SIGHUP */
   uv_timer_t stop_check;
   int64_t stop_requested_us; /* 0: not stopping */
+  bool ends;                 /* what was left has had its final answers */
 };
 
 /* Ends the main loop when no request is in progress any more, or when the
    grace period is nearly over; those that are left get their final answers.
- */
+   The loop goes on until the next check: a caller that is still sending loses
+   its answer if the connection is closed before its bytes are read, and
+   connections that were accepted meanwhile get an answer too.  */
 static void
 on_stop_check (uv_timer_t *timer)
 {
   struct entry *entry = timer->data;
   int64_t elapsed_us = clk_monotonic_us () - entry->stop_requested_us;
+  if (entry->ends)
+    {
+      trf_end_requests (entry->traffic);
+      uv_stop (entry->loop);
+      return;
+    }
   bool expired = elapsed_us >= entry->settings->stop_us - STOP_MARGIN_US;
   if (expired || (elapsed_us >= STOP_MIN_US && trf_is_idle (entry->traffic)))
     {
       trf_log_in_progress (entry->traffic);
       trf_end_requests (entry->traffic);
-      uv_stop (entry->loop);
+      entry->ends = true;
     }
 }
 
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -43,6 +43,10 @@
    load balancer probes once a second, so two probes have failed by then. */
 #define STOP_IDLE_US (2500 * CLK_MS_US)
 
+/* Header of the refusal of a request that still arrives at the end of the
+   stop.  Other daemons serve it at once. */
+#define STOP_RETRY_AFTER "Retry-After: 0.5\r\n"
+
 /* Added to the configuration's idle time-out, so that no connection is closed
    before that time-out has passed. */
 #define CALLER_IDLE_MARGIN_US (500 * CLK_MS_US)
@@ -337,11 +341,13 @@
   log_readiness (traffic);
 }
 
-/* Ends the requests in progress, at the end of the stop.  */
+/* Ends the requests in progress, and those that still arrive, at the end of
+   the stop.  */
 void
 trf_end_requests (struct trf_traffic *traffic)
 {
   exg_stop_all (traffic);
+  nsv_refuse_incomplete (traffic->caller_server, STOP_RETRY_AFTER);
 }
 
 /* True when no request is in progress, and no caller still reads an answer.
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -48,10 +48,11 @@
   uint32_t error_status; /* response if a limit stops the parser; 0: none */
   void *request_context;
   bool keep_alive;
-  bool used;         /* a request has begun to arrive */
-  bool knows_chunks; /* the caller of the current request, by its version */
-  bool chunked;      /* the current response */
-  bool received;     /* the current request, completely */
+  bool announces_close; /* the head of the response says that it is the last */
+  bool used;            /* a request has begun to arrive */
+  bool knows_chunks;    /* the caller of the current request, by its version */
+  bool chunked;         /* the current response */
+  bool received;        /* the current request, completely */
   bool in_body; /* the headers of the current request have been received */
   bool closing;
   bool resets_at_end;     /* see set_reset_at_end */
@@ -381,13 +382,15 @@
 }
 
 /* Called after a complete response: continues with the next request, which may
-   have arrived already, or shuts the connection down.  */
+   have arrived already, or shuts the connection down.  A response whose head
+   was sent before a stop didn't announce the end of the connection, so that a
+   request may follow it.  */
 static void
 finish_response (struct nsv_connection *connection)
 {
   connection->server->request_count--;
   connection->request_context = NULL;
-  if (!connection->keep_alive)
+  if (connection->announces_close)
     {
       linger (connection);
       return;
@@ -403,15 +406,16 @@
     }
 }
 
-/* Responds with the error STATUS to a request that was not received
-   completely, and shuts the connection down.  */
+/* Responds with the error STATUS and HEADERS to a request that was not
+   received completely, and shuts the connection down.  */
 static void
-reject_incomplete (struct nsv_connection *connection, uint32_t status)
+reject_incomplete (struct nsv_connection *connection, uint32_t status,
+                   const char *headers)
 {
   connection->server->request_count++;
   enter_phase (connection, PHASE_RESPONDING);
   connection->keep_alive = false;
-  nsv_respond (connection, status, "", "", 0);
+  nsv_respond (connection, status, headers, "", 0);
 }
 
 /* Passes the complete request of CONNECTION to the owner.  */
@@ -463,9 +467,11 @@
         }
       else if (HTTP_PARSER_ERRNO (&connection->parser) != HPE_OK)
         {
-          reject_incomplete (connection, connection->error_status != 0
-                                             ? connection->error_status
-                                             : HTTP_STATUS_BAD_REQUEST);
+          reject_incomplete (connection,
+                             connection->error_status != 0
+                                 ? connection->error_status
+                                 : HTTP_STATUS_BAD_REQUEST,
+                             "");
           break;
         }
     }
@@ -676,6 +682,23 @@
     }
 }
 
+/* Refuses the requests that haven't been received completely, with HEADERS,
+   each of which ends with CRLF: the process ends, and none of them has run. */
+void
+nsv_refuse_incomplete (struct nsv_server *server, const char *headers)
+{
+  for (guint i = server->connections->len; i-- > 0;)
+    {
+      struct nsv_connection *connection
+          = g_ptr_array_index (server->connections, i);
+      if (connection->phase == PHASE_RECEIVING)
+        {
+          reject_incomplete (connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                             headers);
+        }
+    }
+}
+
 /* Listens again after a lack of descriptors or memory.  */
 static void
 reopen_listener (struct nsv_server *server)
@@ -790,7 +813,7 @@
                              ? server->limits.idle_timeout_us
                              : server->limits.header_timeout_us))
             {
-              reject_incomplete (connection, HTTP_STATUS_REQUEST_TIMEOUT);
+              reject_incomplete (connection, HTTP_STATUS_REQUEST_TIMEOUT, "");
             }
           break;
         case PHASE_LINGERING:
@@ -827,15 +850,20 @@
   return server->request_count;
 }
 
-/* Returns true when no request is without a complete response, and no byte of
-   a response waits for its caller.  */
+/* Returns true when no request is without a complete response or has arrived
+   in part, and no byte of a response waits for its caller.  */
 bool
 nsv_is_idle (const struct nsv_server *server)
 {
   bool idle = server->request_count == 0;
   for (guint i = 0; idle && i < server->connections->len; i++)
     {
-      idle = !is_unfinished (g_ptr_array_index (server->connections, i));
+      const struct nsv_connection *connection
+          = g_ptr_array_index (server->connections, i);
+      idle = !is_unfinished (connection)
+             && connection->phase != PHASE_RECEIVING
+             && (connection->phase != PHASE_IDLE
+                 || !has_unread_bytes (connection));
     }
   return idle;
 }
@@ -855,6 +883,7 @@
 {
   g_string_append_printf (head, "HTTP/1.1 %03u %s\r\n%s", status,
                           msg_reason (status), headers);
+  connection->announces_close = !connection->keep_alive;
   if (!connection->keep_alive)
     {
       g_string_append (head, "Connection: close\r\n");
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -48,6 +48,7 @@
 void nsv_set_limits (struct nsv_server *server,
                      const struct nsv_limits *limits);
 void nsv_disable_keep_alive (struct nsv_server *server, int64_t idle_until_us);
+void nsv_refuse_incomplete (struct nsv_server *server, const char *headers);
 void nsv_expire (struct nsv_server *server, int64_t now_us);
 uint32_t nsv_connection_count (const struct nsv_server *server);
 uint32_t nsv_lack_count (const struct nsv_server *server);
--- a/test/entry_stop_test.c
+++ b/test/entry_stop_test.c
@@ -245,6 +245,33 @@
   efx_clear_call (&call);
 }
 
+/* Guards against connections that are closed without an answer at the end of a
+   stop while a request still arrives.  */
+static void
+test_stop_refuses_incomplete (void **state)
+{
+  static const char request[]
+      = "POST /book/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST
+        "\r\nX-Api-Key: key-1\r\nContent-Length: 9\r\n\r\nbody";
+  struct efx_fixture *fixture = *state;
+  struct sockaddr_in address;
+  char answer[16] = "";
+  sep_start (fixture->daemon);
+  efx_await_ready (fixture);
+  int caller = socket (AF_INET, SOCK_STREAM, 0);
+  assert_true (nad_parse (sep_caller_address (fixture->daemon), &address));
+  assert_int_equal (
+      connect (caller, (struct sockaddr *)&address, sizeof address), 0);
+  send (caller, request, sizeof request - 1, MSG_NOSIGNAL);
+  efx_run_for (fixture, 200 * CLK_MS_US);
+  sep_signal (fixture->daemon, SIGTERM);
+  efx_await_exit (fixture);
+  recv (caller, answer, sizeof answer - 1, MSG_DONTWAIT);
+  close (caller);
+  print_message ("'%s'\n", answer);
+  assert_true (g_str_has_prefix (answer, "HTTP/1.1 503"));
+}
+
 /* Guards against sending calls on and on to an endpoint that hangs: a call
    that timed out or whose caller left said nothing about its endpoint, which
    looked idle.  */
@@ -300,6 +327,7 @@
     cmocka_unit_test (test_stop_unseen_route),
     cmocka_unit_test (test_stop_answers_new_connection),
     cmocka_unit_test (test_stop_answers_unfinished),
+    cmocka_unit_test (test_stop_refuses_incomplete),
     cmocka_unit_test (test_silent_endpoint),
   };
   return cmocka_run_group_tests (tests, efx_set_up, efx_tear_down);
--- a/test/net_test.c
+++ b/test/net_test.c
@@ -615,6 +615,108 @@
     }
 }
 
+/* Guards against requests that are dropped unanswered in a stop: those behind
+   a response whose head, sent before the stop, didn't announce the close.  */
+static void
+stop_answers_pipelined_requests (void **state)
+{
+  static const char requests[] = "GET /long HTTP/1.1\r\nHost: a\r\n\r\n"
+                                 "GET /short HTTP/1.1\r\nHost: a\r\n\r\n";
+  static const struct
+  {
+    const char *name;
+    size_t late_bytes; /* that arrive after the stop began */
+  } cases[] = {
+    { "before the stop", 0 },
+    { "in part", 9 },
+    { "after the stop began", 32 },
+  };
+  struct fixture *fixture = *state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      size_t early = sizeof requests - 1 - cases[i].late_bytes;
+      int caller = connect_socket (fixture);
+      fixture->connection = NULL;
+      send (caller, requests, early, MSG_NOSIGNAL);
+      await_request (fixture);
+      nsv_disable_keep_alive (fixture->server, clk_monotonic_us ());
+      send (caller, requests + early, cases[i].late_bytes, MSG_NOSIGNAL);
+      nsv_end_response (fixture->connection);
+      GString *answers = g_string_new (NULL);
+      int64_t end_us = clk_monotonic_us () + 2 * CLK_S_US;
+      ssize_t count = -1;
+      while (count != 0 && clk_monotonic_us () < end_us)
+        {
+          uv_run (&fixture->loop, UV_RUN_NOWAIT);
+          nsv_expire (fixture->server, clk_monotonic_us ());
+          count
+              = recv (caller, fixture->read_buffer, READ_BYTES, MSG_DONTWAIT);
+          g_string_append_len (answers, fixture->read_buffer, MAX (count, 0));
+        }
+      if (!g_str_has_suffix (answers->str, "body")
+          || strstr (answers->str, "Connection: close") == NULL)
+        {
+          fail_msg ("%s: '%s'", cases[i].name, answers->str);
+        }
+      g_string_free (answers, TRUE);
+      close (caller);
+      restart_server (fixture);
+    }
+}
+
+/* Guards against the end of a process while a request still arrives: it isn't
+   idle then, and at the end of the grace period the request is refused, which
+   promises that it hasn't run.  */
+static void
+stop_refuses_incomplete_requests (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *bytes;
+    bool refused;
+  } cases[] = {
+    { "a part of the start line", "POST /sh", true },
+    { "a part of the headers", "POST /short HTTP/1.1\r\nHost", true },
+    { "a part of the body",
+      "POST /short HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nbody",
+      true },
+    { "a part of a chunk",
+      "POST /short HTTP/1.1\r\nHost: a\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n9\r\nbody",
+      true },
+    { "nothing", "", false },
+  };
+  struct fixture *fixture = *state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int caller = connect_socket (fixture);
+      send (caller, cases[i].bytes, strlen (cases[i].bytes), MSG_NOSIGNAL);
+      while (nsv_connection_count (fixture->server) == 0)
+        {
+          uv_run (&fixture->loop, UV_RUN_NOWAIT);
+        }
+      bool is_idle = nsv_is_idle (fixture->server);
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+      is_idle = is_idle || nsv_is_idle (fixture->server);
+      nsv_refuse_incomplete (fixture->server, "Retry-After: 0.5\r\n");
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+      ssize_t count
+          = recv (caller, fixture->read_buffer, READ_BYTES - 1, MSG_DONTWAIT);
+      fixture->read_buffer[MAX (count, 0)] = '\0';
+      bool refused
+          = g_str_has_prefix (fixture->read_buffer, "HTTP/1.1 503")
+            && strstr (fixture->read_buffer, "Retry-After: 0.5") != NULL;
+      if (refused != cases[i].refused || is_idle == cases[i].refused)
+        {
+          fail_msg ("%s: idle %d, '%s'", cases[i].name, is_idle,
+                    fixture->read_buffer);
+        }
+      close (caller);
+      restart_server (fixture);
+    }
+}
+
 /* How the answer to a caller ended. */
 enum ending
 {
@@ -858,6 +960,10 @@
                                      create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (lack_of_descriptors_is_logged,
                                      create_fixture, destroy_fixture),
+    cmocka_unit_test_setup_teardown (stop_answers_pipelined_requests,
+                                     create_fixture, destroy_fixture),
+    cmocka_unit_test_setup_teardown (stop_refuses_incomplete_requests,
+                                     create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (stop_answers_requests_on_idle_connections,
                                      create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (client_survives_lack_of_descriptors,
