Don't send an order whose permission ran out before its connection opened

An order was sent as soon as its connection was established, however long that took: a leader that was stopped in between sent it after its membership had ended. A call may have a time by which it must be sent; that of orders is the end of the certain membership.

--- a/src/entry/group.c
+++ b/src/entry/group.c
@@ -344,6 +344,15 @@
          && now_us < group->renewal.certain_until_us;
 }
 
+/* Returns the monotonic time at which the present membership isn't certain any
+   more; an order that is still unsent then may come after those of the next
+   leader.  */
+int64_t
+grp_certain_until_us (const struct grp_group *group)
+{
+  return group->renewal.certain_until_us;
+}
+
 /* Stops leading until the next generation, since an endpoint refused the
    fencing token FENCE, unless the present one is higher.  */
 void
--- a/src/entry/group.h
+++ b/src/entry/group.h
@@ -35,6 +35,7 @@
 void grp_destroy (struct grp_group *group);
 void grp_set_era (struct grp_group *group, uint64_t era);
 bool grp_is_leader (const struct grp_group *group, uint64_t *fence);
+int64_t grp_certain_until_us (const struct grp_group *group);
 void grp_step_down (struct grp_group *group, uint64_t fence);
 double grp_share (const struct grp_group *group);
 uint32_t grp_partitions (const struct grp_group *group);
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -211,6 +211,7 @@
     .body = body,
     .timeout_ms = ORDER_TIMEOUT_MS,
     .answer_bytes_max = PFR_ANSWER_BYTES_MAX,
+    .send_by_us = grp_certain_until_us (order->placer->params.group),
     .headers = on_answer_head,
     .done = on_answer,
     .context = order,
--- a/src/net/call.c
+++ b/src/net/call.c
@@ -154,6 +154,10 @@
       = ncl_send (params->client, params->address, request->str, request->len,
                   !params->reuses_connection, &exchange_events, call);
   g_string_free (request, TRUE);
+  if (call->exchange != NULL && params->send_by_us > 0)
+    {
+      ncl_set_send_by (call->exchange, params->send_by_us);
+    }
   uv_timer_start (&call->timer,
                   call->exchange == NULL ? on_unsendable : on_timeout,
                   call->exchange == NULL ? 0 : params->timeout_ms, 0);
--- a/src/net/call.h
+++ b/src/net/call.h
@@ -37,6 +37,8 @@
      earlier response would be taken for this one.  Only for calls that are
      made so often that new connections cost too much. */
   bool reuses_connection;
+  int64_t send_by_us; /* the request isn't sent then or later, monotonic; 0: no
+                         limit */
   cal_headers headers; /* NULL: not needed */
   cal_done done;
   void *context;
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -41,6 +41,7 @@
   int64_t idle_since_us;
   int64_t idle_timeout_us;
   int64_t connect_by_us; /* deadline, monotonic time */
+  int64_t send_by_us;    /* see ncl_set_send_by; INT64_MAX: none */
   const struct ncl_events *events;
   void *context;
 };
@@ -423,7 +424,7 @@
     {
       return;
     }
-  if (status < 0)
+  if (status < 0 || clk_monotonic_us () >= connection->send_by_us)
     {
       fail (connection, NCL_NOT_CONNECTED);
       return;
@@ -560,6 +561,7 @@
   connection->in_use = true;
   connection->headers_seen = false;
   connection->interim = 0;
+  connection->send_by_us = INT64_MAX;
   connection->status_line = (struct rsh_status_line){ 0 };
   connection->finished = false;
   connection->foreign = false;
@@ -577,6 +579,15 @@
   return connection;
 }
 
+/* Fails EXCHANGE with NCL_NOT_CONNECTED if its connection is established at
+   SEND_BY_US, monotonic time, or later: the permission to send the request has
+   run out then, for example since this process was stopped meanwhile.  */
+void
+ncl_set_send_by (struct ncl_exchange *exchange, int64_t send_by_us)
+{
+  exchange->send_by_us = send_by_us;
+}
+
 /* Ends EXCHANGE without calling its events.  Closes the connection, which lets
    the server stop working on the request.  */
 void
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -60,6 +60,7 @@
                                const char *bytes, size_t count,
                                bool new_connection,
                                const struct ncl_events *events, void *context);
+void ncl_set_send_by (struct ncl_exchange *exchange, int64_t send_by_us);
 void ncl_cancel (struct ncl_exchange *exchange);
 void ncl_pause (struct ncl_exchange *exchange);
 void ncl_resume (struct ncl_exchange *exchange);
--- a/test/client_response_test.c
+++ b/test/client_response_test.c
@@ -580,6 +580,58 @@
   close (servers[1]);
 }
 
+/* Guards against an order that is sent on a permission that has run out: the
+   process was stopped while its connection was being established.  */
+static void
+test_send_by (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t left_us; /* until the permission runs out; 0: no limit */
+    bool sent;
+  } cases[] = {
+    { "no limit", 0, true },
+    { "a minute", 60 * CLK_S_US, true },
+    { "less than the pause", 20 * CLK_MS_US, false },
+  };
+  struct fixture *fixture = *state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct cal_params params = {
+        .client = fixture->client,
+        .loop = &fixture->loop,
+        .address = fixture->address,
+        .method = "POST",
+        .path = "/a",
+        .timeout_ms = TIMEOUT_US / CLK_MS_US,
+        .send_by_us
+        = cases[i].left_us == 0 ? 0 : clk_monotonic_us () + cases[i].left_us,
+        .done = on_call_done,
+        .context = fixture,
+      };
+      forget_response (fixture);
+      cal_send (&params);
+      usleep (2 * 20 * CLK_MS_US); /* the loop doesn't run, as if stopped */
+      int server = accept_connection (fixture);
+      if (cases[i].sent)
+        {
+          read_request (fixture, server);
+          send_bytes (fixture, server, SOUND, strlen (SOUND));
+        }
+      await_end (fixture);
+      char byte;
+      ssize_t count = recv (server, &byte, 1, MSG_DONTWAIT);
+      if (fixture->status != (cases[i].sent ? 200U : 0U)
+          || fixture->end != END_COMPLETE || count > 0)
+        {
+          fail_msg ("%s: end %d, status %u, %zd bytes", cases[i].name,
+                    fixture->end, fixture->status, count);
+        }
+      close (server);
+    }
+}
+
 int
 main (void)
 {
@@ -590,6 +642,8 @@
                                      destroy_fixture),
     cmocka_unit_test_setup_teardown (test_second_copy, create_fixture,
                                      destroy_fixture),
+    cmocka_unit_test_setup_teardown (test_send_by, create_fixture,
+                                     destroy_fixture),
     cmocka_unit_test_setup_teardown (test_second_copy_of_call, create_fixture,
                                      destroy_fixture),
   };
