--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -81,6 +81,8 @@
                                none yet */
   double event_deviation_us; /* moving mean absolute deviation from it */
   int64_t last_received_us;  /* when the newest bytes of the answer arrived */
+  int64_t progress_us;   /* when the newest events or the head arrived, or the
+                            reading went on after a slow caller's pause */
   char *failed_address;  /* address of the failed engine as the endpoint stated
                             it, or NULL */
   GString *answer_head;  /* headers for the caller */
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -3,13 +3,20 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "net/address.h"
+#include "net/response_head.h"
 #include "net/stream.h"
 
+#include <errno.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define READ_BYTES 65536 /* of one read from a socket */
 
+/* Interim responses before a response.  A server that only sends these would
+   otherwise hold a request until its deadline. */
+#define INTERIM_MAX 16
+
 /* One connection and the exchange that it carries, if any.  Since a connection
    carries at most one exchange at a time, the same struct is the exchange in
    the public interface and is called the connection in this file. */
@@ -20,18 +27,21 @@
   struct ncl_client *client;
   char *address;
   http_parser parser;
+  struct rsh_status_line status_line;
   struct msg_message response;
   GByteArray *unsent; /* the request, until the connection is established */
   bool connected;
   bool in_use; /* carries an exchange */
   bool headers_seen;
-  bool finished; /* the response has been parsed to its end */
-  bool foreign;  /* the response belongs to another request */
+  uint32_t interim; /* interim responses of the exchange */
+  bool finished;    /* the response has been parsed to its end */
+  bool foreign;     /* the response belongs to another request */
   bool closing;
   bool paused;
   int64_t idle_since_us;
   int64_t idle_timeout_us;
   int64_t connect_by_us; /* deadline, monotonic time */
+  int64_t send_by_us;    /* see ncl_set_send_by; INT64_MAX: none */
   const struct ncl_events *events;
   void *context;
 };
@@ -171,15 +181,26 @@
     }
 }
 
+static bool
+is_interim (const http_parser *parser)
+{
+  return parser->status_code < HTTP_STATUS_OK;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
   struct ncl_exchange *connection = parser->data;
   msg_end_headers (&connection->response);
-  if (parser->status_code < 200)
+  if (!rsh_is_valid (&connection->status_line, parser, &connection->response))
+    {
+      return -1;
+    }
+  if (is_interim (parser))
     {
       msg_reset (&connection->response);
-      return 0;
+      connection->interim++;
+      return connection->interim > INTERIM_MAX ? -1 : 0;
     }
   connection->headers_seen = true;
   read_keep_alive (connection);
@@ -189,7 +210,12 @@
       connection->foreign = true;
       return -1;
     }
-  return connection->in_use ? 0 : -1;
+  if (!connection->in_use)
+    {
+      return -1;
+    }
+  /* 1 lets the parser skip the body that the headers may announce. */
+  return rsh_has_body (parser->status_code) ? 0 : 1;
 }
 
 static int
@@ -200,15 +226,13 @@
   return connection->in_use ? 0 : -1;
 }
 
+/* Pauses the parser also after an interim response, since the next status line
+   begins there.  */
 static int
 on_message_complete (http_parser *parser)
 {
   struct ncl_exchange *connection = parser->data;
-  if (parser->status_code < 200)
-    {
-      return 0;
-    }
-  connection->finished = true;
+  connection->finished = !is_interim (parser);
   http_parser_pause (parser, 1);
   return 0;
 }
@@ -249,6 +273,31 @@
   events->complete (context);
 }
 
+/* Parses COUNT bytes of the current exchange, at most to the end of its
+   response.  Returns the number of bytes parsed.  */
+static size_t
+parse_response (struct ncl_exchange *connection, const char *bytes,
+                size_t count)
+{
+  http_parser *parser = &connection->parser;
+  size_t parsed = 0;
+  bool goes_on = true;
+  while (goes_on)
+    {
+      rsh_scan (&connection->status_line, bytes + parsed, count - parsed);
+      parsed += http_parser_execute (parser, &parser_settings, bytes + parsed,
+                                     count - parsed);
+      goes_on = HTTP_PARSER_ERRNO (parser) == HPE_PAUSED
+                && !connection->finished && parsed < count;
+      if (HTTP_PARSER_ERRNO (parser) == HPE_PAUSED)
+        {
+          http_parser_pause (parser, 0);
+          connection->status_line = (struct rsh_status_line){ 0 };
+        }
+    }
+  return parsed;
+}
+
 /* Handles COUNT bytes from the server.  */
 static void
 handle_bytes (struct ncl_exchange *connection, const char *bytes, size_t count)
@@ -258,8 +307,7 @@
       close_connection (connection); /* bytes that no request asked for */
       return;
     }
-  size_t parsed = http_parser_execute (&connection->parser, &parser_settings,
-                                       bytes, count);
+  size_t parsed = parse_response (connection, bytes, count);
   if (connection->foreign)
     {
       fail (connection, NCL_WRONG_RESPONSE);
@@ -270,7 +318,6 @@
     }
   else if (connection->finished)
     {
-      http_parser_pause (&connection->parser, 0);
       finish (connection,
               parsed >= count && http_should_keep_alive (&connection->parser));
     }
@@ -377,7 +424,7 @@
     {
       return;
     }
-  if (status < 0)
+  if (status < 0 || clk_monotonic_us () >= connection->send_by_us)
     {
       fail (connection, NCL_NOT_CONNECTED);
       return;
@@ -454,9 +501,22 @@
   return connection;
 }
 
+/* Returns whether the server of CONNECTION, which is idle, has neither sent
+   bytes nor closed since the last read.  Such bytes may be a second copy of
+   the last response, which would be taken for that of the next request.  */
+static bool
+is_quiet (const struct ncl_exchange *connection)
+{
+  uv_os_fd_t descriptor;
+  char byte;
+  return uv_fileno ((const uv_handle_t *)&connection->tcp, &descriptor) == 0
+         && recv (descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && errno == EAGAIN;
+}
+
 /* Removes the idle connection to ADDRESS that was used last from the pool and
-   returns it, or NULL when there is none.  Closes the expired connections that
-   it meets on the way; ncl_expire closes the others.  */
+   returns it, or NULL when there is none.  Closes those that it meets on the
+   way and that are expired or not quiet; ncl_expire closes the others.  */
 static struct ncl_exchange *
 take_idle (struct ncl_client *client, const char *address)
 {
@@ -466,7 +526,8 @@
     {
       struct ncl_exchange *connection
           = g_ptr_array_steal_index (list, list->len - 1);
-      if (now_us - connection->idle_since_us < connection->idle_timeout_us)
+      if (now_us - connection->idle_since_us < connection->idle_timeout_us
+          && is_quiet (connection))
         {
           return connection;
         }
@@ -499,6 +560,9 @@
   connection->context = context;
   connection->in_use = true;
   connection->headers_seen = false;
+  connection->interim = 0;
+  connection->send_by_us = INT64_MAX;
+  connection->status_line = (struct rsh_status_line){ 0 };
   connection->finished = false;
   connection->foreign = false;
   msg_reset (&connection->response);
@@ -515,6 +579,15 @@
   return connection;
 }
 
+/* Fails EXCHANGE with NCL_NOT_CONNECTED if its connection is established at
+   SEND_BY_US, monotonic time, or later: the permission to send the request has
+   run out then, for example since this process was stopped meanwhile.  */
+void
+ncl_set_send_by (struct ncl_exchange *exchange, int64_t send_by_us)
+{
+  exchange->send_by_us = send_by_us;
+}
+
 /* Ends EXCHANGE without calling its events.  Closes the connection, which lets
    the server stop working on the request.  */
 void
@@ -559,10 +632,8 @@
 bool
 ncl_ends_with_connection (const struct ncl_exchange *exchange)
 {
-  uint32_t status = exchange->parser.status_code;
-  bool has_body
-      = status != HTTP_STATUS_NO_CONTENT && status != HTTP_STATUS_NOT_MODIFIED;
-  return has_body && (exchange->parser.flags & F_CHUNKED) == 0
+  return rsh_has_body (exchange->parser.status_code)
+         && (exchange->parser.flags & F_CHUNKED) == 0
          && (exchange->parser.flags & F_CONTENTLENGTH) == 0;
 }
 
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -23,6 +23,7 @@
 {
   struct sfl_answer *answer = handle->data;
   g_free (answer->id);
+  g_free (answer->path);
   g_free (answer);
 }
 
@@ -157,7 +158,9 @@
     {
       write_headers (answer, headers, sizeof headers);
       notify_answered (answer->endpoint, answer->id, NULL);
-      nsv_begin_response (answer->connection, HTTP_STATUS_OK, headers,
+      nsv_begin_response (answer->connection,
+                          answer->fault == SFL_STATUS_000 ? 0 : HTTP_STATUS_OK,
+                          headers,
                           answer->fault != SFL_WITHOUT_LENGTH
                               && answer->fault != SFL_ENDS_MIDWAY);
       answer->headers_sent = true;
@@ -251,6 +254,31 @@
   return true;
 }
 
+/* Returns whether the stream of ANSWER waits for a dead engine of its path. */
+static bool
+waits_for_dead (const struct sfl_answer *answer)
+{
+  const GPtrArray *endpoints = answer->endpoint->fleet->endpoints;
+  for (guint i = 0; answer->path != NULL && i < endpoints->len; i++)
+    {
+      const struct sfl_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+      if (endpoint->dead && strstr (answer->path, endpoint->address) != NULL)
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
+/* Sends the next byte of a series of comments.  */
+static void
+keep_alive (struct sfl_answer *answer)
+{
+  static const char comment[] = ": a\n\n";
+  size_t at = answer->kept_alive++ % (sizeof comment - 1);
+  nsv_send_body (answer->connection, comment + at, 1);
+}
+
 static void
 on_event_due (uv_timer_t *timer)
 {
@@ -259,6 +287,12 @@
     {
       return;
     }
+  if (answer->fault == SFL_KEEPS_ALIVE && answer->headers_sent
+      && waits_for_dead (answer))
+    {
+      keep_alive (answer);
+      return;
+    }
   if (!send_event (answer))
     {
       finish_answer (answer);
@@ -290,6 +324,9 @@
       nsv_respond (answer->connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
                    headers, "", 0);
       break;
+    case SFL_STATUS_000:
+      nsv_respond (answer->connection, 0, headers, body, (size_t)length);
+      break;
     case SFL_REFUSES_AGAIN:
       nsv_respond (answer->connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
                    PFH_NOT_EXECUTED ": 1\r\n", "", 0);
@@ -413,6 +450,7 @@
   answer->endpoint = endpoint;
   answer->connection = connection;
   answer->id = g_strdup (id);
+  answer->path = g_strdup (msg_find (request, PFH_PATH));
   answer->is_stream = endpoint->is_engine;
   answer->fault = fault;
   answer->last_event_id = last_event == NULL || fault == SFL_REPEATS
