Suspect a reported engine at once, also where events are still under way

Events that passed the engine before it failed are always that young, so streams were given up 276 ms after a loss in the median, too late for a pause of 250 ms. Such a report makes the engine suspect now; it is taken for dead only once no event has come for 150 ms.

--- a/src/core/fleet_known.c
+++ b/src/core/fleet_known.c
@@ -183,16 +183,19 @@
          || report->progressed_us > report->found_us + FKN_PROGRESS_US;
 }
 
-/* Returns what this daemon makes of REPORT at NOW_US.  */
+/* Returns what this daemon makes of REPORT at NOW_US.  An event that came just
+   now may have passed the engine before it failed: it doesn't clear the engine
+   of suspicion, since streams over it would fall silent for too long
+   meanwhile.  */
 enum fkn_verdict
 fkn_judge (const struct fkn_report *report, int64_t now_us)
 {
   bool progresses = report->progressed_us != 0
                     && now_us - report->progressed_us < FKN_PROGRESS_US;
-  if (report->cut_off || report->reporters == 0 || progresses
-      || fkn_is_disproved (report))
+  if (report->cut_off || report->reporters == 0 || fkn_is_disproved (report))
     {
       return FKN_IGNORED;
     }
-  return report->reporters >= FLO_REPORTERS_MIN ? FKN_CONFIRMED : FKN_SUSPECT;
+  return report->reporters >= FLO_REPORTERS_MIN && !progresses ? FKN_CONFIRMED
+                                                               : FKN_SUSPECT;
 }
--- a/src/entry/load_exchange.c
+++ b/src/entry/load_exchange.c
@@ -311,7 +311,8 @@
            (long)death->born_ms, death->reporters,
            (long)((now_us - death->found_us) / CLK_MS_US), death->own);
   exchange->telling = true;
-  exchange->dead (exchange->context, death->id, death->born_ms, confirmed);
+  exchange->dead (exchange->context, death->id, death->born_ms, confirmed,
+                  death->found_us);
   exchange->telling = false;
 }
 
--- a/src/entry/load_exchange.h
+++ b/src/entry/load_exchange.h
@@ -14,9 +14,10 @@
 #include "entry/traffic.h"
 
 /* Called when other daemons report the engine ID dead, in its incarnation that
-   started at BORN_MS: CONFIRMED by several of them, or suspected by one.  */
+   started at BORN_MS: CONFIRMED by several of them, or suspected.  FOUND_US,
+   monotonic, is when it was found so.  */
 typedef void (*lex_dead) (void *context, const char *id, int64_t born_ms,
-                          bool confirmed);
+                          bool confirmed, int64_t found_us);
 
 struct lex_exchange;
 
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -247,9 +247,11 @@
 
 /* Handles that other daemons report the engine ID dead, in its incarnation
    that started at BORN_MS: as this daemon's own finding if CONFIRMED, or else
-   by avoiding the engine for a while.  */
+   by avoiding the engine for a while.  Silent streams over it are resumed
+   early.  */
 static void
-on_engine_dead (void *context, const char *id, int64_t born_ms, bool confirmed)
+on_engine_dead (void *context, const char *id, int64_t born_ms, bool confirmed,
+                int64_t found_us)
 {
   struct trf_traffic *traffic = context;
   struct fst_endpoint *engine = fst_find_id (traffic->fleet, id);
@@ -265,7 +267,8 @@
     }
   else
     {
-      engine->evidence.failed_us = now_us;
+      /* Only an event after this time shows that the engine goes on. */
+      engine->evidence.failed_us = found_us + FKN_PROGRESS_US;
       engine->evidence.full_until_us
           = MAX (engine->evidence.full_until_us, now_us + FKN_SUSPECT_US);
     }
