--- a/test/load_exchange_test.c
+++ b/test/load_exchange_test.c
@@ -21,6 +21,7 @@
 /* Gauges and counters of a daemon. */
 #define ELSEWHERE "kumquatthread_load_elsewhere"
 #define CHANGES "kumquatthread_load_aggregator_changes_total"
+#define CONFIRMED "kumquatthread_load_deaths_heard_total{state=\"confirmed\"}"
 #define TOLD "kumquatthread_load_deaths_told_total"
 #define SUSPECTED "kumquatthread_load_deaths_heard_total{state=\"suspect\"}"
 
@@ -226,8 +227,23 @@
   fail_msg ("the second daemon uses no other path");
 }
 
+/* Begins streams at DAEMON until SERIES of the daemon NAME has become 1.  */
+static void
+await_one (struct efx_fixture *fixture, const struct sep_process *daemon,
+           const char *name, const char *series)
+{
+  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
+  while (read_metric (fixture, name, series) < 1
+         && clk_monotonic_us () < end_us)
+    {
+      begin_stream (fixture, daemon);
+    }
+  assert_true (read_metric (fixture, name, series) >= 1);
+}
+
 /* Guards against a daemon that must run into a dead engine itself: the third
-   one hears of the engine that the second one has found dead.  */
+   one hears of the engine that the second one has found dead.  When the third
+   one has found it dead too, the second one hears that it is confirmed.  */
 static void
 test_engine_dies (void **state)
 {
@@ -237,20 +253,10 @@
   await_known (fixture, &pair, 1);
   struct efx_call call;
   kill_other_engine (fixture, &call, &pair);
-  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
-  while (read_metric (fixture, "entry-2", TOLD) < 1
-         && clk_monotonic_us () < end_us)
-    {
-      begin_stream (fixture, pair.second);
-    }
-  while (read_metric (fixture, "entry-3", SUSPECTED) < 1
-         && clk_monotonic_us () < end_us)
-    {
-      efx_run_for (fixture, 20 * CLK_MS_US);
-    }
-  assert_true (read_metric (fixture, "entry-2", TOLD) >= 1);
-  assert_true (read_metric (fixture, "entry-3", SUSPECTED) >= 1);
+  await_one (fixture, pair.second, "entry-2", TOLD);
+  await_one (fixture, pair.second, "entry-3", SUSPECTED);
   assert_int_equal (read_metric (fixture, "entry-3", TOLD), 0);
+  await_one (fixture, pair.third, "entry-2", CONFIRMED);
   efx_await_call (fixture, &call);
   assert_true (call.complete);
   efx_clear_call (&call);
