--- a/standin/entry_process.c
+++ b/standin/entry_process.c
@@ -13,6 +13,9 @@
 /* Number of partitions of the group's topic, unless the caller chooses it. */
 #define STORE_PARTITIONS 6
 
+/* File descriptors that the daemon may open, unless the caller chooses it. */
+#define DESCRIPTORS 1024
+
 /* The bound of quarantines, unless the caller chooses it. */
 #define QUARANTINE_MS 1000
 
@@ -59,7 +62,7 @@
       "name: %s\ndata_centre: kgn\ncaller_address: \"%s\"\n"
       "ready_address: \"%s\"\nmetrics_address: \"%s\"\n"
       "relay_address: \"%s\"\nstore_address: \"%s\"\n"
-      "store_partitions: %u\ndescriptors: 1024\n"
+      "store_partitions: %u\ndescriptors: %u\n"
       "drain_ms: %u\nconfig_ms: %u\nrevoke_ms: %u\nstop_s: %u\n"
       "quarantine_ms: %u\n"
       "retry_window_s: %u\nretry_ratio: %g\nretry_slack: %u\n",
@@ -67,6 +70,7 @@
       metrics_address, relay_address, params->store_address,
       params->store_partitions == 0 ? STORE_PARTITIONS
                                     : params->store_partitions,
+      params->descriptors == 0 ? DESCRIPTORS : params->descriptors,
       params->drain_ms, params->config_ms, params->revoke_ms, params->stop_s,
       params->quarantine_ms == 0 ? QUARANTINE_MS : params->quarantine_ms,
       params->retry_window_s, params->retry_ratio, params->retry_slack);
@@ -209,6 +213,59 @@
   return (uint64_t)resident * (uint64_t)sysconf (_SC_PAGESIZE) / 1024;
 }
 
+/* Makes sep_memory_peak_kb start again from the present memory.  Returns false
+   when it can't.  */
+bool
+sep_reset_memory_peak (const struct sep_process *process)
+{
+  g_autofree char *path
+      = g_strdup_printf ("/proc/%d/clear_refs", (int)process->pid);
+  FILE *file = fopen (path, "w");
+  if (file == NULL)
+    {
+      return false;
+    }
+  bool written = fputs ("5", file) >= 0;
+  return fclose (file) == 0 && written;
+}
+
+/* Returns the most resident memory that the daemon has had, in KiB, or 0 when
+   the daemon isn't running.  */
+uint64_t
+sep_memory_peak_kb (const struct sep_process *process)
+{
+  g_autofree char *path
+      = g_strdup_printf ("/proc/%d/status", (int)process->pid);
+  g_autofree char *text = NULL;
+  if (process->pid <= 0 || !g_file_get_contents (path, &text, NULL, NULL))
+    {
+      return 0;
+    }
+  const char *line = strstr (text, "\nVmHWM:");
+  return line == NULL
+             ? 0
+             : g_ascii_strtoull (line + strlen ("\nVmHWM:"), NULL, 10);
+}
+
+/* Returns the number of descriptors that the daemon has open, or 0 when it
+   isn't running.  */
+uint32_t
+sep_descriptor_count (const struct sep_process *process)
+{
+  g_autofree char *path = g_strdup_printf ("/proc/%d/fd", (int)process->pid);
+  uint32_t count = 0;
+  GDir *folder = process->pid <= 0 ? NULL : g_dir_open (path, 0, NULL);
+  while (folder != NULL && g_dir_read_name (folder) != NULL)
+    {
+      count++;
+    }
+  if (folder != NULL)
+    {
+      g_dir_close (folder);
+    }
+  return count;
+}
+
 /* Returns the address on which the daemon serves callers.  */
 const char *
 sep_caller_address (const struct sep_process *process)
--- a/standin/entry_process.h
+++ b/standin/entry_process.h
@@ -16,6 +16,7 @@
   const char *folder; /* holds the daemon's settings file and log file */
   const char *store_address;
   uint32_t store_partitions; /* 0: 6 */
+  uint32_t descriptors;      /* 0: 1024 */
   uint32_t drain_ms;
   uint32_t config_ms;
   uint32_t revoke_ms;
@@ -36,6 +37,9 @@
 bool sep_limit_descriptors (const struct sep_process *process, uint32_t count);
 bool sep_has_ended (struct sep_process *process, int *status);
 bool sep_is_running (const struct sep_process *process);
+bool sep_reset_memory_peak (const struct sep_process *process);
+uint64_t sep_memory_peak_kb (const struct sep_process *process);
+uint32_t sep_descriptor_count (const struct sep_process *process);
 uint64_t sep_memory_kb (const struct sep_process *process);
 const char *sep_caller_address (const struct sep_process *process);
 const char *sep_ready_address (const struct sep_process *process);
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -11,6 +11,7 @@
 #define CONNECTIONS_MAX 512 /* for each server */
 #define UNSENT_BYTES_MAX 1048576
 #define TIMEOUT_US 30000000
+#define BODY_BYTES_MAX 65536 /* of the configuration, unless chosen */
 
 /* Ports are below the ephemeral range, so that outgoing connections don't take
    them.  Each process uses a block of ports that its process id selects. */
@@ -22,8 +23,8 @@
 #define PORTS_RESERVED 64
 
 /* An engine with 460 MB holds half of the model (4 of 8 layers, 100 MB each)
-   and has room for requests.  The %s take the quotes and the name of a
-   second API key, or are empty. */
+   and has room for requests.  The %u takes MaxBodyBytes; the %s take the
+   quotes and the name of a second API key, or are empty. */
 #define CONFIGURATION                                                         \
   "{\"Version\":%" G_GUINT64_FORMAT ",\"Routes\":["                           \
   "{\"Name\":\"draft\",\"Hostname\":\"fleet.example\","                       \
@@ -43,7 +44,7 @@
   "\"KvTokenBytes\":80000,\"step_ms\":1,\"Layers\":8,\"LayerMb\":100,"        \
   "\"Kinds\":[{\"Name\":\"small\",\"Mb\":460,\"pace\":1}],"                   \
   "\"usual\":{\"prompt\":50,\"answer\":50}}},{\"Name\":\"book\"}],"           \
-  "\"Limits\":{\"MaxHeaderBytes\":4096,\"MaxBodyBytes\":65536,"               \
+  "\"Limits\":{\"MaxHeaderBytes\":4096,\"MaxBodyBytes\":%u,"                  \
   "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"                        \
   "\"Tenants\":[{\"Name\":\"account-1\",\"ApiKeys\":[\"key-1\"%s%s%s]}]}"
 
@@ -215,8 +216,12 @@
 sfl_publish (struct sfl_fleet *fleet, uint64_t version, const char *extra_key)
 {
   bool extra = extra_key != NULL;
-  char *text = g_strdup_printf (CONFIGURATION, version, extra ? ",\"" : "",
-                                extra ? extra_key : "", extra ? "\"" : "");
+  uint32_t body_bytes_max = fleet->params.body_bytes_max == 0
+                                ? BODY_BYTES_MAX
+                                : fleet->params.body_bytes_max;
+  char *text = g_strdup_printf (CONFIGURATION, version, body_bytes_max,
+                                extra ? ",\"" : "", extra ? extra_key : "",
+                                extra ? "\"" : "");
   sfl_append (fleet, &fleet->operator_topic, "config", text);
   g_free (text);
 }
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -91,9 +91,10 @@
   uv_loop_t *loop;
   uint32_t engines; /* each has memory for half of the model */
   uint32_t services;
-  uint32_t event_ms;     /* interval between two events of a stream */
-  uint64_t group_ttl_ms; /* a member expires this long after its last join;
-                            0: 1000 */
+  uint32_t event_ms;       /* interval between two events of a stream */
+  uint64_t group_ttl_ms;   /* a member expires this long after its last join;
+                              0: 1000 */
+  uint32_t body_bytes_max; /* MaxBodyBytes of the configuration; 0: 65536 */
   const struct sfl_observer *observer; /* NULL: none; gets CONTEXT */
   /* Returns the address to publish for an endpoint that listens on ADDRESS,
      allocated.  A NULL callback publishes ADDRESS.  */
--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -202,9 +202,11 @@
   .stopped = ignore_end,
 };
 
-/* Starts a daemon and a fleet with so many ENGINES.  */
+/* Starts a daemon and a fleet with so many ENGINES.  BODY_BYTES_MAX and
+   DESCRIPTORS are as in sfl_params and sep_params.  */
 static int
-set_up (void **state, uint32_t engines)
+set_up (void **state, uint32_t engines, uint32_t body_bytes_max,
+        uint32_t descriptors)
 {
   struct efx_fixture *fixture = g_new0 (struct efx_fixture, 1);
   const struct ncl_params client_params = {
@@ -222,6 +224,7 @@
     .engines = engines,
     .services = EFX_SERVICES,
     .event_ms = EFX_EVENT_MS,
+    .body_bytes_max = body_bytes_max,
     .observer = &observer,
     .context = fixture,
   };
@@ -233,6 +236,7 @@
     .name = "entry-1",
     .folder = fixture->folder,
     .store_address = sfl_store_address (fixture->fleet),
+    .descriptors = descriptors,
     .drain_ms = EFX_DRAIN_MS,
     .config_ms = EFX_CONFIG_MS,
     .revoke_ms = EFX_REVOKE_MS,
@@ -251,14 +255,22 @@
 int
 efx_set_up (void **state)
 {
-  return set_up (state, EFX_ENGINES);
+  return set_up (state, EFX_ENGINES, 0, 0);
 }
 
 /* Like efx_set_up, for a fleet where several engines begin paths.  */
 int
 efx_set_up_large (void **state)
 {
-  return set_up (state, EFX_ENGINES_LARGE);
+  return set_up (state, EFX_ENGINES_LARGE, 0, 0);
+}
+
+/* Like efx_set_up, with other limits on callers.  */
+int
+efx_set_up_limited (void **state, uint32_t body_bytes_max,
+                    uint32_t descriptors)
+{
+  return set_up (state, EFX_ENGINES, body_bytes_max, descriptors);
 }
 
 int
