Test the serving daemon with crowds of callers outside the limits

test/serve_crowd_test plays the same loads against a process of kumquatthread serve with a stand-in platform and service: memory of the host 64 MB, 104 threads, caller_timeout_ms 1500, 96 callers with bodies of 1 MiB. test/crowd.[ch] is shared with entry_crowd_test.

--- a/test/entry_crowd_test.c
+++ b/test/entry_crowd_test.c
@@ -6,12 +6,7 @@
 
 #include "base/clock.h"
 #include "platform/headers.h"
-
-#include <arpa/inet.h>
-#include <errno.h>
-#include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "test/crowd.h"
 
 /* The memory of the host.  It holds the daemon itself and a few bodies of
    BODY_BYTES_MAX, the limit that the test's configuration publishes. */
@@ -34,28 +29,12 @@
 #define HOLD_US (1500 * CLK_MS_US)
 #define ROUND_US (10 * CLK_MS_US)
 
-/* Bytes of repeated text that are sent by one call. */
-#define BLOCK_BYTES 65536
-
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 #define GET                                                                   \
   "GET /look/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST                             \
   "\r\nX-Api-Key: key-1\r\n" PFH_REQUEST_ID ": crowd\r\n\r\n"
 
-/* What the callers of a crowd send. */
-struct load
-{
-  const char *name;
-  uint32_t callers;
-  const char *headers;  /* after the head of a request; NULL: no request */
-  uint32_t chunk_bytes; /* of the body; 0: `unit' is repeated instead */
-  const char *unit;
-  uint64_t bytes;      /* of all units, without the chunks' heads */
-  const char *end;     /* after the units */
-  const char *trickle; /* then sent in each round; NULL: none */
-};
-
-static const struct load loads[] = {
+static const struct crw_load loads[] = {
   { "chunked bodies, large chunks", CROWD, CHUNKED, 65536, NULL,
     BODY_BYTES_MAX, "0\r\n\r\n", NULL },
   { "chunked bodies, chunks of a byte", CROWD, CHUNKED, 1, NULL,
@@ -85,123 +64,11 @@
 /* A crowd whose callers send different loads in turn. */
 #define MIX G_N_ELEMENTS (loads)
 
-/* A caller of a crowd. */
-struct caller
-{
-  const struct load *load;
-  int fd;
-  bool closed; /* by the daemon */
-  GString *head;
-  GString *block; /* repeated units */
-  size_t unit_bytes;
-  uint64_t sent;
-  uint64_t units_bytes; /* of all units */
-};
-
-/* Appends one unit of LOAD to TEXT.  */
-static void
-append_unit (const struct load *load, GString *text)
-{
-  if (load->chunk_bytes == 0)
-    {
-      g_string_append (text, load->unit);
-      return;
-    }
-  g_string_append_printf (text, "%x\r\n", load->chunk_bytes);
-  gsize begin = text->len;
-  g_string_set_size (text, begin + load->chunk_bytes);
-  memset (text->str + begin, 'x', load->chunk_bytes);
-  g_string_append (text, "\r\n");
-}
-
-/* Connects CALLER, the one at INDEX, which will send LOAD.  */
-static void
-open_caller (const struct efx_fixture *fixture, struct caller *caller,
-             const struct load *load, uint32_t index)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  const char *port = strrchr (sep_caller_address (fixture->daemon), ':');
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  address.sin_port = htons ((uint16_t)g_ascii_strtoull (port + 1, NULL, 10));
-  *caller = (struct caller){
-    .load = load,
-    .fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0),
-    .head = g_string_new (NULL),
-    .block = g_string_new (NULL),
-  };
-  caller->closed
-      = connect (caller->fd, (struct sockaddr *)&address, sizeof address) != 0;
-  if (load->headers == NULL)
-    {
-      return;
-    }
-  g_string_printf (caller->head,
-                   "POST /sum/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST
-                   "\r\nX-Api-Key: key-1\r\n" PFH_REQUEST_ID
-                   ": crowd-%u\r\n%s",
-                   index, load->headers);
-  append_unit (load, caller->block);
-  caller->unit_bytes = caller->block->len;
-  size_t unit_payload
-      = load->chunk_bytes > 0 ? load->chunk_bytes : caller->unit_bytes;
-  caller->units_bytes = load->bytes / unit_payload * caller->unit_bytes;
-  while (caller->block->len < BLOCK_BYTES)
-    {
-      append_unit (load, caller->block);
-    }
-}
-
-static void
-close_caller (struct caller *caller)
-{
-  close (caller->fd);
-  g_string_free (caller->head, TRUE);
-  g_string_free (caller->block, TRUE);
-}
-
-/* Sends COUNT BYTES of CALLER, or as many as its socket takes.  Returns how
-   many.  */
-static size_t
-send_bytes (struct caller *caller, const char *bytes, size_t count)
-{
-  ssize_t sent = send (caller->fd, bytes, count, MSG_DONTWAIT | MSG_NOSIGNAL);
-  caller->closed |= sent < 0 && errno != EAGAIN;
-  return sent < 0 ? 0 : (size_t)sent;
-}
-
-/* Sends the next bytes of CALLER.  Returns true while it has more.  */
-static bool
-send_next (struct caller *caller)
-{
-  size_t head_bytes = caller->head->len;
-  uint64_t units_end = head_bytes + caller->units_bytes;
-  size_t end_bytes = strlen (caller->load->end);
-  const char *bytes = caller->load->end + (caller->sent - units_end);
-  uint64_t count = units_end + end_bytes - caller->sent;
-  if (caller->closed || caller->load->headers == NULL
-      || caller->sent >= units_end + end_bytes)
-    {
-      return false;
-    }
-  if (caller->sent < head_bytes)
-    {
-      bytes = caller->head->str + caller->sent;
-      count = head_bytes - caller->sent;
-    }
-  else if (caller->sent < units_end)
-    {
-      size_t at = (caller->sent - head_bytes) % caller->unit_bytes;
-      bytes = caller->block->str + at;
-      count = MIN (caller->block->len - at, units_end - caller->sent);
-    }
-  caller->sent += send_bytes (caller, bytes, count);
-  return true;
-}
-
 /* Lets CALLERS send all they have, in turn, and then stay connected.  Returns
    the most descriptors that the daemon had open.  */
 static uint32_t
-run_crowd (struct efx_fixture *fixture, struct caller *callers, uint32_t count)
+run_crowd (struct efx_fixture *fixture, struct crw_caller *callers,
+           uint32_t count)
 {
   int64_t end_us = clk_monotonic_us () + SEND_US;
   uint32_t most = 0;
@@ -211,7 +78,7 @@
       sending = false;
       for (uint32_t i = 0; i < count; i++)
         {
-          sending |= send_next (&callers[i]);
+          sending |= crw_send_next (&callers[i]);
         }
       most = MAX (most, sep_descriptor_count (fixture->daemon));
       uv_run (&fixture->loop, UV_RUN_NOWAIT);
@@ -221,11 +88,7 @@
     {
       for (uint32_t i = 0; i < count; i++)
         {
-          const char *trickle = callers[i].load->trickle;
-          if (trickle != NULL && !callers[i].closed)
-            {
-              send_bytes (&callers[i], trickle, strlen (trickle));
-            }
+          crw_trickle (&callers[i]);
         }
       most = MAX (most, sep_descriptor_count (fixture->daemon));
       efx_run_for (fixture, ROUND_US);
@@ -268,15 +131,19 @@
 {
   struct efx_fixture *fixture = NULL;
   uint32_t count = row == MIX ? CROWD : loads[row].callers;
-  g_autofree struct caller *callers = g_new0 (struct caller, count);
+  g_autofree struct crw_caller *callers = g_new0 (struct crw_caller, count);
   int status = 0;
   efx_set_up_limited ((void **)&fixture, BODY_BYTES_MAX, DESCRIPTORS);
   assert_true (sep_reset_memory_peak (fixture->daemon));
   uint64_t before_kb = sep_memory_kb (fixture->daemon);
   for (uint32_t i = 0; i < count; i++)
     {
-      open_caller (fixture, &callers[i], &loads[row == MIX ? i % MIX : row],
-                   i);
+      g_autofree char *head = g_strdup_printf (
+          "POST /sum/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST
+          "\r\nX-Api-Key: key-1\r\n" PFH_REQUEST_ID ": crowd-%u\r\n",
+          i);
+      crw_open (&callers[i], &loads[row == MIX ? i % MIX : row],
+                sep_caller_address (fixture->daemon), head);
     }
   uint32_t descriptors = run_crowd (fixture, callers, count);
   bool served = is_served (fixture);
@@ -286,7 +153,7 @@
   for (uint32_t i = 0; i < count; i++)
     {
       closed += callers[i].closed;
-      close_caller (&callers[i]);
+      crw_close (&callers[i]);
     }
   bool kept = !ended && served && is_within_memory (peak_kb)
               && descriptors <= DESCRIPTORS;
