Bound the memory that callers of the entry daemon can take

Cause: nothing bounded the bodies of requests in all. Each was held in an array that grows by doubling, copied into the exchange, copied again with its head for each attempt and once more for the part that the endpoint's socket didn't accept; an idle connection kept the array of its largest body.

Change: net/body_budget accounts for heads, bodies, pipelined bytes, buffered answers, bytes that callers haven't read and a fixed cost of each connection, in allocated bytes. Its size is half of memory_mb (new optional setting, from Limits.MemoryMb; 256 by default). A large body that doesn't fit is refused with 503 and Retry-After before it is passed on, after stalled bodies have been ended; an eighth is for small requests, a quarter for answers. The body is moved into the exchange and sent by reference; a slow caller's next pipelined request waits; blocks of 128 KiB or more go back to the kernel when freed.

--- a/src/config/entry_settings.h
+++ b/src/config/entry_settings.h
@@ -17,6 +17,7 @@
   char **relays;         /* IP:PORT of daemons that relay; NULL-terminated */
   uint32_t store_partitions; /* of each topic in the store */
   uint32_t descriptors;      /* file descriptors that the process may open */
+  uint32_t memory_mb;        /* of the host, for this process */
   int64_t drain_us; /* how long a leaving endpoint may still get requests */
   int64_t
       config_apply_max_us; /* within this, a new configuration is in force */
--- a/src/entry/entry_metrics.c
+++ b/src/entry/entry_metrics.c
@@ -79,6 +79,21 @@
   { offsetof (struct emt_metrics, proof_age_ms), CNT_GAUGE,
     "kumquatthread_config_proof_age_milliseconds", "",
     "Time since the configuration was known to be the newest" },
+  { offsetof (struct emt_metrics, memory_max), CNT_GAUGE,
+    "kumquatthread_connection_memory_limit_bytes", "",
+    "Memory for the connections of callers" },
+  { offsetof (struct emt_metrics, memory_used), CNT_GAUGE,
+    "kumquatthread_connection_memory_bytes", "",
+    "Memory that the connections of callers take" },
+  { offsetof (struct emt_metrics, memory_bodies), CNT_GAUGE,
+    "kumquatthread_body_memory_bytes", "",
+    "Memory that large bodies of requests take" },
+  { offsetof (struct emt_metrics, memory_refused), CNT_COUNTER,
+    "kumquatthread_memory_refused_total", "",
+    "Requests and connections refused for want of memory, not run" },
+  { offsetof (struct emt_metrics, memory_evicted), CNT_COUNTER,
+    "kumquatthread_memory_evicted_total", "",
+    "Stalled requests that were ended for want of memory, not run" },
 };
 
 /* Creates every series in SET, which must outlive the result.  The caller
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -35,21 +35,31 @@
     }
   exchange->traffic->buffered_bytes -= exchange->buffered_bytes;
   exchange->buffered_bytes = 0;
+  exg_count_answers (exchange->traffic);
   g_byte_array_free (exchange->answer, TRUE);
   exchange->answer = g_byte_array_new ();
 }
 
+/* Charges the buffered answers of TRAFFIC to the memory of its connections.
+ */
+void
+exg_count_answers (struct trf_traffic *traffic)
+{
+  bbg_force (&traffic->answers, BBG_ANSWERS, traffic->buffered_bytes);
+}
+
 static void
 destroy_exchange (struct exchange *exchange)
 {
   exchange->traffic->buffered_bytes -= exchange->buffered_bytes;
+  exg_count_answers (exchange->traffic);
   g_hash_table_remove (exchange->traffic->exchanges, exchange);
   flt_release (exchange->config);
   g_free (exchange->service);
   g_free (exchange->key);
   g_strfreev (exchange->traits);
   g_string_free (exchange->head, TRUE);
-  g_byte_array_free (exchange->body, TRUE);
+  g_bytes_unref (exchange->body);
   g_string_free (exchange->answer_head, TRUE);
   g_byte_array_free (exchange->answer, TRUE);
   g_free (exchange->failed_address);
@@ -679,11 +689,10 @@
 
 /* Builds the HTTP request of the next attempt.  The caller frees it.  */
 static GString *
-build_request (struct exchange *exchange)
+build_head (struct exchange *exchange)
 {
   int64_t left_us = exchange->deadline_us - clk_monotonic_us ();
-  GString *request
-      = g_string_sized_new (exchange->head->len + exchange->body->len + 512);
+  GString *request = g_string_sized_new (exchange->head->len + 512);
   g_string_append_len (request, exchange->head->str,
                        (gssize)exchange->head->len);
   g_string_append_printf (request, "Host: %s\r\n" PFH_TIME_LEFT_MS ": %ld\r\n",
@@ -697,12 +706,10 @@
     }
   if (exchange->has_body)
     {
-      g_string_append_printf (request, "Content-Length: %u\r\n",
-                              exchange->body->len);
+      g_string_append_printf (request, "Content-Length: %zu\r\n",
+                              g_bytes_get_size (exchange->body));
     }
   g_string_append (request, "\r\n");
-  g_string_append_len (request, (const char *)exchange->body->data,
-                       exchange->body->len);
   return request;
 }
 
@@ -790,7 +797,7 @@
       return;
     }
   struct trf_traffic *traffic = exchange->traffic;
-  GString *request = build_request (exchange);
+  GString *head = build_head (exchange);
   evs_restart (&exchange->scanner);
   drop_answer (exchange);
   exchange->status = 0;
@@ -804,11 +811,16 @@
   exchange->sent_us = clk_monotonic_us ();
   exchange->last_received_us = exchange->sent_us;
   fst_take_rate (exchange->endpoint, exchange->sent_us);
+  const struct ncl_request request = {
+    .head = head->str,
+    .head_bytes = head->len,
+    .body = exchange->body,
+    .new_connection = !passes && needs_new_connection (exchange),
+  };
   exchange->attempt
-      = ncl_send (traffic->client, exchange->endpoint->address, request->str,
-                  request->len, !passes && needs_new_connection (exchange),
-                  &exg_attempt_events, exchange);
-  g_string_free (request, TRUE);
+      = ncl_send_request (traffic->client, exchange->endpoint->address,
+                          &request, &exg_attempt_events, exchange);
+  g_string_free (head, TRUE);
   cnt_add (traffic->metrics->attempts, 1);
   exchange->attempts++;
   if (exchange->attempt == NULL)
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -13,6 +13,9 @@
                           const struct fst_endpoint *endpoint);
 void exg_stop_quarantined (struct trf_traffic *traffic);
 void exg_stop_all (struct trf_traffic *traffic);
+void exg_refuse_incomplete (struct trf_traffic *traffic,
+                            struct nsv_connection *caller,
+                            const struct msg_message *request);
 void exg_caller_disconnected (void *exchange);
 void exg_caller_drained (void *exchange);
 
--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -353,19 +353,6 @@
   return longest;
 }
 
-/* Returns the memory that GLib allocates for an array of COUNT bytes: the next
-   power of two.  */
-static size_t
-allocated_bytes (size_t count)
-{
-  size_t bytes = count > 0;
-  while (bytes < count)
-    {
-      bytes *= 2;
-    }
-  return bytes;
-}
-
 /* Counts the memory for another COUNT bytes of EXCHANGE's answer.  Gives up
    the longest buffered answer if it is too much.  Returns false if that was
    EXCHANGE's own.  */
@@ -373,9 +360,11 @@
 make_room (struct exchange *exchange, size_t count)
 {
   struct trf_traffic *traffic = exchange->traffic;
-  size_t growth = allocated_bytes (exchange->answer->len + count)
+  size_t growth = bbg_allocated (exchange->answer->len + count)
                   - exchange->buffered_bytes;
-  if (traffic->buffered_bytes + growth > ANSWERS_BYTES_MAX)
+  size_t total = traffic->buffered_bytes + growth;
+  if (total > ANSWERS_BYTES_MAX
+      || !bbg_resize (&traffic->answers, BBG_ANSWERS, total))
     {
       struct exchange *longest = longest_answer (traffic);
       bool is_own = longest == NULL
@@ -389,6 +378,7 @@
     }
   traffic->buffered_bytes += growth;
   exchange->buffered_bytes += growth;
+  exg_count_answers (traffic);
   return true;
 }
 
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -257,12 +257,10 @@
   g_strlcpy (exchange->id, id, sizeof exchange->id);
   exchange->head = g_string_sized_new (512);
   copy_request_head (request, method, exchange->head);
-  exchange->body = g_byte_array_sized_new (request->body->len);
-  g_byte_array_append (exchange->body, request->body->data,
-                       request->body->len);
   exchange->has_body = request->body->len > 0
                        || msg_find (request, "Content-Length") != NULL
                        || msg_find (request, "Transfer-Encoding") != NULL;
+  exchange->body = g_byte_array_free_to_bytes (nsv_take_body (caller));
   exchange->key = g_strdup (msg_find (request, PFH_API_KEY));
   const char *passed_on = msg_find (request, PFH_PASSED_ON);
   exchange->is_passed = passed_on != NULL;
@@ -293,6 +291,23 @@
   return exchange;
 }
 
+/* Refuses REQUEST of CALLER, whose body isn't complete, for want of memory.
+   REQUEST is NULL if its headers aren't complete either.  */
+void
+exg_refuse_incomplete (struct trf_traffic *traffic,
+                       struct nsv_connection *caller,
+                       const struct msg_message *request)
+{
+  const char *id = request == NULL ? NULL : msg_find (request, PFH_REQUEST_ID);
+  bool has_id = id != NULL && strlen (id) < EXG_ID_BYTES;
+  lg_line (LOG_INFO, "request_refused",
+           "request=%s status=%u why=\"memory is short\"", has_id ? id : "-",
+           HTTP_STATUS_SERVICE_UNAVAILABLE);
+  cnt_add (traffic->metrics->refused, 1);
+  exg_answer_without_body (traffic, caller, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                           has_id ? id : NULL, exg_retry_after_s ());
+}
+
 /* Handles REQUEST of CALLER: refuses it at once, or creates an exchange and
    starts its first attempt.  */
 void
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -19,9 +19,9 @@
   const struct flt_account *account; /* NULL: the route is public */
   char *service; /* name of the service that the route chose */
   char id[EXG_ID_BYTES];
-  GString *head;    /* start line and forwarded headers of the request */
-  GByteArray *body; /* of the request */
-  char *key;        /* the caller's API key; NULL: none */
+  GString *head; /* start line and forwarded headers of the request */
+  GBytes *body;  /* of the request */
+  char *key;     /* the caller's API key; NULL: none */
   bool has_body;
   bool is_passed;      /* another daemon has passed the request on */
   uint32_t ran_before; /* attempts in which it may have run there */
@@ -108,6 +108,7 @@
                               struct nsv_connection *caller, uint32_t status,
                               const char *id, double retry_after_s);
 double exg_retry_after_s (void);
+void exg_count_answers (struct trf_traffic *traffic);
 void exg_end_wait (struct exchange *exchange, bool answered);
 void exg_end_room_wait (struct exchange *exchange);
 void exg_give_up_wait (struct exchange *exchange);
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -61,8 +61,16 @@
   exg_start (context, connection, request, method);
 }
 
+static void
+on_caller_refused (void *context, struct nsv_connection *connection,
+                   const struct msg_message *request)
+{
+  exg_refuse_incomplete (context, connection, request);
+}
+
 static const struct nsv_events caller_events = {
   .request = on_caller_request,
+  .refused = on_caller_refused,
   .disconnected = exg_caller_disconnected,
   .drained = exg_caller_drained,
 };
@@ -91,6 +99,22 @@
   .drained = ignore_event,
 };
 
+/* Updates the gauges of the memory for connections.  */
+static void
+update_memory_gauges (struct trf_traffic *traffic)
+{
+  struct emt_metrics *metrics = traffic->metrics;
+  struct bbg_state state;
+  bbg_read (traffic->budget, &state);
+  cnt_set_gauge (metrics->memory_max, (int64_t)state.bytes_max);
+  cnt_set_gauge (metrics->memory_used, (int64_t)state.used);
+  cnt_set_gauge (metrics->memory_bodies, (int64_t)state.bodies);
+  cnt_add (metrics->memory_refused,
+           (int64_t)state.refused - cnt_get (metrics->memory_refused));
+  cnt_add (metrics->memory_evicted,
+           (int64_t)state.evicted - cnt_get (metrics->memory_evicted));
+}
+
 /* Updates the gauges whose values are needed only when the metrics are
    requested.  Before the first proof, the proof's age is the whole monotonic
    time.  */
@@ -109,6 +133,7 @@
   cnt_set_gauge (metrics->proof_age_ms,
                  (clk_monotonic_us () - fvw_proved_us (traffic->views))
                      / CLK_MS_US);
+  update_memory_gauges (traffic);
 }
 
 static void
@@ -147,6 +172,7 @@
     .unsent_bytes_max = UNSENT_BYTES_MAX,
     .user_timeout_ms = CALLER_USER_TIMEOUT_MS,
     .connections_max = traffic->settings->descriptors / DESCRIPTORS_PER_CALLER,
+    .budget = traffic->budget,
   };
   if (config != NULL)
     {
@@ -296,6 +322,8 @@
   };
   traffic->run_times
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  traffic->budget = bbg_create (bbg_size_for_host (settings->memory_mb));
+  bbg_open (&traffic->answers, traffic->budget, traffic);
   traffic->exchanges = g_hash_table_new (NULL, NULL);
   traffic->inquiries = inq_table_create ();
   traffic->probes = prb_table_create ();
@@ -379,6 +407,8 @@
   g_hash_table_destroy (traffic->run_times);
   psg_destroy (traffic->passing);
   fst_destroy (traffic->fleet);
+  bbg_close (&traffic->answers);
+  bbg_destroy (traffic->budget);
   emt_destroy (traffic->metrics);
   cnt_set_destroy (traffic->series);
 }
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -11,6 +11,7 @@
 #include "entry/fleet_state.h"
 #include "entry/neighbours.h"
 #include "entry/quarantine.h"
+#include "net/body_budget.h"
 #include "net/client.h"
 #include "net/server.h"
 
@@ -39,6 +40,8 @@
                             ended requests; see exg_history */
   double first_event_us; /* moving average of the time from an attempt's start
                             to the first event; 0: none yet */
+  struct bbg_budget *budget;  /* of the memory for connections */
+  struct bbg_account answers; /* buffered ones, on the budget */
   size_t buffered_bytes; /* of memory, for answers that are delivered whole */
   struct fwt_refusals refusals; /* for want of room */
   GHashTable *exchanges;        /* set of struct exchange in progress */
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -21,7 +21,9 @@
   char *address;
   http_parser parser;
   struct msg_message response;
-  GByteArray *unsent; /* the request, until the connection is established */
+  GString *unsent;     /* the head of the request, until the connection is
+                          established */
+  GBytes *unsent_body; /* the same of its body; NULL: none */
   bool connected;
   bool in_use; /* carries an exchange */
   bool headers_seen;
@@ -89,8 +91,9 @@
   msg_clear (&connection->response);
   if (connection->unsent != NULL)
     {
-      g_byte_array_free (connection->unsent, TRUE);
+      g_string_free (connection->unsent, TRUE);
     }
+  g_clear_pointer (&connection->unsent_body, g_bytes_unref);
   g_free (connection->address);
   g_free (connection);
 }
@@ -327,44 +330,71 @@
   handle_bytes (connection, buffer->base, (size_t)count);
 }
 
+/* What the socket of a connection hasn't accepted. */
+struct pending_write
+{
+  uv_write_t request; /* its data is this */
+  char *head;         /* the rest of the head */
+  GBytes *body;       /* reference; NULL: none */
+};
+
+static void
+destroy_write (struct pending_write *pending)
+{
+  g_free (pending->head);
+  g_clear_pointer (&pending->body, g_bytes_unref);
+  g_free (pending);
+}
+
 static void
 on_written (uv_write_t *request, int status)
 {
   struct ncl_exchange *connection = request->handle->data;
-  g_free (request->data);
-  g_free (request);
+  destroy_write (request->data);
   if (status < 0 && status != UV_ECANCELED && !connection->closing)
     {
       fail (connection, NCL_CUT_OFF);
     }
 }
 
-/* Sends COUNT bytes on CONNECTION; queues what the socket doesn't accept at
-   once.  When that fails, the next read fails the exchange, since `failed'
-   must not be called before ncl_send returns.  */
+/* Sends COUNT bytes of a head and BODY, which may be NULL, on CONNECTION;
+   queues what the socket doesn't accept at once, with a reference to BODY
+   instead of a copy.  When that fails, the next read fails the exchange, since
+   `failed' must not be called before ncl_send returns.  */
 static void
-write_bytes (struct ncl_exchange *connection, const uint8_t *bytes,
-             size_t count)
+write_request (struct ncl_exchange *connection, const char *head, size_t count,
+               GBytes *body)
 {
   uv_stream_t *stream = (uv_stream_t *)&connection->tcp;
-  uv_buf_t buffer = uv_buf_init ((char *)bytes, (unsigned)count);
-  int written = uv_try_write (stream, &buffer, 1);
+  gsize body_bytes = 0;
+  const char *text = body == NULL ? "" : g_bytes_get_data (body, &body_bytes);
+  uv_buf_t buffers[] = {
+    uv_buf_init ((char *)head, (unsigned)count),
+    uv_buf_init ((char *)text, (unsigned)body_bytes),
+  };
+  int written = uv_try_write (stream, buffers, body_bytes > 0 ? 2 : 1);
   size_t done = written > 0 ? (size_t)written : 0;
-  if (done == count)
+  if (done == count + body_bytes)
     {
       return;
     }
-  uv_write_t *request = g_new0 (uv_write_t, 1);
-  request->data = g_memdup2 (bytes + done, count - done);
-  uv_buf_t rest = uv_buf_init (request->data, (unsigned)(count - done));
-  int status = uv_write (request, stream, &rest, 1, on_written);
+  size_t head_done = MIN (done, count);
+  size_t body_done = done - head_done;
+  struct pending_write *pending = g_new0 (struct pending_write, 1);
+  pending->request.data = pending;
+  pending->head = g_memdup2 (head + head_done, count - head_done);
+  pending->body = body == NULL ? NULL : g_bytes_ref (body);
+  buffers[0] = uv_buf_init (pending->head, (unsigned)(count - head_done));
+  buffers[1] = uv_buf_init ((char *)text + body_done,
+                            (unsigned)(body_bytes - body_done));
+  int status = uv_write (&pending->request, stream, buffers,
+                         body_bytes > body_done ? 2 : 1, on_written);
   if (status != 0)
     {
       lg_line (LOG_WARNING, "endpoint_write_failed",
                "address=%s bytes=%zu reason=\"%s\"", connection->address,
-               count - done, uv_strerror (status));
-      g_free (request->data);
-      g_free (request);
+               count + body_bytes - done, uv_strerror (status));
+      destroy_write (pending);
       nst_end_reading (&connection->tcp);
     }
 }
@@ -385,10 +415,10 @@
   connection->connected = true;
   uv_tcp_nodelay (&connection->tcp, 1);
   uv_read_start ((uv_stream_t *)&connection->tcp, on_alloc, on_read);
-  GByteArray *unsent = connection->unsent;
-  connection->unsent = NULL;
-  write_bytes (connection, unsent->data, unsent->len);
-  g_byte_array_free (unsent, TRUE);
+  GString *head = g_steal_pointer (&connection->unsent);
+  g_autoptr (GBytes) body = g_steal_pointer (&connection->unsent_body);
+  write_request (connection, head->str, head->len, body);
+  g_string_free (head, TRUE);
 }
 
 /* Lets the kernel end CONNECTION when the server doesn't acknowledge sent
@@ -475,17 +505,32 @@
   return NULL;
 }
 
-/* Sends the request of COUNT BYTES, headers and body, to ADDRESS, on an idle
-   connection if there is one and NEW_CONNECTION is false.  Calls EVENTS with
-   CONTEXT from the event loop, never before ncl_send returns.  Returns NULL
-   when the address is not valid or can't be used.  */
+/* Sends the request of COUNT BYTES, headers and body, to ADDRESS like
+   ncl_send_request.  */
 struct ncl_exchange *
 ncl_send (struct ncl_client *client, const char *address, const char *bytes,
           size_t count, bool new_connection, const struct ncl_events *events,
           void *context)
+{
+  const struct ncl_request request = {
+    .head = bytes,
+    .head_bytes = count,
+    .new_connection = new_connection,
+  };
+  return ncl_send_request (client, address, &request, events, context);
+}
+
+/* Sends REQUEST to ADDRESS, on an idle connection if there is one and that is
+   allowed.  Calls EVENTS with CONTEXT from the event loop, never before
+   ncl_send_request returns.  Returns NULL when the address is not valid or
+   can't be used.  */
+struct ncl_exchange *
+ncl_send_request (struct ncl_client *client, const char *address,
+                  const struct ncl_request *request,
+                  const struct ncl_events *events, void *context)
 {
   struct ncl_exchange *connection
-      = new_connection ? NULL : take_idle (client, address);
+      = request->new_connection ? NULL : take_idle (client, address);
   if (connection == NULL)
     {
       connection = open_connection (client, address);
@@ -506,12 +551,14 @@
   connection->parser.data = connection;
   if (connection->connected)
     {
-      write_bytes (connection, (const uint8_t *)bytes, count);
+      write_request (connection, request->head, request->head_bytes,
+                     request->body);
       return connection;
     }
-  connection->unsent = g_byte_array_sized_new ((guint)count);
-  g_byte_array_append (connection->unsent, (const guint8 *)bytes,
-                       (guint)count);
+  connection->unsent
+      = g_string_new_len (request->head, (gssize)request->head_bytes);
+  connection->unsent_body
+      = request->body == NULL ? NULL : g_bytes_ref (request->body);
   return connection;
 }
 
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -44,6 +44,15 @@
   uint32_t idle_connections_max; /* for each address */
 };
 
+/* A request to send. */
+struct ncl_request
+{
+  const char *head; /* with the empty line; copied as far as needed */
+  size_t head_bytes;
+  GBytes *body;        /* NULL: none; referenced until it is sent */
+  bool new_connection; /* don't use an idle one */
+};
+
 struct ncl_client;
 
 struct ncl_counts
@@ -60,6 +69,11 @@
                                const char *bytes, size_t count,
                                bool new_connection,
                                const struct ncl_events *events, void *context);
+struct ncl_exchange *ncl_send_request (struct ncl_client *client,
+                                       const char *address,
+                                       const struct ncl_request *request,
+                                       const struct ncl_events *events,
+                                       void *context);
 void ncl_cancel (struct ncl_exchange *exchange);
 void ncl_pause (struct ncl_exchange *exchange);
 void ncl_resume (struct ncl_exchange *exchange);
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -27,6 +27,13 @@
    stops. */
 #define FIRST_REQUEST_US (1 * CLK_S_US)
 
+/* Memory of a connection without a request: its state, the arrays of its
+   messages, and its entry in the event loop. */
+#define CONNECTION_BYTES 4096
+
+/* When a request that was refused for want of memory may come back. */
+#define REFUSED_HEADERS "Retry-After: 1\r\n"
+
 enum phase
 {
   PHASE_IDLE,       /* between requests */
@@ -41,6 +48,7 @@
   struct nsv_server *server;
   http_parser parser;
   struct msg_message request;
+  struct bbg_account account;
   GByteArray *pipelined; /* bytes after the current request */
   enum phase phase;
   int64_t since_us;      /* start of the phase, monotonic time */
@@ -88,6 +96,8 @@
 static int on_message_complete (http_parser *parser);
 static void parse (struct nsv_connection *connection, const char *bytes,
                    size_t count);
+static void reject_incomplete (struct nsv_connection *connection,
+                               uint32_t status);
 
 static const http_parser_settings parser_settings = {
   .on_message_begin = on_message_begin,
@@ -164,6 +174,7 @@
     }
   connection->closing = true;
   g_ptr_array_remove_fast (connection->server->connections, connection);
+  bbg_close (&connection->account);
   if (connection->phase == PHASE_RESPONDING)
     {
       connection->server->request_count--;
@@ -189,6 +200,65 @@
   connection->since_us = clk_monotonic_us ();
 }
 
+/* Ends the request of ACCOUNT, which has stalled, to make room for others.  */
+static void
+evict (struct bbg_account *account)
+{
+  struct nsv_connection *connection = account->owner;
+  lg_line (LOG_NOTICE, "stalled_request_ended",
+           "port=%u body_bytes=%u why=\"memory is short\"",
+           ntohs (connection->server->address.sin_port),
+           connection->request.body->len);
+  bbg_count_evicted (account);
+  reject_incomplete (connection, HTTP_STATUS_SERVICE_UNAVAILABLE);
+}
+
+/* Sets PART of CONNECTION's memory to BYTES, and ends stalled requests of
+   others if it takes that.  Returns false if there is no room.  */
+static bool
+reserve (struct nsv_connection *connection, enum bbg_part part, uint64_t bytes)
+{
+  struct bbg_account *account = &connection->account;
+  while (!bbg_resize (account, part, bytes))
+    {
+      struct bbg_account *stalled
+          = bbg_find_stalled (account, part, bytes, clk_monotonic_us ());
+      if (stalled == NULL)
+        {
+          bbg_count_refused (account);
+          return false;
+        }
+      evict (stalled);
+    }
+  return true;
+}
+
+/* Like reserve, while a request of CONNECTION arrives: returns -1, which stops
+   the parser, if there is no room, else 0.  */
+static int
+reserve_or_refuse (struct nsv_connection *connection, enum bbg_part part,
+                   uint64_t bytes)
+{
+  if (reserve (connection, part, bytes))
+    {
+      return 0;
+    }
+  connection->error_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+  return -1;
+}
+
+/* Frees the body of CONNECTION's request, and the memory reserved for it.  */
+static void
+release_body (struct nsv_connection *connection)
+{
+  if (connection->request.body->len > 0)
+    {
+      g_byte_array_free (connection->request.body, TRUE);
+      connection->request.body = g_byte_array_new ();
+    }
+  bbg_force (&connection->account, BBG_BODY, 0);
+}
+
 static int
 on_message_begin (http_parser *parser)
 {
@@ -200,11 +270,13 @@
   connection->in_body = false;
   connection->used = true;
   enter_phase (connection, PHASE_RECEIVING);
+  bbg_begin (&connection->account, connection->since_us);
   return 0;
 }
 
 /* Adds COUNT bytes to the size of the headers.  Returns -1, which stops the
-   parser, when the size exceeds its limit, else 0.  */
+   parser, when the size exceeds its limit or there is no memory for them, else
+   0.  */
 static int
 count_header_bytes (struct nsv_connection *connection, size_t count)
 {
@@ -214,7 +286,13 @@
       connection->error_status = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
       return -1;
     }
-  return 0;
+  const struct msg_message *request = &connection->request;
+  uint64_t bytes
+      = request->url->allocated_len + request->text->allocated_len
+        + bbg_allocated (request->headers->len * sizeof (struct msg_header));
+  return bytes <= connection->account.bytes[BBG_HEAD]
+             ? 0
+             : reserve_or_refuse (connection, BBG_HEAD, bytes);
 }
 
 static int
@@ -251,12 +329,20 @@
   msg_end_headers (&connection->request);
   connection->in_body = true;
   enter_phase (connection, PHASE_RECEIVING);
+  bbg_begin (&connection->account, connection->since_us);
   if (parser->content_length != ULLONG_MAX
       && parser->content_length > connection->server->limits.body_bytes_max)
     {
       connection->error_status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
       return -1;
     }
+  if (parser->content_length != ULLONG_MAX
+      && reserve_or_refuse (connection, BBG_BODY,
+                            bbg_allocated (parser->content_length))
+             != 0)
+    {
+      return -1;
+    }
   const char *expect = msg_find (&connection->request, "Expect");
   if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0)
     {
@@ -277,7 +363,14 @@
       connection->error_status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
       return -1;
     }
+  uint64_t bytes = bbg_allocated (body->len + count);
+  if (bytes > connection->account.bytes[BBG_BODY]
+      && reserve_or_refuse (connection, BBG_BODY, bytes) != 0)
+    {
+      return -1;
+    }
   g_byte_array_append (body, (const guint8 *)at, (guint)count);
+  bbg_add_progress (&connection->account, count);
   return 0;
 }
 
@@ -286,10 +379,13 @@
 {
   struct nsv_connection *connection = parser->data;
   connection->received = true;
+  bbg_end (&connection->account);
   http_parser_pause (parser, 1);
   return 0;
 }
 
+static void parse_pipelined (struct nsv_connection *connection);
+
 static void
 on_written (uv_write_t *request, int status)
 {
@@ -305,6 +401,7 @@
       close_connection (connection, true, true);
       return;
     }
+  bbg_force (&connection->account, BBG_UNSENT, unsent_bytes (connection));
   if (connection->phase == PHASE_LINGERING)
     {
       allow_orderly_end (connection);
@@ -316,6 +413,10 @@
         {
           connection->server->events->drained (connection->request_context);
         }
+      else if (connection->phase == PHASE_IDLE)
+        {
+          parse_pipelined (connection);
+        }
     }
 }
 
@@ -364,6 +465,7 @@
       nst_end_reading (&connection->tcp);
       return;
     }
+  bbg_force (&connection->account, BBG_UNSENT, unsent_bytes (connection));
   /* Stays set until all bytes have been sent, when `drained' is called. */
   connection->slow |= unsent_bytes (connection)
                       > connection->server->limits.unsent_bytes_max;
@@ -380,13 +482,32 @@
   uv_shutdown (&connection->shutdown, (uv_stream_t *)&connection->tcp, NULL);
 }
 
+/* Continues with the bytes that have arrived after a request of
+   CONNECTION.  */
+static void
+parse_pipelined (struct nsv_connection *connection)
+{
+  GByteArray *pipelined = connection->pipelined;
+  if (pipelined->len > 0)
+    {
+      connection->pipelined = g_byte_array_new ();
+      parse (connection, (const char *)pipelined->data, pipelined->len);
+      g_byte_array_free (pipelined, TRUE);
+      bbg_force (&connection->account, BBG_PIPELINED,
+                 bbg_allocated (connection->pipelined->len));
+    }
+}
+
 /* Called after a complete response: continues with the next request, which may
-   have arrived already, or shuts the connection down.  */
+   have arrived already, or shuts the connection down.  A slow caller's next
+   request waits until the caller has read the response, so that it can't let
+   responses pile up.  */
 static void
 finish_response (struct nsv_connection *connection)
 {
   connection->server->request_count--;
   connection->request_context = NULL;
+  release_body (connection);
   if (!connection->keep_alive)
     {
       linger (connection);
@@ -394,12 +515,9 @@
     }
   enter_phase (connection, PHASE_IDLE);
   msg_reset (&connection->request);
-  if (connection->pipelined->len > 0 && !connection->parsing)
+  if (!connection->parsing && !connection->slow)
     {
-      GByteArray *pipelined = connection->pipelined;
-      connection->pipelined = g_byte_array_new ();
-      parse (connection, (const char *)pipelined->data, pipelined->len);
-      g_byte_array_free (pipelined, TRUE);
+      parse_pipelined (connection);
     }
 }
 
@@ -411,7 +529,22 @@
   connection->server->request_count++;
   enter_phase (connection, PHASE_RESPONDING);
   connection->keep_alive = false;
-  nsv_respond (connection, status, "", "", 0);
+  bbg_end (&connection->account);
+  release_body (connection);
+  if (status != HTTP_STATUS_SERVICE_UNAVAILABLE)
+    {
+      nsv_respond (connection, status, "", "", 0);
+    }
+  else if (connection->server->events->refused == NULL)
+    {
+      nsv_respond (connection, status, REFUSED_HEADERS, "", 0);
+    }
+  else
+    {
+      connection->server->events->refused (
+          connection->server->context, connection,
+          connection->in_body ? &connection->request : NULL);
+    }
 }
 
 /* Passes the complete request of CONNECTION to the owner.  */
@@ -429,6 +562,24 @@
                            http_method_str (connection->parser.method));
 }
 
+/* Keeps COUNT BYTES that have arrived before the response to the current
+   request of CONNECTION is complete.  Closes the connection if they are too
+   many.  */
+static void
+keep_pipelined (struct nsv_connection *connection, const char *bytes,
+                size_t count)
+{
+  size_t total = connection->pipelined->len + count;
+  if (total > PIPELINED_BYTES_MAX
+      || !reserve (connection, BBG_PIPELINED, bbg_allocated (total)))
+    {
+      close_connection (connection, true, true);
+      return;
+    }
+  g_byte_array_append (connection->pipelined, (const guint8 *)bytes,
+                       (guint)count);
+}
+
 /* Parses COUNT bytes of requests.  Bytes after a complete request are kept
    until its response is complete.  */
 static void
@@ -437,14 +588,10 @@
   connection->parsing = true;
   while (count > 0 && !connection->closing)
     {
-      if (connection->phase == PHASE_RESPONDING)
+      if (connection->phase == PHASE_RESPONDING
+          || (connection->phase == PHASE_IDLE && connection->slow))
         {
-          g_byte_array_append (connection->pipelined, (const guint8 *)bytes,
-                               (guint)count);
-          if (connection->pipelined->len > PIPELINED_BYTES_MAX)
-            {
-              close_connection (connection, true, true);
-            }
+          keep_pipelined (connection, bytes, count);
           break;
         }
       if (connection->phase == PHASE_LINGERING)
@@ -494,6 +641,7 @@
       return;
     }
   parse (connection, buffer->base, (size_t)count);
+  bbg_mark_progress (&connection->account, clk_monotonic_us ());
 }
 
 static void
@@ -549,8 +697,10 @@
   uv_tcp_init (server->loop, &connection->tcp);
   g_ptr_array_add (server->connections, connection);
   enter_phase (connection, PHASE_IDLE);
+  bbg_open (&connection->account, server->limits.budget, connection);
   if (uv_accept (listener, (uv_stream_t *)&connection->tcp) != 0
-      || server->connections->len > server->limits.connections_max)
+      || server->connections->len > server->limits.connections_max
+      || !reserve (connection, BBG_CONNECTION, CONNECTION_BYTES))
     {
       close_connection (connection, true, false);
       return;
@@ -848,6 +998,16 @@
   connection->request_context = request_context;
 }
 
+/* Returns the body of the current request, which is empty from then on.  The
+   caller frees it when it responds, or when the connection is closed.  */
+GByteArray *
+nsv_take_body (struct nsv_connection *connection)
+{
+  GByteArray *body = connection->request.body;
+  connection->request.body = g_byte_array_new ();
+  return body;
+}
+
 /* Appends the status line and HEADERS, each of which ends with CRLF.  */
 static void
 append_head (struct nsv_connection *connection, GString *head, uint32_t status,
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -4,6 +4,7 @@
 #ifndef NET_SERVER_H
 #define NET_SERVER_H
 
+#include "net/body_budget.h"
 #include "net/message.h"
 
 #include <uv.h>
@@ -20,6 +21,12 @@
      nsv_abort. */
   void (*request) (void *context, struct nsv_connection *connection,
                    const struct msg_message *request, const char *method);
+  /* A request that isn't complete is refused for want of memory: it hasn't
+     been passed to `request' and won't be.  REQUEST has its headers, or is
+     NULL if they aren't complete.  The owner must respond with nsv_respond and
+     status 503.  NULL: the server responds itself. */
+  void (*refused) (void *context, struct nsv_connection *connection,
+                   const struct msg_message *request);
   /* The connection was closed before the response was complete.  Called with
      the context of nsv_set_request_context, and only if that was called. */
   void (*disconnected) (void *request_context);
@@ -37,6 +44,7 @@
   uint32_t unsent_bytes_max; /* of one connection; above it is slow */
   uint32_t user_timeout_ms; /* TCP_USER_TIMEOUT: sent bytes not acknowledged */
   uint32_t connections_max; /* further ones are reset */
+  struct bbg_budget *budget; /* of the memory for connections; NULL: none */
 };
 
 struct nsv_server *nsv_create (uv_loop_t *loop, const char *address,
@@ -56,6 +64,7 @@
 
 void nsv_set_request_context (struct nsv_connection *connection,
                               void *request_context);
+GByteArray *nsv_take_body (struct nsv_connection *connection);
 void nsv_respond (struct nsv_connection *connection, uint32_t status,
                   const char *headers, const void *body, size_t body_bytes);
 void nsv_begin_response (struct nsv_connection *connection, uint32_t status,
--- a/standin/entry_process.c
+++ b/standin/entry_process.c
@@ -74,8 +74,13 @@
       params->drain_ms, params->config_ms, params->revoke_ms, params->stop_s,
       params->quarantine_ms == 0 ? QUARANTINE_MS : params->quarantine_ms,
       params->retry_window_s, params->retry_ratio, params->retry_slack);
+  g_autofree char *memory
+      = params->memory_mb == 0
+            ? g_strdup ("")
+            : g_strdup_printf ("memory_mb: %u\n", params->memory_mb);
+  g_autofree char *all = g_strconcat (text, memory, NULL);
   g_autoptr (GError) error = NULL;
-  if (!g_file_set_contents (process->settings_path, text, -1, &error))
+  if (!g_file_set_contents (process->settings_path, all, -1, &error))
     {
       g_error ("%s", error->message);
     }
--- a/standin/entry_process.h
+++ b/standin/entry_process.h
@@ -17,6 +17,7 @@
   const char *store_address;
   uint32_t store_partitions; /* 0: 6 */
   uint32_t descriptors;      /* 0: 1024 */
+  uint32_t memory_mb;        /* 0: the daemon's default */
   uint32_t drain_ms;
   uint32_t config_ms;
   uint32_t revoke_ms;
--- a/test/entry_crowd_test.c
+++ b/test/entry_crowd_test.c
@@ -133,7 +133,8 @@
   uint32_t count = row == MIX ? CROWD : loads[row].callers;
   g_autofree struct crw_caller *callers = g_new0 (struct crw_caller, count);
   int status = 0;
-  efx_set_up_limited ((void **)&fixture, BODY_BYTES_MAX, DESCRIPTORS);
+  efx_set_up_limited ((void **)&fixture, BODY_BYTES_MAX, DESCRIPTORS,
+                      MEMORY_MB);
   assert_true (sep_reset_memory_peak (fixture->daemon));
   uint64_t before_kb = sep_memory_kb (fixture->daemon);
   for (uint32_t i = 0; i < count; i++)
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -72,7 +72,7 @@
 void efx_await_ready (struct efx_fixture *fixture);
 int efx_set_up (void **state);
 int efx_set_up_limited (void **state, uint32_t body_bytes_max,
-                        uint32_t descriptors);
+                        uint32_t descriptors, uint32_t memory_mb);
 int efx_set_up_large (void **state);
 int efx_tear_down (void **state);
 char *efx_build_request (const char *method, const char *host,
--- a/test/entry_settings_test.c
+++ b/test/entry_settings_test.c
@@ -31,6 +31,7 @@
   { "Provider.parts", "16" },
   { "Provider.TtlMinMs", "1000" },
   { "Limits.MaxFds", "4200" },
+  { "Limits.MemoryMb", "260" },
   { "Bounds.DrainMs", "2000" },
   { "Bounds.ConfigMs", "2000" },
   { "Bounds.RevokeMs", "5000" },
@@ -76,6 +77,9 @@
   { { "Bounds.StableMs", "0" }, I64 (quarantine_us), 0 },
   { { "Bounds.StableMs", NULL }, I64 (quarantine_us), 3000000 },
   { { "Provider.parts", "16.0" }, U32 (store_partitions), 16 },
+  { { "Limits.MemoryMb", "112" }, U32 (memory_mb), 112 },
+  { { "Limits.MemoryMb", "160.5" }, U32 (memory_mb), 160 },
+  { { "Limits.MemoryMb", NULL }, U32 (memory_mb), 256 },
   { { "Limits.MaxFds", "300.9" }, U32 (descriptors), 300 },
   { { "Limits.MaxFds", "1048576" }, U32 (descriptors), 1048576 },
 };
