Bound the memory of the bodies that kumquatthread serve reads

Cause: only the number of threads bounded the bodies that are read at a time, each of them up to 1 MiB in a text that takes twice that; a body of which a byte comes now and then held its thread for ever; the trees of large JSON bodies are many times their size and all threads parsed at once.

Change: caller/body_store reads bodies against the budget of net/body_budget, from the new optional setting memory_mb (256 by default). A body that doesn't fit gets 503 (overloaded, not run) and Retry-After; one that has stalled ends at its next bytes; 16 KiB must come within caller_timeout_ms. Bodies over 16 KiB are parsed one at a time. The kernel keeps at most 256 KiB unread for a connection of net/server.

--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -118,6 +118,7 @@
   uint32_t timeout_ms; /* of network reads and writes, and of idle
                           connections */
   uint32_t body_bytes_max;
+  uint32_t memory_mb; /* of the host, for this process */
   struct cnt_set *counters;
   const struct cal_backend *backend;
   void *user_data;
--- a/src/caller/chat.c
+++ b/src/caller/chat.c
@@ -189,15 +189,20 @@
              const struct cal_request_options *terms, bool chat)
 {
   struct err_failure failure;
-  GString *body = http_read_body (connection, env->body_bytes_max, &failure);
-  if (body == NULL)
+  struct bst_body body;
+  if (!bst_read (env->bodies, connection, &body, &failure))
     {
       http_send_failure (connection, &failure);
       return failure.kind;
     }
   struct cal_draft draft;
   enum err_kind kind = ERR_NONE;
-  if (cal_draft_parse (body->str, body->len, chat, &draft, &failure))
+  bst_begin_parse (env->bodies, &body);
+  bool valid = cal_draft_parse (body.text->str, body.text->len, chat, &draft,
+                                &failure);
+  bst_end_parse (env->bodies, &body);
+  bst_release (env->bodies, &body);
+  if (valid)
     {
       struct response response = {
         .connection = connection,
@@ -215,6 +220,5 @@
       http_send_failure (connection, &failure);
     }
   cal_draft_clear (&draft);
-  g_string_free (body, TRUE);
   return kind;
 }
--- a/src/caller/chat.h
+++ b/src/caller/chat.h
@@ -4,6 +4,7 @@
 #define CALLER_CHAT_H
 
 #include "base/http.h"
+#include "caller/body_store.h"
 #include "caller/caller.h"
 
 /* What the handler needs from the server. */
@@ -11,7 +12,7 @@
 {
   const struct cal_backend *backend;
   void *user_data;
-  size_t body_bytes_max;
+  struct bst_store *bodies;
 };
 
 enum err_kind chat_handle (const struct chat_env *env,
--- a/src/caller/server.c
+++ b/src/caller/server.c
@@ -18,6 +18,7 @@
 {
   struct cal_params params;
   struct mg_context *context;
+  struct bst_store *bodies;
   struct chat_env chat;
   uint16_t port;
   _Atomic int64_t requests_in_progress;
@@ -168,11 +169,11 @@
       g_string_free (path, TRUE);
       return failure.kind;
     }
-  GString *body
-      = http_read_body (connection, server->params.body_bytes_max, &failure);
-  enum err_kind kind = failure.kind;
-  if (body == NULL)
+  struct bst_body body;
+  enum err_kind kind;
+  if (!bst_read (server->bodies, connection, &body, &failure))
     {
+      kind = failure.kind;
       http_send_failure (connection, &failure);
     }
   else
@@ -181,13 +182,13 @@
         .service = service,
         .method = info->request_method,
         .path = path->str,
-        .body = body->len > 0 ? body->str : NULL,
-        .body_bytes = body->len,
+        .body = body.text->len > 0 ? body.text->str : NULL,
+        .body_bytes = body.text->len,
         .content_type = mg_get_header (connection, "Content-Type"),
         .key = mg_get_header (connection, "Idempotency-Key"),
       };
       kind = forward_call (server, connection, account, terms, &call);
-      g_string_free (body, TRUE);
+      bst_release (server->bodies, &body);
     }
   g_string_free (path, TRUE);
   return kind;
@@ -417,16 +418,24 @@
 {
   struct cal_server *server = g_new0 (struct cal_server, 1);
   server->params = *params;
+  const struct bst_params bodies = {
+    .memory_mb = params->memory_mb,
+    .bytes_max = params->body_bytes_max,
+    .timeout_ms = params->timeout_ms,
+    .counters = params->counters,
+  };
+  server->bodies = bst_create (&bodies);
   server->chat = (struct chat_env){
     .backend = params->backend,
     .user_data = params->user_data,
-    .body_bytes_max = params->body_bytes_max,
+    .bodies = server->bodies,
   };
   create_counters (server);
   if (!start_http (server))
     {
       g_set_error (error, ERR_DOMAIN, ERR_SETTINGS,
                    "caller_address: cannot listen on %s", params->address);
+      bst_destroy (server->bodies);
       g_free (server);
       return NULL;
     }
@@ -450,6 +459,7 @@
       return;
     }
   mg_stop (server->context);
+  bst_destroy (server->bodies);
   g_free (server);
 }
 
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -6,6 +6,7 @@
 #include "daemon/daemon.h"
 
 #include <argtable2.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <time.h>
@@ -16,6 +17,9 @@
 /* How often a stopping daemon checks whether its last request has ended. */
 #define POLL_INTERVAL_NS 50000000
 
+/* As in entry/entry.c: the memory of large bodies goes back to the kernel. */
+#define MMAP_THRESHOLD_BYTES (128 * 1024)
+
 /* Prints the addresses that DAEMON listens on, for the program that started
    it.  */
 static void
@@ -81,6 +85,7 @@
   sigaddset (&signals, SIGINT);
   pthread_sigmask (SIG_BLOCK, &signals, NULL);
   signal (SIGPIPE, SIG_IGN);
+  mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
   struct set_settings *settings = set_load (path, diagnostics, &error);
   if (settings == NULL)
     {
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -20,6 +20,7 @@
   char *peer_secret;    /* content of the peer_secret_file */
   int log_level;        /* LOG_EMERG to LOG_DEBUG */
   uint32_t traffic_threads;
+  uint32_t memory_mb;         /* of the host, for this process */
   uint32_t caller_timeout_ms; /* limit for a caller that sends slowly */
 };
 
--- a/src/net/body_budget.c
+++ b/src/net/body_budget.c
@@ -2,19 +2,22 @@
 
 #define BYTES_PER_MB 1000000
 
-/* Half of a host's memory is for connections.  The other half is for the
-   process itself and the control thread, which may take 32 MB; the smallest
-   hosts have 112 MB. */
-#define HOST_SHARE 2
+/* The process itself and the control thread, which may take 32 MB, leave
+   56 MB to connections on the smallest hosts, which have 112 MB.  Of more
+   memory they get five eighths; the rest is for the kernel's buffers, which
+   count toward the memory of a host, and for the allocator. */
+#define HOST_NUMERATOR 5
+#define HOST_DENOMINATOR 8
+#define PROCESS_BYTES ((uint64_t)14 * BYTES_PER_MB)
 
 /* The least budget, whose part for bodies holds one of 4 MiB. */
 #define BYTES_MIN ((uint64_t)16 * BYTES_PER_MB)
 
-/* Of the budget, an eighth is for small requests alone, and another quarter
+/* Of the budget, an eighth is for small requests alone, and another eighth
    isn't for bodies, so that the answers to accepted requests have room. */
 #define SMALL_SHARE 8
-#define BODIES_NUMERATOR 5
-#define BODIES_DENOMINATOR 8
+#define BODIES_NUMERATOR 3
+#define BODIES_DENOMINATOR 4
 
 struct bbg_budget
 {
@@ -39,7 +42,9 @@
 uint64_t
 bbg_size_for_host (uint64_t memory_mb)
 {
-  return MAX (memory_mb * BYTES_PER_MB / HOST_SHARE, BYTES_MIN);
+  uint64_t share
+      = memory_mb * BYTES_PER_MB / HOST_DENOMINATOR * HOST_NUMERATOR;
+  return MAX (share, BYTES_MIN + PROCESS_BYTES) - PROCESS_BYTES;
 }
 
 /* Creates a budget of BYTES_MAX.  It must outlive its accounts.  */
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -16,6 +16,11 @@
 #define READ_BYTES 65536 /* of one read from a socket */
 #define BACKLOG 512      /* connections not accepted yet */
 
+/* Limit on what the kernel keeps for a connection that isn't read; it doubles
+   the number.  By default it may keep megabytes, which count toward the memory
+   of the host. */
+#define RECEIVE_BYTES 131072
+
 /* Limit on the bytes of pipelined requests, which arrive before the response
    to the current one is complete. */
 #define PIPELINED_BYTES_MAX 65536
@@ -729,6 +734,8 @@
                             (const struct sockaddr *)&server->address, 0);
   if (status == 0)
     {
+      int receive_bytes = RECEIVE_BYTES;
+      uv_recv_buffer_size ((uv_handle_t *)server->listener, &receive_bytes);
       status = uv_listen ((uv_stream_t *)server->listener, BACKLOG,
                           on_connection);
     }
