--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -735,6 +735,24 @@
   return exchange->sent > 0 || is_cut_off (exchange);
 }
 
+/* Sends the request of EXCHANGE with HEAD, which it frees, to its endpoint.
+   Returns NULL if that isn't possible.  */
+static struct ncl_exchange *
+send_request (struct exchange *exchange, GString *head, bool new_connection)
+{
+  const struct ncl_request request = {
+    .head = head->str,
+    .head_bytes = head->len,
+    .body = exchange->body,
+    .new_connection = new_connection,
+  };
+  struct ncl_exchange *attempt = ncl_send_request (
+      exchange->traffic->client, exchange->endpoint->address, &request,
+      &exg_attempt_events, exchange);
+  g_string_free (head, TRUE);
+  return attempt;
+}
+
 /* Starts an attempt at an endpoint.  BEFORE is how the previous attempt ended;
    ATT_NOT_SENT at first.  Without an endpoint EXCHANGE ends, and so it does
    when nothing of it was sent and it would wait too long everywhere.  */
@@ -811,16 +829,8 @@
   exchange->sent_us = clk_monotonic_us ();
   exchange->last_received_us = exchange->sent_us;
   fst_take_rate (exchange->endpoint, exchange->sent_us);
-  const struct ncl_request request = {
-    .head = head->str,
-    .head_bytes = head->len,
-    .body = exchange->body,
-    .new_connection = !passes && needs_new_connection (exchange),
-  };
-  exchange->attempt
-      = ncl_send_request (traffic->client, exchange->endpoint->address,
-                          &request, &exg_attempt_events, exchange);
-  g_string_free (head, TRUE);
+  exchange->attempt = send_request (
+      exchange, head, !passes && needs_new_connection (exchange));
   cnt_add (traffic->metrics->attempts, 1);
   exchange->attempts++;
   if (exchange->attempt == NULL)
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -93,7 +93,7 @@
     {
       g_string_free (connection->unsent, TRUE);
     }
-  g_clear_pointer (&connection->unsent_body, g_bytes_unref);
+  g_bytes_unref (connection->unsent_body);
   g_free (connection->address);
   g_free (connection);
 }
@@ -342,7 +342,7 @@
 destroy_write (struct pending_write *pending)
 {
   g_free (pending->head);
-  g_clear_pointer (&pending->body, g_bytes_unref);
+  g_bytes_unref (pending->body);
   g_free (pending);
 }
 
--- a/test/body_budget_test.c
+++ b/test/body_budget_test.c
@@ -7,8 +7,8 @@
 
 #include <cmocka.h>
 
-#define MIB 1048576
-#define BUDGET_BYTES (16 * (uint64_t)MIB)
+#define MIB ((uint64_t)1048576)
+#define BUDGET_BYTES (16 * MIB)
 #define ACCOUNTS 4
 
 /* What an account asks for, in turn. */
--- a/test/crowd.h
+++ b/test/crowd.h
@@ -12,8 +12,8 @@
 {
   const char *name;
   uint32_t callers;
-  const char *headers;  /* after the head of a request; NULL: no request */
   uint32_t chunk_bytes; /* of the body; 0: `unit' is repeated instead */
+  const char *headers;  /* after the head of a request; NULL: no request */
   const char *unit;
   uint64_t bytes;      /* of all units, without the chunks' heads */
   const char *end;     /* after the units */
