End callers that don't read their responses while memory is short

Cause: bytes that a caller hasn't read are kept whatever the budget, since an accepted request is finished, so callers that never read could still exceed it.

Change: while the budget is exceeded, nsv_expire closes the connections whose callers have read nothing for 2 s, the one with the most bytes first. The server's use of the budget is in net/server_memory.c, its state in net/server_private.h; net/server.c is shorter by that.

--- a/src/entry/entry_metrics.c
+++ b/src/entry/entry_metrics.c
@@ -93,7 +93,8 @@
     "Requests and connections refused for want of memory, not run" },
   { offsetof (struct emt_metrics, memory_evicted), CNT_COUNTER,
     "kumquatthread_memory_evicted_total", "",
-    "Stalled requests that were ended for want of memory, not run" },
+    "Stalled requests, not run, and unread answers that were ended for "
+    "want of memory" },
 };
 
 /* Creates every series in SET, which must outlive the result.  The caller
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -43,7 +43,8 @@
   struct cnt_series *memory_bodies;   /* of these, large bodies of requests */
   struct cnt_series *memory_refused;  /* requests and connections, for want of
                                          memory */
-  struct cnt_series *memory_evicted;  /* stalled requests that were ended */
+  struct cnt_series *memory_evicted;  /* stalled requests and unread answers
+                                         that were ended */
   struct cnt_series *first_byte_time; /* histogram; this and the next one: from
                                          the complete arrival of the request */
   struct cnt_series *total_time;      /* histogram */
--- a/src/net/body_budget.c
+++ b/src/net/body_budget.c
@@ -220,6 +220,15 @@
   return slowest;
 }
 
+/* Returns true if the budget of ACCOUNT is exceeded, which only bbg_force can
+   do.  */
+bool
+bbg_is_exceeded (const struct bbg_account *account)
+{
+  return account->budget != NULL
+         && account->budget->state.used > account->budget->state.bytes_max;
+}
+
 /* Counts that something of ACCOUNT was refused.  */
 void
 bbg_count_refused (struct bbg_account *account)
--- a/src/net/body_budget.h
+++ b/src/net/body_budget.h
@@ -75,6 +75,7 @@
 struct bbg_account *bbg_find_stalled (const struct bbg_account *account,
                                       enum bbg_part part, uint64_t bytes,
                                       int64_t now_us);
+bool bbg_is_exceeded (const struct bbg_account *account);
 void bbg_count_refused (struct bbg_account *account);
 void bbg_count_evicted (struct bbg_account *account);
 
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "net/address.h"
+#include "net/server_private.h"
 #include "net/stream.h"
 
 #include <errno.h>
@@ -32,66 +33,9 @@
    stops. */
 #define FIRST_REQUEST_US (1 * CLK_S_US)
 
-/* Memory of a connection without a request: its state, the arrays of its
-   messages, and its entry in the event loop. */
-#define CONNECTION_BYTES 4096
-
 /* When a request that was refused for want of memory may come back. */
 #define REFUSED_HEADERS "Retry-After: 1\r\n"
 
-enum phase
-{
-  PHASE_IDLE,       /* between requests */
-  PHASE_RECEIVING,  /* a request has begun to arrive */
-  PHASE_RESPONDING, /* the owner is handling the request */
-  PHASE_LINGERING   /* the last response has been sent */
-};
-
-struct nsv_connection
-{
-  uv_tcp_t tcp;
-  struct nsv_server *server;
-  http_parser parser;
-  struct msg_message request;
-  struct bbg_account account;
-  GByteArray *pipelined; /* bytes after the current request */
-  enum phase phase;
-  int64_t since_us;      /* start of the phase, monotonic time */
-  uint64_t header_bytes; /* of the current request, including the URL */
-  uint32_t error_status; /* response if a limit stops the parser; 0: none */
-  void *request_context;
-  bool keep_alive;
-  bool used;         /* a request has begun to arrive */
-  bool knows_chunks; /* the caller of the current request, by its version */
-  bool chunked;      /* the current response */
-  bool received;     /* the current request, completely */
-  bool in_body; /* the headers of the current request have been received */
-  bool closing;
-  bool resets_at_end;     /* see set_reset_at_end */
-  size_t lingering_bytes; /* unsent when the last byte was seen to be read */
-  bool slow;              /* more than `unsent_bytes_max' bytes are queued */
-  bool parsing;           /* parse is on the call stack */
-  uv_shutdown_t shutdown;
-};
-
-struct nsv_server
-{
-  uv_tcp_t *listener; /* NULL: closed for lack of descriptors or memory */
-  struct sockaddr_in address; /* of the listener */
-  uv_loop_t *loop;
-  struct nsv_limits limits;
-  const struct nsv_events *events;
-  void *context;
-  GPtrArray *connections;
-  uint32_t request_count; /* requests without a complete response */
-  char *read_buffer;
-  bool starved;          /* no descriptor was left at the last check */
-  uint32_t lack_count;   /* see nsv_lack_count */
-  bool stopping;         /* connections are closed after their response */
-  int64_t idle_until_us; /* when stopping: idle connections are closed from
-                            this monotonic time on */
-};
-
 static int on_message_begin (http_parser *parser);
 static int on_url (http_parser *parser, const char *at, size_t count);
 static int on_header_field (http_parser *parser, const char *at, size_t count);
@@ -101,8 +45,6 @@
 static int on_message_complete (http_parser *parser);
 static void parse (struct nsv_connection *connection, const char *bytes,
                    size_t count);
-static void reject_incomplete (struct nsv_connection *connection,
-                               uint32_t status);
 
 static const http_parser_settings parser_settings = {
   .on_message_begin = on_message_begin,
@@ -124,8 +66,8 @@
 }
 
 /* Returns the number of bytes that wait for the socket of CONNECTION.  */
-static size_t
-unsent_bytes (const struct nsv_connection *connection)
+size_t
+nsv_unsent_bytes (const struct nsv_connection *connection)
 {
   return uv_stream_get_write_queue_size (
       (const uv_stream_t *)&connection->tcp);
@@ -137,7 +79,7 @@
 is_unfinished (const struct nsv_connection *connection)
 {
   return connection->phase == PHASE_RESPONDING
-         || unsent_bytes (connection) > 0;
+         || nsv_unsent_bytes (connection) > 0;
 }
 
 /* Sets whether the end of CONNECTION resets it, also when the kernel closes it
@@ -162,7 +104,7 @@
 static void
 allow_orderly_end (struct nsv_connection *connection)
 {
-  if (connection->resets_at_end && unsent_bytes (connection) == 0)
+  if (connection->resets_at_end && nsv_unsent_bytes (connection) == 0)
     {
       set_reset_at_end (connection, false);
     }
@@ -170,8 +112,9 @@
 
 /* Closes CONNECTION, with a TCP reset when RESET is true.  Calls
    `disconnected' for the current request, if any, when NOTIFY is true.  */
-static void
-close_connection (struct nsv_connection *connection, bool reset, bool notify)
+void
+nsv_close_connection (struct nsv_connection *connection, bool reset,
+                      bool notify)
 {
   if (connection->closing)
     {
@@ -205,65 +148,6 @@
   connection->since_us = clk_monotonic_us ();
 }
 
-/* Ends the request of ACCOUNT, which has stalled, to make room for others.  */
-static void
-evict (struct bbg_account *account)
-{
-  struct nsv_connection *connection = account->owner;
-  lg_line (LOG_NOTICE, "stalled_request_ended",
-           "port=%u body_bytes=%u why=\"memory is short\"",
-           ntohs (connection->server->address.sin_port),
-           connection->request.body->len);
-  bbg_count_evicted (account);
-  reject_incomplete (connection, HTTP_STATUS_SERVICE_UNAVAILABLE);
-}
-
-/* Sets PART of CONNECTION's memory to BYTES, and ends stalled requests of
-   others if it takes that.  Returns false if there is no room.  */
-static bool
-reserve (struct nsv_connection *connection, enum bbg_part part, uint64_t bytes)
-{
-  struct bbg_account *account = &connection->account;
-  while (!bbg_resize (account, part, bytes))
-    {
-      struct bbg_account *stalled
-          = bbg_find_stalled (account, part, bytes, clk_monotonic_us ());
-      if (stalled == NULL)
-        {
-          bbg_count_refused (account);
-          return false;
-        }
-      evict (stalled);
-    }
-  return true;
-}
-
-/* Like reserve, while a request of CONNECTION arrives: returns -1, which stops
-   the parser, if there is no room, else 0.  */
-static int
-reserve_or_refuse (struct nsv_connection *connection, enum bbg_part part,
-                   uint64_t bytes)
-{
-  if (reserve (connection, part, bytes))
-    {
-      return 0;
-    }
-  connection->error_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
-  return -1;
-}
-
-/* Frees the body of CONNECTION's request, and the memory reserved for it.  */
-static void
-release_body (struct nsv_connection *connection)
-{
-  if (connection->request.body->len > 0)
-    {
-      g_byte_array_free (connection->request.body, TRUE);
-      connection->request.body = g_byte_array_new ();
-    }
-  bbg_force (&connection->account, BBG_BODY, 0);
-}
-
 static int
 on_message_begin (http_parser *parser)
 {
@@ -297,7 +181,7 @@
         + bbg_allocated (request->headers->len * sizeof (struct msg_header));
   return bytes <= connection->account.bytes[BBG_HEAD]
              ? 0
-             : reserve_or_refuse (connection, BBG_HEAD, bytes);
+             : nsv_reserve_or_refuse (connection, BBG_HEAD, bytes);
 }
 
 static int
@@ -342,8 +226,8 @@
       return -1;
     }
   if (parser->content_length != ULLONG_MAX
-      && reserve_or_refuse (connection, BBG_BODY,
-                            bbg_allocated (parser->content_length))
+      && nsv_reserve_or_refuse (connection, BBG_BODY,
+                                bbg_allocated (parser->content_length))
              != 0)
     {
       return -1;
@@ -370,7 +254,7 @@
     }
   uint64_t bytes = bbg_allocated (body->len + count);
   if (bytes > connection->account.bytes[BBG_BODY]
-      && reserve_or_refuse (connection, BBG_BODY, bytes) != 0)
+      && nsv_reserve_or_refuse (connection, BBG_BODY, bytes) != 0)
     {
       return -1;
     }
@@ -403,15 +287,15 @@
     }
   if (status < 0)
     {
-      close_connection (connection, true, true);
+      nsv_close_connection (connection, true, true);
       return;
     }
-  bbg_force (&connection->account, BBG_UNSENT, unsent_bytes (connection));
+  bbg_force (&connection->account, BBG_UNSENT, nsv_unsent_bytes (connection));
   if (connection->phase == PHASE_LINGERING)
     {
       allow_orderly_end (connection);
     }
-  if (connection->slow && unsent_bytes (connection) == 0)
+  if (connection->slow && nsv_unsent_bytes (connection) == 0)
     {
       connection->slow = false;
       if (connection->request_context != NULL)
@@ -439,7 +323,7 @@
       total += buffers[i].len;
     }
   int written = 0;
-  if (unsent_bytes (connection) == 0)
+  if (nsv_unsent_bytes (connection) == 0)
     {
       written = uv_try_write (stream, buffers, count);
     }
@@ -470,9 +354,9 @@
       nst_end_reading (&connection->tcp);
       return;
     }
-  bbg_force (&connection->account, BBG_UNSENT, unsent_bytes (connection));
+  bbg_force (&connection->account, BBG_UNSENT, nsv_unsent_bytes (connection));
   /* Stays set until all bytes have been sent, when `drained' is called. */
-  connection->slow |= unsent_bytes (connection)
+  connection->slow |= nsv_unsent_bytes (connection)
                       > connection->server->limits.unsent_bytes_max;
 }
 
@@ -482,7 +366,7 @@
 linger (struct nsv_connection *connection)
 {
   enter_phase (connection, PHASE_LINGERING);
-  connection->lingering_bytes = unsent_bytes (connection);
+  connection->lingering_bytes = nsv_unsent_bytes (connection);
   allow_orderly_end (connection);
   uv_shutdown (&connection->shutdown, (uv_stream_t *)&connection->tcp, NULL);
 }
@@ -512,7 +396,7 @@
 {
   connection->server->request_count--;
   connection->request_context = NULL;
-  release_body (connection);
+  nsv_release_body (connection);
   if (!connection->keep_alive)
     {
       linger (connection);
@@ -528,14 +412,14 @@
 
 /* Responds with the error STATUS to a request that was not received
    completely, and shuts the connection down.  */
-static void
-reject_incomplete (struct nsv_connection *connection, uint32_t status)
+void
+nsv_reject_incomplete (struct nsv_connection *connection, uint32_t status)
 {
   connection->server->request_count++;
   enter_phase (connection, PHASE_RESPONDING);
   connection->keep_alive = false;
   bbg_end (&connection->account);
-  release_body (connection);
+  nsv_release_body (connection);
   if (status != HTTP_STATUS_SERVICE_UNAVAILABLE)
     {
       nsv_respond (connection, status, "", "", 0);
@@ -576,9 +460,9 @@
 {
   size_t total = connection->pipelined->len + count;
   if (total > PIPELINED_BYTES_MAX
-      || !reserve (connection, BBG_PIPELINED, bbg_allocated (total)))
+      || !nsv_reserve (connection, BBG_PIPELINED, bbg_allocated (total)))
     {
-      close_connection (connection, true, true);
+      nsv_close_connection (connection, true, true);
       return;
     }
   g_byte_array_append (connection->pipelined, (const guint8 *)bytes,
@@ -615,9 +499,9 @@
         }
       else if (HTTP_PARSER_ERRNO (&connection->parser) != HPE_OK)
         {
-          reject_incomplete (connection, connection->error_status != 0
-                                             ? connection->error_status
-                                             : HTTP_STATUS_BAD_REQUEST);
+          nsv_reject_incomplete (connection, connection->error_status != 0
+                                                 ? connection->error_status
+                                                 : HTTP_STATUS_BAD_REQUEST);
           break;
         }
     }
@@ -642,7 +526,7 @@
     }
   if (count < 0)
     {
-      close_connection (connection, is_unfinished (connection), true);
+      nsv_close_connection (connection, is_unfinished (connection), true);
       return;
     }
   parse (connection, buffer->base, (size_t)count);
@@ -705,9 +589,9 @@
   bbg_open (&connection->account, server->limits.budget, connection);
   if (uv_accept (listener, (uv_stream_t *)&connection->tcp) != 0
       || server->connections->len > server->limits.connections_max
-      || !reserve (connection, BBG_CONNECTION, CONNECTION_BYTES))
+      || !nsv_reserve (connection, BBG_CONNECTION, NSV_CONNECTION_BYTES))
     {
-      close_connection (connection, true, false);
+      nsv_close_connection (connection, true, false);
       return;
     }
   uv_tcp_nodelay (&connection->tcp, 1);
@@ -792,7 +676,7 @@
     {
       struct nsv_connection *connection
           = g_ptr_array_index (server->connections, 0);
-      close_connection (connection, is_unfinished (connection), true);
+      nsv_close_connection (connection, is_unfinished (connection), true);
     }
   close_listener (server);
   g_ptr_array_free (server->connections, TRUE);
@@ -907,7 +791,7 @@
 static bool
 has_lingered (struct nsv_connection *connection, int64_t now_us)
 {
-  size_t bytes = unsent_bytes (connection);
+  size_t bytes = nsv_unsent_bytes (connection);
   if (bytes != connection->lingering_bytes)
     {
       connection->lingering_bytes = bytes;
@@ -929,6 +813,7 @@
       reopen_listener (server);
     }
   check_descriptors (server);
+  nsv_end_unread (server, now_us);
   for (guint i = server->connections->len; i-- > 0;)
     {
       struct nsv_connection *connection
@@ -947,13 +832,14 @@
                              ? server->limits.idle_timeout_us
                              : server->limits.header_timeout_us))
             {
-              reject_incomplete (connection, HTTP_STATUS_REQUEST_TIMEOUT);
+              nsv_reject_incomplete (connection, HTTP_STATUS_REQUEST_TIMEOUT);
             }
           break;
         case PHASE_LINGERING:
           if (has_lingered (connection, now_us))
             {
-              close_connection (connection, is_unfinished (connection), false);
+              nsv_close_connection (connection, is_unfinished (connection),
+                                    false);
             }
           break;
         case PHASE_RESPONDING:
@@ -1117,7 +1003,7 @@
 nsv_abort (struct nsv_connection *connection)
 {
   connection->request_context = NULL;
-  close_connection (connection, true, false);
+  nsv_close_connection (connection, true, false);
 }
 
 /* Returns true once more than `unsent_bytes_max' bytes are queued for the
--- /dev/null
+++ b/src/net/server_memory.c
@@ -0,0 +1,118 @@
+/* The HTTP server's use of its budget of memory. */
+#include "base/clock.h"
+#include "base/log.h"
+#include "net/server_private.h"
+
+/* While the budget is exceeded, a caller that has read nothing of its response
+   for this long is closed.  Slower than that, pauses of sound callers and of
+   networks would count. */
+#define UNREAD_US (2 * CLK_S_US)
+
+/* Ends the request of ACCOUNT, which has stalled, to make room for others.  */
+static void
+evict (struct bbg_account *account)
+{
+  struct nsv_connection *connection = account->owner;
+  lg_line (LOG_NOTICE, "stalled_request_ended",
+           "port=%u body_bytes=%u why=\"memory is short\"",
+           ntohs (connection->server->address.sin_port),
+           connection->request.body->len);
+  bbg_count_evicted (account);
+  nsv_reject_incomplete (connection, HTTP_STATUS_SERVICE_UNAVAILABLE);
+}
+
+/* Sets PART of CONNECTION's memory to BYTES, and ends stalled requests of
+   others if it takes that.  Returns false if there is no room.  */
+bool
+nsv_reserve (struct nsv_connection *connection, enum bbg_part part,
+             uint64_t bytes)
+{
+  struct bbg_account *account = &connection->account;
+  while (!bbg_resize (account, part, bytes))
+    {
+      struct bbg_account *stalled
+          = bbg_find_stalled (account, part, bytes, clk_monotonic_us ());
+      if (stalled == NULL)
+        {
+          bbg_count_refused (account);
+          return false;
+        }
+      evict (stalled);
+    }
+  return true;
+}
+
+/* Like nsv_reserve, while a request of CONNECTION arrives: returns -1, which
+   stops the parser, if there is no room, else 0.  */
+int
+nsv_reserve_or_refuse (struct nsv_connection *connection, enum bbg_part part,
+                       uint64_t bytes)
+{
+  if (nsv_reserve (connection, part, bytes))
+    {
+      return 0;
+    }
+  connection->error_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+  return -1;
+}
+
+/* Frees the body of CONNECTION's request, and the memory reserved for it.  */
+void
+nsv_release_body (struct nsv_connection *connection)
+{
+  if (connection->request.body->len > 0)
+    {
+      g_byte_array_free (connection->request.body, TRUE);
+      connection->request.body = g_byte_array_new ();
+    }
+  bbg_force (&connection->account, BBG_BODY, 0);
+}
+
+/* Returns true if the caller of CONNECTION has read nothing of what waits for
+   it for UNREAD_US, as far as calls of this function have seen.  */
+static bool
+is_unread (struct nsv_connection *connection, int64_t now_us)
+{
+  size_t bytes = nsv_unsent_bytes (connection);
+  if (bytes == 0 || bytes != connection->seen_unsent_bytes)
+    {
+      connection->seen_unsent_bytes = bytes;
+      connection->unread_since_us = now_us;
+    }
+  return now_us - connection->unread_since_us >= UNREAD_US;
+}
+
+/* Closes, while the budget of SERVER is exceeded, connections whose callers
+   don't read, the one with the most bytes first.  What was accepted isn't
+   refused room for its response, so this bounds the bytes that wait.  To be
+   called several times a second.  */
+void
+nsv_end_unread (struct nsv_server *server, int64_t now_us)
+{
+  struct nsv_connection *most = NULL;
+  do
+    {
+      most = NULL;
+      for (guint i = 0; i < server->connections->len; i++)
+        {
+          struct nsv_connection *connection
+              = g_ptr_array_index (server->connections, i);
+          if (is_unread (connection, now_us)
+              && (most == NULL
+                  || nsv_unsent_bytes (connection) > nsv_unsent_bytes (most)))
+            {
+              most = connection;
+            }
+        }
+      if (most == NULL || !bbg_is_exceeded (&most->account))
+        {
+          return;
+        }
+      lg_line (LOG_NOTICE, "unread_response_ended",
+               "port=%u bytes=%zu why=\"memory is short\"",
+               ntohs (server->address.sin_port), nsv_unsent_bytes (most));
+      bbg_count_evicted (&most->account);
+      nsv_close_connection (most, true, true);
+    }
+  while (true);
+}
