--- a/test/entry_crowd_test.c
+++ b/test/entry_crowd_test.c
@@ -182,9 +182,37 @@
   assert_int_equal (failed, 0);
 }
 
+/* Guards against a limit on memory that refuses a single request inside the
+   limits, with the largest body.  */
+static void
+test_largest_body (void **state)
+{
+  struct efx_fixture *fixture = NULL;
+  g_autofree char *body = g_strnfill (BODY_BYTES_MAX, 'x');
+  (void)state;
+  efx_set_up_limited ((void **)&fixture, BODY_BYTES_MAX, DESCRIPTORS,
+                      MEMORY_MB);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      struct efx_call call;
+      g_autofree char *id = g_strdup_printf ("largest-%u", i);
+      g_autofree char *request = efx_build_request (
+          "POST", EFX_FLEET_HOST, "/sum/a", "key-1", id, body);
+      efx_start_call (fixture, &call, sep_caller_address (fixture->daemon),
+                      request, strlen (request));
+      efx_await_call (fixture, &call);
+      assert_int_equal (call.status, 200);
+      efx_clear_call (&call);
+    }
+  efx_tear_down ((void **)&fixture);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_crowds) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_largest_body),
+    cmocka_unit_test (test_crowds),
+  };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/test/server_budget_test.c
+++ b/test/server_budget_test.c
@@ -12,7 +12,7 @@
 
 #include <cmocka.h>
 
-#define MIB 1048576
+#define MIB ((size_t)1048576)
 
 /* Holds one body of BODY_BYTES, as bodies get three quarters, but not two. */
 #define BUDGET_BYTES (2 * MIB)
@@ -70,7 +70,7 @@
   fixture->long_body = g_malloc0 (LONG_BYTES);
   const struct nsv_limits limits = {
     .header_bytes_max = 4096,
-    .body_bytes_max = (uint64_t)8 * MIB,
+    .body_bytes_max = 8 * MIB,
     .header_timeout_us = TIMEOUT_US,
     .idle_timeout_us = TIMEOUT_US,
     .unsent_bytes_max = 65536,
@@ -95,7 +95,7 @@
 static int
 set_up_large (void **state)
 {
-  return set_up_with (state, 4 * (uint64_t)LONG_BYTES);
+  return set_up_with (state, 4 * LONG_BYTES);
 }
 
 static int
