--- a/src/entry/exchange_cost.c
+++ b/src/entry/exchange_cost.c
@@ -123,9 +123,9 @@
       return;
     }
   exchange->tokens = DEFAULT_TOKENS;
-  exchange->call_class
-      = clt_find (exchange->traffic->call_times, service->name,
-                  exchange->route->name, method, request->body->len);
+  exchange->call_class = clt_find (exchange->traffic->call_times,
+                                   service->name, exchange->route->name,
+                                   method, g_bytes_get_size (exchange->body));
 }
 
 /* Returns how many tokens of the answer to EXCHANGE the caller has.  */
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -13,6 +13,7 @@
 #include "entry/fleet_state.h"
 #include "entry/neighbours.h"
 #include "entry/quarantine.h"
+#include "net/body_budget.h"
 #include "net/client.h"
 #include "net/server.h"
 
@@ -44,6 +45,8 @@
                             to the first event; 0: none yet */
   struct cos_costs *costs;      /* expected lengths of answers */
   struct clt_times *call_times; /* expected times of plain calls */
+  struct bbg_budget *budget;    /* of the memory for connections */
+  struct bbg_account answers;   /* buffered ones, on the budget */
   size_t buffered_bytes; /* of memory, for answers that are delivered whole */
   struct fwt_refusals refusals; /* for want of room */
   GHashTable *exchanges;        /* set of struct exchange in progress */
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "net/address.h"
+#include "net/server_private.h"
 #include "net/stream.h"
 
 #include <errno.h>
@@ -16,6 +17,11 @@
 #define READ_BYTES 65536 /* of one read from a socket */
 #define BACKLOG 512      /* connections not accepted yet */
 
+/* Limit on what the kernel keeps for a connection that isn't read; it doubles
+   the number.  By default it may keep megabytes, which count toward the memory
+   of the host. */
+#define RECEIVE_BYTES 131072
+
 /* Limit on the bytes of pipelined requests, which arrive before the response
    to the current one is complete. */
 #define PIPELINED_BYTES_MAX 65536
@@ -27,58 +33,8 @@
    stops. */
 #define FIRST_REQUEST_US (1 * CLK_S_US)
 
-enum phase
-{
-  PHASE_IDLE,       /* between requests */
-  PHASE_RECEIVING,  /* a request has begun to arrive */
-  PHASE_RESPONDING, /* the owner is handling the request */
-  PHASE_LINGERING   /* the last response has been sent */
-};
-
-struct nsv_connection
-{
-  uv_tcp_t tcp;
-  struct nsv_server *server;
-  http_parser parser;
-  struct msg_message request;
-  GByteArray *pipelined; /* bytes after the current request */
-  enum phase phase;
-  int64_t since_us;      /* start of the phase, monotonic time */
-  uint64_t header_bytes; /* of the current request, including the URL */
-  uint32_t error_status; /* response if a limit stops the parser; 0: none */
-  void *request_context;
-  bool keep_alive;
-  bool announces_close; /* the head of the response says that it is the last */
-  bool used;            /* a request has begun to arrive */
-  bool knows_chunks;    /* the caller of the current request, by its version */
-  bool chunked;         /* the current response */
-  bool received;        /* the current request, completely */
-  bool in_body; /* the headers of the current request have been received */
-  bool closing;
-  bool resets_at_end;     /* see set_reset_at_end */
-  size_t lingering_bytes; /* unsent when the last byte was seen to be read */
-  bool slow;              /* more than `unsent_bytes_max' bytes are queued */
-  bool parsing;           /* parse is on the call stack */
-  uv_shutdown_t shutdown;
-};
-
-struct nsv_server
-{
-  uv_tcp_t *listener; /* NULL: closed for lack of descriptors or memory */
-  struct sockaddr_in address; /* of the listener */
-  uv_loop_t *loop;
-  struct nsv_limits limits;
-  const struct nsv_events *events;
-  void *context;
-  GPtrArray *connections;
-  uint32_t request_count; /* requests without a complete response */
-  char *read_buffer;
-  bool starved;          /* no descriptor was left at the last check */
-  uint32_t lack_count;   /* see nsv_lack_count */
-  bool stopping;         /* connections are closed after their response */
-  int64_t idle_until_us; /* when stopping: idle connections are closed from
-                            this monotonic time on */
-};
+/* When a request that was refused for want of memory may come back. */
+#define REFUSED_HEADERS "Retry-After: 1\r\n"
 
 static int on_message_begin (http_parser *parser);
 static int on_url (http_parser *parser, const char *at, size_t count);
@@ -110,8 +66,8 @@
 }
 
 /* Returns the number of bytes that wait for the socket of CONNECTION.  */
-static size_t
-unsent_bytes (const struct nsv_connection *connection)
+size_t
+nsv_unsent_bytes (const struct nsv_connection *connection)
 {
   return uv_stream_get_write_queue_size (
       (const uv_stream_t *)&connection->tcp);
@@ -123,7 +79,7 @@
 is_unfinished (const struct nsv_connection *connection)
 {
   return connection->phase == PHASE_RESPONDING
-         || unsent_bytes (connection) > 0;
+         || nsv_unsent_bytes (connection) > 0;
 }
 
 /* Sets whether the end of CONNECTION resets it, also when the kernel closes it
@@ -148,7 +104,7 @@
 static void
 allow_orderly_end (struct nsv_connection *connection)
 {
-  if (connection->resets_at_end && unsent_bytes (connection) == 0)
+  if (connection->resets_at_end && nsv_unsent_bytes (connection) == 0)
     {
       set_reset_at_end (connection, false);
     }
@@ -156,8 +112,9 @@
 
 /* Closes CONNECTION, with a TCP reset when RESET is true.  Calls
    `disconnected' for the current request, if any, when NOTIFY is true.  */
-static void
-close_connection (struct nsv_connection *connection, bool reset, bool notify)
+void
+nsv_close_connection (struct nsv_connection *connection, bool reset,
+                      bool notify)
 {
   if (connection->closing)
     {
@@ -165,6 +122,7 @@
     }
   connection->closing = true;
   g_ptr_array_remove_fast (connection->server->connections, connection);
+  bbg_close (&connection->account);
   if (connection->phase == PHASE_RESPONDING)
     {
       connection->server->request_count--;
@@ -201,11 +159,13 @@
   connection->in_body = false;
   connection->used = true;
   enter_phase (connection, PHASE_RECEIVING);
+  bbg_begin (&connection->account, connection->since_us);
   return 0;
 }
 
 /* Adds COUNT bytes to the size of the headers.  Returns -1, which stops the
-   parser, when the size exceeds its limit, else 0.  */
+   parser, when the size exceeds its limit or there is no memory for them, else
+   0.  */
 static int
 count_header_bytes (struct nsv_connection *connection, size_t count)
 {
@@ -215,7 +175,13 @@
       connection->error_status = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
       return -1;
     }
-  return 0;
+  const struct msg_message *request = &connection->request;
+  uint64_t bytes
+      = request->url->allocated_len + request->text->allocated_len
+        + bbg_allocated (request->headers->len * sizeof (struct msg_header));
+  return bytes <= connection->account.bytes[BBG_HEAD]
+             ? 0
+             : nsv_reserve_or_refuse (connection, BBG_HEAD, bytes);
 }
 
 static int
@@ -274,12 +240,20 @@
       connection->error_status = HTTP_STATUS_BAD_REQUEST;
       return -1;
     }
+  bbg_begin (&connection->account, connection->since_us);
   if (parser->content_length != ULLONG_MAX
       && parser->content_length > connection->server->limits.body_bytes_max)
     {
       connection->error_status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
       return -1;
     }
+  if (parser->content_length != ULLONG_MAX
+      && nsv_reserve_or_refuse (connection, BBG_BODY,
+                                bbg_allocated (parser->content_length))
+             != 0)
+    {
+      return -1;
+    }
   const char *expect = msg_find (&connection->request, "Expect");
   if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0)
     {
@@ -300,7 +274,14 @@
       connection->error_status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
       return -1;
     }
+  uint64_t bytes = bbg_allocated (body->len + count);
+  if (bytes > connection->account.bytes[BBG_BODY]
+      && nsv_reserve_or_refuse (connection, BBG_BODY, bytes) != 0)
+    {
+      return -1;
+    }
   g_byte_array_append (body, (const guint8 *)at, (guint)count);
+  bbg_add_progress (&connection->account, count);
   return 0;
 }
 
@@ -309,10 +290,13 @@
 {
   struct nsv_connection *connection = parser->data;
   connection->received = true;
+  bbg_end (&connection->account);
   http_parser_pause (parser, 1);
   return 0;
 }
 
+static void parse_pipelined (struct nsv_connection *connection);
+
 static void
 on_written (uv_write_t *request, int status)
 {
@@ -325,20 +309,25 @@
     }
   if (status < 0)
     {
-      close_connection (connection, true, true);
+      nsv_close_connection (connection, true, true);
       return;
     }
+  bbg_force (&connection->account, BBG_UNSENT, nsv_unsent_bytes (connection));
   if (connection->phase == PHASE_LINGERING)
     {
       allow_orderly_end (connection);
     }
-  if (connection->slow && unsent_bytes (connection) == 0)
+  if (connection->slow && nsv_unsent_bytes (connection) == 0)
     {
       connection->slow = false;
       if (connection->request_context != NULL)
         {
           connection->server->events->drained (connection->request_context);
         }
+      else if (connection->phase == PHASE_IDLE)
+        {
+          parse_pipelined (connection);
+        }
     }
 }
 
@@ -356,7 +345,7 @@
       total += buffers[i].len;
     }
   int written = 0;
-  if (unsent_bytes (connection) == 0)
+  if (nsv_unsent_bytes (connection) == 0)
     {
       written = uv_try_write (stream, buffers, count);
     }
@@ -387,8 +376,9 @@
       nst_end_reading (&connection->tcp);
       return;
     }
+  bbg_force (&connection->account, BBG_UNSENT, nsv_unsent_bytes (connection));
   /* Stays set until all bytes have been sent, when `drained' is called. */
-  connection->slow |= unsent_bytes (connection)
+  connection->slow |= nsv_unsent_bytes (connection)
                       > connection->server->limits.unsent_bytes_max;
 }
 
@@ -398,20 +388,38 @@
 linger (struct nsv_connection *connection)
 {
   enter_phase (connection, PHASE_LINGERING);
-  connection->lingering_bytes = unsent_bytes (connection);
+  connection->lingering_bytes = nsv_unsent_bytes (connection);
   allow_orderly_end (connection);
   uv_shutdown (&connection->shutdown, (uv_stream_t *)&connection->tcp, NULL);
 }
 
+/* Continues with the bytes that have arrived after a request of
+   CONNECTION.  */
+static void
+parse_pipelined (struct nsv_connection *connection)
+{
+  GByteArray *pipelined = connection->pipelined;
+  if (pipelined->len > 0)
+    {
+      connection->pipelined = g_byte_array_new ();
+      parse (connection, (const char *)pipelined->data, pipelined->len);
+      g_byte_array_free (pipelined, TRUE);
+      bbg_force (&connection->account, BBG_PIPELINED,
+                 bbg_allocated (connection->pipelined->len));
+    }
+}
+
 /* Called after a complete response: continues with the next request, which may
    have arrived already, or shuts the connection down.  A response whose head
    was sent before a stop didn't announce the end of the connection, so that a
-   request may follow it.  */
+   request may follow it.  A slow caller's next request waits until the caller
+   has read the response, so that it can't let responses pile up.  */
 static void
 finish_response (struct nsv_connection *connection)
 {
   connection->server->request_count--;
   connection->request_context = NULL;
+  nsv_release_body (connection);
   if (connection->announces_close)
     {
       linger (connection);
@@ -419,25 +427,44 @@
     }
   enter_phase (connection, PHASE_IDLE);
   msg_reset (&connection->request);
-  if (connection->pipelined->len > 0 && !connection->parsing)
+  if (!connection->parsing && !connection->slow)
     {
-      GByteArray *pipelined = connection->pipelined;
-      connection->pipelined = g_byte_array_new ();
-      parse (connection, (const char *)pipelined->data, pipelined->len);
-      g_byte_array_free (pipelined, TRUE);
+      parse_pipelined (connection);
     }
 }
 
-/* Responds with the error STATUS and HEADERS to a request that was not
-   received completely, and shuts the connection down.  */
+/* Gives up the request of CONNECTION, which was not received completely.  The
+   response to it is the last one of the connection.  */
 static void
-reject_incomplete (struct nsv_connection *connection, uint32_t status,
-                   const char *headers)
+give_up_request (struct nsv_connection *connection)
 {
   connection->server->request_count++;
   enter_phase (connection, PHASE_RESPONDING);
   connection->keep_alive = false;
-  nsv_respond (connection, status, headers, "", 0);
+  bbg_end (&connection->account);
+  nsv_release_body (connection);
+}
+
+/* Responds with the error STATUS to a request that was not received
+   completely, and shuts the connection down.  */
+void
+nsv_reject_incomplete (struct nsv_connection *connection, uint32_t status)
+{
+  give_up_request (connection);
+  if (status != HTTP_STATUS_SERVICE_UNAVAILABLE)
+    {
+      nsv_respond (connection, status, "", "", 0);
+    }
+  else if (connection->server->events->refused == NULL)
+    {
+      nsv_respond (connection, status, REFUSED_HEADERS, "", 0);
+    }
+  else
+    {
+      connection->server->events->refused (
+          connection->server->context, connection,
+          connection->in_body ? &connection->request : NULL);
+    }
 }
 
 /* Passes the complete request of CONNECTION to the owner.  */
@@ -455,6 +482,24 @@
                            http_method_str (connection->parser.method));
 }
 
+/* Keeps COUNT BYTES that have arrived before the response to the current
+   request of CONNECTION is complete.  Closes the connection if they are too
+   many.  */
+static void
+keep_pipelined (struct nsv_connection *connection, const char *bytes,
+                size_t count)
+{
+  size_t total = connection->pipelined->len + count;
+  if (total > PIPELINED_BYTES_MAX
+      || !nsv_reserve (connection, BBG_PIPELINED, bbg_allocated (total)))
+    {
+      nsv_close_connection (connection, true, true);
+      return;
+    }
+  g_byte_array_append (connection->pipelined, (const guint8 *)bytes,
+                       (guint)count);
+}
+
 /* Parses COUNT bytes of requests.  Bytes after a complete request are kept
    until its response is complete.  */
 static void
@@ -463,14 +508,10 @@
   connection->parsing = true;
   while (count > 0 && !connection->closing)
     {
-      if (connection->phase == PHASE_RESPONDING)
+      if (connection->phase == PHASE_RESPONDING
+          || (connection->phase == PHASE_IDLE && connection->slow))
         {
-          g_byte_array_append (connection->pipelined, (const guint8 *)bytes,
-                               (guint)count);
-          if (connection->pipelined->len > PIPELINED_BYTES_MAX)
-            {
-              close_connection (connection, true, true);
-            }
+          keep_pipelined (connection, bytes, count);
           break;
         }
       if (connection->phase == PHASE_LINGERING)
@@ -489,11 +530,9 @@
         }
       else if (HTTP_PARSER_ERRNO (&connection->parser) != HPE_OK)
         {
-          reject_incomplete (connection,
-                             connection->error_status != 0
-                                 ? connection->error_status
-                                 : HTTP_STATUS_BAD_REQUEST,
-                             "");
+          nsv_reject_incomplete (connection, connection->error_status != 0
+                                                 ? connection->error_status
+                                                 : HTTP_STATUS_BAD_REQUEST);
           break;
         }
     }
@@ -518,10 +557,11 @@
     }
   if (count < 0)
     {
-      close_connection (connection, is_unfinished (connection), true);
+      nsv_close_connection (connection, is_unfinished (connection), true);
       return;
     }
   parse (connection, buffer->base, (size_t)count);
+  bbg_mark_progress (&connection->account, clk_monotonic_us ());
 }
 
 static void
@@ -577,10 +617,12 @@
   uv_tcp_init (server->loop, &connection->tcp);
   g_ptr_array_add (server->connections, connection);
   enter_phase (connection, PHASE_IDLE);
+  bbg_open (&connection->account, server->limits.budget, connection);
   if (uv_accept (listener, (uv_stream_t *)&connection->tcp) != 0
-      || server->connections->len > server->limits.connections_max)
+      || server->connections->len > server->limits.connections_max
+      || !nsv_reserve (connection, BBG_CONNECTION, NSV_CONNECTION_BYTES))
     {
-      close_connection (connection, true, false);
+      nsv_close_connection (connection, true, false);
       return;
     }
   uv_tcp_nodelay (&connection->tcp, 1);
@@ -607,6 +649,8 @@
                             (const struct sockaddr *)&server->address, 0);
   if (status == 0)
     {
+      int receive_bytes = RECEIVE_BYTES;
+      uv_recv_buffer_size ((uv_handle_t *)server->listener, &receive_bytes);
       status = uv_listen ((uv_stream_t *)server->listener, BACKLOG,
                           on_connection);
     }
@@ -663,7 +707,7 @@
     {
       struct nsv_connection *connection
           = g_ptr_array_index (server->connections, 0);
-      close_connection (connection, is_unfinished (connection), true);
+      nsv_close_connection (connection, is_unfinished (connection), true);
     }
   close_listener (server);
   g_ptr_array_free (server->connections, TRUE);
@@ -715,8 +759,9 @@
           = g_ptr_array_index (server->connections, i);
       if (connection->phase == PHASE_RECEIVING)
         {
-          reject_incomplete (connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
-                             headers);
+          give_up_request (connection);
+          nsv_respond (connection, HTTP_STATUS_SERVICE_UNAVAILABLE, headers,
+                       "", 0);
         }
     }
 }
@@ -795,7 +840,7 @@
 static bool
 has_lingered (struct nsv_connection *connection, int64_t now_us)
 {
-  size_t bytes = unsent_bytes (connection);
+  size_t bytes = nsv_unsent_bytes (connection);
   if (bytes != connection->lingering_bytes)
     {
       connection->lingering_bytes = bytes;
@@ -817,6 +862,7 @@
       reopen_listener (server);
     }
   check_descriptors (server);
+  nsv_end_unread (server, now_us);
   for (guint i = server->connections->len; i-- > 0;)
     {
       struct nsv_connection *connection
@@ -835,13 +881,14 @@
                              ? server->limits.idle_timeout_us
                              : server->limits.header_timeout_us))
             {
-              reject_incomplete (connection, HTTP_STATUS_REQUEST_TIMEOUT, "");
+              nsv_reject_incomplete (connection, HTTP_STATUS_REQUEST_TIMEOUT);
             }
           break;
         case PHASE_LINGERING:
           if (has_lingered (connection, now_us))
             {
-              close_connection (connection, is_unfinished (connection), false);
+              nsv_close_connection (connection, is_unfinished (connection),
+                                    false);
             }
           break;
         case PHASE_RESPONDING:
@@ -898,6 +945,16 @@
   connection->request_context = request_context;
 }
 
+/* Returns the body of the current request, which is empty from then on.  The
+   caller frees it when it responds, or when the connection is closed.  */
+GByteArray *
+nsv_take_body (struct nsv_connection *connection)
+{
+  GByteArray *body = connection->request.body;
+  connection->request.body = g_byte_array_new ();
+  return body;
+}
+
 /* Appends the status line and HEADERS, each of which ends with CRLF.  */
 static void
 append_head (struct nsv_connection *connection, GString *head, uint32_t status,
@@ -1001,7 +1058,7 @@
 nsv_abort (struct nsv_connection *connection)
 {
   connection->request_context = NULL;
-  close_connection (connection, true, false);
+  nsv_close_connection (connection, true, false);
 }
 
 /* Returns true once more than `unsent_bytes_max' bytes are queued for the
--- /dev/null
+++ b/test/entry_crowd_test.c
@@ -0,0 +1,218 @@
+/* Tests of the entry daemon: crowds of callers outside the limits.  The
+   process must live and stay within the memory and the descriptors that its
+   settings name, and an ordinary request must be answered while the crowd is
+   still connected.  Crowd and bounds follow from the settings below. */
+#include "test/entry_fixture.h"
+
+#include "base/clock.h"
+#include "platform/headers.h"
+#include "test/crowd.h"
+
+/* The memory of the host.  It holds the daemon itself and a few bodies of
+   BODY_BYTES_MAX, the limit that the test's configuration publishes. */
+#define MEMORY_MB 48
+#define BODY_BYTES_MAX 1048576
+
+/* The bodies of a crowd are together twice the memory. */
+#define CROWD (2 * MEMORY_MB)
+
+/* The daemon accepts half as many callers as it may open descriptors, which is
+   more than a crowd. */
+#define DESCRIPTORS 256
+
+/* Callers that connect and say nothing: more than the daemon accepts. */
+#define SILENT_CALLERS 200
+
+/* The longest time in which a crowd sends, and the time for which it then
+   stays connected. */
+#define SEND_US (8 * CLK_S_US)
+#define HOLD_US (1500 * CLK_MS_US)
+#define ROUND_US (10 * CLK_MS_US)
+
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+#define GET                                                                   \
+  "GET /look/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST                             \
+  "\r\nX-Api-Key: key-1\r\n" PFH_REQUEST_ID ": crowd\r\n\r\n"
+
+static const struct crw_load loads[] = {
+  { "chunked bodies, large chunks", CROWD, 65536, CHUNKED, NULL,
+    BODY_BYTES_MAX, "0\r\n\r\n", NULL },
+  { "chunked bodies, chunks of a byte", CROWD, 1, CHUNKED, NULL,
+    BODY_BYTES_MAX / 2 + 1, "0\r\n\r\n", NULL },
+  { "bodies that stop short of their end", CROWD, 16384, CHUNKED, NULL,
+    BODY_BYTES_MAX, "", NULL },
+  { "announced bodies that stop short of their end", CROWD, 0,
+    "Content-Length: 1048576\r\n\r\n", "x", BODY_BYTES_MAX - 1, "", NULL },
+  { "bodies over the limit, announced", CROWD, 0,
+    "Content-Length: 67108864\r\n\r\n", "x", (uint64_t)64 * BODY_BYTES_MAX, "",
+    NULL },
+  { "bodies over the limit, sent", CROWD, 65536, CHUNKED, NULL,
+    (uint64_t)64 * BODY_BYTES_MAX, "", NULL },
+  { "heads without end", CROWD, 0, "", "X-Filler: abcdefghijklmnop\r\n",
+    BODY_BYTES_MAX, "", NULL },
+  { "chunk extensions without end", CROWD, 0, CHUNKED, "1;abcdefghijklmnop",
+    BODY_BYTES_MAX, "", NULL },
+  { "trailers without end", CROWD, 0, CHUNKED "0\r\n",
+    "X-Filler: abcdefghijklmnop\r\n", BODY_BYTES_MAX, "", NULL },
+  { "a byte now and then", CROWD, 16384, CHUNKED, NULL,
+    BODY_BYTES_MAX / 2 + 16384, "", "1\r\nx\r\n" },
+  { "pipelined requests, responses not read", CROWD, 0,
+    "Content-Length: 0\r\n\r\n", GET, 61440, "", NULL },
+  { "callers that say nothing", SILENT_CALLERS, 0, NULL, "", 0, "", NULL },
+};
+
+/* A crowd whose callers send different loads in turn. */
+#define MIX G_N_ELEMENTS (loads)
+
+/* Lets CALLERS send all they have, in turn, and then stay connected.  Returns
+   the most descriptors that the daemon had open.  */
+static uint32_t
+run_crowd (struct efx_fixture *fixture, struct crw_caller *callers,
+           uint32_t count)
+{
+  int64_t end_us = clk_monotonic_us () + SEND_US;
+  uint32_t most = 0;
+  bool sending = true;
+  while (sending && clk_monotonic_us () < end_us)
+    {
+      sending = false;
+      for (uint32_t i = 0; i < count; i++)
+        {
+          sending |= crw_send_next (&callers[i]);
+        }
+      most = MAX (most, sep_descriptor_count (fixture->daemon));
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+    }
+  end_us = clk_monotonic_us () + HOLD_US;
+  while (clk_monotonic_us () < end_us)
+    {
+      for (uint32_t i = 0; i < count; i++)
+        {
+          crw_trickle (&callers[i]);
+        }
+      most = MAX (most, sep_descriptor_count (fixture->daemon));
+      efx_run_for (fixture, ROUND_US);
+    }
+  return most;
+}
+
+/* Sends ordinary requests, while the crowd is connected, until one is served.
+   Returns false if none is.  */
+static bool
+is_served (struct efx_fixture *fixture)
+{
+  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
+  bool served = false;
+  while (!served && clk_monotonic_us () < end_us)
+    {
+      served = efx_send_booking (fixture, "key-1") == 200;
+      efx_run_for (fixture, ROUND_US * 10);
+    }
+  return served;
+}
+
+/* Returns true if MEMORY_KB, the most that the daemon has used, is within that
+   of the host.  The address sanitizer needs memory of its own, so such a build
+   checks only the other bounds.  */
+static bool
+is_within_memory (uint64_t memory_kb)
+{
+#ifdef __SANITIZE_ADDRESS__
+  return memory_kb > 0;
+#else
+  return memory_kb > 0 && memory_kb <= (uint64_t)MEMORY_MB * 1000000 / 1024;
+#endif
+}
+
+/* Plays the load at ROW, or all in turn, against a daemon of its own.  Returns
+   true if the daemon has kept to the bounds.  */
+static bool
+play_load (size_t row)
+{
+  struct efx_fixture *fixture = NULL;
+  uint32_t count = row == MIX ? CROWD : loads[row].callers;
+  g_autofree struct crw_caller *callers = g_new0 (struct crw_caller, count);
+  int status = 0;
+  efx_set_up_limited ((void **)&fixture, BODY_BYTES_MAX, DESCRIPTORS,
+                      MEMORY_MB);
+  assert_true (sep_reset_memory_peak (fixture->daemon));
+  uint64_t before_kb = sep_memory_kb (fixture->daemon);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      g_autofree char *head = g_strdup_printf (
+          "POST /sum/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST
+          "\r\nX-Api-Key: key-1\r\n" PFH_REQUEST_ID ": crowd-%u\r\n",
+          i);
+      crw_open (&callers[i], &loads[row == MIX ? i % MIX : row],
+                sep_caller_address (fixture->daemon), head);
+    }
+  uint32_t descriptors = run_crowd (fixture, callers, count);
+  bool served = is_served (fixture);
+  uint64_t peak_kb = sep_memory_peak_kb (fixture->daemon);
+  bool ended = sep_has_ended (fixture->daemon, &status);
+  uint32_t closed = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      closed += callers[i].closed;
+      crw_close (&callers[i]);
+    }
+  bool kept = !ended && served && is_within_memory (peak_kb)
+              && descriptors <= DESCRIPTORS;
+  print_message ("%s: %s; ended %d (status %d), served %d, %lu KiB before, "
+                 "at most %lu KiB, at most %u descriptors, %u of %u closed\n",
+                 row == MIX ? "a mix" : loads[row].name,
+                 kept ? "kept" : "NOT KEPT", ended, status, served,
+                 (unsigned long)before_kb, (unsigned long)peak_kb, descriptors,
+                 closed, count);
+  efx_tear_down ((void **)&fixture);
+  return kept;
+}
+
+/* Guards against a daemon that a crowd of callers ends by its memory or its
+   descriptors, or keeps from answering others.  */
+static void
+test_crowds (void **state)
+{
+  (void)state;
+  uint32_t failed = 0;
+  for (size_t row = 0; row <= MIX; row++)
+    {
+      failed += !play_load (row);
+    }
+  assert_int_equal (failed, 0);
+}
+
+/* Guards against a limit on memory that refuses a single request inside the
+   limits, with the largest body.  */
+static void
+test_largest_body (void **state)
+{
+  struct efx_fixture *fixture = NULL;
+  g_autofree char *body = g_strnfill (BODY_BYTES_MAX, 'x');
+  (void)state;
+  efx_set_up_limited ((void **)&fixture, BODY_BYTES_MAX, DESCRIPTORS,
+                      MEMORY_MB);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      struct efx_call call;
+      g_autofree char *id = g_strdup_printf ("largest-%u", i);
+      g_autofree char *request = efx_build_request (
+          "POST", EFX_FLEET_HOST, "/sum/a", "key-1", id, body);
+      efx_start_call (fixture, &call, sep_caller_address (fixture->daemon),
+                      request, strlen (request));
+      efx_await_call (fixture, &call);
+      assert_int_equal (call.status, 200);
+      efx_clear_call (&call);
+    }
+  efx_tear_down ((void **)&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_largest_body),
+    cmocka_unit_test (test_crowds),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
