Bound the connections of an entry daemon to endpoints by its descriptors

Idle connections were bounded for each address alone, so 96 callers with pipelined requests to two endpoints left 268 descriptors open of the 256 that the settings name (entry_crowd_test, pipelined requests).

--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -42,6 +42,10 @@
    connection, and one for a file or a connection to an endpoint. */
 #define DESCRIPTORS_PER_CALLER 2
 
+/* File descriptors that are left for listeners, the event loops and the
+   control thread's connections. */
+#define DESCRIPTORS_RESERVED 48
+
 /* Idle connections of callers stay open for this long after a stop began.  The
    load balancer probes once a second, so two probes have failed by then. */
 #define STOP_IDLE_US (2500 * CLK_MS_US)
@@ -381,6 +385,8 @@
     .connect_timeout_us = CONNECT_TIMEOUT_US,
     .user_timeout_ms = USER_TIMEOUT_MS,
     .idle_connections_max = IDLE_CONNECTIONS_MAX,
+    .connections_max
+    = settings->descriptors / DESCRIPTORS_PER_CALLER - DESCRIPTORS_RESERVED,
   };
   const struct rbg_params budget = {
     .ratio = settings->retry_ratio,
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -489,6 +489,33 @@
            address, uv_strerror (status));
 }
 
+/* Closes the connection of CLIENT that has been idle for longest, if there are
+   as many connections as there may be.  The limit on idle ones of each address
+   doesn't bound their number, and with it the descriptors.  */
+static void
+make_room (struct ncl_client *client)
+{
+  uint32_t limit = client->params.connections_max;
+  struct ncl_exchange *oldest = NULL;
+  for (guint i = 0; limit > 0 && client->counts.open >= limit
+                    && i < client->connections->len;
+       i++)
+    {
+      struct ncl_exchange *connection
+          = g_ptr_array_index (client->connections, i);
+      if (connection->connected && !connection->in_use
+          && (oldest == NULL
+              || connection->idle_since_us < oldest->idle_since_us))
+        {
+          oldest = connection;
+        }
+    }
+  if (oldest != NULL)
+    {
+      close_connection (oldest);
+    }
+}
+
 /* Begins to connect to ADDRESS.  Returns the new connection, or NULL when the
    address is not valid or connecting fails at once.  */
 static struct ncl_exchange *
@@ -594,6 +621,7 @@
       = request->new_connection ? NULL : take_idle (client, address);
   if (connection == NULL)
     {
+      make_room (client);
       connection = open_connection (client, address);
     }
   if (connection == NULL)
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -42,6 +42,9 @@
   int64_t connect_timeout_us;
   uint32_t user_timeout_ms; /* TCP_USER_TIMEOUT: sent bytes not acknowledged */
   uint32_t idle_connections_max; /* for each address */
+  /* With so many connections open, an idle one is closed for each new one; 0:
+     no limit. */
+  uint32_t connections_max;
 };
 
 /* A request to send. */
