Send long answers over paths with short intervals

The expected length of an answer, relative to the usual one, is the exponent of the slack in the time between events that a path's weight has: a long answer has more events that must be in time, and holds its slot for each of them.

--- a/src/core/path_choice.c
+++ b/src/core/path_choice.c
@@ -21,6 +21,11 @@
    for others. */
 #define HOME_WEIGHT 1.15
 
+/* Bounds of the expected length of an answer, relative to the usual one, that
+   count in a path's weight. */
+#define LENGTH_MIN 0.25
+#define LENGTH_MAX 4.0
+
 /* Slots are reserved for the more urgent requests of this time. */
 #define RESERVED_S 0.5
 
@@ -254,16 +259,22 @@
 }
 
 /* Sets the weight in OUTLOOK of PATH in the draw for REQUEST: its room, by how
-   soon events are expected there.  */
+   soon events are expected there.  A long answer has more events that must be
+   in time, and holds its slot and delays others for each of them, so the time
+   between events counts for more.  */
 static void
 weigh (const struct pch_path *path, const struct pch_request *request,
        struct outlook *outlook)
 {
+  double length = request->length > 0
+                      ? bounded (request->length, LENGTH_MIN, LENGTH_MAX)
+                      : 1;
   outlook->weight = fmax (outlook->places, FACTOR_MIN) * outlook->part
                     * slack (outlook->first_event_us + outlook->wait_us,
                              request->target_us)
-                    * slack (bounded (path->interval_us, 0, TIME_MAX_US),
-                             request->target_gap_us)
+                    * pow (slack (bounded (path->interval_us, 0, TIME_MAX_US),
+                                  request->target_gap_us),
+                           length)
                     * (path->is_home ? HOME_WEIGHT : 1);
 }
 
--- a/src/core/path_choice.h
+++ b/src/core/path_choice.h
@@ -51,6 +51,8 @@
 {
   double target_us;     /* for the first event; 0: none */
   double target_gap_us; /* between two events; 0: none */
+  double length;        /* expected answer, relative to the usual one; 0:
+                           unknown */
   uint32_t rank;        /* rank index, 0 for the most urgent */
   bool is_resumed;      /* goes on with a stream: engines admit it before new
                            ones of its rank, and it isn't refused */
--- a/src/entry/exchange_path.c
+++ b/src/entry/exchange_path.c
@@ -17,6 +17,12 @@
     .id = exchange->id,
     .service = exg_service_index (exchange),
     .tokens = exchange->tokens,
+    .length
+    = exchange->cost.stated.usual > 0
+          ? MAX (exchange->cost.expected - exg_written_tokens (exchange),
+                 exchange->cost.event_tokens)
+                / exchange->cost.stated.usual
+          : 0,
     .target_us = exchange->route->target_latency_us,
     .target_gap_us = exchange->route->target_gap_us,
     .rank = exchange->rank,
--- a/src/entry/path_choosing.c
+++ b/src/entry/path_choosing.c
@@ -247,6 +247,7 @@
   struct pch_request needs = {
     .target_us = (double)request->target_us,
     .target_gap_us = (double)request->target_gap_us,
+    .length = request->length,
     .rank = request->rank,
     .is_resumed = request->is_resumed,
     .came_back = request->came_back,
--- a/src/entry/path_choosing.h
+++ b/src/entry/path_choosing.h
@@ -35,6 +35,7 @@
   const char *id;
   uint32_t service;
   double tokens; /* memory that it needs in an engine */
+  double length; /* see struct pch_request */
   int64_t target_us;
   int64_t target_gap_us;
   uint32_t rank;
--- a/test/path_choice_test.c
+++ b/test/path_choice_test.c
@@ -26,6 +26,7 @@
   double interval_us[2];
   double closed_us[2];
   double arrivals_per_s[FLT_RANKS_MAX];
+  double length;
   uint32_t rank;
   bool is_resumed;
   bool came_back;
@@ -122,6 +123,24 @@
     .known = true,
     .share_least = 0.65,
     .share_most = 0.8 },
+  { .name = "slow events count for more in a long answer",
+    .interval_us = { 40 * MS, 160 * MS },
+    .length = 4,
+    .known = true,
+    .share_least = 0.93,
+    .share_most = 0.99 },
+  { .name = "and for less in a short one",
+    .interval_us = { 40 * MS, 160 * MS },
+    .length = 0.25,
+    .known = true,
+    .share_least = 0.5,
+    .share_most = 0.6 },
+  { .name = "an absurd length is bounded",
+    .interval_us = { 40 * MS, 160 * MS },
+    .length = 1e300,
+    .known = true,
+    .share_least = 0.93,
+    .share_most = 0.99 },
   { .name = "a path with a full engine is avoided",
     .closed_us = { 50 * MS, 0 },
     .known = true },
@@ -176,6 +195,7 @@
   *request = (struct pch_request){
     .target_us = 500 * MS,
     .target_gap_us = 250 * MS,
+    .length = c->length,
     .rank = c->rank,
     .is_resumed = c->is_resumed,
     .came_back = c->came_back,
