--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -20,6 +20,7 @@
 int cli_serve_run (int argc, char **argv);
 int cli_entry_run (int argc, char **argv);
 int cli_check_run (int argc, char **argv);
+int cli_check_fleet_run (int argc, char **argv);
 int cli_inventory_run (int argc, char **argv);
 int cli_plan_run (int argc, char **argv);
 int cli_config_run (int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -21,6 +21,9 @@
   { .name = "check",
     .summary = "check a settings or configuration file",
     .run = cli_check_run },
+  { .name = "check-fleet",
+    .summary = "check a configuration of the users' platform",
+    .run = cli_check_fleet_run },
   { .name = "inventory",
     .summary = "convert an asset register (CSV) to a configuration",
     .run = cli_inventory_run },
@@ -46,7 +49,7 @@
   fputs ("usage: kumquatthread COMMAND [ARGUMENTS]\n\n", out);
   for (size_t i = 0; i < COMMAND_COUNT; i++)
     {
-      fprintf (out, "  %-10s %s\n", commands[i].name, commands[i].summary);
+      fprintf (out, "  %-11s %s\n", commands[i].name, commands[i].summary);
     }
   fputs ("\n`kumquatthread COMMAND --help' shows usage\n", out);
 }
