Say what callers notice of time-outs of 0 and engines without slots

Requests that are incomplete after a time-out of 0 get 408. Engines without slots are planned without memory for requests but not refused outright.

--- a/src/core/fleet_check.c
+++ b/src/core/fleet_check.c
@@ -155,9 +155,9 @@
         }
       if (service->has_engine && service->engine.slots == 0)
         {
-          add (findings, FCK_ERROR, "service", service->name,
-               "Its engines have 0 slots, so they run no request. Callers get "
-               "503.");
+          add (findings, FCK_WARNING, "service", service->name,
+               "Its engines have 0 slots. No memory is planned for requests, "
+               "so callers may be refused.");
         }
     }
   g_free (used);
@@ -211,12 +211,13 @@
   if (limits->header_timeout_us <= 0)
     {
       add (findings, FCK_ERROR, "limit", "HeaderTimeoutMs",
-           "It is 0. Connections are closed before a request is read.");
+           "It is 0. Requests whose header doesn't arrive at once get 408.");
     }
   if (limits->idle_timeout_us <= 0)
     {
       add (findings, FCK_WARNING, "limit", "IdleTimeoutMs",
-           "It is 0. Callers can hardly use a connection twice.");
+           "It is 0. Connections are closed soon after each response, and "
+           "requests whose body pauses get 408.");
     }
 }
 
