--- a/test/fleet_check_test.c
+++ b/test/fleet_check_test.c
@@ -296,6 +296,18 @@
     { GOOD, SERVICE, ACCOUNT, LIMITS },
     { "change account a: 1 of its keys is taken away. Callers with it get "
       "401" } },
+  { "several keys of two accounts taken away",
+    { GOOD, SERVICE,
+      "{\"Name\":\"a\",\"ApiKeys\":[\"1\",\"3\",\"5\",\"7\",\"9\"]},"
+      "{\"Name\":\"b\",\"ApiKeys\":[\"2\",\"4\",\"6\",\"8\",\"10\"]}",
+      LIMITS },
+    { GOOD, SERVICE,
+      "{\"Name\":\"a\",\"ApiKeys\":[\"1\"]},"
+      "{\"Name\":\"b\",\"ApiKeys\":[\"2\"]}",
+      LIMITS },
+    { "change account a: 4 of its keys are taken away. Callers with them get "
+      "401",
+      "change account b: 4 of its keys are taken away" } },
   { "an account gone, another has one of its keys",
     { GOOD, SERVICE, TWO_KEYS, LIMITS },
     { GOOD, SERVICE, "{\"Name\":\"b\",\"ApiKeys\":[\"key-a\"]}", LIMITS },
