--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -276,9 +276,10 @@
 }
 
 /* Handles that other daemons report the engine ID dead, in its incarnation
-   that started at BORN_MS: as this daemon's own finding if CONFIRMED, or else
-   by avoiding the engine for a while.  Silent streams over it are resumed
-   early.  */
+   that started at BORN_MS: avoids it for a while, longer if CONFIRMED, and
+   resumes silent streams over it early.  The engine doesn't count as dead
+   before this daemon's own calls find it so: the lead would move its layers on
+   the word of others, and each move takes engines out of use.  */
 static void
 on_engine_dead (void *context, const char *id, int64_t born_ms, bool confirmed,
                 int64_t found_us)
@@ -290,18 +291,12 @@
     {
       return;
     }
-  if (confirmed)
-    {
-      fst_report_failure (traffic->fleet, engine, EVD_DEAD,
-                          "reported dead by other daemons", now_us);
-    }
-  else
-    {
-      /* Only an event after this time shows that the engine goes on. */
-      engine->evidence.failed_us = found_us + FKN_PROGRESS_US;
-      engine->evidence.full_until_us
-          = MAX (engine->evidence.full_until_us, now_us + FKN_SUSPECT_US);
-    }
+  struct evd_evidence *evidence = &engine->evidence;
+  /* Only an event after this time shows that the engine goes on. */
+  evidence->failed_us = found_us + FKN_PROGRESS_US;
+  evidence->full_until_us
+      = MAX (evidence->full_until_us,
+             now_us + (confirmed ? FLO_DEATH_US : FKN_SUSPECT_US));
   exg_expedite_checks (traffic, engine);
 }
 
