Use one type and one rank limit for the load at an engine

The choice of paths copied struct flo_total into a type of its own with the same four members, and the number of rank indexes was defined twice with the same value. The choice now reads struct flo_total, and FLT_RANKS_MAX is the only limit.

Two members had no reader: the engine index of a described path, and the flag that guarded the callback of a reported death against calls of lex_report_failure, which that callback never makes: it only sets the timers of checks. Both are removed. No behaviour changes.

--- a/src/core/fleet_known.c
+++ b/src/core/fleet_known.c
@@ -18,7 +18,7 @@
   GHashTable *entries; /* engine id to struct entry */
   uint32_t daemons;
   uint32_t requests; /* of other daemons, at all engines */
-  double per_s[FLO_RANKS];
+  double per_s[FLT_RANKS_MAX];
   int64_t received_us; /* 0: nothing is known */
 };
 
@@ -62,7 +62,7 @@
 {
   total->requests -= MIN (total->requests, own->requests);
   total->daemons -= MIN (total->daemons, 1);
-  for (uint32_t rank = 0; rank < FLO_RANKS; rank++)
+  for (uint32_t rank = 0; rank < FLT_RANKS_MAX; rank++)
     {
       total->waiting[rank] -= MIN (total->waiting[rank], own->waiting[rank]);
     }
@@ -168,7 +168,7 @@
    false when there is no answer that isn't too old.  */
 bool
 fkn_rates (const struct fkn_known *known, int64_t now_us,
-           double per_s[FLO_RANKS])
+           double per_s[FLT_RANKS_MAX])
 {
   memcpy (per_s, known->per_s, sizeof known->per_s);
   return fkn_is_current (known, now_us);
--- a/src/core/fleet_known.h
+++ b/src/core/fleet_known.h
@@ -29,7 +29,7 @@
   const struct flo_sum *sums;
   size_t sum_count;
   uint32_t daemons; /* whose statements are in force */
-  double per_s[FLO_RANKS];
+  double per_s[FLT_RANKS_MAX];
 };
 
 /* A report, and what this daemon's own calls to the engine show.  Points in
@@ -63,7 +63,7 @@
 bool fkn_total (const struct fkn_known *known, const char *id, int64_t born_ms,
                 int64_t now_us, struct flo_total *total);
 bool fkn_rates (const struct fkn_known *known, int64_t now_us,
-                double per_s[FLO_RANKS]);
+                double per_s[FLT_RANKS_MAX]);
 bool fkn_is_disproved (const struct fkn_report *report);
 enum fkn_verdict fkn_judge (const struct fkn_report *report, int64_t now_us);
 
--- a/src/core/fleet_load.c
+++ b/src/core/fleet_load.c
@@ -34,7 +34,7 @@
 {
   struct engine *engine;
   uint32_t requests;
-  uint32_t waiting[FLO_RANKS];
+  uint32_t waiting[FLT_RANKS_MAX];
 };
 
 /* The newest statement of one daemon. */
@@ -43,8 +43,8 @@
   uint64_t sequence;
   int64_t merged_us;
   GArray *parts; /* struct part */
-  uint64_t arrived[FLO_RANKS];
-  double per_s[FLO_RANKS];
+  uint64_t arrived[FLT_RANKS_MAX];
+  double per_s[FLT_RANKS_MAX];
   bool has_rates; /* there were two statements */
 };
 
@@ -169,7 +169,7 @@
 is_valid_part (const struct flo_part *part)
 {
   uint64_t waiting = 0;
-  for (uint32_t rank = 0; rank < FLO_RANKS; rank++)
+  for (uint32_t rank = 0; rank < FLT_RANKS_MAX; rank++)
     {
       waiting += part->waiting[rank];
     }
@@ -251,7 +251,7 @@
       engine->total.requests += part->requests;
       engine->total.daemons++;
       engine->oldest_us = MIN (engine->oldest_us, daemon->merged_us);
-      for (uint32_t rank = 0; rank < FLO_RANKS; rank++)
+      for (uint32_t rank = 0; rank < FLT_RANKS_MAX; rank++)
         {
           engine->total.waiting[rank] += part->waiting[rank];
         }
@@ -316,7 +316,7 @@
               int64_t now_us)
 {
   double elapsed_us = (double)(now_us - daemon->merged_us);
-  for (uint32_t rank = 0; rank < FLO_RANKS && elapsed_us > 0; rank++)
+  for (uint32_t rank = 0; rank < FLT_RANKS_MAX && elapsed_us > 0; rank++)
     {
       uint64_t arrived = statement->arrived[rank];
       uint64_t before = daemon->arrived[rank];
@@ -587,17 +587,17 @@
 
 /* Sets PER_S to the arrivals a second at all daemons, by rank index.  */
 void
-flo_rates (struct flo_table *table, int64_t now_us, double per_s[FLO_RANKS])
+flo_rates (struct flo_table *table, int64_t now_us, double per_s[FLT_RANKS_MAX])
 {
   expire (table, now_us);
   GHashTableIter iter;
   gpointer value;
-  memset (per_s, 0, sizeof (double) * FLO_RANKS);
+  memset (per_s, 0, sizeof (double) * FLT_RANKS_MAX);
   g_hash_table_iter_init (&iter, table->daemons);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct daemon *daemon = value;
-      for (uint32_t rank = 0; rank < FLO_RANKS; rank++)
+      for (uint32_t rank = 0; rank < FLT_RANKS_MAX; rank++)
         {
           per_s[rank] += daemon->per_s[rank];
         }
--- a/src/core/fleet_load.h
+++ b/src/core/fleet_load.h
@@ -15,12 +15,12 @@
 #ifndef CORE_FLEET_LOAD_H
 #define CORE_FLEET_LOAD_H
 
+#include "core/fleet.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
-#define FLO_RANKS 5 /* indexes of the ranks of requests, 0 is the highest */
-
 /* Limits of a table; what is beyond them is refused. */
 #define FLO_DAEMONS_MAX 1024
 #define FLO_PARTS_MAX 256 /* first engines of one daemon */
@@ -42,7 +42,7 @@
   const char *id;
   int64_t born_ms; /* start of the engine's incarnation */
   uint32_t requests;
-  uint32_t waiting[FLO_RANKS]; /* those of them that wait for their first
+  uint32_t waiting[FLT_RANKS_MAX]; /* those of them that wait for their first
                                   event */
 };
 
@@ -63,14 +63,14 @@
   size_t part_count;
   const struct flo_report *reports;
   size_t report_count;
-  uint64_t arrived[FLO_RANKS]; /* requests since the daemon's start */
+  uint64_t arrived[FLT_RANKS_MAX]; /* requests since the daemon's start */
 };
 
 /* The requests at one first engine. */
 struct flo_total
 {
   uint32_t requests;
-  uint32_t waiting[FLO_RANKS]; /* for their first event */
+  uint32_t waiting[FLT_RANKS_MAX]; /* for their first event */
   uint32_t daemons;            /* that state requests there */
   int64_t age_us;              /* of the oldest part */
 };
@@ -109,7 +109,7 @@
 GArray *flo_list (struct flo_table *table, int64_t now_us);
 GArray *flo_list_dead (struct flo_table *table, int64_t now_us);
 void flo_rates (struct flo_table *table, int64_t now_us,
-                double per_s[FLO_RANKS]);
+                double per_s[FLT_RANKS_MAX]);
 uint32_t flo_daemons (struct flo_table *table, int64_t now_us);
 uint64_t flo_deaths_version (const struct flo_table *table);
 bool flo_is_valid_id (const char *id);
--- a/src/core/path_choice.h
+++ b/src/core/path_choice.h
@@ -31,7 +31,6 @@
 /* A path, and what is known of the engine at which it begins. */
 struct pch_path
 {
-  uint32_t engine; /* names the engine: equal for paths that begin there */
   bool is_home;    /* begins in the daemon's own data centre */
   double slots;    /* requests that the engine runs at once, bounded by the
                       capacity of its paths */
--- a/src/entry/load_exchange.c
+++ b/src/entry/load_exchange.c
@@ -76,11 +76,10 @@
   struct fkn_known *known;
   uint64_t deaths_version; /* of the newest answer of `relay' */
   GPtrArray *deaths;       /* struct death */
-  uint64_t arrived[FLO_RANKS];
+  uint64_t arrived[FLT_RANKS_MAX];
   int64_t active_us; /* monotonic, newest stream; 0: none yet */
   bool crowded;      /* statements are sent only then */
   bool lost;         /* no relay answers */
-  bool telling;      /* the owner is being told of a death */
 };
 
 /* Returns whether the requests of SERVICE take paths through engines, whose
@@ -310,10 +309,8 @@
            "endpoint=%s born_ms=%ld reporters=%u age_ms=%ld own=%d", death->id,
            (long)death->born_ms, death->reporters,
            (long)((now_us - death->found_us) / CLK_MS_US), death->own);
-  exchange->telling = true;
   exchange->dead (exchange->context, death->id, death->born_ms, confirmed,
                   death->found_us);
-  exchange->telling = false;
 }
 
 /* Judges all deaths at NOW_US.  One that was ignored since a stream went on
@@ -584,7 +581,7 @@
 {
   if (has_paths (exchange, service))
     {
-      exchange->arrived[MIN (rank, FLO_RANKS - 1)]++;
+      exchange->arrived[MIN (rank, FLT_RANKS_MAX - 1)]++;
       exchange->active_us = now_us;
     }
 }
@@ -600,7 +597,7 @@
                     int64_t now_us)
 {
   bool is_death = kind == EVD_DEAD || (kind == EVD_UNAVAILABLE && in_backoff);
-  if (exchange->telling || !is_death || !exchange->crowded || !endpoint->listed
+  if (!is_death || !exchange->crowded || !endpoint->listed
       || !has_paths (exchange, endpoint->service)
       || psg_is_cut_off (exchange->traffic, endpoint->service))
     {
@@ -644,7 +641,7 @@
    false when nothing recent is known.  */
 bool
 lex_rates (const struct lex_exchange *exchange, int64_t now_us,
-           double per_s[FLO_RANKS])
+           double per_s[FLT_RANKS_MAX])
 {
   return fkn_rates (exchange->known, now_us, per_s);
 }
--- a/src/entry/load_exchange.h
+++ b/src/entry/load_exchange.h
@@ -35,7 +35,7 @@
                 const struct fst_endpoint *endpoint, int64_t now_us,
                 struct flo_total *total);
 bool lex_rates (const struct lex_exchange *exchange, int64_t now_us,
-                double per_s[FLO_RANKS]);
+                double per_s[FLT_RANKS_MAX]);
 void lex_update_gauges (const struct lex_exchange *exchange, int64_t now_us);
 
 #endif
--- a/src/entry/load_message.c
+++ b/src/entry/load_message.c
@@ -15,10 +15,10 @@
 /* Copies the COUNT numbers at STATED to RANKS; those that are missing are 0,
    and further ones are ignored.  */
 static void
-read_ranks (const uint32_t *stated, size_t count, uint32_t ranks[FLO_RANKS])
+read_ranks (const uint32_t *stated, size_t count, uint32_t ranks[FLT_RANKS_MAX])
 {
-  memset (ranks, 0, sizeof (uint32_t) * FLO_RANKS);
-  for (size_t rank = 0; rank < MIN (count, FLO_RANKS); rank++)
+  memset (ranks, 0, sizeof (uint32_t) * FLT_RANKS_MAX);
+  for (size_t rank = 0; rank < MIN (count, FLT_RANKS_MAX); rank++)
     {
       ranks[rank] = stated[rank];
     }
@@ -37,7 +37,7 @@
       parts[i].id = (char *)part->id;
       parts[i].born_ms = part->born_ms;
       parts[i].requests = part->requests;
-      parts[i].n_waiting = FLO_RANKS;
+      parts[i].n_waiting = FLT_RANKS_MAX;
       parts[i].waiting = (uint32_t *)part->waiting;
       message->parts[i] = &parts[i];
     }
@@ -67,7 +67,7 @@
   message.parts = g_new (LoadPart *, statement->part_count + 1);
   message.n_reports = statement->report_count;
   message.reports = g_new (LoadReport *, statement->report_count + 1);
-  message.n_arrived = FLO_RANKS;
+  message.n_arrived = FLT_RANKS_MAX;
   message.arrived = (uint64_t *)statement->arrived;
   message.wait_ms = request->wait_ms;
   message.deaths_version = request->deaths_version;
@@ -140,7 +140,7 @@
     .reports = read_reports (message),
     .report_count = message->n_reports,
   };
-  for (size_t rank = 0; rank < MIN (message->n_arrived, FLO_RANKS); rank++)
+  for (size_t rank = 0; rank < MIN (message->n_arrived, FLT_RANKS_MAX); rank++)
     {
       request->statement.arrived[rank] = message->arrived[rank];
     }
@@ -171,7 +171,7 @@
       stated[i].id = (char *)sum->id;
       stated[i].born_ms = sum->born_ms;
       stated[i].requests = sum->total.requests;
-      stated[i].n_waiting = FLO_RANKS;
+      stated[i].n_waiting = FLT_RANKS_MAX;
       stated[i].waiting = (uint32_t *)sum->total.waiting;
       stated[i].daemons = sum->total.daemons;
       stated[i].age_ms = age_ms (sum->total.age_us);
@@ -207,19 +207,19 @@
 lmg_pack_answer (struct flo_table *table, int64_t now_us)
 {
   LoadAnswer message = LOAD_ANSWER__INIT;
-  double per_s[FLO_RANKS];
-  float rates[FLO_RANKS];
+  double per_s[FLT_RANKS_MAX];
+  float rates[FLT_RANKS_MAX];
   g_autoptr (GArray) sums = flo_list (table, now_us);
   g_autoptr (GArray) deaths = flo_list_dead (table, now_us);
   flo_rates (table, now_us, per_s);
-  for (uint32_t rank = 0; rank < FLO_RANKS; rank++)
+  for (uint32_t rank = 0; rank < FLT_RANKS_MAX; rank++)
     {
       rates[rank] = (float)per_s[rank];
     }
   LoadSum *stated_sums = set_sums (&message, sums);
   LoadDeath *stated_deaths = set_deaths (&message, deaths);
   message.daemons = flo_daemons (table, now_us);
-  message.n_arrivals_per_s = FLO_RANKS;
+  message.n_arrivals_per_s = FLT_RANKS_MAX;
   message.arrivals_per_s = rates;
   message.deaths_version = flo_deaths_version (table);
   GByteArray *bytes = g_byte_array_new ();
@@ -296,7 +296,7 @@
       = (const struct flo_sum *)(const void *)answer->sums->data;
   answer->known.sum_count = answer->sums->len;
   answer->known.daemons = message->daemons;
-  for (size_t rank = 0; rank < MIN (message->n_arrivals_per_s, FLO_RANKS);
+  for (size_t rank = 0; rank < MIN (message->n_arrivals_per_s, FLT_RANKS_MAX);
        rank++)
     {
       double per_s = message->arrivals_per_s[rank];
--- a/src/entry/path_choosing.c
+++ b/src/entry/path_choosing.c
@@ -138,7 +138,7 @@
                const struct fst_endpoint *engine, int64_t now_us,
                struct pch_path *described)
 {
-  struct pcs_load load = { 0 };
+  struct flo_total load = { 0 };
   bool known
       = fleet->source.load (fleet->source.context, engine, now_us, &load);
   double own = engine->first_requests;
@@ -177,13 +177,11 @@
       const struct fst_path *path = g_ptr_array_index (paths, i);
       double weights = 0;
       double capacity = 0;
-      described[i].engine = i;
-      for (guint other = paths->len; other-- > 0;)
+      for (guint other = 0; other < paths->len; other++)
         {
           const struct fst_path *same = g_ptr_array_index (paths, other);
           if (same->parts[0] == path->parts[0])
             {
-              described[i].engine = other;
               weights += same->capacity_tokens / same->token_ms;
               capacity += same->capacity_tokens;
             }
--- a/src/entry/path_choosing.h
+++ b/src/entry/path_choosing.h
@@ -5,26 +5,18 @@
 #ifndef ENTRY_PATH_CHOOSING_H
 #define ENTRY_PATH_CHOOSING_H
 
+#include "core/fleet_load.h"
 #include "entry/fleet_state.h"
 
 struct emt_metrics;
 
-/* The load of all other daemons at a first engine. */
-struct pcs_load
-{
-  uint32_t requests;               /* in progress */
-  uint32_t waiting[FLT_RANKS_MAX]; /* those without a first event, by rank
-                                      index */
-  uint32_t daemons;                /* that state it */
-  int64_t age_us;                  /* of the oldest part */
-};
-
-/* Where that is known from.  Both return false when nothing recent is known.
- */
+/* Where the load of all other daemons is known from.  Both return false when
+   nothing recent is known. */
 struct pcs_source
 {
+  /* The requests at a first engine. */
   bool (*load) (void *context, const struct fst_endpoint *engine,
-                int64_t now_us, struct pcs_load *load);
+                int64_t now_us, struct flo_total *load);
   /* Requests that arrive at all daemons in a second, by rank index. */
   bool (*rates) (void *context, double per_s[FLT_RANKS_MAX]);
   void *context;
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -303,21 +303,10 @@
 /* Sets LOAD to the other daemons' load at ENGINE, see struct pcs_source.  */
 static bool
 read_load (void *context, const struct fst_endpoint *engine, int64_t now_us,
-           struct pcs_load *load)
+           struct flo_total *load)
 {
   const struct trf_traffic *traffic = context;
-  struct flo_total total;
-  if (!lex_total (traffic->load, engine, now_us, &total))
-    {
-      return false;
-    }
-  *load = (struct pcs_load){
-    .requests = total.requests,
-    .daemons = total.daemons,
-    .age_us = total.age_us,
-  };
-  memcpy (load->waiting, total.waiting, sizeof load->waiting);
-  return true;
+  return lex_total (traffic->load, engine, now_us, load);
 }
 
 /* Sets PER_S to the arrivals at all daemons, see struct pcs_source.  */
--- a/test/fleet_load_test.c
+++ b/test/fleet_load_test.c
@@ -263,7 +263,7 @@
         .sequence = steps[i].sequence,
         .arrived = { 0, steps[i].arrived },
       };
-      double per_s[FLO_RANKS];
+      double per_s[FLT_RANKS_MAX];
       if (steps[i].sequence > 0)
         {
           flo_merge (table, &statement, now_us);
--- a/test/path_choice_test.c
+++ b/test/path_choice_test.c
@@ -180,7 +180,6 @@
   for (uint32_t i = 0; i < 2; i++)
     {
       paths[i] = (struct pch_path){
-        .engine = i,
         .slots = 100,
         .part = 1,
         .requests = c->requests[i],
--- a/test/path_choosing_test.c
+++ b/test/path_choosing_test.c
@@ -43,12 +43,12 @@
 
 static bool
 state_load (void *context, const struct fst_endpoint *engine, int64_t now_us,
-            struct pcs_load *load)
+            struct flo_total *load)
 {
   const struct fixture *fixture = context;
   (void)now_us;
   uint32_t index = engine->id[0] == 'a' ? 0 : 1;
-  *load = (struct pcs_load){
+  *load = (struct flo_total){
     .requests = fixture->requests[index],
     .waiting = { fixture->waiting[index] },
     .daemons = 70,
--- a/test/path_model.c
+++ b/test/path_model.c
@@ -163,7 +163,6 @@
   const struct pch_average *usual = &model->usual_holds[stream->daemon];
   double usual_us = usual->at_us > 0 ? usual->value : token_ms[engine] * 400e3;
   struct pch_path path = {
-    .engine = engine,
     .slots = PMD_SLOTS,
     .part = 1,
     .requests = known->requests[engine] + own,
