Share the conditions of a path between both ways to choose one

The choice by the load of the fleet had copies of two conditions of the choice by the daemon's own streams: whether a path takes a request, and for how long one of its engines counts as full. The weight of paths in the own data centre was defined twice. Each stands once now; no behaviour changes.

--- a/src/core/fleet_load.c
+++ b/src/core/fleet_load.c
@@ -587,7 +587,8 @@
 
 /* Sets PER_S to the arrivals a second at all daemons, by rank index.  */
 void
-flo_rates (struct flo_table *table, int64_t now_us, double per_s[FLT_RANKS_MAX])
+flo_rates (struct flo_table *table, int64_t now_us,
+           double per_s[FLT_RANKS_MAX])
 {
   expire (table, now_us);
   GHashTableIter iter;
--- a/src/core/fleet_load.h
+++ b/src/core/fleet_load.h
@@ -71,8 +71,8 @@
 {
   uint32_t requests;
   uint32_t waiting[FLT_RANKS_MAX]; /* for their first event */
-  uint32_t daemons;            /* that state requests there */
-  int64_t age_us;              /* of the oldest part */
+  uint32_t daemons;                /* that state requests there */
+  int64_t age_us;                  /* of the oldest part */
 };
 
 struct flo_sum
--- a/src/core/path_choice.c
+++ b/src/core/path_choice.c
@@ -17,10 +17,6 @@
 /* Lower bound of each factor of a path's weight. */
 #define FACTOR_MIN 0.02
 
-/* Weight of paths that begin in the daemon's own data centre, relative to 1
-   for others. */
-#define HOME_WEIGHT 1.15
-
 /* Bounds of the expected length of an answer, relative to the usual one, that
    count in a path's weight. */
 #define LENGTH_MIN 0.25
@@ -275,7 +271,7 @@
                     * pow (slack (bounded (path->interval_us, 0, TIME_MAX_US),
                                   request->target_gap_us),
                            length)
-                    * (path->is_home ? HOME_WEIGHT : 1);
+                    * (path->is_home ? PCH_HOME_WEIGHT : 1);
 }
 
 /* Fills OUTLOOKS with what follows for REQUEST at each of the COUNT PATHS.
--- a/src/core/path_choice.h
+++ b/src/core/path_choice.h
@@ -20,6 +20,10 @@
 /* Older knowledge of the load isn't used. */
 #define PCH_KNOWLEDGE_MAX_US 1500000
 
+/* Weight of paths that begin in the daemon's own data centre, relative to 1
+   for others; also where the load of the fleet isn't known. */
+#define PCH_HOME_WEIGHT 1.15
+
 /* A moving average, which counts for less the older it is.  All zero at first:
    nothing is known. */
 struct pch_average
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -809,8 +809,8 @@
 /* Returns when every part of PATH may get the next request, not after NOW_US
    if they may now; INT64_MAX if a part isn't listed any more.  Only the first
    part gets the request itself, which its rate counts.  */
-int64_t
-fst_path_opens_us (const struct fst_path *path, int64_t now_us)
+static int64_t
+path_opens_us (const struct fst_path *path, int64_t now_us)
 {
   int64_t opens_us = opens_for_requests_us (path->parts[0], now_us);
   for (uint32_t i = 0; i < path->count; i++)
@@ -825,6 +825,28 @@
   return opens_us;
 }
 
+/* Returns whether PATH of SERVICE takes a request of this daemon at NOW_US. */
+bool
+fst_path_is_open (const struct service_state *service,
+                  const struct fst_path *path, int64_t now_us)
+{
+  return path_opens_us (path, now_us) <= now_us
+         && fst_is_in_reach (service, path->parts[0]);
+}
+
+/* Returns for how long an engine of PATH still counts as full at NOW_US; 0 if
+   none does.  */
+int64_t
+fst_path_full_us (const struct fst_path *path, int64_t now_us)
+{
+  int64_t full_us = 0;
+  for (uint32_t i = 0; i < path->count; i++)
+    {
+      full_us = MAX (full_us, path->parts[i]->evidence.full_until_us - now_us);
+    }
+  return full_us;
+}
+
 /* Returns the state of the service INDEX with its paths as of NOW_US.  */
 struct service_state *
 fst_service_with_paths (struct fst_fleet *fleet, uint32_t index,
@@ -851,7 +873,7 @@
     {
       first_us = MIN (
           first_us,
-          fst_path_opens_us (g_ptr_array_index (service->paths, i), now_us));
+          path_opens_us (g_ptr_array_index (service->paths, i), now_us));
     }
   return service->paths->len == 0                      ? service->opens_us
          : first_us <= now_us || first_us == INT64_MAX ? 0
--- a/src/entry/fleet_state_private.h
+++ b/src/entry/fleet_state_private.h
@@ -47,7 +47,9 @@
                                               uint32_t index, int64_t now_us);
 bool fst_is_in_reach (const struct service_state *service,
                       const struct fst_endpoint *endpoint);
-int64_t fst_path_opens_us (const struct fst_path *path, int64_t now_us);
+bool fst_path_is_open (const struct service_state *service,
+                       const struct fst_path *path, int64_t now_us);
+int64_t fst_path_full_us (const struct fst_path *path, int64_t now_us);
 
 /* Returns when ENDPOINT takes the next request of this daemon: it may have
    turned requests away or named a rate.  The result isn't after NOW_US if it
--- a/src/entry/load_message.c
+++ b/src/entry/load_message.c
@@ -15,7 +15,8 @@
 /* Copies the COUNT numbers at STATED to RANKS; those that are missing are 0,
    and further ones are ignored.  */
 static void
-read_ranks (const uint32_t *stated, size_t count, uint32_t ranks[FLT_RANKS_MAX])
+read_ranks (const uint32_t *stated, size_t count,
+            uint32_t ranks[FLT_RANKS_MAX])
 {
   memset (ranks, 0, sizeof (uint32_t) * FLT_RANKS_MAX);
   for (size_t rank = 0; rank < MIN (count, FLT_RANKS_MAX); rank++)
--- a/src/entry/path_choosing.c
+++ b/src/entry/path_choosing.c
@@ -153,18 +153,6 @@
     }
 }
 
-/* Returns for how long an engine of PATH still counts as full.  */
-static int64_t
-full_for_us (const struct fst_path *path, int64_t now_us)
-{
-  int64_t full_us = 0;
-  for (uint32_t i = 0; i < path->count; i++)
-    {
-      full_us = MAX (full_us, path->parts[i]->evidence.full_until_us - now_us);
-    }
-  return full_us;
-}
-
 /* Sets the slots of the first engines of PATHS and the part of them that is
    for each path: by capacity and speed.  Slots that no path has the capacity
    for, beyond USUAL_TOKENS for a request, don't count.  */
@@ -201,8 +189,7 @@
   for (guint i = 0; i < service->paths->len; i++)
     {
       struct fst_path *path = g_ptr_array_index (service->paths, i);
-      if (fst_path_opens_us (path, now_us) <= now_us
-          && fst_is_in_reach (service, path->parts[0]))
+      if (fst_path_is_open (service, path, now_us))
         {
           g_ptr_array_add (open, path);
         }
@@ -229,7 +216,7 @@
       const struct fst_path *path = g_ptr_array_index (paths, i);
       describe_times (service, spec, path, now_us, &described[i]);
       describe_load (fleet, path->parts[0], now_us, &described[i]);
-      described[i].closed_us = (double)full_for_us (path, now_us);
+      described[i].closed_us = (double)fst_path_full_us (path, now_us);
       described[i].is_home = path->parts[0]->data_centre == home;
     }
   return described;
--- a/src/entry/path_own.c
+++ b/src/entry/path_own.c
@@ -4,10 +4,6 @@
 
 #include <math.h>
 
-/* Weight of paths that begin in the daemon's own data centre, relative to 1
-   for others. */
-#define HOME_WEIGHT 1.15
-
 /* Lower bound of the random number whose logarithm is taken in path_load. */
 #define RANDOM_MIN 1e-6
 
@@ -78,12 +74,7 @@
   double excess_us = fwt_expected_us (&first->first_wait,
                                       oldest_wait_us (first, now_us), now_us)
                      - fwt_limit_us (&first->first_wait, target_us, now_us);
-  for (uint32_t i = 0; i < path->count; i++)
-    {
-      excess_us
-          = MAX (excess_us, path->parts[i]->evidence.full_until_us - now_us);
-    }
-  return MAX (excess_us, 0);
+  return MAX (excess_us, (double)fst_path_full_us (path, now_us));
 }
 
 /* Chooses a path of SERVICE for a request that needs memory for TOKENS and
@@ -106,16 +97,16 @@
   for (guint i = 0; i < state->paths->len; i++)
     {
       struct fst_path *path = g_ptr_array_index (state->paths, i);
-      if (fst_path_opens_us (path, now_us) > now_us
-          || !fst_is_in_reach (state, path->parts[0]))
+      if (!fst_path_is_open (state, path, now_us))
         {
           continue;
         }
       double excess = wait_excess_us (path, target_us, now_us);
       double fill = path_fill (fleet, path, tokens);
       double overload = MAX (fill - FULL_FILL, 0);
-      double weight = (path->parts[0]->data_centre == home ? HOME_WEIGHT : 1)
-                      * path->capacity_tokens / path->token_ms;
+      double weight
+          = (path->parts[0]->data_centre == home ? PCH_HOME_WEIGHT : 1)
+            * path->capacity_tokens / path->token_ms;
       double cost = path_load (path, tokens) * (1 + OVERLOAD_FACTOR * overload)
                     / weight;
       if (excess > 0)
