Look up the data centre and the service once for each choice of an endpoint

Since the choice moved to a file of its own, each endpoint compared the names of two data centres and computed the expected time of the request again. Both are the same for all endpoints and are taken before the loop, the data centre as the index that endpoints hold. The state of the service comes from fst_service_state as before the move, so that no endpoint needs a check for a missing one. No behaviour changes.

--- a/src/entry/endpoint_choosing.c
+++ b/src/entry/endpoint_choosing.c
@@ -4,7 +4,6 @@
 #include "entry/fleet_state_private.h"
 
 #include <math.h>
-#include <string.h>
 
 /* Load that another data centre than the daemon's own adds to an endpoint, in
    requests for each slot. */
@@ -30,7 +29,9 @@
   struct fst_fleet *fleet;
   uint32_t service;
   const GPtrArray *tried;
+  uint32_t home;                      /* index of the own data centre */
   const struct clt_class *call_class; /* NULL: choose by count */
+  double own_us;                      /* expected time of the call */
   double mean_us;                     /* of the service's calls */
   int64_t now_us;
 };
@@ -91,8 +92,7 @@
           = call->began_us == 0 ? 0 : choice->now_us - call->began_us;
       rest_us += clt_remaining_us (call->call_class, run_us, choice->now_us);
     }
-  double own_us = clt_remaining_us (choice->call_class, 0, choice->now_us);
-  return (rest_us / slot_share (choice->fleet, endpoint) + own_us)
+  return (rest_us / slot_share (choice->fleet, endpoint) + choice->own_us)
          * slowness (endpoint, choice->now_us) / choice->mean_us;
 }
 
@@ -104,11 +104,7 @@
 endpoint_cost (const struct choice *choice,
                const struct fst_endpoint *endpoint)
 {
-  const struct fst_fleet *fleet = choice->fleet;
-  const char *data_centre
-      = g_ptr_array_index (fleet->data_centres, endpoint->data_centre);
-  double remote
-      = strcmp (data_centre, fleet->data_centre) == 0 ? 0 : REMOTE_LOAD;
+  double remote = endpoint->data_centre == choice->home ? 0 : REMOTE_LOAD;
   double failures = 1 + FAILURE_FACTOR * endpoint->evidence.failure_rate;
   if (choice->call_class != NULL)
     {
@@ -124,8 +120,8 @@
 cheapest_endpoint (const struct choice *choice, bool last_resort)
 {
   const struct fst_fleet *fleet = choice->fleet;
-  const struct service_state *state = g_hash_table_lookup (
-      fleet->services, fleet->view->config->services[choice->service].name);
+  const struct service_state *state
+      = fst_service_state (choice->fleet, choice->service);
   int64_t now_us = choice->now_us;
   struct fst_endpoint *best = NULL;
   double best_cost = INFINITY;
@@ -133,7 +129,7 @@
     {
       struct fst_endpoint *endpoint = g_ptr_array_index (fleet->ordered, i);
       if (endpoint->service != choice->service || !endpoint->listed
-          || (state != NULL && !fst_is_in_reach (state, endpoint))
+          || !fst_is_in_reach (state, endpoint)
           || now_us < opens_for_requests_us (endpoint, now_us)
           || is_tried (choice->tried, endpoint)
           || !(last_resort || evd_usable (&endpoint->evidence, now_us)))
@@ -165,7 +161,9 @@
     .fleet = fleet,
     .service = service,
     .tried = tried,
+    .home = fst_data_centre_index (fleet, fleet->data_centre),
     .call_class = by_time ? call_class : NULL,
+    .own_us = by_time ? clt_remaining_us (call_class, 0, now_us) : 0,
     .mean_us = by_time ? clt_service_mean_us (times, call_class, now_us) : 0,
     .now_us = now_us,
   };
