Remove the oldest entry of a table in one place

The estimates of lengths and of times of calls each had the loop that the set of departures has for the same purpose: finding the entry with the lowest number and removing it. All three use old_remove now. No behaviour changes.

--- a/src/core/call_time.c
+++ b/src/core/call_time.c
@@ -1,6 +1,7 @@
 #include "core/call_time.h"
 
 #include "core/log_histogram.h"
+#include "core/oldest.h"
 
 #include <glib.h>
 #include <math.h>
@@ -80,26 +81,10 @@
   g_free (call_class);
 }
 
-/* Removes the class that wasn't used for longest.  */
-static void
-remove_oldest (struct clt_times *times)
+static uint64_t
+class_used (gconstpointer entry)
 {
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-  gpointer oldest_key = NULL;
-  uint64_t oldest = UINT64_MAX;
-  g_hash_table_iter_init (&iter, times->classes);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    {
-      const struct clt_class *call_class = value;
-      if (call_class->used < oldest)
-        {
-          oldest = call_class->used;
-          oldest_key = key;
-        }
-    }
-  g_hash_table_remove (times->classes, oldest_key);
+  return ((const struct clt_class *)entry)->used;
 }
 
 /* Returns a reference to the class KEY of SERVICE, created within that of
@@ -113,7 +98,7 @@
     {
       if (g_hash_table_size (times->classes) >= CLASSES_MAX)
         {
-          remove_oldest (times);
+          old_remove (times->classes, class_used);
         }
       call_class = g_new0 (struct clt_class, 1);
       call_class->references = 1;
--- a/src/core/cost.c
+++ b/src/core/cost.c
@@ -1,6 +1,7 @@
 #include "core/cost.h"
 
 #include "core/log_histogram.h"
+#include "core/oldest.h"
 
 #include <glib.h>
 #include <math.h>
@@ -158,26 +159,10 @@
   return cos_parse_number (end + 1, most) && valid;
 }
 
-/* Removes the kind that wasn't used for longest.  */
-static void
-remove_oldest (struct cos_costs *costs)
+static uint64_t
+kind_used (gconstpointer entry)
 {
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-  gpointer oldest_key = NULL;
-  uint64_t oldest = UINT64_MAX;
-  g_hash_table_iter_init (&iter, costs->kinds);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    {
-      const struct kind *kind = value;
-      if (kind->used < oldest)
-        {
-          oldest = kind->used;
-          oldest_key = key;
-        }
-    }
-  g_hash_table_remove (costs->kinds, oldest_key);
+  return ((const struct kind *)entry)->used;
 }
 
 /* Returns the kind of the requests of ACCOUNT on ROUTE, or of all on ROUTE if
@@ -193,7 +178,7 @@
     {
       if (g_hash_table_size (costs->kinds) >= KINDS_MAX)
         {
-          remove_oldest (costs);
+          old_remove (costs->kinds, kind_used);
         }
       kind = g_new0 (struct kind, 1);
       g_hash_table_insert (costs->kinds, g_steal_pointer (&key), kind);
--- a/src/core/departures.c
+++ b/src/core/departures.c
@@ -1,5 +1,7 @@
 #include "core/departures.h"
 
+#include "core/oldest.h"
+
 #include <string.h>
 
 /* What is known of one endpoint id. */
@@ -33,26 +35,10 @@
   g_free (set);
 }
 
-/* Removes the oldest report from SET.  */
-static void
-remove_oldest (struct dep_set *set)
+static uint64_t
+departure_number (gconstpointer entry)
 {
-  GHashTableIter iter;
-  gpointer id;
-  gpointer value;
-  gpointer oldest_id = NULL;
-  uint64_t oldest = UINT64_MAX;
-  g_hash_table_iter_init (&iter, set->departures);
-  while (g_hash_table_iter_next (&iter, &id, &value))
-    {
-      const struct departure *departure = value;
-      if (departure->number < oldest)
-        {
-          oldest = departure->number;
-          oldest_id = id;
-        }
-    }
-  g_hash_table_remove (set->departures, oldest_id);
+  return ((const struct departure *)entry)->number;
 }
 
 /* Records that the endpoint ID said that it leaves, in its incarnation that
@@ -70,7 +56,7 @@
   g_hash_table_replace (set->departures, g_strdup (id), departure);
   if (g_hash_table_size (set->departures) > DEP_KEPT_MAX)
     {
-      remove_oldest (set);
+      old_remove (set->departures, departure_number);
     }
   return true;
 }
