Keep the limit on kept blocks and the values of memory_mb in one place

The entry daemon and serve each defined the size from which freed blocks go back to the kernel, and both settings files the default and the highest value of memory_mb. The values are unchanged.

--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -1,12 +1,12 @@
 /* kumquatthread serve: runs the daemon. */
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/memory.h"
 #include "cli/cli.h"
 #include "cli/options.h"
 #include "daemon/daemon.h"
 
 #include <argtable2.h>
-#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <time.h>
@@ -17,9 +17,6 @@
 /* How often a stopping daemon checks whether its last request has ended. */
 #define POLL_INTERVAL_NS 50000000
 
-/* As in entry/entry.c: the memory of large bodies goes back to the kernel. */
-#define MMAP_THRESHOLD_BYTES (128 * 1024)
-
 /* Prints the addresses that DAEMON listens on, for the program that started
    it.  */
 static void
@@ -85,7 +82,7 @@
   sigaddset (&signals, SIGINT);
   pthread_sigmask (SIG_BLOCK, &signals, NULL);
   signal (SIGPIPE, SIG_IGN);
-  mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
+  mem_return_large_blocks ();
   struct set_settings *settings = set_load (path, diagnostics, &error);
   if (settings == NULL)
     {
--- a/src/config/entry_settings.c
+++ b/src/config/entry_settings.c
@@ -1,6 +1,7 @@
 #include "config/entry_settings.h"
 
 #include "base/error.h"
+#include "base/memory.h"
 #include "config/file.h"
 #include "config/schema.h"
 
@@ -14,8 +15,6 @@
 #define RETRY_RATIO_MAX 1000
 #define RETRY_SLACK_MAX 1e9
 #define DESCRIPTORS_MIN 256
-#define MEMORY_MB 256
-#define MEMORY_MAX_MB 1000000
 #define QUARANTINE_US INT64_C (3000000)
 #define US_PER_MS 1000
 #define US_PER_S 1000000
@@ -26,7 +25,7 @@
 
 static const struct ens_settings defaults = { .membership_min_us = US_PER_S,
                                               .quarantine_us = QUARANTINE_US,
-                                              .memory_mb = MEMORY_MB,
+                                              .memory_mb = MEM_DEFAULT_MB,
                                               .log_level = LOG_INFO };
 
 /* NOLINTBEGIN(bugprone-macro-parentheses): the arguments are member names and
@@ -88,7 +87,7 @@
     .type = SCH_UNSIGNED,
     SCH_MEMBER (struct ens_settings, memory_mb),
     .min = 1,
-    .max = MEMORY_MAX_MB,
+    .max = MEM_MAX_MB,
     .decimal = true },
   DURATION ("drain_ms", drain_us, US_PER_MS, true),
   DURATION ("config_ms", config_apply_max_us, US_PER_MS, true),
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "base/memory.h"
 #include "config/config_schema.h"
 #include "config/file.h"
 
@@ -16,10 +17,7 @@
 #define CALLER_TIMEOUT_MIN_MS 100
 #define CALLER_TIMEOUT_MAX_MS 600000
 
-#define MEMORY_MAX_MB 1000000
-
 #define DEFAULT_TRAFFIC_THREADS 8
-#define DEFAULT_MEMORY_MB 256
 #define DEFAULT_CALLER_TIMEOUT_MS 10000
 
 /* The content of the settings file, which names the files with the secrets
@@ -38,7 +36,7 @@
 static const struct file_settings defaults = {
   .settings = { .log_level = LOG_INFO,
                 .traffic_threads = DEFAULT_TRAFFIC_THREADS,
-                .memory_mb = DEFAULT_MEMORY_MB,
+                .memory_mb = MEM_DEFAULT_MB,
                 .caller_timeout_ms = DEFAULT_CALLER_TIMEOUT_MS },
 };
 
@@ -108,7 +106,7 @@
     .type = SCH_UNSIGNED,
     SCH_MEMBER (struct file_settings, settings.memory_mb),
     .min = 1,
-    .max = MEMORY_MAX_MB },
+    .max = MEM_MAX_MB },
   { .key = "caller_timeout_ms",
     .type = SCH_UNSIGNED,
     SCH_MEMBER (struct file_settings, settings.caller_timeout_ms),
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -2,10 +2,10 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/memory.h"
 #include "entry/fleet_control.h"
 #include "entry/traffic.h"
 
-#include <malloc.h>
 #include <signal.h>
 
 /* Interval at which a stop checks whether the last request has ended. */
@@ -20,11 +20,6 @@
    would be killed. */
 #define STOP_MARGIN_US (200 * CLK_MS_US)
 
-/* Blocks from this size on are returned to the kernel when they are freed.  By
-   default glibc raises this limit to the largest freed block, after which the
-   memory of large bodies stays with the process. */
-#define MMAP_THRESHOLD_BYTES (128 * 1024)
-
 struct entry
 {
   const char *settings_path;
@@ -141,7 +136,7 @@
     .loop = uv_default_loop (),
   };
   signal (SIGPIPE, SIG_IGN);
-  mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
+  mem_return_large_blocks ();
   lg_set_level (settings->log_level);
   lg_set_buffered (true);
   rcu_register_thread ();
