--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -202,3 +202,18 @@
     }
   return route->split[i].service;
 }
+
+/* Returns whether requests on ROUTE of CONFIG need an account.  */
+bool
+flt_needs_account (const struct flt_config *config,
+                   const struct flt_route *route)
+{
+  return config->has_accounts && !route->is_public;
+}
+
+/* Returns whether the requests of SERVICE take paths through engines.  */
+bool
+flt_has_paths (const struct flt_service *service)
+{
+  return service->has_engine && service->engine.layers > 0;
+}
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -139,5 +139,8 @@
 const struct flt_kind *flt_find_kind (const struct flt_engine_spec *engine,
                                       const char *name);
 uint32_t flt_choose_service (const struct flt_route *route, uint32_t draw);
+bool flt_needs_account (const struct flt_config *config,
+                        const struct flt_route *route);
+bool flt_has_paths (const struct flt_service *service);
 
 #endif
--- a/src/core/fleet_check.c
+++ b/src/core/fleet_check.c
@@ -28,13 +28,6 @@
   g_ptr_array_add (findings, finding);
 }
 
-/* Returns true when requests on ROUTE of CONFIG need an account.  */
-static bool
-needs_account (const struct flt_config *config, const struct flt_route *route)
-{
-  return config->has_accounts && !route->is_public;
-}
-
 /* Finds routes that no request can match.  */
 static void
 check_match (GPtrArray *findings, const struct flt_config *config,
@@ -350,8 +343,8 @@
            old->priority, new->priority,
            new->priority < old->priority ? "later" : "earlier");
     }
-  bool needed = needs_account (old_config, old);
-  if (needed != needs_account (new_config, new))
+  bool needed = flt_needs_account (old_config, old);
+  if (needed != flt_needs_account (new_config, new))
     {
       add (changes, FCK_CHANGE, "route", new->name,
            needed ? "It needs no key any more. Everybody can call it."
@@ -406,7 +399,7 @@
           add (changes, FCK_CHANGE, "route", route->name,
                "It is new. Callers of host %s, path prefix %s get it%s.",
                route->host, route->path_prefix,
-               needs_account (new, route) ? " with a key" : "");
+               flt_needs_account (new, route) ? " with a key" : "");
         }
     }
   g_hash_table_destroy (old_names);
--- a/src/core/precedence.c
+++ b/src/core/precedence.c
@@ -30,7 +30,7 @@
 uses_route_priority (const struct flt_config *config,
                      const struct flt_route *route)
 {
-  bool applies = route->is_public || !config->has_accounts;
+  bool applies = !flt_needs_account (config, route);
   for (uint32_t i = 0; i < config->account_count && !applies; i++)
     {
       applies = config->accounts[i].priority == FLT_NO_INDEX;
@@ -47,7 +47,7 @@
     {
       add_rank (service, route->priority);
     }
-  bool has_accounts = config->has_accounts && !route->is_public;
+  bool has_accounts = flt_needs_account (config, route);
   for (uint32_t i = 0; has_accounts && i < config->account_count; i++)
     {
       if (config->accounts[i].priority != FLT_NO_INDEX)
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -577,7 +577,7 @@
       return false;
     }
   const struct flt_service *service = &fst_config (fleet)->services[index];
-  if (service->has_engine && service->engine.layers > 0)
+  if (flt_has_paths (service))
     {
       if (!exg_choose_path (exchange, result))
         {
--- a/src/entry/exchange_cost.c
+++ b/src/entry/exchange_cost.c
@@ -117,7 +117,7 @@
 exg_start_cost (struct exchange *exchange, const struct msg_message *request,
                 const char *method, const struct flt_service *service)
 {
-  if (service->has_engine && service->engine.layers > 0)
+  if (flt_has_paths (service))
     {
       start_stream (exchange, request, &service->engine);
       return;
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -88,7 +88,7 @@
                                              : HTTP_STATUS_SERVICE_UNAVAILABLE,
                                .why = "no route" };
     }
-  if (!config->has_accounts || (*route)->is_public)
+  if (!flt_needs_account (config, *route))
     {
       return (struct refusal){ .status = 0, .why = "" };
     }
--- a/src/entry/fleet_state.c
+++ b/src/entry/fleet_state.c
@@ -887,7 +887,7 @@
 fst_opens_us (struct fst_fleet *fleet, uint32_t service, int64_t now_us)
 {
   const struct flt_service *described = &fst_config (fleet)->services[service];
-  if (described->has_engine && described->engine.layers > 0)
+  if (flt_has_paths (described))
     {
       return first_path_opens_us (fleet, service, now_us);
     }
--- a/src/entry/load_exchange.c
+++ b/src/entry/load_exchange.c
@@ -89,8 +89,7 @@
 {
   const struct flt_config *config = fst_config (exchange->traffic->fleet);
   return config != NULL && service < config->service_count
-         && config->services[service].has_engine
-         && config->services[service].engine.layers > 0;
+         && flt_has_paths (&config->services[service]);
 }
 
 static void
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -555,8 +555,7 @@
 {
   for (uint32_t i = 0; i < config->service_count; i++)
     {
-      if (config->services[i].has_engine
-          && config->services[i].engine.layers > 0)
+      if (flt_has_paths (&config->services[i]))
         {
           place_service (placer, &config->services[i], alive, fence, now_us);
         }
