Share what the two crowd tests read and do

Both had their own readers of the peak memory and the descriptors of a process, their own rounds over a crowd and the same bound on the memory. They now use standin/process_status and test/crowd. Loads, crowds, bounds and assertions are unchanged.

--- a/standin/entry_process.c
+++ b/standin/entry_process.c
@@ -1,6 +1,7 @@
 #include "standin/entry_process.h"
 
 #include "standin/fleet.h"
+#include "standin/process_status.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -239,17 +240,7 @@
 uint64_t
 sep_memory_peak_kb (const struct sep_process *process)
 {
-  g_autofree char *path
-      = g_strdup_printf ("/proc/%d/status", (int)process->pid);
-  g_autofree char *text = NULL;
-  if (process->pid <= 0 || !g_file_get_contents (path, &text, NULL, NULL))
-    {
-      return 0;
-    }
-  const char *line = strstr (text, "\nVmHWM:");
-  return line == NULL
-             ? 0
-             : g_ascii_strtoull (line + strlen ("\nVmHWM:"), NULL, 10);
+  return pst_memory_peak_kb (process->pid);
 }
 
 /* Returns the number of descriptors that the daemon has open, or 0 when it
@@ -257,18 +248,7 @@
 uint32_t
 sep_descriptor_count (const struct sep_process *process)
 {
-  g_autofree char *path = g_strdup_printf ("/proc/%d/fd", (int)process->pid);
-  uint32_t count = 0;
-  GDir *folder = process->pid <= 0 ? NULL : g_dir_open (path, 0, NULL);
-  while (folder != NULL && g_dir_read_name (folder) != NULL)
-    {
-      count++;
-    }
-  if (folder != NULL)
-    {
-      g_dir_close (folder);
-    }
-  return count;
+  return pst_descriptor_count (process->pid);
 }
 
 /* Returns the address on which the daemon serves callers.  */
--- a/test/crowd.c
+++ b/test/crowd.c
@@ -79,8 +79,8 @@
 }
 
 /* Sends the next bytes of CALLER.  Returns true while it has more.  */
-bool
-crw_send_next (struct crw_caller *caller)
+static bool
+send_next (struct crw_caller *caller)
 {
   size_t head_bytes = caller->head->len;
   uint64_t units_end = head_bytes + caller->units_bytes;
@@ -108,12 +108,50 @@
 }
 
 /* Sends the bytes that CALLER's load has for each round once all is sent.  */
+static void
+trickle (struct crw_caller *caller)
+{
+  const char *bytes = caller->load->trickle;
+  if (bytes != NULL && !caller->closed)
+    {
+      send_bytes (caller, bytes, strlen (bytes));
+    }
+}
+
+/* Sends the next bytes of each of the COUNT CALLERS.  Returns true while one
+   of them has more.  */
+bool
+crw_send_round (struct crw_caller *callers, uint32_t count)
+{
+  bool sending = false;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      sending |= send_next (&callers[i]);
+    }
+  return sending;
+}
+
+/* Sends the bytes of a round of each of the COUNT CALLERS, which have sent all
+   else.  */
 void
-crw_trickle (struct crw_caller *caller)
+crw_trickle_round (struct crw_caller *callers, uint32_t count)
 {
-  const char *trickle = caller->load->trickle;
-  if (trickle != NULL && !caller->closed)
+  for (uint32_t i = 0; i < count; i++)
     {
-      send_bytes (caller, trickle, strlen (trickle));
+      trickle (&callers[i]);
     }
 }
+
+/* Returns true if MEMORY_KB, the most that a daemon has used, is within the
+   memory of a host of HOST_MB.  The address sanitizer needs memory of its own,
+   so such a build checks only the other bounds.  */
+bool
+crw_is_within_memory (uint64_t memory_kb, uint64_t host_mb)
+{
+#ifdef __SANITIZE_ADDRESS__
+  (void)host_mb;
+  return memory_kb > 0;
+#else
+  return memory_kb > 0 && memory_kb <= host_mb * 1000000 / 1024;
+#endif
+}
--- a/test/crowd.h
+++ b/test/crowd.h
@@ -35,8 +35,9 @@
 
 void crw_open (struct crw_caller *caller, const struct crw_load *load,
                const char *address, const char *head);
-bool crw_send_next (struct crw_caller *caller);
-void crw_trickle (struct crw_caller *caller);
+bool crw_send_round (struct crw_caller *callers, uint32_t count);
+void crw_trickle_round (struct crw_caller *callers, uint32_t count);
+bool crw_is_within_memory (uint64_t memory_kb, uint64_t host_mb);
 void crw_close (struct crw_caller *caller);
 
 #endif
--- a/test/entry_crowd_test.c
+++ b/test/entry_crowd_test.c
@@ -75,21 +75,14 @@
   bool sending = true;
   while (sending && clk_monotonic_us () < end_us)
     {
-      sending = false;
-      for (uint32_t i = 0; i < count; i++)
-        {
-          sending |= crw_send_next (&callers[i]);
-        }
+      sending = crw_send_round (callers, count);
       most = MAX (most, sep_descriptor_count (fixture->daemon));
       uv_run (&fixture->loop, UV_RUN_NOWAIT);
     }
   end_us = clk_monotonic_us () + HOLD_US;
   while (clk_monotonic_us () < end_us)
     {
-      for (uint32_t i = 0; i < count; i++)
-        {
-          crw_trickle (&callers[i]);
-        }
+      crw_trickle_round (callers, count);
       most = MAX (most, sep_descriptor_count (fixture->daemon));
       efx_run_for (fixture, ROUND_US);
     }
@@ -111,19 +104,6 @@
   return served;
 }
 
-/* Returns true if MEMORY_KB, the most that the daemon has used, is within that
-   of the host.  The address sanitizer needs memory of its own, so such a build
-   checks only the other bounds.  */
-static bool
-is_within_memory (uint64_t memory_kb)
-{
-#ifdef __SANITIZE_ADDRESS__
-  return memory_kb > 0;
-#else
-  return memory_kb > 0 && memory_kb <= (uint64_t)MEMORY_MB * 1000000 / 1024;
-#endif
-}
-
 /* Plays the load at ROW, or all in turn, against a daemon of its own.  Returns
    true if the daemon has kept to the bounds.  */
 static bool
@@ -156,7 +136,7 @@
       closed += callers[i].closed;
       crw_close (&callers[i]);
     }
-  bool kept = !ended && served && is_within_memory (peak_kb)
+  bool kept = !ended && served && crw_is_within_memory (peak_kb, MEMORY_MB)
               && descriptors <= DESCRIPTORS;
   print_message ("%s: %s; ended %d (status %d), served %d, %lu KiB before, "
                  "at most %lu KiB, at most %u descriptors, %u of %u closed\n",
--- a/test/serve_crowd_test.c
+++ b/test/serve_crowd_test.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "standin/fleet.h"
 #include "standin/platform.h"
+#include "standin/process_status.h"
 #include "standin/service.h"
 #include "test/crowd.h"
 
@@ -322,39 +323,6 @@
   g_free (fixture->operator_url);
 }
 
-/* Returns the most resident memory that the daemon has had, in KiB.  */
-static uint64_t
-memory_peak_kb (const struct fixture *fixture)
-{
-  g_autofree char *path = g_strdup_printf ("/proc/%d/status", fixture->pid);
-  g_autofree char *text = NULL;
-  if (!g_file_get_contents (path, &text, NULL, NULL))
-    {
-      return 0;
-    }
-  const char *line = strstr (text, "\nVmHWM:");
-  return line == NULL
-             ? 0
-             : g_ascii_strtoull (line + strlen ("\nVmHWM:"), NULL, 10);
-}
-
-static uint32_t
-descriptor_count (const struct fixture *fixture)
-{
-  g_autofree char *path = g_strdup_printf ("/proc/%d/fd", fixture->pid);
-  uint32_t count = 0;
-  GDir *folder = g_dir_open (path, 0, NULL);
-  while (folder != NULL && g_dir_read_name (folder) != NULL)
-    {
-      count++;
-    }
-  if (folder != NULL)
-    {
-      g_dir_close (folder);
-    }
-  return count;
-}
-
 /* Lets CALLERS send all they have, in turn, and then stay connected.  Returns
    the most descriptors that the daemon had open.  */
 static uint32_t
@@ -366,39 +334,19 @@
   bool sending = true;
   while (sending && clk_monotonic_us () < end_us)
     {
-      sending = false;
-      for (uint32_t i = 0; i < count; i++)
-        {
-          sending |= crw_send_next (&callers[i]);
-        }
-      most = MAX (most, descriptor_count (fixture));
+      sending = crw_send_round (callers, count);
+      most = MAX (most, pst_descriptor_count (fixture->pid));
     }
   end_us = clk_monotonic_us () + HOLD_US;
   while (clk_monotonic_us () < end_us)
     {
-      for (uint32_t i = 0; i < count; i++)
-        {
-          crw_trickle (&callers[i]);
-        }
-      most = MAX (most, descriptor_count (fixture));
+      crw_trickle_round (callers, count);
+      most = MAX (most, pst_descriptor_count (fixture->pid));
       g_usleep (ROUND_US);
     }
   return most;
 }
 
-/* Returns true if MEMORY_KB, the most that the daemon has used, is within that
-   of the host.  The address sanitizer needs memory of its own, so such a build
-   checks only the other bounds.  */
-static bool
-is_within_memory (uint64_t memory_kb)
-{
-#ifdef __SANITIZE_ADDRESS__
-  return memory_kb > 0;
-#else
-  return memory_kb > 0 && memory_kb <= (uint64_t)MEMORY_MB * 1000000 / 1024;
-#endif
-}
-
 /* Plays the load at ROW, or all in turn, against a daemon of its own.  Returns
    true if the daemon has kept to the bounds.  */
 static bool
@@ -408,7 +356,7 @@
   uint32_t count = row == MIX ? CROWD : loads[row].callers;
   g_autofree struct crw_caller *callers = g_new0 (struct crw_caller, count);
   set_up (&fixture);
-  uint64_t before_kb = memory_peak_kb (&fixture);
+  uint64_t before_kb = pst_memory_peak_kb (fixture.pid);
   for (uint32_t i = 0; i < count; i++)
     {
       crw_open (&callers[i], &loads[row == MIX ? i % MIX : row],
@@ -418,7 +366,7 @@
     }
   uint32_t descriptors = run_crowd (&fixture, callers, count);
   bool served = is_served (&fixture);
-  uint64_t peak_kb = memory_peak_kb (&fixture);
+  uint64_t peak_kb = pst_memory_peak_kb (fixture.pid);
   bool ended = waitpid (fixture.pid, NULL, WNOHANG) != 0;
   uint32_t closed = 0;
   for (uint32_t i = 0; i < count; i++)
@@ -426,7 +374,7 @@
       closed += callers[i].closed;
       crw_close (&callers[i]);
     }
-  bool kept = !ended && served && is_within_memory (peak_kb)
+  bool kept = !ended && served && crw_is_within_memory (peak_kb, MEMORY_MB)
               && descriptors <= DESCRIPTORS;
   print_message ("%s: %s; ended %d, served %d, %lu KiB before, at most %lu "
                  "KiB, at most %u descriptors, %u of %u closed\n",
