State the limit on token counts and the check of request ids once

The estimates and the intake of requests defined the same factor above which a stated count is no estimate, and a refusal for want of memory repeated the check of a request's id. Two comments still described the functions before their change: one named a parameter that doesn't exist, the other a whole request where only its head is built. No behaviour changes.

--- a/src/core/cost.c
+++ b/src/core/cost.c
@@ -33,9 +33,6 @@
 /* Limit on the exponent of hints, see struct hint_fit. */
 #define EXPONENT_MAX 2.0
 
-/* A stated number over this multiple of the mean length is no estimate. */
-#define ABSURD_FACTOR 1000.0
-
 /* A hint that is wrong by more than this factor isn't learned for other
    accounts.  With a spread of 0.9 that is one in 10,000 honest ones. */
 #define WILD_FACTOR 32.0
@@ -258,8 +255,8 @@
                     ? lhg_mean (&all->lengths, 0, INFINITY) * LENGTH_UNIT
                     : MAX (request->usual, DEFAULT_LENGTH);
   const struct kind *own = find_own_kind (costs, request);
-  bool absurd_hint = request->hint > mean * ABSURD_FACTOR;
-  bool absurd_most = request->most > mean * ABSURD_FACTOR;
+  bool absurd_hint = request->hint > mean * COS_ABSURD_FACTOR;
+  bool absurd_most = request->most > mean * COS_ABSURD_FACTOR;
   bool unreliable = request->hint > 0 && is_unreliable (own, now_us);
   if (absurd_hint || unreliable)
     {
--- a/src/core/cost.h
+++ b/src/core/cost.h
@@ -15,6 +15,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* A stated number of tokens over this multiple of the mean or usual one is no
+   estimate. */
+#define COS_ABSURD_FACTOR 1000.0
+
 /* What is known of a request before it runs. */
 struct cos_request
 {
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -703,7 +703,8 @@
     }
 }
 
-/* Builds the HTTP request of the next attempt.  The caller frees it.  */
+/* Builds the head of the HTTP request of the next attempt.  The caller frees
+   it.  */
 static GString *
 build_head (struct exchange *exchange)
 {
--- a/src/entry/exchange_cost.c
+++ b/src/entry/exchange_cost.c
@@ -15,9 +15,6 @@
 /* Part of the answers whose memory claim covers them. */
 #define CLAIM_QUANTILE 0.9
 
-/* A prompt over this multiple of the usual one is no count of tokens. */
-#define ABSURD_FACTOR 1000
-
 /* Limit on what a caller says that it has of an answer begun elsewhere, as a
    multiple of the usual answer if it states no limit. */
 #define BEFORE_FACTOR 16
@@ -54,9 +51,9 @@
   return ceil (exchange->cost.prompt + output);
 }
 
-/* Sets what the answer to EXCHANGE's REQUEST, by SERVICE, is expected to be,
-   and the memory that it claims.  In a fleet that isn't crowded that is all
-   that the request may need.  */
+/* Sets what the answer to EXCHANGE's REQUEST, by engines of the kind ENGINE,
+   is expected to be, and the memory that it claims.  In a fleet that isn't
+   crowded that is all that the request may need.  */
 static void
 start_stream (struct exchange *exchange, const struct msg_message *request,
               const struct flt_engine_spec *engine)
@@ -77,7 +74,7 @@
                          ? DEFAULT_TOKENS
                          : MAX (ceil (total), 1);
   if (engine->usual_prompt_tokens > 0
-      && cost->prompt > engine->usual_prompt_tokens * ABSURD_FACTOR)
+      && cost->prompt > engine->usual_prompt_tokens * COS_ABSURD_FACTOR)
     {
       cost->prompt = 0;
       valid = false;
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -273,6 +273,13 @@
   return exchange;
 }
 
+/* Returns whether ID, which may be NULL, can be the id of a request.  */
+static bool
+is_valid_id (const char *id)
+{
+  return id != NULL && strlen (id) < EXG_ID_BYTES;
+}
+
 /* Refuses REQUEST of CALLER, whose body isn't complete, for want of memory.
    REQUEST is NULL if its headers aren't complete either.  */
 void
@@ -281,7 +288,7 @@
                        const struct msg_message *request)
 {
   const char *id = request == NULL ? NULL : msg_find (request, PFH_REQUEST_ID);
-  bool has_id = id != NULL && strlen (id) < EXG_ID_BYTES;
+  bool has_id = is_valid_id (id);
   lg_line (LOG_INFO, "request_refused",
            "request=%s status=%u why=\"memory is short\"", has_id ? id : "-",
            HTTP_STATUS_SERVICE_UNAVAILABLE);
@@ -305,7 +312,7 @@
   cnt_add (traffic->metrics->requests, 1);
   struct refusal refusal
       = check_request (traffic, config, proved_us, request, &route, &account);
-  if (refusal.status == 0 && (id == NULL || strlen (id) >= EXG_ID_BYTES))
+  if (refusal.status == 0 && !is_valid_id (id))
     {
       refusal = (struct refusal){ .status = HTTP_STATUS_BAD_REQUEST,
                                   .why = "no request id" };
