Reject responses of services whose head was cut off

Callers of `serve' got a 200 with an empty body when a service closed the connection within the head of its response: libcurl ends such a call without an error. A 503 with X-Not-Run whose head was cut was taken for a promise, so that the call was sent again.

The client notes the empty line after the headers, and a response without it counts as one that may have run.

--- a/src/endpoint/connection.c
+++ b/src/endpoint/connection.c
@@ -110,9 +110,10 @@
          && g_ascii_strncasecmp (data, start, start_bytes) == 0;
 }
 
-/* Callback of libcurl for each header line: looks for X-Not-Run.  Returns 0,
-   which aborts the call, at a second Content-Length, since libcurl takes the
-   last one.  */
+/* Callback of libcurl for each header line, with its line break: looks for
+   X-Not-Run and for the empty line that ends the head.  Returns 0, which
+   aborts the call, at a second Content-Length, since libcurl takes the last
+   one.  */
 static size_t
 on_header (char *data, size_t size, size_t count, void *user_data)
 {
@@ -121,7 +122,10 @@
   if (begins_with (data, bytes, "HTTP/"))
     {
       answer->lengths = 0;
+      answer->head_complete = false;
     }
+  answer->head_complete
+      |= begins_with (data, bytes, "\r\n") || begins_with (data, bytes, "\n");
   answer->lengths += begins_with (data, bytes, "content-length:");
   if (begins_with (data, bytes, "x-not-run: true"))
     {
@@ -130,15 +134,17 @@
   return answer->lengths > 1 ? 0 : bytes;
 }
 
-/* Returns the error of a call that ended with RESULT and STATUS.  libcurl
-   takes a switch of protocols that wasn't asked for as a response.  */
+/* Returns the error of a call that ended with RESULT and ANSWER.  libcurl
+   takes a switch of protocols that wasn't asked for as a response, and also a
+   head that the end of the connection has cut off.  */
 static enum err_kind
-result_to_error (CURLcode result, uint16_t status)
+result_to_error (CURLcode result, const struct con_answer *answer)
 {
   switch (result)
     {
     case CURLE_OK:
-      return status >= STATUS_MIN && status <= STATUS_MAX
+      return answer->head_complete && answer->status >= STATUS_MIN
+                     && answer->status <= STATUS_MAX
                  ? ERR_NONE
                  : ERR_ENDPOINT_FAILED;
     case CURLE_OPERATION_TIMEDOUT:
@@ -255,7 +261,7 @@
   read_status_and_type (curl, answer);
   curl_easy_setopt (curl, CURLOPT_HTTPHEADER, NULL);
   curl_slist_free_all (headers);
-  enum err_kind error = result_to_error (result, answer->status);
+  enum err_kind error = result_to_error (result, answer);
   if (error == ERR_NONE && !call->new_connection)
     {
       release_connection (pool, curl);
--- a/src/endpoint/connection.h
+++ b/src/endpoint/connection.h
@@ -32,6 +32,7 @@
   uint16_t status;    /* 0: none was received */
   bool not_run;       /* with the header X-Not-Run: true */
   bool maybe_sent;    /* part of the request may have been sent */
+  bool head_complete; /* the empty line after the headers has arrived */
   uint32_t lengths;   /* Content-Length headers of the response */
   char *content_type; /* NULL: none; freed by con_answer_clear */
   GString *body;      /* freed by con_answer_clear */
