Resume a stream after an engine whose events were out of order

Callers lost streams that another engine could have finished: once an engine had skipped an event, or had sent one without an id, the scanner dropped what all further engines sent, so each of them failed too. The state belongs to one sender, and evs_restart, which is called for the next one, resets it.

event_scan_test, the row "the next sender goes on after one that was out of order", failed before.

--- a/src/net/event_scan.c
+++ b/src/net/event_scan.c
@@ -20,13 +20,14 @@
   scanner->pending = NULL;
 }
 
-/* Discards the incomplete event, before the bytes of another sender that
-   resumes the stream after the last complete event.  */
+/* Discards the incomplete event and what was out of order, before the bytes of
+   another sender that resumes the stream after the last complete event.  */
 void
 evs_restart (struct evs_scanner *scanner)
 {
   g_byte_array_set_size (scanner->pending, 0);
   scanner->repeated = 0;
+  scanner->out_of_order = false;
 }
 
 /* Returns the number of bytes of the first complete event in BYTES, including
--- a/src/net/event_scan.h
+++ b/src/net/event_scan.h
@@ -13,7 +13,8 @@
   GByteArray *pending; /* bytes after the last complete event */
   int64_t last_id;     /* of the last event passed on; -1: none */
   uint32_t repeated;   /* events discarded since evs_restart */
-  bool out_of_order;   /* an id skipped a number, or an event lacks one */
+  bool out_of_order;   /* an id skipped a number, or an event lacks one, since
+                          evs_restart */
 };
 
 void evs_init (struct evs_scanner *scanner);
