Don't take a reset that comes with the last bytes for an orderly end

Callers got streams as complete that an engine had cut off (ORDER): libuv reports UV_EOF, without another read, when a reset arrives before the last bytes have been read, and the end of the connection completes a response without a length.

The client asks the socket now: a read returns 0 after an orderly end and an error after a reset. The soak's proxies and callers had the same fault.

--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "net/address.h"
+#include "net/stream.h"
 #include "standin/fleet.h"
 
 #define BACKLOG 256
@@ -211,7 +212,7 @@
   if (count < 0)
     {
       uv_read_stop (stream);
-      enqueue (side->other, NULL, count != UV_EOF);
+      enqueue (side->other, NULL, !nst_ends_in_order (&side->tcp, count));
     }
 }
 
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -330,7 +330,7 @@
     }
 }
 
-/* Handles the end of the connection: a read error when RESET, else a regular
+/* Handles the end of the connection: a failure when RESET, else a regular
    close by the server.  The latter completes a response without a length; any
    other open response fails.  */
 static void
@@ -371,7 +371,7 @@
     }
   if (count < 0)
     {
-      handle_end (connection, count != UV_EOF);
+      handle_end (connection, !nst_ends_in_order (&connection->tcp, count));
       return;
     }
   handle_bytes (connection, buffer->base, (size_t)count);
--- a/src/net/stream.c
+++ b/src/net/stream.c
@@ -13,3 +13,17 @@
       shutdown (descriptor, SHUT_RDWR);
     }
 }
+
+/* Returns whether the peer of TCP has closed the connection in order, after a
+   read that ended with STATUS, a negative number.  libuv reports the end of
+   the connection without another read, so also if a reset has arrived with the
+   last bytes; the socket still has the error then.  */
+bool
+nst_ends_in_order (const uv_tcp_t *tcp, ssize_t status)
+{
+  uv_os_fd_t descriptor;
+  char byte;
+  return status == UV_EOF
+         && uv_fileno ((const uv_handle_t *)tcp, &descriptor) == 0
+         && recv (descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
--- a/test/client_response_test.c
+++ b/test/client_response_test.c
@@ -304,6 +304,25 @@
   ncl_close_idle (fixture->client, fixture->address);
 }
 
+/* Returns whether the exchange for ROW, whose bytes came in steps of STEP, has
+   ended otherwise than it is to, and prints that.  */
+static bool
+differs (const struct fixture *fixture, const struct response_case *row,
+         size_t step)
+{
+  if (fixture->end == row->end
+      && (row->end != END_COMPLETE
+          || (fixture->status == row->status
+              && strcmp (fixture->body->str, row->body) == 0)))
+    {
+      return false;
+    }
+  print_error ("%s, steps of %zd: end %d, status %u, body '%s'\n", row->name,
+               (ssize_t)step, fixture->end, fixture->status,
+               fixture->body->str);
+  return true;
+}
+
 /* Checks that an exchange for each of COUNT CASES ends as it is to, however
    the bytes are split.  */
 static void
@@ -319,18 +338,7 @@
           const struct response_case *row = &cases[i];
           send_request (fixture);
           run_case (fixture, row, MIN (steps[n], strlen (row->bytes)));
-          bool differs
-              = fixture->end != row->end
-                || (row->end == END_COMPLETE
-                    && (fixture->status != row->status
-                        || strcmp (fixture->body->str, row->body) != 0));
-          if (differs)
-            {
-              print_error ("%s, steps of %zd: end %d, status %u, body '%s'\n",
-                           row->name, (ssize_t)steps[n], fixture->end,
-                           fixture->status, fixture->body->str);
-              wrong++;
-            }
+          wrong += differs (fixture, row, steps[n]);
         }
     }
   assert_int_equal (wrong, 0);
@@ -498,6 +506,43 @@
   check_calls (*state, ending_cases, G_N_ELEMENTS (ending_cases));
 }
 
+static const struct response_case reset_cases[] = {
+  { "no length", OK_HEAD "\r\nbody", END_CUT_OFF, 0, "" },
+  { "no length, no body", OK_HEAD "\r\n", END_CUT_OFF, 0, "" },
+  { "within the headers", OK_HEAD "X-A: b\r\n", END_CUT_OFF, 0, "" },
+  { "within the body", OK_HEAD "Content-Length: 5\r\n\r\nbody", END_CUT_OFF, 0,
+    "" },
+  { "after a chunk", CHUNKED_HEAD "4\r\nbody\r\n", END_CUT_OFF, 0, "" },
+  { "a length", SOUND, END_COMPLETE, 200, "body" },
+  { "chunks", CHUNKED_HEAD "4\r\nbody\r\n0\r\n\r\n", END_COMPLETE, 200,
+    "body" },
+};
+
+/* Guards against a response without a length that is taken for complete though
+   the connection was reset: the event loop reports a reset that arrives with
+   the last bytes as an orderly end.  */
+static void
+test_reset_with_last_bytes (void **state)
+{
+  struct fixture *fixture = *state;
+  const struct linger reset = { .l_onoff = 1 };
+  uint32_t wrong = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (reset_cases); i++)
+    {
+      const struct response_case *row = &reset_cases[i];
+      send_request (fixture);
+      int server = accept_connection (fixture);
+      read_request (fixture, server);
+      send (server, row->bytes, strlen (row->bytes), MSG_NOSIGNAL);
+      setsockopt (server, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      close (server);
+      await_end (fixture);
+      ncl_close_idle (fixture->client, fixture->address);
+      wrong += differs (fixture, row, strlen (row->bytes));
+    }
+  assert_int_equal (wrong, 0);
+}
+
 #define OTHER OK_HEAD "Content-Length: 5\r\n\r\nother"
 
 /* Guards against a second copy of a response, late, on a connection that is in
@@ -641,6 +686,8 @@
                                      destroy_fixture),
     cmocka_unit_test_setup_teardown (test_ending, create_fixture,
                                      destroy_fixture),
+    cmocka_unit_test_setup_teardown (test_reset_with_last_bytes,
+                                     create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (test_second_copy, create_fixture,
                                      destroy_fixture),
     cmocka_unit_test_setup_teardown (test_send_by, create_fixture,
