Treat an event without an id as invalid where streams can be resumed

Callers got the head and text of an error as their whole stream when the first engine answered with status 200 and sent them as its body: without ids there was no order to break. The events of a stream that can be resumed have ids, so on such routes an event without one, other than a comment, makes the attempt invalid, and the request goes to another engine.

--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -261,6 +261,7 @@
   exchange->tried_endpoints
       = g_ptr_array_new_with_free_func ((GDestroyNotify)fst_release);
   evs_init (&exchange->scanner);
+  exchange->scanner.needs_ids = route->resumable;
   if (last_event != NULL)
     {
       exchange->scanner.last_id = g_ascii_strtoll (last_event, NULL, 10);
--- a/src/net/event_scan.c
+++ b/src/net/event_scan.c
@@ -95,9 +95,10 @@
 /* Adds COUNT bytes to the stream and appends the events that are now complete
    to COMPLETE.  Discards events whose id is not above the last one, which a
    resumed stream may repeat.  An id that skips a number sets `out_of_order',
-   and so does an event without one after one that has an id: it may be the
-   text of an error.  No more events are passed on then.  Returns the number of
-   events appended, without blocks of comments, which are appended too.  */
+   and so does an event without one after one that has an id, or where all need
+   one: it may be the text of an error.  No more events are passed on then.
+   Returns the number of events appended, without blocks of comments, which are
+   appended too.  */
 uint32_t
 evs_feed (struct evs_scanner *scanner, const void *bytes, size_t count,
           GByteArray *complete)
@@ -118,7 +119,9 @@
       scanner->repeated += repeated;
       bool comment = id < 0 && is_comment (start, length);
       bool follows = comment || (id >= 0 && id == scanner->last_id + 1);
-      scanner->out_of_order = !repeated && !follows && scanner->last_id >= 0;
+      bool lacks_id = scanner->needs_ids && id < 0 && !comment;
+      scanner->out_of_order
+          = lacks_id || (!repeated && !follows && scanner->last_id >= 0);
       if (!repeated && !scanner->out_of_order)
         {
           g_byte_array_append (complete, start, (guint)length);
--- a/src/net/event_scan.h
+++ b/src/net/event_scan.h
@@ -13,6 +13,7 @@
   GByteArray *pending; /* bytes after the last complete event */
   int64_t last_id;     /* of the last event passed on; -1: none */
   uint32_t repeated;   /* events discarded since evs_restart */
+  bool needs_ids;      /* each event must have an id */
   bool out_of_order;   /* an id skipped a number, or an event lacks one, since
                           evs_restart */
 };
--- a/test/entry_unframed_test.c
+++ b/test/entry_unframed_test.c
@@ -221,6 +221,27 @@
     }
 }
 
+/* Guards against the head and text of an error that an engine sends as a
+   stream, with the status 200: the caller got them as its whole answer.  */
+static void
+test_first_engine_fails (void **state)
+{
+  struct efx_fixture *fixture = *state;
+  struct efx_call call;
+  g_autofree char *id = g_strdup_printf ("late-%u", fixture->next_id);
+  g_autoptr (GString) expected = efx_expected_stream (id);
+  sfl_set_fault (fixture->fleet, true, SFL_ERROR_TEXT, 1);
+  efx_start_stream (fixture, &call, SFL_STREAM_EVENTS);
+  efx_await_call (fixture, &call);
+  print_message ("status %u, %zu of %zu bytes, complete %d\n", call.status,
+                 call.body->len, expected->len, call.complete);
+  assert_int_equal (call.status, 200);
+  assert_true (call.complete);
+  assert_string_equal (call.body->str, expected->str);
+  efx_clear_call (&call);
+  await_served (fixture);
+}
+
 /* Guards against the end of an answer that hasn't begun: a caller that has all
    events resumes its stream, and the engines only repeat them.  */
 static void
@@ -270,6 +291,7 @@
     cmocka_unit_test (test_caller_has_all_events),
     cmocka_unit_test (test_caller_without_chunks),
     cmocka_unit_test (test_next_engine_fails),
+    cmocka_unit_test (test_first_engine_fails),
     cmocka_unit_test (test_daemon_is_killed),
     cmocka_unit_test (test_stream_ends_within_event),
     cmocka_unit_test (test_bytes_without_end),
--- a/test/event_scan_test.c
+++ b/test/event_scan_test.c
@@ -199,11 +199,56 @@
     }
 }
 
+/* Guards against the text of an error that is passed on as events of a stream
+   that can be resumed, where each event has an id.  */
+static void
+test_needed_ids (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *first;  /* bytes of a sender */
+    const char *second; /* and of the next one */
+    const char *passed_on;
+    bool out_of_order; /* after the first */
+  } cases[] = {
+    { "events with ids", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n",
+      "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false },
+    { "a comment", ": alive\n\n", "id: 1\ndata: a\n\n",
+      ": alive\n\nid: 1\ndata: a\n\n", false },
+    { "the head of an error", "HTTP/1.1 500 Failed\r\n\r\nfailed\n\n",
+      "id: 1\ndata: a\n\n", "id: 1\ndata: a\n\n", true },
+    { "data without an id", "data: a\n\n", "id: 1\ndata: a\n\n",
+      "id: 1\ndata: a\n\n", true },
+  };
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct evs_scanner scanner;
+      GByteArray *complete = g_byte_array_new ();
+      evs_init (&scanner);
+      scanner.needs_ids = true;
+      evs_feed (&scanner, cases[i].first, strlen (cases[i].first), complete);
+      bool out_of_order = scanner.out_of_order;
+      evs_restart (&scanner);
+      evs_feed (&scanner, cases[i].second, strlen (cases[i].second), complete);
+      g_byte_array_append (complete, (const guint8 *)"", 1);
+      if (strcmp ((const char *)complete->data, cases[i].passed_on) != 0
+          || out_of_order != cases[i].out_of_order || scanner.out_of_order)
+        {
+          fail_msg ("%s: '%s'", cases[i].name, complete->data);
+        }
+      g_byte_array_free (complete, TRUE);
+      evs_clear (&scanner);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_scan),
+    cmocka_unit_test (test_needed_ids),
     cmocka_unit_test (test_every_split),
     cmocka_unit_test (test_comments_are_no_events),
   };
