--- a/test/crowd.c
+++ b/test/crowd.c
@@ -103,6 +103,10 @@
       bytes = caller->block->str + at;
       count = MIN (caller->block->len - at, units_end - caller->sent);
     }
+  if (caller->load->piece_bytes > 0)
+    {
+      count = MIN (count, caller->load->piece_bytes);
+    }
   caller->sent += send_bytes (caller, bytes, count);
   return true;
 }
--- a/test/crowd.h
+++ b/test/crowd.h
@@ -15,9 +15,11 @@
   uint32_t chunk_bytes; /* of the body; 0: `unit' is repeated instead */
   const char *headers;  /* after the head of a request; NULL: no request */
   const char *unit;
-  uint64_t bytes;      /* of all units, without the chunks' heads */
-  const char *end;     /* after the units */
-  const char *trickle; /* then sent in each round; NULL: none */
+  uint64_t bytes;       /* of all units, without the chunks' heads */
+  const char *end;      /* after the units */
+  const char *trickle;  /* then sent in each round; NULL: none */
+  uint32_t piece_bytes; /* sent at a time; 0: as many as the socket takes */
+  bool unanswered;      /* endpoints don't answer the requests */
 };
 
 /* A caller of a crowd. */
--- a/test/entry_crowd_test.c
+++ b/test/entry_crowd_test.c
@@ -29,40 +29,124 @@
 #define HOLD_US (1500 * CLK_MS_US)
 #define ROUND_US (10 * CLK_MS_US)
 
+/* A large body that arrives piece by piece. */
+#define PIECE_BYTES 2048
+#define LARGEST "Content-Length: 1048576\r\n\r\n"
+
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 #define GET                                                                   \
   "GET /look/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST                             \
   "\r\nX-Api-Key: key-1\r\n" PFH_REQUEST_ID ": crowd\r\n\r\n"
 
 static const struct crw_load loads[] = {
-  { "chunked bodies, large chunks", CROWD, 65536, CHUNKED, NULL,
-    BODY_BYTES_MAX, "0\r\n\r\n", NULL },
-  { "chunked bodies, chunks of a byte", CROWD, 1, CHUNKED, NULL,
-    BODY_BYTES_MAX / 2 + 1, "0\r\n\r\n", NULL },
-  { "bodies that stop short of their end", CROWD, 16384, CHUNKED, NULL,
-    BODY_BYTES_MAX, "", NULL },
-  { "announced bodies that stop short of their end", CROWD, 0,
-    "Content-Length: 1048576\r\n\r\n", "x", BODY_BYTES_MAX - 1, "", NULL },
-  { "bodies over the limit, announced", CROWD, 0,
-    "Content-Length: 67108864\r\n\r\n", "x", (uint64_t)64 * BODY_BYTES_MAX, "",
-    NULL },
-  { "bodies over the limit, sent", CROWD, 65536, CHUNKED, NULL,
-    (uint64_t)64 * BODY_BYTES_MAX, "", NULL },
-  { "heads without end", CROWD, 0, "", "X-Filler: abcdefghijklmnop\r\n",
-    BODY_BYTES_MAX, "", NULL },
-  { "chunk extensions without end", CROWD, 0, CHUNKED, "1;abcdefghijklmnop",
-    BODY_BYTES_MAX, "", NULL },
-  { "trailers without end", CROWD, 0, CHUNKED "0\r\n",
-    "X-Filler: abcdefghijklmnop\r\n", BODY_BYTES_MAX, "", NULL },
-  { "a byte now and then", CROWD, 16384, CHUNKED, NULL,
-    BODY_BYTES_MAX / 2 + 16384, "", "1\r\nx\r\n" },
-  { "pipelined requests, responses not read", CROWD, 0,
-    "Content-Length: 0\r\n\r\n", GET, 61440, "", NULL },
-  { "callers that say nothing", SILENT_CALLERS, 0, NULL, "", 0, "", NULL },
+  { .name = "chunked bodies, large chunks",
+    .callers = CROWD,
+    .chunk_bytes = 65536,
+    .headers = CHUNKED,
+    .bytes = BODY_BYTES_MAX,
+    .end = "0\r\n\r\n" },
+  { .name = "chunked bodies, chunks of a byte",
+    .callers = CROWD,
+    .chunk_bytes = 1,
+    .headers = CHUNKED,
+    .bytes = BODY_BYTES_MAX / 2 + 1,
+    .end = "0\r\n\r\n" },
+  { .name = "bodies that stop short of their end",
+    .callers = CROWD,
+    .chunk_bytes = 16384,
+    .headers = CHUNKED,
+    .bytes = BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "announced bodies that stop short of their end",
+    .callers = CROWD,
+    .headers = LARGEST,
+    .unit = "x",
+    .bytes = BODY_BYTES_MAX - 1,
+    .end = "" },
+  { .name = "bodies over the limit, announced",
+    .callers = CROWD,
+    .headers = "Content-Length: 67108864\r\n\r\n",
+    .unit = "x",
+    .bytes = (uint64_t)64 * BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "bodies over the limit, sent",
+    .callers = CROWD,
+    .chunk_bytes = 65536,
+    .headers = CHUNKED,
+    .bytes = (uint64_t)64 * BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "heads without end",
+    .callers = CROWD,
+    .headers = "",
+    .unit = "X-Filler: abcdefghijklmnop\r\n",
+    .bytes = BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "chunk extensions without end",
+    .callers = CROWD,
+    .headers = CHUNKED,
+    .unit = "1;abcdefghijklmnop",
+    .bytes = BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "trailers without end",
+    .callers = CROWD,
+    .headers = CHUNKED "0\r\n",
+    .unit = "X-Filler: abcdefghijklmnop\r\n",
+    .bytes = BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "a byte now and then",
+    .callers = CROWD,
+    .chunk_bytes = 16384,
+    .headers = CHUNKED,
+    .bytes = BODY_BYTES_MAX / 2 + 16384,
+    .end = "",
+    .trickle = "1\r\nx\r\n" },
+  { .name = "pipelined requests, responses not read",
+    .callers = CROWD,
+    .headers = "Content-Length: 0\r\n\r\n",
+    .unit = GET,
+    .bytes = 61440,
+    .end = "" },
+  { .name = "callers that say nothing", .callers = SILENT_CALLERS, .end = "" },
+  { .name = "announced bodies, whole",
+    .callers = CROWD,
+    .headers = LARGEST,
+    .unit = "x",
+    .bytes = BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "announced bodies, whole, that no endpoint answers",
+    .callers = CROWD,
+    .headers = LARGEST,
+    .unit = "x",
+    .bytes = BODY_BYTES_MAX,
+    .end = "",
+    .unanswered = true },
+  { .name = "announced bodies, piece by piece",
+    .callers = CROWD,
+    .headers = LARGEST,
+    .unit = "x",
+    .bytes = BODY_BYTES_MAX,
+    .end = "",
+    .piece_bytes = PIECE_BYTES },
+  { .name = "announced bodies, piece by piece, that stop short of their end",
+    .callers = CROWD,
+    .headers = LARGEST,
+    .unit = "x",
+    .bytes = BODY_BYTES_MAX - 1,
+    .end = "",
+    .piece_bytes = PIECE_BYTES },
+  { .name = "chunked bodies that no endpoint answers",
+    .callers = CROWD,
+    .chunk_bytes = 16384,
+    .headers = CHUNKED,
+    .bytes = BODY_BYTES_MAX,
+    .end = "0\r\n\r\n",
+    .unanswered = true },
 };
 
-/* A crowd whose callers send different loads in turn. */
+/* A crowd whose callers send different loads in turn, the first MIXED_LOADS.
+ */
 #define MIX G_N_ELEMENTS (loads)
+#define MIXED_LOADS 12
 
 /* Lets CALLERS send all they have, in turn, and then stay connected.  Returns
    the most descriptors that the daemon had open.  */
@@ -123,10 +207,16 @@
           "POST /sum/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST
           "\r\nX-Api-Key: key-1\r\n" PFH_REQUEST_ID ": crowd-%u\r\n",
           i);
-      crw_open (&callers[i], &loads[row == MIX ? i % MIX : row],
+      crw_open (&callers[i], &loads[row == MIX ? i % MIXED_LOADS : row],
                 sep_caller_address (fixture->daemon), head);
     }
+  bool unanswered = row != MIX && loads[row].unanswered;
+  if (unanswered)
+    {
+      sfl_set_fault (fixture->fleet, false, SFL_NEVER_ANSWERS, UINT32_MAX);
+    }
   uint32_t descriptors = run_crowd (fixture, callers, count);
+  sfl_end_fault (fixture->fleet, false, SFL_NEVER_ANSWERS);
   bool served = is_served (fixture);
   uint64_t peak_kb = sep_memory_peak_kb (fixture->daemon);
   bool ended = sep_has_ended (fixture->daemon, &status);
--- a/test/serve_crowd_test.c
+++ b/test/serve_crowd_test.c
@@ -47,40 +47,110 @@
 #define SERVED_WITHIN_US (20 * CLK_S_US)
 
 #define TOKEN "clerk-token"
+/* A large body that arrives piece by piece. */
+#define PIECE_BYTES 2048
+#define LARGEST "Content-Length: 1048576\r\n\r\n"
+
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 #define LOOK_UP                                                               \
   "GET /v1/services/bookings/lookup?job=17 HTTP/1.1\r\nHost: x\r\n"           \
   "Authorization: Bearer " TOKEN "\r\n"
 
 static const struct crw_load loads[] = {
-  { "chunked bodies, large chunks", CROWD, 65536, CHUNKED, NULL,
-    BODY_BYTES_MAX, "0\r\n\r\n", NULL },
-  { "chunked bodies, chunks of a byte", CROWD, 1, CHUNKED, NULL,
-    BODY_BYTES_MAX / 2 + 1, "0\r\n\r\n", NULL },
-  { "bodies that stop short of their end", CROWD, 16384, CHUNKED, NULL,
-    BODY_BYTES_MAX, "", NULL },
-  { "announced bodies that stop short of their end", CROWD, 0,
-    "Content-Length: 1048576\r\n\r\n", "x", BODY_BYTES_MAX - 1, "", NULL },
-  { "bodies over the limit, announced", CROWD, 0,
-    "Content-Length: 67108864\r\n\r\n", "x", (uint64_t)64 * BODY_BYTES_MAX, "",
-    NULL },
-  { "bodies over the limit, sent", CROWD, 65536, CHUNKED, NULL,
-    (uint64_t)64 * BODY_BYTES_MAX, "", NULL },
-  { "heads without end", CROWD, 0, "", "X-Filler: abcdefghijklmnop\r\n",
-    BODY_BYTES_MAX, "", NULL },
-  { "chunk extensions without end", CROWD, 0, CHUNKED, "1;abcdefghijklmnop",
-    BODY_BYTES_MAX, "", NULL },
-  { "trailers without end", CROWD, 0, CHUNKED "0\r\n",
-    "X-Filler: abcdefghijklmnop\r\n", BODY_BYTES_MAX, "", NULL },
-  { "a byte now and then", THREADS, 16384, CHUNKED, NULL,
-    BODY_BYTES_MAX / 2 + 16384, "", "1\r\nx\r\n" },
-  { "pipelined requests, responses not read", CROWD, 0,
-    "Content-Length: 0\r\n\r\n", LOOK_UP "\r\n", 61440, "", NULL },
-  { "callers that say nothing", THREADS, 0, NULL, "", 0, "", NULL },
+  { .name = "chunked bodies, large chunks",
+    .callers = CROWD,
+    .chunk_bytes = 65536,
+    .headers = CHUNKED,
+    .bytes = BODY_BYTES_MAX,
+    .end = "0\r\n\r\n" },
+  { .name = "chunked bodies, chunks of a byte",
+    .callers = CROWD,
+    .chunk_bytes = 1,
+    .headers = CHUNKED,
+    .bytes = BODY_BYTES_MAX / 2 + 1,
+    .end = "0\r\n\r\n" },
+  { .name = "bodies that stop short of their end",
+    .callers = CROWD,
+    .chunk_bytes = 16384,
+    .headers = CHUNKED,
+    .bytes = BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "announced bodies that stop short of their end",
+    .callers = CROWD,
+    .headers = LARGEST,
+    .unit = "x",
+    .bytes = BODY_BYTES_MAX - 1,
+    .end = "" },
+  { .name = "bodies over the limit, announced",
+    .callers = CROWD,
+    .headers = "Content-Length: 67108864\r\n\r\n",
+    .unit = "x",
+    .bytes = (uint64_t)64 * BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "bodies over the limit, sent",
+    .callers = CROWD,
+    .chunk_bytes = 65536,
+    .headers = CHUNKED,
+    .bytes = (uint64_t)64 * BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "heads without end",
+    .callers = CROWD,
+    .headers = "",
+    .unit = "X-Filler: abcdefghijklmnop\r\n",
+    .bytes = BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "chunk extensions without end",
+    .callers = CROWD,
+    .headers = CHUNKED,
+    .unit = "1;abcdefghijklmnop",
+    .bytes = BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "trailers without end",
+    .callers = CROWD,
+    .headers = CHUNKED "0\r\n",
+    .unit = "X-Filler: abcdefghijklmnop\r\n",
+    .bytes = BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "a byte now and then",
+    .callers = THREADS,
+    .chunk_bytes = 16384,
+    .headers = CHUNKED,
+    .bytes = BODY_BYTES_MAX / 2 + 16384,
+    .end = "",
+    .trickle = "1\r\nx\r\n" },
+  { .name = "pipelined requests, responses not read",
+    .callers = CROWD,
+    .headers = "Content-Length: 0\r\n\r\n",
+    .unit = LOOK_UP "\r\n",
+    .bytes = 61440,
+    .end = "" },
+  { .name = "callers that say nothing", .callers = THREADS, .end = "" },
+  { .name = "announced bodies, whole",
+    .callers = CROWD,
+    .headers = LARGEST,
+    .unit = "x",
+    .bytes = BODY_BYTES_MAX,
+    .end = "" },
+  { .name = "announced bodies, piece by piece",
+    .callers = CROWD,
+    .headers = LARGEST,
+    .unit = "x",
+    .bytes = BODY_BYTES_MAX,
+    .end = "",
+    .piece_bytes = PIECE_BYTES },
+  { .name = "announced bodies, piece by piece, that stop short of their end",
+    .callers = CROWD,
+    .headers = LARGEST,
+    .unit = "x",
+    .bytes = BODY_BYTES_MAX - 1,
+    .end = "",
+    .piece_bytes = PIECE_BYTES },
 };
 
-/* A crowd whose callers send different loads in turn. */
+/* A crowd whose callers send different loads in turn, the first MIXED_LOADS.
+ */
 #define MIX G_N_ELEMENTS (loads)
+#define MIXED_LOADS 12
 
 static const char configuration[]
     = "version: 1\n"
@@ -359,7 +429,7 @@
   uint64_t before_kb = pst_memory_peak_kb (fixture.pid);
   for (uint32_t i = 0; i < count; i++)
     {
-      crw_open (&callers[i], &loads[row == MIX ? i % MIX : row],
+      crw_open (&callers[i], &loads[row == MIX ? i % MIXED_LOADS : row],
                 fixture.caller_address,
                 "POST /v1/services/bookings/book HTTP/1.1\r\nHost: x\r\n"
                 "Authorization: Bearer " TOKEN "\r\n");
