Draw responses in the soak that a daemon may take for something else

The soak drew six of the stand-in's kinds of invalid responses, none of them without a length, so it couldn't see what the users' own runs showed (ORDER, TWICE, REFUSED). It now spoils the responses of engines or services for up to 3 s at a time, drawn by a generator of its own: without a length, errors within a stream, streams without events or that begin anew, 503 for calls that run, refusals without an id or that come again, no signature, status 000. It prints what a wrong answer was.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -4,6 +4,7 @@
 #include "platform/headers.h"
 #include "standin/fleet.h"
 
+#include <stdio.h>
 #include <string.h>
 
 /* Percentages of drafts and bookings; the other requests are lookups. */
@@ -33,6 +34,9 @@
 /* A caller gives up on a request this long after its deadline. */
 #define GIVE_UP_DELAY_US (3 * CLK_S_US)
 
+/* How much of a wrong answer is printed. */
+#define WRONG_ANSWER_BYTES_MAX 200
+
 struct scl_callers
 {
   struct scl_params params;
@@ -107,6 +111,14 @@
   request->complete = true;
   request->correct = g_string_equal (expected, call->body);
   request->ended_us = clk_monotonic_us ();
+  if (request->status == HTTP_STATUS_OK && !request->correct)
+    {
+      g_autofree char *text
+          = g_strndup (call->body->str, WRONG_ANSWER_BYTES_MAX);
+      g_autofree char *escaped = g_strescape (text, NULL);
+      printf ("wrong answer to %s, %zu bytes: \"%s\"\n", request->id,
+              call->body->len, escaped);
+    }
   g_string_free (expected, TRUE);
   end_call (call);
 }
--- a/soak/injector.c
+++ b/soak/injector.c
@@ -15,10 +15,14 @@
 /* Mixed into the seed, so that the drills don't draw the same numbers. */
 #define DRILL_SEED 0x6b756d71
 #define HARM_SEED 0x68617231
+#define RESPONSE_SEED 0x72657370
 
 /* Mean time from the start of a harm to the start of the next one. */
 #define MEAN_HARM_INTERVAL_MS 5000
 
+/* Mean time from the start of a period of spoiled responses to the next. */
+#define MEAN_RESPONSE_INTERVAL_MS 1500
+
 /* How long the host list goes on naming an endpoint that has been killed. */
 #define DEAD_LISTED_US (1200 * CLK_MS_US)
 
@@ -425,6 +429,8 @@
 
 static const struct disruption_kind harm
     = { "harm", false, stb_crash_endpoints };
+static const struct disruption_kind spoiled_responses
+    = { "responses", false, stb_spoil_responses };
 
 /* Returns an injector whose first disruption begins after 1 s; free it with
    stb_destroy.  What PARAMS point to must outlive it.  */
@@ -442,6 +448,9 @@
   injector->harms = g_rand_new_with_seed (params->seed ^ HARM_SEED);
   injector->active_harms = g_ptr_array_new_with_free_func (g_free);
   injector->next_harm_us = injector->next_us;
+  injector->responses = g_rand_new_with_seed (params->seed ^ RESPONSE_SEED);
+  injector->active_responses = g_ptr_array_new_with_free_func (g_free);
+  injector->next_response_us = injector->next_us;
   injector->version = 1;
   return injector;
 }
@@ -455,6 +464,8 @@
   g_rand_free (injector->drills);
   g_ptr_array_free (injector->active_harms, TRUE);
   g_rand_free (injector->harms);
+  g_ptr_array_free (injector->active_responses, TRUE);
+  g_rand_free (injector->responses);
   g_free (injector);
 }
 
@@ -551,6 +562,18 @@
                   * CLK_MS_US;
       begin_disruption (injector, injector->active_harms, &harm, now_us);
     }
+  if (!injector->ending && !planned_only
+      && now_us >= injector->next_response_us
+      && injector->active_responses->len == 0)
+    {
+      injector->next_response_us
+          = now_us
+            + g_rand_int_range (injector->responses, 1,
+                                2 * MEAN_RESPONSE_INTERVAL_MS)
+                  * CLK_MS_US;
+      begin_disruption (injector, injector->active_responses,
+                        &spoiled_responses, now_us);
+    }
   if (injector->rehearsing && injector->active_drills->len == 0)
     {
       injector->rehearsing = injector->rehearsed < STB_REHEARSED_KINDS;
@@ -565,6 +588,7 @@
   step_disruptions (injector, injector->active, now_us);
   step_disruptions (injector, injector->active_drills, now_us);
   step_disruptions (injector, injector->active_harms, now_us);
+  step_disruptions (injector, injector->active_responses, now_us);
 }
 
 static void
@@ -588,6 +612,7 @@
   injector->ending = true;
   end_faults (injector->active, now_us);
   end_faults (injector->active_drills, now_us);
+  end_faults (injector->active_responses, now_us);
   for (guint i = 0; i < injector->active_harms->len; i++)
     {
       struct disruption *disruption
@@ -612,7 +637,8 @@
 {
   return injector->ending && !injector->rehearsing
          && injector->active->len == 0 && injector->active_drills->len == 0
-         && injector->active_harms->len == 0;
+         && injector->active_harms->len == 0
+         && injector->active_responses->len == 0;
 }
 
 /* Returns the index of the newest extra key, even if it has been removed
--- a/soak/injector_private.h
+++ b/soak/injector_private.h
@@ -20,7 +20,8 @@
                          the outage */
   uint32_t target; /* index of a daemon or endpoint; of an endpoint's fault: 1
                       for the engines, 0 for the services */
-  uint32_t instance;       /* of the endpoint that is the target */
+  uint32_t instance;       /* of the endpoint that is the target; of spoiled
+                              responses: the fault */
   struct spx_proxy *proxy; /* whose connections are disturbed */
   int64_t due_us;          /* of the next phase */
   int64_t begun_us;        /* what the store loses was written from then on */
@@ -43,6 +44,10 @@
   GPtrArray *active_harms; /* struct disruption */
   GRand *harms;
   int64_t next_harm_us;
+  /* Invalid and ambiguous responses, drawn by a generator of their own too. */
+  GPtrArray *active_responses; /* struct disruption */
+  GRand *responses;
+  int64_t next_response_us;
   bool harmful;         /* some requests crash endpoints at present */
   uint32_t harms_begun; /* so far */
   int64_t start_us;
@@ -84,6 +89,8 @@
 void stb_end_restores (struct stb_injector *injector, int64_t now_us);
 void stb_crash_endpoints (struct stb_injector *injector,
                           struct disruption *harm, int64_t now_us);
+void stb_spoil_responses (struct stb_injector *injector,
+                          struct disruption *disruption, int64_t now_us);
 uint32_t stb_draw_drill (struct stb_injector *injector, uint32_t first,
                          uint32_t end);
 
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -479,6 +479,25 @@
   fleet->fault_requests[engines] = requests;
 }
 
+/* Returns whether a fault is injected into the next requests to engines when
+   ENGINES is true, else to services.  */
+bool
+sfl_has_fault (const struct sfl_fleet *fleet, bool engines)
+{
+  return fleet->fault_requests[engines] > 0;
+}
+
+/* Injects FAULT into no further requests.  Another fault that was set since
+   stays.  */
+void
+sfl_end_fault (struct sfl_fleet *fleet, bool engines, enum sfl_fault fault)
+{
+  if (fleet->faults[engines] == fault)
+    {
+      fleet->fault_requests[engines] = 0;
+    }
+}
+
 /* Returns the harm TEXT, or NULL.  */
 static struct sfl_harm *
 find_harm (const struct sfl_fleet *fleet, const char *text)
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -141,6 +141,9 @@
                            const char *retry_after, uint32_t orders);
 void sfl_set_fault (struct sfl_fleet *fleet, bool engines,
                     enum sfl_fault fault, uint32_t requests);
+bool sfl_has_fault (const struct sfl_fleet *fleet, bool engines);
+void sfl_end_fault (struct sfl_fleet *fleet, bool engines,
+                    enum sfl_fault fault);
 void sfl_set_silent (struct sfl_fleet *fleet, uint32_t endpoint, bool silent);
 void sfl_set_stream_events (struct sfl_fleet *fleet, uint32_t events);
 void sfl_set_call_ms (struct sfl_fleet *fleet, uint32_t call_ms);
