Log whether an endpoint's answer had a length

A stream that ended too early couldn't be told in the log from one whose engine ended it in order: request_done said "delivered" for both.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -177,7 +177,8 @@
   lg_line (LOG_INFO, "request_done",
            "request=%s route=%s account=%s outcome=%s status=%u attempts=%u "
            "denials=%u first_ms=%ld pause_ms=%ld total_ms=%ld left_ms=%ld "
-           "config=%lu endpoint=%s hint=%.0f output=%.0f/%.0f path=%s",
+           "config=%lu endpoint=%s hint=%.0f output=%.0f/%.0f "
+           "without_length=%d path=%s",
            exchange->id, exchange->route->name,
            exchange->account == NULL ? "-" : exchange->account->name, outcome,
            status, exchange->attempts, exchange->denials,
@@ -191,7 +192,7 @@
            (unsigned long)exchange->config->version,
            exchange->endpoint == NULL ? "-" : exchange->endpoint->id,
            exchange->cost.stated.hint, exg_written_tokens (exchange),
-           exchange->cost.expected,
+           exchange->cost.expected, exchange->ends_with_connection,
            exchange->path == NULL ? "-" : exchange->path->text);
   cnt_observe_us (metrics->total_time, now_us - exchange->arrived_us);
   exg_learn_cost (exchange);
