Derive receive buffers from the memory of the host

A daemon that is stopped for seconds, or slower than a crowd of callers, ran out of memory in the kernel: each connection could hold 253 KiB that weren't read, and there may be thousands. Received bytes count toward the memory of the host. A constant stood where the memory and the number of connections decide.

The initial buffers, also of connections that wait to be accepted, and the large ones for bodies over 16 KiB, now have a sixteenth of the host each, at least 4 KiB a connection. Where memory_mb isn't given to a server, as for the stand-ins, nothing changes.

--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -185,6 +185,7 @@
     .user_timeout_ms = CALLER_USER_TIMEOUT_MS,
     .connections_max = traffic->settings->descriptors / DESCRIPTORS_PER_CALLER,
     .budget = traffic->budget,
+    .memory_mb = traffic->settings->memory_mb,
   };
   if (config != NULL)
     {
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -17,11 +17,6 @@
 #define READ_BYTES 65536 /* of one read from a socket */
 #define BACKLOG 512      /* connections not accepted yet */
 
-/* Limit on what the kernel keeps for a connection that isn't read; it doubles
-   the number.  By default it may keep megabytes, which count toward the memory
-   of the host. */
-#define RECEIVE_BYTES 131072
-
 /* Limit on the bytes of pipelined requests, which arrive before the response
    to the current one is complete. */
 #define PIPELINED_BYTES_MAX 65536
@@ -123,6 +118,7 @@
   connection->closing = true;
   g_ptr_array_remove_fast (connection->server->connections, connection);
   bbg_close (&connection->account);
+  connection->server->large_buffers -= connection->has_large_buffer;
   if (connection->phase == PHASE_RESPONDING)
     {
       connection->server->request_count--;
@@ -649,8 +645,8 @@
                             (const struct sockaddr *)&server->address, 0);
   if (status == 0)
     {
-      int receive_bytes = RECEIVE_BYTES;
-      uv_recv_buffer_size ((uv_handle_t *)server->listener, &receive_bytes);
+      /* By default the kernel may keep megabytes for a connection. */
+      rcb_set (server->listener, server->buffers.initial_bytes);
       status = uv_listen ((uv_stream_t *)server->listener, BACKLOG,
                           on_connection);
     }
@@ -681,6 +677,8 @@
   server->context = context;
   server->connections = g_ptr_array_new ();
   server->read_buffer = g_malloc (READ_BYTES);
+  rcb_plan_for_host (limits->memory_mb, limits->connections_max + BACKLOG,
+                     &server->buffers);
   int status = nad_parse (address, &server->address) ? open_listener (server)
                                                      : UV_EINVAL;
   if (status != 0)
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -45,6 +45,7 @@
   uint32_t user_timeout_ms; /* TCP_USER_TIMEOUT: sent bytes not acknowledged */
   uint32_t connections_max; /* further ones are reset */
   struct bbg_budget *budget; /* of the memory for connections; NULL: none */
+  uint64_t memory_mb; /* of the host, for receive buffers; 0: no limit */
 };
 
 struct nsv_server *nsv_create (uv_loop_t *loop, const char *address,
--- a/src/net/server_memory.c
+++ b/src/net/server_memory.c
@@ -42,6 +42,33 @@
   return true;
 }
 
+/* Gives CONNECTION, which sends a large body, a large receive buffer if one is
+   left.  */
+static void
+enlarge_buffer (struct nsv_connection *connection)
+{
+  struct nsv_server *server = connection->server;
+  if (!connection->has_large_buffer
+      && server->large_buffers < server->buffers.large_max)
+    {
+      connection->has_large_buffer = true;
+      server->large_buffers++;
+      rcb_set (&connection->tcp, server->buffers.large_bytes);
+    }
+}
+
+/* Takes the large receive buffer of CONNECTION back, if it has one.  */
+static void
+shrink_buffer (struct nsv_connection *connection)
+{
+  if (connection->has_large_buffer)
+    {
+      connection->has_large_buffer = false;
+      connection->server->large_buffers--;
+      rcb_set (&connection->tcp, connection->server->buffers.initial_bytes);
+    }
+}
+
 /* Like nsv_reserve, while a request of CONNECTION arrives: returns -1, which
    stops the parser, if there is no room, else 0.  */
 int
@@ -50,16 +77,22 @@
 {
   if (nsv_reserve (connection, part, bytes))
     {
+      if (part == BBG_BODY && bytes > BBG_SMALL_BYTES)
+        {
+          enlarge_buffer (connection);
+        }
       return 0;
     }
   connection->error_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
   return -1;
 }
 
-/* Frees the body of CONNECTION's request, and the memory reserved for it.  */
+/* Frees the body of CONNECTION's request, and the memory reserved for it and
+   for receiving it.  */
 void
 nsv_release_body (struct nsv_connection *connection)
 {
+  shrink_buffer (connection);
   if (connection->request.body->len > 0)
     {
       g_byte_array_free (connection->request.body, TRUE);
--- a/src/net/server_private.h
+++ b/src/net/server_private.h
@@ -2,6 +2,7 @@
 #ifndef NET_SERVER_PRIVATE_H
 #define NET_SERVER_PRIVATE_H
 
+#include "net/receive_buffer.h"
 #include "net/server.h"
 
 /* Memory of a connection without a request: its state, the arrays of its
@@ -37,6 +38,7 @@
   bool received;        /* the current request, completely */
   bool in_body; /* the headers of the current request have been received */
   bool closing;
+  bool has_large_buffer;    /* for receiving */
   bool resets_at_end;       /* see set_reset_at_end */
   size_t seen_unsent_bytes; /* see nsv_end_unread */
   int64_t unread_since_us;
@@ -55,6 +57,8 @@
   const struct nsv_events *events;
   void *context;
   GPtrArray *connections;
+  struct rcb_plan buffers;
+  uint32_t large_buffers; /* number of connections that have one */
   uint32_t request_count; /* requests without a complete response */
   char *read_buffer;
   bool starved;          /* no descriptor was left at the last check */
--- a/standin/process_status.h
+++ b/standin/process_status.h
@@ -7,5 +7,6 @@
 
 uint64_t pst_memory_peak_kb (pid_t pid);
 uint32_t pst_descriptor_count (pid_t pid);
+uint64_t pst_unread_kb (uint16_t port);
 
 #endif
--- a/test/entry_crowd_test.c
+++ b/test/entry_crowd_test.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "platform/headers.h"
+#include "standin/process_status.h"
 #include "test/crowd.h"
 
 /* The memory of the host.  It holds the daemon itself and a few bodies of
@@ -29,10 +30,16 @@
 #define HOLD_US (1500 * CLK_MS_US)
 #define ROUND_US (10 * CLK_MS_US)
 
+/* Time in which a socket that isn't full takes more. */
+#define FILL_US (200 * CLK_MS_US)
+
 /* A large body that arrives piece by piece. */
 #define PIECE_BYTES 2048
 #define LARGEST "Content-Length: 1048576\r\n\r\n"
 
+#define CROWD_HEAD                                                            \
+  "POST /sum/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST                             \
+  "\r\nX-Api-Key: key-1\r\n" PFH_REQUEST_ID ": crowd-%u\r\n"
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 #define GET                                                                   \
   "GET /look/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST                             \
@@ -203,10 +210,7 @@
   uint64_t before_kb = sep_memory_kb (fixture->daemon);
   for (uint32_t i = 0; i < count; i++)
     {
-      g_autofree char *head = g_strdup_printf (
-          "POST /sum/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST
-          "\r\nX-Api-Key: key-1\r\n" PFH_REQUEST_ID ": crowd-%u\r\n",
-          i);
+      g_autofree char *head = g_strdup_printf (CROWD_HEAD, i);
       crw_open (&callers[i], &loads[row == MIX ? i % MIXED_LOADS : row],
                 sep_caller_address (fixture->daemon), head);
     }
@@ -252,6 +256,74 @@
   assert_int_equal (failed, 0);
 }
 
+/* Lets CALLERS send until their sockets take no more.  */
+static void
+fill_sockets (struct crw_caller *callers, uint32_t count)
+{
+  uint64_t sent = 0;
+  uint64_t before = 1;
+  while (sent != before)
+    {
+      before = sent;
+      sent = 0;
+      g_usleep (FILL_US);
+      for (uint32_t i = 0; i < count; i++)
+        {
+          crw_send_round (&callers[i], 1);
+          sent += callers[i].sent;
+        }
+    }
+}
+
+/* Guards against a process that is ended since it stands still for a time:
+   what the kernel keeps for it until it is read counts toward the memory of
+   the host.  */
+static void
+test_stopped_daemon (void **state)
+{
+  static const struct crw_load load = {
+    .headers = LARGEST,
+    .unit = "x",
+    .bytes = BODY_BYTES_MAX,
+    .end = "",
+  };
+  struct efx_fixture *fixture = NULL;
+  struct crw_caller callers[SILENT_CALLERS];
+  int status = 0;
+  (void)state;
+  efx_set_up_limited ((void **)&fixture, BODY_BYTES_MAX, DESCRIPTORS,
+                      MEMORY_MB);
+  const char *address = sep_caller_address (fixture->daemon);
+  const char *port = strrchr (address, ':') + 1;
+  sep_signal (fixture->daemon, SIGSTOP);
+  for (uint32_t i = 0; i < SILENT_CALLERS; i++)
+    {
+      g_autofree char *head = g_strdup_printf (CROWD_HEAD, i);
+      crw_open (&callers[i], &load, address, head);
+    }
+  fill_sockets (callers, SILENT_CALLERS);
+  uint64_t memory_kb = sep_memory_kb (fixture->daemon);
+  uint64_t unread_kb = pst_unread_kb ((uint16_t)atoi (port));
+  sep_signal (fixture->daemon, SIGCONT);
+  run_crowd (fixture, callers, SILENT_CALLERS);
+  bool served = is_served (fixture);
+  bool ended = sep_has_ended (fixture->daemon, &status);
+  uint64_t peak_kb = sep_memory_peak_kb (fixture->daemon);
+  print_message ("%lu KiB and %lu KiB unread while stopped, at most %lu KiB "
+                 "then, served %d\n",
+                 (unsigned long)memory_kb, (unsigned long)unread_kb,
+                 (unsigned long)peak_kb, served);
+  for (uint32_t i = 0; i < SILENT_CALLERS; i++)
+    {
+      crw_close (&callers[i]);
+    }
+  efx_tear_down ((void **)&fixture);
+  assert_true (crw_is_within_memory (memory_kb + unread_kb, MEMORY_MB));
+  assert_true (crw_is_within_memory (peak_kb, MEMORY_MB));
+  assert_true (served);
+  assert_false (ended);
+}
+
 /* Guards against a limit on memory that refuses a single request inside the
    limits, with the largest body.  */
 static void
@@ -282,6 +354,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_largest_body),
+    cmocka_unit_test (test_stopped_daemon),
     cmocka_unit_test (test_crowds),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
