Keep a large receive buffer until another connection needs it

A buffer that shrinks after each large body drops what its caller may still send by the window that it was told, so a client that sends large bodies one after the other on a connection would wait for retransmissions. The buffer stays with its connection now; when none is left, one is taken from a connection between two requests.

--- a/src/net/receive_buffer.h
+++ b/src/net/receive_buffer.h
@@ -1,8 +1,8 @@
 /* Kernel receive buffers of the connections of callers.  What the kernel has
    received and the process hasn't read counts toward the memory of the host,
    also while the process is stopped or behind, so all buffers together have a
-   bound: each connection gets a small buffer, and a large one only while it
-   sends a large body and few others do. */
+   bound: each connection gets a small buffer, and a large one only for a body
+   that is larger, while few others have one. */
 #ifndef NET_RECEIVE_BUFFER_H
 #define NET_RECEIVE_BUFFER_H
 
--- a/src/net/server_memory.c
+++ b/src/net/server_memory.c
@@ -42,30 +42,45 @@
   return true;
 }
 
-/* Gives CONNECTION, which sends a large body, a large receive buffer if one is
-   left.  */
-static void
-enlarge_buffer (struct nsv_connection *connection)
+/* Takes the large receive buffer back from a connection of SERVER that is
+   between two requests.  Returns false if there is none.  */
+static bool
+reclaim_buffer (struct nsv_server *server)
 {
-  struct nsv_server *server = connection->server;
-  if (!connection->has_large_buffer
-      && server->large_buffers < server->buffers.large_max)
+  for (guint i = 0; i < server->connections->len; i++)
     {
-      connection->has_large_buffer = true;
-      server->large_buffers++;
-      rcb_set (&connection->tcp, server->buffers.large_bytes);
+      struct nsv_connection *connection
+          = g_ptr_array_index (server->connections, i);
+      if (connection->has_large_buffer && connection->phase == PHASE_IDLE)
+        {
+          connection->has_large_buffer = false;
+          server->large_buffers--;
+          rcb_set (&connection->tcp, server->buffers.initial_bytes);
+          return true;
+        }
     }
+  return false;
 }
 
-/* Takes the large receive buffer of CONNECTION back, if it has one.  */
+/* Gives CONNECTION, which sends a body of BYTES so far, a large receive buffer
+   if that is more than its own holds and one is left.  It keeps the buffer for
+   its next requests until another connection needs it: a buffer that shrinks
+   drops what its caller may send by the window that it was told.  */
 static void
-shrink_buffer (struct nsv_connection *connection)
+enlarge_buffer (struct nsv_connection *connection, uint64_t bytes)
 {
-  if (connection->has_large_buffer)
+  struct nsv_server *server = connection->server;
+  if (connection->has_large_buffer || bytes <= server->buffers.initial_bytes
+      || server->buffers.large_max == 0)
+    {
+      return;
+    }
+  if (server->large_buffers < server->buffers.large_max
+      || reclaim_buffer (server))
     {
-      connection->has_large_buffer = false;
-      connection->server->large_buffers--;
-      rcb_set (&connection->tcp, connection->server->buffers.initial_bytes);
+      connection->has_large_buffer = true;
+      server->large_buffers++;
+      rcb_set (&connection->tcp, server->buffers.large_bytes);
     }
 }
 
@@ -77,9 +92,9 @@
 {
   if (nsv_reserve (connection, part, bytes))
     {
-      if (part == BBG_BODY && bytes > BBG_SMALL_BYTES)
+      if (part == BBG_BODY)
         {
-          enlarge_buffer (connection);
+          enlarge_buffer (connection, bytes);
         }
       return 0;
     }
@@ -87,12 +102,10 @@
   return -1;
 }
 
-/* Frees the body of CONNECTION's request, and the memory reserved for it and
-   for receiving it.  */
+/* Frees the body of CONNECTION's request, and the memory reserved for it.  */
 void
 nsv_release_body (struct nsv_connection *connection)
 {
-  shrink_buffer (connection);
   if (connection->request.body->len > 0)
     {
       g_byte_array_free (connection->request.body, TRUE);
