Refuse requests that are read in the last turn of a stop

After uv_stop the event loop polls once more, so what had come since the poll before was accepted and then cut off. A process that was stopped, or had no share of a processor, just before reads several requests then.

Once the requests in progress have had their final answers, further ones are refused with 503 and Retry-After; none of them has run.

--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -184,8 +184,9 @@
   struct spn_history history = run_times (traffic, route, service);
   int64_t age_us = clk_monotonic_us () - traffic->stopping_us;
   int64_t longest_us = spn_longest_us (&history, &needs);
-  bool accepted = spn_accepts (age_us, traffic->settings->stop_us, longest_us,
-                               needs.left_us);
+  bool accepted = !traffic->ends
+                  && spn_accepts (age_us, traffic->settings->stop_us,
+                                  longest_us, needs.left_us);
   lg_line (LOG_INFO, "stop_admission",
            "request=%s accepted=%d age_ms=%ld stop_ms=%ld longest_ms=%ld "
            "left_ms=%ld events_max=%u event_us=%.0f streams=%u calls=%u",
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -441,10 +441,12 @@
 }
 
 /* Ends the requests in progress, and those that still arrive, at the end of
-   the stop.  */
+   the stop.  From then on requests are refused: one that is read in the last
+   turn of the loop would be cut off.  */
 void
 trf_end_requests (struct trf_traffic *traffic)
 {
+  traffic->ends = true;
   exg_stop_all (traffic);
   nsv_refuse_incomplete (traffic->caller_server, STOP_RETRY_AFTER);
 }
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -38,6 +38,7 @@
   uv_timer_t sweep;        /* for time-outs and the log */
   int64_t last_sweep_us;   /* monotonic */
   int64_t stopping_us; /* monotonic, when the stop began; 0: not stopping */
+  bool ends;           /* the loop ends after its next turns */
   bool ready_logged;
   GHashTable *run_times; /* route and service to struct spn_history, of
                             ended requests; see exg_history */
--- a/test/entry_stop_test.c
+++ b/test/entry_stop_test.c
@@ -272,6 +272,104 @@
   assert_true (g_str_has_prefix (answer, "HTTP/1.1 503"));
 }
 
+/* Returns the log of the daemon of FIXTURE, allocated.  */
+static char *
+read_log (const struct efx_fixture *fixture)
+{
+  g_autofree char *path
+      = g_build_filename (fixture->folder, "entry-1.log", NULL);
+  char *text = NULL;
+  assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  return text;
+}
+
+/* Waits until the daemon, which stops, has found that it is idle and will end
+   at its next check.  Its log has BEGIN bytes from before the stop.  Returns
+   false if it has ended already.  */
+static bool
+await_last_check (struct efx_fixture *fixture, size_t begin)
+{
+  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
+  int status = 0;
+  bool ends = false;
+  while (!ends && !sep_has_ended (fixture->daemon, &status)
+         && clk_monotonic_us () < end_us)
+    {
+      efx_run_for (fixture, CLK_MS_US);
+      g_autofree char *text = read_log (fixture);
+      const char *first = strstr (text + begin, "event=stopping");
+      ends = first != NULL && g_strrstr (text, "event=stopping") != first;
+    }
+  return ends && !sep_has_ended (fixture->daemon, &status);
+}
+
+/* Returns a connection to the daemon that has sent nothing.  */
+static int
+connect_caller (const struct efx_fixture *fixture)
+{
+  struct sockaddr_in address;
+  int caller = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  assert_true (nad_parse (sep_caller_address (fixture->daemon), &address));
+  assert_int_equal (
+      connect (caller, (struct sockaddr *)&address, sizeof address), 0);
+  return caller;
+}
+
+/* Guards against a request that is accepted and then cut off without an
+   answer, since it was read in the last turn of the event loop.  A process
+   that is stopped, or has no share of a processor, for a moment before its
+   last check reads what has come meanwhile.  */
+static void
+test_stop_answers_last_requests (void **state)
+{
+  enum
+  {
+    STOPS = 3,
+    CALLS = 4
+  };
+  struct efx_fixture *fixture = *state;
+  uint32_t unanswered = 0;
+  uint32_t stops = 0;
+  for (uint32_t i = 0; i < STOPS; i++)
+    {
+      int callers[CALLS];
+      sep_start (fixture->daemon);
+      efx_await_ready (fixture);
+      g_autofree char *before = read_log (fixture);
+      sep_signal (fixture->daemon, SIGTERM);
+      efx_run_for (fixture, 3000 * CLK_MS_US);
+      for (uint32_t n = 0; n < CALLS; n++)
+        {
+          callers[n] = connect_caller (fixture);
+        }
+      bool ends = await_last_check (fixture, strlen (before));
+      stops += ends && sep_signal (fixture->daemon, SIGSTOP);
+      for (uint32_t n = 0; n < CALLS; n++)
+        {
+          g_autofree char *id = g_strdup_printf ("last-%u-%u", i, n);
+          g_autofree char *request = efx_build_request (
+              "POST", EFX_FLEET_HOST, "/book/a", "key-1", id, "");
+          send (callers[n], request, strlen (request), MSG_NOSIGNAL);
+        }
+      efx_run_for (fixture, 200 * CLK_MS_US);
+      sep_signal (fixture->daemon, SIGCONT);
+      efx_await_exit (fixture);
+      for (uint32_t n = 0; n < CALLS; n++)
+        {
+          char answer[16] = "";
+          g_autofree char *log = read_log (fixture);
+          g_autofree char *id = g_strdup_printf ("request=last-%u-%u ", i, n);
+          recv (callers[n], answer, sizeof answer - 1, MSG_DONTWAIT);
+          close (callers[n]);
+          bool was_read = strstr (log, id) != NULL;
+          print_message ("read %d, '%s'\n", was_read, answer);
+          unanswered += was_read && answer[0] == '\0';
+        }
+    }
+  assert_true (stops > 0);
+  assert_int_equal (unanswered, 0);
+}
+
 /* Guards against sending calls on and on to an endpoint that hangs: a call
    that timed out or whose caller left said nothing about its endpoint, which
    looked idle.  */
@@ -328,6 +426,7 @@
     cmocka_unit_test (test_stop_answers_new_connection),
     cmocka_unit_test (test_stop_answers_unfinished),
     cmocka_unit_test (test_stop_refuses_incomplete),
+    cmocka_unit_test (test_stop_answers_last_requests),
     cmocka_unit_test (test_silent_endpoint),
   };
   return cmocka_run_group_tests (tests, efx_set_up, efx_tear_down);
