--- a/src/net/receive_buffer.c
+++ b/src/net/receive_buffer.c
@@ -37,7 +37,7 @@
       plan->initial_bytes
           = (uint32_t)CLAMP (each, INITIAL_MIN_BYTES, LARGE_BYTES);
       plan->large_bytes = LARGE_BYTES;
-      plan->large_max = (uint32_t)(half / (KERNEL_FACTOR * LARGE_BYTES));
+      plan->large_max = (uint32_t)(half / KERNEL_FACTOR / LARGE_BYTES);
     }
 }
 
