Open the connections of the stop tests in one place

Two tests connected by the same lines that connect_caller has, and the log of the daemon was read again for each of four requests.

--- a/test/entry_stop_test.c
+++ b/test/entry_stop_test.c
@@ -187,6 +187,18 @@
     }
 }
 
+/* Returns a connection to the daemon that has sent nothing.  */
+static int
+connect_caller (const struct efx_fixture *fixture)
+{
+  struct sockaddr_in address;
+  int caller = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  assert_true (nad_parse (sep_caller_address (fixture->daemon), &address));
+  assert_int_equal (
+      connect (caller, (struct sockaddr *)&address, sizeof address), 0);
+  return caller;
+}
+
 /* Guards against closing the connections of callers that come late in a stop
    without an answer: a connection whose first request was still on its way was
    taken for idle.  */
@@ -200,12 +212,8 @@
   struct efx_call stream;
   stop_with_stream (fixture, &stream);
   efx_run_for (fixture, 2800 * CLK_MS_US);
-  struct sockaddr_in address;
   char answer[16] = "";
-  int caller = socket (AF_INET, SOCK_STREAM, 0);
-  assert_true (nad_parse (sep_caller_address (fixture->daemon), &address));
-  assert_int_equal (
-      connect (caller, (struct sockaddr *)&address, sizeof address), 0);
+  int caller = connect_caller (fixture);
   efx_run_for (fixture, 500 * CLK_MS_US);
   assert_int_equal (send (caller, request, sizeof request - 1, MSG_NOSIGNAL),
                     sizeof request - 1);
@@ -254,14 +262,10 @@
       = "POST /book/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST
         "\r\nX-Api-Key: key-1\r\nContent-Length: 9\r\n\r\nbody";
   struct efx_fixture *fixture = *state;
-  struct sockaddr_in address;
   char answer[16] = "";
   sep_start (fixture->daemon);
   efx_await_ready (fixture);
-  int caller = socket (AF_INET, SOCK_STREAM, 0);
-  assert_true (nad_parse (sep_caller_address (fixture->daemon), &address));
-  assert_int_equal (
-      connect (caller, (struct sockaddr *)&address, sizeof address), 0);
+  int caller = connect_caller (fixture);
   send (caller, request, sizeof request - 1, MSG_NOSIGNAL);
   efx_run_for (fixture, 200 * CLK_MS_US);
   sep_signal (fixture->daemon, SIGTERM);
@@ -283,18 +287,6 @@
   return text;
 }
 
-/* Returns a connection to the daemon that has sent nothing.  */
-static int
-connect_caller (const struct efx_fixture *fixture)
-{
-  struct sockaddr_in address;
-  int caller = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  assert_true (nad_parse (sep_caller_address (fixture->daemon), &address));
-  assert_int_equal (
-      connect (caller, (struct sockaddr *)&address, sizeof address), 0);
-  return caller;
-}
-
 /* Guards against a request that is accepted and then cut off without an
    answer, since it was read in the last turn of the event loop.  A process
    that is stopped, or has no share of a processor, for a moment before its
@@ -338,10 +330,10 @@
       efx_run_for (fixture, 200 * CLK_MS_US);
       sep_signal (fixture->daemon, SIGCONT);
       efx_await_exit (fixture);
+      g_autofree char *log = read_log (fixture);
       for (uint32_t n = 0; n < CALLS; n++)
         {
           char answer[16] = "";
-          g_autofree char *log = read_log (fixture);
           g_autofree char *id = g_strdup_printf ("request=last-%u-%u ", i, n);
           recv (callers[n], answer, sizeof answer - 1, MSG_DONTWAIT);
           close (callers[n]);
--- a/test/serve_crowd_test.c
+++ b/test/serve_crowd_test.c
@@ -47,6 +47,7 @@
 #define SERVED_WITHIN_US (20 * CLK_S_US)
 
 #define TOKEN "clerk-token"
+
 /* A large body that arrives piece by piece. */
 #define PIECE_BYTES 2048
 #define LARGEST "Content-Length: 1048576\r\n\r\n"
