--- a/review/lib2/daemon.c
+++ b/review/lib2/daemon.c
@@ -68,7 +68,7 @@
 {
   const char *folder = getenv ("LAB_FOLDER");
   snprintf (daemon->settings_path, sizeof daemon->settings_path, "%s/%s.yaml",
-            folder == NULL ? "/tmp" : folder, daemon->name);
+            folder == NULL ? "." : folder, daemon->name);
   FILE *file = fopen (daemon->settings_path, "w");
   if (file == NULL)
     {
