Move the endpoint list of an entry daemon to a file of its own

No decision changes. roster_test, topic_test, relay_test, entry_leaving_test, entry_restore_test and refresh_test pass.

--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -6,13 +6,13 @@
 #include "core/roster.h"
 #include "core/shared_rate.h"
 #include "entry/directory.h"
+#include "entry/endpoint_list.h"
 #include "entry/evidence_topic.h"
 #include "entry/group.h"
 #include "entry/placing.h"
 #include "entry/relay.h"
 #include "entry/topic.h"
 #include "platform/configuration.h"
-#include "platform/runner.h"
 
 #include <math.h>
 #include <pthread.h>
@@ -62,7 +62,7 @@
   void *context;
   struct ncl_client *client;
   struct tpc_topic *operator_topic;
-  struct tpc_topic *endpoint_topic;
+  struct epl_list *endpoints;
   struct evt_topic *evidence;
   struct dir_directory *directory;
   struct tpc_topic *topics[TOPICS]; /* these three */
@@ -85,31 +85,12 @@
   struct flt_config *config; /* in force; NULL before the first */
   GBytes *config_text;       /* its record's value */
   uint64_t era;              /* of the store, newest that was seen */
-  struct rst *roster;        /* the endpoint list */
   struct fvw_view *view;     /* newest that was published */
   bool view_outdated;        /* there are changes since then */
   struct vdt_verdicts *verdicts;
-  uint64_t leaving_count;    /* of the verdicts that the view has */
   uint64_t departures_count; /* of those that readers were told of */
 };
 
-/* Returns the endpoints in use.  Those that said themselves that they leave
-   are leaving, whatever the list says.  The caller frees the array.  */
-static GPtrArray *
-list_endpoints (struct fct_control *control)
-{
-  control->leaving_count = vdt_leaving_count (control->verdicts);
-  GPtrArray *endpoints = rst_list (control->roster);
-  for (guint i = 0; i < endpoints->len; i++)
-    {
-      struct rst_endpoint *endpoint = g_ptr_array_index (endpoints, i);
-      endpoint->leaving = endpoint->leaving
-                          || vdt_is_leaving (control->verdicts, endpoint->id,
-                                             endpoint->started_ms);
-    }
-  return endpoints;
-}
-
 /* Returns this daemon's share of a rate of which all daemons together have
    one.  The readers of the relays tell how many there are.  Without any, all
    are members of the group, whose SHARE counts, and a daemon that doesn't know
@@ -148,8 +129,8 @@
     }
   control->view_outdated = false;
   fvw_release (control->view);
-  control->view = fvw_view_create (control->config, list_endpoints (control),
-                                   share, rate_share);
+  control->view = fvw_view_create (
+      control->config, epl_endpoints (control->endpoints), share, rate_share);
   control->view->crowded = control->crowded;
   fvw_publish (control->views, fvw_reference (control->view));
   control->notify (control->context);
@@ -405,138 +386,6 @@
   .outage = ignore_outage,
 };
 
-/* Handles an entry of the endpoint list, or its removal.  An invalid entry
-   counts as a removal.  */
-static void
-on_endpoint_record (void *context, const struct pfs_record *record)
-{
-  struct fct_control *control = context;
-  g_autoptr (GError) error = NULL;
-  struct rst_endpoint *endpoint = NULL;
-  if (record->value != NULL)
-    {
-      endpoint = pfr_decode_entry (record->key, record->value,
-                                   record->value_bytes, &error);
-    }
-  if (error != NULL)
-    {
-      lg_line (LOG_WARNING, "endpoint_entry_refused", "offset=%lu why=\"%s\"",
-               (unsigned long)record->offset, error->message);
-    }
-  bool is_entry = endpoint != NULL;
-  bool leaving = is_entry && endpoint->leaving;
-  struct rst_layers layers = { 0 };
-  if (is_entry)
-    {
-      layers = endpoint->layers;
-    }
-  uint64_t relayed_offset = 0;
-  bool changed = is_entry ? rst_update (control->roster, endpoint,
-                                        record->offset, clk_monotonic_us ())
-                          : rst_remove (control->roster, record->key,
-                                        record->offset, clk_monotonic_us ());
-  if (is_entry && rst_is_gone (control->roster, record->key))
-    {
-      const struct pfs_record removal
-          = { .key = record->key, .offset = record->offset };
-      rly_add_record (control->relay, PFS_ENDPOINT_TOPIC, &removal);
-      lg_line (LOG_INFO, "endpoint_stays_gone", "endpoint=%s offset=%lu",
-               record->key, (unsigned long)record->offset);
-    }
-  else if (changed || !is_entry
-           || !rly_find_key (control->relay, PFS_ENDPOINT_TOPIC, record->key,
-                             &relayed_offset))
-    {
-      rly_add_record (control->relay, PFS_ENDPOINT_TOPIC, record);
-    }
-  else
-    {
-      rly_name_key (control->relay, PFS_ENDPOINT_TOPIC, record->key);
-    }
-  if (changed)
-    {
-      lg_line (LOG_INFO, "endpoint_changed",
-               "endpoint=%s offset=%lu listed=%d leaving=%d layers=%u-%u",
-               record->key, (unsigned long)record->offset, is_entry, leaving,
-               layers.first, layers.end);
-      control->view_outdated = true;
-    }
-}
-
-/* Handles what another daemon's relay holds, such as removals that the store
-   has lost in a restore.  */
-static void
-on_endpoint_held (void *context, const struct pfs_record *record,
-                  bool same_era)
-{
-  if (same_era)
-    {
-      on_endpoint_record (context, record);
-    }
-}
-
-static void
-on_list_era (void *context, uint64_t era, bool restored)
-{
-  struct fct_control *control = context;
-  handle_era (control, PFS_ENDPOINT_TOPIC, era, restored);
-  if (restored)
-    {
-      rst_restored (control->roster, era, clk_monotonic_us ());
-      control->view_outdated = true;
-    }
-}
-
-static void
-on_list_begin (void *context)
-{
-  struct fct_control *control = context;
-  rst_list_read (control->roster, clk_monotonic_us ());
-  rst_begin_full (control->roster);
-  rly_begin_snapshot (control->relay, PFS_ENDPOINT_TOPIC);
-}
-
-static void
-on_list_end (void *context, uint64_t end)
-{
-  struct fct_control *control = context;
-  rly_end_snapshot (control->relay, PFS_ENDPOINT_TOPIC, end);
-  control->view_outdated
-      |= rst_end_full (control->roster, end, clk_monotonic_us ());
-  publish (control);
-}
-
-static void
-on_list_current (void *context, int64_t proved_us, uint64_t end)
-{
-  struct fct_control *control = context;
-  rly_set_current (control->relay, PFS_ENDPOINT_TOPIC, end, proved_us);
-  rst_list_read (control->roster, clk_monotonic_us ());
-  publish (control);
-}
-
-static void
-on_list_outage (void *context, const char *why)
-{
-  (void)why;
-  struct fct_control *control = context;
-  rst_outage (control->roster);
-}
-
-/* Handles what a relay knows: an endpoint said to another daemon that it
-   leaves.  */
-static void
-on_departure (void *context, const char *id, int64_t born_ms)
-{
-  struct fct_control *control = context;
-  if (vdt_set_leaving (control->verdicts, id, born_ms))
-    {
-      lg_line (LOG_NOTICE, "endpoint_says_leaving_elsewhere",
-               "endpoint=%s born_ms=%ld", id, (long)born_ms);
-      control->view_outdated = true;
-    }
-}
-
 /* Passes on at once what an answer to an order has shown.  */
 static void
 on_order_shown (void *context)
@@ -558,17 +407,6 @@
     }
 }
 
-static const struct tpc_events endpoint_events = {
-  .era = on_list_era,
-  .snapshot_begin = on_list_begin,
-  .snapshot_end = on_list_end,
-  .record = on_endpoint_record,
-  .held = on_endpoint_held,
-  .current = on_list_current,
-  .departure = on_departure,
-  .outage = on_list_outage,
-};
-
 static void
 on_leave (uv_async_t *leave)
 {
@@ -582,7 +420,7 @@
 {
   struct fct_control *control = stop->data;
   tpc_destroy (control->operator_topic);
-  tpc_destroy (control->endpoint_topic);
+  epl_destroy (control->endpoints);
   evt_destroy (control->evidence);
   dir_destroy (control->directory);
   plc_destroy (control->placer);
@@ -630,7 +468,7 @@
 choose_sources (struct fct_control *control, int64_t now_us)
 {
   struct rly_hint hint = { 0 };
-  bool has_hint = tpc_take_hint (control->endpoint_topic, &hint);
+  bool has_hint = tpc_take_hint (epl_source (control->endpoints), &hint);
   if (has_hint)
     {
       control->relay_readers = hint.readers;
@@ -650,7 +488,7 @@
       = control->relays->len == 0
             ? INT64_MAX
             : MAX (tpc_relayless_us (control->operator_topic, now_us),
-                   tpc_relayless_us (control->endpoint_topic, now_us));
+                   tpc_relayless_us (epl_source (control->endpoints), now_us));
   bool is_relayless = relayless_us > control->relayless_max_us;
   control->runs_relay |= control->is_relay
                          || (is_relayless && grp_runs_relay (control->group));
@@ -688,9 +526,7 @@
   struct fct_control *control = timer->data;
   int64_t now_us = clk_monotonic_us ();
   ncl_expire (control->client, now_us);
-  control->view_outdated
-      |= rst_expire (control->roster, now_us)
-         || vdt_leaving_count (control->verdicts) != control->leaving_count;
+  control->view_outdated |= epl_expire (control->endpoints, now_us);
   publish (control);
   announce_departures (control);
   choose_sources (control, now_us);
@@ -706,11 +542,19 @@
 }
 
 static void
-on_evidence_era (void *context, const char *topic, uint64_t era, bool restored)
+on_topic_era (void *context, const char *topic, uint64_t era, bool restored)
 {
   handle_era (context, topic, era, restored);
 }
 
+static void
+on_list_read (void *context)
+{
+  struct fct_control *control = context;
+  control->view_outdated |= epl_take_changed (control->endpoints);
+  publish (control);
+}
+
 /* Makes the traffic thread look at the quarantine again.  */
 static void
 on_evidence_changed (void *context)
@@ -742,10 +586,19 @@
   rfs_plan_config (&bounds, &params.plan);
   control->find_members_max_us = params.plan.age_max_us;
   control->operator_topic = tpc_create (&params);
-  params.topic = PFS_ENDPOINT_TOPIC;
-  rfs_plan_list (&bounds, &params.plan);
-  params.events = &endpoint_events;
-  control->endpoint_topic = tpc_create (&params);
+  struct epl_params list_params = {
+    .client = control->client,
+    .loop = &control->loop,
+    .store_address = control->settings->store_address,
+    .prefers_relays = params.prefers_relays,
+    .relay = control->relay,
+    .verdicts = control->verdicts,
+    .era = on_topic_era,
+    .read = on_list_read,
+    .context = control,
+  };
+  rfs_plan_list (&bounds, &list_params.plan);
+  control->endpoints = epl_create (&list_params);
   struct evt_params evidence_params = {
     .client = control->client,
     .loop = &control->loop,
@@ -753,7 +606,7 @@
     .prefers_relays = params.prefers_relays,
     .relay = control->relay,
     .quarantine = control->quarantine,
-    .era = on_evidence_era,
+    .era = on_topic_era,
     .changed = on_evidence_changed,
     .context = control,
   };
@@ -769,7 +622,7 @@
   };
   control->directory = dir_create (&directory_params);
   control->topics[0] = control->operator_topic;
-  control->topics[1] = control->endpoint_topic;
+  control->topics[1] = epl_source (control->endpoints);
   control->topics[2] = evt_source (control->evidence);
   set_relays (control, control->relays);
 }
@@ -849,8 +702,10 @@
   control->neighbours = neighbours;
   control->notify = notify;
   control->context = context;
-  control->roster = rst_create ();
-  control->view = fvw_view_create (NULL, rst_list (control->roster), 0, 0);
+  control->view = fvw_view_create (
+      NULL,
+      g_ptr_array_new_with_free_func ((GDestroyNotify)rst_endpoint_destroy), 0,
+      0);
   uv_loop_init (&control->loop);
   control->client = ncl_create (&control->loop, &client_params);
   uv_async_init (&control->loop, &control->leave_group, on_leave);
@@ -916,7 +771,6 @@
     {
       g_bytes_unref (control->config_text);
     }
-  rst_destroy (control->roster);
   g_ptr_array_free (control->relays, TRUE);
   g_free (control);
 }
