Delay removals after an outage in which the store refused calls

What callers saw: after an outage in which the store answered 503, running endpoints whose entries had lapsed got no requests until they were listed again, up to two seconds.

After refusals the daemon reads on from its offset. It took the records before the outage counted as over, so a removal among them wasn't delayed.

Change: the first record that is read ends the outage.

--- a/src/entry/endpoint_list.c
+++ b/src/entry/endpoint_list.c
@@ -61,11 +61,13 @@
 }
 
 /* Handles an entry of the endpoint list, or its removal.  An invalid entry
-   counts as a removal.  */
+   counts as a removal.  A record shows that an outage is over, before the
+   topic is current.  */
 static void
 on_endpoint_record (void *context, const struct pfs_record *record)
 {
   struct epl_list *list = context;
+  rst_list_read (list->roster, 0, clk_monotonic_us ());
   g_autoptr (GError) error = NULL;
   struct rst_endpoint *endpoint = NULL;
   if (record->value != NULL)
--- a/test/entry_store_cut_test.c
+++ b/test/entry_store_cut_test.c
@@ -97,12 +97,20 @@
   static const struct
   {
     const char *name;
+    enum sfl_store_state state;
     int64_t cut_us;
     int64_t listed_again_us; /* after the end of the cut; 0: never */
   } cases[] = {
-    { "an endpoint that has left", 4800 * CLK_MS_US, 0 },
-    { "one that has left, a longer cut", 5300 * CLK_MS_US, 0 },
-    { "one that is listed again", 4800 * CLK_MS_US, 1800 * CLK_MS_US },
+    { "an endpoint that has left", SFL_STORE_NEVER_ANSWERS, 4800 * CLK_MS_US,
+      0 },
+    { "one that has left, a longer cut", SFL_STORE_NEVER_ANSWERS,
+      5300 * CLK_MS_US, 0 },
+    { "one that is listed again", SFL_STORE_NEVER_ANSWERS, 4800 * CLK_MS_US,
+      1800 * CLK_MS_US },
+    { "one that is listed again after refusals", SFL_STORE_REFUSES,
+      4800 * CLK_MS_US, 1700 * CLK_MS_US },
+    { "one that has left during refusals", SFL_STORE_REFUSES, 4800 * CLK_MS_US,
+      0 },
   };
   struct efx_fixture *fixture = *state;
   struct sep_process *daemons[DAEMONS];
@@ -113,7 +121,7 @@
       uint32_t served = 0;
       bool is_back = cases[i].listed_again_us > 0;
       efx_run_for (fixture, SETTLE_US);
-      sfl_set_store (fixture->fleet, SFL_STORE_NEVER_ANSWERS);
+      sfl_set_store (fixture->fleet, cases[i].state);
       efx_run_for (fixture, cases[i].cut_us - 800 * CLK_MS_US);
       sfl_unlist (fixture->fleet, REMOVED);
       efx_run_for (fixture, 800 * CLK_MS_US);
