Answer requests with long ids by headers of any length

Cause: exg_answer_without_body formatted the id into 256 bytes, and used the result of g_snprintf, the length that the text would have had, as the offset of the next header. Refusals came before the check of the id's length. Ruled out: the array of the exchange, which is filled after that check.

Change: the id is read and checked in one place before any decision; one that can't be used is neither repeated nor logged. All other uses of snprintf in src and platform were read; none uses a result as an offset into an array that text from outside can fill.

Tests: entry_head_test, 11 lengths while the store works and while it is away.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -9,11 +9,6 @@
 
 #include <string.h>
 
-/* Bounds of the Retry-After delay given to callers whose requests weren't
-   run. */
-#define RETRY_AFTER_MIN_S 0.2
-#define RETRY_AFTER_MAX_S 0.6
-
 /* How long the continuation of a broken stream waits for a path with room.
    Callers leave after a pause of about two seconds. */
 #define ROOM_WAIT_MAX_US (1000 * CLK_MS_US)
@@ -205,39 +200,6 @@
   destroy_exchange (exchange);
 }
 
-/* Answers the current request of CALLER with STATUS and an empty body.  The
-   answer bears the request's ID unless it is NULL, and a Retry-After header
-   unless RETRY_AFTER_S is 0.  */
-void
-exg_answer_without_body (struct trf_traffic *traffic,
-                         struct nsv_connection *caller, uint32_t status,
-                         const char *id, double retry_after_s)
-{
-  char headers[256] = "";
-  int used = 0;
-  if (id != NULL)
-    {
-      used = g_snprintf (headers, sizeof headers, PFH_REQUEST_ID ": %s\r\n",
-                         id);
-    }
-  if (retry_after_s > 0)
-    {
-      g_snprintf (headers + used, sizeof headers - (size_t)used,
-                  "Retry-After: %.2f\r\n", retry_after_s);
-    }
-  emt_count_answer (traffic->metrics, status);
-  nsv_respond (caller, status, headers, "", 0);
-}
-
-/* Returns the delay in seconds after which a caller may retry a request that
-   wasn't run.  It is random, so that callers don't all retry at the same
-   time.  */
-double
-exg_retry_after_s (void)
-{
-  return g_random_double_range (RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S);
-}
-
 /* Returns for how long every endpoint that could serve EXCHANGE is closed
    since it turned requests away; 0 if one is open.  */
 static int64_t
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -275,11 +275,12 @@
   return exchange;
 }
 
-/* Returns whether ID, which may be NULL, can be the id of a request.  */
-static bool
-is_valid_id (const char *id)
+/* Returns the id of REQUEST, or NULL if it has none that can be used.  */
+static const char *
+find_id (const struct msg_message *request)
 {
-  return id != NULL && strlen (id) < EXG_ID_BYTES;
+  const char *id = msg_find (request, PFH_REQUEST_ID);
+  return id != NULL && strlen (id) < EXG_ID_BYTES ? id : NULL;
 }
 
 /* Refuses REQUEST of CALLER, whose body isn't complete, for want of memory.
@@ -289,14 +290,13 @@
                        struct nsv_connection *caller,
                        const struct msg_message *request)
 {
-  const char *id = request == NULL ? NULL : msg_find (request, PFH_REQUEST_ID);
-  bool has_id = is_valid_id (id);
+  const char *id = request == NULL ? NULL : find_id (request);
   lg_line (LOG_INFO, "request_refused",
-           "request=%s status=%u why=\"memory is short\"", has_id ? id : "-",
-           HTTP_STATUS_SERVICE_UNAVAILABLE);
+           "request=%s status=%u why=\"memory is short\"",
+           id == NULL ? "-" : id, HTTP_STATUS_SERVICE_UNAVAILABLE);
   cnt_add (traffic->metrics->refused, 1);
   exg_answer_without_body (traffic, caller, HTTP_STATUS_SERVICE_UNAVAILABLE,
-                           has_id ? id : NULL, exg_retry_after_s ());
+                           id, exg_retry_after_s ());
 }
 
 /* Handles REQUEST of CALLER: refuses it at once, or creates an exchange and
@@ -309,15 +309,15 @@
   const struct flt_config *config = fst_config (traffic->fleet);
   const struct flt_route *route = NULL;
   const struct flt_account *account = NULL;
-  const char *id = msg_find (request, PFH_REQUEST_ID);
+  const char *id = find_id (request);
   bool is_stopping = false;
   cnt_add (traffic->metrics->requests, 1);
   struct refusal refusal
       = check_request (traffic, config, proved_us, request, &route, &account);
-  if (refusal.status == 0 && !is_valid_id (id))
+  if (refusal.status == 0 && id == NULL)
     {
       refusal = (struct refusal){ .status = HTTP_STATUS_BAD_REQUEST,
-                                  .why = "no request id" };
+                                  .why = "no valid request id" };
     }
   uint32_t service = refusal.status == 0
                          ? flt_choose_service (route, g_random_int ())
--- /dev/null
+++ b/test/entry_head_test.c
@@ -0,0 +1,141 @@
+/* Tests of an entry daemon that gets unusual request heads. */
+#include "test/entry_fixture.h"
+
+#include "base/clock.h"
+#include "platform/headers.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define WAIT_US (3 * CLK_S_US)
+
+/* Connects to ADDRESS, IP:PORT.  The caller closes the socket.  */
+static int
+open_socket (const char *address)
+{
+  g_auto (GStrv) parts = g_strsplit (address, ":", 2);
+  struct sockaddr_in peer = { .sin_family = AF_INET };
+  peer.sin_port = htons ((uint16_t)g_ascii_strtoull (parts[1], NULL, 10));
+  assert_int_equal (inet_pton (AF_INET, parts[0], &peer.sin_addr), 1);
+  int descriptor = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  assert_int_equal (
+      connect (descriptor, (struct sockaddr *)&peer, sizeof peer), 0);
+  return descriptor;
+}
+
+/* Sends REQUEST to the socket DESCRIPTOR and reads the head of the answer,
+   without its body.  Returns it, or what has arrived until the connection
+   ended or WAIT_US have passed.  */
+static GString *
+exchange_heads (struct efx_fixture *fixture, int descriptor,
+                const char *request)
+{
+  GString *head = g_string_new (NULL);
+  int64_t end_us = clk_monotonic_us () + WAIT_US;
+  bool open = true;
+  assert_int_equal (send (descriptor, request, strlen (request), MSG_NOSIGNAL),
+                    strlen (request));
+  while (open && strstr (head->str, "\r\n\r\n") == NULL
+         && clk_monotonic_us () < end_us)
+    {
+      char byte;
+      ssize_t count = recv (descriptor, &byte, 1, MSG_DONTWAIT);
+      open = count != 0;
+      if (count > 0)
+        {
+          g_string_append_c (head, byte);
+        }
+      else
+        {
+          efx_run_for (fixture, 5 * CLK_MS_US);
+        }
+    }
+  return head;
+}
+
+/* Returns whether HEAD, an answer's, is whole and tells the length of an
+   answer without a body, or of one with a body if STATUS is 200.  It must name
+   the request ID, or none if ID is NULL.  */
+static bool
+is_sound (const char *head, uint32_t status, const char *id)
+{
+  g_autofree char *start = g_strdup_printf ("HTTP/1.1 %u ", status);
+  g_auto (GStrv) lines = g_strsplit (head, "\r\n", -1);
+  guint count = g_strv_length (lines);
+  bool sound = g_str_has_prefix (head, start) && count > 2
+               && lines[count - 1][0] == '\0' && lines[count - 2][0] == '\0';
+  bool has_length = false;
+  const char *named = NULL;
+  for (guint i = 1; sound && i < count - 2; i++)
+    {
+      sound = strstr (lines[i], ": ") != NULL;
+      has_length |= g_str_has_prefix (lines[i], "Content-Length: ");
+      if (g_str_has_prefix (lines[i], PFH_REQUEST_ID ": "))
+        {
+          named = lines[i] + strlen (PFH_REQUEST_ID ": ");
+        }
+    }
+  return sound && has_length && g_strcmp0 (named, id) == 0;
+}
+
+/* A state of the daemon, and what it answers to a sound request. */
+static const struct
+{
+  const char *name;
+  enum sfl_store_state store;
+  uint32_t status;
+} states[] = {
+  { "the store works", SFL_STORE_NO_FAULT, 200 },
+  { "the store is away", SFL_STORE_REFUSES, 503 },
+};
+
+/* Guards against an answer whose head is cut off, or written over the stack,
+   since an attempt id doesn't fit into an array: in any state of the daemon, a
+   request with a long id gets a whole answer, and the daemon lives.  */
+static void
+test_long_ids (void **state)
+{
+  static const uint32_t lengths[]
+      = { 1, 63, 64, 200, 220, 240, 248, 256, 512, 1192, 3600 };
+  struct efx_fixture *fixture = *state;
+  uint32_t failures = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (states); i++)
+    {
+      sfl_set_store (fixture->fleet, states[i].store);
+      efx_run_for (fixture, INT64_C (2) * EFX_REVOKE_MS * CLK_MS_US);
+      for (size_t n = 0; n < G_N_ELEMENTS (lengths); n++)
+        {
+          g_autofree char *id = g_strnfill (lengths[n], 'a' + (char)i);
+          bool is_valid = lengths[n] < 64;
+          uint32_t status
+              = is_valid || states[i].status != 200 ? states[i].status : 400;
+          g_autofree char *request = efx_build_request (
+              "POST", EFX_FLEET_HOST, "/look/a", "key-1", id, "look");
+          int descriptor = open_socket (sep_caller_address (fixture->daemon));
+          GString *head = exchange_heads (fixture, descriptor, request);
+          if (!is_sound (head->str, status, is_valid ? id : NULL)
+              || !sep_is_running (fixture->daemon))
+            {
+              failures++;
+              print_message ("%s, an id of %u bytes: '%s', running %d\n",
+                             states[i].name, lengths[n], head->str,
+                             sep_is_running (fixture->daemon));
+            }
+          g_string_free (head, TRUE);
+          close (descriptor);
+        }
+      assert_true (sep_is_running (fixture->daemon));
+    }
+  assert_int_equal (failures, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_long_ids, efx_set_up, efx_tear_down),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
