--- a/src/net/server.c
+++ b/src/net/server.c
@@ -8,10 +8,8 @@
 #include "net/stream.h"
 
 #include <errno.h>
-#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <string.h>
-#include <sys/ioctl.h>
 #include <unistd.h>
 
 #define READ_BYTES 65536 /* of one read from a socket */
@@ -21,13 +19,6 @@
    to the current one is complete. */
 #define PIPELINED_BYTES_MAX 65536
 
-/* Time for a caller to close its connection after the last response. */
-#define LINGER_US (1 * CLK_S_US)
-
-/* Time for the first request of a connection to arrive while the server
-   stops. */
-#define FIRST_REQUEST_US (1 * CLK_S_US)
-
 /* When a request that was refused for want of memory may come back. */
 #define REFUSED_HEADERS "Retry-After: 1\r\n"
 
@@ -70,8 +61,8 @@
 
 /* Returns true while the caller of CONNECTION lacks a part of a response: one
    that isn't complete, or bytes that the socket hasn't accepted.  */
-static bool
-is_unfinished (const struct nsv_connection *connection)
+bool
+nsv_is_unfinished (const struct nsv_connection *connection)
 {
   return connection->phase == PHASE_RESPONDING
          || nsv_unsent_bytes (connection) > 0;
@@ -380,8 +371,8 @@
 
 /* Shuts CONNECTION down for writing once the response has been sent, and waits
    for the caller to close.  */
-static void
-linger (struct nsv_connection *connection)
+void
+nsv_linger (struct nsv_connection *connection)
 {
   enter_phase (connection, PHASE_LINGERING);
   connection->lingering_bytes = nsv_unsent_bytes (connection);
@@ -418,7 +409,7 @@
   nsv_release_body (connection);
   if (connection->announces_close)
     {
-      linger (connection);
+      nsv_linger (connection);
       return;
     }
   enter_phase (connection, PHASE_IDLE);
@@ -553,7 +544,7 @@
     }
   if (count < 0)
     {
-      nsv_close_connection (connection, is_unfinished (connection), true);
+      nsv_close_connection (connection, nsv_is_unfinished (connection), true);
       return;
     }
   parse (connection, buffer->base, (size_t)count);
@@ -634,8 +625,8 @@
 
 /* Listens on the address of SERVER, and sets it to the one that the socket was
    bound to.  Returns 0, or the error of libuv.  */
-static int
-open_listener (struct nsv_server *server)
+int
+nsv_open_listener (struct nsv_server *server)
 {
   int bytes = sizeof server->address;
   server->listener = g_new0 (uv_tcp_t, 1);
@@ -679,8 +670,9 @@
   server->read_buffer = g_malloc (READ_BYTES);
   rcb_plan_for_host (limits->memory_mb, limits->connections_max + BACKLOG,
                      &server->buffers);
-  int status = nad_parse (address, &server->address) ? open_listener (server)
-                                                     : UV_EINVAL;
+  int status = nad_parse (address, &server->address)
+                   ? nsv_open_listener (server)
+                   : UV_EINVAL;
   if (status != 0)
     {
       g_set_error (error, ERR_DOMAIN, ERR_SETTINGS, "can't listen on %s: %s",
@@ -705,7 +697,7 @@
     {
       struct nsv_connection *connection
           = g_ptr_array_index (server->connections, 0);
-      nsv_close_connection (connection, is_unfinished (connection), true);
+      nsv_close_connection (connection, nsv_is_unfinished (connection), true);
     }
   close_listener (server);
   g_ptr_array_free (server->connections, TRUE);
@@ -764,137 +756,6 @@
     }
 }
 
-/* Listens again after a lack of descriptors or memory.  */
-static void
-reopen_listener (struct nsv_server *server)
-{
-  int status = open_listener (server);
-  if (status != 0)
-    {
-      lg_line (LOG_WARNING, "caller_listen_failed", "port=%u reason=\"%s\"",
-               ntohs (server->address.sin_port), uv_strerror (status));
-    }
-}
-
-/* Logs when no descriptor is left, and when there is one again.  libuv closes
-   the connections that it can't accept for lack of descriptors, and tells
-   nobody.  */
-static void
-check_descriptors (struct nsv_server *server)
-{
-  uv_os_fd_t listener;
-  if (server->listener == NULL
-      || uv_fileno ((uv_handle_t *)server->listener, &listener) != 0)
-    {
-      return;
-    }
-  int descriptor = fcntl (listener, F_DUPFD_CLOEXEC, 0);
-  bool starved = descriptor < 0;
-  if (!starved)
-    {
-      close (descriptor);
-    }
-  if (starved == server->starved)
-    {
-      return;
-    }
-  server->starved = starved;
-  server->lack_count += starved;
-  lg_line (starved ? LOG_WARNING : LOG_NOTICE,
-           starved ? "caller_descriptors_lacking" : "caller_descriptors_back",
-           "port=%u connections=%u lacks=%u message=\"%s\"",
-           ntohs (server->address.sin_port), server->connections->len,
-           server->lack_count,
-           starved ? "callers that connect are closed"
-                   : "callers are accepted again");
-}
-
-/* Returns true if bytes from the caller of CONNECTION haven't been read.  */
-static bool
-has_unread_bytes (const struct nsv_connection *connection)
-{
-  uv_os_fd_t descriptor;
-  int bytes = 0;
-  return uv_fileno ((const uv_handle_t *)&connection->tcp, &descriptor) == 0
-         && ioctl (descriptor, FIONREAD, &bytes) == 0 && bytes > 0;
-}
-
-/* Returns true if CONNECTION, which is between requests at NOW_US, monotonic
-   time, is to be closed.  */
-static bool
-is_idle_too_long (const struct nsv_connection *connection, int64_t now_us)
-{
-  const struct nsv_server *server = connection->server;
-  int64_t age_us = now_us - connection->since_us;
-  bool stopped = server->stopping && now_us >= server->idle_until_us
-                 && (connection->used || age_us >= FIRST_REQUEST_US);
-  return (stopped || age_us >= server->limits.idle_timeout_us)
-         && !has_unread_bytes (connection);
-}
-
-/* Returns true if CONNECTION, which lingers at NOW_US, monotonic time, is to
-   be closed: LINGER_US after its response was sent, or when the caller has
-   read no byte of it for the idle time-out.  */
-static bool
-has_lingered (struct nsv_connection *connection, int64_t now_us)
-{
-  size_t bytes = nsv_unsent_bytes (connection);
-  if (bytes != connection->lingering_bytes)
-    {
-      connection->lingering_bytes = bytes;
-      connection->since_us = now_us;
-    }
-  return now_us - connection->since_us
-         >= (bytes > 0 ? connection->server->limits.idle_timeout_us
-                       : LINGER_US);
-}
-
-/* Closes connections that have exceeded their time-outs, and listens again if
-   the server had to stop that.  NOW_US is monotonic time.  To be called
-   several times a second.  */
-void
-nsv_expire (struct nsv_server *server, int64_t now_us)
-{
-  if (server->listener == NULL)
-    {
-      reopen_listener (server);
-    }
-  check_descriptors (server);
-  nsv_end_unread (server, now_us);
-  for (guint i = server->connections->len; i-- > 0;)
-    {
-      struct nsv_connection *connection
-          = g_ptr_array_index (server->connections, i);
-      int64_t age_us = now_us - connection->since_us;
-      switch (connection->phase)
-        {
-        case PHASE_IDLE:
-          if (is_idle_too_long (connection, now_us))
-            {
-              linger (connection);
-            }
-          break;
-        case PHASE_RECEIVING:
-          if (age_us >= (connection->in_body
-                             ? server->limits.idle_timeout_us
-                             : server->limits.header_timeout_us))
-            {
-              nsv_reject_incomplete (connection, HTTP_STATUS_REQUEST_TIMEOUT);
-            }
-          break;
-        case PHASE_LINGERING:
-          if (has_lingered (connection, now_us))
-            {
-              nsv_close_connection (connection, is_unfinished (connection),
-                                    false);
-            }
-          break;
-        case PHASE_RESPONDING:
-          break;
-        }
-    }
-}
-
 /* Returns the number of open connections.  */
 uint32_t
 nsv_connection_count (const struct nsv_server *server)
@@ -902,14 +763,6 @@
   return server->connections->len;
 }
 
-/* Returns how often there began to be no descriptor for the connections of
-   callers, as far as nsv_expire has seen.  */
-uint32_t
-nsv_lack_count (const struct nsv_server *server)
-{
-  return server->lack_count;
-}
-
 /* Returns the number of requests without a complete response.  */
 uint32_t
 nsv_request_count (const struct nsv_server *server)
@@ -927,10 +780,10 @@
     {
       const struct nsv_connection *connection
           = g_ptr_array_index (server->connections, i);
-      idle = !is_unfinished (connection)
+      idle = !nsv_is_unfinished (connection)
              && connection->phase != PHASE_RECEIVING
              && (connection->phase != PHASE_IDLE
-                 || !has_unread_bytes (connection));
+                 || !nsv_has_unread_bytes (connection));
     }
   return idle;
 }
--- a/src/net/server_private.h
+++ b/src/net/server_private.h
@@ -68,6 +68,10 @@
                             this monotonic time on */
 };
 
+int nsv_open_listener (struct nsv_server *server);
+bool nsv_is_unfinished (const struct nsv_connection *connection);
+bool nsv_has_unread_bytes (const struct nsv_connection *connection);
+void nsv_linger (struct nsv_connection *connection);
 size_t nsv_unsent_bytes (const struct nsv_connection *connection);
 void nsv_close_connection (struct nsv_connection *connection, bool reset,
                            bool notify);
