Let connections without progress give way to new ones

Cause: what exceeded the limit on connections was reset, whatever the others did, and the readiness didn't regard the limit. Ruled out: memory, whose counter of refusals stays at 0, and the kernel's queue.

Change: at the limit, the connection that has rested longest makes room: one whose last response was sent, then a request that has stalled (503, not run), then one between requests. What was accepted stays. If none can, the new one is reset and the daemon isn't ready. Three metrics and a log line tell it.

--- a/src/entry/entry_metrics.c
+++ b/src/entry/entry_metrics.c
@@ -149,6 +149,14 @@
     "kumquatthread_memory_evicted_total", "",
     "Stalled requests, not run, and unread answers that were ended for "
     "want of memory" },
+  { offsetof (struct emt_metrics, connections), CNT_GAUGE,
+    "kumquatthread_caller_connections", "", "Connections of callers" },
+  { offsetof (struct emt_metrics, connections_evicted), CNT_COUNTER,
+    "kumquatthread_caller_connections_evicted_total", "",
+    "Connections without progress that were ended for new ones" },
+  { offsetof (struct emt_metrics, connections_reset), CNT_COUNTER,
+    "kumquatthread_caller_connections_reset_total", "",
+    "New connections that were reset since all others were in use" },
 };
 
 /* Creates every series in SET, which must outlive the result.  The caller
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -52,17 +52,20 @@
   struct cnt_series *config_version;
   struct cnt_series *endpoints; /* in the view in force */
   struct cnt_series *connections_opened;
-  struct cnt_series *store_restores;  /* from an older copy */
-  struct cnt_series *log_dropped;     /* log lines over the rate limit */
-  struct cnt_series *proof_age_ms;    /* age of the newest proof that the
-                                         configuration is current */
-  struct cnt_series *memory_max;      /* bytes for connections */
-  struct cnt_series *memory_used;     /* of these */
-  struct cnt_series *memory_bodies;   /* of these, large bodies of requests */
-  struct cnt_series *memory_refused;  /* requests and connections, for want of
-                                         memory */
-  struct cnt_series *memory_evicted;  /* stalled requests and unread answers
-                                         that were ended */
+  struct cnt_series *store_restores; /* from an older copy */
+  struct cnt_series *log_dropped;    /* log lines over the rate limit */
+  struct cnt_series *proof_age_ms;   /* age of the newest proof that the
+                                        configuration is current */
+  struct cnt_series *memory_max;     /* bytes for connections */
+  struct cnt_series *memory_used;    /* of these */
+  struct cnt_series *memory_bodies;  /* of these, large bodies of requests */
+  struct cnt_series *memory_refused; /* requests and connections, for want of
+                                        memory */
+  struct cnt_series *memory_evicted; /* stalled requests and unread answers
+                                        that were ended */
+  struct cnt_series *connections;    /* of callers, now */
+  struct cnt_series *connections_evicted; /* see nsv_counts */
+  struct cnt_series *connections_reset;
   struct cnt_series *first_byte_time; /* histogram; this and the next one: from
                                          the complete arrival of the request */
   struct cnt_series *total_time;      /* histogram */
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -17,7 +17,8 @@
 void exg_stop_all (struct trf_traffic *traffic);
 void exg_refuse_incomplete (struct trf_traffic *traffic,
                             struct nsv_connection *caller,
-                            const struct msg_message *request);
+                            const struct msg_message *request,
+                            const char *why);
 void exg_caller_disconnected (void *exchange);
 void exg_caller_drained (void *exchange);
 
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -283,17 +283,17 @@
   return id != NULL && strlen (id) < EXG_ID_BYTES ? id : NULL;
 }
 
-/* Refuses REQUEST of CALLER, whose body isn't complete, for want of memory.
-   REQUEST is NULL if its headers aren't complete either.  */
+/* Refuses REQUEST of CALLER, whose body isn't complete, since something is
+   lacking, as WHY says.  REQUEST is NULL if its headers aren't complete
+   either.  */
 void
 exg_refuse_incomplete (struct trf_traffic *traffic,
                        struct nsv_connection *caller,
-                       const struct msg_message *request)
+                       const struct msg_message *request, const char *why)
 {
   const char *id = request == NULL ? NULL : find_id (request);
-  lg_line (LOG_INFO, "request_refused",
-           "request=%s status=%u why=\"memory is short\"",
-           id == NULL ? "-" : id, HTTP_STATUS_SERVICE_UNAVAILABLE);
+  lg_line (LOG_INFO, "request_refused", "request=%s status=%u why=\"%s\"",
+           id == NULL ? "-" : id, HTTP_STATUS_SERVICE_UNAVAILABLE, why);
   cnt_add (traffic->metrics->refused, 1);
   exg_answer_without_body (traffic, caller, HTTP_STATUS_SERVICE_UNAVAILABLE,
                            id, exg_retry_after_s ());
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -62,7 +62,7 @@
 is_ready (const struct trf_traffic *traffic)
 {
   return traffic->stopping_us == 0 && fst_can_serve (traffic->fleet)
-         && psg_is_ready (traffic);
+         && psg_is_ready (traffic) && nsv_has_room (traffic->caller_server);
 }
 
 static void
@@ -74,9 +74,9 @@
 
 static void
 on_caller_refused (void *context, struct nsv_connection *connection,
-                   const struct msg_message *request)
+                   const struct msg_message *request, const char *why)
 {
-  exg_refuse_incomplete (context, connection, request);
+  exg_refuse_incomplete (context, connection, request, why);
 }
 
 static const struct nsv_events caller_events = {
@@ -110,6 +110,13 @@
   .drained = ignore_event,
 };
 
+/* Brings the counter SERIES up to TOTAL.  */
+static void
+update_counter (struct cnt_series *series, uint64_t total)
+{
+  cnt_add (series, (int64_t)total - cnt_get (series));
+}
+
 /* Updates the gauges of the memory for connections.  */
 static void
 update_memory_gauges (struct trf_traffic *traffic)
@@ -120,10 +127,13 @@
   cnt_set_gauge (metrics->memory_max, (int64_t)state.bytes_max);
   cnt_set_gauge (metrics->memory_used, (int64_t)state.used);
   cnt_set_gauge (metrics->memory_bodies, (int64_t)state.bodies);
-  cnt_add (metrics->memory_refused,
-           (int64_t)state.refused - cnt_get (metrics->memory_refused));
-  cnt_add (metrics->memory_evicted,
-           (int64_t)state.evicted - cnt_get (metrics->memory_evicted));
+  update_counter (metrics->memory_refused, state.refused);
+  update_counter (metrics->memory_evicted, state.evicted);
+  const struct nsv_counts *counts = nsv_counts (traffic->caller_server);
+  update_counter (metrics->connections_evicted, counts->evicted);
+  update_counter (metrics->connections_reset, counts->reset);
+  cnt_set_gauge (metrics->connections,
+                 nsv_connection_count (traffic->caller_server));
 }
 
 /* Updates the gauges whose values are needed only when the metrics are
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -433,9 +433,11 @@
 }
 
 /* Responds with the error STATUS to a request that was not received
-   completely, and shuts the connection down.  */
+   completely, and shuts the connection down.  WHY is what is lacking, with
+   status 503.  */
 void
-nsv_reject_incomplete (struct nsv_connection *connection, uint32_t status)
+nsv_reject_incomplete (struct nsv_connection *connection, uint32_t status,
+                       const char *why)
 {
   give_up_request (connection);
   if (status != HTTP_STATUS_SERVICE_UNAVAILABLE)
@@ -450,7 +452,7 @@
     {
       connection->server->events->refused (
           connection->server->context, connection,
-          connection->in_body ? &connection->request : NULL);
+          connection->in_body ? &connection->request : NULL, why);
     }
 }
 
@@ -517,9 +519,11 @@
         }
       else if (HTTP_PARSER_ERRNO (&connection->parser) != HPE_OK)
         {
-          nsv_reject_incomplete (connection, connection->error_status != 0
-                                                 ? connection->error_status
-                                                 : HTTP_STATUS_BAD_REQUEST);
+          nsv_reject_incomplete (connection,
+                                 connection->error_status != 0
+                                     ? connection->error_status
+                                     : HTTP_STATUS_BAD_REQUEST,
+                                 "memory is short");
           break;
         }
     }
@@ -584,7 +588,8 @@
     }
 }
 
-/* Accepts a connection, and resets it when there are too many.  */
+/* Accepts a connection.  When there are too many, another one makes room for
+   it, or it is reset.  */
 static void
 on_connection (uv_stream_t *listener, int status)
 {
@@ -606,7 +611,7 @@
   enter_phase (connection, PHASE_IDLE);
   bbg_open (&connection->account, server->limits.budget, connection);
   if (uv_accept (listener, (uv_stream_t *)&connection->tcp) != 0
-      || server->connections->len > server->limits.connections_max
+      || !nsv_make_room (server)
       || !nsv_reserve (connection, BBG_CONNECTION, NSV_CONNECTION_BYTES))
     {
       nsv_close_connection (connection, true, false);
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -21,12 +21,13 @@
      nsv_abort. */
   void (*request) (void *context, struct nsv_connection *connection,
                    const struct msg_message *request, const char *method);
-  /* A request that isn't complete is refused for want of memory: it hasn't
-     been passed to `request' and won't be.  REQUEST has its headers, or is
-     NULL if they aren't complete.  The owner must respond with nsv_respond and
-     status 503.  NULL: the server responds itself. */
+  /* A request that isn't complete is refused for want of memory or of
+     connections, as WHY says: it hasn't been passed to `request' and won't be.
+     REQUEST has its headers, or is NULL if they aren't complete.  The owner
+     must respond with nsv_respond and status 503.  NULL: the server responds
+     itself. */
   void (*refused) (void *context, struct nsv_connection *connection,
-                   const struct msg_message *request);
+                   const struct msg_message *request, const char *why);
   /* The connection was closed before the response was complete.  Called with
      the context of nsv_set_request_context, and only if that was called. */
   void (*disconnected) (void *request_context);
@@ -43,11 +44,19 @@
   int64_t idle_timeout_us;   /* between requests, and to receive a body */
   uint32_t unsent_bytes_max; /* of one connection; above it is slow */
   uint32_t user_timeout_ms; /* TCP_USER_TIMEOUT: sent bytes not acknowledged */
-  uint32_t connections_max; /* further ones are reset */
+  uint32_t connections_max; /* further ones take the place of those that make
+                               no progress, or else are reset */
   struct bbg_budget *budget; /* of the memory for connections; NULL: none */
   uint64_t memory_mb; /* of the host, for receive buffers; 0: no limit */
 };
 
+/* Connections that the limit on their number has ended, since the start. */
+struct nsv_counts
+{
+  uint64_t evicted; /* without progress, for others */
+  uint64_t reset;   /* new ones */
+};
+
 struct nsv_server *nsv_create (uv_loop_t *loop, const char *address,
                                const struct nsv_limits *limits,
                                const struct nsv_events *events, void *context,
@@ -61,6 +70,8 @@
 void nsv_expire (struct nsv_server *server, int64_t now_us);
 uint32_t nsv_connection_count (const struct nsv_server *server);
 uint32_t nsv_lack_count (const struct nsv_server *server);
+bool nsv_has_room (const struct nsv_server *server);
+const struct nsv_counts *nsv_counts (const struct nsv_server *server);
 uint32_t nsv_request_count (const struct nsv_server *server);
 bool nsv_is_idle (const struct nsv_server *server);
 
--- a/src/net/server_connections.c
+++ b/src/net/server_connections.c
@@ -130,7 +130,8 @@
                              ? server->limits.idle_timeout_us
                              : server->limits.header_timeout_us))
             {
-              nsv_reject_incomplete (connection, HTTP_STATUS_REQUEST_TIMEOUT);
+              nsv_reject_incomplete (connection, HTTP_STATUS_REQUEST_TIMEOUT,
+                                     NULL);
             }
           break;
         case PHASE_LINGERING:
@@ -153,3 +154,119 @@
 {
   return server->lack_count;
 }
+
+/* How little a connection is worth: those that can be ended for others, the
+   most dispensable first. */
+enum worth
+{
+  WORTH_ANSWERED, /* the last response was sent */
+  WORTH_STALLED,  /* a request that isn't complete and makes no progress */
+  WORTH_IDLE,     /* between requests */
+  WORTH_KEPT      /* not to be ended */
+};
+
+/* Returns the worth of CONNECTION at NOW_US, monotonic time, and sets SINCE_US
+   to when its last progress was.  */
+static enum worth
+judge (const struct nsv_connection *connection, int64_t now_us,
+       int64_t *since_us)
+{
+  bool receiving = connection->phase == PHASE_RECEIVING;
+  *since_us = receiving ? connection->account.mark_us : connection->since_us;
+  bool rests = now_us - *since_us >= BBG_STALL_US;
+  switch (connection->phase)
+    {
+    case PHASE_LINGERING:
+      return nsv_unsent_bytes (connection) == 0 ? WORTH_ANSWERED : WORTH_KEPT;
+    case PHASE_RECEIVING:
+      return rests ? WORTH_STALLED : WORTH_KEPT;
+    case PHASE_IDLE:
+      return rests && !connection->slow ? WORTH_IDLE : WORTH_KEPT;
+    case PHASE_RESPONDING:
+      break;
+    }
+  return WORTH_KEPT;
+}
+
+/* Returns the connection of SERVER that is the first to make room for a new
+   one, or NULL if all are in use.  */
+static struct nsv_connection *
+find_dispensable (const struct nsv_server *server)
+{
+  struct nsv_connection *found = NULL;
+  enum worth found_worth = WORTH_KEPT;
+  int64_t found_since_us = 0;
+  int64_t now_us = clk_monotonic_us ();
+  for (guint i = 0; i < server->connections->len; i++)
+    {
+      struct nsv_connection *connection
+          = g_ptr_array_index (server->connections, i);
+      int64_t since_us = 0;
+      enum worth worth = judge (connection, now_us, &since_us);
+      bool is_less = worth < found_worth
+                     || (worth == found_worth && since_us < found_since_us);
+      if (worth != WORTH_KEPT && is_less && !nsv_has_unread_bytes (connection))
+        {
+          found = connection;
+          found_worth = worth;
+          found_since_us = since_us;
+        }
+    }
+  return found;
+}
+
+/* Ends CONNECTION for another one.  A request that isn't complete is refused
+   first: all that its caller has sent was read, so that the answer arrives. */
+static void
+evict (struct nsv_connection *connection)
+{
+  struct nsv_server *server = connection->server;
+  server->counts.evicted++;
+  if (connection->phase == PHASE_RECEIVING)
+    {
+      lg_line (LOG_NOTICE, "stalled_request_ended",
+               "port=%u body_bytes=%u why=\"connections are short\"",
+               ntohs (server->address.sin_port),
+               connection->request.body->len);
+      nsv_reject_incomplete (connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                             "connections are short");
+    }
+  nsv_close_connection (connection, nsv_is_unfinished (connection), false);
+}
+
+/* Makes SERVER keep to its limit on connections, which a new one may exceed.
+   Returns false if no other one can be ended for it.  */
+bool
+nsv_make_room (struct nsv_server *server)
+{
+  if (server->connections->len <= server->limits.connections_max)
+    {
+      return true;
+    }
+  struct nsv_connection *dispensable = find_dispensable (server);
+  if (dispensable == NULL)
+    {
+      server->counts.reset++;
+      lg_line (LOG_WARNING, "caller_reset",
+               "port=%u connections=%u why=\"connections are short\"",
+               ntohs (server->address.sin_port), server->connections->len);
+      return false;
+    }
+  evict (dispensable);
+  return true;
+}
+
+/* Returns whether a new connection would be accepted now.  */
+bool
+nsv_has_room (const struct nsv_server *server)
+{
+  return server->connections->len < server->limits.connections_max
+         || find_dispensable (server) != NULL;
+}
+
+/* Returns how many connections the limit on their number has ended.  */
+const struct nsv_counts *
+nsv_counts (const struct nsv_server *server)
+{
+  return &server->counts;
+}
--- a/src/net/server_memory.c
+++ b/src/net/server_memory.c
@@ -18,7 +18,8 @@
            ntohs (connection->server->address.sin_port),
            connection->request.body->len);
   bbg_count_evicted (account);
-  nsv_reject_incomplete (connection, HTTP_STATUS_SERVICE_UNAVAILABLE);
+  nsv_reject_incomplete (connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                         "memory is short");
 }
 
 /* Sets PART of CONNECTION's memory to BYTES, and ends stalled requests of
--- a/src/net/server_private.h
+++ b/src/net/server_private.h
@@ -61,6 +61,7 @@
   uint32_t large_buffers; /* number of connections that have one */
   uint32_t request_count; /* requests without a complete response */
   char *read_buffer;
+  struct nsv_counts counts;
   bool starved;          /* no descriptor was left at the last check */
   uint32_t lack_count;   /* see nsv_lack_count */
   bool stopping;         /* connections are closed after their response */
@@ -75,8 +76,9 @@
 size_t nsv_unsent_bytes (const struct nsv_connection *connection);
 void nsv_close_connection (struct nsv_connection *connection, bool reset,
                            bool notify);
-void nsv_reject_incomplete (struct nsv_connection *connection,
-                            uint32_t status);
+void nsv_reject_incomplete (struct nsv_connection *connection, uint32_t status,
+                            const char *why);
+bool nsv_make_room (struct nsv_server *server);
 bool nsv_reserve (struct nsv_connection *connection, enum bbg_part part,
                   uint64_t bytes);
 int nsv_reserve_or_refuse (struct nsv_connection *connection,
