Count heads as they arrive and copy their headers in linear time

Cause: the limit counted names and values, not colons, blanks and line ends; and for each line that was copied, Connection was looked up among all lines. Ruled out: the parser, which is linear.

Change: the limit counts header lines as they arrive, the URL and trailers by themselves. The names that Connection lists are collected once, from all of its lines.

--- a/src/net/message.c
+++ b/src/net/message.c
@@ -147,48 +147,43 @@
   return sound && hosts <= 1;
 }
 
-/* Returns true when the comma-separated LIST, which may be NULL, contains NAME
-   in any letter case.  */
-static bool
-list_contains (const char *list, const char *name)
+/* Returns the number after the first NAME in URL, or 0 when there is none.
+   NAME contains the equals sign, as in `from='.  */
+uint64_t
+msg_query_number (const char *url, const char *name)
 {
-  size_t bytes = strlen (name);
-  while (list != NULL && *list != '\0')
-    {
-      list += strspn (list, ", \t");
-      size_t word_bytes = strcspn (list, ", \t");
-      if (word_bytes == bytes && strncasecmp (list, name, bytes) == 0)
-        {
-          return true;
-        }
-      list += word_bytes;
-    }
-  return false;
+  const char *found = strstr (url, name);
+  return found == NULL ? 0
+                       : g_ascii_strtoull (found + strlen (name), NULL, 10);
 }
 
-/* Returns true when the header NAME of MESSAGE applies to this connection
-   only, so that a proxy must not forward it.  */
-bool
-msg_is_hop_by_hop (const struct msg_message *message, const char *name)
+/* Returns the names of the headers that apply to the connection of MESSAGE
+   only, in lower case.  The caller frees the set.  */
+static GHashTable *
+list_hop_by_hop (const struct msg_message *message)
 {
+  GHashTable *names
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (hop_by_hop); i++)
     {
-      if (strcasecmp (hop_by_hop[i], name) == 0)
+      g_hash_table_add (names, g_ascii_strdown (hop_by_hop[i], -1));
+    }
+  for (uint32_t i = 0; i < message->headers->len; i++)
+    {
+      if (strcasecmp (msg_name (message, i), "Connection") != 0)
+        {
+          continue;
+        }
+      const char *list = msg_value (message, i);
+      while (*list != '\0')
         {
-          return true;
+          list += strspn (list, ", \t");
+          size_t bytes = strcspn (list, ", \t");
+          g_hash_table_add (names, g_ascii_strdown (list, (gssize)bytes));
+          list += bytes;
         }
     }
-  return list_contains (msg_find (message, "Connection"), name);
-}
-
-/* Returns the number after the first NAME in URL, or 0 when there is none.
-   NAME contains the equals sign, as in `from='.  */
-uint64_t
-msg_query_number (const char *url, const char *name)
-{
-  const char *found = strstr (url, name);
-  return found == NULL ? 0
-                       : g_ascii_strtoull (found + strlen (name), NULL, 10);
+  return names;
 }
 
 /* Appends the headers of MESSAGE that a proxy forwards to HEAD, each with
@@ -198,16 +193,19 @@
 msg_copy_headers (const struct msg_message *message,
                   bool (*excludes) (const char *name), GString *head)
 {
+  GHashTable *excluded = list_hop_by_hop (message);
   for (uint32_t i = 0; i < message->headers->len; i++)
     {
       const char *name = msg_name (message, i);
-      if (!msg_is_hop_by_hop (message, name)
+      g_autofree char *lower = g_ascii_strdown (name, -1);
+      if (!g_hash_table_contains (excluded, lower)
           && (excludes == NULL || !excludes (name)))
         {
           g_string_append_printf (head, "%s: %s\r\n", name,
                                   msg_value (message, i));
         }
     }
+  g_hash_table_destroy (excluded);
 }
 
 /* Returns the reason phrase of the HTTP status STATUS, or "Unknown".  */
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -140,7 +140,9 @@
 {
   struct nsv_connection *connection = parser->data;
   msg_reset (&connection->request);
-  connection->header_bytes = 0;
+  connection->chunk_offset = 0;
+  connection->lines_offset = 0;
+  connection->in_trailer = false;
   connection->error_status = 0;
   connection->received = false;
   connection->in_body = false;
@@ -150,14 +152,12 @@
   return 0;
 }
 
-/* Adds COUNT bytes to the size of the headers.  Returns -1, which stops the
-   parser, when the size exceeds its limit or there is no memory for them, else
-   0.  */
+/* Returns -1, which stops the parser, when COUNT bytes of the URL or of header
+   lines exceed their limit or there is no memory for them, else 0.  */
 static int
-count_header_bytes (struct nsv_connection *connection, size_t count)
+check_head (struct nsv_connection *connection, size_t count)
 {
-  connection->header_bytes += count;
-  if (connection->header_bytes > connection->server->limits.header_bytes_max)
+  if (count > connection->server->limits.header_bytes_max)
     {
       connection->error_status = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
       return -1;
@@ -171,23 +171,48 @@
              : nsv_reserve_or_refuse (connection, BBG_HEAD, bytes);
 }
 
+/* Returns where AT, in the chunk that the parser of CONNECTION reads, is in
+   the current request, in bytes.  */
+static uint64_t
+offset_of (const struct nsv_connection *connection, const char *at)
+{
+  return connection->chunk_offset + (uint64_t)(at - connection->chunk);
+}
+
+/* Checks the header lines of CONNECTION's request up to END as check_head.
+   What the parser skips counts too: the names and values of many short lines
+   don't show the work that these take.  */
+static int
+check_lines (struct nsv_connection *connection, const char *end)
+{
+  return check_head (connection,
+                     offset_of (connection, end) - connection->lines_offset);
+}
+
 static int
 on_url (http_parser *parser, const char *at, size_t count)
 {
   struct nsv_connection *connection = parser->data;
   g_string_append_len (connection->request.url, at, (gssize)count);
-  return count_header_bytes (connection, count);
+  return check_head (connection, connection->request.url->len);
 }
 
 static int
 on_header_field (http_parser *parser, const char *at, size_t count)
 {
   struct nsv_connection *connection = parser->data;
+  bool is_first = connection->in_body ? !connection->in_trailer
+                                      : connection->request.headers->len == 0;
+  if (is_first)
+    {
+      connection->lines_offset = offset_of (connection, at);
+      connection->in_trailer = connection->in_body;
+    }
   if (!connection->in_body) /* else of a trailer, which is dropped */
     {
       msg_add_name (&connection->request, at, count);
     }
-  return count_header_bytes (connection, count);
+  return check_lines (connection, at + count);
 }
 
 static int
@@ -198,7 +223,7 @@
     {
       msg_add_value (&connection->request, at, count);
     }
-  return count_header_bytes (connection, count);
+  return check_lines (connection, at + count);
 }
 
 static void write_bytes (struct nsv_connection *connection,
@@ -507,8 +532,10 @@
         {
           break;
         }
+      connection->chunk = bytes;
       size_t parsed = http_parser_execute (&connection->parser,
                                            &parser_settings, bytes, count);
+      connection->chunk_offset += parsed;
       bytes += parsed;
       count -= MIN (parsed, count);
       if (connection->received)
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -38,7 +38,8 @@
 
 struct nsv_limits
 {
-  uint32_t header_bytes_max;
+  uint32_t header_bytes_max; /* of all header lines, as they arrive, and of a
+                                URL */
   uint64_t body_bytes_max;
   int64_t header_timeout_us; /* to receive the headers of a request */
   int64_t idle_timeout_us;   /* between requests, and to receive a body */
--- a/src/net/server_private.h
+++ b/src/net/server_private.h
@@ -27,7 +27,11 @@
   GByteArray *pipelined; /* bytes after the current request */
   enum phase phase;
   int64_t since_us;      /* start of the phase, monotonic time */
-  uint64_t header_bytes; /* of the current request, including the URL */
+  const char *chunk;     /* that the parser reads now */
+  uint64_t chunk_offset; /* its begin, in the current request */
+  uint64_t lines_offset; /* of the first header line, or of the first one of a
+                            trailer */
+  bool in_trailer;
   uint32_t error_status; /* response if a limit stops the parser; 0: none */
   void *request_context;
   bool keep_alive;
