Bound numbers from outside before computing with them

Cause: numbers of headers and configurations were multiplied, added or converted to a narrower type before anything bounded them. The results aren't defined in C, and conversions from floating point differ between x86-64 and arm64. Callers saw nothing of it; an endpoint's connection was not used again when its Keep-Alive header named a very long time.

--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -116,8 +116,8 @@
   int64_t left_us = route->timeout_us > 0 ? route->timeout_us : INT64_MAX / 4;
   if (header != NULL)
     {
-      int64_t stated_us = CLAMP (g_ascii_strtoll (header, NULL, 10),
-                                 INT64_MIN / CLK_MS_US, INT64_MAX / CLK_MS_US)
+      int64_t stated_us = CLAMP (g_ascii_strtoll (header, NULL, 10), 0,
+                                 INT64_MAX / 4 / CLK_MS_US)
                           * CLK_MS_US;
       left_us = MIN (left_us, stated_us);
     }
@@ -251,8 +251,9 @@
   exchange->ran_before
       = passed_on == NULL
             ? 0
-            : (uint32_t)CLAMP (g_ascii_strtoll (passed_on, NULL, 10) - 1, 0,
-                               ATT_SENT_MAX);
+            : (uint32_t)CLAMP (g_ascii_strtoll (passed_on, NULL, 10), 1,
+                               ATT_SENT_MAX + 1)
+                  - 1;
   exchange->arrived_us = clk_monotonic_us ();
   exchange->deadline_us = exchange->arrived_us + time_left_us (route, request);
   exchange->came_back = exchange->deadline_us - exchange->arrived_us
--- a/src/net/event_scan.c
+++ b/src/net/event_scan.c
@@ -118,7 +118,7 @@
       bool repeated = id >= 0 && id <= scanner->last_id;
       scanner->repeated += repeated;
       bool comment = id < 0 && is_comment (start, length);
-      bool follows = comment || (id >= 0 && id == scanner->last_id + 1);
+      bool follows = comment || (id > 0 && id - 1 == scanner->last_id);
       bool lacks_id = scanner->needs_ids && id < 0 && !comment;
       scanner->out_of_order
           = lacks_id || (!repeated && !follows && scanner->last_id >= 0);
--- a/test/client_response_test.c
+++ b/test/client_response_test.c
@@ -506,6 +506,50 @@
   check_calls (*state, ending_cases, G_N_ELEMENTS (ending_cases));
 }
 
+/* Guards against an idle time that a server names and that overflows: the
+   client would take the connection for one that may not be used again.  */
+static void
+test_keep_alive (void **state)
+{
+  static const struct
+  {
+    const char *value;
+    bool is_kept;
+  } rows[] = {
+    { "timeout=5", true },
+    { "timeout=5, max=100", true },
+    { "max=100", true },
+    { "timeout=9223372036855", true },
+    { "timeout=9223372036854775807", true },
+    { "timeout=99999999999999999999", true },
+    { "timeout=0", false },
+    { "timeout=-9223372036854775808", false },
+    { "timeout=", false },
+  };
+  struct fixture *fixture = *state;
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autofree char *response = g_strdup_printf (
+          OK_HEAD "Keep-Alive: %s\r\nContent-Length: 4\r\n\r\nbody",
+          rows[i].value);
+      send_request (fixture);
+      int server = accept_connection (fixture);
+      read_request (fixture, server);
+      send_bytes (fixture, server, response, strlen (response));
+      await_end (fixture);
+      assert_int_equal (fixture->end, END_COMPLETE);
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+      bool is_kept = ncl_counts (fixture->client)->open == 1;
+      if (is_kept != rows[i].is_kept)
+        {
+          fail_msg ("%s: kept %d", rows[i].value, is_kept);
+        }
+      close (server);
+      ncl_close_idle (fixture->client, fixture->address);
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+    }
+}
+
 static const struct response_case reset_cases[] = {
   { "no length", OK_HEAD "\r\nbody", END_CUT_OFF, 0, "" },
   { "no length, no body", OK_HEAD "\r\n", END_CUT_OFF, 0, "" },
@@ -686,6 +730,8 @@
                                      destroy_fixture),
     cmocka_unit_test_setup_teardown (test_ending, create_fixture,
                                      destroy_fixture),
+    cmocka_unit_test_setup_teardown (test_keep_alive, create_fixture,
+                                     destroy_fixture),
     cmocka_unit_test_setup_teardown (test_reset_with_last_bytes,
                                      create_fixture, destroy_fixture),
     cmocka_unit_test_setup_teardown (test_second_copy, create_fixture,
--- a/test/entry_head_test.c
+++ b/test/entry_head_test.c
@@ -131,11 +131,64 @@
   assert_int_equal (failures, 0);
 }
 
+/* Guards against numbers in headers that overflow where a time or a count is
+   computed from them: the request gets a whole answer, and the daemon serves
+   the next one.  */
+static void
+test_extreme_numbers (void **state)
+{
+  static const char *const names[] = {
+    PFH_TIME_LEFT_MS, PFH_LAST_EVENT_ID, PFH_PASSED_ON, PFH_TOKENS,
+    PFH_PROMPT_PARTS,
+  };
+  static const char *const values[] = {
+    "",
+    "0",
+    "-1",
+    "-9223372036854775808",
+    "9223372036854775807",
+    "-99999999999999999999",
+    "99999999999999999999",
+    "1e300,1e300",
+    "nan",
+    "0x10",
+  };
+  struct efx_fixture *fixture = *state;
+  g_autofree char *next = efx_build_request ("POST", EFX_FLEET_HOST, "/look/a",
+                                             "key-1", "next", "look");
+  for (size_t i = 0; i < G_N_ELEMENTS (names) * G_N_ELEMENTS (values); i++)
+    {
+      const char *name = names[i / G_N_ELEMENTS (values)];
+      const char *value = values[i % G_N_ELEMENTS (values)];
+      g_autofree char *request = g_strdup_printf (
+          "POST /look/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST
+          "\r\nX-Api-Key: key-1\r\nX-Own: 1\r\n" PFH_REQUEST_ID
+          ": number-%zu\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+          i, name, value);
+      int descriptor = open_socket (sep_caller_address (fixture->daemon));
+      GString *head = exchange_heads (fixture, descriptor, request);
+      int other = open_socket (sep_caller_address (fixture->daemon));
+      GString *other_head = exchange_heads (fixture, other, next);
+      if (!g_str_has_suffix (head->str, "\r\n\r\n")
+          || !is_sound (other_head->str, 200, "next"))
+        {
+          fail_msg ("%s: %s: '%s', then '%s'", name, value, head->str,
+                    other_head->str);
+        }
+      g_string_free (head, TRUE);
+      g_string_free (other_head, TRUE);
+      close (descriptor);
+      close (other);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_long_ids, efx_set_up, efx_tear_down),
+    cmocka_unit_test_setup_teardown (test_extreme_numbers, efx_set_up,
+                                     efx_tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -66,6 +66,62 @@
   flt_release (config);
 }
 
+/* Guards against numbers of a configuration that don't fit their type: what
+   the conversion makes of them depends on the processor.  */
+static void
+test_numbers_out_of_range (void **state)
+{
+  (void)state;
+  static const int64_t longest_us = INT64_C (1000000000000000);
+  static const struct
+  {
+    const char *number;
+    int64_t duration_us;
+    uint32_t count;
+    uint64_t bytes;
+  } rows[] = {
+    { "1500", 1500000, 1500, 1500 },
+    { "0.5", 500, 0, 0 },
+    { "0", 0, 0, 0 },
+    { "-1", 0, 0, 0 },
+    { "-0.5", 0, 0, 0 },
+    { "-1e300", 0, 0, 0 },
+    { "-9223372036854775808", 0, 0, 0 },
+    { "4294967295", INT64_C (4294967295000), UINT32_MAX, UINT32_MAX },
+    { "4294967296", INT64_C (4294967296000), UINT32_MAX, 4294967296 },
+    { "4294967296.5", INT64_C (4294967296500), UINT32_MAX, 4294967296 },
+    { "9223372036854775807", longest_us, UINT32_MAX, INT64_MAX },
+    { "1e19", longest_us, UINT32_MAX, UINT64_C (10000000000000000000) },
+    { "1e300", longest_us, UINT32_MAX, UINT64_MAX },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "{\"Version\":7,\"Routes\":[{\"Name\":\"r\",\"Hostname\":\"h\","
+          "\"PathPrefix\":\"/\",\"TimeoutMs\":%s,\"MaxAttempts\":%s}],"
+          "\"Limits\":{\"MaxHeaderBytes\":%s,\"MaxBodyBytes\":%s,"
+          "\"IdleTimeoutMs\":%s}}",
+          rows[i].number, rows[i].number, rows[i].number, rows[i].number,
+          rows[i].number);
+      struct flt_config *config = pfc_decode (text, strlen (text), NULL);
+      assert_non_null (config);
+      if (config->routes[0].timeout_us != rows[i].duration_us
+          || config->routes[0].attempts_max != rows[i].count
+          || config->limits.header_bytes_max != rows[i].count
+          || config->limits.body_bytes_max != rows[i].bytes
+          || config->limits.idle_timeout_us != rows[i].duration_us)
+        {
+          fail_msg ("%s: %ld us, %u, %u and %lu bytes, %ld us",
+                    rows[i].number, (long)config->routes[0].timeout_us,
+                    config->routes[0].attempts_max,
+                    config->limits.header_bytes_max,
+                    (unsigned long)config->limits.body_bytes_max,
+                    (long)config->limits.idle_timeout_us);
+        }
+      flt_release (config);
+    }
+}
+
 static void
 test_routes (void **state)
 {
@@ -391,6 +447,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_configuration),
+    cmocka_unit_test (test_numbers_out_of_range),
     cmocka_unit_test (test_routes),
     cmocka_unit_test (test_configuration_invalid),
     cmocka_unit_test (test_endpoint_entries),
