Send and expect no body in answers to HEAD

Cause: whether an answer has a body was told from its status only. A HEAD request to a plain service waited for the announced body until its deadline; when an endpoint sent one all the same, its caller got it and took it for the begin of the next answer on the connection.

Change: the HTTP client remembers the method of its request, the server reads it from the request, and neither reads or sends a body for HEAD. The length that an endpoint announces is passed on.

Tests: client_response_test (responses to HEAD) and entry_head_test (HEAD on kept connections) failed before, the latter with 'done head-0HTTP/1.1 200' as the next answer; both pass, also with the sanitizers.

--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -281,12 +281,19 @@
     }
   const char *type = msg_find (answer, "Content-Type");
   exchange->is_stream
-      = success && exchange->route->repeat == FLT_REPEAT_STREAM
+      = success && !exchange->is_head
+        && exchange->route->repeat == FLT_REPEAT_STREAM
         && (type == NULL || strstr (type, "text/event-stream") != NULL);
   if (!exchange->answer_begun)
     {
+      const char *length = msg_find (answer, "Content-Length");
       g_string_truncate (exchange->answer_head, 0);
       msg_copy_headers (answer, is_for_neighbour, exchange->answer_head);
+      if (exchange->is_head && length != NULL)
+        {
+          g_string_append_printf (exchange->answer_head,
+                                  "Content-Length: %s\r\n", length);
+        }
       if (exchange->is_passed)
         {
           g_string_append_printf (exchange->answer_head,
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -241,6 +241,7 @@
   g_strlcpy (exchange->id, id, sizeof exchange->id);
   exchange->head = g_string_sized_new (512);
   copy_request_head (request, method, exchange->head);
+  exchange->is_head = strcmp (method, "HEAD") == 0;
   exchange->has_body = request->body->len > 0
                        || msg_find (request, "Content-Length") != NULL
                        || msg_find (request, "Transfer-Encoding") != NULL;
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -40,6 +40,7 @@
   GBytes *body;  /* of the request */
   char *key;     /* the caller's API key; NULL: none */
   bool has_body;
+  bool is_head;        /* the method: the answer has no body */
   bool is_passed;      /* another daemon has passed the request on */
   uint32_t ran_before; /* attempts in which it may have run there */
 
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -11,6 +11,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#define HEAD_START "HEAD " /* of a request */
+
 #define READ_BYTES 65536 /* of one read from a socket */
 
 /* Interim responses before a response.  A server that only sends these would
@@ -33,7 +35,8 @@
                           established */
   GBytes *unsent_body; /* the same of its body; NULL: none */
   bool connected;
-  bool in_use; /* carries an exchange */
+  bool in_use;  /* carries an exchange */
+  bool is_head; /* the method of the request: its response has no body */
   bool headers_seen;
   uint32_t interim; /* interim responses of the exchange */
   bool finished;    /* the response has been parsed to its end */
@@ -193,6 +196,14 @@
   return parser->status_code < HTTP_STATUS_OK;
 }
 
+/* Returns whether the response on CONNECTION, whose head was read, has a body,
+   whatever its headers say.  */
+static bool
+has_body (const struct ncl_exchange *connection)
+{
+  return !connection->is_head && rsh_has_body (connection->parser.status_code);
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -221,7 +232,7 @@
       return -1;
     }
   /* 1 lets the parser skip the body that the headers may announce. */
-  return rsh_has_body (parser->status_code) ? 0 : 1;
+  return has_body (connection) ? 0 : 1;
 }
 
 static int
@@ -635,6 +646,9 @@
   connection->events = events;
   connection->context = context;
   connection->in_use = true;
+  connection->is_head
+      = request->head_bytes >= strlen (HEAD_START)
+        && memcmp (request->head, HEAD_START, strlen (HEAD_START)) == 0;
   connection->headers_seen = false;
   connection->interim = 0;
   connection->send_by_us = INT64_MAX;
@@ -710,7 +724,7 @@
 bool
 ncl_ends_with_connection (const struct ncl_exchange *exchange)
 {
-  return rsh_has_body (exchange->parser.status_code)
+  return has_body (exchange)
          && (exchange->parser.flags & F_CHUNKED) == 0
          && (exchange->parser.flags & F_CONTENTLENGTH) == 0;
 }
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "net/address.h"
+#include "net/response_head.h"
 #include "net/server_private.h"
 #include "net/stream.h"
 
@@ -852,15 +853,25 @@
     }
 }
 
+/* Returns whether the response to the current request of CONNECTION ends with
+   its head, as its method says.  */
+static bool
+is_head_only (const struct nsv_connection *connection)
+{
+  return connection->parser.method == HTTP_HEAD;
+}
+
 /* Sends the complete response to the current request: STATUS, HEADERS, each of
-   which ends with CRLF, and the body.  */
+   which ends with CRLF, and the body.  A response to HEAD has the length of
+   the body but not the body; if that is empty, HEADERS may have a length.  */
 void
 nsv_respond (struct nsv_connection *connection, uint32_t status,
              const char *headers, const void *body, size_t body_bytes)
 {
   GString *head = g_string_sized_new (512);
+  bool head_only = is_head_only (connection);
   append_head (connection, head, status, headers);
-  if (status != HTTP_STATUS_NO_CONTENT && status != HTTP_STATUS_NOT_MODIFIED)
+  if (rsh_has_body (status) && (!head_only || body_bytes > 0))
     {
       g_string_append_printf (head, "Content-Length: %zu\r\n", body_bytes);
     }
@@ -869,7 +880,7 @@
     uv_buf_init (head->str, (unsigned)head->len),
     uv_buf_init ((char *)body, (unsigned)body_bytes),
   };
-  write_bytes (connection, buffers, body_bytes > 0 ? 2 : 1);
+  write_bytes (connection, buffers, body_bytes > 0 && !head_only ? 2 : 1);
   g_string_free (head, TRUE);
   finish_response (connection);
 }
@@ -898,8 +909,8 @@
   g_string_free (head, TRUE);
 }
 
-/* Sends COUNT bytes of the body of a response that was begun.  COUNT must not
-   be 0, which would end a chunked body.  */
+/* Sends COUNT bytes of the body of a response that was begun, unless it is one
+   to HEAD.  COUNT must not be 0, which would end a chunked body.  */
 void
 nsv_send_body (struct nsv_connection *connection, const void *bytes,
                size_t count)
@@ -912,6 +923,10 @@
     uv_buf_init ((char *)bytes, (unsigned)count),
     uv_buf_init (end, 2),
   };
+  if (is_head_only (connection))
+    {
+      return;
+    }
   if (connection->chunked)
     {
       write_bytes (connection, buffers, 3);
@@ -928,7 +943,7 @@
 {
   static char last[] = "0\r\n\r\n";
   uv_buf_t buffer = uv_buf_init (last, sizeof last - 1);
-  if (connection->chunked)
+  if (connection->chunked && !is_head_only (connection))
     {
       write_bytes (connection, &buffer, 1);
     }
--- a/test/client_response_test.c
+++ b/test/client_response_test.c
@@ -46,6 +46,7 @@
   char *address;
   enum end end;
   uint32_t status; /* of the response; 0: none */
+  const char *request;
   GString *body;
 };
 
@@ -124,6 +125,7 @@
       = g_strdup_printf ("127.0.0.1:%u", ntohs (address.sin_port));
   uv_loop_init (&fixture->loop);
   fixture->client = ncl_create (&fixture->loop, &params);
+  fixture->request = REQUEST;
   fixture->body = g_string_new (NULL);
   *state = fixture;
   return 0;
@@ -156,8 +158,9 @@
 send_request (struct fixture *fixture)
 {
   forget_response (fixture);
-  assert_non_null (ncl_send (fixture->client, fixture->address, REQUEST,
-                             strlen (REQUEST), false, &events, fixture));
+  assert_non_null (ncl_send (fixture->client, fixture->address,
+                             fixture->request, strlen (fixture->request),
+                             false, &events, fixture));
 }
 
 /* Accepts the next connection of the client.  */
@@ -506,6 +509,29 @@
   check_calls (*state, ending_cases, G_N_ELEMENTS (ending_cases));
 }
 
+static const struct response_case head_cases[] = {
+  { "a length", OK_HEAD "Content-Length: 4\r\n\r\n", END_COMPLETE, 200, "" },
+  { "chunks", CHUNKED_HEAD, END_COMPLETE, 200, "" },
+  { "neither", OK_HEAD "\r\n", END_COMPLETE, 200, "" },
+  { "an error", "HTTP/1.1 404 Not Found\r\nContent-Length: 9\r\n\r\n",
+    END_COMPLETE, 404, "" },
+  { "a body that nobody asked for", SOUND, END_COMPLETE, 200, "" },
+  { "100, then a response", CONTINUE OK_HEAD "Content-Length: 4\r\n\r\n",
+    END_COMPLETE, 200, "" },
+  { "within the headers", OK_HEAD "Content-Length: 4\r\n", END_CUT_OFF, 0,
+    "" },
+};
+
+/* Guards against a client that waits for the body of a response to HEAD, which
+   has a length but no body, until the call times out.  */
+static void
+test_response_to_head (void **state)
+{
+  struct fixture *fixture = *state;
+  fixture->request = "HEAD /a HTTP/1.1\r\nHost: a\r\n\r\n";
+  check_exchanges (fixture, head_cases, G_N_ELEMENTS (head_cases));
+}
+
 /* Guards against an idle time that a server names and that overflows: the
    client would take the connection for one that may not be used again.  */
 static void
@@ -730,6 +756,8 @@
                                      destroy_fixture),
     cmocka_unit_test_setup_teardown (test_ending, create_fixture,
                                      destroy_fixture),
+    cmocka_unit_test_setup_teardown (test_response_to_head, create_fixture,
+                                     destroy_fixture),
     cmocka_unit_test_setup_teardown (test_keep_alive, create_fixture,
                                      destroy_fixture),
     cmocka_unit_test_setup_teardown (test_reset_with_last_bytes,
--- a/test/entry_head_test.c
+++ b/test/entry_head_test.c
@@ -182,6 +182,55 @@
     }
 }
 
+/* Guards against a response to HEAD that is taken for one with a body, so that
+   its caller waits until its deadline, or gets bytes that it takes for its
+   next answer.  */
+static void
+test_head_requests (void **state)
+{
+  static const struct
+  {
+    const char *path;
+    const char *key;
+    uint32_t status;
+  } rows[] = {
+    { "/look/a", "key-1", 200 },
+    { "/draft/a", "key-1", 200 },
+    { "/look/a", "unknown", 401 },
+    { "/nowhere", "key-1", 404 },
+  };
+  struct efx_fixture *fixture = *state;
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autofree char *id = g_strdup_printf ("head-%zu", i);
+      g_autofree char *request
+          = efx_build_request ("HEAD", EFX_FLEET_HOST, rows[i].path,
+                               rows[i].key, id, "");
+      g_autofree char *next = efx_build_request (
+          "POST", EFX_FLEET_HOST, "/look/a", "key-1", "next", "look");
+      g_autofree char *start
+          = g_strdup_printf ("HTTP/1.1 %u ", rows[i].status);
+      int descriptor = open_socket (sep_caller_address (fixture->daemon));
+      int64_t began_us = clk_monotonic_us ();
+      GString *head = exchange_heads (fixture, descriptor, request);
+      int64_t took_us = clk_monotonic_us () - began_us;
+      GString *next_head = exchange_heads (fixture, descriptor, next);
+      if (!g_str_has_prefix (head->str, start) || took_us > CLK_S_US
+          || !is_sound (next_head->str, 200, "next"))
+        {
+          fail_msg ("HEAD %s: after %ld us '%s', then '%s'", rows[i].path,
+                    (long)took_us, head->str, next_head->str);
+        }
+      if (i == 0)
+        {
+          assert_non_null (strstr (head->str, "Content-Length: 11\r\n"));
+        }
+      g_string_free (head, TRUE);
+      g_string_free (next_head, TRUE);
+      close (descriptor);
+    }
+}
+
 int
 main (void)
 {
@@ -189,6 +238,8 @@
     cmocka_unit_test_setup_teardown (test_long_ids, efx_set_up, efx_tear_down),
     cmocka_unit_test_setup_teardown (test_extreme_numbers, efx_set_up,
                                      efx_tear_down),
+    cmocka_unit_test_setup_teardown (test_head_requests, efx_set_up,
+                                     efx_tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
