Count the time-out of a body from its newest bytes

Cause: IdleTimeoutMs was applied to the whole time in which a body arrives, so a caller with a slow link got 408, and again at each return, though it never paused.

Change: the time-out counts from the newest bytes of the body. A body that trickles still gives way near the limits on connections and memory.

Test: server_room_test with an idle time-out of 0.4 s: a body that arrives for 1.2 s in steps of 0.1 s got 408 before and gets 200; one that pauses for 0.7 s gets 408 as before.

--- a/src/net/client.c
+++ b/src/net/client.c
@@ -724,8 +724,7 @@
 bool
 ncl_ends_with_connection (const struct ncl_exchange *exchange)
 {
-  return has_body (exchange)
-         && (exchange->parser.flags & F_CHUNKED) == 0
+  return has_body (exchange) && (exchange->parser.flags & F_CHUNKED) == 0
          && (exchange->parser.flags & F_CONTENTLENGTH) == 0;
 }
 
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -580,7 +580,12 @@
       return;
     }
   parse (connection, buffer->base, (size_t)count);
-  bbg_mark_progress (&connection->account, clk_monotonic_us ());
+  int64_t now_us = clk_monotonic_us ();
+  bbg_mark_progress (&connection->account, now_us);
+  if (connection->phase == PHASE_RECEIVING && connection->in_body)
+    {
+      connection->since_us = now_us;
+    }
 }
 
 static void
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -42,7 +42,8 @@
                                 URL */
   uint64_t body_bytes_max;
   int64_t header_timeout_us; /* to receive the headers of a request */
-  int64_t idle_timeout_us;   /* between requests, and to receive a body */
+  int64_t idle_timeout_us;   /* between requests, and without bytes of a
+                                body */
   uint32_t unsent_bytes_max; /* of one connection; above it is slow */
   uint32_t user_timeout_ms; /* TCP_USER_TIMEOUT: sent bytes not acknowledged */
   uint32_t connections_max; /* further ones take the place of those that make
--- a/src/net/server_private.h
+++ b/src/net/server_private.h
@@ -26,7 +26,8 @@
   struct bbg_account account;
   GByteArray *pipelined; /* bytes after the current request */
   enum phase phase;
-  int64_t since_us;      /* start of the phase, monotonic time */
+  int64_t since_us;      /* start of the phase, or the newest bytes of a body,
+                            monotonic time */
   const char *chunk;     /* that the parser reads now */
   uint64_t chunk_offset; /* its begin, in the current request */
   uint64_t lines_offset; /* of the first header line, or of the first one of a
--- a/test/entry_head_test.c
+++ b/test/entry_head_test.c
@@ -138,8 +138,8 @@
 test_extreme_numbers (void **state)
 {
   static const char *const names[] = {
-    PFH_TIME_LEFT_MS, PFH_LAST_EVENT_ID, PFH_PASSED_ON, PFH_TOKENS,
-    PFH_PROMPT_PARTS,
+    PFH_TIME_LEFT_MS, PFH_LAST_EVENT_ID, PFH_PASSED_ON,
+    PFH_TOKENS,       PFH_PROMPT_PARTS,
   };
   static const char *const values[] = {
     "",
@@ -203,9 +203,8 @@
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     {
       g_autofree char *id = g_strdup_printf ("head-%zu", i);
-      g_autofree char *request
-          = efx_build_request ("HEAD", EFX_FLEET_HOST, rows[i].path,
-                               rows[i].key, id, "");
+      g_autofree char *request = efx_build_request (
+          "HEAD", EFX_FLEET_HOST, rows[i].path, rows[i].key, id, "");
       g_autofree char *next = efx_build_request (
           "POST", EFX_FLEET_HOST, "/look/a", "key-1", "next", "look");
       g_autofree char *start
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -111,8 +111,8 @@
           || config->limits.body_bytes_max != rows[i].bytes
           || config->limits.idle_timeout_us != rows[i].duration_us)
         {
-          fail_msg ("%s: %ld us, %u, %u and %lu bytes, %ld us",
-                    rows[i].number, (long)config->routes[0].timeout_us,
+          fail_msg ("%s: %ld us, %u, %u and %lu bytes, %ld us", rows[i].number,
+                    (long)config->routes[0].timeout_us,
                     config->routes[0].attempts_max,
                     config->limits.header_bytes_max,
                     (unsigned long)config->limits.body_bytes_max,
--- a/test/server_room_test.c
+++ b/test/server_room_test.c
@@ -27,6 +27,7 @@
   uv_loop_t loop;
   struct nsv_server *server;
   char *address;
+  struct nsv_limits limits;
 };
 
 /* Responds to all requests but those to /wait.  */
@@ -60,7 +61,7 @@
 {
   struct fixture *fixture = g_new0 (struct fixture, 1);
   uv_loop_init (&fixture->loop);
-  const struct nsv_limits limits = {
+  fixture->limits = (struct nsv_limits){
     .header_bytes_max = 4096,
     .body_bytes_max = 65536,
     .header_timeout_us = TIMEOUT_US,
@@ -69,8 +70,8 @@
     .user_timeout_ms = 20000,
     .connections_max = CONNECTIONS_MAX,
   };
-  fixture->server = nsv_create (&fixture->loop, "127.0.0.1:0", &limits,
-                                &events, fixture, NULL);
+  fixture->server = nsv_create (&fixture->loop, "127.0.0.1:0",
+                                &fixture->limits, &events, fixture, NULL);
   assert_non_null (fixture->server);
   fixture->address = nsv_address (fixture->server);
   *state = fixture;
@@ -221,6 +222,48 @@
     }
 }
 
+/* Guards against a body that goes on arriving and gets 408, since it takes
+   longer in all than the idle time-out; one that pauses for so long gets
+   it.  */
+static void
+test_slow_bodies (void **state)
+{
+  static const int64_t idle_timeout_us = 400 * CLK_MS_US;
+  static const struct
+  {
+    const char *name;
+    uint32_t pauses;
+    int64_t pause_us;
+    const char *told;
+  } rows[] = {
+    { "at once", 0, 0, "HTTP/1.1 200 " },
+    { "slow without a pause", 12, 100 * CLK_MS_US, "HTTP/1.1 200 " },
+    { "a pause", 1, 700 * CLK_MS_US, "HTTP/1.1 408 " },
+  };
+  struct fixture *fixture = *state;
+  struct nsv_limits limits = fixture->limits;
+  char answer[ANSWER_BYTES];
+  limits.idle_timeout_us = idle_timeout_us;
+  nsv_set_limits (fixture->server, &limits);
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      int caller = open_caller (fixture, crowds[0].bytes);
+      for (uint32_t n = 0; n < rows[i].pauses; n++)
+        {
+          run_for (fixture, rows[i].pause_us);
+          send (caller, "1\r\na\r\n", 6, MSG_NOSIGNAL);
+        }
+      send (caller, "0\r\n\r\n", 5, MSG_NOSIGNAL);
+      run_for (fixture, 20 * CLK_MS_US);
+      read_answer (caller, answer);
+      if (!g_str_has_prefix (answer, rows[i].told))
+        {
+          fail_msg ("%s: '%s'", rows[i].name, answer);
+        }
+      close (caller);
+    }
+}
+
 int
 main (void)
 {
@@ -228,6 +271,7 @@
     cmocka_unit_test (test_crowd),
     cmocka_unit_test_setup_teardown (test_beginning_requests_stay, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (test_slow_bodies, set_up, tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
