--- a/src/core/turned_away.c
+++ b/src/core/turned_away.c
@@ -9,6 +9,9 @@
 /* Longest random delay after the end of a stated time, as a share of it. */
 #define DELAY_SHARE 0.2
 
+/* Limit on that delay. */
+#define DELAY_MAX_US 5e6
+
 /* A request waits for an endpoint to open for this share of its target latency
    at most; the rest is needed to serve it. */
 #define TARGET_SHARE 0.4
@@ -34,10 +37,10 @@
 };
 
 /* Reads TEXT, the seconds for which an endpoint wants no requests, or NULL.
-   Sets DURATION_US to that time, but at most to BOUND_US; 0 if it states
+   Sets DURATION_US to that time, but at most to TNA_LONGEST_US; 0 if it states
    none.  */
 enum tna_reading
-tna_read (const char *text, int64_t bound_us, int64_t *duration_us)
+tna_read (const char *text, int64_t *duration_us)
 {
   *duration_us = 0;
   if (text == NULL)
@@ -50,29 +53,15 @@
       return TNA_INVALID;
     }
   double us = seconds * 1e6;
-  if (us > (double)bound_us)
+  if (us > TNA_LONGEST_US)
     {
-      *duration_us = bound_us;
+      *duration_us = TNA_LONGEST_US;
       return TNA_BOUNDED;
     }
   *duration_us = (int64_t)us;
   return TNA_STATED;
 }
 
-/* Returns the longest time for which an endpoint is kept closed: no caller
-   waits for longer than the longest time-out of CONFIG's routes, and none of
-   this daemon's requests for longer than STOP_US once it stops.  */
-int64_t
-tna_bound_us (const struct flt_config *config, int64_t stop_us)
-{
-  int64_t bound_us = stop_us;
-  for (uint32_t i = 0; config != NULL && i < config->route_count; i++)
-    {
-      bound_us = MAX (bound_us, config->routes[i].timeout_us);
-    }
-  return bound_us;
-}
-
 /* Returns a table in which every endpoint is open.  The caller frees it with
    tna_destroy.  */
 struct tna_table *
@@ -115,9 +104,9 @@
     {
       return before->opens_us;
     }
+  double delay_us = fmin ((double)duration_us * DELAY_SHARE, DELAY_MAX_US);
   int64_t opens_us
-      = now_us + duration_us
-        + (int64_t)((double)duration_us * DELAY_SHARE * CLAMP (draw, 0, 1));
+      = now_us + duration_us + (int64_t)(delay_us * CLAMP (draw, 0, 1));
   opens_us = MAX (opens_us, tna_opens_us (table, id, born_ms));
   struct closure *closure = g_new0 (struct closure, 1);
   closure->born_ms = born_ms;
--- a/src/core/turned_away.h
+++ b/src/core/turned_away.h
@@ -14,17 +14,18 @@
 #ifndef CORE_TURNED_AWAY_H
 #define CORE_TURNED_AWAY_H
 
-#include "core/fleet.h"
-
-#include <stdbool.h>
 #include <stdint.h>
 
+/* Limit on the time for which an endpoint is kept closed by what it said: a
+   day, in microseconds. */
+#define TNA_LONGEST_US INT64_C (86400000000)
+
 /* How a stated time was read. */
 enum tna_reading
 {
   TNA_NOT_STATED,
   TNA_STATED,
-  TNA_BOUNDED, /* longer than the bound, which holds instead */
+  TNA_BOUNDED, /* longer than TNA_LONGEST_US, which holds instead */
   TNA_INVALID  /* no time */
 };
 
@@ -45,9 +46,7 @@
 /* Until when endpoints are closed. */
 struct tna_table;
 
-enum tna_reading tna_read (const char *text, int64_t bound_us,
-                           int64_t *duration_us);
-int64_t tna_bound_us (const struct flt_config *config, int64_t stop_us);
+enum tna_reading tna_read (const char *text, int64_t *duration_us);
 
 struct tna_table *tna_create (void);
 void tna_destroy (struct tna_table *table);
--- a/src/entry/announcement.c
+++ b/src/entry/announcement.c
@@ -16,12 +16,12 @@
   return g_strcmp0 (msg_find (answer, PFH_LEAVING), "1") == 0;
 }
 
-/* Returns the time, at most BOUND_US, for which ANSWER with STATUS says that
-   the endpoint ID wants no requests; 0 if it isn't a 503 or states no time
-   that makes sense.  */
+/* Returns the time for which ANSWER with STATUS says that the endpoint ID
+   wants no requests; 0 if it isn't a 503 or states no time that makes sense.
+ */
 int64_t
 anc_closed_us (const char *id, uint32_t status,
-               const struct msg_message *answer, int64_t bound_us)
+               const struct msg_message *answer)
 {
   if (status != HTTP_STATUS_SERVICE_UNAVAILABLE)
     {
@@ -29,7 +29,7 @@
     }
   int64_t duration_us = 0;
   enum tna_reading reading
-      = tna_read (msg_find (answer, PFH_RETRY_AFTER), bound_us, &duration_us);
+      = tna_read (msg_find (answer, PFH_RETRY_AFTER), &duration_us);
   if (reading == TNA_BOUNDED || reading == TNA_INVALID)
     {
       lg_line (LOG_WARNING, "retry_after_refused",
@@ -114,9 +114,7 @@
     {
       return false;
     }
-  int64_t bound_us
-      = tna_bound_us (fst_config (traffic->fleet), traffic->settings->stop_us);
-  int64_t duration_us = anc_closed_us (endpoint->id, status, answer, bound_us);
+  int64_t duration_us = anc_closed_us (endpoint->id, status, answer);
   if (duration_us == 0)
     {
       return false;
--- a/src/entry/announcement.h
+++ b/src/entry/announcement.h
@@ -8,7 +8,7 @@
 
 bool anc_is_leaving (const struct msg_message *answer);
 int64_t anc_closed_us (const char *id, uint32_t status,
-                       const struct msg_message *answer, int64_t bound_us);
+                       const struct msg_message *answer);
 double anc_rate_limit (const char *id, const struct msg_message *answer);
 bool anc_handle (struct trf_traffic *traffic, struct fst_endpoint *endpoint,
                  uint32_t status, const struct msg_message *answer);
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -735,7 +735,6 @@
     .loop = &control->loop,
     .group = control->group,
     .verdicts = verdicts,
-    .stop_us = settings->stop_us,
     .shown = on_order_shown,
     .context = control,
   };
--- a/src/entry/placing.c
+++ b/src/entry/placing.c
@@ -4,7 +4,6 @@
 #include "base/log.h"
 #include "core/losses.h"
 #include "core/stage_plan.h"
-#include "core/turned_away.h"
 #include "entry/announcement.h"
 #include "net/call.h"
 #include "platform/headers.h"
@@ -63,8 +62,7 @@
 struct plc_placer
 {
   struct plc_params params;
-  int64_t closed_max_us; /* see tna_bound_us */
-  GHashTable *orders;    /* endpoint id to struct order */
+  GHashTable *orders;   /* endpoint id to struct order */
   int64_t gap_since_us; /* since when a layer has no holder; 0: every layer has
                            one */
   struct lss_losses *losses;
@@ -149,8 +147,7 @@
       lg_line (LOG_NOTICE, "endpoint_says_leaving", "endpoint=%s address=%s",
                order->id, order->address);
     }
-  int64_t duration_us = anc_closed_us (order->id, status, response,
-                                       order->placer->closed_max_us);
+  int64_t duration_us = anc_closed_us (order->id, status, response);
   if (duration_us > 0 && close_endpoint (order, duration_us))
     {
       shown = true;
@@ -575,7 +572,6 @@
       placer->settle_until_us = now_us + SETTLE_US;
     }
   placer->last_count = endpoints->len;
-  placer->closed_max_us = tna_bound_us (config, placer->params.stop_us);
   uint64_t fence = 0;
   bool leads = config != NULL && grp_is_leader (placer->params.group, &fence);
   if (!leads)
--- a/src/entry/placing.h
+++ b/src/entry/placing.h
@@ -17,7 +17,6 @@
   struct grp_group *group;
   struct vdt_verdicts *verdicts; /* of this daemon; answers to orders add to
                                     them */
-  int64_t stop_us;               /* see tna_bound_us */
   /* An answer to an order has shown that an endpoint leaves or wants no
      requests for a time. */
   void (*shown) (void *context);
