Build with the distributions' checks of arrays and of the stack

All uses of snprintf in src and platform were read since: only the log still computes an offset from a result, and bounds it.

Change: the optimised build has _FORTIFY_SOURCE and the stack protector, and format strings that may not fit their array are errors.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,9 @@
 #   make proto                 regenerates proto/*.pb-c.[ch]; needs protoc-c
 
 SANITIZE ?= none
+
+# Checks of the sizes of arrays and of the stack, as distributions build with.
+HARDENING = -U_FORTIFY_SOURCE -D_FORTIFY_SOURCE=2 -fstack-protector-strong
 CC = gcc
 PACKAGES = glib-2.0 jansson libcurl libprotobuf-c liburcu-mb yaml-0.1 argtable2 \
            libxxhash libuv zlib
@@ -25,11 +28,14 @@
   SANITIZE_FLAGS = -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all -O1
 else
   BUILD = build/release
-  SANITIZE_FLAGS = -O2
+  SANITIZE_FLAGS = -O2 $(HARDENING)
 endif
 
 WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
-           -Wmissing-prototypes -Wpointer-arith -Wvla
+           -Wmissing-prototypes -Wpointer-arith -Wvla -Wformat=2
+ifeq ($(CC),gcc)
+  WARNINGS += -Wformat-overflow=2 -Wformat-truncation=1
+endif
 CPPFLAGS = -D_GNU_SOURCE -DRCU_MB -Isrc -Iproto -I. $(shell pkg-config --cflags $(PACKAGES))
 CFLAGS = -std=gnu17 -g $(SANITIZE_FLAGS) $(WARNINGS) -MMD -MP -pthread
 LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lcivetweb -lhttp_parser -lcmocka -lm -pthread
