Read an event of a stream once, however it is cut into pieces

Cause: for each piece of a stream the scanner looked for the end of the event from the event's start again, so that the work grew with the square of its bytes. An endpoint that sends 256 KiB byte by byte held the event loop, and with it all callers, for 0.29 s, or for 26 s with lines of eight bytes.

--- a/src/net/event_scan.c
+++ b/src/net/event_scan.c
@@ -26,30 +26,41 @@
 evs_restart (struct evs_scanner *scanner)
 {
   g_byte_array_set_size (scanner->pending, 0);
+  scanner->line = 0;
+  scanner->searched = 0;
   scanner->repeated = 0;
   scanner->out_of_order = false;
 }
 
-/* Returns the number of bytes of the first complete event in BYTES, including
-   the empty line that ends it, or 0 when no event is complete.  */
+/* Returns the number of bytes of the first complete event of SCANNER's pending
+   bytes from AT on, including the empty line that ends it, or 0 when no event
+   is complete.  Goes on where the last call stopped, so that an event that
+   arrives in many pieces is read once.  */
 static size_t
-first_event_bytes (const uint8_t *bytes, size_t count)
+first_event_bytes (struct evs_scanner *scanner, size_t at)
 {
-  size_t line = 0;
-  while (line < count)
+  const uint8_t *bytes = scanner->pending->data;
+  size_t count = scanner->pending->len;
+  scanner->line = MAX (scanner->line, at);
+  scanner->searched = MAX (scanner->searched, at);
+  while (scanner->searched < count)
     {
-      const uint8_t *end = memchr (bytes + line, '\n', count - line);
+      const uint8_t *end = memchr (bytes + scanner->searched, '\n',
+                                   count - scanner->searched);
       if (end == NULL)
         {
+          scanner->searched = count;
           return 0;
         }
+      size_t line = scanner->line;
       size_t next = (size_t)(end - bytes) + 1;
       size_t length = next - line - 1;
+      scanner->line = next;
+      scanner->searched = next;
       if (length == 0 || (length == 1 && bytes[line] == '\r'))
         {
-          return next;
+          return next - at;
         }
-      line = next;
     }
   return 0;
 }
@@ -109,7 +120,7 @@
   while (!scanner->out_of_order)
     {
       const uint8_t *start = scanner->pending->data + at;
-      size_t length = first_event_bytes (start, scanner->pending->len - at);
+      size_t length = first_event_bytes (scanner, at);
       if (length == 0)
         {
           break;
@@ -133,6 +144,8 @@
   if (at > 0)
     {
       g_byte_array_remove_range (scanner->pending, 0, (guint)at);
+      scanner->line -= at;
+      scanner->searched -= at;
     }
   return events;
 }
--- a/src/net/event_scan.h
+++ b/src/net/event_scan.h
@@ -11,6 +11,8 @@
 struct evs_scanner
 {
   GByteArray *pending; /* bytes after the last complete event */
+  size_t line;         /* start of the first incomplete line of these */
+  size_t searched;     /* bytes of these without the end of that line */
   int64_t last_id;     /* of the last event passed on; -1: none */
   uint32_t repeated;   /* events discarded since evs_restart */
   bool needs_ids;      /* each event must have an id */
--- a/test/event_scan_test.c
+++ b/test/event_scan_test.c
@@ -8,9 +8,14 @@
 
 #include <cmocka.h>
 #include <string.h>
+#include <time.h>
 
 #define PIECES_MAX 6
 
+/* An event that arrives in single bytes, and the processor time for it. */
+#define LONG_EVENT_BYTES ((size_t)256 * 1024)
+#define LONG_EVENT_S 0.5
+
 struct row
 {
   const char *name;
@@ -150,6 +155,43 @@
     }
 }
 
+/* Guards against an event that is read from its start again for each piece in
+   which it arrives: an endpoint that sends a byte at a time would hold the
+   event loop for many seconds.  */
+static void
+test_long_events_in_pieces (void **state)
+{
+  (void)state;
+  static const char *const lines[] = { "data: a\n", "data", ": \n", "\ra" };
+  for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    {
+      GString *event = g_string_new ("id: 1\n");
+      GByteArray *complete = g_byte_array_new ();
+      struct evs_scanner scanner;
+      while (event->len < LONG_EVENT_BYTES)
+        {
+          g_string_append (event, lines[i]);
+        }
+      g_string_append (event, "\n\n");
+      evs_init (&scanner);
+      clock_t began = clock ();
+      for (size_t at = 0; at < event->len; at++)
+        {
+          evs_feed (&scanner, event->str + at, 1, complete);
+        }
+      double took_s = (double)(clock () - began) / CLOCKS_PER_SEC;
+      assert_int_equal (scanner.last_id, 1);
+      assert_true (complete->len >= LONG_EVENT_BYTES);
+      if (took_s > LONG_EVENT_S)
+        {
+          fail_msg ("lines of '%s': %.1f s", lines[i], took_s);
+        }
+      evs_clear (&scanner);
+      g_byte_array_free (complete, TRUE);
+      g_string_free (event, TRUE);
+    }
+}
+
 /* The same events are passed on wherever the stream is split in three.  */
 static void
 test_every_split (void **state)
@@ -261,6 +303,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_scan),
     cmocka_unit_test (test_needed_ids),
+    cmocka_unit_test (test_long_events_in_pieces),
     cmocka_unit_test (test_every_split),
     cmocka_unit_test (test_comments_are_no_events),
   };
