Watch how long a turn holds the callers' event loop

Change: a histogram of the turns' durations, and a line loop_held for a turn of 100 ms or more, which names the work that took longest of it.

--- a/bench/parsing.c
+++ b/bench/parsing.c
@@ -19,6 +19,7 @@
 
 #define SMALL_BYTES ((size_t)16 * 1024)
 #define LARGE_BYTES ((size_t)1024 * 1024)
+#define EVENT_BYTES ((size_t)256 * 1024) /* largest that is accepted */
 #define REPEATS 5
 #define EXPONENT_MAX 1.1
 
@@ -277,8 +278,8 @@
 }
 
 static const struct kind kinds[] = {
-  { "event_in_bytes", 256 * 1024, build_event, feed_bytes },
-  { "event_of_lines_in_bytes", 256 * 1024, build_event_of_lines, feed_bytes },
+  { "event_in_bytes", EVENT_BYTES, build_event, feed_bytes },
+  { "event_of_lines_in_bytes", EVENT_BYTES, build_event_of_lines, feed_bytes },
   { "events", LARGE_BYTES, build_events, feed_whole },
   { "events_in_bytes", LARGE_BYTES, build_events, feed_bytes },
   { "headers", LARGE_BYTES, build_headers, read_headers },
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -5,6 +5,7 @@
 #include "base/memory.h"
 #include "entry/fleet_control.h"
 #include "entry/traffic.h"
+#include "net/turn.h"
 
 #include <signal.h>
 
@@ -31,6 +32,7 @@
   struct nbr_neighbours *neighbours;
   struct trf_traffic *traffic;
   struct fct_control *control;
+  struct trn_watch turns;
   uv_signal_t terminate; /* SIGTERM */
   uv_signal_t interrupt; /* SIGINT */
   uv_signal_t reload;    /* SIGHUP */
@@ -152,6 +154,7 @@
     {
       return false;
     }
+  trn_start (&entry.turns, entry.loop, entry.traffic->metrics->loop_turns);
   entry.control
       = fct_create (settings, entry.views, entry.verdicts, entry.quarantine,
                     entry.neighbours, trf_notify, entry.traffic, error);
--- a/src/entry/entry_metrics.c
+++ b/src/entry/entry_metrics.c
@@ -180,6 +180,9 @@
   metrics->total_time
       = cnt_histogram (set, "kumquatthread_answer_seconds", "",
                        "From the whole request to the whole answer");
+  metrics->loop_turns
+      = cnt_histogram (set, "kumquatthread_loop_turn_seconds", "",
+                       "How long a turn holds the event loop of the callers");
   return metrics;
 }
 
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -69,6 +69,8 @@
   struct cnt_series *first_byte_time; /* histogram; this and the next one: from
                                          the complete arrival of the request */
   struct cnt_series *total_time;      /* histogram */
+  struct cnt_series *loop_turns;      /* histogram: how long callbacks hold the
+                                         event loop of the callers */
 };
 
 struct emt_metrics *emt_create (struct cnt_set *set);
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -9,6 +9,7 @@
 #include "core/continuity.h"
 #include "entry/inquiry.h"
 #include "entry/passing.h"
+#include "net/turn.h"
 
 #include <string.h>
 
@@ -277,6 +278,7 @@
 static void
 on_timer (uv_timer_t *timer)
 {
+  trn_enter ("checks_of_requests");
   check_exchange (timer->data);
 }
 
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -9,6 +9,7 @@
 #include "entry/passing.h"
 #include "entry/path_choosing.h"
 #include "entry/probing.h"
+#include "net/turn.h"
 
 #include <string.h>
 
@@ -242,6 +243,7 @@
 static void
 on_view_changed (uv_async_t *async)
 {
+  trn_enter ("view");
   trf_refresh (async->data);
   apply_quarantine (async->data);
 }
@@ -267,6 +269,7 @@
 {
   struct trf_traffic *traffic = timer->data;
   int64_t now_us = clk_monotonic_us ();
+  trn_enter ("sweep");
   bool paused = now_us - traffic->last_sweep_us > PROCESS_PAUSE_US;
   traffic->last_sweep_us = now_us;
   if (paused)
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -5,6 +5,7 @@
 #include "net/address.h"
 #include "net/response_head.h"
 #include "net/stream.h"
+#include "net/turn.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -388,6 +389,7 @@
       handle_end (connection, !nst_ends_in_order (&connection->tcp, count));
       return;
     }
+  trn_enter ("answers");
   handle_bytes (connection, buffer->base, (size_t)count);
 }
 
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -7,6 +7,7 @@
 #include "net/response_head.h"
 #include "net/server_private.h"
 #include "net/stream.h"
+#include "net/turn.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -579,6 +580,7 @@
       nsv_close_connection (connection, nsv_is_unfinished (connection), true);
       return;
     }
+  trn_enter ("requests");
   parse (connection, buffer->base, (size_t)count);
   int64_t now_us = clk_monotonic_us ();
   bbg_mark_progress (&connection->account, now_us);
