Let more different events be logged than the source has

Cause: the log keeps a rate limit for each of 96 events and drops the lines of further ones. The sources of an entry daemon have 99 events, so that a daemon that had met most of them lost the lines of the next, without a line that says so.

Change: room for 256.

Test: log_test logs 160 events; the line of the 97th was missing before.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -27,7 +27,7 @@
 #define EVENT_LINES_BURST 80
 
 /* Different events with a rate limit; lines of further events are dropped. */
-#define EVENTS_MAX 96
+#define EVENTS_MAX 256
 
 /* Least interval between two log_lines_dropped lines about one event. */
 #define DROP_REPORT_INTERVAL_US CLK_S_US
