Let the thread sanitizer see the locks and descriptors of a daemon

Cause: a daemon in the thread sanitizer's build reported some 190 data races in a soak of 12 s. The locks of the quarantine, the verdicts and the neighbours were GLib's, which the sanitizer doesn't see, and check_descriptors made a copy of a descriptor in a way that it doesn't see either, so that real races would have been lost among these.

Change: POSIX mutexes, and an eventfd in place of the copy.

--- a/src/entry/neighbours.c
+++ b/src/entry/neighbours.c
@@ -2,12 +2,14 @@
 
 #include "base/clock.h"
 
+#include <pthread.h>
+
 /* Interval of looking the neighbours up while they are asked for. */
 #define LOOKUP_INTERVAL_US (2 * CLK_S_US)
 
 struct nbr_neighbours
 {
-  GMutex mutex;
+  pthread_mutex_t mutex;
   char *own_address;
   char **news; /* addresses, not taken yet; NULL: none */
   bool asked;
@@ -20,7 +22,7 @@
 nbr_create (const char *own_address)
 {
   struct nbr_neighbours *neighbours = g_new0 (struct nbr_neighbours, 1);
-  g_mutex_init (&neighbours->mutex);
+  pthread_mutex_init (&neighbours->mutex, NULL);
   neighbours->own_address = g_strdup (own_address);
   return neighbours;
 }
@@ -29,7 +31,7 @@
 void
 nbr_destroy (struct nbr_neighbours *neighbours)
 {
-  g_mutex_clear (&neighbours->mutex);
+  pthread_mutex_destroy (&neighbours->mutex);
   g_strfreev (neighbours->news);
   g_free (neighbours->own_address);
   g_free (neighbours);
@@ -39,9 +41,9 @@
 void
 nbr_ask (struct nbr_neighbours *neighbours)
 {
-  g_mutex_lock (&neighbours->mutex);
+  pthread_mutex_lock (&neighbours->mutex);
   neighbours->asked = true;
-  g_mutex_unlock (&neighbours->mutex);
+  pthread_mutex_unlock (&neighbours->mutex);
 }
 
 /* Returns whether the addresses are to be looked up at NOW_US, since they were
@@ -49,14 +51,14 @@
 bool
 nbr_take_question (struct nbr_neighbours *neighbours, int64_t now_us)
 {
-  g_mutex_lock (&neighbours->mutex);
+  pthread_mutex_lock (&neighbours->mutex);
   bool due = neighbours->asked && now_us >= neighbours->lookup_us;
   if (due)
     {
       neighbours->asked = false;
       neighbours->lookup_us = now_us + LOOKUP_INTERVAL_US;
     }
-  g_mutex_unlock (&neighbours->mutex);
+  pthread_mutex_unlock (&neighbours->mutex);
   return due;
 }
 
@@ -73,10 +75,10 @@
           g_strv_builder_add (others, address);
         }
     }
-  g_mutex_lock (&neighbours->mutex);
+  pthread_mutex_lock (&neighbours->mutex);
   g_strfreev (neighbours->news);
   neighbours->news = g_strv_builder_end (others);
-  g_mutex_unlock (&neighbours->mutex);
+  pthread_mutex_unlock (&neighbours->mutex);
 }
 
 /* Returns the addresses if they were looked up since the last call, or NULL.
@@ -84,8 +86,8 @@
 char **
 nbr_take_news (struct nbr_neighbours *neighbours)
 {
-  g_mutex_lock (&neighbours->mutex);
+  pthread_mutex_lock (&neighbours->mutex);
   char **news = g_steal_pointer (&neighbours->news);
-  g_mutex_unlock (&neighbours->mutex);
+  pthread_mutex_unlock (&neighbours->mutex);
   return news;
 }
--- a/src/entry/quarantine.c
+++ b/src/entry/quarantine.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "core/poison.h"
 
+#include <pthread.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -13,7 +14,7 @@
 
 struct qrn_quarantine
 {
-  GMutex mutex;
+  pthread_mutex_t mutex;
   struct psn_set *set;
   bool leads; /* this daemon lets requests through now and then */
 };
@@ -33,7 +34,7 @@
   struct qrn_quarantine *quarantine = g_new0 (struct qrn_quarantine, 1);
   g_autofree char *reporter
       = g_strdup_printf ("%s-%08x", daemon, g_random_int ());
-  g_mutex_init (&quarantine->mutex);
+  pthread_mutex_init (&quarantine->mutex, NULL);
   quarantine->set
       = psn_create (reporter, (int64_t)((double)bound_us * SETTLE_SHARE));
   return quarantine;
@@ -44,7 +45,7 @@
 qrn_destroy (struct qrn_quarantine *quarantine)
 {
   psn_destroy (quarantine->set);
-  g_mutex_clear (&quarantine->mutex);
+  pthread_mutex_destroy (&quarantine->mutex);
   g_free (quarantine);
 }
 
@@ -97,9 +98,9 @@
 qrn_report_arrival (struct qrn_quarantine *quarantine, const char *service,
                     char *const traits[])
 {
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   psn_arrived (quarantine->set, service, traits, now ());
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
 }
 
 /* Returns the text that identifies the incarnation of ENDPOINT that started at
@@ -117,9 +118,9 @@
                 const char *endpoint, int64_t born_ms)
 {
   g_autofree char *end = incarnation (endpoint, born_ms);
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   psn_report_end (quarantine->set, traits, end, now ());
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
 }
 
 /* Records that ENDPOINT, which started at BORN_MS, has answered a request that
@@ -129,18 +130,18 @@
                   int64_t born_ms)
 {
   g_autofree char *end = incarnation (endpoint, born_ms);
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   psn_report_alive (quarantine->set, end, now ());
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
 }
 
 /* Records that an endpoint has written on a request with the named TRAITS.  */
 void
 qrn_report_sound (struct qrn_quarantine *quarantine, char *const traits[])
 {
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   psn_report_sound (quarantine->set, traits, now ());
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
 }
 
 /* Decides whether a request that has arrived, with the named TRAITS, may be
@@ -151,7 +152,7 @@
 {
   struct qrn_verdict verdict = { 0 };
   struct psn_time at = now ();
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   const char *trait = psn_find (quarantine->set, traits, at);
   verdict.trial = trait != NULL && quarantine->leads
                   && psn_take_trial (quarantine->set, trait, at);
@@ -164,7 +165,7 @@
       verdict.refused = true;
       verdict.wait_us = psn_trial_wait_us (quarantine->set, trait, at);
     }
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
   return verdict;
 }
 
@@ -175,11 +176,11 @@
                     int64_t *wait_us)
 {
   struct psn_time at = now ();
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   const char *trait = psn_find (quarantine->set, traits, at);
   *wait_us
       = trait == NULL ? 0 : psn_trial_wait_us (quarantine->set, trait, at);
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
   return trait != NULL;
 }
 
@@ -190,7 +191,7 @@
 qrn_log_changes (struct qrn_quarantine *quarantine, uint32_t *count)
 {
   bool quarantined = false;
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   struct psn_transition *transition
       = psn_next_transition (quarantine->set, now ());
   while (transition != NULL)
@@ -204,7 +205,7 @@
       transition = psn_next_transition (quarantine->set, now ());
     }
   *count = psn_quarantined_count (quarantine->set);
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
   return quarantined;
 }
 
@@ -212,9 +213,9 @@
 void
 qrn_set_leader (struct qrn_quarantine *quarantine, bool leads)
 {
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   quarantine->leads = leads;
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
 }
 
 /* Returns the records to publish, struct psn_record, and takes them for
@@ -222,9 +223,9 @@
 GPtrArray *
 qrn_take_changes (struct qrn_quarantine *quarantine)
 {
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   GPtrArray *records = psn_take_changes (quarantine->set);
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
   return records;
 }
 
@@ -233,9 +234,9 @@
 qrn_return_changes (struct qrn_quarantine *quarantine,
                     const GPtrArray *records)
 {
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   psn_return_changes (quarantine->set, records);
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
 }
 
 /* Makes the next qrn_take_changes return all records of this daemon; if
@@ -243,9 +244,9 @@
 void
 qrn_publish_again (struct qrn_quarantine *quarantine, bool of_others)
 {
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   psn_publish_again (quarantine->set, of_others && quarantine->leads);
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
 }
 
 /* Drops evidence that is too old; the leader removes that of others from the
@@ -253,27 +254,27 @@
 void
 qrn_expire (struct qrn_quarantine *quarantine)
 {
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   psn_expire (quarantine->set, quarantine->leads, now ());
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
 }
 
 /* Records that a snapshot of the published records begins.  */
 void
 qrn_begin_snapshot (struct qrn_quarantine *quarantine)
 {
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   psn_begin_snapshot (quarantine->set);
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
 }
 
 /* Drops what the snapshot that has ended doesn't have.  */
 void
 qrn_end_snapshot (struct qrn_quarantine *quarantine)
 {
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   psn_end_snapshot (quarantine->set);
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
 }
 
 /* Takes a published RECORD, of any daemon.  */
@@ -281,10 +282,10 @@
 qrn_merge (struct qrn_quarantine *quarantine, const struct pfs_record *record)
 {
   g_autoptr (GError) error = NULL;
-  g_mutex_lock (&quarantine->mutex);
+  pthread_mutex_lock (&quarantine->mutex);
   bool valid = psn_merge (quarantine->set, record->key, record->value,
                           record->value_bytes, now (), &error);
-  g_mutex_unlock (&quarantine->mutex);
+  pthread_mutex_unlock (&quarantine->mutex);
   if (!valid)
     {
       lg_line (LOG_WARNING, "quarantine_record_refused",
--- a/src/entry/verdicts.c
+++ b/src/entry/verdicts.c
@@ -3,9 +3,11 @@
 #include "core/departures.h"
 #include "core/turned_away.h"
 
+#include <pthread.h>
+
 struct vdt_verdicts
 {
-  GMutex mutex;
+  pthread_mutex_t mutex;
   GHashTable *dead; /* endpoint id to the start time, in milliseconds, of the
                        incarnation that was found dead */
   struct dep_set *leaving;
@@ -17,7 +19,7 @@
 vdt_create (void)
 {
   struct vdt_verdicts *verdicts = g_new0 (struct vdt_verdicts, 1);
-  g_mutex_init (&verdicts->mutex);
+  pthread_mutex_init (&verdicts->mutex, NULL);
   verdicts->dead
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   verdicts->leaving = dep_create ();
@@ -32,7 +34,7 @@
   g_hash_table_destroy (verdicts->dead);
   dep_destroy (verdicts->leaving);
   tna_destroy (verdicts->turned_away);
-  g_mutex_clear (&verdicts->mutex);
+  pthread_mutex_destroy (&verdicts->mutex);
   g_free (verdicts);
 }
 
@@ -43,18 +45,18 @@
 {
   int64_t *born = g_new (int64_t, 1);
   *born = born_ms;
-  g_mutex_lock (&verdicts->mutex);
+  pthread_mutex_lock (&verdicts->mutex);
   g_hash_table_replace (verdicts->dead, g_strdup (id), born);
-  g_mutex_unlock (&verdicts->mutex);
+  pthread_mutex_unlock (&verdicts->mutex);
 }
 
 /* Removes the verdict that the endpoint ID is dead, if there is one.  */
 void
 vdt_clear (struct vdt_verdicts *verdicts, const char *id)
 {
-  g_mutex_lock (&verdicts->mutex);
+  pthread_mutex_lock (&verdicts->mutex);
   g_hash_table_remove (verdicts->dead, id);
-  g_mutex_unlock (&verdicts->mutex);
+  pthread_mutex_unlock (&verdicts->mutex);
 }
 
 /* True when the endpoint ID was found dead in its incarnation that started at
@@ -62,10 +64,10 @@
 bool
 vdt_is_dead (struct vdt_verdicts *verdicts, const char *id, int64_t born_ms)
 {
-  g_mutex_lock (&verdicts->mutex);
+  pthread_mutex_lock (&verdicts->mutex);
   const int64_t *born = g_hash_table_lookup (verdicts->dead, id);
   bool dead = born != NULL && *born == born_ms;
-  g_mutex_unlock (&verdicts->mutex);
+  pthread_mutex_unlock (&verdicts->mutex);
   return dead;
 }
 
@@ -75,9 +77,9 @@
 vdt_set_leaving (struct vdt_verdicts *verdicts, const char *id,
                  int64_t born_ms)
 {
-  g_mutex_lock (&verdicts->mutex);
+  pthread_mutex_lock (&verdicts->mutex);
   bool added = dep_add (verdicts->leaving, id, born_ms);
-  g_mutex_unlock (&verdicts->mutex);
+  pthread_mutex_unlock (&verdicts->mutex);
   return added;
 }
 
@@ -86,9 +88,9 @@
 bool
 vdt_is_leaving (struct vdt_verdicts *verdicts, const char *id, int64_t born_ms)
 {
-  g_mutex_lock (&verdicts->mutex);
+  pthread_mutex_lock (&verdicts->mutex);
   bool leaving = dep_contains (verdicts->leaving, id, born_ms);
-  g_mutex_unlock (&verdicts->mutex);
+  pthread_mutex_unlock (&verdicts->mutex);
   return leaving;
 }
 
@@ -96,9 +98,9 @@
 uint64_t
 vdt_leaving_count (struct vdt_verdicts *verdicts)
 {
-  g_mutex_lock (&verdicts->mutex);
+  pthread_mutex_lock (&verdicts->mutex);
   uint64_t count = dep_count (verdicts->leaving);
-  g_mutex_unlock (&verdicts->mutex);
+  pthread_mutex_unlock (&verdicts->mutex);
   return count;
 }
 
@@ -108,9 +110,9 @@
 vdt_list_leaving (struct vdt_verdicts *verdicts, uint64_t after,
                   uint32_t limit, uint64_t *up_to)
 {
-  g_mutex_lock (&verdicts->mutex);
+  pthread_mutex_lock (&verdicts->mutex);
   GPtrArray *list = dep_list (verdicts->leaving, after, limit, up_to);
-  g_mutex_unlock (&verdicts->mutex);
+  pthread_mutex_unlock (&verdicts->mutex);
   return list;
 }
 
@@ -122,10 +124,10 @@
                int64_t duration_us, int64_t now_us)
 {
   double draw = g_random_double ();
-  g_mutex_lock (&verdicts->mutex);
+  pthread_mutex_lock (&verdicts->mutex);
   int64_t opens_us = tna_close (verdicts->turned_away, id, born_ms,
                                 duration_us, draw, now_us);
-  g_mutex_unlock (&verdicts->mutex);
+  pthread_mutex_unlock (&verdicts->mutex);
   return opens_us;
 }
 
@@ -134,8 +136,8 @@
 int64_t
 vdt_opens_us (struct vdt_verdicts *verdicts, const char *id, int64_t born_ms)
 {
-  g_mutex_lock (&verdicts->mutex);
+  pthread_mutex_lock (&verdicts->mutex);
   int64_t opens_us = tna_opens_us (verdicts->turned_away, id, born_ms);
-  g_mutex_unlock (&verdicts->mutex);
+  pthread_mutex_unlock (&verdicts->mutex);
   return opens_us;
 }
--- a/src/net/server_connections.c
+++ b/src/net/server_connections.c
@@ -4,7 +4,7 @@
 #include "base/log.h"
 #include "net/server_private.h"
 
-#include <fcntl.h>
+#include <sys/eventfd.h>
 #include <sys/ioctl.h>
 #include <unistd.h>
 
@@ -33,13 +33,11 @@
 static void
 check_descriptors (struct nsv_server *server)
 {
-  uv_os_fd_t listener;
-  if (server->listener == NULL
-      || uv_fileno ((uv_handle_t *)server->listener, &listener) != 0)
+  if (server->listener == NULL)
     {
       return;
     }
-  int descriptor = fcntl (listener, F_DUPFD_CLOEXEC, 0);
+  int descriptor = eventfd (0, EFD_CLOEXEC);
   bool starved = descriptor < 0;
   if (!starved)
     {
