Share the sockets of callers between tests

The tests of the server's limits and of heads each had their own copy of a socket that connects to a server, and of a loop with its time-outs; one of them was there before. test/caller_socket.c has both. The tests assert what they did. The comment of anc_closed_us is shorter.

--- a/src/entry/announcement.c
+++ b/src/entry/announcement.c
@@ -17,8 +17,7 @@
 }
 
 /* Returns the time for which ANSWER with STATUS says that the endpoint ID
-   wants no requests; 0 if it isn't a 503 or states no time that makes sense.
- */
+   wants no requests; 0 if it isn't a 503 or states no valid time.  */
 int64_t
 anc_closed_us (const char *id, uint32_t status,
                const struct msg_message *answer)
--- a/test/entry_head_test.c
+++ b/test/entry_head_test.c
@@ -1,30 +1,16 @@
 /* Tests of an entry daemon that gets unusual request heads. */
+#include "test/caller_socket.h"
 #include "test/entry_fixture.h"
 
 #include "base/clock.h"
 #include "platform/headers.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define WAIT_US (3 * CLK_S_US)
 
-/* Connects to ADDRESS, IP:PORT.  The caller closes the socket.  */
-static int
-open_socket (const char *address)
-{
-  g_auto (GStrv) parts = g_strsplit (address, ":", 2);
-  struct sockaddr_in peer = { .sin_family = AF_INET };
-  peer.sin_port = htons ((uint16_t)g_ascii_strtoull (parts[1], NULL, 10));
-  assert_int_equal (inet_pton (AF_INET, parts[0], &peer.sin_addr), 1);
-  int descriptor = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  assert_int_equal (
-      connect (descriptor, (struct sockaddr *)&peer, sizeof peer), 0);
-  return descriptor;
-}
-
 /* Sends REQUEST to the socket DESCRIPTOR and reads the head of the answer,
    without its body.  Returns it, or what has arrived until the connection
    ended or WAIT_US have passed.  */
@@ -113,7 +99,7 @@
               = is_valid || states[i].status != 200 ? states[i].status : 400;
           g_autofree char *request = efx_build_request (
               "POST", EFX_FLEET_HOST, "/look/a", "key-1", id, "look");
-          int descriptor = open_socket (sep_caller_address (fixture->daemon));
+          int descriptor = csk_connect (sep_caller_address (fixture->daemon));
           GString *head = exchange_heads (fixture, descriptor, request);
           if (!is_sound (head->str, status, is_valid ? id : NULL)
               || !sep_is_running (fixture->daemon))
@@ -165,9 +151,9 @@
           "\r\nX-Api-Key: key-1\r\nX-Own: 1\r\n" PFH_REQUEST_ID
           ": number-%zu\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
           i, name, value);
-      int descriptor = open_socket (sep_caller_address (fixture->daemon));
+      int descriptor = csk_connect (sep_caller_address (fixture->daemon));
       GString *head = exchange_heads (fixture, descriptor, request);
-      int other = open_socket (sep_caller_address (fixture->daemon));
+      int other = csk_connect (sep_caller_address (fixture->daemon));
       GString *other_head = exchange_heads (fixture, other, next);
       if (!g_str_has_suffix (head->str, "\r\n\r\n")
           || !is_sound (other_head->str, 200, "next"))
@@ -209,7 +195,7 @@
           "POST", EFX_FLEET_HOST, "/look/a", "key-1", "next", "look");
       g_autofree char *start
           = g_strdup_printf ("HTTP/1.1 %u ", rows[i].status);
-      int descriptor = open_socket (sep_caller_address (fixture->daemon));
+      int descriptor = csk_connect (sep_caller_address (fixture->daemon));
       int64_t began_us = clk_monotonic_us ();
       GString *head = exchange_heads (fixture, descriptor, request);
       int64_t took_us = clk_monotonic_us () - began_us;
--- a/test/head_limit_test.c
+++ b/test/head_limit_test.c
@@ -1,8 +1,7 @@
 /* Tests of the limit on heads of requests, and of the time that they take. */
 #include "base/clock.h"
-#include "net/server.h"
+#include "test/caller_socket.h"
 
-#include <arpa/inet.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -93,14 +92,9 @@
 static uint32_t
 send_head (uv_loop_t *loop, const char *address, const GString *text)
 {
-  struct sockaddr_in peer = { .sin_family = AF_INET };
-  const char *port = strchr (address, ':') + 1;
   char answer[64] = "";
   ssize_t count = 0;
-  peer.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  peer.sin_port = htons ((uint16_t)g_ascii_strtoull (port, NULL, 10));
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  assert_int_equal (connect (fd, (struct sockaddr *)&peer, sizeof peer), 0);
+  int fd = csk_connect (address);
   assert_int_equal (send (fd, text->str, text->len, MSG_NOSIGNAL), text->len);
   int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
   while (count <= 0 && clk_monotonic_us () < end_us)
--- a/test/server_budget_test.c
+++ b/test/server_budget_test.c
@@ -1,8 +1,7 @@
 /* Tests of the HTTP server's budget of memory, with callers on loopback. */
 #include "base/clock.h"
-#include "net/server.h"
+#include "test/caller_socket.h"
 
-#include <arpa/inet.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -115,26 +114,7 @@
 static void
 run_for (struct fixture *fixture, int64_t duration_us)
 {
-  int64_t end_us = clk_monotonic_us () + duration_us;
-  while (clk_monotonic_us () < end_us)
-    {
-      uv_run (&fixture->loop, UV_RUN_NOWAIT);
-      nsv_expire (fixture->server, clk_monotonic_us ());
-      g_usleep (1000);
-    }
-}
-
-static int
-connect_caller (const struct fixture *fixture)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  const char *port = strchr (fixture->address, ':') + 1;
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  address.sin_port = htons ((uint16_t)g_ascii_strtoull (port, NULL, 10));
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  assert_int_equal (connect (fd, (struct sockaddr *)&address, sizeof address),
-                    0);
-  return fd;
+  csk_run_for (&fixture->loop, fixture->server, duration_us);
 }
 
 /* Sends HEAD and then COUNT bytes of a body from the caller FD, as far as the
@@ -210,8 +190,8 @@
     {
       char answer[ANSWER_BYTES];
       struct bbg_state budget;
-      int first = connect_caller (fixture);
-      int second = connect_caller (fixture);
+      int first = csk_connect (fixture->address);
+      int second = csk_connect (fixture->address);
       fixture->requests = 0;
       send_request (fixture, first, ANNOUNCED, BODY_BYTES - 1);
       run_for (fixture, cases[i].before_us);
@@ -247,7 +227,7 @@
   struct fixture *fixture = *state;
   char answer[ANSWER_BYTES];
   struct bbg_state budget;
-  int caller = connect_caller (fixture);
+  int caller = csk_connect (fixture->address);
   for (uint32_t i = 0; i < 3; i++)
     {
       send_request (fixture, caller, ANNOUNCED, BODY_BYTES);
@@ -270,7 +250,7 @@
 {
   struct fixture *fixture = *state;
   char answer[ANSWER_BYTES];
-  int caller = connect_caller (fixture);
+  int caller = csk_connect (fixture->address);
   send_request (fixture, caller, LONG_REQUEST LONG_REQUEST, 0);
   send_request (fixture, caller, LONG_REQUEST, 0);
   assert_int_equal (fixture->requests, 1);
@@ -294,7 +274,7 @@
 {
   struct fixture *fixture = *state;
   struct bbg_state budget;
-  int caller = connect_caller (fixture);
+  int caller = csk_connect (fixture->address);
   send_request (fixture, caller, LONG_REQUEST, 0);
   assert_int_equal (nsv_connection_count (fixture->server), 1);
   int64_t end_us = clk_monotonic_us () + TIMEOUT_US;
--- a/test/server_room_test.c
+++ b/test/server_room_test.c
@@ -1,9 +1,8 @@
 /* Tests of the HTTP server's limit on connections, with callers on
    loopback. */
 #include "base/clock.h"
-#include "net/server.h"
+#include "test/caller_socket.h"
 
-#include <arpa/inet.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -93,26 +92,14 @@
 static void
 run_for (struct fixture *fixture, int64_t duration_us)
 {
-  int64_t end_us = clk_monotonic_us () + duration_us;
-  while (clk_monotonic_us () < end_us)
-    {
-      uv_run (&fixture->loop, UV_RUN_NOWAIT);
-      nsv_expire (fixture->server, clk_monotonic_us ());
-      g_usleep (1000);
-    }
+  csk_run_for (&fixture->loop, fixture->server, duration_us);
 }
 
 /* Connects a caller, which sends BYTES.  */
 static int
 open_caller (struct fixture *fixture, const char *bytes)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  const char *port = strchr (fixture->address, ':') + 1;
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  address.sin_port = htons ((uint16_t)g_ascii_strtoull (port, NULL, 10));
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  assert_int_equal (connect (fd, (struct sockaddr *)&address, sizeof address),
-                    0);
+  int fd = csk_connect (fixture->address);
   assert_int_equal (send (fd, bytes, strlen (bytes), MSG_NOSIGNAL),
                     strlen (bytes));
   run_for (fixture, 2 * CLK_MS_US);
