--- a/src/net/event_scan.c
+++ b/src/net/event_scan.c
@@ -65,24 +65,44 @@
   return 0;
 }
 
+/* Returns the number in TEXT, of COUNT bytes without an end, at most INT64_MAX;
+   -1 if it is negative, and 0 if there is none.  */
+static int64_t
+read_id (const uint8_t *text, size_t count)
+{
+  size_t at = 0;
+  int64_t id = 0;
+  while (at < count && (text[at] == ' ' || text[at] == '\t'))
+    {
+      at++;
+    }
+  if (at < count && text[at] == '-')
+    {
+      return -1;
+    }
+  for (; at < count && g_ascii_isdigit (text[at]); at++)
+    {
+      int64_t digit = text[at] - '0';
+      id = id > (INT64_MAX - digit) / 10 ? INT64_MAX : id * 10 + digit;
+    }
+  return id;
+}
+
 /* Returns the id of the event BYTES, or -1 when the event has no id.  An id
    that is not a number is read as 0.  */
 static int64_t
 event_id (const uint8_t *bytes, size_t count)
 {
   size_t line = 0;
-  while (line + 3 < count)
+  while (line < count)
     {
-      if (memcmp (bytes + line, "id:", 3) == 0)
-        {
-          return g_ascii_strtoll ((const char *)bytes + line + 3, NULL, 10);
-        }
       const uint8_t *end = memchr (bytes + line, '\n', count - line);
-      if (end == NULL)
+      size_t next = end == NULL ? count : (size_t)(end - bytes) + 1;
+      if (next - line > 3 && memcmp (bytes + line, "id:", 3) == 0)
         {
-          return -1;
+          return read_id (bytes + line + 3, next - line - 3);
         }
-      line = (size_t)(end - bytes) + 1;
+      line = next;
     }
   return -1;
 }
