--- a/src/net/event_scan.c
+++ b/src/net/event_scan.c
@@ -65,8 +65,8 @@
   return 0;
 }
 
-/* Returns the number in TEXT, of COUNT bytes without an end, at most INT64_MAX;
-   -1 if it is negative, and 0 if there is none.  */
+/* Returns the number in TEXT, of COUNT bytes without an end, at most
+   INT64_MAX; -1 if it is negative, and 0 if there is none.  */
 static int64_t
 read_id (const uint8_t *text, size_t count)
 {
