--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -245,6 +245,18 @@
     }
 }
 
+/* Makes the topics ask the daemons at ADDRESSES for what the store may have
+   lost.  */
+static void
+set_holders (struct fct_control *control, const GPtrArray *addresses)
+{
+  control->find_members_until_us = 0;
+  for (uint32_t i = 0; i < TOPICS; i++)
+    {
+      tpc_set_holders (control->topics[i], addresses);
+    }
+}
+
 /* Adds those of the addresses FOUND to ADDRESSES that are neither this
    daemon's own nor among them yet.  */
 static void
@@ -263,44 +275,30 @@
     }
 }
 
-/* Makes the topics ask other daemons for what the store may have lost: the
-   relays of the settings or, without any, the members of the group at MEMBERS.
-   The operator's topic, which has the API keys, asks members also where no
-   relay holds anything.  */
-static void
-set_holders (struct fct_control *control, const GPtrArray *members)
-{
-  GPtrArray *all = g_ptr_array_new ();
-  control->find_members_until_us = 0;
-  add_others (control, control->relays, all);
-  add_others (control, members, all);
-  guint always = control->relays->len > 0 ? control->relays->len : all->len;
-  tpc_set_holders (control->operator_topic, all, always);
-  g_ptr_array_set_size (all, (gint)always);
-  for (uint32_t i = 0; i < TOPICS; i++)
-    {
-      tpc_set_holders (control->topics[i], all, always);
-    }
-  g_ptr_array_free (all, TRUE);
-}
-
 /* Handles the addresses of the group's members, or the failure to look them
    up.  */
 static void
 on_members_found (void *context, const GPtrArray *found)
 {
-  if (found != NULL)
+  struct fct_control *control = context;
+  if (found == NULL)
     {
-      set_holders (context, found);
+      return;
     }
+  GPtrArray *others = g_ptr_array_new ();
+  add_others (control, found, others);
+  set_holders (control, others);
+  g_ptr_array_free (others, TRUE);
 }
 
-/* Finds the daemons that may hold what the store has lost in a restore.  A
-   lookup of the group's members that fails is repeated at each tick.  */
+/* Finds the daemons that may hold what the store has lost in a restore: the
+   relays of the settings or, without any, the members of the group.  A lookup
+   that fails is repeated at each tick.  */
 static void
 find_holders (struct fct_control *control)
 {
-  if (clk_monotonic_us () > control->find_members_until_us)
+  if (control->relays->len > 0
+      || clk_monotonic_us () > control->find_members_until_us)
     {
       set_holders (control, control->relays);
     }
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -46,10 +46,7 @@
   bool holders_known;         /* in that era */
   bool holders_asked;         /* in that era */
   bool awaits_holders;        /* to ask them */
-  guint holders_to_ask;       /* number of them, the last ones */
-  guint holders_always;       /* number of the first ones, which are asked
-                                 whatever others answer */
-  bool holder_knows;          /* one of them held a record */
+  guint holders_to_ask;       /* number of them */
   GPtrArray *holders;         /* addresses of the daemons to ask for what the
                                  snapshot may lack */
   int64_t asked_since_us;     /* monotonic, when the first one was asked */
@@ -285,7 +282,6 @@
 begin_asking (struct tpc_topic *topic)
 {
   topic->awaits_holders = false;
-  topic->holder_knows = false;
   topic->holders_to_ask = topic->holders->len;
   topic->asked_since_us = clk_monotonic_us ();
   if (topic->holders_to_ask == 0)
@@ -540,13 +536,12 @@
 static const char *
 next_holder (const struct tpc_topic *topic)
 {
-  return g_ptr_array_index (topic->holders,
-                            topic->holders->len - topic->holders_to_ask);
+  return g_ptr_array_index (topic->holders, topic->holders_to_ask - 1);
 }
 
 /* Handles the answer of a daemon that was asked for what it holds; the next
-   one is asked, unless that takes too long, or enough is known.  After the
-   last one, the snapshot is current.  */
+   one is asked, unless that takes too long.  After the last one, the snapshot
+   is current.  */
 static void
 on_held (void *context, uint32_t status, const uint8_t *body,
          size_t body_bytes, const char *why)
@@ -559,7 +554,6 @@
       struct pfs_page page;
       struct rly_head head = { 0 };
       bool valid = rly_decode (body, body_bytes, &page, &head, &error);
-      topic->holder_knows |= valid && page.records->len > 0;
       for (guint i = 0; valid && i < page.records->len; i++)
         {
           topic->params.events->held (topic->params.context,
@@ -577,11 +571,8 @@
                error != NULL ? error->message : why);
     }
   topic->holders_to_ask--;
-  guint asked = topic->holders->len - topic->holders_to_ask;
-  bool knows = topic->holder_knows && asked >= topic->holders_always;
-  if (knows
-      || clk_monotonic_us () - topic->asked_since_us
-             > topic->params.plan.age_max_us)
+  if (clk_monotonic_us () - topic->asked_since_us
+      > topic->params.plan.age_max_us)
     {
       topic->holders_to_ask = 0;
     }
@@ -881,18 +872,15 @@
 }
 
 /* Sets the daemons that are asked for what the first snapshot of the present
-   era may lack to those at ADDRESSES.  The first ALWAYS of them are all asked,
-   the others only until one of any holds a record.  */
+   era may lack to those at ADDRESSES.  */
 void
-tpc_set_holders (struct tpc_topic *topic, const GPtrArray *addresses,
-                 guint always)
+tpc_set_holders (struct tpc_topic *topic, const GPtrArray *addresses)
 {
   if (topic->holders_known)
     {
       return;
     }
   topic->holders_known = true;
-  topic->holders_always = always;
   g_ptr_array_set_size (topic->holders, 0);
   for (guint i = 0; i < addresses->len; i++)
     {
--- a/src/entry/topic.h
+++ b/src/entry/topic.h
@@ -56,8 +56,7 @@
 
 struct tpc_topic *tpc_create (const struct tpc_params *params);
 void tpc_set_relays (struct tpc_topic *topic, const GPtrArray *addresses);
-void tpc_set_holders (struct tpc_topic *topic, const GPtrArray *addresses,
-                      guint always);
+void tpc_set_holders (struct tpc_topic *topic, const GPtrArray *addresses);
 void tpc_prefer_relays (struct tpc_topic *topic, bool prefer);
 void tpc_serve_relay (struct tpc_topic *topic, bool serves);
 bool tpc_take_hint (struct tpc_topic *topic, struct rly_hint *hint);
