Say in the event fuzzer's head what its first bytes select

The comment spoke of a number of bytes where the first byte selects an id, and of one split where the stream arrives in steps.

--- a/test/fuzz/event_fuzz.c
+++ b/test/fuzz/event_fuzz.c
@@ -1,7 +1,7 @@
-/* Fuzzes the scanner of server-sent events.  The first byte says how many
-   bytes the last event had that the caller knows, and the second one where the
-   stream is split: the same events must be passed on as without a split, and
-   no more bytes than have arrived. */
+/* Fuzzes the scanner of server-sent events.  The first byte selects the id of
+   the last event that the caller has, and the second one says in steps of how
+   many bytes the stream arrives: the same events must be passed on as when it
+   arrives at once, and no more bytes than have arrived. */
 #include "fuzz.h"
 
 #include "net/event_scan.h"
