Ask members of the group where no relay knows the operator's topic

Cause: a failed question was taken for an answer. After the relays of the settings had been asked, whatever came of it, the older copy counted as current. Ruled out: that nobody who knows can be found; the restored store lists the other daemon as a member of the group.

Change: the questions have a file of their own, held_query, which tells whether a daemon that was asked knows: it holds something and has a recent proof. Finding these daemons moves from fleet_control to holders.

--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -9,6 +9,7 @@
 #include "entry/endpoint_list.h"
 #include "entry/evidence_topic.h"
 #include "entry/group.h"
+#include "entry/holders.h"
 #include "entry/placing.h"
 #include "entry/relay.h"
 #include "entry/topic.h"
@@ -74,12 +75,10 @@
   bool crowded;           /* see rfs_is_crowded */
   uint32_t relay_readers; /* of the relay that was read last */
   struct shr_daemons daemons;
-  GPtrArray *relays;             /* addresses of other daemons' relays */
-  int64_t relayless_max_us;      /* see RELAYLESS_MIN_US */
-  int64_t find_members_max_us;   /* how long a lookup that fails is repeated */
-  int64_t find_relays_us;        /* monotonic; no search before */
-  int64_t find_members_until_us; /* monotonic, until when members of the group
-                                    are looked up; 0: they needn't be */
+  GPtrArray *relays;        /* addresses of other daemons' relays */
+  int64_t relayless_max_us; /* see RELAYLESS_MIN_US */
+  int64_t find_relays_us;   /* monotonic; no search before */
+  struct hld_holders *holders;
   struct grp_group *group;
   struct plc_placer *placer;
   struct flt_config *config; /* in force; NULL before the first */
@@ -245,67 +244,12 @@
     }
 }
 
-/* Makes the topics ask the daemons at ADDRESSES for what the store may have
-   lost.  */
+/* Handles that no daemon that was asked knows the operator's topic.  */
 static void
-set_holders (struct fct_control *control, const GPtrArray *addresses)
-{
-  control->find_members_until_us = 0;
-  for (uint32_t i = 0; i < TOPICS; i++)
-    {
-      tpc_set_holders (control->topics[i], addresses);
-    }
-}
-
-/* Adds those of the addresses FOUND to ADDRESSES that are neither this
-   daemon's own nor among them yet.  */
-static void
-add_others (const struct fct_control *control, const GPtrArray *found,
-            GPtrArray *addresses)
-{
-  for (guint i = 0; i < found->len; i++)
-    {
-      char *address = g_ptr_array_index (found, i);
-      if (strcmp (address, control->settings->relay_address) != 0
-          && !g_ptr_array_find_with_equal_func (addresses, address,
-                                                g_str_equal, NULL))
-        {
-          g_ptr_array_add (addresses, address);
-        }
-    }
-}
-
-/* Handles the addresses of the group's members, or the failure to look them
-   up.  */
-static void
-on_members_found (void *context, const GPtrArray *found)
+on_operator_unknown (void *context)
 {
   struct fct_control *control = context;
-  if (found == NULL)
-    {
-      return;
-    }
-  GPtrArray *others = g_ptr_array_new ();
-  add_others (control, found, others);
-  set_holders (control, others);
-  g_ptr_array_free (others, TRUE);
-}
-
-/* Finds the daemons that may hold what the store has lost in a restore: the
-   relays of the settings or, without any, the members of the group.  A lookup
-   that fails is repeated at each tick.  */
-static void
-find_holders (struct fct_control *control)
-{
-  if (control->relays->len > 0
-      || clk_monotonic_us () > control->find_members_until_us)
-    {
-      set_holders (control, control->relays);
-    }
-  else
-    {
-      grp_find_members (control->group, on_members_found, control);
-    }
+  hld_find_members (control->holders);
 }
 
 /* Handles a change of the store's era: RESTORED says that it was restored from
@@ -322,9 +266,7 @@
   control->era = MAX (control->era, era);
   rly_set_era (control->relay, topic, era);
   grp_set_era (control->group, era);
-  control->find_members_until_us
-      = clk_monotonic_us () + control->find_members_max_us;
-  find_holders (control);
+  hld_find (control->holders);
 }
 
 /* Handles a change of the era of the operator's topic.  The configuration in
@@ -383,6 +325,7 @@
   .snapshot_end = on_operator_end,
   .record = on_operator_record,
   .held = on_operator_held,
+  .unknown = on_operator_unknown,
   .current = on_operator_current,
   .outage = ignore_outage,
 };
@@ -457,7 +400,7 @@
     {
       g_ptr_array_add (all, g_ptr_array_index (control->relays, i));
     }
-  add_others (control, found, all);
+  hld_add_others (found, control->settings->relay_address, all);
   set_relays (control, all);
   g_ptr_array_free (all, TRUE);
 }
@@ -533,10 +476,7 @@
   choose_sources (control, now_us);
   uint64_t fence = 0;
   evt_step (control->evidence, grp_is_leader (control->group, &fence), now_us);
-  if (control->find_members_until_us != 0)
-    {
-      find_holders (control);
-    }
+  hld_step (control->holders);
   dir_step (control->directory, now_us);
   plc_step (control->placer, control->view->config, control->view->endpoints,
             now_us);
@@ -586,7 +526,7 @@
   control->crowded = control->relays->len > 0;
   params.prefers_relays = control->crowded && !control->is_relay;
   rfs_plan_config (&bounds, &params.plan);
-  control->find_members_max_us = params.plan.age_max_us;
+  int64_t lookup_max_us = params.plan.age_max_us;
   control->operator_topic = tpc_create (&params);
   struct epl_params list_params = {
     .client = control->client,
@@ -628,6 +568,16 @@
   control->topics[1] = epl_source (control->endpoints);
   control->topics[2] = evt_source (control->evidence);
   set_relays (control, control->relays);
+  const struct hld_params holders_params = {
+    .group = control->group,
+    .topics = control->topics,
+    .topic_count = TOPICS,
+    .operator_topic = control->operator_topic,
+    .relays = control->relays,
+    .own_address = control->settings->relay_address,
+    .lookup_max_us = lookup_max_us,
+  };
+  control->holders = hld_create (&holders_params);
 }
 
 /* Sets `relays' to the addresses of other daemons' relays in the settings, and
@@ -773,6 +723,7 @@
     {
       g_bytes_unref (control->config_text);
     }
+  hld_destroy (control->holders);
   g_ptr_array_free (control->relays, TRUE);
   g_free (control);
 }
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "core/departures.h"
 #include "core/era.h"
+#include "entry/held_query.h"
 #include "entry/relay.h"
 #include "entry/store_probe.h"
 #include "net/call.h"
@@ -37,19 +38,21 @@
   uv_timer_t timer;
   struct cal_call *call;
   struct spr_probe *probe;
-  uint64_t era;               /* of the store, to which the offsets belong */
-  bool has_records;           /* of that era */
-  bool restored;              /* the snapshot in progress follows a restore */
-  uint64_t lost_offset;       /* end of what was read before that restore */
-  uint64_t answer_era;        /* stated by the newest answer */
-  bool answer_readable;       /* that era, or its absence */
-  bool holders_known;         /* in that era */
-  bool holders_asked;         /* in that era */
-  bool awaits_holders;        /* to ask them */
-  guint holders_to_ask;       /* number of them */
-  GPtrArray *holders;         /* addresses of the daemons to ask for what the
-                                 snapshot may lack */
-  int64_t asked_since_us;     /* monotonic, when the first one was asked */
+  uint64_t era;         /* of the store, to which the offsets belong */
+  bool has_records;     /* of that era */
+  bool restored;        /* the snapshot in progress follows a restore */
+  uint64_t lost_offset; /* end of what was read before that restore */
+  uint64_t answer_era;  /* stated by the newest answer */
+  bool answer_readable; /* that era, or its absence */
+  bool holders_known;   /* in that era */
+  bool holders_asked;   /* in that era */
+  bool awaits_holders;  /* to ask them */
+  bool awaits_members;  /* the same, of tpc_set_members */
+  bool members_asked;   /* in that era */
+  GPtrArray *holders;   /* addresses of the daemons to ask for what the
+                           snapshot may lack */
+  struct hqr_query *query;
+  int64_t ask_until_us;       /* monotonic; nobody is asked later */
   int64_t snapshot_proved_us; /* proof that counts once they were asked */
   bool in_snapshot;           /* reading a snapshot */
   char *after_key; /* last key of the previous page; NULL at first */
@@ -276,20 +279,61 @@
     }
 }
 
-/* Begins to ask the daemons that may hold more than the snapshot.  Without
-   any, the snapshot is current.  */
+/* Asks the daemons at ADDRESSES for what the snapshot may lack.  */
+static void
+ask_holders (struct tpc_topic *topic, const GPtrArray *addresses,
+             bool until_known)
+{
+  const struct hqr_question question = {
+    .era = topic->era,
+    .addresses = addresses,
+    .until_known = until_known,
+    .until_us = topic->ask_until_us,
+  };
+  hqr_start (topic->query, &question);
+}
+
+/* Begins to ask the daemons that may hold more than the snapshot.  */
 static void
 begin_asking (struct tpc_topic *topic)
 {
   topic->awaits_holders = false;
-  topic->holders_to_ask = topic->holders->len;
-  topic->asked_since_us = clk_monotonic_us ();
-  if (topic->holders_to_ask == 0)
+  topic->ask_until_us = clk_monotonic_us () + topic->params.plan.age_max_us;
+  ask_holders (topic, topic->holders, false);
+}
+
+/* Passes on what another daemon holds.  */
+static void
+on_held (void *context, const struct pfs_record *record, uint64_t era)
+{
+  struct tpc_topic *topic = context;
+  topic->params.events->held (topic->params.context, record,
+                              era == topic->era);
+}
+
+/* Handles that the daemons were asked.  If none of them knows the topic, that
+   doesn't show that nobody does, so members of the group are asked too, where
+   the callbacks provide for it.  After these the snapshot is current.  */
+static void
+on_query_ended (void *context, bool known)
+{
+  struct tpc_topic *topic = context;
+  if (!known && !topic->members_asked && topic->params.events->unknown != NULL)
     {
-      report_current (topic, topic->snapshot_proved_us, topic->next_offset);
+      topic->members_asked = true;
+      topic->awaits_members = true;
+      topic->params.events->unknown (topic->params.context);
+      return;
     }
+  report_current (topic, topic->snapshot_proved_us, topic->next_offset);
+  schedule_call (topic, 0);
 }
 
+static const struct hqr_events query_events = {
+  .held = on_held,
+  .ended = on_query_ended,
+};
+
 /* Ends the snapshot up to the offset END, which shows the topic at PROVED_US.
    A store that states its era may have been restored: the first snapshot of an
    era becomes current only when other daemons have been asked.  */
@@ -342,8 +386,10 @@
   topic->has_records = false;
   topic->holders_asked = false;
   topic->awaits_holders = false;
-  topic->holders_to_ask = 0;
+  topic->awaits_members = false;
+  topic->members_asked = false;
   topic->holders_known = false;
+  hqr_stop (topic->query);
   topic->proved_us = 0;
   topic->next_offset = 0;
   begin_snapshot (topic);
@@ -532,78 +578,6 @@
   return valid;
 }
 
-/* Returns the address of the daemon that is asked next.  */
-static const char *
-next_holder (const struct tpc_topic *topic)
-{
-  return g_ptr_array_index (topic->holders, topic->holders_to_ask - 1);
-}
-
-/* Handles the answer of a daemon that was asked for what it holds; the next
-   one is asked, unless that takes too long.  After the last one, the snapshot
-   is current.  */
-static void
-on_held (void *context, uint32_t status, const uint8_t *body,
-         size_t body_bytes, const char *why)
-{
-  struct tpc_topic *topic = context;
-  topic->call = NULL;
-  g_autoptr (GError) error = NULL;
-  if (status == HTTP_STATUS_OK)
-    {
-      struct pfs_page page;
-      struct rly_head head = { 0 };
-      bool valid = rly_decode (body, body_bytes, &page, &head, &error);
-      for (guint i = 0; valid && i < page.records->len; i++)
-        {
-          topic->params.events->held (topic->params.context,
-                                      g_ptr_array_index (page.records, i),
-                                      head.era == topic->era);
-        }
-      pfs_clear_page (&page);
-      rly_clear_head (&head);
-    }
-  if (status != HTTP_STATUS_OK || error != NULL)
-    {
-      lg_line (LOG_INFO, "relay_not_asked",
-               "topic=%s relay=%s status=%u why=\"%s\"", topic->params.topic,
-               next_holder (topic), status,
-               error != NULL ? error->message : why);
-    }
-  topic->holders_to_ask--;
-  if (clk_monotonic_us () - topic->asked_since_us
-      > topic->params.plan.age_max_us)
-    {
-      topic->holders_to_ask = 0;
-    }
-  if (topic->holders_to_ask == 0)
-    {
-      report_current (topic, topic->snapshot_proved_us, topic->next_offset);
-    }
-  send_call (topic);
-}
-
-/* Asks a daemon for all that it holds.  */
-static void
-ask_holder (struct tpc_topic *topic)
-{
-  const struct rly_request request
-      = { .topic = topic->params.topic, .era = topic->era, .whole = true };
-  char *path = rly_path (&request);
-  const struct cal_params params = {
-    .client = topic->params.client,
-    .loop = topic->params.loop,
-    .address = next_holder (topic),
-    .method = "GET",
-    .path = path,
-    .timeout_ms = RELAY_TIMEOUT_MS,
-    .done = on_held,
-    .context = topic,
-  };
-  topic->call = cal_send (&params);
-  g_free (path);
-}
-
 /* Reads the era of the store that RESPONSE states.  */
 static void
 on_headers (void *context, uint32_t status, const struct msg_message *response)
@@ -705,7 +679,6 @@
                                 : topic->params.plan.interval_us;
   /* Relays pass changes on at once, so a reader asks one without delay. */
   bool at_once = was_snapshot || topic->in_snapshot
-                 || topic->holders_to_ask > 0
                  || (!relayed && reads_relays (topic));
   schedule_call (topic, at_once ? 0 : (uint64_t)(interval_us / CLK_MS_US));
 }
@@ -730,15 +703,11 @@
 static void
 send_call (struct tpc_topic *topic)
 {
-  if (topic->awaits_holders)
+  if (topic->awaits_holders || topic->awaits_members
+      || hqr_is_active (topic->query))
     {
       return;
     }
-  if (topic->holders_to_ask > 0)
-    {
-      ask_holder (topic);
-      return;
-    }
   struct rfs_call call = choose_source (topic);
   uint32_t wait_ms = call.to_relay ? (uint32_t)(call.wait_us / CLK_MS_US)
                                    : store_wait_ms (topic);
@@ -831,6 +800,21 @@
   return spr_create (&params);
 }
 
+/* Creates the query at other daemons about TOPIC.  */
+static struct hqr_query *
+create_query (struct tpc_topic *topic)
+{
+  const struct hqr_params params = {
+    .client = topic->params.client,
+    .loop = topic->params.loop,
+    .topic = topic->params.topic,
+    .age_max_us = topic->params.plan.age_max_us,
+    .events = &query_events,
+    .context = topic,
+  };
+  return hqr_create (&params);
+}
+
 /* Starts to follow the topic of PARAMS.  */
 struct tpc_topic *
 tpc_create (const struct tpc_params *params)
@@ -851,6 +835,7 @@
   uv_timer_init (params->loop, &topic->timer);
   topic->timer.data = topic;
   topic->probe = create_probe (topic);
+  topic->query = create_query (topic);
   begin_snapshot (topic);
   topic->needs_snapshot = true;
   send_call (topic);
@@ -890,7 +875,18 @@
   if (topic->awaits_holders)
     {
       begin_asking (topic);
-      schedule_call (topic, 0);
+    }
+}
+
+/* Sets the members of the group that are asked after `unknown', until one
+   knows the topic, to those at ADDRESSES.  */
+void
+tpc_set_members (struct tpc_topic *topic, const GPtrArray *addresses)
+{
+  if (topic->awaits_members)
+    {
+      topic->awaits_members = false;
+      ask_holders (topic, addresses, true);
     }
 }
 
@@ -951,5 +947,6 @@
       cal_cancel (topic->call);
     }
   spr_destroy (topic->probe);
+  hqr_destroy (topic->query);
   uv_close ((uv_handle_t *)&topic->timer, on_timer_closed);
 }
--- a/src/entry/topic.h
+++ b/src/entry/topic.h
@@ -28,6 +28,10 @@
   /* Another daemon holds RECORD, which the store may have lost in a
      restore.  Its offset belongs to the topic only if SAME_ERA. */
   void (*held) (void *context, const struct pfs_record *record, bool same_era);
+  /* None of the daemons that were asked for what the store may have lost knows
+     the topic.  It doesn't count as current before a call of tpc_set_members.
+     NULL: nobody else is asked. */
+  void (*unknown) (void *context);
   /* All records that were in the topic at the monotonic time PROVED_US, up to
      the offset END, have been passed to `record'. */
   void (*current) (void *context, int64_t proved_us, uint64_t end);
@@ -57,6 +61,7 @@
 struct tpc_topic *tpc_create (const struct tpc_params *params);
 void tpc_set_relays (struct tpc_topic *topic, const GPtrArray *addresses);
 void tpc_set_holders (struct tpc_topic *topic, const GPtrArray *addresses);
+void tpc_set_members (struct tpc_topic *topic, const GPtrArray *addresses);
 void tpc_prefer_relays (struct tpc_topic *topic, bool prefer);
 void tpc_serve_relay (struct tpc_topic *topic, bool serves);
 bool tpc_take_hint (struct tpc_topic *topic, struct rly_hint *hint);
--- a/test/entry_restore_test.c
+++ b/test/entry_restore_test.c
@@ -174,14 +174,39 @@
     }
 }
 
+/* What the settings of a daemon that starts after a restore name as relays. */
+enum relays
+{
+  RELAYS_NONE,
+  RELAYS_UP,  /* the other daemon */
+  RELAYS_DOWN /* addresses at which nothing listens */
+};
+
+/* Makes the settings of entry-2 name relays that are down.  */
+static void
+add_relays_down (const struct efx_fixture *fixture)
+{
+  g_autofree char *path
+      = g_build_filename (fixture->folder, "entry-2.yaml", NULL);
+  FILE *settings = fopen (path, "a");
+  assert_non_null (settings);
+  fprintf (settings, "relays: [\"127.0.0.1:%u\", \"127.0.0.1:%u\"]\n",
+           sfl_free_port (), sfl_free_port ());
+  fclose (settings);
+}
+
 /* A daemon that starts after the store has lost the removal of a key learns of
-   the removal from another daemon, and never serves the key.  If KNOWS_RELAY,
-   its settings name that daemon.  */
+   the removal from another daemon, and never serves the key, whatever RELAYS
+   its settings name.  */
 static void
-check_restart_after_restore (struct efx_fixture *fixture, bool knows_relay)
+check_restart_after_restore (struct efx_fixture *fixture, enum relays relays)
 {
   struct sep_process *second
-      = efx_create_second (fixture, NULL, 0, knows_relay);
+      = efx_create_second (fixture, NULL, 0, relays == RELAYS_UP);
+  if (relays == RELAYS_DOWN)
+    {
+      add_relays_down (fixture);
+    }
   sfl_publish (fixture->fleet, 5, "key-2");
   efx_run_for (fixture, COPY_AGE_US + 200 * CLK_MS_US);
   sfl_publish (fixture->fleet, 6, "key-2");
@@ -220,7 +245,7 @@
 static void
 test_restart_after_restore (void **state)
 {
-  check_restart_after_restore (*state, true);
+  check_restart_after_restore (*state, RELAYS_UP);
 }
 
 /* Guards against a daemon that takes the older copy for the newest state when
@@ -228,7 +253,15 @@
 static void
 test_restart_without_relays (void **state)
 {
-  check_restart_after_restore (*state, false);
+  check_restart_after_restore (*state, RELAYS_NONE);
+}
+
+/* Guards against the same when all relays that its settings name are down, a
+   failed question being taken for an answer.  */
+static void
+test_restart_with_relays_down (void **state)
+{
+  check_restart_after_restore (*state, RELAYS_DOWN);
 }
 
 /* Each test changes the store in a way that outlasts it.  */
@@ -248,6 +281,8 @@
                                      efx_tear_down),
     cmocka_unit_test_setup_teardown (test_restart_without_relays, efx_set_up,
                                      efx_tear_down),
+    cmocka_unit_test_setup_teardown (test_restart_with_relays_down, efx_set_up,
+                                     efx_tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/test/topic_test.c
+++ b/test/topic_test.c
@@ -5,6 +5,7 @@
 #include "net/message.h"
 #include "net/server.h"
 #include "platform/headers.h"
+#include "proto/relay.pb-c.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -15,6 +16,8 @@
 
 #define TOPIC "keyed.servers"
 #define ANSWERS_MAX 8
+#define KEYS_MAX 4 /* held by another daemon */
+#define HELD_ERA 3 /* of these */
 #define TIMEOUT_US (10 * CLK_S_US)
 
 enum kind
@@ -23,6 +26,7 @@
   KIND_NEWEST,
   KIND_READ,
   KIND_STATUS, /* an empty body */
+  KIND_HELD,   /* what another daemon holds, with a proof */
   KIND_CUT,    /* the connection is closed after the head */
   KIND_NONE    /* the call is never answered */
 };
@@ -31,13 +35,17 @@
 struct answer
 {
   enum kind kind;
-  const char *era;  /* NULL: not stated */
-  uint32_t status;  /* of KIND_STATUS */
-  const char *keys; /* of records, each of one letter */
+  const char *era;      /* NULL: not stated */
+  uint32_t status;      /* of KIND_STATUS */
+  const char *keys;     /* of records, each of one letter */
+  int64_t proof_age_us; /* of KIND_HELD */
   uint64_t end;
   bool more;
 };
 
+/* Age of a proof that isn't recent. */
+#define OLD_PROOF_US (60 * CLK_S_US)
+
 /* How long it takes to find the daemons of a row with `found_late'. */
 #define FIND_US (100 * CLK_MS_US)
 
@@ -45,12 +53,15 @@
    H: of another daemon for what it holds, P and an offset: a probe.
    The events: E and an era, with ! after a restore; [ and ]: a snapshot, with
    the offset of its end; letters: records; ?: the other daemons are found
-   late; a dot: the topic is current. */
+   late; U: no daemon that was asked knows the topic; a dot: the topic is
+   current. */
 struct row
 {
   const char *name;
-  int64_t probe_us; /* as in the plan */
-  uint32_t holders; /* number of other daemons to ask */
+  int64_t probe_us;  /* as in the plan */
+  uint32_t holders;  /* number of other daemons to ask */
+  bool asks_members; /* if none of these knows the topic */
+  uint32_t members;  /* number of these */
   bool found_late;
   struct answer answers[ANSWERS_MAX];
   const char *calls;
@@ -152,6 +163,58 @@
                  { .kind = KIND_READ, .era = "3", .keys = "c", .end = 6 } },
     .calls = "N H H R5 ",
     .events = "E3[ab]5.c." },
+  /* Guards against a failed question that is taken for the answer that nobody
+     holds more: a removed key was served after a restore. */
+  { .name = "members are asked where no other daemon answers",
+    .holders = 2,
+    .asks_members = true,
+    .members = 3,
+    .answers = { { .kind = KIND_NEWEST, .era = "3", .keys = "ab", .end = 5 },
+                 { .kind = KIND_STATUS, .status = 503 },
+                 { .kind = KIND_CUT },
+                 { .kind = KIND_CUT },
+                 { .kind = KIND_HELD, .keys = "x" },
+                 { .kind = KIND_READ, .era = "3", .keys = "c", .end = 6 } },
+    .calls = "N H H H H R5 ",
+    .events = "E3[ab]5Ux.c." },
+  { .name = "members are asked where other daemons have no recent proof",
+    .holders = 2,
+    .asks_members = true,
+    .members = 1,
+    .answers
+    = { { .kind = KIND_NEWEST, .era = "3", .keys = "ab", .end = 5 },
+        { .kind = KIND_HELD, .keys = "" },
+        { .kind = KIND_HELD, .keys = "x", .proof_age_us = OLD_PROOF_US },
+        { .kind = KIND_HELD, .keys = "y" },
+        { .kind = KIND_READ, .era = "3", .keys = "c", .end = 6 } },
+    .calls = "N H H H R5 ",
+    .events = "E3[ab]5xUy.c." },
+  { .name = "no member is asked where another daemon knows the topic",
+    .holders = 2,
+    .asks_members = true,
+    .members = 1,
+    .answers = { { .kind = KIND_NEWEST, .era = "3", .keys = "ab", .end = 5 },
+                 { .kind = KIND_HELD, .keys = "x" },
+                 { .kind = KIND_STATUS, .status = 503 },
+                 { .kind = KIND_READ, .era = "3", .keys = "c", .end = 6 } },
+    .calls = "N H H R5 ",
+    .events = "E3[ab]5x.c." },
+  { .name = "nobody knows the topic",
+    .holders = 1,
+    .asks_members = true,
+    .members = 1,
+    .answers = { { .kind = KIND_NEWEST, .era = "3", .keys = "ab", .end = 5 },
+                 { .kind = KIND_CUT },
+                 { .kind = KIND_STATUS, .status = 503 },
+                 { .kind = KIND_READ, .era = "3", .keys = "c", .end = 6 } },
+    .calls = "N H H R5 ",
+    .events = "E3[ab]5U.c." },
+  { .name = "there is nobody to ask",
+    .asks_members = true,
+    .answers = { { .kind = KIND_NEWEST, .era = "3", .keys = "ab", .end = 5 },
+                 { .kind = KIND_READ, .era = "3", .keys = "c", .end = 6 } },
+    .calls = "N R5 ",
+    .events = "E3[ab]5U.c." },
   { .name = "another daemon is found late",
     .holders = 1,
     .found_late = true,
@@ -190,6 +253,35 @@
   GString *events;
 };
 
+/* Appends the page of another daemon that holds the records of ANSWER to
+   BODY.  */
+static void
+add_held (GByteArray *body, const struct answer *answer)
+{
+  RelayRecord records[KEYS_MAX];
+  RelayRecord *pointers[KEYS_MAX];
+  char keys[KEYS_MAX][2];
+  RelayPage page = RELAY_PAGE__INIT;
+  page.era = HELD_ERA;
+  page.whole = true;
+  page.proof_lead_us = -answer->proof_age_us;
+  page.records = pointers;
+  for (const char *key = answer->keys; *key != '\0'; key++)
+    {
+      size_t i = page.n_records++;
+      assert_true (i < KEYS_MAX);
+      relay_record__init (&records[i]);
+      keys[i][0] = *key;
+      keys[i][1] = '\0';
+      records[i].key = keys[i];
+      records[i].value.data = (uint8_t *)"v";
+      records[i].value.len = 1;
+      pointers[i] = &records[i];
+    }
+  g_byte_array_set_size (body, (guint)relay_page__get_packed_size (&page));
+  relay_page__pack (&page, body->data);
+}
+
 /* Returns the body of ANSWER, which the caller frees.  */
 static GByteArray *
 build_body (const struct answer *answer)
@@ -205,6 +297,10 @@
           g_byte_array_append (body, record, sizeof record);
         }
     }
+  else if (answer->kind == KIND_HELD)
+    {
+      add_held (body, answer);
+    }
   else if (answer->kind == KIND_NEWEST)
     {
       GString *text = g_string_new ("{\"Items\":[");
@@ -295,17 +391,33 @@
   .drained = ignore_end,
 };
 
-/* Tells the topic of RUN which other daemons there are.  */
-static void
-set_holders (const struct run *run)
+/* Returns COUNT times the address of RUN.  */
+static GPtrArray *
+list_addresses (const struct run *run, uint32_t count)
 {
   GPtrArray *addresses = g_ptr_array_new ();
-  for (uint32_t i = 0; i < run->row->holders; i++)
+  for (uint32_t i = 0; i < count; i++)
     {
       g_ptr_array_add (addresses, run->address);
     }
+  return addresses;
+}
+
+/* Tells the topic of RUN which other daemons there are.  */
+static void
+set_holders (const struct run *run)
+{
+  g_autoptr (GPtrArray) addresses = list_addresses (run, run->row->holders);
   tpc_set_holders (run->topic, addresses);
-  g_ptr_array_free (addresses, TRUE);
+}
+
+static void
+on_unknown (void *context)
+{
+  struct run *run = context;
+  g_autoptr (GPtrArray) addresses = list_addresses (run, run->row->members);
+  g_string_append_c (run->events, 'U');
+  tpc_set_members (run->topic, addresses);
 }
 
 static void
@@ -379,6 +491,17 @@
   .outage = on_outage,
 };
 
+static const struct tpc_events member_events = {
+  .era = on_era,
+  .snapshot_begin = on_begin,
+  .snapshot_end = on_end,
+  .record = on_record,
+  .held = on_held,
+  .unknown = on_unknown,
+  .current = on_current,
+  .outage = on_outage,
+};
+
 static size_t
 count_answers (const struct row *row)
 {
@@ -442,7 +565,7 @@
       .retry_max_us = 200 * CLK_MS_US,
       .probe_us = run->row->probe_us,
     },
-    .events = &topic_events,
+    .events = run->row->asks_members ? &member_events : &topic_events,
     .context = run,
   };
   run->topic = tpc_create (&params);
