Let a broken stream wait for a path without the engine that refused it

Cause: where the only path leads over a dead engine it is tried all the same, as the daemon may be wrong about the engine. Refusals that name the engine, which show that it is right, delayed nothing, so that the five attempts were spent within 0.6 s. Ruled out by the log: the deadline, the retry budget, and that the death wasn't known.

Change: after such a refusal a broken stream waits up to a second for a path without a dead engine, like for one with room. The first attempt after the break is made at once, as before. Requests whose answer hasn't begun are refused with a promise as before.

--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -9,7 +9,8 @@
 
 #include <string.h>
 
-/* How long the continuation of a broken stream waits for a path with room.
+/* How long the continuation of a broken stream waits for a path with room and
+   without dead engines.
    Callers leave after a pause of about two seconds. */
 #define ROOM_WAIT_MAX_US (1000 * CLK_MS_US)
 
@@ -396,7 +397,8 @@
 }
 
 /* Delays the next attempt of EXCHANGE, the continuation of a broken stream,
-   since no path has room now or the retry budget is used up.  Returns false
+   since no path has room now, it leads over a dead engine, or the retry budget
+   is used up.  Returns false
    when it has waited for ROOM_WAIT_MAX_US already; BEFORE is how the previous
    attempt ended.  */
 static bool
@@ -769,7 +771,7 @@
       return;
     }
   bool lacks_room
-      = found ? excess_us > 0
+      = found ? excess_us > 0 || exg_awaits_live_path (exchange)
               : exchange->answer_begun || awaits_neighbour (exchange);
   if (lacks_room && wait_for_room (exchange, before))
     {
--- a/src/entry/exchange_path.c
+++ b/src/entry/exchange_path.c
@@ -45,6 +45,34 @@
   return exchange->path != NULL;
 }
 
+/* True when an engine on EXCHANGE's path was found dead.  One that only
+   refused other requests may still be working on this one.  */
+bool
+exg_path_has_dead_engine (const struct exchange *exchange)
+{
+  for (uint32_t i = 0; exchange->path != NULL && i < exchange->path->count;
+       i++)
+    {
+      if (exchange->path->parts[i]->evidence.dead)
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
+/* True when the broken stream of EXCHANGE is better continued later than on
+   the path that was chosen: the previous attempt was refused for an engine
+   that failed, and this path has a dead one too.  Without that refusal the
+   path is tried, as its first engine may reach an engine that this daemon
+   doesn't.  */
+bool
+exg_awaits_live_path (const struct exchange *exchange)
+{
+  return exchange->answer_begun && exchange->failed_address != NULL
+         && exg_path_has_dead_engine (exchange);
+}
+
 /* Records that EXCHANGE is refused for want of room, as RESULT says.  Returns
    after how many seconds its caller may come back.  */
 double
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -140,6 +140,8 @@
 void exg_count_answers (struct trf_traffic *traffic);
 void exg_end_wait (struct exchange *exchange, bool answered);
 bool exg_choose_path (struct exchange *exchange, struct pcs_result *result);
+bool exg_path_has_dead_engine (const struct exchange *exchange);
+bool exg_awaits_live_path (const struct exchange *exchange);
 double exg_refuse_for_room (struct exchange *exchange,
                             const struct pcs_result *result);
 void exg_observe_wait (struct exchange *exchange, int64_t wait_us,
--- a/src/entry/exchange_watch.c
+++ b/src/entry/exchange_watch.c
@@ -94,22 +94,6 @@
   return used;
 }
 
-/* True when an engine on EXCHANGE's path was found dead.  One that only
-   refused other requests may still be working on this one.  */
-static bool
-path_has_dead_engine (const struct exchange *exchange)
-{
-  for (uint32_t i = 0; i < exchange->path->count; i++)
-    {
-      const struct fst_endpoint *part = exchange->path->parts[i];
-      if (part->evidence.dead)
-        {
-          return true;
-        }
-    }
-  return false;
-}
-
 /* True when the current attempt may be abandoned for another one: both the
    request and the retry budget allow it.  If it KEEPS_RESERVE, the budget must
    allow more than the one retry, unless a neighbour takes the request.  */
@@ -262,8 +246,8 @@
          prompt again elsewhere would add to the load that slows it down. */
       bool cut_off
           = psg_is_cut_off (exchange->traffic, exg_service_index (exchange));
-      bool failed
-          = path_has_dead_engine (exchange) || path_is_suspected (exchange);
+      bool failed = exg_path_has_dead_engine (exchange)
+                    || path_is_suspected (exchange);
       if ((cut_off && may_abandon (exchange, false))
           || (!cut_off && failed && may_abandon (exchange, true)))
         {
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -433,16 +433,24 @@
   endpoint->server = NULL;
 }
 
+/* Returns whether the endpoint INDEX is an engine that lives and doesn't begin
+   paths.  */
+bool
+sfl_holds_later_layers (const struct sfl_fleet *fleet, uint32_t index)
+{
+  const struct sfl_endpoint *endpoint = endpoint_at (fleet, index);
+  return endpoint->is_engine && !endpoint->dead && endpoint->first_layer > 0;
+}
+
 /* Returns the index of an engine that doesn't begin paths.  There must be one.
  */
 uint32_t
 sfl_find_later_engine (const struct sfl_fleet *fleet)
 {
   uint32_t index = 0;
-  const struct sfl_endpoint *endpoint = endpoint_at (fleet, index);
-  while (!endpoint->is_engine || endpoint->dead || endpoint->first_layer == 0)
+  while (!sfl_holds_later_layers (fleet, index))
     {
-      endpoint = endpoint_at (fleet, ++index);
+      index++;
     }
   return index;
 }
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -155,6 +155,7 @@
 uint32_t sfl_run_count (const struct sfl_fleet *fleet, const char *request_id);
 uint32_t sfl_arrival_count (const struct sfl_fleet *fleet, uint32_t endpoint);
 uint32_t sfl_find_later_engine (const struct sfl_fleet *fleet);
+bool sfl_holds_later_layers (const struct sfl_fleet *fleet, uint32_t index);
 uint32_t sfl_cancelled_count (const struct sfl_fleet *fleet);
 bool sfl_is_placed (const struct sfl_fleet *fleet);
 const char *sfl_violation (const struct sfl_fleet *fleet);
