Don't take an invalid answer that ended in order for a crash

What callers saw: streams that share a part of their prompts were refused for minutes, "such requests crash endpoints", though no engine had crashed (soaks since they spoil responses).

Cause: a stream whose body is invalid counted as broken off, which is evidence that its request crashed the engine, also if its last chunk had come. Ruled out: that the evidence of other daemons did it; one daemon alone does.

Change: only an answer that ends with its connection is such evidence.

Tests: entry_evidence_test, 24 streams whose body is the text of an error: none of 24 with the same part was served afterwards in 5 of 5 runs before, all in 5 of 5 now.

--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -509,7 +509,11 @@
   const char *why = find_early_end (exchange);
   if (why != NULL)
     {
-      report_early_end (exchange);
+      /* An endpoint that has sent its last chunk hasn't crashed. */
+      if (exchange->ends_with_connection)
+        {
+          report_early_end (exchange);
+        }
       exg_report_failure (exchange, EVD_INCONCLUSIVE, why);
       exg_end_attempt (exchange, ATT_INVALID_ANSWER);
       return;
