Tell a relay's page without a proof from one with an old proof

Cause: a relay without a proof stated the time since the start of the clock as the age of its proof. On a host that had started within the age limit, a daemon that asks after a restore would have taken that for a recent proof, and asked nobody else. Found by reading again; not seen.

Change: such a page states an age beyond every limit.

Test: the row of relay_test for what a relay holds without a proof expects that value; relay_test, topic_test and entry_restore_test pass.

--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -526,7 +526,6 @@
   control->crowded = control->relays->len > 0;
   params.prefers_relays = control->crowded && !control->is_relay;
   rfs_plan_config (&bounds, &params.plan);
-  int64_t lookup_max_us = params.plan.age_max_us;
   control->operator_topic = tpc_create (&params);
   struct epl_params list_params = {
     .client = control->client,
@@ -575,7 +574,7 @@
     .operator_topic = control->operator_topic,
     .relays = control->relays,
     .own_address = control->settings->relay_address,
-    .lookup_max_us = lookup_max_us,
+    .lookup_max_us = params.plan.age_max_us,
   };
   control->holders = hld_create (&holders_params);
 }
--- a/src/entry/held_query.c
+++ b/src/entry/held_query.c
@@ -100,7 +100,6 @@
                                   g_ptr_array_index (page.records, i),
                                   head.era);
     }
-  /* The proof of a daemon that has none yet is as old as the clock. */
   query->known |= valid && page.records->len > 0
                   && head.proof_lead_us >= -query->params.age_max_us;
   pfs_clear_page (&page);
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -317,8 +317,8 @@
            bool whole)
 {
   uint64_t from = whole ? 0 : query->from;
-  GArray *records = list_records (mirror, from);
-  RelayRecord **pointers = g_new (RelayRecord *, records->len + 1);
+  g_autoptr (GArray) records = list_records (mirror, from);
+  g_autofree RelayRecord **pointers = g_new (RelayRecord *, records->len + 1);
   for (guint i = 0; i < records->len; i++)
     {
       pointers[i] = &g_array_index (records, RelayRecord, i);
@@ -328,7 +328,9 @@
   page.era = mirror->era;
   page.whole = whole;
   page.end = mirror->end;
-  page.proof_lead_us = mirror->proved_us - query->arrived_us;
+  page.proof_lead_us = mirror->proved_us == 0
+                           ? RLY_NO_PROOF_US
+                           : mirror->proved_us - query->arrived_us;
   page.partitions = relay->partitions;
   page.readers = MAX (rly_readers (relay), 1);
   g_autoptr (GPtrArray) departures = NULL;
@@ -338,13 +340,10 @@
       set_departures (&page, departures);
     }
   size_t bytes = relay_page__get_packed_size (&page);
-  uint8_t *body = g_malloc (bytes + 1);
+  g_autofree uint8_t *body = g_malloc (bytes + 1);
   relay_page__pack (&page, body);
   nsv_respond (connection, HTTP_STATUS_OK, "", body, bytes);
-  g_free (body);
   clear_departures (&page);
-  g_free (pointers);
-  g_array_free (records, TRUE);
 }
 
 /* True when the offsets of a reader of ERA mean other records than those of
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -15,6 +15,9 @@
 #define RLY_NO_DEPARTURES 0
 #define RLY_ALL_DEPARTURES 1
 
+/* The lead of the proof in a page without any: older than every limit. */
+#define RLY_NO_PROOF_US (-INT64_C (365) * 24 * 60 * 60 * 1000000)
+
 /* Limit on the departures in a page; later pages have the rest. */
 #define RLY_DEPARTURES_MAX 512
 
@@ -47,7 +50,8 @@
                             unknown */
   bool whole;            /* the records are all that the topic has */
   int64_t proof_lead_us; /* from the arrival of the request at the relay to the
-                            relay's proof; negative if the proof is older */
+                            relay's proof; negative if the proof is older;
+                            RLY_NO_PROOF_US without one */
   struct rly_hint hint;
   GPtrArray *departures;    /* struct dep_departure: endpoints that leave */
   uint64_t departures_mark; /* for the next request; 0: none */
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -81,6 +81,7 @@
   uint32_t status;
   bool whole; /* all is asked for */
   bool answer_whole;
+  bool unproved; /* the answer has no proof */
 };
 
 static const struct row rows[] = {
@@ -249,7 +250,8 @@
     .status = 200,
     .keys = "a ",
     .answer_era = 4,
-    .answer_whole = true },
+    .answer_whole = true,
+    .unproved = true },
 };
 
 static void
@@ -436,6 +438,8 @@
                         answer.status == 200 ? 1 : 0);
       /* The proof isn't newer than the answer. */
       assert_true (answer.head.proof_lead_us < CLK_S_US);
+      assert_true (!rows[i].unproved
+                   || answer.head.proof_lead_us == RLY_NO_PROOF_US);
     }
 }
 
