--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -397,10 +397,9 @@
 }
 
 /* Delays the next attempt of EXCHANGE, the continuation of a broken stream,
-   since no path has room now, it leads over a dead engine, or the retry budget
-   is used up.  Returns false
-   when it has waited for ROOM_WAIT_MAX_US already; BEFORE is how the previous
-   attempt ended.  */
+   since no path has room now, the path leads over a dead engine, or the retry
+   budget is used up.  Returns false when it has waited for ROOM_WAIT_MAX_US
+   already; BEFORE is how the previous attempt ended.  */
 static bool
 wait_for_room (struct exchange *exchange, enum att_end before)
 {
