--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -630,70 +630,6 @@
   return true;
 }
 
-/* Appends the headers that an endpoint needs, or the neighbour that EXCHANGE
-   is passed on to.  */
-static void
-append_target_headers (const struct exchange *exchange, GString *request)
-{
-  if (exchange->endpoint->is_neighbour)
-    {
-      g_string_append_printf (request, PFH_PASSED_ON ": %u\r\n",
-                              1 + exchange->may_have_run);
-      if (exchange->key != NULL)
-        {
-          g_string_append_printf (request, PFH_API_KEY ": %s\r\n",
-                                  exchange->key);
-        }
-      return;
-    }
-  g_string_append_printf (request, PFH_EXPECTED_ENDPOINT ": %s\r\n",
-                          exchange->endpoint->id);
-  if (exchange->account != NULL)
-    {
-      g_string_append_printf (request, PFH_ACCOUNT ": %s\r\n",
-                              exchange->account->name);
-    }
-  if (exchange->is_ranked)
-    {
-      g_string_append_printf (
-          request, PFH_ENGINE_PRIORITY ": %u\r\n",
-          prc_engine_priority (exchange->rank,
-                               exchange->scanner.last_id >= 0));
-    }
-  if (exchange->path != NULL)
-    {
-      g_string_append_printf (request, PFH_PATH ": %s\r\n",
-                              exchange->path->text);
-    }
-}
-
-/* Builds the head of the HTTP request of the next attempt.  The caller frees
-   it.  */
-static GString *
-build_head (struct exchange *exchange)
-{
-  int64_t left_us = exchange->deadline_us - clk_monotonic_us ();
-  GString *request = g_string_sized_new (exchange->head->len + 512);
-  g_string_append_len (request, exchange->head->str,
-                       (gssize)exchange->head->len);
-  g_string_append_printf (request, "Host: %s\r\n" PFH_TIME_LEFT_MS ": %ld\r\n",
-                          exchange->route->host,
-                          (long)MAX (left_us / CLK_MS_US, 1));
-  append_target_headers (exchange, request);
-  if (exchange->scanner.last_id >= 0)
-    {
-      g_string_append_printf (request, PFH_LAST_EVENT_ID ": %ld\r\n",
-                              (long)exchange->scanner.last_id);
-    }
-  if (exchange->has_body)
-    {
-      g_string_append_printf (request, "Content-Length: %zu\r\n",
-                              g_bytes_get_size (exchange->body));
-    }
-  g_string_append (request, "\r\n");
-  return request;
-}
-
 /* Returns whether EXCHANGE has a quarantined trait and it isn't the one that
    is let through to try it.  */
 static bool
@@ -791,7 +727,7 @@
       return;
     }
   struct trf_traffic *traffic = exchange->traffic;
-  GString *head = build_head (exchange);
+  GString *head = exg_build_head (exchange);
   evs_restart (&exchange->scanner);
   drop_answer (exchange);
   exchange->status = 0;
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -11,49 +11,11 @@
 
 #include <math.h>
 #include <string.h>
-#include <strings.h>
 
 /* A request with this much less time left than its route gives was probably
    refused before: callers return after 500 ms or more. */
 #define RETURNED_US (400 * CLK_MS_US)
 
-/* True for headers that aren't forwarded from callers, since this daemon sets
-   them itself or they are meant for it alone.  */
-static bool
-is_not_forwarded (const char *name)
-{
-  static const char *const names[] = {
-    "Host",
-    PFH_API_KEY,
-    PFH_ACCOUNT,
-    PFH_TIME_LEFT_MS,
-    PFH_PATH,
-    PFH_EXPECTED_ENDPOINT,
-    PFH_LAST_EVENT_ID,
-    PFH_ENGINE_PRIORITY,
-    PFH_PASSED_ON,
-  };
-  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
-    {
-      if (strcasecmp (names[i], name) == 0)
-        {
-          return true;
-        }
-    }
-  return false;
-}
-
-/* Appends the start line of REQUEST and the headers that are forwarded to
-   HEAD.  */
-static void
-copy_request_head (const struct msg_message *request, const char *method,
-                   GString *head)
-{
-  g_string_append_printf (head, "%s %s HTTP/1.1\r\n", method,
-                          request->url->str);
-  msg_copy_headers (request, is_not_forwarded, head);
-}
-
 /* Why a request is refused. */
 struct refusal
 {
@@ -240,7 +202,7 @@
   exchange->account = account;
   g_strlcpy (exchange->id, id, sizeof exchange->id);
   exchange->head = g_string_sized_new (512);
-  copy_request_head (request, method, exchange->head);
+  exg_copy_head (request, method, exchange->head);
   exchange->is_head = strcmp (method, "HEAD") == 0;
   exchange->has_body = request->body->len > 0
                        || msg_find (request, "Content-Length") != NULL
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -133,6 +133,9 @@
                      bool (*matches) (const struct exchange *,
                                       const struct fst_endpoint *),
                      const struct fst_endpoint *endpoint);
+void exg_copy_head (const struct msg_message *request, const char *method,
+                    GString *head);
+GString *exg_build_head (const struct exchange *exchange);
 void exg_answer_without_body (struct trf_traffic *traffic,
                               struct nsv_connection *caller, uint32_t status,
                               const char *id, double retry_after_s);
