Don't take a host or a model for another one with the same beginning

Found by reading all arrays that text from outside is copied into, after the ids of requests.

Cause: the result of g_strlcpy, which tells that a text was cut off, wasn't looked at in the host list and in engines' load reports.

Change: such hosts and ranges are left out; the configuration can't name them. The other uses of g_strlcpy copy texts of checked length, or only show them.

--- a/src/endpoint/engine.c
+++ b/src/endpoint/engine.c
@@ -206,7 +206,8 @@
 }
 
 /* Reads the JSON array RANGES into OUT and returns the number of ranges read;
-   those beyond SNAP_RANGES_MAX are ignored.  */
+   those beyond SNAP_RANGES_MAX are ignored, and those of models whose names
+   are longer than any in the configuration.  */
 static uint32_t
 parse_ranges (const json_t *ranges, struct eng_range out[SNAP_RANGES_MAX])
 {
@@ -219,9 +220,15 @@
       {
         return count;
       }
-    struct eng_range *range = &out[count++];
+    struct eng_range *range = &out[count];
     const char *model = json_string_value (json_object_get (item, "model"));
-    g_strlcpy (range->model, model != NULL ? model : "", sizeof range->model);
+    if (g_strlcpy (range->model, model != NULL ? model : "",
+                   sizeof range->model)
+        >= sizeof range->model)
+      {
+        continue;
+      }
+    count++;
     range->first = (uint32_t)get_integer (item, "first");
     range->end = (uint32_t)get_integer (item, "end");
   }
--- a/src/platform/host_list.c
+++ b/src/platform/host_list.c
@@ -9,13 +9,14 @@
 #define STATUS_NOT_MODIFIED 304
 
 /* Copies the string KEY of OBJECT to OUT, of OUT_BYTES bytes; "" when OBJECT
-   has no such string.  */
-static void
+   has no such string.  Returns false when it is too long: cut off, it could be
+   the name of another host.  */
+static bool
 copy_string (const json_t *object, const char *key, char *out,
              size_t out_bytes)
 {
   const char *value = json_string_value (json_object_get (object, key));
-  g_strlcpy (out, value != NULL ? value : "", out_bytes);
+  return g_strlcpy (out, value != NULL ? value : "", out_bytes) < out_bytes;
 }
 
 /* Returns whether KEY of OBJECT is the string EXPECTED.  */
@@ -26,8 +27,9 @@
   return value != NULL && strcmp (value, expected) == 0;
 }
 
-/* Fills LIST from the body of a response.  Returns ERR_PROTOCOL when the body
-   has no array of hosts.  */
+/* Fills LIST from the body of a response.  Hosts with a name or an address
+   that is longer than any in the configuration are left out.  Returns
+   ERR_PROTOCOL when the body has no array of hosts.  */
 static enum err_kind
 parse_list (const json_t *json, struct hl_list *list)
 {
@@ -43,9 +45,13 @@
   const json_t *item;
   json_array_foreach (hosts, index, item)
   {
-    struct hl_host *host = &list->hosts[list->host_count++];
-    copy_string (item, "name", host->name, sizeof host->name);
-    copy_string (item, "address", host->address, sizeof host->address);
+    struct hl_host *host = &list->hosts[list->host_count];
+    if (!copy_string (item, "name", host->name, sizeof host->name)
+        || !copy_string (item, "address", host->address, sizeof host->address))
+      {
+        continue;
+      }
+    list->host_count++;
     host->leaving = has_value (item, "state", "leaving");
     host->is_daemon = has_value (item, "role", "daemon");
   }
