Refuse tunnels, and codings in two lines

What callers could do, from a table of RFC 9112's traps: the content of a CONNECT request was read as the next requests of its connection, so that a request within another one reached its owner; and "Transfer-Encoding: chunked" in two lines, which means chunks within chunks, was taken for chunked once, in requests and in responses.

Cause: http_parser leaves both to its caller, and the check of heads looked at each coding by itself and at no method.

Change: CONNECT gets 501 and the end of its connection, which its caller could take for nothing else; two lines of codings are malformed.

Tests: http_framing_test has 19 rows more, of which three failed before (both of the tunnel and the coding in two lines); client_response_test has two more, of which one did.

--- a/src/net/message.c
+++ b/src/net/message.c
@@ -129,22 +129,25 @@
 
 /* Returns whether every reader of MESSAGE understands its headers in the same
    way: no blank in a name, which another reader may skip, no transfer coding
-   that this program doesn't remove, and one Host at most.  */
+   that this program doesn't remove or that is applied twice, and one Host at
+   most.  */
 bool
 msg_is_unambiguous (const struct msg_message *message)
 {
   uint32_t hosts = 0;
+  uint32_t codings = 0;
   bool sound = true;
   for (uint32_t i = 0; i < message->headers->len; i++)
     {
       const char *name = msg_name (message, i);
       bool codes = strcasecmp (name, "Transfer-Encoding") == 0;
       hosts += strcasecmp (name, "Host") == 0;
+      codings += codes;
       sound
           = sound && strpbrk (name, " \t") == NULL
             && (!codes || strcasecmp (msg_value (message, i), "chunked") == 0);
     }
-  return sound && hosts <= 1;
+  return sound && hosts <= 1 && codings <= 1;
 }
 
 /* Returns the number after the first NAME in URL, or 0 when there is none.
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "net/address.h"
+#include "net/request_head.h"
 #include "net/response_head.h"
 #include "net/server_private.h"
 #include "net/stream.h"
@@ -231,17 +232,6 @@
 static void write_bytes (struct nsv_connection *connection,
                          const uv_buf_t *buffers, unsigned count);
 
-/* Returns whether the head of REQUEST, which PARSER has read, can be passed
-   on. HTTP/1.0 knows no transfer codings, so a proxy before this one may have
-   seen another end of the request.  */
-static bool
-is_head_valid (const http_parser *parser, const struct msg_message *request)
-{
-  return parser->http_major == 1 && msg_is_unambiguous (request)
-         && (parser->http_minor > 0
-             || msg_find (request, "Transfer-Encoding") == NULL);
-}
-
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -249,9 +239,9 @@
   msg_end_headers (&connection->request);
   connection->in_body = true;
   enter_phase (connection, PHASE_RECEIVING);
-  if (!is_head_valid (parser, &connection->request))
+  connection->error_status = rqh_check (parser, &connection->request);
+  if (connection->error_status != 0)
     {
-      connection->error_status = HTTP_STATUS_BAD_REQUEST;
       return -1;
     }
   bbg_begin (&connection->account, connection->since_us);
--- a/test/client_response_test.c
+++ b/test/client_response_test.c
@@ -486,6 +486,14 @@
     END_COMPLETE, 204, "" },
   { "a space before the colon of another header",
     OK_HEAD "X-A : 1\r\nContent-Length: 4\r\n\r\nbody", END_MALFORMED, 0, "" },
+  { "chunks within chunks",
+    OK_HEAD "Transfer-Encoding: chunked, chunked\r\n\r\n"
+            "4\r\nbody\r\n0\r\n\r\n",
+    END_MALFORMED, 0, "" },
+  { "chunks within chunks, in two lines",
+    OK_HEAD "Transfer-Encoding: chunked\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    END_MALFORMED, 0, "" },
   { "two codings",
     OK_HEAD "Transfer-Encoding: x\r\nTransfer-Encoding: chunked\r\n\r\n"
             "4\r\nbody\r\n0\r\n\r\n",
--- a/test/http_framing_test.c
+++ b/test/http_framing_test.c
@@ -119,11 +119,59 @@
   { "a chunk longer than its size", CHUNKED "3\r\nbody\r\n0\r\n\r\n", NULL },
   { "a blank before a chunk size", CHUNKED " 4\r\nbody\r\n0\r\n\r\n", NULL },
   { "HTTP/2", "POST /a HTTP/2.0\r\nHost: a\r\n\r\n", NULL },
+  { "no version", "GET /a\r\n\r\n", NULL },
+  { "an unknown method", "MIX /a HTTP/1.1\r\nHost: a\r\n\r\n", NULL },
+  { "an empty line before a request", "\r\n" HEAD "\r\n",
+    "POST /a [] Host: a\r\n;" },
+  { "a header without a name", HEAD ": a\r\n\r\n", NULL },
+  { "a control character in a header", HEAD "X-Own: a\x01\r\n\r\n", NULL },
+  { "a header of blanks", HEAD "X-Own: \t \r\n\r\n",
+    "POST /a [] Host: a\r\nX-Own: \r\n;" },
+  { "a coding in capitals",
+    HEAD "Transfer-Encoding: CHUNKED\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "POST /a [body] Host: a\r\n;" },
+  { "chunks within chunks",
+    HEAD "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n", NULL },
+  { "chunks within chunks, in two lines",
+    HEAD "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "0\r\n\r\n",
+    NULL },
+  { "no coding, by name", HEAD "Transfer-Encoding: identity\r\n\r\n0\r\n\r\n",
+    NULL },
+  { "a length twice",
+    HEAD "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody", NULL },
+  { "a chunk without a size", CHUNKED "\r\nbody\r\n0\r\n\r\n", NULL },
+  { "a chunk size in C", CHUNKED "0x4\r\nbody\r\n0\r\n\r\n", NULL },
+  { "chunks in lines without a return", CHUNKED "4\nbody\n0\n\n", NULL },
+  { "a request after the last one of its connection",
+    HEAD "Connection: close\r\nContent-Length: 0\r\n\r\n" HEAD "\r\n",
+    "POST /a [] Host: a\r\n;" },
+  { "a request after one of HTTP/1.0",
+    "POST /a HTTP/1.0\r\nHost: a\r\nContent-Length: 0\r\n\r\n" HEAD "\r\n",
+    "POST /a [] Host: a\r\n;" },
   { "a switch of protocols that isn't made",
     HEAD "Connection: Upgrade\r\nUpgrade: x\r\nContent-Length: 0\r\n\r\n",
     "POST /a [] Host: a\r\n;" },
 };
 
+/* Like struct request_case, with the status of the first answer. */
+static const struct
+{
+  struct request_case request;
+  uint32_t status;
+} status_cases[] = {
+  { { "a tunnel", "CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n", NULL }, 501 },
+  { { "a request in the content of a tunnel",
+      "CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\nContent-Length: 29\r\n\r\n"
+      "GET /b HTTP/1.1\r\nHost: a\r\n\r\n",
+      NULL },
+    501 },
+  { { "an expectation",
+      HEAD "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody",
+      "POST /a [body] Host: a\r\n;" },
+    100 },
+};
+
 /* Sends BYTES on a connection of its own and reads into ANSWER what the server
    answers within a time without further bytes.  */
 static void
@@ -149,8 +197,38 @@
   close (caller);
 }
 
-/* Guards against requests within the bodies of others: framing that the next
-   reader may understand differently is refused.  */
+/* Returns the status of ANSWER, or 0 if it is none.  */
+static uint32_t
+read_status (const GString *answer)
+{
+  return g_str_has_prefix (answer->str, "HTTP/1.1 ")
+             ? (uint32_t)g_ascii_strtoull (answer->str + 9, NULL, 10)
+             : 0;
+}
+
+/* Sends the request of CASE.  Returns whether the owner of the server sees
+   what it is to see, and the first answer has STATUS unless that is 0.  */
+static bool
+check (struct fixture *fixture, const struct request_case *request,
+       uint32_t status)
+{
+  g_autoptr (GString) answer = g_string_new (NULL);
+  g_string_truncate (fixture->seen, 0);
+  exchange_bytes (fixture, request->bytes, answer);
+  const char *seen = request->seen == NULL ? "" : request->seen;
+  bool matches = strcmp (fixture->seen->str, seen) == 0
+                 && (status == 0 || read_status (answer) == status);
+  if (!matches)
+    {
+      print_error ("%s: '%s', answer '%.12s'\n", request->name,
+                   fixture->seen->str, answer->str);
+    }
+  return matches;
+}
+
+/* Guards against requests within the bodies of others, which framing hides
+   that the next reader may understand differently, and against refusing or
+   misunderstanding what RFC 9112 lets callers send.  */
 static void
 test_requests (void **state)
 {
@@ -172,20 +250,12 @@
   assert_non_null (fixture.server);
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      g_autoptr (GString) answer = g_string_new (NULL);
-      g_string_truncate (fixture.seen, 0);
-      exchange_bytes (&fixture, cases[i].bytes, answer);
-      bool refused = fixture.seen->len == 0
-                     && g_str_has_prefix (answer->str, "HTTP/1.1 400");
-      bool matches = cases[i].seen == NULL
-                         ? refused
-                         : strcmp (fixture.seen->str, cases[i].seen) == 0;
-      if (!matches)
-        {
-          print_error ("%s: '%s', answer '%.12s'\n", cases[i].name,
-                       fixture.seen->str, answer->str);
-          wrong++;
-        }
+      wrong += !check (&fixture, &cases[i], cases[i].seen == NULL ? 400 : 0);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (status_cases); i++)
+    {
+      wrong += !check (&fixture, &status_cases[i].request,
+                       status_cases[i].status);
     }
   nsv_destroy (fixture.server);
   uv_run (&fixture.loop, UV_RUN_DEFAULT);
