Leave blanks at the end of a header out of its value

What callers saw: a key with a blank after it got 401, a host 404, and a coding 400; an id went to the endpoint with the blank, and an endpoint that leaves it out, as RFC 9110 (section 5.5) asks, would answer with another id, which is taken for another request's answer.

Cause: http_parser leaves out the blanks before a value alone.

Change: msg_ removes those at the end, in requests and in responses.

--- a/src/net/message.c
+++ b/src/net/message.c
@@ -43,12 +43,23 @@
   message->value_open = false;
 }
 
-/* Terminates the last value, if that has not been done.  */
+/* Terminates the last value, if that has not been done.  Blanks at its end are
+   no part of it.  */
 static void
 close_value (struct msg_message *message)
 {
   if (message->value_open)
     {
+      const GString *text = message->text;
+      uint32_t start = g_array_index (message->headers, struct msg_header,
+                                      message->headers->len - 1)
+                           .value;
+      gsize end = text->len;
+      while (end > start && strchr (" \t", text->str[end - 1]) != NULL)
+        {
+          end--;
+        }
+      g_string_truncate (message->text, end);
       g_string_append_c (message->text, '\0');
       message->value_open = false;
     }
--- a/test/entry_head_test.c
+++ b/test/entry_head_test.c
@@ -171,6 +171,65 @@
   assert_int_equal (failures, 0);
 }
 
+#define HOST "Host: " EFX_FLEET_HOST "\r\n"
+#define KEY "X-Api-Key: key-1\r\n"
+
+/* Guards against refusing or misunderstanding a head that says the same as an
+   ordinary one in another way.  %s stands for the id.  */
+static void
+test_spellings (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *target;
+    const char *lines;
+    uint32_t status;
+  } rows[] = {
+    { "an ordinary head", "/look/a", HOST KEY PFH_REQUEST_ID ": %s\r\n", 200 },
+    { "blanks around a host", "/look/a",
+      "Host: \t" EFX_FLEET_HOST " \t\r\n" KEY PFH_REQUEST_ID ": %s\r\n", 200 },
+    { "blanks around a key", "/look/a",
+      HOST "X-Api-Key: \tkey-1 \t\r\n" PFH_REQUEST_ID ": %s\r\n", 200 },
+    { "blanks around an id", "/look/a",
+      HOST KEY PFH_REQUEST_ID ": \t%s \t\r\n", 200 },
+    { "no blanks", "/look/a",
+      "Host:" EFX_FLEET_HOST "\r\nX-Api-Key:key-1\r\n" PFH_REQUEST_ID
+      ":%s\r\n",
+      200 },
+    { "names in capitals", "/look/a",
+      "HOST: " EFX_FLEET_HOST "\r\nX-API-KEY: key-1\r\n"
+      "X-KUMQUATTHREAD-ATTEMPT-ID: %s\r\n",
+      200 },
+  };
+  struct efx_fixture *fixture = *state;
+  uint32_t failures = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autofree char *id = g_strdup_printf ("spelling-%zu", i);
+      GString *request = g_string_new (rows[i].lines);
+      g_string_replace (request, "%s", id, 0);
+      g_autofree char *start
+          = g_strdup_printf ("GET %s HTTP/1.1\r\n", rows[i].target);
+      g_string_prepend (request, start);
+      g_string_append (request, "\r\n");
+      int descriptor = csk_connect (sep_caller_address (fixture->daemon));
+      GString *head = exchange_heads (fixture, descriptor, request->str);
+      uint32_t runs = sfl_run_count (fixture->fleet, id);
+      if (!is_sound (head->str, rows[i].status, id)
+          || runs != (rows[i].status == 200))
+        {
+          failures++;
+          print_message ("%s: '%s', ran %u times\n", rows[i].name, head->str,
+                         runs);
+        }
+      g_string_free (head, TRUE);
+      g_string_free (request, TRUE);
+      close (descriptor);
+    }
+  assert_int_equal (failures, 0);
+}
+
 /* Guards against numbers in headers that overflow where a time or a count is
    computed from them: the request gets a whole answer, and the daemon serves
    the next one.  */
@@ -275,6 +334,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_long_ids, efx_set_up, efx_tear_down),
+    cmocka_unit_test_setup_teardown (test_spellings, efx_set_up,
+                                     efx_tear_down),
     cmocka_unit_test_setup_teardown (test_extreme_numbers, efx_set_up,
                                      efx_tear_down),
     cmocka_unit_test_setup_teardown (test_head_requests, efx_set_up,
