Accept targets in absolute form

What callers saw: "GET http://host/path HTTP/1.1", which a server must accept (RFC 9112, section 3.2.2), got 404, and would have gone to an endpoint so, had a route begun with that.

Cause: the target was taken for a path.

Change: the host of such a target replaces the Host header, and the rest is the path. Other schemes, a missing host or a user in it get 400.

--- a/src/net/message.c
+++ b/src/net/message.c
@@ -107,6 +107,27 @@
   close_value (message);
 }
 
+/* Sets the header NAME, of which MESSAGE may have one, to VALUE.  To be called
+   after msg_end_headers.  */
+void
+msg_set (struct msg_message *message, const char *name, const char *value)
+{
+  uint32_t at = (uint32_t)message->text->len;
+  g_string_append_len (message->text, value, (gssize)strlen (value) + 1);
+  for (uint32_t i = 0; i < message->headers->len; i++)
+    {
+      if (strcasecmp (msg_name (message, i), name) == 0)
+        {
+          g_array_index (message->headers, struct msg_header, i).value = at;
+          return;
+        }
+    }
+  const struct msg_header header
+      = { .name = (uint32_t)message->text->len, .value = at };
+  g_string_append_len (message->text, name, (gssize)strlen (name) + 1);
+  g_array_append_val (message->headers, header);
+}
+
 /* Returns the name of the header at INDEX, owned by MESSAGE.  */
 const char *
 msg_name (const struct msg_message *message, uint32_t index)
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -30,6 +30,8 @@
                    size_t count);
 void msg_add_value (struct msg_message *message, const char *bytes,
                     size_t count);
+void msg_set (struct msg_message *message, const char *name,
+              const char *value);
 void msg_end_headers (struct msg_message *message);
 const char *msg_name (const struct msg_message *message, uint32_t index);
 const char *msg_value (const struct msg_message *message, uint32_t index);
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -239,7 +239,7 @@
   msg_end_headers (&connection->request);
   connection->in_body = true;
   enter_phase (connection, PHASE_RECEIVING);
-  connection->error_status = rqh_check (parser, &connection->request);
+  connection->error_status = rqh_finish (parser, &connection->request);
   if (connection->error_status != 0)
     {
       return -1;
--- a/test/entry_head_test.c
+++ b/test/entry_head_test.c
@@ -197,6 +197,8 @@
       "Host:" EFX_FLEET_HOST "\r\nX-Api-Key:key-1\r\n" PFH_REQUEST_ID
       ":%s\r\n",
       200 },
+    { "a target in absolute form", "http://" EFX_FLEET_HOST "/look/a",
+      "Host: another.example\r\n" KEY PFH_REQUEST_ID ": %s\r\n", 200 },
     { "names in capitals", "/look/a",
       "HOST: " EFX_FLEET_HOST "\r\nX-API-KEY: key-1\r\n"
       "X-KUMQUATTHREAD-ATTEMPT-ID: %s\r\n",
