Send callers of HTTP/1.0 no interim response

What callers saw: "HTTP/1.1 100 Continue" where they read the answer, if they sent an Expect header. RFC 9110 (section 10.1.1) asks to ignore it there.

Cause: the version wasn't looked at.

Change: it is; the check moves to net/request_head.c.

Test: http_framing_test, "an expectation in HTTP/1.0", which failed before.

--- a/src/net/request_head.c
+++ b/src/net/request_head.c
@@ -66,3 +66,15 @@
     }
   return parser->method == HTTP_CONNECT ? HTTP_STATUS_NOT_IMPLEMENTED : 0;
 }
+
+/* Returns whether the caller of REQUEST, whose head PARSER has read, waits for
+   an interim response before it sends the body.  HTTP/1.0 has none: its caller
+   would take it for the answer.  */
+bool
+rqh_expects_continue (const http_parser *parser,
+                      const struct msg_message *request)
+{
+  const char *expect = msg_find (request, "Expect");
+  return parser->http_minor > 0 && expect != NULL
+         && g_ascii_strcasecmp (expect, "100-continue") == 0;
+}
--- a/src/net/request_head.h
+++ b/src/net/request_head.h
@@ -5,5 +5,7 @@
 #include "net/message.h"
 
 uint32_t rqh_finish (const http_parser *parser, struct msg_message *request);
+bool rqh_expects_continue (const http_parser *parser,
+                           const struct msg_message *request);
 
 #endif
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -258,8 +258,7 @@
     {
       return -1;
     }
-  const char *expect = msg_find (&connection->request, "Expect");
-  if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0)
+  if (rqh_expects_continue (parser, &connection->request))
     {
       static char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
       uv_buf_t buffer = uv_buf_init (interim, sizeof interim - 1);
--- a/test/http_framing_test.c
+++ b/test/http_framing_test.c
@@ -192,6 +192,11 @@
       HEAD "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody",
       "POST /a [body] Host: a\r\n;" },
     100 },
+  { { "an expectation in HTTP/1.0",
+      "POST /a HTTP/1.0\r\nHost: a\r\nExpect: 100-continue\r\n"
+      "Content-Length: 4\r\n\r\nbody",
+      "POST /a [body] Host: a\r\n;" },
+    200 },
 };
 
 /* Sends BYTES on a connection of its own and reads into ANSWER what the server
