Find routes for hosts in capitals or with a port

What callers saw: 404, if they named the host in other letters than the configuration, or with a port, as client libraries do where it isn't 80. The host of a target is the same in upper and lower case (RFC 9110, section 4.2.3). A request without a Host got 404 too, and 400 is asked for (RFC 9112, 3.2).

Cause: the Host header was compared with the configuration as a text.

Change: routes are indexed by the host in lower case; a port that no route has doesn't count.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -101,28 +101,47 @@
 flt_index (struct flt_config *config)
 {
   config->routes_by_host = g_hash_table_new_full (g_str_hash, g_str_equal,
-                                                  NULL, destroy_index_list);
+                                                  g_free, destroy_index_list);
   for (uint32_t i = 0; i < config->route_count; i++)
     {
-      char *host = config->routes[i].host;
+      g_autofree char *host = g_ascii_strdown (config->routes[i].host, -1);
       GArray *list = g_hash_table_lookup (config->routes_by_host, host);
       if (list == NULL)
         {
           list = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-          g_hash_table_insert (config->routes_by_host, host, list);
+          g_hash_table_insert (config->routes_by_host, g_steal_pointer (&host),
+                               list);
         }
       g_array_append_val (list, i);
     }
   prc_compute (config);
 }
 
-/* Returns the route of HOST with the longest prefix that PATH begins with, or
-   NULL when there is none.  */
+/* Returns the indexes of the routes of HOST, as callers name it, or NULL when
+   there are none.  Upper and lower case are the same, and a port that no route
+   has doesn't count.  */
+static const GArray *
+find_routes (const struct flt_config *config, const char *host)
+{
+  g_autofree char *name = g_ascii_strdown (host, -1);
+  const GArray *list = g_hash_table_lookup (config->routes_by_host, name);
+  char *port = strrchr (name, ':');
+  if (list == NULL && port != NULL
+      && strspn (port + 1, "0123456789") == strlen (port + 1))
+    {
+      *port = '\0';
+      list = g_hash_table_lookup (config->routes_by_host, name);
+    }
+  return list;
+}
+
+/* Returns the route of HOST, with or without a port, with the longest prefix
+   that PATH begins with, or NULL when there is none.  */
 const struct flt_route *
 flt_find_route (const struct flt_config *config, const char *host,
                 const char *path)
 {
-  const GArray *list = g_hash_table_lookup (config->routes_by_host, host);
+  const GArray *list = find_routes (config, host);
   const struct flt_route *best = NULL;
   size_t best_bytes = 0;
   for (guint i = 0; list != NULL && i < list->len; i++)
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -120,7 +120,8 @@
   uint32_t account_count;
   bool has_accounts;          /* routes that aren't public need an account */
   GHashTable *account_by_key; /* API key to index + 1 */
-  GHashTable *routes_by_host; /* host name to GArray of route indexes */
+  GHashTable *routes_by_host; /* host name in lower case to GArray of route
+                                 indexes */
   struct flt_limits limits;
 };
 
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -41,8 +41,12 @@
   int64_t now_us = clk_monotonic_us ();
   bool may_deny = frs_may_deny (&traffic->freshness, proved_us, now_us);
   const char *host = msg_find (request, "Host");
-  *route
-      = host == NULL ? NULL : flt_find_route (config, host, request->url->str);
+  if (host == NULL)
+    {
+      return (struct refusal){ .status = HTTP_STATUS_BAD_REQUEST,
+                               .why = "no host" };
+    }
+  *route = flt_find_route (config, host, request->url->str);
   if (*route == NULL)
     {
       return (struct refusal){ .status = may_deny
