Refuse at once what no daemon can serve

What callers saw: a request without a host or an id got 503 with a Retry-After while the configuration or the keys might be out of date, so that it came back in vain; one with two ids was sent to an endpoint, which may run it under either.

Cause: the head was checked after what depends on the configuration, and the first id was taken.

Change: a request without exactly one id, or without a host, gets 400 before anything else is looked at.

--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -24,6 +24,27 @@
   double retry_after_s; /* status 503: when to come back; 0: soon */
 };
 
+/* Refuses REQUEST if no daemon can serve it, whatever the configuration says.
+   ID is its id, or NULL.  */
+static struct refusal
+check_head (const struct msg_message *request, const char *id)
+{
+  struct refusal refusal = { .status = HTTP_STATUS_BAD_REQUEST };
+  if (id == NULL)
+    {
+      refusal.why = "not one request id";
+    }
+  else if (msg_find (request, "Host") == NULL)
+    {
+      refusal.why = "no host";
+    }
+  else
+    {
+      refusal.status = 0;
+    }
+  return refusal;
+}
+
 /* Sets ROUTE and ACCOUNT to those of REQUEST in CONFIG, which was known to be
    the newest at PROVED_US.  While CONFIG may be out of date, an unknown route
    gets 503 instead of 404, and requests that need a key get 503.  */
@@ -41,11 +62,6 @@
   int64_t now_us = clk_monotonic_us ();
   bool may_deny = frs_may_deny (&traffic->freshness, proved_us, now_us);
   const char *host = msg_find (request, "Host");
-  if (host == NULL)
-    {
-      return (struct refusal){ .status = HTTP_STATUS_BAD_REQUEST,
-                               .why = "no host" };
-    }
   *route = flt_find_route (config, host, request->url->str);
   if (*route == NULL)
     {
@@ -276,12 +292,11 @@
   bool is_stopping = false;
   rqi_format_for_log (id, log_id);
   cnt_add (traffic->metrics->requests, 1);
-  struct refusal refusal
-      = check_request (traffic, config, proved_us, request, &route, &account);
-  if (refusal.status == 0 && id == NULL)
+  struct refusal refusal = check_head (request, id);
+  if (refusal.status == 0)
     {
-      refusal = (struct refusal){ .status = HTTP_STATUS_BAD_REQUEST,
-                                  .why = "no request id" };
+      refusal = check_request (traffic, config, proved_us, request, &route,
+                               &account);
     }
   uint32_t service = refusal.status == 0
                          ? flt_choose_service (route, g_random_int ())
--- a/src/entry/request_id.c
+++ b/src/entry/request_id.c
@@ -3,17 +3,30 @@
 #include "platform/headers.h"
 
 #include <string.h>
+#include <strings.h>
 #include <xxhash.h>
 
 /* Bytes at the beginning of an id that its form for the log keeps if that
    differs from the id. */
 #define PREFIX_BYTES 40
 
-/* Returns the id of REQUEST, owned by it, or NULL if it has none.  */
+/* Returns the id of REQUEST, owned by it, or NULL if it has none.  One that
+   states two has none: endpoints could run it under either.  */
 const char *
 rqi_find (const struct msg_message *request)
 {
-  const char *id = msg_find (request, PFH_REQUEST_ID);
+  const char *id = NULL;
+  for (uint32_t i = 0; i < request->headers->len; i++)
+    {
+      if (strcasecmp (msg_name (request, i), PFH_REQUEST_ID) == 0)
+        {
+          if (id != NULL)
+            {
+              return NULL;
+            }
+          id = msg_value (request, i);
+        }
+    }
   return id == NULL || id[0] == '\0' ? NULL : id;
 }
 
--- a/test/entry_head_test.c
+++ b/test/entry_head_test.c
@@ -174,6 +174,32 @@
 #define HOST "Host: " EFX_FLEET_HOST "\r\n"
 #define KEY "X-Api-Key: key-1\r\n"
 
+/* Sends a request for TARGET with the header LINES, in which %s stands for ID.
+   Returns whether it gets a whole answer with STATUS that names NAMED_ID, and
+   has reached an endpoint under ID just if it was served.  */
+static bool
+is_answered_with (struct efx_fixture *fixture, const char *name,
+                  const char *target, const char *lines, const char *id,
+                  uint32_t status, const char *named_id)
+{
+  GString *request = g_string_new (NULL);
+  g_string_printf (request, "GET %s HTTP/1.1\r\n%s\r\n", target, lines);
+  g_string_replace (request, "%s", id, 0);
+  int descriptor = csk_connect (sep_caller_address (fixture->daemon));
+  GString *head = exchange_heads (fixture, descriptor, request->str);
+  uint32_t runs = sfl_run_count (fixture->fleet, id);
+  bool matches
+      = is_sound (head->str, status, named_id) && runs == (status == 200);
+  if (!matches)
+    {
+      print_message ("%s: '%s', ran %u times\n", name, head->str, runs);
+    }
+  g_string_free (head, TRUE);
+  g_string_free (request, TRUE);
+  close (descriptor);
+  return matches;
+}
+
 /* Guards against refusing or misunderstanding a head that says the same as an
    ordinary one in another way.  %s stands for the id.  */
 static void
@@ -207,7 +233,6 @@
       "Host: " EFX_FLEET_HOST ":\r\n" KEY PFH_REQUEST_ID ": %s\r\n", 200 },
     { "a host with something else after it", "/look/a",
       "Host: " EFX_FLEET_HOST ":a\r\n" KEY PFH_REQUEST_ID ": %s\r\n", 404 },
-    { "no host", "/look/a", KEY PFH_REQUEST_ID ": %s\r\n", 400 },
     { "names in capitals", "/look/a",
       "HOST: " EFX_FLEET_HOST "\r\nX-API-KEY: key-1\r\n"
       "X-KUMQUATTHREAD-ATTEMPT-ID: %s\r\n",
@@ -218,25 +243,41 @@
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     {
       g_autofree char *id = g_strdup_printf ("spelling-%zu", i);
-      GString *request = g_string_new (rows[i].lines);
-      g_string_replace (request, "%s", id, 0);
-      g_autofree char *start
-          = g_strdup_printf ("GET %s HTTP/1.1\r\n", rows[i].target);
-      g_string_prepend (request, start);
-      g_string_append (request, "\r\n");
-      int descriptor = csk_connect (sep_caller_address (fixture->daemon));
-      GString *head = exchange_heads (fixture, descriptor, request->str);
-      uint32_t runs = sfl_run_count (fixture->fleet, id);
-      if (!is_sound (head->str, rows[i].status, id)
-          || runs != (rows[i].status == 200))
+      failures += !is_answered_with (fixture, rows[i].name, rows[i].target,
+                                     rows[i].lines, id, rows[i].status, id);
+    }
+  assert_int_equal (failures, 0);
+}
+
+/* Guards against a request that no daemon can serve and that is told to come
+   back, as the daemon refuses it for something that passes.  */
+static void
+test_invalid_heads (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *lines;
+    bool has_id;
+  } rows[] = {
+    { "no host", KEY PFH_REQUEST_ID ": %s\r\n", true },
+    { "no id", HOST KEY, false },
+    { "an empty id", HOST KEY PFH_REQUEST_ID ":\r\n", false },
+    { "two ids",
+      HOST KEY PFH_REQUEST_ID ": %s\r\n" PFH_REQUEST_ID ": other\r\n", false },
+  };
+  struct efx_fixture *fixture = *state;
+  uint32_t failures = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (states); i++)
+    {
+      enter_state (fixture, i);
+      for (size_t row = 0; row < G_N_ELEMENTS (rows); row++)
         {
-          failures++;
-          print_message ("%s: '%s', ran %u times\n", rows[i].name, head->str,
-                         runs);
+          g_autofree char *id = g_strdup_printf ("invalid-%zu-%zu", i, row);
+          failures += !is_answered_with (
+              fixture, rows[row].name, "/look/a", rows[row].lines, id,
+              HTTP_STATUS_BAD_REQUEST, rows[row].has_id ? id : NULL);
         }
-      g_string_free (head, TRUE);
-      g_string_free (request, TRUE);
-      close (descriptor);
     }
   assert_int_equal (failures, 0);
 }
@@ -347,6 +388,8 @@
     cmocka_unit_test_setup_teardown (test_long_ids, efx_set_up, efx_tear_down),
     cmocka_unit_test_setup_teardown (test_spellings, efx_set_up,
                                      efx_tear_down),
+    cmocka_unit_test_setup_teardown (test_invalid_heads, efx_set_up,
+                                     efx_tear_down),
     cmocka_unit_test_setup_teardown (test_extreme_numbers, efx_set_up,
                                      efx_tear_down),
     cmocka_unit_test_setup_teardown (test_head_requests, efx_set_up,
--- a/test/request_id_test.c
+++ b/test/request_id_test.c
@@ -69,32 +69,40 @@
 }
 
 /* Guards against an empty id, with which no answer could be told from another
-   one's.  */
+   one's, and against two, of which an endpoint may take either.  */
 static void
 test_find (void **state)
 {
   static const struct
   {
-    const char *value; /* NULL: no such header */
+    const char *name;
+    const char *values[2];
     const char *found;
   } rows[] = {
-    { NULL, NULL },
-    { "", NULL },
-    { "a", "a" },
-    { DIGITS_63 DIGITS_63, DIGITS_63 DIGITS_63 },
+    { "no id", { NULL, NULL }, NULL },
+    { "an empty id", { "", NULL }, NULL },
+    { "a short id", { "a", NULL }, "a" },
+    { "a long id", { DIGITS_63 DIGITS_63, NULL }, DIGITS_63 DIGITS_63 },
+    { "two ids", { "a", "b" }, NULL },
+    { "an id twice", { "a", "a" }, NULL },
+    { "an empty id and another", { "", "a" }, NULL },
   };
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     {
       struct msg_message request;
       msg_init (&request);
-      if (rows[i].value != NULL)
+      for (size_t n = 0; n < 2 && rows[i].values[n] != NULL; n++)
         {
+          const char *value = rows[i].values[n];
           msg_add_name (&request, PFH_REQUEST_ID, strlen (PFH_REQUEST_ID));
-          msg_add_value (&request, rows[i].value, strlen (rows[i].value));
+          msg_add_value (&request, value, strlen (value));
         }
       msg_end_headers (&request);
-      assert_int_equal (g_strcmp0 (rqi_find (&request), rows[i].found), 0);
+      if (g_strcmp0 (rqi_find (&request), rows[i].found) != 0)
+        {
+          fail_msg ("%s: '%s'", rows[i].name, rqi_find (&request));
+        }
       msg_clear (&request);
     }
 }
