Test the last three bounds on what others can hold of a daemon

docs/design/resources.md named removals that a relay remembers, lengths of answers and times of calls as bounded "by reading". relay_test has five rows around 4,096 removals: a reader that may not know those that are forgotten has to read the whole topic, the others don't. cost_test fills the tables of accounts and of calls' routes: what was used longest ago gives way, what is in use stays.

--- a/test/cost_test.c
+++ b/test/cost_test.c
@@ -563,6 +563,114 @@
   clt_destroy (times);
 }
 
+/* Other accounts, and routes of calls, than those that a test looks at: fewer
+   than are kept, and more. */
+#define FEW 50
+#define MANY 2000
+
+/* Uses of what stays in use, for each other account or route. */
+#define OTHERS_PER_USE 20
+
+/* Returns the expected answer of ACCOUNT on the route of the same name.  */
+static double
+expect_of (struct cos_costs *costs, const char *account)
+{
+  const struct cos_request request
+      = { .route = account, .account = account, .usual = USUAL };
+  return cos_expected_tokens (costs, &request, 0, S);
+}
+
+/* Guards against callers that fill the memory with lengths of answers: with
+   more accounts than are kept, those used longest ago give way, and those in
+   use stay.  */
+static void
+accounts_used_longest_ago_give_way (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    uint32_t others;
+    bool forgets; /* what isn't in use */
+  } rows[] = { { FEW, false }, { MANY, true } };
+  static const char *const known[] = { "used", "unused" };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct cos_costs *costs = cos_create ();
+      for (uint32_t n = 0; n < 200 * G_N_ELEMENTS (known); n++)
+        {
+          const char *name = known[n % G_N_ELEMENTS (known)];
+          const struct cos_request request
+              = { .route = name, .account = name, .usual = USUAL };
+          cos_learn (costs, &request, 10 * USUAL, true, S);
+        }
+      for (uint32_t n = 0; n < rows[i].others; n++)
+        {
+          g_autofree char *name = g_strdup_printf ("other-%u", n);
+          const struct cos_request request
+              = { .route = name, .account = name, .usual = USUAL };
+          cos_learn (costs, &request, USUAL, true, S);
+          if (n % OTHERS_PER_USE == 0)
+            {
+              expect_of (costs, "used");
+            }
+        }
+      double used = expect_of (costs, "used");
+      double unused = expect_of (costs, "unused");
+      if (used < 5 * USUAL || (unused < 5 * USUAL) != rows[i].forgets)
+        {
+          fail_msg ("%u others: %.0f and %.0f tokens", rows[i].others, used,
+                    unused);
+        }
+      cos_destroy (costs);
+    }
+}
+
+/* Returns whether the times of calls on ROUTE are known.  */
+static bool
+knows_calls (struct clt_times *times, const char *route)
+{
+  struct clt_class *call_class = clt_find (times, "book", route, "GET", 0);
+  bool known = clt_is_known (call_class, S);
+  clt_release (call_class);
+  return known;
+}
+
+/* The same of the times of calls, by routes.  */
+static void
+routes_used_longest_ago_give_way (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    uint32_t others;
+    bool forgets;
+  } rows[] = { { FEW, false }, { MANY, true } };
+  static const char *const known[] = { "used", "unused" };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct clt_times *times = clt_create ();
+      for (uint32_t n = 0; n < 60 * G_N_ELEMENTS (known); n++)
+        {
+          struct clt_class *call_class = clt_find (
+              times, "book", known[n % G_N_ELEMENTS (known)], "GET", 0);
+          clt_learn (call_class, 100 * MS, true, S);
+          clt_release (call_class);
+        }
+      for (uint32_t n = 0; n < rows[i].others; n++)
+        {
+          g_autofree char *name = g_strdup_printf ("other-%u", n);
+          assert_false (knows_calls (times, name));
+          if (n % OTHERS_PER_USE == 0)
+            {
+              knows_calls (times, "used");
+            }
+        }
+      assert_true (knows_calls (times, "used"));
+      assert_int_equal (knows_calls (times, "unused"), !rows[i].forgets);
+      clt_destroy (times);
+    }
+}
+
 int
 main (void)
 {
@@ -577,6 +685,8 @@
     cmocka_unit_test (rest_follows_what_is_written),
     cmocka_unit_test (calls_differ_from_a_quarter_on),
     cmocka_unit_test (rest_of_calls_follows_their_age),
+    cmocka_unit_test (accounts_used_longest_ago_give_way),
+    cmocka_unit_test (routes_used_longest_ago_give_way),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -763,6 +763,58 @@
     }
 }
 
+/* Guards against removals that fill the memory of a relay, as endpoints come
+   and go for weeks, and against a reader that misses those that the relay has
+   forgotten: it has to read the whole topic.  */
+static void
+test_many_removals (void **state)
+{
+  (void)state;
+  enum
+  {
+    KEPT_MAX = 4096, /* of removals */
+    FIRST = 10       /* offset of the first one */
+  };
+  static const struct
+  {
+    const char *name;
+    uint32_t removals;
+    uint64_t from;
+    uint32_t status;
+  } cases[] = {
+    { "as many as are kept", KEPT_MAX, FIRST, 200 },
+    { "one more", KEPT_MAX + 1, FIRST, 410 },
+    { "one more, of which all but the last are known", KEPT_MAX + 1,
+      FIRST + KEPT_MAX, 410 },
+    { "one more, and all are known", KEPT_MAX + 1, FIRST + KEPT_MAX + 1, 200 },
+    { "far more", 3 * KEPT_MAX, FIRST, 410 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fixture fixture = { .value_bytes = SMALL_BYTES };
+      struct answer answer;
+      const struct row row = { .from = cases[i].from };
+      const struct event put = { ACT_PUT, "kept", FIRST - 1 };
+      open_relay (&fixture);
+      apply_event (&fixture, &put);
+      for (uint32_t n = 0; n < cases[i].removals; n++)
+        {
+          g_autofree char *key = g_strdup_printf ("gone-%u", n);
+          const struct event removal = { ACT_REMOVE, key, FIRST + n };
+          apply_event (&fixture, &removal);
+        }
+      const struct event current
+          = { ACT_CURRENT, NULL, FIRST + cases[i].removals };
+      apply_event (&fixture, &current);
+      ask (&fixture, &row, &answer);
+      close_relay (&fixture);
+      if (answer.status != cases[i].status)
+        {
+          fail_msg ("%s: status %u", cases[i].name, answer.status);
+        }
+    }
+}
+
 int
 main (void)
 {
@@ -773,6 +825,7 @@
     cmocka_unit_test (test_departures),
     cmocka_unit_test (test_many_departures),
     cmocka_unit_test (test_garbled_departures),
+    cmocka_unit_test (test_many_removals),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
