Charge the copies of heads to the budget of memory

What callers could do: 590 of them, as many as a daemon with 1,200 descriptors accepts, send heads of 16 KiB, nearly all of it the id, and wait for an endpoint. On a host of 48 MB (46,875 KiB) the daemon took up to 49,428 KiB, beyond which the platform kills it; with ids of half the size 45,632 KiB.

Cause: the budget counted a head once, as it was read. While a request is handled there are also the head that is forwarded and, since ids may have any length, the id.

Change: a head is charged three times while its request arrives and is handled, and once in between. What doesn't fit is refused with 503, not run.

--- a/src/net/server.c
+++ b/src/net/server.c
@@ -165,13 +165,7 @@
       connection->error_status = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
       return -1;
     }
-  const struct msg_message *request = &connection->request;
-  uint64_t bytes
-      = request->url->allocated_len + request->text->allocated_len
-        + bbg_allocated (request->headers->len * sizeof (struct msg_header));
-  return bytes <= connection->account.bytes[BBG_HEAD]
-             ? 0
-             : nsv_reserve_or_refuse (connection, BBG_HEAD, bytes);
+  return nsv_reserve_head (connection);
 }
 
 /* Returns where AT, in the chunk that the parser of CONNECTION reads, is in
@@ -422,7 +416,7 @@
 {
   connection->server->request_count--;
   connection->request_context = NULL;
-  nsv_release_body (connection);
+  nsv_release_request (connection);
   if (connection->announces_close)
     {
       nsv_linger (connection);
@@ -445,7 +439,7 @@
   enter_phase (connection, PHASE_RESPONDING);
   connection->keep_alive = false;
   bbg_end (&connection->account);
-  nsv_release_body (connection);
+  nsv_release_request (connection);
 }
 
 /* Responds with the error STATUS to a request that was not received
--- a/src/net/server_memory.c
+++ b/src/net/server_memory.c
@@ -8,6 +8,10 @@
    networks would count. */
 #define UNREAD_US (2 * CLK_S_US)
 
+/* Copies of a head while its request is handled: the request's own, the head
+   that is forwarded, and the id, which may fill a head. */
+#define HEAD_COPIES 3
+
 /* Ends the request of ACCOUNT, which has stalled, to make room for others.  */
 static void
 evict (struct bbg_account *account)
@@ -103,9 +107,31 @@
   return -1;
 }
 
-/* Frees the body of CONNECTION's request, and the memory reserved for it.  */
+/* Returns the memory of the head of CONNECTION's request.  */
+static uint64_t
+head_bytes (const struct nsv_connection *connection)
+{
+  const struct msg_message *request = &connection->request;
+  return request->url->allocated_len + request->text->allocated_len
+         + bbg_allocated (request->headers->len * sizeof (struct msg_header));
+}
+
+/* Reserves memory for the head of CONNECTION's request, as far as it has
+   arrived, and for what the owner copies of it.  Returns -1, which stops the
+   parser, if there is no room, else 0.  */
+int
+nsv_reserve_head (struct nsv_connection *connection)
+{
+  uint64_t bytes = HEAD_COPIES * head_bytes (connection);
+  return bytes <= connection->account.bytes[BBG_HEAD]
+             ? 0
+             : nsv_reserve_or_refuse (connection, BBG_HEAD, bytes);
+}
+
+/* Frees the body of CONNECTION's request, and the memory reserved for it and
+   for copies of the head.  */
 void
-nsv_release_body (struct nsv_connection *connection)
+nsv_release_request (struct nsv_connection *connection)
 {
   if (connection->request.body->len > 0)
     {
@@ -113,6 +139,7 @@
       connection->request.body = g_byte_array_new ();
     }
   bbg_force (&connection->account, BBG_BODY, 0);
+  bbg_force (&connection->account, BBG_HEAD, head_bytes (connection));
 }
 
 /* Returns true if the caller of CONNECTION has read nothing of what waits for
--- a/src/net/server_private.h
+++ b/src/net/server_private.h
@@ -88,7 +88,8 @@
                   uint64_t bytes);
 int nsv_reserve_or_refuse (struct nsv_connection *connection,
                            enum bbg_part part, uint64_t bytes);
-void nsv_release_body (struct nsv_connection *connection);
+int nsv_reserve_head (struct nsv_connection *connection);
+void nsv_release_request (struct nsv_connection *connection);
 void nsv_end_unread (struct nsv_server *server, int64_t now_us);
 
 #endif
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -226,8 +226,11 @@
   uint32_t body_bytes_max = fleet->params.body_bytes_max == 0
                                 ? BODY_BYTES_MAX
                                 : fleet->params.body_bytes_max;
+  uint32_t header_bytes_max = fleet->params.header_bytes_max == 0
+                                  ? SFL_HEADER_BYTES_MAX
+                                  : fleet->params.header_bytes_max;
   char *text = g_strdup_printf (
-      CONFIGURATION, version, SFL_HEADER_BYTES_MAX, body_bytes_max,
+      CONFIGURATION, version, header_bytes_max, body_bytes_max,
       extra ? ",\"" : "", extra ? extra_key : "", extra ? "\"" : "", accounts);
   sfl_append (fleet, &fleet->operator_topic, "config", text);
   g_free (text);
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -12,10 +12,11 @@
 #include <stdint.h>
 #include <uv.h>
 
-#define SFL_LAYERS 8              /* layers of the model */
-#define SFL_STREAM_EVENTS 12      /* events in a complete stream, at first */
-#define SFL_CALL_MS 5             /* time of a call to a service, at first */
-#define SFL_HEADER_BYTES_MAX 4096 /* limit on heads, in the configuration */
+#define SFL_LAYERS 8         /* layers of the model */
+#define SFL_STREAM_EVENTS 12 /* events in a complete stream, at first */
+#define SFL_CALL_MS 5        /* time of a call to a service, at first */
+#define SFL_HEADER_BYTES_MAX                                                  \
+  4096 /* limit on heads, unless params say another */
 
 /* How an endpoint handles the next requests. */
 enum sfl_fault
@@ -95,10 +96,12 @@
   uv_loop_t *loop;
   uint32_t engines; /* each has memory for half of the model */
   uint32_t services;
-  uint32_t event_ms;       /* interval between two events of a stream */
-  uint64_t group_ttl_ms;   /* a member expires this long after its last join;
-                              0: 1000 */
-  uint32_t body_bytes_max; /* MaxBodyBytes of the configuration; 0: 65536 */
+  uint32_t event_ms;         /* interval between two events of a stream */
+  uint64_t group_ttl_ms;     /* a member expires this long after its last join;
+                                0: 1000 */
+  uint32_t header_bytes_max; /* MaxHeaderBytes of the configuration; 0:
+                                SFL_HEADER_BYTES_MAX */
+  uint32_t body_bytes_max;   /* MaxBodyBytes of the configuration; 0: 65536 */
   const struct sfl_observer *observer; /* NULL: none; gets CONTEXT */
   /* Returns the address to publish for an endpoint that listens on ADDRESS,
      allocated.  A NULL callback publishes ADDRESS.  */
--- a/test/entry_crowd_test.c
+++ b/test/entry_crowd_test.c
@@ -37,6 +37,12 @@
 #define PIECE_BYTES 2048
 #define LARGEST "Content-Length: 1048576\r\n\r\n"
 
+static const struct efx_limits limits = {
+  .body_bytes_max = BODY_BYTES_MAX,
+  .descriptors = DESCRIPTORS,
+  .memory_mb = MEMORY_MB,
+};
+
 #define CROWD_HEAD                                                            \
   "POST /sum/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST                             \
   "\r\nX-Api-Key: key-1\r\n" PFH_REQUEST_ID ": crowd-%u\r\n"
@@ -204,8 +210,7 @@
   uint32_t count = row == MIX ? CROWD : loads[row].callers;
   g_autofree struct crw_caller *callers = g_new0 (struct crw_caller, count);
   int status = 0;
-  efx_set_up_limited ((void **)&fixture, BODY_BYTES_MAX, DESCRIPTORS,
-                      MEMORY_MB);
+  efx_set_up_limited ((void **)&fixture, &limits);
   assert_true (sep_reset_memory_peak (fixture->daemon));
   uint64_t before_kb = sep_memory_kb (fixture->daemon);
   for (uint32_t i = 0; i < count; i++)
@@ -291,8 +296,7 @@
   struct crw_caller callers[SILENT_CALLERS];
   int status = 0;
   (void)state;
-  efx_set_up_limited ((void **)&fixture, BODY_BYTES_MAX, DESCRIPTORS,
-                      MEMORY_MB);
+  efx_set_up_limited ((void **)&fixture, &limits);
   const char *address = sep_caller_address (fixture->daemon);
   const char *port = strrchr (address, ':') + 1;
   sep_signal (fixture->daemon, SIGSTOP);
@@ -324,6 +328,59 @@
   assert_false (ended);
 }
 
+/* Limits of test_long_heads: as many callers as the daemon accepts send heads
+   that are together a fifth of the memory.  */
+#define LONG_HEAD_BYTES 16384
+#define LONG_HEAD_DESCRIPTORS 1200
+#define LONG_HEAD_CALLERS 590
+
+/* Guards against heads whose copies fill the memory, as nothing charges for
+   them: requests with long ids that wait for an endpoint.  */
+static void
+test_long_heads (void **state)
+{
+  static const struct crw_load load
+      = { .headers = "\r\n", .unit = "x", .end = "" };
+  static const struct efx_limits head_limits = {
+    .header_bytes_max = LONG_HEAD_BYTES,
+    .descriptors = LONG_HEAD_DESCRIPTORS,
+    .memory_mb = MEMORY_MB,
+  };
+  struct efx_fixture *fixture = NULL;
+  g_autofree struct crw_caller *callers
+      = g_new0 (struct crw_caller, LONG_HEAD_CALLERS);
+  g_autofree char *filler = g_strnfill (LONG_HEAD_BYTES - 128, 'i');
+  int status = 0;
+  (void)state;
+  efx_set_up_limited ((void **)&fixture, &head_limits);
+  assert_true (sep_reset_memory_peak (fixture->daemon));
+  sfl_set_fault (fixture->fleet, false, SFL_NEVER_ANSWERS, UINT32_MAX);
+  for (uint32_t i = 0; i < LONG_HEAD_CALLERS; i++)
+    {
+      g_autofree char *head = g_strdup_printf (
+          "GET /sum/a HTTP/1.1\r\nHost: " EFX_FLEET_HOST
+          "\r\nX-Api-Key: key-1\r\n" PFH_REQUEST_ID ": %s-%u\r\n",
+          filler, i);
+      crw_open (&callers[i], &load, sep_caller_address (fixture->daemon),
+                head);
+    }
+  run_crowd (fixture, callers, LONG_HEAD_CALLERS);
+  uint64_t peak_kb = sep_memory_peak_kb (fixture->daemon);
+  sfl_end_fault (fixture->fleet, false, SFL_NEVER_ANSWERS);
+  bool served = is_served (fixture);
+  bool ended = sep_has_ended (fixture->daemon, &status);
+  print_message ("at most %lu KiB, served %d, ended %d\n",
+                 (unsigned long)peak_kb, served, ended);
+  for (uint32_t i = 0; i < LONG_HEAD_CALLERS; i++)
+    {
+      crw_close (&callers[i]);
+    }
+  efx_tear_down ((void **)&fixture);
+  assert_true (crw_is_within_memory (peak_kb, MEMORY_MB));
+  assert_true (served);
+  assert_false (ended);
+}
+
 /* Guards against a limit on memory that refuses a single request inside the
    limits, with the largest body.  */
 static void
@@ -332,8 +389,7 @@
   struct efx_fixture *fixture = NULL;
   g_autofree char *body = g_strnfill (BODY_BYTES_MAX, 'x');
   (void)state;
-  efx_set_up_limited ((void **)&fixture, BODY_BYTES_MAX, DESCRIPTORS,
-                      MEMORY_MB);
+  efx_set_up_limited ((void **)&fixture, &limits);
   for (uint32_t i = 0; i < 3; i++)
     {
       struct efx_call call;
@@ -355,6 +411,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_largest_body),
     cmocka_unit_test (test_stopped_daemon),
+    cmocka_unit_test (test_long_heads),
     cmocka_unit_test (test_crowds),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/entry_fixture.c
+++ b/test/entry_fixture.c
@@ -202,11 +202,9 @@
   .stopped = ignore_end,
 };
 
-/* Starts a daemon and a fleet with so many ENGINES.  BODY_BYTES_MAX,
-   DESCRIPTORS and MEMORY_MB are as in sfl_params and sep_params.  */
+/* Starts a daemon and a fleet with so many ENGINES and with LIMITS.  */
 static int
-set_up (void **state, uint32_t engines, uint32_t body_bytes_max,
-        uint32_t descriptors, uint32_t memory_mb)
+set_up (void **state, uint32_t engines, const struct efx_limits *limits)
 {
   struct efx_fixture *fixture = g_new0 (struct efx_fixture, 1);
   const struct ncl_params client_params = {
@@ -224,7 +222,8 @@
     .engines = engines,
     .services = EFX_SERVICES,
     .event_ms = EFX_EVENT_MS,
-    .body_bytes_max = body_bytes_max,
+    .header_bytes_max = limits->header_bytes_max,
+    .body_bytes_max = limits->body_bytes_max,
     .observer = &observer,
     .context = fixture,
   };
@@ -236,8 +235,8 @@
     .name = "entry-1",
     .folder = fixture->folder,
     .store_address = sfl_store_address (fixture->fleet),
-    .descriptors = descriptors,
-    .memory_mb = memory_mb,
+    .descriptors = limits->descriptors,
+    .memory_mb = limits->memory_mb,
     .drain_ms = EFX_DRAIN_MS,
     .config_ms = EFX_CONFIG_MS,
     .revoke_ms = EFX_REVOKE_MS,
@@ -256,22 +255,21 @@
 int
 efx_set_up (void **state)
 {
-  return set_up (state, EFX_ENGINES, 0, 0, 0);
+  return set_up (state, EFX_ENGINES, &(struct efx_limits){ 0 });
 }
 
 /* Like efx_set_up, for a fleet where several engines begin paths.  */
 int
 efx_set_up_large (void **state)
 {
-  return set_up (state, EFX_ENGINES_LARGE, 0, 0, 0);
+  return set_up (state, EFX_ENGINES_LARGE, &(struct efx_limits){ 0 });
 }
 
 /* Like efx_set_up, with other limits on callers.  */
 int
-efx_set_up_limited (void **state, uint32_t body_bytes_max,
-                    uint32_t descriptors, uint32_t memory_mb)
+efx_set_up_limited (void **state, const struct efx_limits *limits)
 {
-  return set_up (state, EFX_ENGINES, body_bytes_max, descriptors, memory_mb);
+  return set_up (state, EFX_ENGINES, limits);
 }
 
 int
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -44,6 +44,15 @@
   GPtrArray *proxies; /* struct spx_proxy, of a test; NULL: none */
 };
 
+/* Limits on callers; 0: the default. */
+struct efx_limits
+{
+  uint32_t header_bytes_max; /* this and the next one as in sfl_params */
+  uint32_t body_bytes_max;
+  uint32_t descriptors; /* this and the next one as in sep_params */
+  uint32_t memory_mb;
+};
+
 /* A request of a caller and its answer so far. */
 struct efx_call
 {
@@ -71,8 +80,7 @@
 uint32_t efx_probe (struct efx_fixture *fixture);
 void efx_await_ready (struct efx_fixture *fixture);
 int efx_set_up (void **state);
-int efx_set_up_limited (void **state, uint32_t body_bytes_max,
-                        uint32_t descriptors, uint32_t memory_mb);
+int efx_set_up_limited (void **state, const struct efx_limits *limits);
 int efx_set_up_large (void **state);
 int efx_tear_down (void **state);
 char *efx_build_request (const char *method, const char *host,
