Refuse values that begin with a control character

What callers could do: a header whose value begins with a control character was passed on, and one that begins with a null character was cut off there, so that an endpoint got another value than the caller had sent. RFC 9110 (section 5.5) calls such values invalid.

Cause: http_parser checks a value from its second character on.

Change: msg_ notes control characters, and a message with one is malformed, in requests and in responses.

Test: http_framing_test has two rows, which both failed before.

--- a/src/net/message.c
+++ b/src/net/message.c
@@ -19,6 +19,7 @@
   message->headers = g_array_new (FALSE, FALSE, sizeof (struct msg_header));
   message->body = g_byte_array_new ();
   message->value_open = false;
+  message->has_control = false;
 }
 
 /* Frees the buffers of MESSAGE, but not MESSAGE itself.  */
@@ -41,6 +42,7 @@
   g_array_set_size (message->headers, 0);
   g_byte_array_set_size (message->body, 0);
   message->value_open = false;
+  message->has_control = false;
 }
 
 /* Terminates the last value, if that has not been done.  Blanks at its end are
@@ -85,6 +87,23 @@
   g_string_append_len (message->text, bytes, (gssize)count);
 }
 
+/* Returns whether COUNT BYTES have a character that no value may have (RFC
+   9110, section 5.5).  http_parser doesn't look at the first character of a
+   value.
+   */
+static bool
+has_control (const char *bytes, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      if (g_ascii_iscntrl (bytes[i]) && bytes[i] != '\t')
+        {
+          return true;
+        }
+    }
+  return false;
+}
+
 /* Appends COUNT bytes to the value of the last header.  */
 void
 msg_add_value (struct msg_message *message, const char *bytes, size_t count)
@@ -97,6 +116,7 @@
       header->value = (uint32_t)message->text->len;
       message->value_open = true;
     }
+  message->has_control |= has_control (bytes, count);
   g_string_append_len (message->text, bytes, (gssize)count);
 }
 
@@ -160,7 +180,8 @@
 }
 
 /* Returns whether every reader of MESSAGE understands its headers in the same
-   way: no blank in a name, which another reader may skip, no transfer coding
+   way: no blank in a name, which another reader may skip, no control character
+   in a value, where another reader may end it, no transfer coding
    that this program doesn't remove or that is applied twice, and one Host at
    most.  */
 bool
@@ -168,7 +189,7 @@
 {
   uint32_t hosts = 0;
   uint32_t codings = 0;
-  bool sound = true;
+  bool sound = !message->has_control;
   for (uint32_t i = 0; i < message->headers->len; i++)
     {
       const char *name = msg_name (message, i);
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -21,6 +21,7 @@
   GArray *headers;  /* struct msg_header */
   GByteArray *body; /* filled in by the user of this module */
   bool value_open;  /* the last value may be continued */
+  bool has_control; /* a value has a control character */
 };
 
 void msg_init (struct msg_message *message);
--- a/test/http_framing_test.c
+++ b/test/http_framing_test.c
@@ -125,6 +125,11 @@
     "POST /a [] Host: a\r\n;" },
   { "a header without a name", HEAD ": a\r\n\r\n", NULL },
   { "a control character in a header", HEAD "X-Own: a\x01\r\n\r\n", NULL },
+  { "a control character at the begin of a header",
+    HEAD "X-Own: \x01"
+         "a\r\n\r\n",
+    NULL },
+  { "a control character after blanks", HEAD "X-Own:  \x7f\r\n\r\n", NULL },
   { "blanks at the end of a header", HEAD "X-Own: a \t \r\n\r\n",
     "POST /a [] Host: a\r\nX-Own: a\r\n;" },
   { "a header of blanks", HEAD "X-Own: \t \r\n\r\n",
