Refuse to drop headers that the platform needs

Cause: what Connection names isn't forwarded, as RFC 9110 (section 7.6.1) asks of proxies, which also forbids to name what is meant for all recipients.

Change: such a request gets 400, such a success is an invalid answer.

--- a/src/entry/exchange_answer.c
+++ b/src/entry/exchange_answer.c
@@ -275,6 +275,7 @@
   exchange->not_executed = exchange->not_executed && id != NULL;
   if (success
       && (msg_find (answer, PFH_SIGNATURE) == NULL
+          || msg_drops_header (answer, PFH_PREFIX)
           || msg_find (answer, "Content-Encoding") != NULL))
     {
       return false;
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -38,6 +38,10 @@
     {
       refusal.why = "no host";
     }
+  else if (msg_drops_header (request, PFH_PREFIX))
+    {
+      refusal.why = "a header that must be forwarded is of the connection";
+    }
   else
     {
       refusal.status = 0;
--- a/src/net/message.c
+++ b/src/net/message.c
@@ -242,6 +242,30 @@
   return names;
 }
 
+/* Returns whether MESSAGE names a header that begins with PREFIX, in any
+   letter case, as one of its connection, which isn't forwarded.  */
+bool
+msg_drops_header (const struct msg_message *message, const char *prefix)
+{
+  for (uint32_t i = 0; i < message->headers->len; i++)
+    {
+      if (strcasecmp (msg_name (message, i), "Connection") != 0)
+        {
+          continue;
+        }
+      g_auto (GStrv) names
+          = g_strsplit_set (msg_value (message, i), ", \t", 0);
+      for (guint n = 0; names[n] != NULL; n++)
+        {
+          if (g_ascii_strncasecmp (names[n], prefix, strlen (prefix)) == 0)
+            {
+              return true;
+            }
+        }
+    }
+  return false;
+}
+
 /* Appends the headers of MESSAGE that a proxy forwards to HEAD, each with
    CRLF.  Leaves out hop-by-hop headers and those for which EXCLUDES, unless
    NULL, returns true.  */
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -38,6 +38,7 @@
 const char *msg_value (const struct msg_message *message, uint32_t index);
 const char *msg_find (const struct msg_message *message, const char *name);
 bool msg_is_unambiguous (const struct msg_message *message);
+bool msg_drops_header (const struct msg_message *message, const char *prefix);
 uint64_t msg_query_number (const char *url, const char *name);
 void msg_copy_headers (const struct msg_message *message,
                        bool (*excludes) (const char *name), GString *head);
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -36,6 +36,8 @@
                            connection delimits */
   SFL_WRONG_REQUEST_ID, /* answers with the id of another request */
   SFL_UNSIGNED,         /* answers without the signature header */
+  SFL_HIDES_SIGNATURE,  /* names the signature as one of the connection's
+                           headers, which aren't forwarded */
   SFL_NEVER_ANSWERS,    /* runs the request and never answers */
   SFL_ENDS_MIDWAY,  /* streams: like SFL_WITHOUT_LENGTH, but ends within the
                        third event */
--- a/standin/fleet_endpoint.c
+++ b/standin/fleet_endpoint.c
@@ -139,10 +139,13 @@
   bool wrong_id = answer->fault == SFL_WRONG_REQUEST_ID;
   const char *signature
       = answer->fault == SFL_UNSIGNED ? "" : PFH_SIGNATURE ": 1.2.3\r\n";
+  const char *connection = answer->fault == SFL_HIDES_SIGNATURE
+                               ? "Connection: " PFH_SIGNATURE "\r\n"
+                               : "";
   return g_strdup_printf (
-      PFH_REQUEST_ID ": %s\r\n%s%sKeep-Alive: timeout=5\r\n"
+      PFH_REQUEST_ID ": %s\r\n%s%s%sKeep-Alive: timeout=5\r\n"
                      "Content-Type: %s\r\n",
-      wrong_id ? "another" : answer->id, signature,
+      wrong_id ? "another" : answer->id, signature, connection,
       common_headers (answer->endpoint),
       answer->is_stream ? "text/event-stream" : "text/plain");
 }
--- a/test/entry_head_test.c
+++ b/test/entry_head_test.c
@@ -263,6 +263,15 @@
     { "no host", KEY PFH_REQUEST_ID ": %s\r\n", true },
     { "no id", HOST KEY, false },
     { "an empty id", HOST KEY PFH_REQUEST_ID ":\r\n", false },
+    { "an id of the connection",
+      HOST KEY
+      "Connection: close, x-kumquatthread-attempt-id\r\n" PFH_REQUEST_ID
+      ": %s\r\n",
+      true },
+    { "a model of the connection",
+      HOST KEY "Connection: X-Kumquatthread-Model\r\n" PFH_REQUEST_ID
+               ": %s\r\n",
+      true },
     { "two ids",
       HOST KEY PFH_REQUEST_ID ": %s\r\n" PFH_REQUEST_ID ": other\r\n", false },
   };
