Send the id that a request needs in the test of a stop

test_stop_answers_new_connection asks for an unknown route without an id and expects 404. The test is about a connection that comes late in a stop, whose first request is still on its way; with an id it expects the same 404.

--- a/test/entry_stop_test.c
+++ b/test/entry_stop_test.c
@@ -205,7 +205,8 @@
 static void
 test_stop_answers_new_connection (void **state)
 {
-  static const char request[] = "GET /none HTTP/1.1\r\nHost: x\r\n\r\n";
+  static const char request[]
+      = "GET /none HTTP/1.1\r\nHost: x\r\n" PFH_REQUEST_ID ": late\r\n\r\n";
   struct efx_fixture *fixture = *state;
   sep_start (fixture->daemon);
   efx_await_ready (fixture);
