--- a/test/fuzz/entry_fuzz.c
+++ b/test/fuzz/entry_fuzz.c
@@ -338,7 +338,8 @@
       return 0;
     }
   send (caller, data, bytes, MSG_NOSIGNAL);
-  bool open = run (caller, answer, false) && run (caller, answer, false);
+  bool open = run (caller, answer, false);
+  open = open && run (caller, answer, false); /* once it has been read */
   shutdown (caller, SHUT_WR);
   if (open)
     {
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -778,16 +778,16 @@
   static const struct
   {
     const char *name;
-    uint32_t removals;
     uint64_t from;
+    uint32_t removals;
     uint32_t status;
   } cases[] = {
-    { "as many as are kept", KEPT_MAX, FIRST, 200 },
-    { "one more", KEPT_MAX + 1, FIRST, 410 },
-    { "one more, of which all but the last are known", KEPT_MAX + 1,
-      FIRST + KEPT_MAX, 410 },
-    { "one more, and all are known", KEPT_MAX + 1, FIRST + KEPT_MAX + 1, 200 },
-    { "far more", 3 * KEPT_MAX, FIRST, 410 },
+    { "as many as are kept", FIRST, KEPT_MAX, 200 },
+    { "one more", FIRST, KEPT_MAX + 1, 410 },
+    { "one more, of which all but the last are known", FIRST + KEPT_MAX,
+      KEPT_MAX + 1, 410 },
+    { "one more, and all are known", FIRST + KEPT_MAX + 1, KEPT_MAX + 1, 200 },
+    { "far more", FIRST, 3 * KEPT_MAX, 410 },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
