Print what the soak knows of a request that violates a rule

The logs stay on the machine that ran it, so the line was all there was to go by.

The soak now prints the record of the request below its violation: kind, daemon and process, when that was told to stop, status, times and arrivals.

--- a/soak/record.c
+++ b/soak/record.c
@@ -1,5 +1,7 @@
 #include "soak/record.h"
 
+#include "base/clock.h"
+
 /* Returns the part of prompts or the body with the harm NUMBER; free it with
    g_free.  */
 char *
@@ -69,6 +71,70 @@
   return request;
 }
 
+/* Returns the milliseconds from FROM_US to TO_US; -1 if TO_US is never.  */
+static double
+elapsed_ms (int64_t from_us, int64_t to_us)
+{
+  return to_us == SRD_NEVER ? -1 : (double)(to_us - from_us) / CLK_MS_US;
+}
+
+/* Returns a line about the request ID: its kind, its daemon's process, its
+   answer, and times in milliseconds after it was sent, -1 for those that
+   haven't come.  Free it with g_free.  Returns NULL if there is no such
+   request.  */
+char *
+srd_describe_request (const struct srd_record *record, const char *id)
+{
+  static const char *const kinds[SRD_KINDS] = {
+    [SRD_DRAFT] = "draft", [SRD_BOOK] = "booking", [SRD_LOOK] = "look-up"
+  };
+  const struct srd_request *request = g_hash_table_lookup (record->by_id, id);
+  if (request == NULL)
+    {
+      return NULL;
+    }
+  int64_t sent_us = request->sent_us;
+  int64_t stopped_us = SRD_NEVER;
+  for (guint i = 0; i < record->processes->len; i++)
+    {
+      const struct srd_process *process
+          = &g_array_index (record->processes, struct srd_process, i);
+      if (process->daemon == request->daemon
+          && process->start_number == request->start_number)
+        {
+          stopped_us = process->ended_us;
+        }
+    }
+  GString *text = g_string_new (NULL);
+  g_string_append_printf (
+      text,
+      "%s: %s sent at %.3f to entry-%u, process %u (started %.0f, told to "
+      "stop "
+      "or ended %.0f), status %u, %s, ended %.0f, deadline %.0f, %u runs "
+      "(first "
+      "%.0f, last ended %.0f)",
+      id, kinds[request->kind], (double)sent_us / CLK_S_US, request->daemon,
+      request->start_number, elapsed_ms (sent_us, request->daemon_started_us),
+      elapsed_ms (sent_us, stopped_us), request->status,
+      request->complete ? "complete" : "incomplete",
+      elapsed_ms (sent_us, request->ended_us),
+      elapsed_ms (sent_us, request->deadline_us), request->runs,
+      elapsed_ms (sent_us, request->first_run_us),
+      elapsed_ms (sent_us, request->last_run_end_us));
+  for (guint i = 0; i < record->arrivals->len; i++)
+    {
+      const struct srd_arrival *arrival
+          = &g_array_index (record->arrivals, struct srd_arrival, i);
+      if (arrival->request == request)
+        {
+          g_string_append_printf (text, ", at endpoint %u (instance %u) %.0f",
+                                  arrival->endpoint, arrival->instance,
+                                  elapsed_ms (sent_us, arrival->at_us));
+        }
+    }
+  return g_string_free (text, FALSE);
+}
+
 /* Records that the request ID arrived at INSTANCE of ENDPOINT at NOW_US.
    Ignores an unknown ID.  */
 void
--- a/soak/record.h
+++ b/soak/record.h
@@ -190,6 +190,7 @@
 void srd_destroy (struct srd_record *record);
 struct srd_request *srd_add_request (struct srd_record *record,
                                      const char *id);
+char *srd_describe_request (const struct srd_record *record, const char *id);
 void srd_add_arrival (struct srd_record *record, const char *id,
                       uint32_t endpoint, uint32_t instance, int64_t now_us);
 void srd_add_answer (struct srd_record *record, const char *id,
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -406,7 +406,14 @@
     }
   for (guint i = 0; i < violations->len; i++)
     {
-      printf ("violation: %s\n", (char *)g_ptr_array_index (violations, i));
+      const char *violation = g_ptr_array_index (violations, i);
+      g_autofree char *id = g_strndup (violation, strcspn (violation, " "));
+      g_autofree char *request = srd_describe_request (soak->record, id);
+      printf ("violation: %s\n", violation);
+      if (request != NULL)
+        {
+          printf ("  %s\n", request);
+        }
     }
   printf (
       "seed %u: %u requests, %u served, %u troubles, %u stalls of the soak "
