Check how daemons end in the soak, and reload only those that have been ready

Two faults of the soak. A process that was told to stop could crash while it stopped, since any end was expected then; now it must exit cleanly, unless it was killed too or hadn't handled signals yet. The daemon already ignores the signal from its main function on.

--- a/soak/daemons.c
+++ b/soak/daemons.c
@@ -35,6 +35,7 @@
     {
       daemon->failed_probes = 0;
       daemon->in_rotation = true;
+      daemon->has_been_ready = true;
     }
   return true;
 }
@@ -73,7 +74,9 @@
 {
   daemon->start_number++;
   daemon->started_us = clk_monotonic_us ();
-  daemon->exit_expected = false;
+  daemon->stop_requested = false;
+  daemon->killed = false;
+  daemon->has_been_ready = false;
   daemon->restart_at_us = 0;
   srd_begin_process (daemon->daemons->params.record, daemon->index,
                      daemon->start_number, daemon->started_us);
@@ -180,6 +183,17 @@
     }
 }
 
+/* Returns whether the process of DAEMON may have ended with STATUS.  A process
+   that is told to stop before it handles signals is ended by that one.  */
+static bool
+is_expected_end (const struct sdm_daemon *daemon, int status)
+{
+  bool clean = WIFEXITED (status) && WEXITSTATUS (status) == 0;
+  bool early = !daemon->has_been_ready && WIFSIGNALED (status)
+               && WTERMSIG (status) == SIGTERM;
+  return daemon->killed || (daemon->stop_requested && (clean || early));
+}
+
 /* Checks one daemon's process for its end and its memory, and restarts it when
    the restart is due.  */
 static void
@@ -189,14 +203,15 @@
   int status = 0;
   if (sep_has_ended (daemon->process, &status))
     {
-      bool clean = WIFEXITED (status) && WEXITSTATUS (status) == 0;
-      if (!daemon->exit_expected)
+      if (!is_expected_end (daemon, status))
         {
           g_ptr_array_add (
               daemons->violations,
-              g_strdup_printf ("daemon %u exited unexpectedly: %s %d",
-                               daemon->index, clean ? "exit" : "status",
-                               status));
+              g_strdup_printf ("daemon %u exited unexpectedly: status %d%s",
+                               daemon->index, status,
+                               daemon->stop_requested ? " after a request to "
+                                                        "stop"
+                                                      : ""));
         }
       srd_end_process (daemons->params.record, daemon->index, now_us);
       daemon->restart_at_us = now_us + RESTART_DELAY_US;
@@ -232,7 +247,7 @@
 void
 sdm_stop (struct sdm_daemon *daemon)
 {
-  daemon->exit_expected = true;
+  daemon->stop_requested = true;
   srd_end_process (daemon->daemons->params.record, daemon->index,
                    clk_monotonic_us ());
   sep_signal (daemon->process, SIGTERM);
@@ -242,7 +257,7 @@
 void
 sdm_kill (struct sdm_daemon *daemon)
 {
-  daemon->exit_expected = true;
+  daemon->killed = true;
   daemon->paused = false;
   srd_end_process (daemon->daemons->params.record, daemon->index,
                    clk_monotonic_us ());
--- a/soak/daemons.h
+++ b/soak/daemons.h
@@ -19,8 +19,10 @@
   uint32_t start_number;  /* of the process, from 1 */
   int64_t started_us;     /* start of the process; monotonic */
   bool in_rotation;       /* the load balancer sends new connections */
+  bool has_been_ready;    /* the present process */
   uint32_t failed_probes; /* in a row */
-  bool exit_expected;     /* the process was told to stop, or was killed */
+  bool stop_requested;    /* the process was told to stop */
+  bool killed;            /* the process was killed */
   bool paused;
   int64_t restart_at_us;      /* 0: no restart is due */
   struct ncl_exchange *probe; /* NULL: none in flight */
--- a/soak/injector.c
+++ b/soak/injector.c
@@ -75,7 +75,9 @@
 {
   (void)now_us;
   const struct sdm_daemon *daemon = draw_daemon (injector);
-  if (daemon->in_rotation)
+  /* The load balancer takes a daemon out of rotation only some time after its
+     end; a process that is just being executed can't ignore the signal yet. */
+  if (daemon->in_rotation && daemon->has_been_ready)
     {
       sep_signal (daemon->process, SIGHUP);
     }
