Judge requests that were passed on by the daemon that sent them

The soak's judge took each arrival at an endpoint for the caller's daemon's. A request that this daemon passed on is sent by a neighbour, which needn't know what the caller's daemon knows: that an endpoint has said it leaves, has turned requests away or was removed.

After the run the soak reads the daemons' logs. The log of the neighbour states its attempts; if these are all arrivals of the request, that daemon is the sender, else the caller's daemon stays it. An answer counts for both: the sender and the daemon that passed the request on. soak_judge_test has three cases for it, two of which expect a violation.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -264,6 +264,7 @@
   request->harm
       = callers->next_id % HARM_INTERVAL == 0 ? harms[request->kind] : 0;
   request->daemon = daemon->index;
+  request->sender = daemon->index;
   request->start_number = daemon->start_number;
   request->daemon_started_us = daemon->started_us;
   struct call *call = g_new0 (struct call, 1);
--- a/soak/record.c
+++ b/soak/record.c
@@ -121,6 +121,11 @@
       elapsed_ms (sent_us, request->deadline_us), request->runs,
       elapsed_ms (sent_us, request->first_run_us),
       elapsed_ms (sent_us, request->last_run_end_us));
+  if (request->sender != request->daemon)
+    {
+      g_string_append_printf (text, ", passed on to entry-%u",
+                              request->sender);
+    }
   for (guint i = 0; i < record->arrivals->len; i++)
     {
       const struct srd_arrival *arrival
@@ -264,6 +269,25 @@
     }
 }
 
+/* Returns the process that DAEMON had at AT_US, or its last one before; NULL
+   if there is none.  */
+const struct srd_process *
+srd_find_process (const struct srd_record *record, uint32_t daemon,
+                  int64_t at_us)
+{
+  const struct srd_process *found = NULL;
+  for (guint i = 0; i < record->processes->len; i++)
+    {
+      const struct srd_process *process
+          = &g_array_index (record->processes, struct srd_process, i);
+      if (process->daemon == daemon && process->started_us <= at_us)
+        {
+          found = process;
+        }
+    }
+  return found;
+}
+
 /* Records that an endpoint began to run the request ID at NOW_US.  Ignores an
    unknown ID.  */
 void
--- a/soak/record.h
+++ b/soak/record.h
@@ -34,9 +34,11 @@
   uint32_t daemon; /* index of the daemon that the request was sent to */
   uint32_t start_number;     /* of the daemon's process, from 1 */
   int64_t daemon_started_us; /* start of that process */
-  uint32_t status;           /* HTTP status of the answer; 0: no answer */
-  bool complete;             /* the answer is complete by its framing */
-  bool correct;              /* the body is the one expected of this request */
+  uint32_t sender; /* index of the daemon that sent it to endpoints: another
+                      one if that daemon passed it on */
+  uint32_t status; /* HTTP status of the answer; 0: no answer */
+  bool complete;   /* the answer is complete by its framing */
+  bool correct;    /* the body is the one expected of this request */
   int64_t sent_us;
   int64_t deadline_us;
   int64_t ended_us; /* the answer was complete, or the connection closed */
@@ -208,6 +210,8 @@
                         uint32_t start_number, int64_t now_us);
 void srd_end_process (struct srd_record *record, uint32_t daemon,
                       int64_t now_us);
+const struct srd_process *srd_find_process (const struct srd_record *record,
+                                            uint32_t daemon, int64_t at_us);
 void srd_begin_run (struct srd_record *record, const char *id, int64_t now_us);
 void srd_end_run (struct srd_record *record, const char *id, int64_t now_us);
 guint srd_begin_fault (struct srd_record *record, int64_t now_us);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -7,6 +7,7 @@
 */
 #include "soak/callers.h"
 #include "soak/injector.h"
+#include "soak/logs.h"
 
 #include "base/clock.h"
 
@@ -517,6 +518,7 @@
   if (ready)
     {
       run_workload (&soak);
+      slg_read_senders (soak.daemons, soak.record);
       violations = report_violations (&soak);
     }
   else
--- a/standin/entry_process.c
+++ b/standin/entry_process.c
@@ -269,3 +269,11 @@
 {
   return process->ready_address;
 }
+
+/* Returns the path of the log file, to which all starts of the daemon append.
+ */
+const char *
+sep_log_path (const struct sep_process *process)
+{
+  return process->log_path;
+}
--- a/standin/entry_process.h
+++ b/standin/entry_process.h
@@ -44,5 +44,6 @@
 uint64_t sep_memory_kb (const struct sep_process *process);
 const char *sep_caller_address (const struct sep_process *process);
 const char *sep_ready_address (const struct sep_process *process);
+const char *sep_log_path (const struct sep_process *process);
 
 #endif
--- a/test/soak_judge_test.c
+++ b/test/soak_judge_test.c
@@ -43,6 +43,7 @@
   EVENT_LEAVING_ANSWER, /* of the endpoint value */
   EVENT_TURNED_AWAY, /* by ENDPOINT; value: for this many tenths of a second */
   EVENT_PASSED_ON,   /* the last answer, to the caller */
+  EVENT_SENT_BY,     /* value: daemon that the request was passed on to */
   EVENT_ORDER,       /* value: fencing token */
   EVENT_REFUSED_ORDER, /* value: fencing token */
   EVENT_FREEZE,        /* of the daemon; value: duration in seconds */
@@ -291,6 +292,39 @@
       { 4.1, EVENT_ARRIVAL, 3, "d2" },
       { 4.2, EVENT_ANSWER, 200, "d2" } },
     NULL },
+  { "a neighbour that a request was passed on to doesn't know it",
+    { { 1, EVENT_REQUEST, 0, "d1" },
+      { 1.2, EVENT_LEAVING_ANSWER, 3, "d1" },
+      { 1.3, EVENT_PASSED_ON, 0, "d1" },
+      { 2, EVENT_ANSWER, 200, "d1" },
+      { 4, EVENT_REQUEST, 0, "d2" },
+      { 4, EVENT_SENT_BY, 1, "d2" },
+      { 4.1, EVENT_ARRIVAL, 3, "d2" },
+      { 4.2, EVENT_ANSWER, 200, "d2" } },
+    NULL },
+  { "a neighbour knows it by a request that was passed on",
+    { { 1, EVENT_REQUEST, 0, "d1" },
+      { 1, EVENT_SENT_BY, 1, "d1" },
+      { 1.2, EVENT_LEAVING_ANSWER, 3, "d1" },
+      { 1.3, EVENT_PASSED_ON, 0, "d1" },
+      { 2, EVENT_ANSWER, 200, "d1" },
+      { 3, EVENT_NEXT_DAEMON, 0, NULL },
+      { 4, EVENT_REQUEST, 0, "d2" },
+      { 4.1, EVENT_ARRIVAL, 3, "d2" },
+      { 4.2, EVENT_ANSWER, 200, "d2" } },
+    "d2 reached endpoint 3, which had said in the answer to d1 that it "
+    "leaves" },
+  { "and so does the daemon that passed it on",
+    { { 1, EVENT_REQUEST, 0, "d1" },
+      { 1, EVENT_SENT_BY, 1, "d1" },
+      { 1.2, EVENT_LEAVING_ANSWER, 3, "d1" },
+      { 1.3, EVENT_PASSED_ON, 0, "d1" },
+      { 2, EVENT_ANSWER, 200, "d1" },
+      { 4, EVENT_REQUEST, 0, "d2" },
+      { 4.1, EVENT_ARRIVAL, 3, "d2" },
+      { 4.2, EVENT_ANSWER, 200, "d2" } },
+    "d2 reached endpoint 3, which had said in the answer to d1 that it "
+    "leaves" },
   { "a restarted daemon doesn't know that the endpoint leaves",
     { { 1, EVENT_REQUEST, 0, "d1" },
       { 1.2, EVENT_LEAVING_ANSWER, 3, "d1" },
@@ -774,6 +808,9 @@
     case EVENT_PASSED_ON:
       srd_pass_on (record, request, now_us);
       break;
+    case EVENT_SENT_BY:
+      request->sender = step->value;
+      break;
     case EVENT_RUN_BEGIN:
       srd_begin_run (record, step->id, now_us);
       break;
@@ -801,6 +838,7 @@
 {
   struct srd_request *request = srd_add_request (run->record, step->id);
   request->daemon = run->daemon;
+  request->sender = run->daemon;
   request->start_number = run->start_number;
   request->daemon_started_us = run->started_us;
   request->kind = step->id[0] == 'b'   ? SRD_BOOK
