Hold requests in the first second after a daemon's start

Cause: a daemon accepts requests as soon as it runs, and refused them with 503 until it had read the configuration and the proof that its keys are the newest, 0.2 to 0.6 s later.

Now such requests wait, for half of their time at most and only in the first second (core/start_wait.h, entry/held_request.h). Those that another daemon has passed on and invalid ones don't wait. They are judged by what is in force when the wait ends. The traffic thread is told of the first proof at once; it noticed that up to 200 ms later before.

The entry fuzzer says that its daemon started long ago.

--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -31,6 +31,7 @@
                                                       by rank index */
   struct cnt_series *free_slots;   /* of all first engines, as far as known */
   struct cnt_series *passed_on;    /* attempts at another daemon */
+  struct cnt_series *held;         /* requests, while the daemon starts */
   struct cnt_series *cut_off;      /* services whose endpoints this
                                    daemon can't reach now */
   struct cnt_series *load_age_ms;  /* of the other daemons' load; -1: never
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -863,8 +863,8 @@
 
 /* Ends an exchange whose caller has disconnected.  The attempt is cancelled,
    so that the endpoint stops working on the request.  */
-void
-exg_caller_disconnected (void *context)
+static void
+on_caller_disconnected (void *context)
 {
   struct exchange *exchange = context;
   exchange->caller = NULL;
@@ -879,8 +879,8 @@
 
 /* Resumes reading the endpoint's answer once a slow caller has received what
    was sent.  */
-void
-exg_caller_drained (void *context)
+static void
+on_caller_drained (void *context)
 {
   struct exchange *exchange = context;
   if (exchange->attempt != NULL)
@@ -889,3 +889,8 @@
       ncl_resume (exchange->attempt);
     }
 }
+
+const struct trf_request_events exg_events = {
+  .disconnected = on_caller_disconnected,
+  .drained = on_caller_drained,
+};
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -7,6 +7,11 @@
 
 void exg_start (struct trf_traffic *traffic, struct nsv_connection *caller,
                 const struct msg_message *request, const char *method);
+void exg_serve (struct trf_traffic *traffic, struct nsv_connection *caller,
+                const struct msg_message *request, const char *method,
+                int64_t arrived_us);
+int64_t exg_time_left_us (const struct flt_config *config,
+                          const struct msg_message *request);
 void exg_check_streams (struct trf_traffic *traffic,
                         const struct fst_endpoint *engine);
 void exg_expedite_checks (struct trf_traffic *traffic,
@@ -19,7 +24,5 @@
                             struct nsv_connection *caller,
                             const struct msg_message *request,
                             const char *why);
-void exg_caller_disconnected (void *exchange);
-void exg_caller_drained (void *exchange);
 
 #endif
--- a/src/entry/exchange_intake.c
+++ b/src/entry/exchange_intake.c
@@ -5,6 +5,8 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "core/precedence.h"
+#include "core/start_wait.h"
+#include "entry/held_request.h"
 #include "entry/load_exchange.h"
 #include "platform/headers.h"
 #include "platform/prompt.h"
@@ -93,22 +95,44 @@
   return (struct refusal){ .status = 0, .why = "" };
 }
 
-/* Returns the time in microseconds that REQUEST on ROUTE has from now on: the
-   route's time-out, or what the request states if that is less.  */
+/* Returns the time in microseconds that REQUEST had when it arrived, as it
+   states itself; very long if it states none.  */
 static int64_t
-time_left_us (const struct flt_route *route, const struct msg_message *request)
+stated_time_left_us (const struct msg_message *request)
 {
   const char *header = msg_find (request, PFH_TIME_LEFT_MS);
-  int64_t left_us = route->timeout_us > 0 ? route->timeout_us : INT64_MAX / 4;
+  int64_t left_us = INT64_MAX / 4;
   if (header != NULL)
     {
       int64_t stated_ms = g_ascii_strtoll (header, NULL, 10);
-      left_us = MIN (left_us, CLAMP (stated_ms, 0, INT64_MAX / 4 / CLK_MS_US)
-                                  * CLK_MS_US);
+      left_us = CLAMP (stated_ms, 0, INT64_MAX / 4 / CLK_MS_US) * CLK_MS_US;
     }
   return left_us;
 }
 
+/* Returns the time in microseconds that REQUEST on ROUTE had when it arrived:
+   the route's time-out, or what the request states if that is less.  */
+static int64_t
+time_left_us (const struct flt_route *route, const struct msg_message *request)
+{
+  int64_t left_us = stated_time_left_us (request);
+  return route->timeout_us > 0 ? MIN (route->timeout_us, left_us) : left_us;
+}
+
+/* Returns the time in microseconds that REQUEST had when it arrived, as far as
+   CONFIG, which may be NULL, has a route for it.  */
+int64_t
+exg_time_left_us (const struct flt_config *config,
+                  const struct msg_message *request)
+{
+  const struct flt_route *route
+      = config == NULL ? NULL
+                       : flt_find_route (config, msg_find (request, "Host"),
+                                         request->url->str);
+  return route == NULL ? stated_time_left_us (request)
+                       : time_left_us (route, request);
+}
+
 /* Returns the times of the requests on ROUTE to SERVICE that TRAFFIC has seen,
    with those in progress.  */
 static struct spn_history
@@ -207,15 +231,16 @@
   return qrn_name_traits (&named);
 }
 
-/* Creates the exchange of an accepted request.  */
+/* Creates the exchange of an accepted request, which arrived at ARRIVED_US. */
 static struct exchange *
 create_exchange (struct trf_traffic *traffic, struct nsv_connection *caller,
                  const struct msg_message *request, const char *method,
                  const struct flt_route *route,
-                 const struct flt_account *account)
+                 const struct flt_account *account, int64_t arrived_us)
 {
   struct exchange *exchange = g_new0 (struct exchange, 1);
   const char *last_event = msg_find (request, PFH_LAST_EVENT_ID);
+  exchange->request_events = &exg_events;
   exchange->traffic = traffic;
   exchange->caller = caller;
   exchange->config
@@ -237,7 +262,7 @@
   int64_t attempt
       = passed_on == NULL ? 1 : g_ascii_strtoll (passed_on, NULL, 10);
   exchange->ran_before = (uint32_t)CLAMP (attempt, 1, ATT_SENT_MAX + 1) - 1;
-  exchange->arrived_us = clk_monotonic_us ();
+  exchange->arrived_us = arrived_us;
   exchange->deadline_us = exchange->arrived_us + time_left_us (route, request);
   exchange->came_back = exchange->deadline_us - exchange->arrived_us
                         < route->timeout_us - RETURNED_US;
@@ -277,11 +302,29 @@
                            id, exg_retry_after_s ());
 }
 
-/* Handles REQUEST of CALLER: refuses it at once, or creates an exchange and
-   starts its first attempt.  */
+/* Handles REQUEST of CALLER, which has arrived: holds it while the daemon
+   starts, or serves it.  */
 void
 exg_start (struct trf_traffic *traffic, struct nsv_connection *caller,
            const struct msg_message *request, const char *method)
+{
+  int64_t now_us = clk_monotonic_us ();
+  cnt_add (traffic->metrics->requests, 1);
+  bool held = stw_is_starting (traffic->started_us, now_us)
+              && check_head (request, rqi_find (request)).status == 0
+              && hrq_hold (traffic, caller, request, method, now_us);
+  if (!held)
+    {
+      exg_serve (traffic, caller, request, method, now_us);
+    }
+}
+
+/* Serves REQUEST of CALLER, which arrived at ARRIVED_US: refuses it, or
+   creates an exchange and starts its first attempt.  */
+void
+exg_serve (struct trf_traffic *traffic, struct nsv_connection *caller,
+           const struct msg_message *request, const char *method,
+           int64_t arrived_us)
 {
   int64_t proved_us = trf_refresh (traffic);
   const struct flt_config *config = fst_config (traffic->fleet);
@@ -291,7 +334,6 @@
   char log_id[RQI_LOG_BYTES];
   bool is_stopping = false;
   rqi_format_for_log (id, log_id);
-  cnt_add (traffic->metrics->requests, 1);
   struct refusal refusal = check_head (request, id);
   if (refusal.status == 0)
     {
@@ -353,8 +395,8 @@
           refused ? MAX (refusal.retry_after_s, exg_retry_after_s ()) : 0);
       return;
     }
-  struct exchange *exchange
-      = create_exchange (traffic, caller, request, method, route, account);
+  struct exchange *exchange = create_exchange (
+      traffic, caller, request, method, route, account, arrived_us);
   exchange->traits = g_steal_pointer (&traits);
   exchange->is_trial = verdict.trial;
   exchange->service = g_strdup (config->services[service].name);
@@ -363,9 +405,9 @@
   exg_start_cost (exchange, request, method, &config->services[service]);
   if (!exchange->is_passed)
     {
-      rbg_request (fst_budget (traffic->fleet, service), exchange->arrived_us);
-      lex_count_arrival (traffic->load, service, exchange->rank,
-                         exchange->arrived_us);
+      int64_t now_us = clk_monotonic_us ();
+      rbg_request (fst_budget (traffic->fleet, service), now_us);
+      lex_count_arrival (traffic->load, service, exchange->rank, now_us);
     }
   exg_start_attempt (exchange, ATT_NOT_SENT);
 }
--- a/src/entry/exchange_private.h
+++ b/src/entry/exchange_private.h
@@ -27,6 +27,7 @@
 /* Points in time are monotonic. */
 struct exchange
 {
+  const struct trf_request_events *request_events; /* first: see traffic.c */
   struct trf_traffic *traffic;
   struct nsv_connection *caller; /* NULL once it is answered or disconnected */
   struct flt_config *config; /* reference; owns the route and the account */
@@ -127,6 +128,7 @@
 };
 
 extern const struct ncl_events exg_attempt_events;
+extern const struct trf_request_events exg_events;
 
 GPtrArray *exg_list (struct trf_traffic *traffic,
                      bool (*matches) (const struct exchange *,
--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -293,7 +293,12 @@
   publish (control);
   if (control->config != NULL)
     {
+      bool is_first = fvw_proved_us (control->views) == 0;
       fvw_set_proved (control->views, proved_us);
+      if (is_first)
+        {
+          control->notify (control->context);
+        }
     }
 }
 
--- a/src/entry/traffic.c
+++ b/src/entry/traffic.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "core/fleet_known.h"
 #include "entry/exchange.h"
+#include "entry/held_request.h"
 #include "entry/inquiry.h"
 #include "entry/load_exchange.h"
 #include "entry/passing.h"
@@ -80,11 +81,26 @@
   exg_refuse_incomplete (context, connection, request, why);
 }
 
+/* The context of a caller's request begins with a pointer to its events.  */
+static void
+on_caller_disconnected (void *request)
+{
+  const struct trf_request_events *const *events = request;
+  (*events)->disconnected (request);
+}
+
+static void
+on_caller_drained (void *request)
+{
+  const struct trf_request_events *const *events = request;
+  (*events)->drained (request);
+}
+
 static const struct nsv_events caller_events = {
   .request = on_caller_request,
   .refused = on_caller_refused,
-  .disconnected = exg_caller_disconnected,
-  .drained = exg_caller_drained,
+  .disconnected = on_caller_disconnected,
+  .drained = on_caller_drained,
 };
 
 static void
@@ -245,9 +261,11 @@
 static void
 on_view_changed (uv_async_t *async)
 {
+  struct trf_traffic *traffic = async->data;
   trn_enter ("view");
-  trf_refresh (async->data);
-  apply_quarantine (async->data);
+  trf_refresh (traffic);
+  apply_quarantine (traffic);
+  hrq_update (traffic);
 }
 
 /* Logs a change of the daemon's readiness.  */
@@ -410,6 +428,8 @@
   traffic->budget = bbg_create (bbg_size_for_host (settings->memory_mb));
   bbg_open (&traffic->answers, traffic->budget, traffic);
   traffic->exchanges = g_hash_table_new (NULL, NULL);
+  traffic->held = hrq_table_create ();
+  traffic->started_us = clk_monotonic_us ();
   traffic->inquiries = inq_table_create ();
   traffic->probes = prb_table_create ();
   traffic->series = cnt_set_create ();
@@ -462,6 +482,7 @@
 trf_end_requests (struct trf_traffic *traffic)
 {
   traffic->ends = true;
+  hrq_update (traffic);
   exg_stop_all (traffic);
   nsv_refuse_incomplete (traffic->caller_server, STOP_RETRY_AFTER);
 }
@@ -499,6 +520,7 @@
   uv_close ((uv_handle_t *)&traffic->view_changed, NULL);
   uv_close ((uv_handle_t *)&traffic->sweep, NULL);
   g_hash_table_destroy (traffic->exchanges);
+  g_hash_table_destroy (traffic->held);
   g_hash_table_destroy (traffic->run_times);
   cos_destroy (traffic->costs);
   clt_destroy (traffic->call_times);
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -17,6 +17,14 @@
 #include "net/client.h"
 #include "net/server.h"
 
+/* What the traffic thread calls for a caller's request in progress, see struct
+   nsv_events.  */
+struct trf_request_events
+{
+  void (*disconnected) (void *request);
+  void (*drained) (void *request);
+};
+
 /* State of the traffic thread.  Other threads may call trf_notify only. */
 struct trf_traffic
 {
@@ -37,6 +45,7 @@
   uv_async_t view_changed; /* sent by trf_notify */
   uv_timer_t sweep;        /* for time-outs and the log */
   int64_t last_sweep_us;   /* monotonic */
+  int64_t started_us;      /* monotonic */
   int64_t stopping_us; /* monotonic, when the stop began; 0: not stopping */
   bool ends;           /* the loop ends after its next turns */
   bool ready_logged;
@@ -51,6 +60,7 @@
   size_t buffered_bytes; /* of memory, for answers that are delivered whole */
   struct fwt_refusals refusals; /* for want of room */
   GHashTable *exchanges;        /* set of struct exchange in progress */
+  GHashTable *held;             /* set of held requests, see held_request.h */
   GHashTable *inquiries;        /* engine to its stall inquiry */
   GHashTable *probes;           /* endpoint to its probe, see probing.h */
 };
--- a/test/fuzz/entry_fuzz.c
+++ b/test/fuzz/entry_fuzz.c
@@ -193,6 +193,7 @@
   fuzz.traffic
       = trf_create (&fuzz.loop, &fuzz.settings, views, vdt_create (),
                     qrn_create (name, CLK_S_US), nbr_create (address), NULL);
+  fuzz.traffic->started_us = 0; /* long ago: no request is held */
   g_autofree char *callers = nsv_address (fuzz.traffic->caller_server);
   struct flt_config *config
       = pfc_decode (configuration, strlen (configuration), NULL);
