--- a/test/fuzz/entry_fuzz.c
+++ b/test/fuzz/entry_fuzz.c
@@ -274,17 +274,6 @@
     }
 }
 
-/* Appends what has arrived at the socket CALLER to ANSWER.  Returns false at
-   its end.  */
-static bool
-receive (int caller, GString *answer)
-{
-  char buffer[4096];
-  ssize_t count = recv (caller, buffer, sizeof buffer, MSG_DONTWAIT);
-  g_string_append_len (answer, buffer, MAX (count, 0));
-  return count != 0 && (count > 0 || errno == EAGAIN);
-}
-
 /* Lets the daemon run for a turn, and longer while requests are handled.
    Returns false when the connection of CALLER has ended.  */
 static bool
@@ -295,7 +284,7 @@
   do
     {
       uv_run (&fuzz.loop, UV_RUN_NOWAIT);
-      open = receive (caller, answer);
+      open = fz_receive (caller, answer);
       turn++;
     }
   while (open && turn < TURNS_MAX
--- a/test/fuzz/server_fuzz.c
+++ b/test/fuzz/server_fuzz.c
@@ -84,17 +84,6 @@
     }
 }
 
-/* Appends what has arrived at the socket CALLER to ANSWER.  Returns false at
-   its end.  */
-static bool
-receive (int caller, GString *answer)
-{
-  char buffer[4096];
-  ssize_t count = recv (caller, buffer, sizeof buffer, MSG_DONTWAIT);
-  g_string_append_len (answer, buffer, MAX (count, 0));
-  return count != 0 && (count > 0 || errno == EAGAIN);
-}
-
 /* Returns what comes after the response at TEXT, or NULL unless it is a whole
    response.  Sets IS_REFUSAL to whether it is one of the server itself.  */
 static const char *
@@ -178,13 +167,13 @@
     {
       send (caller, data + at, MIN (step, bytes - at), MSG_NOSIGNAL);
       uv_run (&state.loop, UV_RUN_NOWAIT);
-      open = receive (caller, answer);
+      open = fz_receive (caller, answer);
     }
   shutdown (caller, SHUT_WR);
   for (uint32_t turn = 0; open && turn < TURNS_MAX; turn++)
     {
       uv_run (&state.loop, UV_RUN_NOWAIT);
-      open = receive (caller, answer);
+      open = fz_receive (caller, answer);
     }
   /* A reset leaves no port waiting. */
   const struct linger reset = { .l_onoff = 1 };
