--- a/soak/record.c
+++ b/soak/record.c
@@ -109,10 +109,8 @@
   g_string_append_printf (
       text,
       "%s: %s sent at %.3f to entry-%u, process %u (started %.0f, told to "
-      "stop "
-      "or ended %.0f), status %u, %s, ended %.0f, deadline %.0f, %u runs "
-      "(first "
-      "%.0f, last ended %.0f)",
+      "stop or ended %.0f), status %u, %s, ended %.0f, deadline %.0f, %u runs "
+      "(first %.0f, last ended %.0f)",
       id, kinds[request->kind], (double)sent_us / CLK_S_US, request->daemon,
       request->start_number, elapsed_ms (sent_us, request->daemon_started_us),
       elapsed_ms (sent_us, stopped_us), request->status,
