Share the wait for a daemon's exit in the test of starts, and the look-up of a process

entry_start_test waited for the exit of its daemon in two ways, one of them without an end, and paused for 300 ms before each kill, which was left over from reading its log.

--- a/soak/record.c
+++ b/soak/record.c
@@ -94,17 +94,8 @@
       return NULL;
     }
   int64_t sent_us = request->sent_us;
-  int64_t stopped_us = SRD_NEVER;
-  for (guint i = 0; i < record->processes->len; i++)
-    {
-      const struct srd_process *process
-          = &g_array_index (record->processes, struct srd_process, i);
-      if (process->daemon == request->daemon
-          && process->start_number == request->start_number)
-        {
-          stopped_us = process->ended_us;
-        }
-    }
+  const struct srd_process *process
+      = srd_find_process (record, request->daemon, sent_us);
   GString *text = g_string_new (NULL);
   g_string_append_printf (
       text,
@@ -113,7 +104,7 @@
       "(first %.0f, last ended %.0f)",
       id, kinds[request->kind], (double)sent_us / CLK_S_US, request->daemon,
       request->start_number, elapsed_ms (sent_us, request->daemon_started_us),
-      elapsed_ms (sent_us, stopped_us), request->status,
+      elapsed_ms (sent_us, process->ended_us), request->status,
       request->complete ? "complete" : "incomplete",
       elapsed_ms (sent_us, request->ended_us),
       elapsed_ms (sent_us, request->deadline_us), request->runs,
--- a/test/entry_start_test.c
+++ b/test/entry_start_test.c
@@ -58,17 +58,26 @@
     }
 }
 
-/* Kills the daemon, so that it can be started again.  */
-static void
-end_start (struct efx_fixture *fixture, struct start *start)
+/* Waits until the daemon has exited.  Returns its status as waitpid does.  */
+static int
+await_exit (struct efx_fixture *fixture, struct start *start)
 {
   int status = 0;
-  efx_run_for (fixture, 300 * CLK_MS_US);
-  sep_signal (start->daemon, SIGKILL);
+  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
   while (!sep_has_ended (start->daemon, &status))
     {
+      assert_true (clk_monotonic_us () < end_us);
       efx_run_for (fixture, CLK_MS_US);
     }
+  return status;
+}
+
+/* Kills the daemon, so that it can be started again.  */
+static void
+end_start (struct efx_fixture *fixture, struct start *start)
+{
+  sep_signal (start->daemon, SIGKILL);
+  await_exit (fixture, start);
   spx_set_mode (start->proxy, SPX_PASS, 0);
 }
 
@@ -180,14 +189,7 @@
   assert_int_equal (stays.status, 503);
   efx_clear_call (&left);
   efx_clear_call (&stays);
-  int status = 0;
-  int64_t end_us = clk_monotonic_us () + EFX_TIMEOUT_US;
-  while (!sep_has_ended (start.daemon, &status))
-    {
-      assert_true (clk_monotonic_us () < end_us);
-      efx_run_for (fixture, 10 * CLK_MS_US);
-    }
-  assert_int_equal (status, 0);
+  assert_int_equal (await_exit (fixture, &start), 0);
   close_start (&start);
 }
 
