Take the last id of an event for its id

Cause: event_id of net/event_scan.c ended at the first line `id:' of an event, while callers' readers take the last one. An event with two ids passed the check of the order, and the events after it went backwards for the caller.

--- a/src/net/event_scan.c
+++ b/src/net/event_scan.c
@@ -88,11 +88,13 @@
   return id;
 }
 
-/* Returns the id of the event BYTES, or -1 when the event has no id.  An id
-   that is not a number is read as 0.  */
+/* Returns the id of the event BYTES, or -1 when the event has no id.  Of
+   several the last one counts, as for the readers of callers (HTML,
+   server-sent events).  An id that is not a number is read as 0.  */
 static int64_t
 event_id (const uint8_t *bytes, size_t count)
 {
+  int64_t id = -1;
   size_t line = 0;
   while (line < count)
     {
@@ -100,11 +102,11 @@
       size_t next = end == NULL ? count : (size_t)(end - bytes) + 1;
       if (next - line > 3 && memcmp (bytes + line, "id:", 3) == 0)
         {
-          return read_id (bytes + line + 3, next - line - 3);
+          id = read_id (bytes + line + 3, next - line - 3);
         }
       line = next;
     }
-  return -1;
+  return id;
 }
 
 /* Returns true if all lines of the event BYTES are comments, which keep a
--- a/test/event_scan_test.c
+++ b/test/event_scan_test.c
@@ -82,6 +82,13 @@
     "",
     0,
     true },
+  /* Guards against an id that the caller's reader doesn't see. */
+  { "the last id of an event counts",
+    -1,
+    { "id: 1\ndata: a\n\nid: 5\nid: 2\ndata: b\n\nid: 3\nid: 7\n\n" },
+    "id: 1\ndata: a\n\nid: 5\nid: 2\ndata: b\n\n",
+    0,
+    true },
   { "a blank id isn't read from the next event",
     4,
     { "id:\n\n5\nid: 5\ndata: b\n\n" },
