--- a/test/fuzz/entry_fuzz.c
+++ b/test/fuzz/entry_fuzz.c
@@ -5,28 +5,12 @@
    bear no id but one that the caller has sent; the endpoint must get no
    request that the caller hasn't sent, and none that is refused in the state.
  */
-#include "fuzz.h"
-
-#include "base/clock.h"
-#include "base/log.h"
-#include "core/roster.h"
-#include "entry/exchange.h"
-#include "entry/verdicts.h"
-#include "net/address.h"
-#include "platform/configuration.h"
-#include "platform/headers.h"
-
-#include <errno.h>
-#include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "fuzz_daemon.h"
 
 /* Turns of the loop that an input may take.  Requests that wait for something
    are given up when the caller closes. */
 #define TURNS_MAX 400
 
-#define FAR_US (INT64_MAX / 8)
-
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t bytes);
 
 /* `none' has no endpoint. */
@@ -68,11 +52,8 @@
 
 static struct
 {
-  uv_loop_t loop;
-  struct ens_settings settings;
-  struct trf_traffic *traffic;
+  struct fz_daemon daemon;
   struct nsv_server *endpoint;
-  struct sockaddr_in address; /* of callers */
   enum daemon_state state;
   enum answer answer;
   const char *sent; /* by the caller of this input; line feeds stand for null
@@ -139,70 +120,23 @@
   .drained = ignore_event,
 };
 
-/* Starts the endpoint.  Returns a list that has it.  */
-static GPtrArray *
-list_endpoint (void)
+static void
+set_up (void)
 {
   const struct nsv_limits limits = {
     .header_bytes_max = 65536,
     .body_bytes_max = 65536,
-    .header_timeout_us = FAR_US,
-    .idle_timeout_us = FAR_US,
+    .header_timeout_us = FZ_FAR_US,
+    .idle_timeout_us = FZ_FAR_US,
     .unsent_bytes_max = 65536,
     .user_timeout_ms = 1000,
     .connections_max = 64,
   };
-  fuzz.endpoint = nsv_create (&fuzz.loop, "127.0.0.1:0", &limits,
+  fz_start_daemon (&fuzz.daemon);
+  fuzz.endpoint = nsv_create (&fuzz.daemon.loop, "127.0.0.1:0", &limits,
                               &endpoint_events, NULL, NULL);
-  struct rst_endpoint *endpoint = g_new0 (struct rst_endpoint, 1);
-  endpoint->id = g_strdup ("e");
-  endpoint->service = g_strdup ("one");
-  endpoint->address = nsv_address (fuzz.endpoint);
-  endpoint->data_centre = g_strdup ("d");
-  endpoint->slots = 8;
-  endpoint->started_ms = 1;
-  GPtrArray *list
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)rst_endpoint_destroy);
-  g_ptr_array_add (list, endpoint);
-  return list;
-}
-
-static void
-set_up (void)
-{
-  static char address[] = "127.0.0.1:0";
-  static char name[] = "d";
-  fuzz.settings = (struct ens_settings){
-    .name = name,
-    .data_centre = name,
-    .caller_address = address,
-    .ready_address = address,
-    .metrics_address = address,
-    .descriptors = 1024,
-    .memory_mb = 200,
-    .stop_us = FAR_US,
-    .retry_window_us = CLK_S_US,
-    .retry_ratio = 1,
-    .retry_slack = 1e9,
-    .quarantine_us = CLK_S_US,
-  };
-  lg_set_level (LOG_EMERG);
-  rcu_register_thread ();
-  uv_loop_init (&fuzz.loop);
-  struct fvw_store *views = fvw_store_create ();
-  fuzz.traffic
-      = trf_create (&fuzz.loop, &fuzz.settings, views, vdt_create (),
-                    qrn_create (name, CLK_S_US), nbr_create (address), NULL);
-  fuzz.traffic->started_us = 0; /* long ago: no request is held */
-  g_autofree char *callers = nsv_address (fuzz.traffic->caller_server);
-  struct flt_config *config
-      = pfc_decode (configuration, strlen (configuration), NULL);
-  if (config == NULL || !nad_parse (callers, &fuzz.address))
-    {
-      fz_fail ("the daemon can't start");
-    }
-  fvw_publish (views, fvw_view_create (config, list_endpoint (), 1, 1));
-  fvw_set_proved (views, clk_monotonic_us ());
+  g_autofree char *address = nsv_address (fuzz.endpoint);
+  fz_configure (&fuzz.daemon, configuration, address, 1);
 }
 
 /* Brings the daemon into STATE.  */
@@ -210,9 +144,10 @@
 enter_state (enum daemon_state state)
 {
   fuzz.state = state;
-  fuzz.traffic->freshness.revoke_us = state == STATE_KEYS_OLD ? 0 : FAR_US;
-  fuzz.traffic->freshness.change_us = 0;
-  fuzz.traffic->stopping_us
+  fuzz.daemon.traffic->freshness.revoke_us
+      = state == STATE_KEYS_OLD ? 0 : FZ_FAR_US;
+  fuzz.daemon.traffic->freshness.change_us = 0;
+  fuzz.daemon.traffic->stopping_us
       = state == STATE_STOPPING ? clk_monotonic_us () : 0;
 }
 
@@ -283,19 +218,20 @@
   uint32_t turn = 0;
   do
     {
-      uv_run (&fuzz.loop, UV_RUN_NOWAIT);
+      uv_run (&fuzz.daemon.loop, UV_RUN_NOWAIT);
       open = fz_receive (caller, answer);
       turn++;
     }
   while (open && turn < TURNS_MAX
-         && (until_closed || g_hash_table_size (fuzz.traffic->exchanges) > 0));
+         && (until_closed
+             || g_hash_table_size (fuzz.daemon.traffic->exchanges) > 0));
   return open;
 }
 
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t bytes)
 {
-  if (fuzz.traffic == NULL)
+  if (fuzz.daemon.traffic == NULL)
     {
       set_up ();
     }
@@ -314,17 +250,11 @@
     }
   fuzz.sent = sent->str;
   GString *answer = g_string_new (NULL);
-  int caller = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (connect (caller, (struct sockaddr *)&fuzz.address, sizeof fuzz.address)
-      != 0)
+  int caller = fz_connect (&fuzz.daemon);
+  if (caller < 0)
     {
-      if (errno != EADDRNOTAVAIL) /* all ports wait for late bytes */
-        {
-          fz_fail ("the caller can't connect");
-        }
       g_string_free (sent, TRUE);
       g_string_free (answer, TRUE);
-      close (caller);
       return 0;
     }
   send (caller, data, bytes, MSG_NOSIGNAL);
@@ -335,22 +265,9 @@
     {
       run (caller, answer, true);
     }
-  const struct linger reset = { .l_onoff = 1 };
-  setsockopt (caller, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-  close (caller);
+  fz_reset (caller);
   check_answer (answer->str);
-  for (uint32_t turn = 0;
-       nsv_connection_count (fuzz.traffic->caller_server) > 0
-       && turn < TURNS_MAX;
-       turn++)
-    {
-      uv_run (&fuzz.loop, UV_RUN_NOWAIT);
-    }
-  if (nsv_connection_count (fuzz.traffic->caller_server) > 0
-      || g_hash_table_size (fuzz.traffic->exchanges) > 0)
-    {
-      fz_fail ("the daemon keeps a request whose caller has gone");
-    }
+  fz_check_idle (&fuzz.daemon, TURNS_MAX);
   g_string_free (sent, TRUE);
   g_string_free (answer, TRUE);
   return 0;
