Take the first type of an answer for its type in answer_fuzz

The daemon decides by the first Content-Type whether it reads events; the check of their order took any of them.

--- a/test/fuzz/answer_fuzz.c
+++ b/test/fuzz/answer_fuzz.c
@@ -178,7 +178,8 @@
 {
   int64_t length; /* -1: not stated */
   bool chunked;
-  bool has_events;
+  bool has_type;
+  bool has_events; /* by its first type */
 };
 
 /* Reads the head at TEXT.  Returns what follows it; NULL: it isn't whole, or a
@@ -215,8 +216,12 @@
             }
           framing->length = g_ascii_strtoll (value, NULL, 10);
         }
-      framing->has_events |= g_ascii_strcasecmp (lines[i], "Content-Type") == 0
-                             && g_str_has_prefix (value, "text/event-stream");
+      if (!framing->has_type
+          && g_ascii_strcasecmp (lines[i], "Content-Type") == 0)
+        {
+          framing->has_type = true;
+          framing->has_events = g_str_has_prefix (value, "text/event-stream");
+        }
       if (g_ascii_strcasecmp (lines[i], "Transfer-Encoding") == 0)
         {
           if (framing->length >= 0 || framing->chunked
