Repeat the failed calls of a daemon's topics when the store answers one

What callers saw: after an outage of the store of 8 s requests with keys were refused as "keys may be out of date" for up to 2.8 s more.

Cause: each topic found out by itself that the store was back. The operator's topic waited for the time-out of a call that was sent before the return, while the daemon's endpoint list, which is probed, had been answered.

The first answer of the store to a topic that had failed, or to its probe, now makes its siblings repeat their failed calls. Calls that relays hold go on.

--- a/src/entry/fleet_control.c
+++ b/src/entry/fleet_control.c
@@ -571,6 +571,10 @@
   control->topics[0] = control->operator_topic;
   control->topics[1] = epl_source (control->endpoints);
   control->topics[2] = evt_source (control->evidence);
+  for (uint32_t i = 0; i < TOPICS; i++)
+    {
+      tpc_set_siblings (control->topics[i], control->topics, TOPICS);
+    }
   set_relays (control, control->relays);
   const struct hld_params holders_params = {
     .group = control->group,
--- a/src/entry/held_request.c
+++ b/src/entry/held_request.c
@@ -153,6 +153,11 @@
       = g_hash_table_get_keys_as_array (traffic->held, NULL);
   for (size_t i = 0; all[i] != NULL; i++)
     {
+      /* Its caller may have gone while another one was released. */
+      if (!g_hash_table_contains (traffic->held, all[i]))
+        {
+          continue;
+        }
       int64_t wait_us = remaining_wait_us (all[i]);
       if (wait_us > 0)
         {
--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -74,10 +74,12 @@
   struct rly_hint hint;
   uint64_t departures_mark; /* what is known of these */
   int64_t last_success_us;
-  bool failed;         /* the previous call failed */
-  bool store_failed;   /* the newest call of the store failed */
-  bool relay_failed;   /* the newest call of a relay failed */
-  bool hastened;       /* the next read of the store comes without a pause */
+  bool failed;       /* the previous call failed */
+  bool store_failed; /* the newest call of the store failed */
+  bool relay_failed; /* the newest call of a relay failed */
+  bool hastened;     /* the next read of the store comes without a pause */
+  struct tpc_topic *const *siblings; /* see tpc_set_siblings */
+  uint32_t sibling_count;
   bool needs_snapshot; /* only the store's snapshot can bring it up to date */
   uint32_t answer_timeout_ms; /* time-out of the next call, beyond its wait */
   uint32_t retry_ms;          /* pause after the next failure of the store */
@@ -236,11 +238,46 @@
   topic->retry_ms = MIN (topic->retry_ms * 2, retry_max_ms (topic));
 }
 
+/* Makes the next call at once, since the store answers again.  A call that it
+   hasn't answered is repeated; a relay goes on holding one.  */
+static void
+repeat_call (struct tpc_topic *topic)
+{
+  bool waits_for_relay = topic->uses_relay && topic->call != NULL;
+  topic->store_failed = false;
+  if (waits_for_relay)
+    {
+      return;
+    }
+  if (topic->call != NULL)
+    {
+      cal_cancel (topic->call);
+      topic->call = NULL;
+    }
+  schedule_call (topic, 0);
+}
+
+/* Repeats the calls of the other topics of the store that have failed, since
+   it has answered TOPIC.  */
+static void
+repeat_siblings (const struct tpc_topic *topic)
+{
+  for (uint32_t i = 0; i < topic->sibling_count; i++)
+    {
+      struct tpc_topic *sibling = topic->siblings[i];
+      if (sibling != topic && sibling->store_failed)
+        {
+          repeat_call (sibling);
+        }
+    }
+}
+
 /* Resets the state of failures after a valid answer of the store, or of a
    relay if RELAYED.  */
 static void
 record_success (struct tpc_topic *topic, bool relayed)
 {
+  bool had_failed = topic->store_failed;
   int64_t unread_us = clk_monotonic_us () - topic->last_success_us;
   topic->failed = false;
   topic->last_success_us = clk_monotonic_us ();
@@ -263,6 +300,10 @@
         {
           topic->relayless_since_us = topic->last_success_us;
         }
+      if (had_failed)
+        {
+          repeat_siblings (topic);
+        }
     }
   if (topic->in_outage)
     {
@@ -766,24 +807,13 @@
   g_free (path);
 }
 
-/* Handles an answer of the store to a probe: repeats the call that the store
-   hasn't answered, or makes the next one at once.  */
+/* Handles an answer of the store to a probe.  */
 static void
 on_probe_answered (void *context)
 {
   struct tpc_topic *topic = context;
-  bool waits_for_relay = topic->uses_relay && topic->call != NULL;
-  topic->store_failed = false;
-  if (waits_for_relay)
-    {
-      return;
-    }
-  if (topic->call != NULL)
-    {
-      cal_cancel (topic->call);
-      topic->call = NULL;
-    }
-  schedule_call (topic, 0);
+  repeat_call (topic);
+  repeat_siblings (topic);
 }
 
 /* Creates the probe of the store that TOPIC reads.  */
@@ -901,6 +931,16 @@
   topic->params.prefers_relays = prefer;
 }
 
+/* Sets the COUNT topics of the same store, TOPIC among them, that learn from
+   one another that it answers again.  The array must outlive their calls.  */
+void
+tpc_set_siblings (struct tpc_topic *topic, struct tpc_topic *const *siblings,
+                  uint32_t count)
+{
+  topic->siblings = siblings;
+  topic->sibling_count = count;
+}
+
 /* Reads the store more often if SERVES, since other daemons rely on the proofs
    of this one.  */
 void
--- a/src/entry/topic.h
+++ b/src/entry/topic.h
@@ -62,6 +62,8 @@
 void tpc_set_relays (struct tpc_topic *topic, const GPtrArray *addresses);
 void tpc_set_holders (struct tpc_topic *topic, const GPtrArray *addresses);
 void tpc_set_members (struct tpc_topic *topic, const GPtrArray *addresses);
+void tpc_set_siblings (struct tpc_topic *topic,
+                       struct tpc_topic *const *siblings, uint32_t count);
 void tpc_prefer_relays (struct tpc_topic *topic, bool prefer);
 void tpc_serve_relay (struct tpc_topic *topic, bool serves);
 bool tpc_reads_relays (const struct tpc_topic *topic);
