--- a/src/entry/topic.c
+++ b/src/entry/topic.c
@@ -40,6 +40,7 @@
   struct spr_probe *probe;
   uint64_t era;         /* of the store, to which the offsets belong */
   bool has_records;     /* of that era */
+  bool in_snapshot;     /* reading a snapshot */
   bool restored;        /* the snapshot in progress follows a restore */
   uint64_t lost_offset; /* end of what was read before that restore */
   uint64_t answer_era;  /* stated by the newest answer */
@@ -54,19 +55,20 @@
   struct hqr_query *query;
   int64_t ask_until_us;       /* monotonic; nobody is asked later */
   int64_t snapshot_proved_us; /* proof that counts once they were asked */
-  bool in_snapshot;           /* reading a snapshot */
   char *after_key; /* last key of the previous page; NULL at first */
   uint64_t snapshot_end_offset; /* offset up to which the snapshot holds */
   int64_t snapshot_sent_us; /* monotonic, when its first page was requested */
   uint64_t next_offset;     /* offset to read from */
   GPtrArray *relays;        /* addresses of other daemons' relays */
-  guint relay_index;        /* of the relay in use */
-  bool uses_relay;          /* for the newest call */
-  bool serves_relay;        /* other daemons rely on this one's proofs */
-  int64_t sent_us;          /* newest call; this and the times below:
-                               monotonic */
-  int64_t call_before_us;   /* newest call or probe of the store before it */
-  int64_t proved_us;        /* newest proof; 0: none */
+  struct tpc_topic *const *siblings; /* see tpc_set_siblings */
+  uint32_t sibling_count;
+  guint relay_index;          /* of the relay in use */
+  bool uses_relay;            /* for the newest call */
+  bool serves_relay;          /* other daemons rely on this one's proofs */
+  int64_t sent_us;            /* newest call; this and the times below:
+                                 monotonic */
+  int64_t call_before_us;     /* newest call or probe of the store before it */
+  int64_t proved_us;          /* newest proof; 0: none */
   int64_t relayless_since_us; /* no relay has answered since then, although
                                  the store has; 0: there is one */
   bool relay_known;           /* a relay has answered since the list was set */
@@ -74,12 +76,10 @@
   struct rly_hint hint;
   uint64_t departures_mark; /* what is known of these */
   int64_t last_success_us;
-  bool failed;       /* the previous call failed */
-  bool store_failed; /* the newest call of the store failed */
-  bool relay_failed; /* the newest call of a relay failed */
-  bool hastened;     /* the next read of the store comes without a pause */
-  struct tpc_topic *const *siblings; /* see tpc_set_siblings */
-  uint32_t sibling_count;
+  bool failed;         /* the previous call failed */
+  bool store_failed;   /* the newest call of the store failed */
+  bool relay_failed;   /* the newest call of a relay failed */
+  bool hastened;       /* the next read of the store comes without a pause */
   bool needs_snapshot; /* only the store's snapshot can bring it up to date */
   uint32_t answer_timeout_ms; /* time-out of the next call, beyond its wait */
   uint32_t retry_ms;          /* pause after the next failure of the store */
