--- a/test/fuzz/answer_fuzz.c
+++ b/test/fuzz/answer_fuzz.c
@@ -295,16 +295,10 @@
   return true;
 }
 
-/* Returns the id that LINE of an event states; -1: it states none that is a
-   number.  */
+/* Returns the id that VALUE states; -1: it is no number.  */
 static int64_t
-read_id (const char *line)
+read_id (const char *value)
 {
-  if (!g_str_has_prefix (line, "id:"))
-    {
-      return -1;
-    }
-  const char *value = line + strlen ("id:");
   value += strspn (value, " ");
   return *value != '\0' && strspn (value, "0123456789") == strlen (value)
              ? g_ascii_strtoll (value, NULL, 10)
@@ -321,9 +315,15 @@
   int64_t id = -1;
   for (size_t i = 0; lines[i] != NULL; i++)
     {
-      const char *line = g_strchomp (lines[i]);
-      int64_t stated = read_id (line);
-      id = stated >= 0 ? stated : id;
+      char *line = lines[i];
+      if (g_str_has_suffix (line, "\r"))
+        {
+          line[strlen (line) - 1] = '\0';
+        }
+      if (g_str_has_prefix (line, "id:"))
+        {
+          id = read_id (line + strlen ("id:"));
+        }
       /* What follows the last line end is cut off. */
       bool ends = *line == '\0' && lines[i + 1] != NULL;
       if (ends && id >= 0)
