Find values of a configuration that daemons replace or ignore

Cause: the reader replaces what it can't read by a default and doesn't say so, so check-fleet reported no error for a time-out of "10s" or -1, a misspelt kind or key, two routes of one name, or layers that fit on no accelerator.

check-fleet now also checks the text against a table of keys and their types. Errors: another type, a number below 0, an unknown word, a name used twice, a layer larger than every kind of accelerator. Warning: an unknown key that differs in one or two characters from a known one; other unknown keys may be meant for other readers. The daemons' reader is unchanged.

--- a/src/cli/check_fleet.c
+++ b/src/cli/check_fleet.c
@@ -6,6 +6,7 @@
 #include "config/parse.h"
 #include "core/fleet_check.h"
 #include "platform/configuration.h"
+#include "platform/configuration_format.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -17,10 +18,11 @@
 };
 
 /* Reads the configuration in the file PATH.  Sets KEYS, unless it is NULL, to
-   the keys that the file declares, which the caller frees.  Returns NULL after
-   printing why the file can't be read or decoded.  */
+   the keys that the file declares, and FORMAT to findings on its values; the
+   caller frees both.  Returns NULL after printing why the file can't be read
+   or decoded.  */
 static struct flt_config *
-load_fleet (const char *path, GArray **keys)
+load_fleet (const char *path, GArray **keys, GPtrArray **format)
 {
   char *text = NULL;
   size_t text_bytes = 0;
@@ -44,6 +46,7 @@
   else if (keys != NULL)
     {
       *keys = pfc_list_keys (text, text_bytes);
+      *format = pff_check (text, text_bytes);
     }
   g_free (text);
   return config;
@@ -77,12 +80,15 @@
 check_fleet (const char *path, const char *against, bool strict)
 {
   GArray *keys = NULL;
-  struct flt_config *config = load_fleet (path, &keys);
-  struct flt_config *old = against == NULL ? NULL : load_fleet (against, NULL);
+  GPtrArray *format = NULL;
+  struct flt_config *config = load_fleet (path, &keys, &format);
+  struct flt_config *old
+      = against == NULL ? NULL : load_fleet (against, NULL, NULL);
   guint counts[G_N_ELEMENTS (severity_names)] = { 0 };
   bool failed = config == NULL || (against != NULL && old == NULL);
   if (config != NULL)
     {
+      print_findings (path, format, counts);
       print_findings (path, fck_check (config, keys), counts);
       g_array_free (keys, TRUE);
     }
--- a/src/core/fleet_check.c
+++ b/src/core/fleet_check.c
@@ -28,6 +28,19 @@
   g_ptr_array_add (findings, finding);
 }
 
+/* Returns the memory of the largest accelerator that ENGINE runs on; 0: none
+   is described.  */
+static double
+largest_memory_mb (const struct flt_engine_spec *engine)
+{
+  double largest_mb = 0;
+  for (uint32_t i = 0; i < engine->kind_count; i++)
+    {
+      largest_mb = MAX (largest_mb, engine->kinds[i].memory_mb);
+    }
+  return largest_mb;
+}
+
 /* Finds routes that no request can match.  */
 static void
 check_match (GPtrArray *findings, const struct flt_config *config,
@@ -152,6 +165,14 @@
                "Its engines have 0 slots. No memory is planned for requests, "
                "so callers may be refused.");
         }
+      double memory_mb = largest_memory_mb (&service->engine);
+      if (memory_mb > 0 && service->engine.layer_mb > memory_mb)
+        {
+          add (findings, FCK_ERROR, "service", service->name,
+               "A layer has %.0f MB, and its largest kind of accelerator has "
+               "%.0f MB. No engine can hold one.",
+               service->engine.layer_mb, memory_mb);
+        }
     }
   g_free (used);
 }
--- a/test/fleet_check_test.c
+++ b/test/fleet_check_test.c
@@ -188,6 +188,18 @@
   { "engines without slots",
     { GOOD, "{\"Name\":\"s\",\"Engine\":{\"Slots\":0}}", ACCOUNT, LIMITS },
     { "warning service s: 0 slots" } },
+  { "layers that fit on some kinds",
+    { GOOD,
+      "{\"Name\":\"s\",\"Engine\":{\"Slots\":1,\"LayerMb\":100,\"Kinds\":[{"
+      "\"Name\":\"a\",\"Mb\":50},{\"Name\":\"b\",\"Mb\":100}]}}",
+      ACCOUNT, LIMITS },
+    { NULL } },
+  { "layers that fit on no kind",
+    { GOOD,
+      "{\"Name\":\"s\",\"Engine\":{\"Slots\":1,\"LayerMb\":101,\"Kinds\":[{"
+      "\"Name\":\"a\",\"Mb\":50},{\"Name\":\"b\",\"Mb\":100}]}}",
+      ACCOUNT, LIMITS },
+    { "error service s: A layer has 101 MB" } },
 };
 
 /* Guards against a mistake that is published unnoticed, and against a finding
