Read the list at once also when a part of the due removals took effect

With removals of different times, one that took effect kept those that wait for a proof until the next regular read.

--- a/src/entry/endpoint_list.c
+++ b/src/entry/endpoint_list.c
@@ -18,9 +18,9 @@
 
 static void schedule_removal (struct epl_list *list);
 
-/* Removes the endpoints whose delayed removal is due.  Their removal waits for
-   the answer of the store where that can be had at once, and otherwise for a
-   proof as new as relays give them.  */
+/* Removes the endpoints whose delayed removal is due and proved.  The others
+   wait for an answer of the store, which is read at once, or for a proof as
+   new as relays give them.  */
 static void
 expire_removals (struct epl_list *list)
 {
@@ -43,7 +43,7 @@
     {
       list->params.read (list->params.context);
     }
-  else
+  if (rst_next_removal_us (list->roster) <= now_us)
     {
       tpc_read_now (list->source);
     }
