--- a/src/core/fleet_check.c
+++ b/src/core/fleet_check.c
@@ -13,19 +13,47 @@
   g_free (finding);
 }
 
+/* Returns an empty list of struct fck_finding.  The caller frees it.  */
+GPtrArray *
+fck_findings_create (void)
+{
+  return g_ptr_array_new_with_free_func (destroy_finding);
+}
+
+/* Adds a finding on ENTRY, whose text is FORMAT with ARGUMENTS, to
+   FINDINGS.  */
+static void G_GNUC_PRINTF (4, 0)
+    add_text (GPtrArray *findings, enum fck_severity severity,
+              const char *entry, const char *format, va_list arguments)
+{
+  struct fck_finding *finding = g_new0 (struct fck_finding, 1);
+  finding->severity = severity;
+  finding->entry = g_strdup (entry);
+  finding->text = g_strdup_vprintf (format, arguments);
+  g_ptr_array_add (findings, finding);
+}
+
+/* Adds a finding on ENTRY, such as `route draft', to FINDINGS.  */
+void
+fck_add_finding (GPtrArray *findings, enum fck_severity severity,
+                 const char *entry, const char *format, ...)
+{
+  va_list arguments;
+  va_start (arguments, format);
+  add_text (findings, severity, entry, format, arguments);
+  va_end (arguments);
+}
+
 /* Adds a finding on the entry NAME of KIND, such as "route", to FINDINGS.  */
 static void G_GNUC_PRINTF (5, 6)
     add (GPtrArray *findings, enum fck_severity severity, const char *kind,
          const char *name, const char *format, ...)
 {
-  struct fck_finding *finding = g_new0 (struct fck_finding, 1);
-  finding->severity = severity;
-  finding->entry = g_strdup_printf ("%s %s", kind, name);
+  g_autofree char *entry = g_strconcat (kind, " ", name, NULL);
   va_list arguments;
   va_start (arguments, format);
-  finding->text = g_strdup_vprintf (format, arguments);
+  add_text (findings, severity, entry, format, arguments);
   va_end (arguments);
-  g_ptr_array_add (findings, finding);
 }
 
 /* Returns the memory of the largest accelerator that ENGINE runs on; 0: none
@@ -241,7 +269,7 @@
 GPtrArray *
 fck_check (const struct flt_config *config, const GArray *keys)
 {
-  GPtrArray *findings = g_ptr_array_new_with_free_func (destroy_finding);
+  GPtrArray *findings = fck_findings_create ();
   for (uint32_t i = 0; i < config->route_count; i++)
     {
       check_match (findings, config, &config->routes[i]);
@@ -585,7 +613,7 @@
 GPtrArray *
 fck_compare (const struct flt_config *old, const struct flt_config *new)
 {
-  GPtrArray *changes = g_ptr_array_new_with_free_func (destroy_finding);
+  GPtrArray *changes = fck_findings_create ();
   compare_routes (changes, old, new);
   compare_services (changes, old, new);
   compare_accounts (changes, old, new);
--- a/src/core/fleet_check.h
+++ b/src/core/fleet_check.h
@@ -32,6 +32,10 @@
   uint32_t account; /* index in the configuration */
 };
 
+GPtrArray *fck_findings_create (void);
+void fck_add_finding (GPtrArray *findings, enum fck_severity severity,
+                      const char *entry, const char *format, ...)
+    G_GNUC_PRINTF (4, 5);
 GPtrArray *fck_check (const struct flt_config *config, const GArray *keys);
 GPtrArray *fck_compare (const struct flt_config *old,
                         const struct flt_config *new);
