--- a/test/fuzz/answer_fuzz.c
+++ b/test/fuzz/answer_fuzz.c
@@ -1,6 +1,6 @@
 /* Fuzzes what an entry daemon passes on of endpoints' answers: its traffic
-   thread runs in this process, and each input is what the endpoint answers to
-   the attempts of one request.  The first byte selects the request.  The
+   thread runs in this process, and each input is what endpoints answer to the
+   attempts of one request.  The first byte selects the request.  The
    others are answers, apart from each other by SEPARATOR; the first byte of
    each says how its connection ends.  What the caller gets must be one answer
    that a strict reader understands, with nothing that the endpoint hasn't sent
@@ -14,9 +14,12 @@
 /* Between two answers of an input. */
 #define SEPARATOR '\x1e'
 
-/* Attempts that the endpoint answers; later ones are refused. */
+/* Attempts that are answered; later ones are refused. */
 #define ANSWERS_MAX 4
 
+/* Endpoints: one that has failed gets no further attempt for a while. */
+#define ENDPOINTS ANSWERS_MAX
+
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t bytes);
 
 /* All requests are public. */
@@ -70,41 +73,59 @@
 {
   struct fz_daemon daemon;
   uint64_t inputs;
-  int endpoint; /* the socket that accepts attempts */
+  int endpoints[ENDPOINTS];   /* sockets that accept attempts */
+  char *addresses[ENDPOINTS]; /* of the endpoints */
   struct attempt attempts[ANSWERS_MAX];
   uint32_t attempt_count;
   char **answers;
 } fuzz;
 
-/* Opens an endpoint for one input: what is known of the one before doesn't
-   count for it.  Returns false when all ports are in use.  */
-static bool
-open_endpoint (void)
+/* Opens the endpoints.  They keep their ports for all inputs: ports of its own
+   for each would wait for late bytes afterwards, and soon all would.  */
+static void
+open_endpoints (void)
 {
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t length = sizeof address;
-  const int reuse = 1;
-  fuzz.endpoint
-      = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-  setsockopt (fuzz.endpoint, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
-  if (bind (fuzz.endpoint, (struct sockaddr *)&address, length) != 0
-      || listen (fuzz.endpoint, ANSWERS_MAX) != 0
-      || getsockname (fuzz.endpoint, (struct sockaddr *)&address, &length)
-             != 0)
+  for (uint32_t i = 0; i < ENDPOINTS; i++)
     {
-      close (fuzz.endpoint);
-      return false;
+      struct sockaddr_in address
+          = { .sin_family = AF_INET,
+              .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+      socklen_t length = sizeof address;
+      int endpoint
+          = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      if (bind (endpoint, (struct sockaddr *)&address, length) != 0
+          || listen (endpoint, ANSWERS_MAX) != 0
+          || getsockname (endpoint, (struct sockaddr *)&address, &length) != 0)
+        {
+          fz_fail ("an endpoint can't listen");
+        }
+      fuzz.endpoints[i] = endpoint;
+      fuzz.addresses[i]
+          = g_strdup_printf ("127.0.0.1:%u", ntohs (address.sin_port));
     }
-  g_autofree char *text
-      = g_strdup_printf ("127.0.0.1:%u", ntohs (address.sin_port));
-  fz_configure (&fuzz.daemon, configuration, text, fuzz.inputs);
-  return true;
 }
 
+/* Returns a connection to an endpoint that has arrived; -1: there is none.  */
+static int
+accept_attempt (void)
+{
+  int accepted = -1;
+  for (uint32_t i = 0; i < ENDPOINTS && accepted < 0; i++)
+    {
+      accepted = accept (fuzz.endpoints[i], NULL, NULL);
+    }
+  return accepted;
+}
+
+/* Closes the connections to the endpoints, also those that weren't
+   accepted.  */
 static void
-close_endpoint (void)
+close_attempts (void)
 {
+  for (int unread = accept_attempt (); unread >= 0; unread = accept_attempt ())
+    {
+      fz_reset (unread);
+    }
   for (uint32_t i = 0; i < fuzz.attempt_count; i++)
     {
       if (fuzz.attempts[i].socket >= 0)
@@ -114,7 +135,6 @@
       g_string_free (fuzz.attempts[i].request, TRUE);
     }
   fuzz.attempt_count = 0;
-  close (fuzz.endpoint);
 }
 
 /* Answers the request of ATTEMPT with TEXT, whose first byte says how the
@@ -150,7 +170,7 @@
 {
   while (fuzz.attempt_count < ANSWERS_MAX)
     {
-      int accepted = accept (fuzz.endpoint, NULL, NULL);
+      int accepted = accept_attempt ();
       if (accepted < 0)
         {
           break;
@@ -399,6 +419,7 @@
   if (fuzz.daemon.traffic == NULL)
     {
       fz_start_daemon (&fuzz.daemon);
+      open_endpoints ();
     }
   if (bytes < 2 || memchr (data, '\0', bytes) != NULL)
     {
@@ -410,16 +431,14 @@
   g_auto (GStrv) answers
       = g_strsplit (sent, (const char[]){ SEPARATOR, '\0' }, ANSWERS_MAX);
   fuzz.answers = answers;
-  if (!open_endpoint ())
-    {
-      return 0;
-    }
   int caller = fz_connect (&fuzz.daemon);
   if (caller < 0)
     {
-      close_endpoint ();
       return 0;
     }
+  /* What is known of the endpoints of the input before doesn't count. */
+  fz_configure (&fuzz.daemon, configuration, fuzz.addresses, ENDPOINTS,
+                fuzz.inputs);
   /* Another path for each input: repeats of one request that break off are
      quarantined. */
   g_autofree char *head = g_strdup_printf (
@@ -431,7 +450,7 @@
   run (caller, received);
   fz_reset (caller);
   fz_check_idle (&fuzz.daemon, TURNS_MAX);
-  close_endpoint ();
+  close_attempts ();
   check_received (received->str, request, sent);
   return 0;
 }
--- a/test/fuzz/entry_fuzz.c
+++ b/test/fuzz/entry_fuzz.c
@@ -136,7 +136,7 @@
   fuzz.endpoint = nsv_create (&fuzz.daemon.loop, "127.0.0.1:0", &limits,
                               &endpoint_events, NULL, NULL);
   g_autofree char *address = nsv_address (fuzz.endpoint);
-  fz_configure (&fuzz.daemon, configuration, address, 1);
+  fz_configure (&fuzz.daemon, configuration, &address, 1, 1);
 }
 
 /* Brings the daemon into STATE.  */
--- a/test/fuzz/fuzz_daemon.h
+++ b/test/fuzz/fuzz_daemon.h
@@ -63,11 +63,11 @@
     }
 }
 
-/* Puts CONFIGURATION into force in DAEMON, with one endpoint of the service
-   `one' at ADDRESS.  INCARNATION tells it from earlier endpoints.  */
+/* Puts CONFIGURATION into force in DAEMON, with COUNT endpoints of the service
+   `one' at ADDRESSES.  INCARNATION tells them from earlier ones.  */
 static inline void
 fz_configure (struct fz_daemon *daemon, const char *configuration,
-              const char *address, uint64_t incarnation)
+              char *const addresses[], uint32_t count, uint64_t incarnation)
 {
   struct flt_config *config
       = pfc_decode (configuration, strlen (configuration), NULL);
@@ -75,16 +75,20 @@
     {
       fz_fail ("the configuration is refused");
     }
-  struct rst_endpoint *endpoint = g_new0 (struct rst_endpoint, 1);
-  endpoint->id = g_strdup_printf ("e%" G_GUINT64_FORMAT, incarnation);
-  endpoint->service = g_strdup ("one");
-  endpoint->address = g_strdup (address);
-  endpoint->data_centre = g_strdup ("d");
-  endpoint->slots = 8;
-  endpoint->started_ms = (int64_t)incarnation;
   GPtrArray *list
       = g_ptr_array_new_with_free_func ((GDestroyNotify)rst_endpoint_destroy);
-  g_ptr_array_add (list, endpoint);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct rst_endpoint *endpoint = g_new0 (struct rst_endpoint, 1);
+      endpoint->id
+          = g_strdup_printf ("e%u-%" G_GUINT64_FORMAT, i, incarnation);
+      endpoint->service = g_strdup ("one");
+      endpoint->address = g_strdup (addresses[i]);
+      endpoint->data_centre = g_strdup ("d");
+      endpoint->slots = 8;
+      endpoint->started_ms = (int64_t)incarnation;
+      g_ptr_array_add (list, endpoint);
+    }
   fvw_publish (daemon->views, fvw_view_create (config, list, 1, 1));
   fvw_set_proved (daemon->views, clk_monotonic_us ());
   flt_release (config);
