--- a/test/fuzz/answer_fuzz.c
+++ b/test/fuzz/answer_fuzz.c
@@ -1,10 +1,10 @@
 /* Fuzzes what an entry daemon passes on of endpoints' answers: its traffic
    thread runs in this process, and each input is what endpoints answer to the
-   attempts of one request.  The first byte selects the request.  The
-   others are answers, apart from each other by SEPARATOR; the first byte of
-   each says how its connection ends.  What the caller gets must be one answer
-   that a strict reader understands, with nothing that the endpoint hasn't sent
-   and, as a stream, with events whose ids rise. */
+   attempts of one request.  The first byte selects the request.  The others
+   are answers, separated by SEPARATOR; the first byte of each says how its
+   connection ends.  What the caller gets must be one answer that a strict
+   reader understands, with nothing that no endpoint has sent and, as a stream,
+   with events whose ids rise. */
 #include "fuzz_daemon.h"
 
 /* Turns of the loop that an input may take.  Requests that wait for something
@@ -80,8 +80,8 @@
   char **answers;
 } fuzz;
 
-/* Opens the endpoints.  They keep their ports for all inputs: ports of its own
-   for each would wait for late bytes afterwards, and soon all would.  */
+/* Opens the endpoints.  They keep their ports for all inputs: new ports for
+   each input would wait for late bytes afterwards, until none is free.  */
 static void
 open_endpoints (void)
 {
